--- /dev/null
+++ b/examples/local/__init__.py
@@ -0,0 +1,1 @@
+"""A local fleet for the demo."""
--- /dev/null
+++ b/src/sardinehold/core/statements.py
@@ -0,0 +1,71 @@
+"""What a statement is: the traits by which it is routed."""
+
+import enum
+
+
+class Kind(enum.Enum):
+    """What a statement does, as far as routing is concerned."""
+
+    READ = "read"
+    WRITE = "write"
+    BEGIN = "begin"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    SET = "set"
+    RESET = "reset"
+    SHOW = "show"
+    DEALLOCATE = "deallocate"
+    DISCARD = "discard"
+    EMPTY = "empty"
+
+
+class Traits:
+    """The traits of one statement text, which may hold several statements.
+
+    :param kind: the strongest kind of its parts; what cannot be told is a
+        write.
+    :param begins: whether it leaves a transaction open that it began.
+    :param ends: whether it ends the transaction that was open before it.
+    :param pins: whether it leaves state on the connection that no other
+        session may see (temporary table, advisory lock, LISTEN, cursor).
+    :param setting: name of the variable that SET, RESET or SHOW names.
+    :param value: the value that SET gives, as text.
+    :param local: whether SET is LOCAL to the transaction.
+    :param idempotency_key: the key that a sqlcommenter comment carries.
+    :param refusal: why the statement is not supported, or ``""``.
+    """
+
+    __slots__ = (
+        "kind",
+        "begins",
+        "ends",
+        "pins",
+        "setting",
+        "value",
+        "local",
+        "idempotency_key",
+        "refusal",
+    )
+
+    def __init__(
+        self,
+        kind: Kind,
+        begins: bool = False,
+        ends: bool = False,
+        pins: bool = False,
+        setting: str = "",
+        value: str = "",
+        local: bool = False,
+        idempotency_key: str = "",
+        refusal: str = "",
+    ) -> None:
+        """Keep the traits."""
+        self.kind = kind
+        self.begins = begins
+        self.ends = ends
+        self.pins = pins
+        self.setting = setting
+        self.value = value
+        self.local = local
+        self.idempotency_key = idempotency_key
+        self.refusal = refusal
--- /dev/null
+++ b/src/sardinehold_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the databases, with fault switches."""
