--- /dev/null
+++ b/src/sardinehold/keys.py
@@ -0,0 +1,63 @@
+"""Callers' keys: made once, shown once, kept as digests.
+
+A key reads ``shk_<prefix>_<secret>``. The prefix finds the key's record, and
+``shk_`` is the string to search for when a key may have leaked. The secret has
+256 random bits, so one salted hash is enough.
+"""
+
+import hashlib
+import hmac
+import secrets
+
+from sardinehold import document
+
+MARKER = "shk"
+PREFIX_BYTES = 4
+SECRET_BYTES = 32
+SALT_BYTES = 8
+
+
+class NewKey:
+    """A key just made.
+
+    :param text: what the caller uses as password; shown once, kept nowhere.
+    :param record: what the configuration document keeps.
+    """
+
+    __slots__ = ("text", "record")
+
+    def __init__(self, text: str, record: document.Key) -> None:
+        """Keep the text and the record."""
+        self.text = text
+        self.record = record
+
+
+def generate_key() -> NewKey:
+    """Make a key."""
+    prefix = secrets.token_hex(PREFIX_BYTES)
+    text = f"{MARKER}_{prefix}_{secrets.token_hex(SECRET_BYTES)}"
+    return NewKey(text, hash_key(text))
+
+
+def hash_key(text: str) -> document.Key:
+    """Return the record to keep for the key ``text``, with a new salt."""
+    salt = secrets.token_hex(SALT_BYTES)
+    return document.Key(find_prefix(text), salt, digest_key(text, salt))
+
+
+def digest_key(text: str, salt: str) -> str:
+    """Return the hexadecimal digest of a key."""
+    return hashlib.sha256(f"{salt}:{text}".encode()).hexdigest()
+
+
+def find_prefix(text: str) -> str:
+    """Return the public part of a key, ``""`` if ``text`` is not a key."""
+    parts = text.split("_")
+    if len(parts) != 3 or parts[0] != MARKER:
+        return ""
+    return parts[1]
+
+
+def verify_key(record: document.Key, text: str) -> bool:
+    """Return whether ``text`` is the key of ``record``, in constant time."""
+    return hmac.compare_digest(digest_key(text, record.salt), record.digest)
