--- /dev/null
+++ b/src/sardinehold/core/snapshot.py
@@ -0,0 +1,113 @@
+"""The objects that make up the view, as of one revision of the platform.
+
+A snapshot only moves forward: an answer older than what it holds is dropped.
+"""
+
+from sardinehold import objects
+
+KINDS = (
+    "document",
+    "group-state",
+    "handover",
+    "leaving",
+    "members",
+    "role",
+    "secret",
+)
+"""Kinds of the objects that the view is built from."""
+
+DELETIONS_LIMIT = 64
+"""Deleted objects that are remembered, for those that ask for changes only."""
+
+
+class Snapshot:
+    """Objects by kind and name, and the revision as of which they hold.
+
+    :param version: 0 while nothing has been read.
+    """
+
+    __slots__ = ("version", "objects", "deletions", "delta_floor")
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.version = 0
+        self.objects: dict[tuple[str, str], objects.StoredObject] = {}
+        self.deletions: dict[tuple[str, str], int] = {}
+        self.delta_floor = 0
+
+    def find(self, kind: str, name: str) -> objects.StoredObject | None:
+        """Return an object, or None if there is none."""
+        return self.objects.get((kind, name))
+
+    def find_all(self, kind: str) -> dict[str, objects.StoredObject]:
+        """Return the objects of one kind by name."""
+        return {
+            name: stored
+            for (other, name), stored in self.objects.items()
+            if other == kind
+        }
+
+    def replace(self, changes: objects.Changes) -> bool:
+        """Take a whole list in place of what is held.
+
+        :returns: whether anything but the version changed.
+        """
+        if changes.revision < self.version:
+            return False
+        before = {key: stored.version for key, stored in self.objects.items()}
+        self.objects = {
+            (stored.kind, stored.name): stored for stored in changes.objects
+        }
+        self.version = changes.revision
+        self.deletions = {}
+        self.delta_floor = changes.revision
+        after = {key: stored.version for key, stored in self.objects.items()}
+        return before != after
+
+    def apply(self, changes: objects.Changes, since: int) -> bool:
+        """Take what changed after revision ``since``.
+
+        :returns: whether anything but the version changed.
+        """
+        if since > self.version or changes.revision <= self.version:
+            return False
+        changed = False
+        for stored in changes.objects:
+            changed = self._take(stored, changes.revision) or changed
+        self.version = changes.revision
+        return changed
+
+    def collect_changes(self, since: int) -> objects.Changes | None:
+        """Return what changed after ``since``, or None if that is forgotten."""
+        if since < self.delta_floor:
+            return None
+        changed = [item for item in self.objects.values() if item.version > since]
+        for (kind, name), version in self.deletions.items():
+            if version > since:
+                changed.append(objects.StoredObject(kind, name, version, None))
+        return objects.Changes(changed, self.version)
+
+    def collect_all(self) -> objects.Changes:
+        """Return everything."""
+        return objects.Changes(list(self.objects.values()), self.version)
+
+    def _take(self, stored: objects.StoredObject, revision: int) -> bool:
+        key = (stored.kind, stored.name)
+        held = self.objects.get(key)
+        if stored.value is None:
+            if held is None or held.version > max(stored.version, revision):
+                return False
+            del self.objects[key]
+            self._remember_deletion(key, revision)
+            return True
+        if held is not None and held.version >= stored.version:
+            return False
+        self.objects[key] = stored
+        self.deletions.pop(key, None)
+        return True
+
+    def _remember_deletion(self, key: tuple[str, str], revision: int) -> None:
+        self.deletions[key] = revision
+        if len(self.deletions) > DELETIONS_LIMIT:
+            oldest = min(self.deletions, key=self.deletions.__getitem__)
+            self.delta_floor = max(self.delta_floor, self.deletions.pop(oldest))
--- /dev/null
+++ b/src/sardinehold/platform_client.py
@@ -0,0 +1,275 @@
+"""Client of the platform's object API over HTTP and JSON.
+
+Every call has a deadline, takes a token of the process's own bucket, and
+waits out a jittered backoff after failures, so that no herd of nodes meets a
+platform that has just come back.
+"""
+
+import random
+import ssl
+import typing
+
+import anyio
+import httpx
+
+from sardinehold import errors
+from sardinehold import objects
+from sardinehold import settings
+
+CALL_TIMEOUT = 2.0
+"""Seconds after which a call counts as unanswered."""
+
+BACKOFF_FIRST = 0.05
+"""Upper bound in seconds of the wait after the first failure."""
+
+BACKOFF_LIMIT = 2.0
+"""Upper bound in seconds of the wait after many failures."""
+
+BUCKET_RATE = 20.0
+"""Calls a second that one process may make in the long run."""
+
+BUCKET_BURST = 40
+"""Calls that one process may make at once after a quiet time."""
+
+REMEDY = "Check that the platform is up and that this VM can reach it."
+
+
+class Backoff:
+    """Full-jitter exponential backoff.
+
+    See M. Brooker, "Exponential Backoff and Jitter", AWS Architecture Blog.
+
+    :param first: upper bound of the first wait in seconds.
+    :param limit: upper bound of every wait in seconds.
+    """
+
+    __slots__ = ("first", "limit", "failures", "generator")
+
+    def __init__(
+        self,
+        first: float = BACKOFF_FIRST,
+        limit: float = BACKOFF_LIMIT,
+        generator: random.Random | None = None,
+    ) -> None:
+        """Start with no failures."""
+        self.first = first
+        self.limit = limit
+        self.failures = 0
+        self.generator = generator or random.Random()
+
+    def record_failure(self) -> float:
+        """Count a failure and return the seconds to wait."""
+        bound = min(self.limit, self.first * 2 ** min(self.failures, 16))
+        self.failures += 1
+        return self.generator.uniform(0, bound)
+
+    def record_success(self) -> None:
+        """Forget the failures."""
+        self.failures = 0
+
+
+class TokenBucket:
+    """Limits how often something happens.
+
+    :param rate: tokens a second.
+    :param burst: tokens that a quiet time saves up at most.
+    """
+
+    __slots__ = ("rate", "burst", "tokens", "updated")
+
+    def __init__(self, rate: float, burst: float, now: float) -> None:
+        """Start full."""
+        self.rate = rate
+        self.burst = burst
+        self.tokens = float(burst)
+        self.updated = now
+
+    def reserve(self, now: float) -> float:
+        """Take a token and return the seconds until it may be used."""
+        elapsed = max(0.0, now - self.updated)
+        self.tokens = min(self.burst, self.tokens + elapsed * self.rate)
+        self.updated = now
+        self.tokens -= 1
+        return max(0.0, -self.tokens / self.rate)
+
+
+class HttpObjectClient:
+    """The :class:`sardinehold.objects.ObjectClient` of a running process.
+
+    :param url: base URL of the object API.
+    :param caller: name of this VM, sent with each call.
+    :param tls: certificate files, empty for plain HTTP.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("_http", "_bucket", "_backoff", "_retry_at", "_clock", "calls")
+
+    def __init__(
+        self,
+        url: str,
+        caller: str,
+        tls: settings.Tls | None = None,
+        clock: typing.Callable[[], float] = anyio.current_time,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        """Prepare the client; connects on the first call."""
+        self._http = httpx.AsyncClient(
+            base_url=url,
+            headers={"X-Caller": caller},
+            verify=_build_context(tls or settings.Tls()),
+            transport=transport,
+            trust_env=False,
+        )
+        self._clock = clock
+        self._bucket = TokenBucket(BUCKET_RATE, BUCKET_BURST, clock())
+        self._backoff = Backoff()
+        self._retry_at = 0.0
+        self.calls: dict[str, int] = {}
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._http.aclose()
+
+    async def get(self, kind: str, name: str) -> objects.StoredObject:
+        """Read one object; raises ObjectMissing."""
+        answer = await self._call("GET", f"/v1/objects/{kind}/{name}")
+        return _parse_object(answer.json())
+
+    async def list(self, kinds: tuple[str, ...]) -> objects.Changes:
+        """Read all objects of some kinds as of one revision."""
+        answer = await self._call(
+            "GET", "/v1/objects", params={"kinds": ",".join(kinds)}
+        )
+        return _parse_changes(answer.json())
+
+    async def create(self, kind: str, name: str, value: dict) -> objects.StoredObject:
+        """Create an object; raises VersionConflict if it exists."""
+        return await self._put(kind, name, value, {"If-None-Match": "*"})
+
+    async def update(
+        self, kind: str, name: str, value: dict, version: int
+    ) -> objects.StoredObject:
+        """Replace an object of that version; raises VersionConflict."""
+        return await self._put(kind, name, value, {"If-Match": f'"{version}"'})
+
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Delete an object of that version; raises VersionConflict."""
+        headers = {"If-Match": f'"{version}"'}
+        await self._call("DELETE", f"/v1/objects/{kind}/{name}", headers=headers)
+
+    async def watch(
+        self, kinds: tuple[str, ...], revision: int, wait: float
+    ) -> objects.Changes:
+        """Return what changed after ``revision``, after ``wait`` s at the latest."""
+        params = {"kinds": ",".join(kinds), "revision": revision, "wait": wait}
+        answer = await self._call(
+            "GET", "/v1/watch", params=params, timeout=wait + CALL_TIMEOUT
+        )
+        return _parse_changes(answer.json())
+
+    async def list_vms(self) -> objects.Changes:
+        """Read the lagging list of live and leaving VMs."""
+        return _parse_changes((await self._call("GET", "/v1/vms")).json())
+
+    async def list_groups(self) -> objects.Changes:
+        """Read the database groups that the platform runs."""
+        return _parse_changes((await self._call("GET", "/v1/groups")).json())
+
+    async def _put(
+        self, kind: str, name: str, value: dict, headers: dict[str, str]
+    ) -> objects.StoredObject:
+        answer = await self._call(
+            "PUT", f"/v1/objects/{kind}/{name}", headers=headers, json=value
+        )
+        body = answer.json()
+        return objects.StoredObject(kind, name, body["version"], value)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        timeout: float = CALL_TIMEOUT,
+        **arguments: typing.Any,
+    ) -> httpx.Response:
+        await self._pace()
+        call = f"{method} {path.split('/')[2]}"
+        self.calls[call] = self.calls.get(call, 0) + 1
+        try:
+            answer = await self._http.request(
+                method, path, timeout=timeout, **arguments
+            )
+        except httpx.HTTPError as error:
+            self._delay()
+            raise errors.PlatformUnavailable(
+                f"The platform did not answer {call}: {type(error).__name__}.", REMEDY
+            ) from error
+        self._check(answer, call)
+        return answer
+
+    async def _pace(self) -> None:
+        now = self._clock()
+        wait = max(self._bucket.reserve(now), self._retry_at - now)
+        if wait > 0:
+            await anyio.sleep(wait)
+
+    def _delay(self, at_least: float = 0.0) -> None:
+        wait = max(at_least, self._backoff.record_failure())
+        self._retry_at = self._clock() + wait
+
+    def _check(self, answer: httpx.Response, call: str) -> None:
+        status = answer.status_code
+        if status == 429 or status >= 500:
+            self._delay(_parse_seconds(answer.headers.get("Retry-After", "")))
+            raise errors.PlatformUnavailable(
+                f"The platform answered {call} with status {status}.", REMEDY
+            )
+        self._backoff.record_success()
+        if status < 400:
+            return
+        raise _build_error(status, call)
+
+
+def _build_error(status: int, call: str) -> errors.PlatformError:
+    if status == 404:
+        return errors.ObjectMissing(f"{call} found no object.", "Create it first.")
+    if status == 410:
+        return errors.WatchExpired(
+            f"{call} asked for a version that is gone.", "List the objects again."
+        )
+    if status == 412:
+        return errors.VersionConflict(
+            f"{call} met another version.", "Read the object and try again."
+        )
+    return errors.PlatformError(
+        f"The platform refused {call} with status {status}.",
+        "Compare the versions of sardinehold and of the platform.",
+    )
+
+
+def _build_context(tls: settings.Tls) -> ssl.SSLContext | bool:
+    if not tls.authority:
+        return True
+    context = ssl.create_default_context(cafile=tls.authority)
+    if tls.certificate:
+        context.load_cert_chain(tls.certificate, tls.key)
+    return context
+
+
+def _parse_seconds(text: str) -> float:
+    try:
+        return min(BACKOFF_LIMIT, float(text))
+    except ValueError:
+        return 0.0
+
+
+def _parse_object(body: dict) -> objects.StoredObject:
+    return objects.StoredObject(
+        body["kind"], body["name"], body.get("version") or 0, body["value"]
+    )
+
+
+def _parse_changes(body: dict) -> objects.Changes:
+    return objects.Changes(
+        [_parse_object(entry) for entry in body["objects"]], body["revision"]
+    )
--- /dev/null
+++ b/src/sardinehold/views.py
@@ -0,0 +1,139 @@
+"""The view, to and from the platform's objects."""
+
+from sardinehold import document
+from sardinehold import objects
+from sardinehold.core import snapshot as snapshots
+from sardinehold.core import view as views
+
+
+class ViewBuilder:
+    """Builds views from snapshots, and parses a document only once."""
+
+    __slots__ = ("_version", "_document")
+
+    def __init__(self) -> None:
+        """Start with no document parsed."""
+        self._version = 0
+        self._document: document.Document | None = None
+
+    def build(self, snapshot: snapshots.Snapshot) -> views.View | None:
+        """Return the view that ``snapshot`` holds, None without a document.
+
+        :raises sardinehold.errors.DocumentError: the document is not valid.
+        """
+        stored = snapshot.find("document", "current")
+        if stored is None:
+            return None
+        if stored.version != self._version:
+            self._document = document.parse_document(stored.value)
+            self._version = stored.version
+        return views.View(
+            version=snapshot.version,
+            document=self._document,
+            groups={
+                name: parse_group_state(name, item.value)
+                for name, item in snapshot.find_all("group-state").items()
+            },
+            members=parse_members(snapshot.find("members", "current")),
+            roles={
+                name: parse_role(name, item.value)
+                for name, item in snapshot.find_all("role").items()
+            },
+            leaving=parse_leaving(snapshot.find("leaving", "endpoints")),
+            token_keys=parse_token_keys(snapshot.find("secret", "token-keys")),
+        )
+
+
+def parse_group_state(name: str, value: dict) -> views.GroupState:
+    """Return the state that an object of kind ``group-state`` holds."""
+    return views.GroupState(
+        name,
+        value["term"],
+        value["primary"],
+        views.Phase(value.get("phase", "serving")),
+        tuple(
+            views.TermStart(start["term"], start["offset"])
+            for start in value.get("history", ())
+        ),
+        value.get("change_id", ""),
+    )
+
+
+def dump_group_state(state: views.GroupState) -> dict:
+    """Return the value to keep for ``state``; the inverse of parsing."""
+    return {
+        "name": state.name,
+        "term": state.term,
+        "primary": state.primary,
+        "phase": state.phase.value,
+        "history": [
+            {"term": start.term, "offset": start.offset} for start in state.history
+        ],
+        "change_id": state.change_id,
+    }
+
+
+def parse_members(stored: objects.StoredObject | None) -> dict[str, views.Member]:
+    """Return the members that the object ``members/current`` holds, by VM."""
+    if stored is None:
+        return {}
+    return {
+        vm: parse_member(vm, entry) for vm, entry in stored.value["members"].items()
+    }
+
+
+def parse_member(vm: str, entry: dict) -> views.Member:
+    """Return one member of the object ``members/current``."""
+    return views.Member(
+        vm,
+        entry["zone"],
+        entry["address"],
+        entry["incarnation"],
+        entry.get("leaving", False),
+    )
+
+
+def dump_member(member: views.Member) -> dict:
+    """Return the value to keep for ``member``; the inverse of parsing."""
+    return {
+        "zone": member.zone,
+        "address": member.address,
+        "incarnation": member.incarnation,
+        "leaving": member.leaving,
+    }
+
+
+def parse_role(name: str, value: dict) -> views.RoleHolder:
+    """Return the holder that an object of kind ``role`` names."""
+    return views.RoleHolder(
+        name,
+        value["vm"],
+        value["incarnation"],
+        value["epoch"],
+        value.get("change_id", ""),
+    )
+
+
+def dump_role(holder: views.RoleHolder) -> dict:
+    """Return the value to keep for ``holder``; the inverse of parsing."""
+    return {
+        "role": holder.role,
+        "vm": holder.vm,
+        "incarnation": holder.incarnation,
+        "epoch": holder.epoch,
+        "change_id": holder.change_id,
+    }
+
+
+def parse_leaving(stored: objects.StoredObject | None) -> frozenset[str]:
+    """Return the endpoints that the object ``leaving/endpoints`` names."""
+    if stored is None:
+        return frozenset()
+    return frozenset(stored.value["endpoints"])
+
+
+def parse_token_keys(stored: objects.StoredObject | None) -> tuple[bytes, ...]:
+    """Return the keys that the object ``secret/token-keys`` holds."""
+    if stored is None:
+        return ()
+    return tuple(bytes.fromhex(key) for key in stored.value["keys"])
