--- /dev/null
+++ b/src/sardinehold/core/desk.py
@@ -0,0 +1,365 @@
+"""The relay's side of a node: answers followers, and talks to other relays."""
+
+from sardinehold.core import agent_actions
+from sardinehold.core import follow
+from sardinehold.core import lease
+from sardinehold.core import membership
+from sardinehold.core import messages
+from sardinehold.core import node as nodes
+from sardinehold.core import relay
+from sardinehold.core import view as core_view
+from sardinehold.core import vouching
+
+SUMMARY_INTERVAL = 0.5
+"""Seconds between summaries while the view is fresh."""
+
+OUTAGE_INTERVAL = 0.2
+"""Seconds between summaries while the view is stale."""
+
+COALESCE = 0.004
+"""Seconds for which urgent news waits for more of its kind."""
+
+
+class Desk:
+    """Answers, pushes and summaries of one node."""
+
+    __slots__ = (
+        "node",
+        "following",
+        "followers",
+        "relays",
+        "_due",
+        "_pushed",
+        "_news",
+        "_rotation",
+    )
+
+    def __init__(self, node: nodes.Node, following: follow.Following) -> None:
+        """Start without followers."""
+        self.node = node
+        self.following = following
+        self.followers = relay.FollowerBook(node.incarnation)
+        self.relays = relay.RelayBook(node.incarnation)
+        self._due = 0.0
+        self._pushed = 0
+        self._news: object = None
+        self._rotation = 0
+
+    def poll(self, now: float) -> float:
+        """Push changes, send summaries when due, and return the next time."""
+        if self.node.snapshot.changed_version > self._pushed:
+            self._push(now)
+        if not self.following.is_relay():
+            return now + SUMMARY_INTERVAL
+        if now >= self._due:
+            self._send_summaries(now)
+        return self._due
+
+    def hurry(self, now: float) -> None:
+        """Send summaries soon if there is news for them."""
+        if self.following.is_relay() and self._collect_news(now) != self._news:
+            self._due = min(self._due, now + COALESCE)
+
+    def take_renew(self, now: float, renew: messages.Renew) -> None:
+        """Answer a follower."""
+        if not self.followers.hear(now, renew):
+            return
+        if renew.version > self.node.snapshot.version:
+            self.following.ask_for_changes(now, renew.vm)
+        self._send_current(now, renew, renew.sequence)
+        self.hurry(now)
+
+    def take_summary(self, now: float, summary: messages.Summary) -> None:
+        """Take what another relay knows; renew the lease by it if possible."""
+        entry = self.relays.hear(now, summary)
+        if entry is None:
+            return
+        if summary.version > self.node.snapshot.version:
+            self.following.ask_for_changes(now, summary.vm)
+        elif entry.sent_at is not None and summary.age >= 0:
+            self.node.renew_lease(now, entry.sent_at - summary.age * (1 + lease.CLOCK_DRIFT))
+        self.renew_by_vouches(now)
+
+    def renew_by_vouches(self, now: float) -> None:
+        """Renew the lease if enough members vouch for the view."""
+        if not self.node.is_stale(now) or not self.node.record.members:
+            return
+        quorum = membership.count_vouch_quorum(len(self.node.record.members))
+        as_of = vouching.find_vouched_instant(
+            self.node.snapshot.version, quorum, self._collect_vouches(now)
+        )
+        if as_of is not None:
+            self.node.renew_lease(now, min(as_of, now))
+
+    def collect_acknowledged(self, now: float) -> dict[str, int]:
+        """Return the versions that members are known to have acknowledged."""
+        acknowledged = self._collect_own(now)
+        for entry in self.relays.list_fresh(now):
+            read = relay.read_acknowledged(entry.summary, self.node.record)
+            for vm, version in read.items():
+                acknowledged[vm] = max(version, acknowledged.get(vm, 0))
+        return acknowledged
+
+    def list_live_relays(self, now: float, platform_within: float) -> list[str]:
+        """Return the relays that reached the platform of late."""
+        live = [
+            entry.summary.vm
+            for entry in self.relays.list_fresh(now)
+            if 0 <= entry.summary.platform_age <= platform_within
+            and self.node.record.is_member(entry.summary.vm, entry.summary.incarnation)
+            and not self.node.record.members[entry.summary.vm].leaving
+        ]
+        seen = self.node.platform_seen
+        if seen is not None and now - seen <= platform_within and self._may_lead():
+            live.append(self.node.vm)
+        return live
+
+    def find_platform_age(self, now: float, vm: str) -> float | None:
+        """Return how long ago a relay reached the platform, None if unknown."""
+        if vm == self.node.vm:
+            seen = self.node.platform_seen
+            return None if seen is None else now - seen
+        for entry in self.relays.list_fresh(now):
+            if entry.summary.vm == vm and entry.summary.platform_age >= 0:
+                return entry.summary.platform_age + now - entry.received_at
+        return None
+
+    def count_reports(self, now: float) -> dict[str, dict[str, messages.ReportCount]]:
+        """Return for each endpoint the counts of its reports by zone."""
+        found: dict[str, dict[str, messages.ReportCount]] = {}
+        own = (self.node.zone, relay.count_reports(self._list_renews(now)))
+        others = [
+            (entry.summary.zone, entry.summary.reports)
+            for entry in self.relays.list_fresh(now)
+        ]
+        for zone, counts in [own, *others]:
+            for count in counts:
+                zones = found.setdefault(count.endpoint, {})
+                zones[zone] = _take_larger(zones.get(zone), count)
+        return found
+
+    def list_quiesced(self, now: float, group: str) -> set[str]:
+        """Return the members where no work of a draining group runs."""
+        since = self._find_drained().get(group)
+        if since is None:
+            return set()
+        quiesced = {
+            renew.vm
+            for renew in self._list_renews(now)
+            if relay.is_quiesced(renew, group, since)
+        }
+        for entry in self.relays.list_fresh(now):
+            running = entry.summary.unquiesced.get(group)
+            if running is None:
+                continue
+            read = relay.read_acknowledged(entry.summary, self.node.record)
+            quiesced |= read.keys() - set(running)
+        return quiesced
+
+    def _may_lead(self) -> bool:
+        return self.node.is_member and not self.node.leaving
+
+    def _list_renews(self, now: float) -> list[messages.Renew]:
+        own = self.following.make_renew(self.node.vm)
+        others = [r for r in self.followers.list_recent(now) if r.vm != self.node.vm]
+        return [own, *others]
+
+    def _collect_own(self, now: float) -> dict[str, int]:
+        acknowledged = {}
+        for renew in self.followers.list_recent(now):
+            if self.node.record.is_member(renew.vm, renew.incarnation):
+                acknowledged[renew.vm] = renew.version
+        if self.node.is_member:
+            acknowledged[self.node.vm] = self.node.snapshot.version
+        return acknowledged
+
+    def _collect_vouches(self, now: float) -> list[vouching.Vouches]:
+        times, version = self._collect_own_vouches(now)
+        dated = tuple(
+            (time, len(times) - index) for index, time in enumerate(sorted(times))
+        )
+        vouches = [vouching.Vouches(self.node.zone, version, dated)]
+        for entry in self.relays.list_fresh(now):
+            summary = entry.summary
+            if summary.members_version != self.node.record.version:
+                continue
+            if entry.sent_at is None:
+                continue
+            counts = vouching.date_counts(entry.sent_at, summary.vouches)
+            vouches.append(
+                vouching.Vouches(summary.zone, summary.vouched_version, counts)
+            )
+        return vouches
+
+    def _collect_own_vouches(self, now: float) -> tuple[list[float], int]:
+        node = self.node
+        present = self.followers.list_present(now, node.record, node.zone)
+        times = [
+            follower.vouched_at
+            for vm, follower in present.items()
+            if follower.vouched_at is not None and vm != node.vm
+        ]
+        versions = [
+            self._cut(follower.renew.version)
+            for follower in present.values()
+            if follower.vouched_at is not None
+        ]
+        if node.is_member:
+            times.append(now)
+        return times, max([*versions, node.snapshot.changed_version])
+
+    def _cut(self, version: int) -> int:
+        """Return ``version``, or that of the last change if that is older."""
+        if version > self.node.snapshot.version:
+            return version
+        return min(version, self.node.snapshot.changed_version)
+
+    def _send_current(self, now: float, renew: messages.Renew, sequence: int) -> None:
+        node = self.node
+        age = node.lease.measure_age(now)
+        changes = node.snapshot.collect_changes(renew.version)
+        whole = changes is None or renew.version == 0
+        if whole:
+            changes = node.snapshot.collect_all()
+        message = messages.Current(
+            node.vm,
+            node.incarnation,
+            sequence,
+            node.snapshot.version,
+            messages.UNKNOWN_AGE if age is None else age,
+            now,
+            renew.version,
+            whole,
+            changes.objects,
+            self._name_relays(now) if sequence else (),
+        )
+        if renew.address:
+            node.emit(agent_actions.Send(renew.vm, renew.address, message))
+        else:
+            node.send(renew.vm, message)
+
+    def _name_relays(self, now: float) -> tuple[str, ...]:
+        node = self.node
+        present = self.followers.list_present(now, node.record, node.zone)
+        live = [
+            vm
+            for vm in node.record.list_zone(node.zone)
+            if vm in present or vm == node.vm
+        ]
+        return tuple(live[: relay.RELAYS_PER_ZONE])
+
+    def _push(self, now: float) -> None:
+        self._pushed = self.node.snapshot.changed_version
+        self.followers.forget_old(now)
+        for renew in self.followers.list_recent(now):
+            if renew.version < self._pushed:
+                self._send_current(now, renew, 0)
+        self.hurry(now)
+
+    def _collect_news(self, now: float) -> object:
+        """Return what is worth an early summary when it changes."""
+        acknowledged, reports, unquiesced = self._collect_zone(now)
+        flat = tuple((c.endpoint, c.unhealthy, c.isolated) for c in reports)
+        return acknowledged, flat, unquiesced
+
+    def _collect_zone(
+        self, now: float
+    ) -> tuple[
+        tuple[int, dict[str, int]],
+        tuple[messages.ReportCount, ...],
+        dict[str, tuple[str, ...]],
+    ]:
+        node = self.node
+        acknowledged = relay.compress_acknowledged(
+            self._collect_own(now),
+            node.record.list_zone(node.zone),
+            node.snapshot.changed_version,
+        )
+        renews = self._list_renews(now)
+        reports = relay.count_reports(renews)
+        return acknowledged, reports, relay.list_unquiesced(renews, self._find_drained())
+
+    def _find_drained(self) -> dict[str, int]:
+        if self.node.view is None:
+            return {}
+        return {
+            name: self.node.snapshot.find("group-state", name).version
+            for name, state in self.node.view.groups.items()
+            if state.phase is core_view.Phase.DRAINING
+        }
+
+    def _send_summaries(self, now: float) -> None:
+        node = self.node
+        interval = OUTAGE_INTERVAL if node.is_stale(now) else SUMMARY_INTERVAL
+        self._due = now + interval
+        self.renew_by_vouches(now)
+        self._news = self._collect_news(now)
+        zone = self._collect_zone(now)
+        times, vouched = self._collect_own_vouches(now)
+        counts = vouching.count_ages(now, times)
+        for vm in self._list_recipients(now):
+            node.send(vm, self._make_summary(now, vm, zone, vouched, counts))
+
+    def _make_summary(
+        self, now: float, vm: str, zone: tuple, vouched: int, counts: tuple[int, ...]
+    ) -> messages.Summary:
+        node = self.node
+        (default, exceptions), reports, unquiesced = zone
+        age = node.lease.measure_age(now)
+        seen = node.platform_seen
+        echo, echo_of, held = self.relays.find_echo(now, vm)
+        return messages.Summary(
+            vm=node.vm,
+            incarnation=node.incarnation,
+            zone=node.zone,
+            members_version=node.record.version,
+            version=node.snapshot.changed_version,
+            age=messages.UNKNOWN_AGE if age is None else age,
+            platform_age=messages.UNKNOWN_AGE if seen is None else now - seen,
+            clock=now,
+            echo=echo,
+            echo_of=echo_of,
+            held=held,
+            default_version=default,
+            exceptions=exceptions,
+            vouched_version=vouched,
+            vouches=counts,
+            reports=reports,
+            unquiesced=unquiesced,
+        )
+
+    def _list_recipients(self, now: float) -> list[str]:
+        """Return the relays of all zones as far as they are known."""
+        node = self.node
+        self._rotation += 1
+        fresh = {entry.summary.vm: entry.summary for entry in self.relays.list_fresh(now)}
+        recipients = set(fresh)
+        live = self.collect_acknowledged(now)
+        for zone in node.record.list_zones():
+            order = node.record.list_zone(zone)
+            known = [vm for vm in order if vm in live]
+            heard = any(summary.zone == zone for summary in fresh.values())
+            if zone == node.zone or heard:
+                recipients.update(known[: relay.RELAYS_PER_ZONE])
+            else:
+                recipients.update(order[: relay.RELAYS_PER_ZONE])
+                recipients.add(order[self._rotation % len(order)])
+        recipients.update(self._list_holders())
+        return sorted(recipients - {node.vm})
+
+    def _list_holders(self) -> list[str]:
+        if self.node.view is None:
+            return []
+        return [holder.vm for holder in self.node.view.roles.values()]
+
+
+def _take_larger(
+    held: messages.ReportCount | None, count: messages.ReportCount
+) -> messages.ReportCount:
+    if held is None:
+        return count
+    return messages.ReportCount(
+        count.endpoint,
+        max(held.unhealthy, count.unhealthy),
+        max(held.isolated, count.isolated),
+    )
--- /dev/null
+++ b/src/sardinehold/core/feed.py
@@ -0,0 +1,88 @@
+"""Reads the view from the platform, for relays and for nodes without one."""
+
+from sardinehold.core import agent_actions
+from sardinehold.core import agent_events
+from sardinehold.core import node as nodes
+
+WATCH_WAIT = 0.4
+"""Seconds that a watch waits for a change; its start dates the lease."""
+
+RETRY_DELAY = 0.2
+"""Seconds to wait after a failure; the client of the platform adds jitter."""
+
+DIRECT_DELAY = 0.3
+"""Upper bound in seconds of the wait before a node without relay reads."""
+
+
+class Feed:
+    """One list or watch at a time."""
+
+    __slots__ = ("node", "wanted", "_busy", "_due", "_expired")
+
+    def __init__(self, node: nodes.Node) -> None:
+        """Start with nothing read."""
+        self.node = node
+        self.wanted = False
+        self._busy = False
+        self._due = 0.0
+        self._expired = False
+
+    def poll(self, now: float) -> float:
+        """Read when it is time and return when to ask again."""
+        if not self.wanted:
+            self._due = now + self.node.spread("direct", DIRECT_DELAY)
+            return now + nodes.STALE_AFTER
+        if self._busy:
+            return now + nodes.STALE_AFTER
+        if now < self._due:
+            return self._due
+        self._read(now)
+        return now + nodes.STALE_AFTER
+
+    def _read(self, now: float) -> None:
+        self._busy = True
+        since = self.node.snapshot.version
+        if not since or self._expired:
+            call_id = self.node.start_call(
+                lambda later, event: self._take_list(later, now, event)
+            )
+            self.node.emit(agent_actions.ListObjects(call_id))
+            return
+        call_id = self.node.start_call(
+            lambda later, event: self._take_changes(later, now, since, event)
+        )
+        self.node.emit(agent_actions.WatchObjects(call_id, since, WATCH_WAIT))
+
+    def _take_list(
+        self, now: float, asked: float, event: agent_events.AgentEvent
+    ) -> None:
+        self._busy = False
+        if not isinstance(event, agent_events.ChangesRead):
+            self._due = now + RETRY_DELAY
+            return
+        self._expired = False
+        if event.changes.revision < self.node.snapshot.version:
+            self._due = now + RETRY_DELAY
+            return
+        self.node.replace_snapshot(event.changes)
+        self._confirm(now, asked)
+
+    def _take_changes(
+        self, now: float, asked: float, since: int, event: agent_events.AgentEvent
+    ) -> None:
+        self._busy = False
+        if isinstance(event, agent_events.ChangesRead):
+            revision = event.changes.revision
+            self.node.apply_changes(event.changes, since)
+            if revision >= since and self.node.snapshot.version >= revision:
+                self._confirm(now, asked)
+            return
+        self._due = now + RETRY_DELAY
+        if not isinstance(event, agent_events.PlatformFailed):
+            return
+        self._expired = event.failure is agent_events.Failure.EXPIRED
+
+    def _confirm(self, now: float, asked: float) -> None:
+        self._due = now
+        self.node.platform_seen = now
+        self.node.renew_lease(now, asked)
--- /dev/null
+++ b/src/sardinehold/core/fleet_invariants.py
@@ -0,0 +1,38 @@
+"""Promises of the fleet that each agent checks while it runs."""
+
+from sardinehold.core import invariants
+from sardinehold.core import view as core_view
+
+
+@invariants.invariant("An accepted configuration never reverts.")
+def view_never_reverts(before: int, after: int) -> bool:
+    """Return whether a view's version did not go back."""
+    return after >= before
+
+
+@invariants.invariant("A withdrawn key stops working within seconds.")
+def lease_counts_from_the_past(now: float, as_of: float) -> bool:
+    """Return whether a lease counts from an instant that has passed."""
+    return as_of <= now
+
+
+@invariants.invariant("No write is acknowledged by a primary that was replaced.")
+def term_grows_with_each_primary(
+    before: core_view.GroupState, after: core_view.GroupState
+) -> bool:
+    """Return whether a change of primary comes with a later term."""
+    if after.term < before.term:
+        return False
+    return after.primary == before.primary or after.term > before.term
+
+
+@invariants.invariant("A shared role has one holder that acts.")
+def role_acts_within_lease(now: float, write_deadline: float, fenced: bool) -> bool:
+    """Return whether a holder acts only when fenced and within its lease."""
+    return fenced and now < write_deadline
+
+
+@invariants.invariant("No write is acknowledged by a primary that was replaced.")
+def promotion_follows_fence(phase: core_view.Phase, fenced: bool) -> bool:
+    """Return whether a replica is promoted only behind a passed fence."""
+    return phase is core_view.Phase.SEALED and fenced
--- /dev/null
+++ b/src/sardinehold/core/follow.py
@@ -0,0 +1,184 @@
+"""Follows a relay: asks it whether the view is current, and takes changes."""
+
+from sardinehold import objects
+from sardinehold.core import agent_actions
+from sardinehold.core import lease
+from sardinehold.core import messages
+from sardinehold.core import node as nodes
+from sardinehold.core import relay
+
+RENEW_INTERVAL = 0.5
+"""Seconds between questions while the view is fresh."""
+
+OUTAGE_INTERVAL = 0.2
+"""Seconds between questions while the view is stale."""
+
+ANSWER_TIMEOUT = 0.3
+"""Seconds after which a relay that has not answered is passed over."""
+
+PASS_OVER = 3.0
+"""Seconds for which a relay that did not answer is passed over."""
+
+SEED = ""
+"""Stands for a node whose name is not known yet."""
+
+
+class Question:
+    """A question that has not been answered."""
+
+    __slots__ = ("vm", "asked")
+
+    def __init__(self, vm: str, asked: float) -> None:
+        """Keep whom was asked and when."""
+        self.vm = vm
+        self.asked = asked
+
+
+class Following:
+    """The follower's side of a node."""
+
+    __slots__ = (
+        "node",
+        "parent",
+        "questions",
+        "passed_over",
+        "echoes",
+        "named_relays",
+        "_due",
+        "_rotation",
+        "_acknowledged",
+    )
+
+    def __init__(self, node: nodes.Node) -> None:
+        """Start without a relay."""
+        self.node = node
+        self.parent = ""
+        self.questions: dict[int, Question] = {}
+        self.passed_over: dict[str, float] = {}
+        self.echoes: dict[str, messages.Current] = {}
+        self.named_relays: tuple[str, ...] = ()
+        self._due = 0.0
+        self._rotation = 0
+        self._acknowledged = 0
+
+    def is_relay(self) -> bool:
+        """Return whether this node is among the relays of its zone."""
+        if not self.node.is_member:
+            return False
+        live = [
+            vm
+            for vm in self.node.record.list_zone(self.node.zone)
+            if vm not in self.passed_over
+        ]
+        first = live[: relay.RELAYS_PER_ZONE]
+        return self.node.vm in first or self.node.vm in self.named_relays
+
+    def find_parent(self) -> str:
+        """Return the first live member of the zone, ``""`` if it is this node."""
+        for vm in self.node.record.list_zone(self.node.zone):
+            if vm == self.node.vm and self.node.is_member:
+                return ""
+            if vm != self.node.vm and vm not in self.passed_over:
+                return vm
+        return ""
+
+    def hurry(self) -> None:
+        """Ask at the next poll: there is something to tell."""
+        self._due = 0.0
+
+    def poll(self, now: float) -> float:
+        """Ask when it is time and return when to be polled again."""
+        self._expire(now)
+        self.parent = self.find_parent()
+        if not self.parent:
+            self.named_relays = ()
+        if self._acknowledged < self.node.snapshot.changed_version:
+            self._due = 0.0
+        if now >= self._due:
+            self._ask(now)
+        waiting = [item.asked + ANSWER_TIMEOUT for item in self.questions.values()]
+        return min([self._due, *waiting])
+
+    def take(self, now: float, message: messages.Current) -> None:
+        """Take a relay's answer or push."""
+        question = self.questions.pop(message.sequence, None)
+        self.passed_over.pop(message.vm, None)
+        self._apply(message)
+        if self.node.snapshot.version < message.version and not self.questions:
+            self.hurry()
+        if message.vm == self.parent:
+            self.named_relays = message.relays
+        if question is None:
+            return
+        self.echoes[message.vm] = message
+        if message.age < 0 or self.node.snapshot.version < message.version:
+            return
+        as_of = lease.date_answer(question.asked, message.age)
+        self.node.renew_lease(now, as_of)
+
+    def ask_for_changes(self, now: float, vm: str) -> None:
+        """Fetch a newer view from a node that has one."""
+        if not any(item.vm == vm for item in self.questions.values()):
+            self._send(now, vm)
+
+    def make_renew(self, vm: str) -> messages.Renew:
+        """Return the message that tells ``vm`` what this node knows and sees."""
+        node = self.node
+        echo = self.echoes.get(vm)
+        return messages.Renew(
+            node.vm,
+            node.incarnation,
+            node.zone,
+            node.make_sequence(),
+            node.snapshot.version,
+            echo.clock if echo else 0.0,
+            echo.incarnation if echo else "",
+            tuple(node.reports.values()),
+            tuple(sorted(node.quiesced)),
+            "" if node.is_member else node.address,
+        )
+
+    def _ask(self, now: float) -> None:
+        stale = self.node.is_stale(now)
+        self._due = now + (OUTAGE_INTERVAL if stale else RENEW_INTERVAL)
+        self._acknowledged = self.node.snapshot.changed_version
+        if self.parent:
+            self._send(now, self.parent)
+        elif stale:
+            self._ask_elsewhere(now)
+
+    def _ask_elsewhere(self, now: float) -> None:
+        others = [vm for vm in sorted(self.node.record.members) if vm != self.node.vm]
+        self._rotation += 1
+        if others:
+            self._send(now, others[self._rotation % len(others)])
+        elif self.node.seeds:
+            address = self.node.seeds[self._rotation % len(self.node.seeds)]
+            renew = self.make_renew(SEED)
+            self.questions[renew.sequence] = Question(SEED, now)
+            self.node.emit(agent_actions.Send(SEED, address, renew))
+
+    def _send(self, now: float, vm: str) -> None:
+        renew = self.make_renew(vm)
+        self.questions[renew.sequence] = Question(vm, now)
+        self.node.send(vm, renew)
+
+    def _expire(self, now: float) -> None:
+        for sequence, item in list(self.questions.items()):
+            if now < item.asked + ANSWER_TIMEOUT:
+                continue
+            del self.questions[sequence]
+            if item.vm == self.parent and item.vm:
+                self.passed_over[item.vm] = now + PASS_OVER
+                self._due = 0.0
+        self.passed_over = {
+            vm: until for vm, until in self.passed_over.items() if until > now
+        }
+
+    def _apply(self, message: messages.Current) -> None:
+        changes = objects.Changes(message.objects, message.version)
+        if message.whole:
+            if message.version > self.node.snapshot.version:
+                self.node.replace_snapshot(changes)
+        else:
+            self.node.apply_changes(changes, message.since)
--- /dev/null
+++ b/src/sardinehold/core/membership.py
@@ -0,0 +1,151 @@
+"""Who belongs to the fleet, and what a change of that means for quorums.
+
+``members/current`` names the members and, until the last changes are known
+everywhere, the sets before them and the incarnations that were removed while
+they might still have held a lease.
+"""
+
+import hashlib
+import math
+
+from sardinehold import objects
+from sardinehold import views
+from sardinehold.core import view as core_view
+
+PENDING_LIMIT = 8
+"""Changes that may wait to be known everywhere; further joins wait for them."""
+
+DIGEST_BYTES = 8
+
+VOUCH_SHARE = (2, 3)
+"""Share of the members, as a fraction, that vouch for a view together."""
+
+
+def order_vms(key: str, vms: list[str]) -> list[str]:
+    """Return ``vms`` in the order that they are preferred for ``key``.
+
+    Rendezvous hashing: D. Thaler and C. Ravishankar, "A Name-Based Mapping
+    Scheme for Rendezvous", 1996. A VM that goes moves only its own keys.
+    """
+    return sorted(vms, key=lambda vm: _digest(f"{key} {vm}"), reverse=True)
+
+
+def _digest(text: str) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+
+
+def count_vouch_quorum(size: int) -> int:
+    """Return how many of ``size`` members must vouch for a view."""
+    return math.ceil(size * VOUCH_SHARE[0] / VOUCH_SHARE[1])
+
+
+def count_fence_quorum(size: int) -> int:
+    """Return how many acknowledgements keep a vouch quorum from forming.
+
+    Any so many members and any vouch quorum have a member in common.
+    """
+    return size - count_vouch_quorum(size) + 1
+
+
+class Record:
+    """The object ``members/current``.
+
+    :param removed: ``vm/incarnation`` of those that may still hold a lease.
+    :param earlier: sets of members on which a lease may still rest.
+    """
+
+    __slots__ = ("version", "members", "removed", "earlier")
+
+    def __init__(self, stored: objects.StoredObject | None) -> None:
+        """Parse the object; None is a fleet without members."""
+        value = {"members": {}} if stored is None else stored.value
+        self.version = 0 if stored is None else stored.version
+        self.members: dict[str, core_view.Member] = views.parse_members(stored)
+        self.removed = frozenset(value.get("removed", ()))
+        self.earlier = _undo_changes(set(self.members), value.get("earlier", []))
+
+    def list_sets(self) -> list[set[str]]:
+        """Return all sets of members that count, the newest first."""
+        return [set(self.members), *self.earlier]
+
+    def is_member(self, vm: str, incarnation: str) -> bool:
+        """Return whether this incarnation belongs to the fleet."""
+        member = self.members.get(vm)
+        return member is not None and member.incarnation == incarnation
+
+    def list_zone(self, zone: str) -> list[str]:
+        """Return the VMs of a zone in the order that relays are chosen."""
+        vms = [vm for vm, member in self.members.items() if member.zone == zone]
+        return order_vms(zone, vms)
+
+    def list_zones(self) -> list[str]:
+        """Return the names of all zones that have members."""
+        return sorted({member.zone for member in self.members.values()})
+
+
+def _undo_changes(current: set[str], changes: list[dict]) -> list[set[str]]:
+    sets = []
+    for change in reversed(changes):
+        current = (current - set(change["joined"])) | set(change["left"])
+        sets.append(current)
+    return sets
+
+
+def add_member(
+    value: dict | None, member: core_view.Member, change_id: str
+) -> dict | None:
+    """Return the value with ``member`` in it, None if it has to wait.
+
+    An earlier incarnation of the VM counts as removed.
+    """
+    value = value or {"members": {}}
+    if len(value.get("earlier", ())) >= PENDING_LIMIT:
+        return None
+    held = value["members"].get(member.vm)
+    removed = list(value.get("removed", ()))
+    earlier = list(value.get("earlier", ()))
+    if held is None:
+        earlier.append({"joined": [member.vm], "left": []})
+    elif held["incarnation"] != member.incarnation:
+        removed.append(f"{member.vm}/{held['incarnation']}")
+    members = value["members"] | {member.vm: views.dump_member(member)}
+    return _make_value(members, removed, earlier, change_id)
+
+
+def remove_member(value: dict, vm: str, clean: bool, change_id: str) -> dict:
+    """Return the value without ``vm``.
+
+    :param clean: whether it has given up its lease by itself.
+    """
+    members = dict(value["members"])
+    held = members.pop(vm)
+    removed = list(value.get("removed", ()))
+    if not clean:
+        removed.append(f"{vm}/{held['incarnation']}")
+    earlier = [*value.get("earlier", ()), {"joined": [], "left": [vm]}]
+    return _make_value(members, removed, earlier, change_id)
+
+
+def mark_leaving(value: dict, vm: str, change_id: str) -> dict:
+    """Return the value in which ``vm`` is said to be leaving."""
+    member = value["members"][vm] | {"leaving": True}
+    members = value["members"] | {vm: member}
+    return _make_value(
+        members, value.get("removed", ()), value.get("earlier", ()), change_id
+    )
+
+
+def settle_changes(value: dict, change_id: str) -> dict:
+    """Return the value once all its changes are known everywhere."""
+    return _make_value(value["members"], (), (), change_id)
+
+
+def _make_value(
+    members: dict, removed: list | tuple, earlier: list | tuple, change_id: str
+) -> dict:
+    return {
+        "members": members,
+        "removed": list(removed),
+        "earlier": list(earlier),
+        "change_id": change_id,
+    }
--- /dev/null
+++ b/src/sardinehold/core/node.py
@@ -0,0 +1,201 @@
+"""What the parts of one agent share: identity, view, lease, and calls."""
+
+import typing
+import zlib
+
+from sardinehold import errors
+from sardinehold import objects
+from sardinehold import views
+from sardinehold.core import agent_actions
+from sardinehold.core import agent_events
+from sardinehold.core import events
+from sardinehold.core import fleet_invariants
+from sardinehold.core import lease
+from sardinehold.core import membership
+from sardinehold.core import messages
+from sardinehold.core import snapshot as snapshots
+from sardinehold.core import view as core_view
+
+STALE_AFTER = 1.0
+"""Seconds after which a view's age calls for other sources."""
+
+Callback = typing.Callable[[float, agent_events.AgentEvent], None]
+
+
+class Node:
+    """The state of one node that its parts work on.
+
+    :param vm: name of this VM.
+    :param address: ``host:port`` of its peer service.
+    :param incarnation: identity of this start of the process.
+    :param seeds: addresses to ask for the view when there is none.
+    """
+
+    __slots__ = (
+        "vm",
+        "zone",
+        "address",
+        "incarnation",
+        "seeds",
+        "snapshot",
+        "builder",
+        "view",
+        "record",
+        "lease",
+        "leaving",
+        "left",
+        "platform_seen",
+        "reports",
+        "quiesced",
+        "actions",
+        "_calls",
+        "_last_call",
+        "_last_change",
+        "_last_sequence",
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        zone: str,
+        address: str,
+        incarnation: str,
+        seeds: tuple[str, ...] = (),
+    ) -> None:
+        """Start with nothing known."""
+        self.vm = vm
+        self.zone = zone
+        self.address = address
+        self.incarnation = incarnation
+        self.seeds = seeds
+        self.snapshot = snapshots.Snapshot()
+        self.builder = views.ViewBuilder()
+        self.view: core_view.View | None = None
+        self.record = membership.Record(None)
+        self.lease = lease.Lease()
+        self.leaving = False
+        self.left = False
+        self.platform_seen: float | None = None
+        self.reports: dict[str, messages.EndpointReport] = {}
+        self.quiesced: set[str] = set()
+        self.actions: list[agent_actions.AgentAction] = []
+        self._calls: dict[int, Callback] = {}
+        self._last_call = 0
+        self._last_change = 0
+        self._last_sequence = 0
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this incarnation belongs to the fleet as far as it knows."""
+        return self.record.is_member(self.vm, self.incarnation) and not self.left
+
+    def can_act(self, now: float) -> bool:
+        """Return whether the node may act on its view."""
+        return self.is_member and now < self.lease.write_deadline
+
+    def is_stale(self, now: float) -> bool:
+        """Return whether the view has not been confirmed for a while."""
+        age = self.lease.measure_age(now)
+        return age is None or age > STALE_AFTER
+
+    def emit(self, action: agent_actions.AgentAction) -> None:
+        """Ask the daemon for something."""
+        self.actions.append(action)
+
+    def send(self, vm: str, message: messages.Message) -> None:
+        """Send a message to a member."""
+        member = self.record.members.get(vm)
+        if member is not None:
+            self.emit(agent_actions.Send(vm, member.address, message))
+
+    def start_call(self, callback: Callback) -> int:
+        """Return the identifier of a call that ``callback`` takes the answer of."""
+        self._last_call += 1
+        self._calls[self._last_call] = callback
+        return self._last_call
+
+    def finish_call(
+        self, now: float, call_id: int, event: agent_events.AgentEvent
+    ) -> None:
+        """Pass on the answer to a call; a second answer is dropped."""
+        callback = self._calls.pop(call_id, None)
+        if callback is not None:
+            callback(now, event)
+
+    def write(
+        self,
+        kind: str,
+        name: str,
+        value: dict | None,
+        version: int,
+        callback: Callback,
+    ) -> None:
+        """Write an object if it still has ``version`` (0: does not exist)."""
+        call_id = self.start_call(callback)
+        self.emit(agent_actions.WriteObject(call_id, kind, name, value, version))
+
+    def make_change_id(self) -> str:
+        """Return an identity for a change, never used twice."""
+        self._last_change += 1
+        return f"{self.vm}/{self.incarnation}/{self._last_change}"
+
+    def make_sequence(self) -> int:
+        """Return a number that grows with each message."""
+        self._last_sequence += 1
+        return self._last_sequence
+
+    def spread(self, key: str, limit: float) -> float:
+        """Return a delay below ``limit`` that differs from node to node."""
+        text = f"{self.vm} {self.incarnation} {key} {self._last_call}"
+        return zlib.crc32(text.encode()) / 2**32 * limit
+
+    def replace_snapshot(self, changes: objects.Changes) -> bool:
+        """Take a whole list of objects; see :meth:`Snapshot.replace`."""
+        before = self.snapshot.version
+        changed = self.snapshot.replace(changes)
+        self._settle(before, changed)
+        return changed
+
+    def apply_changes(self, changes: objects.Changes, since: int) -> bool:
+        """Take what changed since a version; see :meth:`Snapshot.apply`."""
+        before = self.snapshot.version
+        changed = self.snapshot.apply(changes, since)
+        self._settle(before, changed)
+        return changed
+
+    def renew_lease(self, now: float, as_of: float) -> None:
+        """Take a later instant up to which the view is known to be current."""
+        fleet_invariants.lease_counts_from_the_past(now, as_of)
+        if self.lease.renew(as_of):
+            self._deliver_lease()
+
+    def _settle(self, before: int, changed: bool) -> None:
+        fleet_invariants.view_never_reverts(before, self.snapshot.version)
+        if changed:
+            self._publish()
+
+    def _publish(self) -> None:
+        self.record = membership.Record(self.snapshot.find("members", "current"))
+        try:
+            view = self.builder.build(self.snapshot)
+        except errors.DocumentError:
+            self.emit(agent_actions.Count("documents_refused"))
+            return
+        if view is None:
+            return
+        self.view = view
+        self.quiesced = {name for name in self.quiesced if _is_draining(view, name)}
+        self.emit(agent_actions.Deliver(events.ViewChanged(view)))
+        self._deliver_lease()
+
+    def _deliver_lease(self) -> None:
+        if self.view is None or self.lease.as_of is None:
+            return
+        write_deadline = self.lease.write_deadline if self.is_member else 0.0
+        event = events.LeaseRenewed(write_deadline, self.lease.serve_deadline)
+        self.emit(agent_actions.Deliver(event))
+
+
+def _is_draining(view: core_view.View, group: str) -> bool:
+    state = view.groups.get(group)
+    return state is not None and state.phase is core_view.Phase.DRAINING
--- a/src/sardinehold/core/snapshot.py
+++ b/src/sardinehold/core/snapshot.py
@@ -24,13 +24,16 @@
     """Objects by kind and name, and the revision as of which they hold.
 
     :param version: 0 while nothing has been read.
+    :param changed_version: revision of the last change among the objects; the
+        version itself also moves on with changes of other kinds.
     """
 
-    __slots__ = ("version", "objects", "deletions", "delta_floor")
+    __slots__ = ("version", "changed_version", "objects", "deletions", "delta_floor")
 
     def __init__(self) -> None:
         """Start empty."""
         self.version = 0
+        self.changed_version = 0
         self.objects: dict[tuple[str, str], objects.StoredObject] = {}
         self.deletions: dict[tuple[str, str], int] = {}
         self.delta_floor = 0
@@ -62,6 +65,10 @@
         self.deletions = {}
         self.delta_floor = changes.revision
         after = {key: stored.version for key, stored in self.objects.items()}
+        latest = max(after.values(), default=0)
+        if before.keys() - after.keys():
+            latest = changes.revision
+        self.changed_version = max(self.changed_version, latest)
         return before != after
 
     def apply(self, changes: objects.Changes, since: int) -> bool:
@@ -98,11 +105,13 @@
             if held is None or held.version > max(stored.version, revision):
                 return False
             del self.objects[key]
+            self.changed_version = max(self.changed_version, revision)
             self._remember_deletion(key, revision)
             return True
         if held is not None and held.version >= stored.version:
             return False
         self.objects[key] = stored
+        self.changed_version = max(self.changed_version, stored.version)
         self.deletions.pop(key, None)
         return True
 
--- /dev/null
+++ b/src/sardinehold/core/vouching.py
@@ -0,0 +1,71 @@
+"""Leases without the platform: a quorum of members vouches for a view.
+
+A member that acknowledged version ``v`` and sends any later message vouches
+that it had acknowledged nothing newer when it sent it. Members never go back,
+and a change counts as in force only when a set of members that meets every
+vouch quorum has acknowledged it. A view for which a quorum has vouched since
+``T`` is therefore not replaced by a change whose fence began before ``T``.
+
+Vouches travel as counts for each zone, so that their cost does not grow with
+the square of the fleet. Where two relays speak for one zone the larger count
+is taken, never the sum: both may have counted the same members.
+"""
+
+import typing
+
+from sardinehold.core import lease
+
+AGES = (0.15, 0.3, 0.45, 0.6, 0.8, 1.0, 1.3)
+"""Ages in seconds for which relays count the vouches of their zones."""
+
+
+class Vouches(typing.NamedTuple):
+    """What one relay counted, dated by the clock of the node that reads it.
+
+    :param dated: pairs of an instant and the members that vouched since then.
+    """
+
+    zone: str
+    version: int
+    dated: tuple[tuple[float, int], ...]
+
+
+def count_ages(now: float, vouched: list[float]) -> tuple[int, ...]:
+    """Return for each of :data:`AGES` how many vouches are no older."""
+    return tuple(sum(now - time <= age for time in vouched) for age in AGES)
+
+
+def date_counts(sent: float, counts: tuple[int, ...]) -> tuple[tuple[float, int], ...]:
+    """Return the counts with instants of the own clock.
+
+    :param sent: own clock at or before the counts were made.
+    """
+    return tuple(
+        (sent - age * (1 + lease.CLOCK_DRIFT), count)
+        for age, count in zip(AGES, counts, strict=False)
+    )
+
+
+def find_vouched_instant(
+    version: int, quorum: int, vouches: list[Vouches]
+) -> float | None:
+    """Return the latest instant since when ``quorum`` members vouch.
+
+    :param version: the own version; vouches for newer ones do not count.
+    :returns: None if too few members vouch at all.
+    """
+    usable = [item for item in vouches if item.version <= version]
+    instants = sorted({time for item in usable for time, _ in item.dated}, reverse=True)
+    for instant in instants:
+        if _count_since(instant, usable) >= quorum:
+            return instant
+    return None
+
+
+def _count_since(instant: float, vouches: list[Vouches]) -> int:
+    by_zone: dict[str, int] = {}
+    for item in vouches:
+        counts = [count for time, count in item.dated if time >= instant]
+        best = max(counts, default=0)
+        by_zone[item.zone] = max(best, by_zone.get(item.zone, 0))
+    return sum(by_zone.values())
