Move tokens and connection shares to nodes, never copy them

Cause: a rate that counts over all VMs needs one bucket whose tokens move. Weighed: an even split (refuses in-rate requests when demand is uneven) and copies with reconciliation (exceeds the burst in a window). Bound: bucket + outstanding <= burst at all times, asserted after each of 600 random steps for 20 seeds with lost answers, late copies, restarts, clock rates and new allocators. Two mutations of the bucket are found by the same run.

--- a/src/sardinehold/core/actions.py
+++ b/src/sardinehold/core/actions.py
@@ -203,26 +203,33 @@
 class RequestTokens(Action):
     """Ask the allocator for tokens.
 
-    :param tokens: how many are wanted now.
+    :param tokens: how many are wanted now; 0 only reports ``left``.
+    :param left: unspent tokens on this node's balance, so that what was
+        spent stops counting against the burst.
     """
 
-    __slots__ = ("team", "tokens")
+    __slots__ = ("team", "tokens", "left")
 
-    def __init__(self, team: str, tokens: int) -> None:
+    def __init__(self, team: str, tokens: int, left: int = 0) -> None:
         """Keep the parts of the action."""
         self.team = team
         self.tokens = tokens
+        self.left = left
 
 
 class ReturnTokens(Action):
-    """Give tokens back that this node will not spend."""
+    """Give tokens back that this node will not spend.
 
-    __slots__ = ("team", "tokens")
+    :param left: unspent tokens on this node's balance without them.
+    """
+
+    __slots__ = ("team", "tokens", "left")
 
-    def __init__(self, team: str, tokens: int) -> None:
+    def __init__(self, team: str, tokens: int, left: int = 0) -> None:
         """Keep the parts of the action."""
         self.team = team
         self.tokens = tokens
+        self.left = left
 
 
 class RequestConnections(Action):
--- /dev/null
+++ b/src/sardinehold/core/shares.py
@@ -0,0 +1,119 @@
+"""Shares of each endpoint's connections, divided among the nodes.
+
+Every member may always hold ``BASE_CONNECTIONS`` to each endpoint, so that it
+can serve without an allocator. The rest follows demand: the allocator lends it
+for a lifetime, and the sum of base and loans stays within the limit while
+members come and go.
+"""
+
+BASE_CONNECTIONS = 1
+"""Connections to an endpoint that each member may hold without asking."""
+
+NEWCOMERS = 2
+"""Members for which the base is kept free before they are known."""
+
+SHARE_LIFETIME = 3.0
+"""Seconds from a node's asking to when its loan lapses."""
+
+CLOCK_RATE_MARGIN = 0.01
+"""By how much the rates of two monotonic clocks may differ, as a fraction."""
+
+
+class Share:
+    """How many connections a node may hold to an endpoint.
+
+    :param lifetime: seconds from when the node asked to its deadline; after
+        it the base is left.
+    """
+
+    __slots__ = ("endpoint", "connections", "lifetime")
+
+    def __init__(self, endpoint: str, connections: int, lifetime: float) -> None:
+        """Keep the parts of the share."""
+        self.endpoint = endpoint
+        self.connections = connections
+        self.lifetime = lifetime
+
+
+class _Loan:
+    """Connections above the base that one node may hold."""
+
+    __slots__ = ("connections", "deadline", "wanted")
+
+    def __init__(self, connections: int, deadline: float, wanted: int) -> None:
+        self.connections = connections
+        self.deadline = deadline
+        self.wanted = wanted
+
+
+class ShareBook:
+    """Divides the connections of all endpoints.
+
+    :param epoch: of the role that this allocator holds.
+    :param starts_at: when the predecessor's last loan has lapsed for sure.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("epoch", "starts_at", "_limits", "_members", "_loans")
+
+    def __init__(self, epoch: int, now: float, starts_at: float) -> None:
+        """Start with nothing lent."""
+        self.epoch = epoch
+        self.starts_at = max(now, starts_at)
+        self._limits: dict[str, int] = {}
+        self._members = 1
+        self._loans: dict[str, dict[str, list[_Loan]]] = {}
+
+    def configure(self, now: float, limits: dict[str, int], members: int) -> None:
+        """Put the endpoints' limits and the number of members in force."""
+        self._limits = dict(limits)
+        self._members = max(1, members)
+
+    def take(self, now: float, vm: str, endpoint: str, wanted: int) -> Share:
+        """Lend a node what it wants, as far as the others leave it.
+
+        :param wanted: connections that the node could use, base included.
+        """
+        spare = self.measure_spare(endpoint)
+        if now < self.starts_at or spare <= 0:
+            return Share(endpoint, BASE_CONNECTIONS, SHARE_LIFETIME)
+        loans = self._prune(now, endpoint)
+        asked = max(0, wanted - BASE_CONNECTIONS)
+        fair = self._divide(loans, vm, asked, spare)
+        lent_to_others = sum(
+            max(loan.connections for loan in held)
+            for other, held in loans.items()
+            if other != vm
+        )
+        extra = max(0, min(asked, fair, spare - lent_to_others))
+        deadline = now + SHARE_LIFETIME * (1 + CLOCK_RATE_MARGIN)
+        loans.setdefault(vm, []).append(_Loan(extra, deadline, asked))
+        return Share(endpoint, BASE_CONNECTIONS + extra, SHARE_LIFETIME)
+
+    def measure_spare(self, endpoint: str) -> int:
+        """Return what is left of the limit above all bases."""
+        limit = self._limits.get(endpoint, 0)
+        return limit - BASE_CONNECTIONS * (self._members + NEWCOMERS)
+
+    def count_lent(self, now: float, endpoint: str) -> int:
+        """Return what nodes may hold above their bases."""
+        loans = self._prune(now, endpoint)
+        return sum(max(loan.connections for loan in held) for held in loans.values())
+
+    def _prune(self, now: float, endpoint: str) -> dict[str, list[_Loan]]:
+        loans = self._loans.setdefault(endpoint, {})
+        for vm in list(loans):
+            loans[vm] = [loan for loan in loans[vm] if loan.deadline > now]
+            if not loans[vm]:
+                del loans[vm]
+        return loans
+
+    @staticmethod
+    def _divide(loans: dict[str, list[_Loan]], vm: str, asked: int, spare: int) -> int:
+        """Return the node's part of the spare in proportion to demand."""
+        others = sum(held[-1].wanted for name, held in loans.items() if name != vm)
+        demand = asked + others
+        if demand <= spare:
+            return asked
+        return max(1, spare * asked // demand) if asked else 0
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,184 @@
+"""Rate and burst hold in every window, whatever is lost or dies."""
+
+import random
+
+import pytest
+
+import builders_quota
+from sardinehold.core import quota
+
+RATE = quota.Rate(20.0, 10)
+
+
+def build_allocator(now=0.0, starts_at=0.0, expected=frozenset()):
+    allocator = quota.Allocator(1, now, starts_at, expected)
+    allocator.configure(now, {"desk": RATE})
+    return allocator
+
+
+def exchange(allocator, node, now, wanted, returned=0):
+    usage = node.build_usage(now, wanted, returned)
+    return allocator.exchange(now, node.name, node.sequence, [usage])
+
+
+def test_bucket_fills_up_to_the_burst():
+    allocator = build_allocator()
+    node = builders_quota.Balance("a")
+    grants = exchange(allocator, node, 100.0, 1000)
+    assert grants[0].tokens == RATE.burst
+
+
+def test_outstanding_tokens_count_against_the_burst():
+    allocator = build_allocator()
+    first, second = builders_quota.Balance("a"), builders_quota.Balance("b")
+    first.accept(10.0, exchange(allocator, first, 10.0, 8)[0])
+    assert exchange(allocator, second, 10.5, 100)[0].tokens == 2
+
+
+def test_spent_tokens_stop_counting_with_the_next_exchange():
+    allocator = build_allocator()
+    node = builders_quota.Balance("a")
+    node.accept(10.0, exchange(allocator, node, 10.0, 10)[0])
+    assert node.spend(10.0, 10) == 10
+    exchange(allocator, node, 10.1, 0)
+    other = builders_quota.Balance("b")
+    assert exchange(allocator, other, 10.6, 100)[0].tokens == RATE.burst
+
+
+def test_lost_grant_goes_back_with_the_next_exchange():
+    allocator = build_allocator()
+    node = builders_quota.Balance("a")
+    exchange(allocator, node, 10.0, 10)
+    assert exchange(allocator, node, 10.0, 10)[0].tokens == 10
+
+
+def test_returned_tokens_serve_another_node():
+    allocator = build_allocator()
+    first, second = builders_quota.Balance("a"), builders_quota.Balance("b")
+    first.accept(10.0, exchange(allocator, first, 10.0, 10)[0])
+    exchange(allocator, first, 10.0, 0, returned=10)
+    assert exchange(allocator, second, 10.0, 10)[0].tokens == 10
+
+
+def test_late_copy_of_an_exchange_is_dropped():
+    allocator = build_allocator()
+    usage = quota.Usage("desk", 0, wanted=1)
+    assert allocator.exchange(10.0, "a", 2, [usage])[0].tokens == 1
+    assert allocator.exchange(10.0, "a", 1, [usage]) is None
+
+
+def test_successor_grants_nothing_before_the_old_grants_lapse():
+    allocator = build_allocator(now=0.0, starts_at=3.0)
+    node = builders_quota.Balance("a")
+    assert exchange(allocator, node, 2.9, 10)[0].tokens == 0
+    assert exchange(allocator, node, 4.0, 10)[0].tokens > 0
+
+
+def test_successor_starts_early_when_every_node_reported():
+    allocator = build_allocator(0.0, 3.0, frozenset({"a", "b"}))
+    usage = quota.Usage("desk", 4)
+    allocator.exchange(0.1, "a", 1, [usage])
+    allocator.exchange(0.2, "b", 1, [usage])
+    wanted = quota.Usage("desk", 4, wanted=100)
+    assert allocator.exchange(0.5, "a", 2, [wanted])[0].tokens == 2
+    assert allocator.measure_exposure(0.5, "desk") == pytest.approx(RATE.burst)
+
+
+def test_removed_team_gets_nothing():
+    allocator = build_allocator()
+    allocator.configure(10.0, {})
+    node = builders_quota.Balance("a")
+    assert exchange(allocator, node, 20.0, 10)[0].tokens == 0
+
+
+def test_lower_rate_binds_within_a_grant_lifetime():
+    allocator = build_allocator()
+    node = builders_quota.Balance("a")
+    node.accept(10.0, exchange(allocator, node, 10.0, 10)[0])
+    allocator.configure(10.0, {"desk": quota.Rate(1.0, 1)})
+    later = 10.0 + 2 * quota.GRANT_LIFETIME
+    assert exchange(allocator, node, later, 10)[0].tokens == 1
+
+
+KINDS = ("spend", "spend", "ask", "ask", "lose", "late")
+RARE_KINDS = ("restart", "succeed")
+
+
+def build_steps(seed, count=600):
+    draw = random.Random(seed)
+    for _ in range(count):
+        kinds = RARE_KINDS if draw.random() < 0.02 else KINDS
+        wait = draw.random() * draw.choice((0.0, 0.05, 0.4))
+        yield draw.randrange(4), draw.choice(kinds), draw.randrange(13), wait
+
+
+def run_steps(steps):
+    """Run random steps; return all times at which a token was spent."""
+    now = 100.0
+    allocator = build_allocator(now)
+    nodes = [builders_quota.Balance(str(n), 1 + 0.004 * (n - 1.5)) for n in range(4)]
+    spent = []
+    late = []
+    for number, step, amount, wait in steps:
+        now += wait
+        node = nodes[number]
+        if step == "spend":
+            node.spend(now, amount)
+        elif step in ("ask", "lose"):
+            usage = node.build_usage(now, amount, amount // 3)
+            late.append((node.name, node.sequence, usage))
+            grants = allocator.exchange(now, node.name, node.sequence, [usage])
+            if grants and step == "ask":
+                node.accept(now, grants[0])
+        elif step == "late" and late:
+            name, sequence, usage = late[amount % len(late)]
+            allocator.exchange(now, name, sequence, [usage])
+        elif step == "restart":
+            spent.extend(node.spent)
+            nodes[number] = builders_quota.Balance(f"{node.name}'", node.clock_rate)
+        elif step == "succeed":
+            lapse = now + quota.GRANT_LIFETIME * (1 + quota.CLOCK_RATE_MARGIN)
+            allocator = build_allocator(now, lapse)
+            late.clear()
+        assert allocator.measure_exposure(now, "desk") <= RATE.burst + 1e-6
+    for node in nodes:
+        spent.extend(node.spent)
+    return spent
+
+
+def check_windows(seeds):
+    for seed in seeds:
+        spent = run_steps(build_steps(seed))
+        assert len(spent) > RATE.burst
+        excess = builders_quota.find_worst_window(spent, RATE.rate, RATE.burst)
+        assert excess <= 1e-6
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_window_exceeds_rate_and_burst(seed):
+    check_windows([seed])
+
+
+def refill_past_the_burst(bucket, now):
+    bucket.tokens = min(
+        bucket.burst, bucket.tokens + (now - bucket.filled_at) * bucket.rate
+    )
+    bucket.filled_at = now
+
+
+def settle_without_counting(bucket, now, node, usage):
+    bucket.holdings.pop(node, None)
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "broken"),
+    [
+        (quota._Bucket, "refill", refill_past_the_burst),
+        (quota._Bucket, "settle", settle_without_counting),
+    ],
+)
+def test_random_run_finds_a_broken_mechanism(monkeypatch, owner, name, broken):
+    monkeypatch.setattr(owner, name, broken)
+
+    with pytest.raises(AssertionError):
+        check_windows(range(20))
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,80 @@
+"""Connection shares follow demand, and their sum keeps to the limit."""
+
+import random
+
+import pytest
+
+from sardinehold.core import shares
+
+LIMIT = 20
+MEMBERS = 9
+
+
+def build_book(now=0.0, starts_at=0.0, members=MEMBERS):
+    book = shares.ShareBook(1, now, starts_at)
+    book.configure(now, {"db-1": LIMIT}, members)
+    return book
+
+
+def test_lone_demand_gets_all_that_is_spare():
+    book = build_book()
+    spare = LIMIT - shares.BASE_CONNECTIONS * (MEMBERS + shares.NEWCOMERS)
+    share = book.take(0.0, "a", "db-1", 100)
+    assert share.connections == shares.BASE_CONNECTIONS + spare
+
+
+def test_base_is_granted_when_nothing_is_spare():
+    book = build_book(members=LIMIT)
+    assert book.take(0.0, "a", "db-1", 5).connections == shares.BASE_CONNECTIONS
+
+
+def test_contended_shares_converge_to_demand():
+    book = build_book()
+    for step in range(8):
+        now = step * shares.SHARE_LIFETIME
+        first = book.take(now, "a", "db-1", 100).connections
+        second = book.take(now, "b", "db-1", 100).connections
+    assert abs(first - second) <= 1
+
+
+def test_unused_loan_lapses():
+    book = build_book()
+    book.take(0.0, "a", "db-1", 100)
+    later = 2 * shares.SHARE_LIFETIME
+    assert book.count_lent(later, "db-1") == 0
+
+
+def test_successor_lends_nothing_before_old_loans_lapse():
+    book = build_book(starts_at=5.0)
+    assert book.take(4.9, "a", "db-1", 9).connections == shares.BASE_CONNECTIONS
+    assert book.take(5.0, "a", "db-1", 9).connections > shares.BASE_CONNECTIONS
+
+
+def run_fleet(seed):
+    """Return the highest number of connections that nodes could hold."""
+    draw = random.Random(seed)
+    book = build_book()
+    held = {}
+    now = 0.0
+    highest = 0
+    for _ in range(400):
+        now += draw.random()
+        vm = f"vm-{draw.randrange(MEMBERS)}"
+        share = book.take(now, vm, "db-1", draw.randrange(12))
+        held.setdefault(vm, []).append((share.connections, now + share.lifetime))
+        total = 0
+        for grants in held.values():
+            alive = [count for count, deadline in grants if deadline > now]
+            total += max([*alive, shares.BASE_CONNECTIONS])
+        highest = max(highest, total + MEMBERS - len(held))
+    return highest
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_sum_of_shares_keeps_to_the_limit(seed):
+    assert run_fleet(seed) <= LIMIT
+
+
+def test_random_run_finds_loans_that_are_not_counted(monkeypatch):
+    monkeypatch.setattr(shares.ShareBook, "_prune", lambda book, now, endpoint: {})
+    assert max(run_fleet(seed) for seed in range(10)) > LIMIT
