Read documents and settings, record events, count and observe

Settings and documents name all their faults at once, each with its place and remedy. The JSON Schema comes from the signatures and docstrings of the document's classes, so that code, schema and reference cannot differ.

--- a/src/sardinehold/cli.py
+++ b/src/sardinehold/cli.py
@@ -1,29 +1,249 @@
-"""The ``sardinehold`` command; one subcommand for each program."""
+"""The ``sardinehold`` command; one subcommand for each program.
+
+Exit codes: 0 done, 1 failed or stopped by a fault, 2 settings, a document or
+the command line cannot be used.
+"""
 
 import argparse
+import getpass
+import json
+import pathlib
 import sys
+import typing
 
 import sardinehold
+from sardinehold import checking
+from sardinehold import document
 from sardinehold import errors
+from sardinehold import keys
+from sardinehold import settings
+from sardinehold import timeline
+
+_Run = typing.Callable[[argparse.Namespace], int]
+_Configure = typing.Callable[[argparse.ArgumentParser], None]
+
+
+class Command:
+    """A subcommand.
+
+    :param configure: adds its arguments to its parser.
+    :param run: does it and returns the exit code.
+    :param examples: command lines shown in its help.
+    """
+
+    __slots__ = ("name", "configure", "run", "examples")
+
+    def __init__(
+        self, name: str, configure: _Configure, run: _Run, examples: tuple[str, ...]
+    ) -> None:
+        """Keep the parts of the command."""
+        self.name = name
+        self.configure = configure
+        self.run = run
+        self.examples = examples
+
+    @property
+    def doc(self) -> str:
+        """What it does, in one sentence."""
+        return (self.run.__doc__ or "").strip().splitlines()[0]
+
+
+COMMANDS: dict[str, Command] = {}
+"""All subcommands by name, filled by :func:`command`."""
+
+
+def command(
+    name: str, configure: _Configure, *examples: str
+) -> typing.Callable[[_Run], _Run]:
+    """Register the decorated function as the subcommand ``name``."""
+
+    def register(run: _Run) -> _Run:
+        COMMANDS[name] = Command(name, configure, run, examples)
+        return run
+
+    return register
+
+
+def _add_settings(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--settings",
+        required=True,
+        type=pathlib.Path,
+        metavar="FILE.ini",
+        help="settings of this process",
+    )
+
+
+@command("proxy", _add_settings, "sardinehold proxy --settings proxy.ini")
+def run_proxy(arguments: argparse.Namespace) -> int:
+    """Serve callers on an entry VM until SIGTERM."""
+    loaded = settings.load_proxy(arguments.settings)
+    # Imported here so that the other commands start without the proxy's parts.
+    from sardinehold import proxy
+
+    return proxy.run(loaded)
+
+
+@command("console", _add_settings, "sardinehold console --settings console.ini")
+def run_console(arguments: argparse.Namespace) -> int:
+    """Serve the console of forms and the administration API until SIGTERM."""
+    loaded = settings.load_console(arguments.settings)
+    # Imported here so that the other commands start without the console's parts.
+    from sardinehold import console
+
+    return console.run(loaded)
+
+
+def _add_files(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("files", nargs="+", type=pathlib.Path, metavar="FILE")
+
+
+@command(
+    "check",
+    _add_files,
+    "sardinehold check proxy.ini document.json",
+)
+def run_check(arguments: argparse.Namespace) -> int:
+    """Check settings (.ini) and documents (.json), naming all faults at once."""
+    code = 0
+    for path in arguments.files:
+        verdict = checking.check_file(path)
+        if verdict.error is not None:
+            code = verdict.error.exit_code
+            verdict.error.show()
+            continue
+        print(f"{path}: {verdict.kind} can be used")
+        for warning in verdict.warnings:
+            print(f"  warning: {warning.format()}")
+    return code
+
+
+def _add_timeline(parser: argparse.ArgumentParser) -> None:
+    _add_files(parser)
+    parser.add_argument(
+        "--kind",
+        action="append",
+        default=[],
+        help="keep this kind of event; a trailing * stands for any ending",
+    )
+    parser.add_argument("--vm", action="append", default=[], help="keep this VM")
+    parser.add_argument("--group", action="append", default=[], help="keep this group")
+    parser.add_argument(
+        "--since", type=float, metavar="SECONDS", help="from the first event on"
+    )
+    parser.add_argument(
+        "--until", type=float, metavar="SECONDS", help="from the first event on"
+    )
+    parser.add_argument("--json", action="store_true", help="print JSON lines")
+    parser.add_argument(
+        "--draw",
+        type=pathlib.Path,
+        metavar="FILE.svg|png",
+        help="draw a picture in place of printing",
+    )
+
+
+@command(
+    "timeline",
+    _add_timeline,
+    "sardinehold timeline out/*.events",
+    "sardinehold timeline out/*.events --group letters-1 --draw failover.svg",
+    "sardinehold timeline out/*.events --kind 'key_*' --since 10 --until 20",
+)
+def run_timeline(arguments: argparse.Namespace) -> int:
+    """Merge events files of all processes in causal order, filter and draw."""
+    events = timeline.read_events(arguments.files)
+    selection = timeline.Selection(
+        kinds=tuple(arguments.kind),
+        vms=tuple(arguments.vm),
+        groups=tuple(arguments.group),
+        since=arguments.since,
+        until=arguments.until,
+    )
+    selected = timeline.select_events(events, selection)
+    if arguments.draw is not None:
+        # Imported here because matplotlib is slow to import.
+        from sardinehold import drawing
+
+        drawing.draw_events(selected, arguments.draw)
+        return 0
+    for event in selected:
+        print(event.dump() if arguments.json else event.format(events[0].wall))
+    return 0
+
+
+def _add_keys(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "action",
+        choices=("new", "hash"),
+        help="new: make a key; hash: read a key from standard input",
+    )
+
+
+@command("keys", _add_keys, "sardinehold keys new", "sardinehold keys hash < key.txt")
+def run_keys(arguments: argparse.Namespace) -> int:
+    """Make a key, or the record of a key that the document keeps."""
+    if arguments.action == "new":
+        made = keys.generate_key()
+        print(made.text)
+        record = made.record
+    else:
+        record = keys.hash_key(_read_key())
+    print(json.dumps(document.dump_part(record)))
+    return 0
+
+
+def _read_key() -> str:
+    if sys.stdin.isatty():
+        text = getpass.getpass("Key: ").strip()
+    else:
+        text = sys.stdin.readline().strip()
+    if not keys.find_prefix(text):
+        raise errors.SettingsError(
+            "Standard input holds no key.",
+            "Give one line of the form shk_<prefix>_<secret>.",
+        )
+    return text
 
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the parser with all subcommands."""
-    parser = argparse.ArgumentParser(prog="sardinehold", description=__doc__)
+    parser = argparse.ArgumentParser(
+        prog="sardinehold",
+        description="A database proxy with session consistency.",
+        epilog=__doc__.partition("\n\n")[2],
+    )
     parser.add_argument(
         "--version", action="version", version=f"sardinehold {sardinehold.__version__}"
     )
+    subparsers = parser.add_subparsers(dest="command", metavar="COMMAND", required=True)
+    for item in COMMANDS.values():
+        _add_command(subparsers, item)
     return parser
 
 
+def _add_command(subparsers: typing.Any, item: Command) -> None:
+    examples = "\n".join(f"  {example}" for example in item.examples)
+    parser = subparsers.add_parser(
+        item.name,
+        help=item.doc,
+        description=item.doc,
+        epilog=f"examples:\n{examples}\n\n{__doc__.partition(chr(10) * 2)[2]}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    item.configure(parser)
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run the command and return its exit code."""
+    parsed = build_parser().parse_args(arguments)
     try:
-        build_parser().parse_args(arguments)
+        return COMMANDS[parsed.command].run(parsed)
     except errors.SardineholdError as error:
         error.show()
         return error.exit_code
-    return 0
+    except BrokenPipeError:
+        return 1
 
 
 if __name__ == "__main__":
--- a/src/sardinehold/document.py
+++ b/src/sardinehold/document.py
@@ -1,9 +1,14 @@
-"""The configuration document: teams, keys, rates, groups and routes.
+"""The configuration document: teams, keys, rates, groups, routes, operators.
 
 One validated whole, kept in the platform as the object ``document/current``.
 """
 
 import enum
+import typing
+
+from sardinehold import errors
+
+_Part = typing.TypeVar("_Part")
 
 
 class Durability(enum.Enum):
@@ -20,6 +25,7 @@
     :param prefix: the public part, by which a key is recognised.
     :param salt: hexadecimal salt of the digest.
     :param digest: hexadecimal digest, see :mod:`sardinehold.keys`.
+    :param withdrawn: whether it must not work any more.
     """
 
     __slots__ = ("prefix", "salt", "digest", "withdrawn")
@@ -37,9 +43,11 @@
 class Team:
     """A tenant with its rate, burst, weight and keys.
 
+    :param name: name of the team.
     :param rate: statements a second over all VMs together.
     :param burst: statements that may run at once after a quiet time.
     :param weight: share of scarce connections relative to other teams.
+    :param keys: its keys, oldest first; several may work at once.
     """
 
     __slots__ = ("name", "rate", "burst", "weight", "keys")
@@ -61,7 +69,13 @@
 
 
 class Endpoint:
-    """One database server of a group."""
+    """One database server of a group.
+
+    :param name: unique over all groups.
+    :param host: IP number or host name.
+    :param port: TCP port.
+    :param zone: its availability zone.
+    """
 
     __slots__ = ("name", "host", "port", "zone")
 
@@ -76,6 +90,8 @@
 class Group:
     """Databases that replicate one log.
 
+    :param name: name of the group.
+    :param endpoints: its database servers.
     :param slots: statements that one endpoint runs at once.
     :param connections: connections that one endpoint accepts.
     :param database: name of the database on the endpoints.
@@ -105,12 +121,15 @@
 class Route:
     """A database name that callers connect to.
 
+    :param name: what callers give as database name.
+    :param group: name of the group that answers.
     :param teams: names of the teams that may use it; unused when ``open``.
     :param open: whether it serves callers without a key.
     :param rate: statements a second of an open route, all callers together.
     :param burst: burst of an open route.
     :param max_age: age in seconds that its reads accept, or None for
         read-your-writes only.
+    :param durability: what must have a write before it is acknowledged.
     :param statement_timeout: seconds from acceptance to the deadline.
     :param idle_in_transaction: seconds that a transaction may be idle.
     """
@@ -154,10 +173,56 @@
         self.idle_in_transaction = idle_in_transaction
 
 
+class Role(enum.Enum):
+    """What an operator may do in the console and its API."""
+
+    VIEW = "view"
+    OPERATE = "operate"
+
+
+class Operator:
+    """A person or program that administers the platform.
+
+    :param name: name in the audit.
+    :param role: whether they may change anything.
+    :param team: the one team that they see and change, ``""`` for all.
+    :param key: record of the key with which they sign in.
+    """
+
+    __slots__ = ("name", "role", "team", "key")
+
+    def __init__(self, name: str, role: Role, key: Key, team: str = "") -> None:
+        """Keep the parts of the operator."""
+        self.name = name
+        self.role = role
+        self.key = key
+        self.team = team
+
+
 class Document:
-    """One version of the whole configuration."""
+    """One version of the whole configuration.
+
+    :param version: grows by one with each accepted change.
+    :param author: the operator who made this version.
+    :param reason: why, in the author's words.
+    :param teams: tenants by name.
+    :param groups: database groups by name.
+    :param routes: database names that callers connect to.
+    :param operators: who may administer, by name.
+    :param change_id: identity of the change that made this version, by which
+        its writer recognises it when the platform's answer was lost.
+    """
 
-    __slots__ = ("version", "author", "reason", "teams", "groups", "routes")
+    __slots__ = (
+        "version",
+        "author",
+        "reason",
+        "teams",
+        "groups",
+        "routes",
+        "operators",
+        "change_id",
+    )
 
     def __init__(
         self,
@@ -167,6 +232,8 @@
         teams: dict[str, Team],
         groups: dict[str, Group],
         routes: dict[str, Route],
+        operators: dict[str, Operator] | None = None,
+        change_id: str = "",
     ) -> None:
         """Keep the parts of the document."""
         self.version = version
@@ -175,16 +242,132 @@
         self.teams = teams
         self.groups = groups
         self.routes = routes
+        self.operators = operators or {}
+        self.change_id = change_id
 
 
-def parse_document(value: dict) -> Document:
+def parse_document(value: dict, strict: bool = True) -> Document:
     """Return the document that the JSON object ``value`` holds.
 
+    :param strict: whether to validate it. An accepted document that comes
+        from the platform is read with False: a later release may have added
+        fields, which are left out.
     :raises sardinehold.errors.DocumentError: naming every fault.
     """
-    raise NotImplementedError
+    # Imported here because validation needs the classes of this module.
+    from sardinehold import validation
+
+    if strict:
+        validation.require_valid(value)
+    try:
+        return _parse_parts(value)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise errors.DocumentError(
+            f"The document cannot be read: {error!r}.",
+            "Run `sardinehold check` on it, which names every fault.",
+        ) from error
+
+
+def _parse_parts(value: dict) -> Document:
+    return Document(
+        version=value["version"],
+        author=value["author"],
+        reason=value["reason"],
+        teams=_parse_each(_parse_team, value["teams"]),
+        groups=_parse_each(_parse_group, value["groups"]),
+        routes=_parse_each(_parse_route, value["routes"]),
+        operators=_parse_each(_parse_operator, value.get("operators", {})),
+        change_id=value.get("change_id", ""),
+    )
+
+
+def _parse_each(
+    parse: typing.Callable[[str, dict], _Part], value: dict[str, dict]
+) -> dict[str, _Part]:
+    return {name: parse(name, part) for name, part in sorted(value.items())}
+
+
+def _pick_fields(kind: type, value: dict) -> dict:
+    return {name: value[name] for name in kind.__slots__ if name in value}
+
+
+def _parse_team(name: str, value: dict) -> Team:
+    fields = _pick_fields(Team, value)
+    fields["name"] = name
+    fields["keys"] = tuple(_parse_key(key) for key in value.get("keys", ()))
+    return Team(**fields)
+
+
+def _parse_key(value: dict) -> Key:
+    return Key(**_pick_fields(Key, value))
+
+
+def _parse_group(name: str, value: dict) -> Group:
+    fields = _pick_fields(Group, value)
+    fields["name"] = name
+    endpoints = _parse_each(_parse_endpoint, value["endpoints"])
+    fields["endpoints"] = tuple(endpoints.values())
+    return Group(**fields)
+
+
+def _parse_endpoint(name: str, value: dict) -> Endpoint:
+    return Endpoint(**{**_pick_fields(Endpoint, value), "name": name})
+
+
+def _parse_route(name: str, value: dict) -> Route:
+    fields = _pick_fields(Route, value)
+    fields["name"] = name
+    fields["teams"] = tuple(value.get("teams", ()))
+    if "durability" in value:
+        fields["durability"] = Durability(value["durability"])
+    return Route(**fields)
+
+
+def _parse_operator(name: str, value: dict) -> Operator:
+    fields = _pick_fields(Operator, value)
+    fields["name"] = name
+    fields["role"] = Role(value["role"])
+    fields["key"] = _parse_key(value["key"])
+    return Operator(**fields)
 
 
 def dump_document(document: Document) -> dict:
-    """Return ``document`` as a JSON object; the inverse of parsing."""
-    raise NotImplementedError
+    """Return ``document`` as a JSON object; the inverse of parsing.
+
+    Names are sorted, so that two dumps compare line by line.
+    """
+    return dump_part(document)
+
+
+def dump_part(part: Document | Team | Group | Route | Operator | Key) -> dict:
+    """Return a part of a document as a JSON object."""
+    return _dump(part)
+
+
+def _dump(value: object) -> typing.Any:
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, dict):
+        return {name: _dump_named(part) for name, part in sorted(value.items())}
+    if isinstance(value, tuple):
+        return _dump_tuple(value)
+    if hasattr(value, "__slots__"):
+        return {name: _dump(getattr(value, name)) for name in value.__slots__}
+    return value
+
+
+def _dump_named(part: object) -> dict:
+    """Dump a part that stands under its own name, which is not repeated."""
+    return {name: field for name, field in _dump(part).items() if name != "name"}
+
+
+def _dump_tuple(parts: tuple) -> dict | list:
+    if parts and isinstance(parts[0], Endpoint):
+        return {part.name: _dump_named(part) for part in sorted(parts, key=_get_name)}
+    if parts and isinstance(parts[0], str):
+        return sorted(parts)
+    return [_dump(part) for part in parts]
+
+
+def _get_name(part: Endpoint) -> str:
+    return part.name
--- a/src/sardinehold/metrics.py
+++ b/src/sardinehold/metrics.py
@@ -1,22 +1,206 @@
-"""Counters and latency histograms of one process."""
+"""Counters and latency histograms of one process.
+
+Counting and observing touch one dict each. Observations are kept as counts by
+rounded microsecond and folded into an HdrHistogram (G. Tene's high dynamic range
+histogram) when somebody reads them.
+"""
+
+import typing
+
+import prometheus_client
+from hdrh import histogram
+from prometheus_client import core
+
+LOWEST = 1
+"""Microseconds."""
+
+HIGHEST = 3_600_000_000
+"""Microseconds; longer observations count as this."""
+
+DIGITS = 2
+"""Significant decimal digits of a histogram."""
+
+PRECISION_BITS = 8
+"""Binary digits of an observation that are kept; finer than ``DIGITS``."""
+
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+"""Percentiles that the metrics page shows."""
+
+PREFIX = "sardinehold_"
+"""Before each name on the metrics page."""
 
 
 class Registry:
     """All counters and histograms of a process.
 
+    A name may carry labels: ``requests_refused{team="desk"}``, as made by
+    :func:`label_name`.
+
     .. versionadded:: 0.1
     """
 
-    __slots__ = ("counters",)
+    __slots__ = ("counters", "gauges", "_pending", "_histograms")
 
     def __init__(self) -> None:
         """Start with nothing counted."""
         self.counters: dict[str, int] = {}
+        self.gauges: dict[str, float] = {}
+        self._pending: dict[str, dict[int, int]] = {}
+        self._histograms: dict[str, histogram.HdrHistogram] = {}
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add ``amount`` to the counter ``name``."""
         self.counters[name] = self.counters.get(name, 0) + amount
 
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a value that goes up and down."""
+        self.gauges[name] = value
+
     def observe(self, name: str, seconds: float) -> None:
         """Record a latency in the histogram ``name``."""
-        raise NotImplementedError
+        value = int(seconds * 1e6)
+        shift = value.bit_length() - PRECISION_BITS
+        if shift > 0:
+            value = value >> shift << shift
+        try:
+            pending = self._pending[name]
+        except KeyError:
+            pending = self._pending[name] = {}
+        pending[value] = pending.get(value, 0) + 1
+
+    def read_histogram(self, name: str) -> histogram.HdrHistogram:
+        """Return the histogram ``name`` in microseconds; empty if unknown."""
+        target = self._histograms.get(name)
+        if target is None:
+            target = self._histograms[name] = create_histogram()
+        for value, count in self._pending.pop(name, {}).items():
+            target.record_value(min(max(value, LOWEST), HIGHEST), count)
+        return target
+
+    def read_percentile(self, name: str, percentile: float) -> float:
+        """Return a percentile of the histogram ``name`` in seconds."""
+        return self.read_histogram(name).get_value_at_percentile(percentile) / 1e6
+
+    def list_histograms(self) -> list[str]:
+        """Return the names of all histograms."""
+        return sorted(self._histograms.keys() | self._pending.keys())
+
+    def encode_histograms(self) -> dict[str, str]:
+        """Return all histograms as texts that :func:`merge_histograms` takes."""
+        return {
+            name: self.read_histogram(name).encode().decode("ascii")
+            for name in self.list_histograms()
+        }
+
+    def format_page(self) -> bytes:
+        """Return the metrics page in the Prometheus text format."""
+        page = prometheus_client.CollectorRegistry(auto_describe=False)
+        page.register(_Collector(self))
+        return prometheus_client.generate_latest(page)
+
+
+def create_histogram() -> histogram.HdrHistogram:
+    """Return an empty histogram of the shape that all processes use."""
+    return histogram.HdrHistogram(LOWEST, HIGHEST, DIGITS)
+
+
+def merge_histograms(encoded: typing.Iterable[str]) -> histogram.HdrHistogram:
+    """Return one histogram of the observations of many processes."""
+    merged = create_histogram()
+    for text in encoded:
+        merged.decode_and_add(text.encode("ascii"))
+    return merged
+
+
+def label_name(name: str, **labels: str) -> str:
+    """Return ``name`` with labels, to be kept and used again on the hot path."""
+    if not labels:
+        return name
+    pairs = (f'{label}="{_escape(value)}"' for label, value in sorted(labels.items()))
+    return f"{name}{{{','.join(pairs)}}}"
+
+
+def split_name(name: str) -> tuple[str, dict[str, str]]:
+    """Return the bare name and the labels of a name; undoes :func:`label_name`."""
+    bare, brace, rest = name.partition("{")
+    if not brace:
+        return bare, {}
+    labels = {}
+    for pair in _split_pairs(rest[:-1]):
+        label, _, value = pair.partition("=")
+        labels[label] = value[1:-1].replace('\\"', '"').replace("\\\\", "\\")
+    return bare, labels
+
+
+def _escape(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", " ")
+
+
+def _split_pairs(text: str) -> list[str]:
+    pairs, start, quoted, escaped = [], 0, False, False
+    for index, character in enumerate(text):
+        if escaped:
+            escaped = False
+        elif character == "\\":
+            escaped = True
+        elif character == '"':
+            quoted = not quoted
+        elif character == "," and not quoted:
+            pairs.append(text[start:index])
+            start = index + 1
+    pairs.append(text[start:])
+    return pairs
+
+
+class _Collector:
+    """Shows a registry to prometheus_client."""
+
+    def __init__(self, registry: Registry) -> None:
+        self._registry = registry
+
+    def collect(self) -> typing.Iterator[core.Metric]:
+        yield from _collect_values(
+            self._registry.counters, core.CounterMetricFamily, "Events since the start."
+        )
+        yield from _collect_values(
+            self._registry.gauges, core.GaugeMetricFamily, "Value at this moment."
+        )
+        yield from self._collect_histograms()
+
+    def _collect_histograms(self) -> typing.Iterator[core.Metric]:
+        families: dict[str, core.Metric] = {}
+        for name in self._registry.list_histograms():
+            bare, labels = split_name(name)
+            metric = PREFIX + bare + "_seconds"
+            family = families.setdefault(
+                metric, core.Metric(metric, "Latency percentiles.", "summary")
+            )
+            _add_summary(family, labels, self._registry.read_histogram(name))
+        yield from families.values()
+
+
+def _collect_values(
+    values: dict[str, float], kind: type, documentation: str
+) -> typing.Iterator[core.Metric]:
+    families: dict[str, core.Metric] = {}
+    for name, value in sorted(values.items()):
+        bare, labels = split_name(name)
+        metric = PREFIX + bare.removesuffix("_total")
+        family = families.setdefault(metric, kind(metric, documentation))
+        suffix = "_total" if kind is core.CounterMetricFamily else ""
+        family.add_sample(metric + suffix, labels, value)
+    yield from families.values()
+
+
+def _add_summary(
+    family: core.Metric, labels: dict[str, str], source: histogram.HdrHistogram
+) -> None:
+    count = source.get_total_count()
+    for percentile in PERCENTILES:
+        quantile = {**labels, "quantile": f"{percentile / 100:g}"}
+        value = source.get_value_at_percentile(percentile) / 1e6
+        family.add_sample(family.name, quantile, value)
+    family.add_sample(family.name + "_count", labels, count)
+    family.add_sample(
+        family.name + "_sum", labels, source.get_mean_value() * count / 1e6
+    )
--- a/src/sardinehold/settings.py
+++ b/src/sardinehold/settings.py
@@ -1,6 +1,18 @@
 """INI settings of a process, checked before anything starts."""
 
+import configparser
+import ipaddress
 import pathlib
+import re
+import ssl
+import typing
+import urllib.parse
+
+from sardinehold import errors
+from sardinehold import faults
+
+MAX_DRAIN = 3600.0
+"""Seconds."""
 
 
 class Tls:
@@ -23,7 +35,7 @@
 
 
 class ProxySettings:
-    """Settings of a proxy process; sections [vm], [proxy], [platform], [tls].
+    """Settings of a proxy process.
 
     :param vm: name of the VM, unique in the fleet.
     :param zone: its availability zone.
@@ -81,10 +93,15 @@
 
 
 class ConsoleSettings:
-    """Settings of a console process; sections [vm], [console], [platform], [tls].
+    """Settings of a console process.
 
+    :param vm: name of the VM, unique in the fleet.
+    :param zone: its availability zone.
     :param listen: ``host:port`` of the forms and the administration API.
-    :param bootstrap_key: path of a file with the first operator's key.
+    :param platform_url: base URL of the platform's object API.
+    :param timeline: path of the events file, ``""`` for none.
+    :param bootstrap_key: path of a file that holds the key text of the first
+        operator, ``""`` for none.
     """
 
     __slots__ = (
@@ -120,13 +137,235 @@
         self.platform_tls = platform_tls or Tls()
 
 
+class InvalidSettings(errors.SettingsError):
+    """Settings that were refused.
+
+    :param found: every fault of them.
+    """
+
+    def __init__(self, path: pathlib.Path, found: list[faults.Fault]) -> None:
+        """Keep the faults."""
+        super().__init__(
+            f"{path}: {faults.format_faults(found)}",
+            "Nothing was started; `sardinehold check FILE` tries it again.",
+        )
+        self.faults = found
+
+
+class Option:
+    """One key of a section.
+
+    :param convert: returns the value of the text, raises ValueError with the
+        problem and the remedy as its two arguments.
+    :param parameter: of the settings class, ``""`` for the key itself.
+    :param doc: what it means, for the configuration reference.
+    :param default: text that stands for an absent key, None if it is required.
+    """
+
+    __slots__ = ("key", "convert", "doc", "default", "parameter")
+
+    def __init__(
+        self,
+        key: str,
+        convert: typing.Callable[[str], typing.Any],
+        doc: str,
+        default: str | None = None,
+        parameter: str = "",
+    ) -> None:
+        """Keep the parts of the option."""
+        self.key = key
+        self.convert = convert
+        self.doc = doc
+        self.default = default
+        self.parameter = parameter or key
+
+
+def _convert_name(text: str) -> str:
+    if not re.fullmatch(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}", text):
+        raise ValueError(
+            "is not a usable name",
+            "Use 1 to 63 letters, digits, dots, hyphens or underscores.",
+        )
+    return text
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Return host and port of ``HOST:PORT``; an IPv6 number stands in brackets.
+
+    :raises ValueError: with the problem and the remedy.
+    """
+    host, _, port = text.rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    if host != "localhost":
+        _require_number(host)
+    if not re.fullmatch(r"[0-9]{1,5}", port) or int(port) > 65535:
+        raise ValueError(
+            "has no usable port", "Write HOST:PORT with a port from 0 to 65535."
+        )
+    return host, int(port)
+
+
+def _require_number(host: str) -> None:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError(
+            "is not an address with an IP number",
+            "Write IP:PORT, such as 127.0.0.1:6431 or [::1]:6431.",
+        ) from None
+
+
+def _convert_address(text: str) -> str:
+    split_address(text)
+    return text
+
+
+def _convert_optional_address(text: str) -> str:
+    return _convert_address(text) if text else ""
+
+
+def _convert_seconds(text: str) -> float:
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1.0
+    if not 0 < seconds <= MAX_DRAIN:
+        raise ValueError(
+            "is not a usable time",
+            f"Give seconds above 0 up to {MAX_DRAIN:.0f}.",
+        )
+    return seconds
+
+
+def _convert_url(text: str) -> str:
+    try:
+        parts = urllib.parse.urlsplit(text)
+        usable = parts.scheme in ("http", "https") and bool(parts.hostname)
+        usable = usable and (parts.port or 0) >= 0 and not parts.query
+    except ValueError:
+        usable = False
+    if not usable:
+        raise ValueError(
+            "is not a base URL", "Write it as http://HOST:PORT or https://HOST:PORT."
+        )
+    return text.rstrip("/")
+
+
+def _convert_output(text: str) -> str:
+    if text and not pathlib.Path(text).absolute().parent.is_dir():
+        raise ValueError(
+            "lies in a folder that does not exist",
+            "Create the folder, or leave the key out.",
+        )
+    return text
+
+
+def _convert_input(text: str) -> str:
+    if not text:
+        return ""
+    try:
+        pathlib.Path(text).read_bytes()
+    except OSError as error:
+        raise ValueError(
+            f"cannot be read ({error.strerror})",
+            "Correct the path or the permissions of the file.",
+        ) from error
+    return text
+
+
+_VM = (
+    Option("name", _convert_name, "name of the VM, unique in the fleet", None, "vm"),
+    Option("zone", _convert_name, "its availability zone"),
+)
+_PLATFORM = (
+    Option(
+        "url",
+        _convert_url,
+        "base URL of the platform's object API",
+        None,
+        "platform_url",
+    ),
+)
+_TIMELINE = (
+    Option(
+        "path",
+        _convert_output,
+        "file that events are appended to; empty records nothing",
+        "",
+        "timeline",
+    ),
+)
+_TLS = (
+    Option("certificate", _convert_input, "certificate chain, PEM", ""),
+    Option("key", _convert_input, "private key of the certificate, PEM", ""),
+    Option(
+        "authority",
+        _convert_input,
+        "authorities that the other side must be signed by, PEM",
+        "",
+    ),
+)
+
+PROXY_SECTIONS: dict[str, tuple[Option, ...]] = {
+    "vm": _VM,
+    "proxy": (
+        Option(
+            "listen", _convert_address, "IP:PORT for callers; port 0 takes a free one"
+        ),
+        Option("peer_listen", _convert_address, "IP:PORT of the peer service"),
+        Option(
+            "metrics_listen",
+            _convert_optional_address,
+            "IP:PORT of the metrics page; empty for none",
+            "",
+        ),
+        Option(
+            "drain_deadline",
+            _convert_seconds,
+            "seconds that a planned stop may take",
+            "30",
+        ),
+    ),
+    "platform": _PLATFORM,
+    "timeline": _TIMELINE,
+    "caller_tls": _TLS,
+    "endpoint_tls": _TLS,
+    "peer_tls": _TLS,
+    "platform_tls": _TLS,
+}
+"""Sections and keys of a proxy's settings."""
+
+CONSOLE_SECTIONS: dict[str, tuple[Option, ...]] = {
+    "vm": _VM,
+    "console": (
+        Option(
+            "listen",
+            _convert_address,
+            "IP:PORT of the forms and the administration API",
+        ),
+        Option(
+            "bootstrap_key",
+            _convert_input,
+            "file with the key text of the first operator; empty for none",
+            "",
+        ),
+    ),
+    "platform": _PLATFORM,
+    "timeline": _TIMELINE,
+    "console_tls": _TLS,
+    "platform_tls": _TLS,
+}
+"""Sections and keys of a console's settings."""
+
+
 def load_proxy(path: pathlib.Path) -> ProxySettings:
     """Read and check the settings of a proxy.
 
     :raises sardinehold.errors.SettingsError: naming every fault with its
         section, key and remedy.
     """
-    raise NotImplementedError
+    return ProxySettings(**_load(pathlib.Path(path), PROXY_SECTIONS))
 
 
 def load_console(path: pathlib.Path) -> ConsoleSettings:
@@ -134,4 +373,133 @@
 
     :raises sardinehold.errors.SettingsError: naming every fault.
     """
-    raise NotImplementedError
+    return ConsoleSettings(**_load(pathlib.Path(path), CONSOLE_SECTIONS))
+
+
+def load_any(path: pathlib.Path) -> ProxySettings | ConsoleSettings:
+    """Read and check settings of either program, told apart by their sections.
+
+    :raises sardinehold.errors.SettingsError: naming every fault.
+    """
+    if "console" in _read_sections(pathlib.Path(path)):
+        return load_console(path)
+    return load_proxy(path)
+
+
+def _read_sections(path: pathlib.Path) -> dict[str, dict[str, str]]:
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    try:
+        parser.read_string(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise errors.SettingsError(
+            f"{path} cannot be read ({error.strerror}).",
+            "Name a settings file that exists and is readable.",
+        ) from error
+    except (configparser.Error, UnicodeDecodeError) as error:
+        problem = str(error).replace("\n", " ")
+        raise errors.SettingsError(
+            f"{path} is not an INI file: {problem}.",
+            "Write [section] lines and `key = value` lines in UTF-8.",
+        ) from error
+    return {name: dict(parser[name]) for name in parser.sections()}
+
+
+def _load(
+    path: pathlib.Path, sections: dict[str, tuple[Option, ...]]
+) -> dict[str, typing.Any]:
+    texts = _read_sections(path)
+    found = _find_unknown(texts, sections)
+    values: dict[str, typing.Any] = {}
+    for name, options in sections.items():
+        converted = _convert_section(name, options, texts.get(name), found)
+        if options is _TLS:
+            values[name] = _build_tls(name, converted, found)
+        else:
+            values.update(converted)
+    if found:
+        raise InvalidSettings(path, found)
+    return values
+
+
+def _find_unknown(
+    texts: dict[str, dict[str, str]], sections: dict[str, tuple[Option, ...]]
+) -> list[faults.Fault]:
+    found = []
+    for name, keys in texts.items():
+        if name not in sections:
+            remedy = f"Remove it. {faults.suggest_name(name, list(sections))}"
+            found.append(faults.Fault(f"[{name}]", "is an unknown section", remedy))
+            continue
+        known = [option.key for option in sections[name]]
+        for key in keys:
+            if key not in known:
+                remedy = f"Remove it. {faults.suggest_name(key, known)}"
+                found.append(
+                    faults.Fault(f"[{name}] {key}", "is an unknown key", remedy)
+                )
+    return found
+
+
+def _convert_section(
+    section: str,
+    options: tuple[Option, ...],
+    texts: dict[str, str] | None,
+    found: list[faults.Fault],
+) -> dict[str, typing.Any]:
+    values = {}
+    for option in options:
+        text = (texts or {}).get(option.key, option.default)
+        place = f"[{section}] {option.key}"
+        if text is None:
+            missing = (
+                "is missing" if texts is not None else "and its section are missing"
+            )
+            found.append(faults.Fault(place, missing, f"Add it: {option.doc}."))
+            continue
+        try:
+            values[option.parameter] = option.convert(text)
+        except ValueError as error:
+            problem, remedy = error.args
+            shown = faults.format_value(text)
+            found.append(faults.Fault(place, problem, remedy, shown))
+    return values
+
+
+def _build_tls(
+    section: str, paths: dict[str, str], found: list[faults.Fault]
+) -> Tls | None:
+    if len(paths) < len(_TLS):
+        return None
+    tls = Tls(**paths)
+    if bool(tls.certificate) != bool(tls.key):
+        found.append(
+            faults.Fault(
+                f"[{section}]",
+                "names only one of certificate and key",
+                "Name both, or none for no certificate.",
+            )
+        )
+        return None
+    try:
+        _try_tls(tls)
+    except (ssl.SSLError, OSError, ValueError) as error:
+        found.append(
+            faults.Fault(
+                f"[{section}]",
+                f"cannot be loaded ({error})",
+                "Give PEM files, and the key that belongs to the certificate.",
+            )
+        )
+    return tls
+
+
+def _try_tls(tls: Tls) -> None:
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    if tls.certificate:
+        context.load_cert_chain(tls.certificate, tls.key, password=_refuse_password)
+    if tls.authority:
+        context.load_verify_locations(tls.authority)
+
+
+def _refuse_password() -> str:
+    raise ValueError("the private key is encrypted")
