Tell from a statement's text how it may be routed

Whatever sqlglot cannot tell is a write. The traits are cached by text without a trailing comment, since idempotency keys differ in each statement.

--- /dev/null
+++ b/src/sardinehold/core/classify.py
@@ -0,0 +1,308 @@
+"""Tells from a statement's text how it may be routed.
+
+sqlglot reads the text; whatever it cannot tell is a write. Results are cached
+by text, without a trailing sqlcommenter comment, so that an idempotency key
+that differs in each statement still finds the cached traits.
+"""
+
+import functools
+import re
+import typing
+import urllib.parse
+
+import sqlglot
+from sqlglot import exp
+from sqlglot import tokens
+
+from sardinehold.core import functions
+from sardinehold.core import statements
+
+CACHE_ENTRIES = 4096
+"""Statement texts whose traits are kept."""
+
+MAX_PARSED_LENGTH = 16_384
+"""Characters; a longer text is taken as a write without being parsed."""
+
+_COMMENT = re.compile(r"/\*((?:[^*]|\*(?!/))*)\*/\s*;?\s*$")
+_KEY = re.compile(r"sardinehold[._]idempotency_key\s*=\s*'([^']{1,200})'")
+_SESSION_STATE = re.compile(
+    r"\b(temp|temporary|listen|prepare|set|declare|set_config|pg_(try_)?advisory_\w+)\b",
+    re.IGNORECASE,
+)
+_NO_COPY = "COPY is not supported; use INSERT with several rows"
+_NO_TWO_PHASE = "Two-phase commit is not supported; use COMMIT"
+_NO_IDENTITY = "The proxy signs in for every team; the role cannot be changed"
+_NO_SEQUENCE_STATE = "The last sequence value is not kept; use RETURNING"
+_NO_LOAD = "Loading a library is not supported"
+_ALONE = "Settings of sardinehold must be sent in a statement of their own"
+
+
+class _Part(typing.NamedTuple):
+    """One statement of a text, and what it does to the transaction."""
+
+    traits: statements.Traits
+    chains: bool = False
+
+
+def classify(text: str) -> statements.Traits:
+    """Return the traits of a statement text.
+
+    The result may be shared between callers and must not be changed.
+    """
+    comment = _COMMENT.search(text) if text.rstrip(" \t\r\n;").endswith("*/") else None
+    if comment is None:
+        return _classify_cached(text)
+    traits = _classify_cached(text[: comment.start()])
+    key = _KEY.search(comment.group(1))
+    if key is None:
+        return traits
+    return _add_key(traits, urllib.parse.unquote(key.group(1)))
+
+
+def _classify_cached(text: str) -> statements.Traits:
+    """Return cached traits; a long text is neither parsed nor cached."""
+    if len(text) > MAX_PARSED_LENGTH:
+        pins = _SESSION_STATE.search(text) is not None
+        return statements.Traits(statements.Kind.WRITE, pins=pins)
+    return _classify_short(text)
+
+
+@functools.lru_cache(maxsize=CACHE_ENTRIES)
+def _classify_short(text: str) -> statements.Traits:
+    """Split the text into statements and merge their traits."""
+    try:
+        parts = _split(sqlglot.tokenize(text, read="postgres"))
+    except (sqlglot.errors.SqlglotError, RecursionError):
+        pins = _SESSION_STATE.search(text) is not None
+        return statements.Traits(statements.Kind.WRITE, pins=pins)
+    if not parts:
+        return statements.Traits(statements.Kind.EMPTY)
+    found = [_classify_part(text, part) for part in parts]
+    if len(found) == 1:
+        return found[0].traits
+    return _merge(found)
+
+
+def _split(words: list[tokens.Token]) -> list[list[tokens.Token]]:
+    """Return the tokens of each statement."""
+    parts: list[list[tokens.Token]] = [[]]
+    for word in words:
+        if word.token_type == tokens.TokenType.SEMICOLON:
+            parts.append([])
+        else:
+            parts[-1].append(word)
+    return [part for part in parts if part]
+
+
+def _merge(parts: list[_Part]) -> statements.Traits:
+    """Return the traits of several statements sent as one text."""
+    kind = statements.Kind.READ
+    is_open = ends = pins = False
+    refusal = ""
+    for part in parts:
+        traits = part.traits
+        if traits.kind is not statements.Kind.READ:
+            kind = statements.Kind.WRITE
+        if traits.ends:
+            ends = ends or not is_open
+            is_open = part.chains
+        is_open = is_open or traits.begins
+        pins = pins or traits.pins or _leaves_state(traits)
+        refusal = refusal or traits.refusal
+        if traits.setting.startswith("sardinehold."):
+            refusal = refusal or _ALONE
+    return statements.Traits(
+        kind, begins=is_open, ends=ends, pins=pins, refusal=refusal
+    )
+
+
+def _leaves_state(traits: statements.Traits) -> bool:
+    """Return whether a part sets what the pool would track if it came alone."""
+    kinds = (statements.Kind.SET, statements.Kind.RESET, statements.Kind.DISCARD)
+    return traits.kind in kinds and not traits.local
+
+
+def _classify_part(text: str, words: list[tokens.Token]) -> _Part:
+    """Return the traits of one statement by its first word."""
+    first = words[0].text.upper()
+    if first == "SET":
+        return _read_set(text, words)
+    reader = _READERS.get(first)
+    if reader is not None:
+        return reader(words)
+    if first in ("SELECT", "WITH", "VALUES", "TABLE", "("):
+        source = text[words[0].start : words[-1].end + 1]
+        return _Part(_classify_query(source))
+    return _Part(statements.Traits(statements.Kind.WRITE))
+
+
+def _classify_query(source: str) -> statements.Traits:
+    """Return READ only for a query that changes nothing."""
+    try:
+        tree = sqlglot.parse_one(source, read="postgres")
+    except (sqlglot.errors.SqlglotError, RecursionError):
+        pins = _SESSION_STATE.search(source) is not None
+        return statements.Traits(statements.Kind.WRITE, pins=pins)
+    kind = statements.Kind.READ
+    pins = False
+    refusal = ""
+    for node in tree.walk():
+        if isinstance(node, exp.Anonymous):
+            name = node.name.lower()
+            pins = pins or functions.holds_state(name)
+            if functions.reads_sequence_state(name):
+                refusal = _NO_SEQUENCE_STATE
+            if not functions.is_safe(name):
+                kind = statements.Kind.WRITE
+        elif isinstance(node, functions.WRITING_NODES):
+            kind = statements.Kind.WRITE
+            pins = pins or bool(node.args.get("temporary"))
+    return statements.Traits(kind, pins=pins, refusal=refusal)
+
+
+def _upper(words: list[tokens.Token]) -> list[str]:
+    """Return the words in upper case.
+
+    sqlglot gives everything behind some first words as one token.
+    """
+    return [part for word in words for part in word.text.upper().split()]
+
+
+def _read_begin(words: list[tokens.Token]) -> _Part:
+    return _Part(statements.Traits(statements.Kind.BEGIN, begins=True))
+
+
+def _read_end(words: list[tokens.Token]) -> _Part:
+    """Return the traits of COMMIT, END, ROLLBACK and ABORT."""
+    upper = _upper(words)
+    if "PREPARED" in upper:
+        return _refuse(_NO_TWO_PHASE)
+    if "TO" in upper:
+        return _Part(statements.Traits(statements.Kind.WRITE))
+    chains = "CHAIN" in upper and "NO" not in upper
+    kind = statements.Kind.COMMIT
+    if upper[0] in ("ROLLBACK", "ABORT"):
+        kind = statements.Kind.ROLLBACK
+    return _Part(statements.Traits(kind, begins=chains, ends=True), chains)
+
+
+def _read_prepare(words: list[tokens.Token]) -> _Part:
+    if _upper(words)[1:2] == ["TRANSACTION"]:
+        return _refuse(_NO_TWO_PHASE)
+    return _Part(statements.Traits(statements.Kind.WRITE, pins=True))
+
+
+def _read_pinning(words: list[tokens.Token]) -> _Part:
+    return _Part(statements.Traits(statements.Kind.WRITE, pins=True))
+
+
+def _read_declare(words: list[tokens.Token]) -> _Part:
+    """Return the traits of a cursor; it outlives the transaction WITH HOLD."""
+    pins = "HOLD" in _upper(words)
+    return _Part(statements.Traits(statements.Kind.WRITE, pins=pins))
+
+
+def _read_create(words: list[tokens.Token]) -> _Part:
+    temporary = {"TEMP", "TEMPORARY"} & set(_upper(words[:5]))
+    return _Part(statements.Traits(statements.Kind.WRITE, pins=bool(temporary)))
+
+
+def _read_copy(words: list[tokens.Token]) -> _Part:
+    return _refuse(_NO_COPY)
+
+
+def _read_load(words: list[tokens.Token]) -> _Part:
+    return _refuse(_NO_LOAD)
+
+
+def _read_explain(words: list[tokens.Token]) -> _Part:
+    kind = statements.Kind.READ
+    if {"ANALYZE", "ANALYSE"} & set(_upper(words)):
+        kind = statements.Kind.WRITE
+    return _Part(statements.Traits(kind))
+
+
+def _read_set(text: str, words: list[tokens.Token]) -> _Part:
+    """Return the traits of SET in its several forms."""
+    rest = words[1:]
+    upper = [word.text.upper() for word in rest]
+    local = upper[:1] == ["LOCAL"]
+    if upper[:1] in (["LOCAL"], ["SESSION"]) and upper[1:2] != ["="]:
+        rest, upper = rest[1:], upper[1:]
+    if upper[:1] in (["ROLE"], ["AUTHORIZATION"]):
+        return _refuse(_NO_IDENTITY)
+    if upper[:1] == ["TRANSACTION"]:
+        return _Part(statements.Traits(statements.Kind.WRITE))
+    if upper[:1] in (["CHARACTERISTICS"], ["CONSTRAINTS"]):
+        pins = upper[0] == "CHARACTERISTICS"
+        return _Part(statements.Traits(statements.Kind.WRITE, pins=pins))
+    if upper[:2] == ["TIME", "ZONE"]:
+        name, values = "timezone", rest[2:]
+    elif upper[:1] == ["NAMES"]:
+        name, values = "client_encoding", rest[1:]
+    else:
+        name, values = _read_name(rest)
+    if not name or not values:
+        return _Part(statements.Traits(statements.Kind.WRITE, pins=True))
+    value = text[values[0].start : values[-1].end + 1]
+    if name.startswith("sardinehold."):
+        value = value.strip("'")
+    return _Part(
+        statements.Traits(statements.Kind.SET, setting=name, value=value, local=local)
+    )
+
+
+def _read_name(words: list[tokens.Token]) -> tuple[str, list[tokens.Token]]:
+    """Return the variable of ``name = value`` or ``name TO value``, and the value."""
+    for place, word in enumerate(words):
+        if word.text.upper() in ("=", "TO"):
+            name = "".join(part.text for part in words[:place])
+            return name.lower(), words[place + 1 :]
+    return "", []
+
+
+def _read_setting(words: list[tokens.Token]) -> _Part:
+    """Return the traits of RESET, SHOW, DISCARD and DEALLOCATE."""
+    kind = statements.Kind[words[0].text.upper()]
+    name = "".join(word.text for word in words[1:]).lower().replace(" ", "")
+    return _Part(statements.Traits(kind, setting=name))
+
+
+def _refuse(reason: str) -> _Part:
+    return _Part(statements.Traits(statements.Kind.WRITE, refusal=reason))
+
+
+def _add_key(traits: statements.Traits, key: str) -> statements.Traits:
+    """Return a copy of ``traits`` with an idempotency key."""
+    return statements.Traits(
+        traits.kind,
+        begins=traits.begins,
+        ends=traits.ends,
+        pins=traits.pins,
+        setting=traits.setting,
+        value=traits.value,
+        local=traits.local,
+        idempotency_key=key,
+        refusal=traits.refusal,
+    )
+
+
+_READERS: dict[str, typing.Callable[[list[tokens.Token]], _Part]] = {
+    "BEGIN": _read_begin,
+    "START": _read_begin,
+    "COMMIT": _read_end,
+    "END": _read_end,
+    "ROLLBACK": _read_end,
+    "ABORT": _read_end,
+    "PREPARE": _read_prepare,
+    "LISTEN": _read_pinning,
+    "DECLARE": _read_declare,
+    "CREATE": _read_create,
+    "COPY": _read_copy,
+    "LOAD": _read_load,
+    "EXPLAIN": _read_explain,
+    "RESET": _read_setting,
+    "SHOW": _read_setting,
+    "DISCARD": _read_setting,
+    "DEALLOCATE": _read_setting,
+}
--- /dev/null
+++ b/src/sardinehold/core/functions.py
@@ -0,0 +1,58 @@
+"""SQL functions that a replica may run, and those that leave state behind."""
+
+from sqlglot import exp
+
+WRITING_NODES = (
+    exp.Insert,
+    exp.Update,
+    exp.Delete,
+    exp.Merge,
+    exp.Into,
+    exp.Lock,
+    exp.Create,
+    exp.Command,
+    exp.NextValueFor,
+)
+"""Nodes of a query that change something or lock rows."""
+
+_SAFE_NAMES = frozenset(
+    """
+    age array_agg bit_length btrim char_length clock_timestamp current_database
+    current_schema current_setting datetime degrees format gcd gen_random_uuid
+    generate_series getdate hex initcap inet_server_addr isfinite julianday
+    justify_days justify_hours justify_interval lcm make_date make_interval
+    make_time make_timestamp make_timestamptz md5 mod now num_nonnulls num_nulls
+    numnode overlay pg_column_size pg_is_in_recovery pg_size_pretty pg_sleep
+    pg_typeof phraseto_tsquery pi plainto_tsquery position printf querytree
+    quote_ident quote_literal quote_nullable radians random row_to_json
+    scale setweight sha224 sha256 sha384 sha512 similarity sind strftime
+    strpos strip substr substring timeofday to_tsquery to_tsvector
+    total translate trim_scale ts_headline ts_rank ts_rank_cd typeof unistr
+    unixepoch version websearch_to_tsquery width_bucket
+    """.split()
+)
+"""Functions without effect that sqlglot has no node of its own for."""
+
+_SAFE_STARTS = ("json_", "jsonb_", "array_", "regexp_", "string_", "to_", "date_")
+"""First parts of the names of whole families without effect."""
+
+_SEQUENCE_STATE = frozenset(["currval", "lastval", "last_insert_rowid"])
+_HOLDING = frozenset(["set_config", "pg_notify", "dblink_connect"])
+
+
+def is_safe(name: str) -> bool:
+    """Return whether a function of this name changes nothing."""
+    return name in _SAFE_NAMES or name.startswith(_SAFE_STARTS)
+
+
+def reads_sequence_state(name: str) -> bool:
+    """Return whether the function answers from the connection's past."""
+    return name in _SEQUENCE_STATE
+
+
+def holds_state(name: str) -> bool:
+    """Return whether the function leaves something on the connection."""
+    if name in _HOLDING:
+        return True
+    is_advisory = name.startswith(("pg_advisory_", "pg_try_advisory_"))
+    return is_advisory and "_xact_" not in name
