--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 PY := $(VENV)/bin/python
 export PYTHONPATH := src
 
-.PHONY: test lint demo up bench chaos soak
+MINUTES ?= 5
+SEED ?= 1
+
+.PHONY: test lint demo up bench chaos soak browser proto
 
 $(VENV)/installed: pyproject.toml constraints.txt
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -16,3 +19,12 @@
 
 test: lint
 	$(PY) -m pytest
+
+demo: $(VENV)/installed
+	$(PY) examples/local/demo.py
+
+up: $(VENV)/installed
+	$(PY) examples/local/up.py
+
+chaos: $(VENV)/installed
+	$(PY) examples/local/chaos.py --minutes $(MINUTES) --seed $(SEED)
