--- a/src/sardinehold/core/actions.py
+++ b/src/sardinehold/core/actions.py
@@ -280,3 +280,17 @@
     def __init__(self, cut: int) -> None:
         """Keep the parts of the action."""
         self.cut = cut
+
+
+class GroupQuiesced(Action):
+    """Nothing of a draining group runs on this node, and nothing new starts.
+
+    Sent once for each time that the view shows the group as draining; writes
+    that arrive meanwhile wait until it serves again.
+    """
+
+    __slots__ = ("group",)
+
+    def __init__(self, group: str) -> None:
+        """Keep the parts of the action."""
+        self.group = group
