--- /dev/null
+++ b/src/sardinehold/core/agent.py
@@ -0,0 +1,276 @@
+"""The fleet part of one node: view, lease, relaying, shared roles, grants.
+
+``Agent.handle(now, event)`` takes the events of :mod:`agent_events` and
+returns the actions of :mod:`agent_actions`, to be carried out in order.
+"""
+
+import typing
+
+from sardinehold.core import actions
+from sardinehold.core import agent_actions
+from sardinehold.core import agent_events
+from sardinehold.core import allocation
+from sardinehold.core import desk
+from sardinehold.core import feed
+from sardinehold.core import fleet_node
+from sardinehold.core import follow
+from sardinehold.core import joining
+from sardinehold.core import messages
+from sardinehold.core import roles
+from sardinehold.core import status
+from sardinehold.core import supervisor
+
+SHORTEST_WAIT = 0.002
+"""Seconds between two wake-ups at least."""
+
+LEAVE_LIMIT = 1.0
+"""Seconds that a stopping node waits for its entry to be removed."""
+
+ROLES = (allocation.ROLE, supervisor.ROLE)
+"""All shared roles; more shards of each join as the fleet grows."""
+
+Handler = typing.Callable[["Agent", float, typing.Any], None]
+
+HANDLERS: dict[type, Handler] = {}
+"""What to do with each kind of event, message and engine action."""
+
+
+def handles(kind: type) -> typing.Callable[[Handler], Handler]:
+    """File the decorated function as the handler of ``kind``."""
+
+    def register(handler: Handler) -> Handler:
+        HANDLERS[kind] = handler
+        return handler
+
+    return register
+
+
+class Agent:
+    """Decides for one node what the fleet needs of it.
+
+    :param vm: name of this VM.
+    :param address: ``host:port`` at which other nodes reach it.
+    :param incarnation: identity of this start of the process.
+    :param seeds: addresses to ask when the platform cannot be reached.
+    :param fresh_secret: random hexadecimal key, used if the fleet has none.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = (
+        "node",
+        "feed",
+        "following",
+        "desk",
+        "joining",
+        "keepers",
+        "demands",
+        "status",
+        "_leave_by",
+        "_stopped",
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        zone: str,
+        address: str,
+        incarnation: str,
+        seeds: tuple[str, ...] = (),
+        fresh_secret: str = "",
+    ) -> None:
+        """Start with nothing known."""
+        self.node = fleet_node.Node(vm, zone, address, incarnation, seeds, fresh_secret)
+        self.feed = feed.Feed(self.node)
+        self.following = follow.Following(self.node)
+        self.desk = desk.Desk(self.node, self.following)
+        self.joining = joining.Joining(self.node)
+        self.keepers = {
+            name: roles.Keeper(self.node, self.desk, name) for name in ROLES
+        }
+        self.demands = allocation.Demands(self.node)
+        self.status = status.StatusBoard(self.node, self.desk)
+        self._leave_by: float | None = None
+        self._stopped = False
+
+    def handle(
+        self, now: float, event: agent_events.AgentEvent
+    ) -> list[agent_actions.AgentAction]:
+        """Take an event and return what to do, in order."""
+        HANDLERS[type(event)](self, now, event)
+        due = self._poll(now)
+        while self.node.inbox:
+            message = self.node.inbox.pop(0)
+            HANDLERS[type(message)](self, now, message)
+            due = self._poll(now)
+        self.node.emit(agent_actions.WakeAt(max(due, now + SHORTEST_WAIT)))
+        done = self.node.actions
+        self.node.actions = []
+        return done
+
+    def _poll(self, now: float) -> float:
+        node = self.node
+        self.feed.wanted = (
+            self.following.is_relay()
+            or node.view is None
+            or not node.is_member
+            or node.is_stale(now)
+        )
+        due = [
+            self.feed.poll(now),
+            self.following.poll(now),
+            self.desk.poll(now),
+            self.joining.poll(now),
+            self.demands.poll(now),
+            self.status.poll(now),
+            self._finish_stop(now),
+        ]
+        due.extend(keeper.poll(now) for keeper in self.keepers.values())
+        return min(due)
+
+    def _finish_stop(self, now: float) -> float:
+        if self._leave_by is None or self._stopped:
+            return now + LEAVE_LIMIT
+        if self.joining.is_out() or now >= self._leave_by:
+            self._stopped = True
+            self.node.emit(agent_actions.Stopped())
+        return self._leave_by
+
+    def stop(self) -> None:
+        """Say that the node is leaving, and hand its roles on."""
+        self.node.leaving = True
+        self.node.emit(agent_actions.Record("node_leaving"))
+        for keeper in self.keepers.values():
+            keeper.release()
+
+    def leave(self, now: float) -> None:
+        """Give up the lease and leave the fleet."""
+        self.node.left = True
+        self._leave_by = now + LEAVE_LIMIT
+
+
+@handles(agent_events.ChangesRead)
+@handles(agent_events.ObjectWritten)
+@handles(agent_events.PlatformFailed)
+@handles(agent_events.EndpointAnswered)
+@handles(agent_events.EndpointFailed)
+def finish_call(agent: Agent, now: float, event: typing.Any) -> None:
+    """Pass an answer on to whoever asked."""
+    agent.node.finish_call(now, event.call_id, event)
+
+
+@handles(agent_events.MessageArrived)
+def take_message(agent: Agent, now: float, event: agent_events.MessageArrived) -> None:
+    """Take a message of another agent."""
+    HANDLERS[type(event.message)](agent, now, event.message)
+
+
+@handles(agent_events.EngineAsked)
+def take_action(agent: Agent, now: float, event: agent_events.EngineAsked) -> None:
+    """Take a wish of this node's engine."""
+    HANDLERS[type(event.action)](agent, now, event.action)
+
+
+@handles(agent_events.StopRequested)
+def stop(agent: Agent, now: float, event: agent_events.StopRequested) -> None:
+    """Begin a planned stop."""
+    agent.stop()
+
+
+@handles(agent_events.Tick)
+def tick(agent: Agent, now: float, event: agent_events.Tick) -> None:
+    """Let the parts of the agent look at the time."""
+
+
+@handles(messages.Renew)
+def take_renew(agent: Agent, now: float, message: messages.Renew) -> None:
+    """Answer a follower."""
+    agent.desk.take_renew(now, message)
+
+
+@handles(messages.Current)
+def take_current(agent: Agent, now: float, message: messages.Current) -> None:
+    """Take a relay's answer or push."""
+    agent.following.take(now, message)
+
+
+@handles(messages.Summary)
+def take_summary(agent: Agent, now: float, message: messages.Summary) -> None:
+    """Take what another relay knows of its zone."""
+    agent.desk.take_summary(now, message)
+
+
+@handles(messages.Demand)
+def take_demand(agent: Agent, now: float, message: messages.Demand) -> None:
+    """Answer a demand while this node is the allocator."""
+    keeper = agent.keepers[allocation.ROLE]
+    if keeper.is_effective(now):
+        keeper.worker.take(now, message)
+
+
+@handles(messages.Grants)
+def take_grants(agent: Agent, now: float, message: messages.Grants) -> None:
+    """Take what the allocator granted."""
+    agent.demands.take(now, message)
+
+
+@handles(messages.NodeStatus)
+def take_status(agent: Agent, now: float, message: messages.NodeStatus) -> None:
+    """Keep the status of a follower."""
+    agent.status.take(now, message)
+
+
+@handles(actions.RequestTokens)
+def request_tokens(agent: Agent, now: float, action: actions.RequestTokens) -> None:
+    """Ask the allocator for tokens."""
+    agent.demands.want_tokens(now, action)
+
+
+@handles(actions.ReturnTokens)
+def return_tokens(agent: Agent, now: float, action: actions.ReturnTokens) -> None:
+    """Give tokens back."""
+    agent.demands.return_tokens(now, action)
+
+
+@handles(actions.RequestConnections)
+def request_connections(
+    agent: Agent, now: float, action: actions.RequestConnections
+) -> None:
+    """Ask the allocator for connections."""
+    agent.demands.want_connections(now, action)
+
+
+@handles(actions.ReportEndpoint)
+def report_endpoint(agent: Agent, now: float, action: actions.ReportEndpoint) -> None:
+    """Keep what this node sees of an endpoint, and tell it when it changes."""
+    held = agent.node.reports.pop(action.endpoint, None)
+    if action.healthy and not action.isolated:
+        if held is not None:
+            agent.following.hurry()
+            agent.desk.hurry(now)
+        return
+    report = messages.EndpointReport(
+        action.endpoint, not action.healthy, action.isolated
+    )
+    agent.node.reports[action.endpoint] = report
+    if held is None or _differ(held, report):
+        agent.following.hurry()
+        agent.desk.hurry(now)
+
+
+@handles(actions.GroupQuiesced)
+def quiesce_group(agent: Agent, now: float, action: actions.GroupQuiesced) -> None:
+    """Tell that nothing of a draining group runs here."""
+    agent.node.quiesced.add(action.group)
+    agent.following.hurry()
+    agent.desk.hurry(now)
+
+
+@handles(actions.DrainFinished)
+def finish_drain(agent: Agent, now: float, action: actions.DrainFinished) -> None:
+    """Leave the fleet: nothing runs here any more."""
+    agent.leave(now)
+
+
+def _differ(held: messages.EndpointReport, report: messages.EndpointReport) -> bool:
+    return (held.unhealthy, held.isolated) != (report.unhealthy, report.isolated)
--- /dev/null
+++ b/src/sardinehold/core/allocation.py
@@ -0,0 +1,303 @@
+"""Carries tokens and connection shares between the nodes and the allocator."""
+
+from sardinehold.core import actions
+from sardinehold.core import agent_actions
+from sardinehold.core import desk as desks
+from sardinehold.core import events
+from sardinehold.core import fleet_node as nodes
+from sardinehold.core import lease
+from sardinehold.core import messages
+from sardinehold.core import quota
+from sardinehold.core import roles
+from sardinehold.core import shares
+from sardinehold.core import view as core_view
+
+ROLE = "allocator-0"
+
+COALESCE = 0.003
+"""Seconds for which a demand waits for more of its kind."""
+
+DEMAND_INTERVAL = 0.15
+"""Seconds between demands while there is demand or a balance to report."""
+
+SHARE_INTERVAL = 1.0
+"""Seconds between demands for connections."""
+
+ANSWER_TIMEOUT = 0.3
+"""Seconds after which a demand counts as lost."""
+
+ROUTE_PREFIX = "route:"
+"""Before the name of an open route where a team's name stands otherwise."""
+
+
+class Balance:
+    """What this node knows of one team's tokens.
+
+    :param left: unspent tokens, as the engine last said.
+    :param returned: tokens taken off it to give back.
+    :param wanted: tokens that the engine asks for.
+    :param received: the last grant that arrived.
+    """
+
+    __slots__ = ("left", "returned", "wanted", "received", "deadline")
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self.left = 0
+        self.returned = 0
+        self.wanted = 0
+        self.received = 0
+        self.deadline = 0.0
+
+
+class Demands:
+    """The node's side: one demand at a time, to whoever holds the role."""
+
+    __slots__ = (
+        "node",
+        "balances",
+        "connections",
+        "_due",
+        "_shares_due",
+        "_sequence",
+        "_asked",
+        "_returning",
+        "_epoch",
+    )
+
+    def __init__(self, node: nodes.Node) -> None:
+        """Start without demand."""
+        self.node = node
+        self.balances: dict[str, Balance] = {}
+        self.connections: dict[str, int] = {}
+        self._due = 0.0
+        self._shares_due = 0.0
+        self._sequence = 0
+        self._asked: float | None = None
+        self._returning: dict[str, int] = {}
+        self._epoch = 0
+
+    def want_tokens(self, now: float, action: actions.RequestTokens) -> None:
+        """Take the engine's wish for tokens of a team."""
+        balance = self.balances.setdefault(action.team, Balance())
+        balance.left = action.left
+        balance.wanted = action.tokens
+        if action.tokens:
+            self._due = min(self._due, now + COALESCE)
+
+    def return_tokens(self, now: float, action: actions.ReturnTokens) -> None:
+        """Take back tokens that the engine will not spend."""
+        balance = self.balances.setdefault(action.team, Balance())
+        balance.left = action.left
+        balance.returned += action.tokens
+        self._due = min(self._due, now + COALESCE)
+
+    def want_connections(self, now: float, action: actions.RequestConnections) -> None:
+        """Take the engine's wish for connections to an endpoint."""
+        if self.connections.get(action.endpoint) != action.connections:
+            self._shares_due = min(self._shares_due, now + COALESCE)
+        self.connections[action.endpoint] = action.connections
+
+    def poll(self, now: float) -> float:
+        """Send a demand if one is due and return when to be polled again."""
+        self._notice_epoch(now)
+        if self._asked is not None:
+            if now < self._asked + ANSWER_TIMEOUT:
+                return self._asked + ANSWER_TIMEOUT
+            self._lose_answer()
+        due = self._find_due(now)
+        if now >= due:
+            self._send(now)
+            return now + ANSWER_TIMEOUT
+        return due
+
+    def take(self, now: float, message: messages.Grants) -> None:
+        """Pass on what the allocator granted."""
+        if message.sequence != self._sequence or self._asked is None:
+            return
+        if message.epoch < self._epoch:
+            return
+        asked = self._asked
+        self._asked = None
+        self._returning = {}
+        for grant in message.tokens:
+            self._pass_on(asked, grant)
+        for share in message.shares:
+            deadline = asked + share.lifetime * (1 - lease.CLOCK_DRIFT)
+            event = events.ConnectionsGranted(
+                share.endpoint, share.connections, deadline
+            )
+            self.node.emit(agent_actions.Deliver(event))
+
+    def _pass_on(self, asked: float, grant: messages.TokenGrant) -> None:
+        balance = self.balances.setdefault(grant.team, Balance())
+        balance.received = grant.grant_id
+        if not grant.tokens:
+            return
+        balance.left += grant.tokens
+        balance.wanted = max(0, balance.wanted - grant.tokens)
+        deadline = asked + grant.lifetime * (1 - lease.CLOCK_DRIFT)
+        balance.deadline = max(balance.deadline, deadline)
+        event = events.TokensGranted(grant.team, grant.tokens, deadline)
+        self.node.emit(agent_actions.Deliver(event))
+
+    def _notice_epoch(self, now: float) -> None:
+        """Report to a new allocator at once, so that it need not outwait us."""
+        view = self.node.view
+        holder = view.roles.get(ROLE) if view else None
+        if holder is not None and holder.epoch != self._epoch:
+            self._epoch = holder.epoch
+            self._due = now
+            self._shares_due = now
+            self._asked = None
+
+    def _lose_answer(self) -> None:
+        self._asked = None
+        for team, tokens in self._returning.items():
+            self.balances[team].returned += tokens
+        self._returning = {}
+
+    def _find_due(self, now: float) -> float:
+        busy = any(
+            balance.wanted or balance.returned or balance.deadline > now
+            for balance in self.balances.values()
+        )
+        due = self._due if busy else now + SHARE_INTERVAL
+        if self.connections:
+            due = min(due, self._shares_due)
+        return min(due, self._due) if self._due <= now else due
+
+    def _send(self, now: float) -> None:
+        view = self.node.view
+        holder = view.roles.get(ROLE) if view else None
+        self._due = now + DEMAND_INTERVAL
+        if holder is None or not holder.vm:
+            self._shares_due = max(self._shares_due, self._due)
+            return
+        self._sequence += 1
+        self._asked = now
+        self._returning = {
+            team: balance.returned
+            for team, balance in self.balances.items()
+            if balance.returned
+        }
+        self.node.send(holder.vm, self._make_demand(now))
+
+    def _make_demand(self, now: float) -> messages.Demand:
+        usages = []
+        for team, balance in self.balances.items():
+            if balance.deadline <= now:
+                balance.left = 0
+            if balance.wanted or balance.returned or balance.deadline > now:
+                usages.append(
+                    messages.TokenUsage(
+                        team,
+                        balance.left,
+                        balance.returned,
+                        balance.wanted,
+                        balance.received,
+                    )
+                )
+            balance.returned = 0
+        connections = {}
+        if now >= self._shares_due:
+            connections = dict(self.connections)
+            self._shares_due = now + SHARE_INTERVAL
+        return messages.Demand(
+            self.node.vm,
+            self.node.incarnation,
+            self._sequence,
+            tuple(usages),
+            connections,
+        )
+
+
+@roles.role(ROLE)
+class Allocation:
+    """The allocator's side."""
+
+    __slots__ = ("node", "epoch", "allocator", "book", "_configured")
+
+    def __init__(
+        self, node: nodes.Node, desk: desks.Desk, epoch: int, now: float
+    ) -> None:
+        """Start behind the fence of the holder before."""
+        margin = 1 + 2 * lease.CLOCK_DRIFT
+        expected = frozenset(
+            f"{member.vm}/{member.incarnation}"
+            for member in node.record.members.values()
+        )
+        self.node = node
+        self.epoch = epoch
+        self.allocator = quota.Allocator(
+            epoch,
+            now,
+            now + quota.GRANT_LIFETIME * margin,
+            expected | node.record.removed,
+        )
+        self.book = shares.ShareBook(epoch, now, now + shares.SHARE_LIFETIME * margin)
+        self._configured: object = None
+
+    def poll(self, now: float) -> float:
+        """Put the view's rates and limits in force."""
+        view = self.node.view
+        if view is not self._configured:
+            self._configured = view
+            self.allocator.configure(now, collect_rates(view))
+            self.book.configure(now, collect_limits(view), len(view.members))
+        return now + SHARE_INTERVAL
+
+    def take(self, now: float, demand: messages.Demand) -> None:
+        """Answer a node's demand."""
+        if not self.node.record.is_member(demand.vm, demand.incarnation):
+            return
+        self.poll(now)
+        usages = [
+            quota.Usage(
+                usage.team, usage.left, usage.returned, usage.wanted, usage.received
+            )
+            for usage in demand.usages
+        ]
+        identity = f"{demand.vm}/{demand.incarnation}"
+        grants = self.allocator.exchange(now, identity, demand.sequence, usages)
+        if grants is None:
+            return
+        taken = [
+            self.book.take(now, demand.vm, endpoint, wanted)
+            for endpoint, wanted in demand.connections.items()
+        ]
+        message = messages.Grants(
+            self.node.vm,
+            self.epoch,
+            demand.sequence,
+            tuple(
+                messages.TokenGrant(g.grant_id, g.team, g.tokens, g.lifetime)
+                for g in grants
+            ),
+            tuple(
+                messages.ConnectionShare(s.endpoint, s.connections, s.lifetime)
+                for s in taken
+            ),
+        )
+        self.node.send(demand.vm, message)
+
+
+def collect_rates(view: core_view.View) -> dict[str, quota.Rate]:
+    """Return the rates of all teams and open routes."""
+    document = view.document
+    rates = {
+        name: quota.Rate(team.rate, team.burst) for name, team in document.teams.items()
+    }
+    for name, route in document.routes.items():
+        if route.open:
+            rates[ROUTE_PREFIX + name] = quota.Rate(route.rate, route.burst)
+    return rates
+
+
+def collect_limits(view: core_view.View) -> dict[str, int]:
+    """Return the connection limits of all endpoints."""
+    return {
+        endpoint.name: group.connections
+        for group in view.document.groups.values()
+        for endpoint in group.endpoints
+    }
--- /dev/null
+++ b/src/sardinehold/core/candidates.py
@@ -0,0 +1,74 @@
+"""Which endpoint of a sealed group becomes its primary."""
+
+from sardinehold.core import view as core_view
+
+
+class LogStatus:
+    """What an endpoint said of its log.
+
+    :param confirmed: offsets that its replicas have received, by endpoint.
+    """
+
+    __slots__ = ("endpoint", "role", "term", "received", "applied", "confirmed")
+
+    def __init__(
+        self,
+        endpoint: str,
+        role: str,
+        term: int,
+        received: int,
+        applied: int,
+        confirmed: dict[str, int],
+    ) -> None:
+        """Keep the parts of the status."""
+        self.endpoint = endpoint
+        self.role = role
+        self.term = term
+        self.received = received
+        self.applied = applied
+        self.confirmed = confirmed
+
+
+def parse_status(rows: list[tuple[str, ...]]) -> LogStatus | None:
+    """Return the status that the rows of ``cluster_log_status`` hold."""
+    if not rows:
+        return None
+    endpoint, role, term, received, applied = rows[0][:5]
+    confirmed = {row[0]: int(row[3]) for row in rows[1:]}
+    return LogStatus(endpoint, role, int(term), int(received), int(applied), confirmed)
+
+
+def choose_replica(
+    state: core_view.GroupState,
+    statuses: dict[str, LogStatus],
+    avoided: frozenset[str] = frozenset(),
+) -> str:
+    """Return the most advanced replica of the sealed term, ``""`` for none.
+
+    :param avoided: endpoints to take only if there is no other.
+    """
+    fit = {
+        name: status
+        for name, status in statuses.items()
+        if status.term == state.term and name != state.primary
+    }
+    preferred = {name: item for name, item in fit.items() if name not in avoided}
+    fit = preferred or fit
+    return max(sorted(fit), key=lambda name: fit[name].received, default="")
+
+
+def may_undo(state: core_view.GroupState, statuses: dict[str, LogStatus]) -> bool:
+    """Return whether the sealed primary can go on as if nothing happened."""
+    status = statuses.get(state.primary)
+    if status is None or status.role != "primary":
+        return False
+    return status.term == state.term
+
+
+def has_caught_up(statuses: dict[str, LogStatus], primary: str, target: str) -> bool:
+    """Return whether ``target`` holds all that the primary's log holds."""
+    if primary not in statuses or target not in statuses:
+        return False
+    if statuses[primary].term != statuses[target].term:
+        return False
+    return statuses[target].received >= statuses[primary].received
--- a/src/sardinehold/core/desk.py
+++ b/src/sardinehold/core/desk.py
@@ -77,7 +77,9 @@
         if summary.version > self.node.snapshot.version:
             self.following.ask_for_changes(now, summary.vm)
         elif entry.sent_at is not None and summary.age >= 0:
-            self.node.renew_lease(now, entry.sent_at - summary.age * (1 + lease.CLOCK_DRIFT))
+            self.node.renew_lease(
+                now, entry.sent_at - summary.age * (1 + lease.CLOCK_DRIFT)
+            )
         self.renew_by_vouches(now)
 
     def renew_by_vouches(self, now: float) -> None:
@@ -277,7 +279,11 @@
         )
         renews = self._list_renews(now)
         reports = relay.count_reports(renews)
-        return acknowledged, reports, relay.list_unquiesced(renews, self._find_drained())
+        return (
+            acknowledged,
+            reports,
+            relay.list_unquiesced(renews, self._find_drained()),
+        )
 
     def _find_drained(self) -> dict[str, int]:
         if self.node.view is None:
@@ -332,7 +338,9 @@
         """Return the relays of all zones as far as they are known."""
         node = self.node
         self._rotation += 1
-        fresh = {entry.summary.vm: entry.summary for entry in self.relays.list_fresh(now)}
+        fresh = {
+            entry.summary.vm: entry.summary for entry in self.relays.list_fresh(now)
+        }
         recipients = set(fresh)
         live = self.collect_acknowledged(now)
         for zone in node.record.list_zones():
--- /dev/null
+++ b/src/sardinehold/core/failover.py
@@ -0,0 +1,395 @@
+"""Changes the primary of one group, step by step.
+
+Each step leaves what the next needs in the group's object, so that any
+supervisor can go on from there: ``phase`` says whether writes are accepted,
+and ``promoting`` names the endpoint and the term of a promotion before it is
+ordered. A promotion that cannot be finished is followed by one with a later
+term, never by one with the same.
+"""
+
+from sardinehold import views
+from sardinehold.core import agent_actions
+from sardinehold.core import agent_events
+from sardinehold.core import candidates
+from sardinehold.core import charts
+from sardinehold.core import desk as desks
+from sardinehold.core import fence
+from sardinehold.core import fleet_invariants
+from sardinehold.core import fleet_node as nodes
+from sardinehold.core import view as core_view
+
+STATUS_TIMEOUT = 0.5
+"""Seconds that an endpoint may take to state its log."""
+
+PROMOTE_TIMEOUT = 1.0
+"""Seconds that an endpoint may take to become primary."""
+
+RETRY_DELAY = 0.2
+"""Seconds between tries when no replica can be promoted."""
+
+DRAIN_LIMIT = 2.0
+"""Seconds that a hand-over may hold back writes before it is abandoned."""
+
+CATCH_UP_INTERVAL = 0.01
+"""Seconds between looks at a replica that catches up."""
+
+FENCE_INTERVAL = 0.01
+"""Seconds between looks at a fence."""
+
+PROMOTE_TRIES = 2
+"""Orders to one endpoint before another one is chosen."""
+
+PROMOTION_LIMIT = 3
+"""Promotions of a group within ``PROMOTION_WINDOW`` without an operator."""
+
+PROMOTION_WINDOW = 60.0
+"""Seconds."""
+
+STATUS_SQL = "SELECT endpoint, role, term, received, applied FROM cluster_log_status"
+
+
+class Procedure:
+    """The change of primary of one group.
+
+    :param name: the group's name.
+    :param state: of the chart ``failover``.
+    """
+
+    __slots__ = (
+        "node",
+        "desk",
+        "name",
+        "state",
+        "follow_up",
+        "promotions",
+        "demoted",
+        "_chart",
+        "_version",
+        "_fence",
+        "_busy",
+        "_due",
+        "_statuses",
+        "_waiting",
+        "_failures",
+        "_draining_since",
+        "_offset",
+    )
+
+    def __init__(self, node: nodes.Node, desk: desks.Desk, name: str) -> None:
+        """Start from whatever the group's object says."""
+        self.node = node
+        self.desk = desk
+        self.name = name
+        self.state = "serving"
+        self.follow_up: set[str] = set()
+        self.promotions: list[float] = []
+        self.demoted: dict[str, float] = {}
+        self._chart = charts.load_chart("failover")
+        self._version = 0
+        self._fence: fence.Fence | None = None
+        self._busy = False
+        self._due = 0.0
+        self._statuses: dict[str, candidates.LogStatus] = {}
+        self._waiting: set[str] = set()
+        self._failures = 0
+        self._draining_since = 0.0
+        self._offset = 0
+
+    def poll(self, now: float, suspected: bool) -> float:
+        """Take the next step if it is due and return when to be polled."""
+        stored = self.node.snapshot.find("group-state", self.name)
+        if stored is None or self.name not in self.node.view.document.groups:
+            return now + 1.0
+        if stored.version != self._version:
+            self._read_object(now, stored.version)
+        if self._busy or now < self._due:
+            return self._due if self._due > now else now + 0.05
+        step = getattr(self, f"_step_{self.state}")
+        return step(now, suspected)
+
+    @property
+    def group(self) -> core_view.GroupState:
+        """The group's state in the view."""
+        return self.node.view.groups[self.name]
+
+    def _read_object(self, now: float, version: int) -> None:
+        """Start anew from an object that has changed."""
+        self._version = version
+        self._busy = False
+        self._due = 0.0
+        self._statuses = {}
+        self._waiting = set()
+        self._failures = 0
+        phase = self.group.phase
+        if phase is core_view.Phase.SEALED:
+            if self._fence is None:
+                self._fence = fence.Fence(version)
+            self.state = "fencing"
+            return
+        self._fence = None
+        self.state = phase.value
+        if phase is core_view.Phase.DRAINING:
+            self._draining_since = now
+
+    def _move(self, event: str, **fields: str | int | float | bool) -> None:
+        self.state = self._chart.follow(self.state, event)
+        self.node.emit(
+            agent_actions.Record(
+                f"failover_{event}", group=self.name, term=self.group.term, **fields
+            )
+        )
+
+    def _step_serving(self, now: float, suspected: bool) -> float:
+        if suspected and self._may_promote(now):
+            self._move("suspect", primary=self.group.primary)
+            self._write_phase(core_view.Phase.SEALED)
+        elif self.node.snapshot.find("handover", self.name) is not None:
+            self._move("hand_over")
+            self._write_phase(core_view.Phase.DRAINING)
+        return now + 0.1
+
+    def _step_draining(self, now: float, suspected: bool) -> float:
+        if suspected:
+            self._move("suspect", primary=self.group.primary)
+            self._write_phase(core_view.Phase.SEALED)
+        elif self._is_abandoned(now):
+            self._move("abandon")
+            self._delete_handover()
+            self._write_phase(core_view.Phase.SERVING)
+        elif self._is_quiesced(now):
+            self._check_catch_up(now)
+        return now + CATCH_UP_INTERVAL
+
+    def _is_abandoned(self, now: float) -> bool:
+        if self.node.snapshot.find("handover", self.name) is None:
+            return True
+        return now > self._draining_since + DRAIN_LIMIT
+
+    def _is_quiesced(self, now: float) -> bool:
+        members = set(self.node.record.members)
+        return members <= self.desk.list_quiesced(now, self.name)
+
+    def _check_catch_up(self, now: float) -> None:
+        target = self._find_target()
+        if candidates.has_caught_up(self._statuses, self.group.primary, target):
+            self._move("caught_up", target=target)
+            self._write_phase(core_view.Phase.SEALED, self._make_intent(target))
+        elif not self._waiting:
+            self._ask_statuses(now)
+
+    def _find_target(self) -> str:
+        stored = self.node.snapshot.find("handover", self.name)
+        wanted = "" if stored is None else stored.value.get("target", "")
+        if wanted and wanted != self.group.primary:
+            return wanted
+        return candidates.choose_replica(self.group, self._statuses)
+
+    def _step_sealing(self, now: float, suspected: bool) -> float:
+        """Wait for the view to show the seal; a write that failed is repeated."""
+        self._move("lost")
+        self.state = self.group.phase.value
+        return now
+
+    def _step_fencing(self, now: float, suspected: bool) -> float:
+        acknowledged = self.desk.collect_acknowledged(now)
+        if not self._fence.is_passed(now, self.node.record, acknowledged):
+            return now + FENCE_INTERVAL
+        self._move("fenced")
+        return self._step_choosing(now, suspected)
+
+    def _step_choosing(self, now: float, suspected: bool) -> float:
+        intent = self._read_intent()
+        if intent is not None and self._failures < PROMOTE_TRIES:
+            self._move("chosen", target=intent["endpoint"])
+            return self._step_promoting(now, suspected)
+        if not self._statuses and not self._waiting:
+            self._ask_statuses(now)
+        if self._waiting - {self.group.primary}:
+            return now + CATCH_UP_INTERVAL
+        self._choose(now, intent)
+        return now + CATCH_UP_INTERVAL
+
+    def _choose(self, now: float, intent: dict | None) -> None:
+        if intent is not None and self._has_taken_effect(intent):
+            self._failures = 0
+            return
+        target = candidates.choose_replica(
+            self.group, self._statuses, self._list_avoided(now, intent)
+        )
+        if target:
+            self._write_phase(core_view.Phase.SEALED, self._make_intent(target))
+        elif not self._waiting:
+            self._give_up(now, intent)
+
+    def _give_up(self, now: float, intent: dict | None) -> None:
+        """Go on with the old primary, or leave the group sealed for now."""
+        if intent is None and candidates.may_undo(self.group, self._statuses):
+            self._move("undo")
+            self._write_phase(core_view.Phase.SERVING)
+            return
+        self.node.emit(agent_actions.Count("failover_without_replica"))
+        self._statuses = {}
+        self._failures = 0
+        self._due = now + RETRY_DELAY
+
+    def _has_taken_effect(self, intent: dict) -> bool:
+        status = self._statuses.get(intent["endpoint"])
+        if status is None or status.role != "primary":
+            return False
+        return status.term == intent["term"]
+
+    def _list_avoided(self, now: float, intent: dict | None) -> frozenset[str]:
+        since = now - PROMOTION_WINDOW
+        avoided = {name for name, time in self.demoted.items() if time > since}
+        if intent is not None:
+            avoided.add(intent["endpoint"])
+        return frozenset(avoided)
+
+    def _step_promoting(self, now: float, suspected: bool) -> float:
+        intent = self._read_intent()
+        if intent is None:
+            self._move("failed")
+            return now
+        acknowledged = self.desk.collect_acknowledged(now)
+        fenced = self._fence.is_passed(now, self.node.record, acknowledged)
+        fleet_invariants.promotion_follows_fence(self.group.phase, fenced)
+        self._busy = True
+        sql = f"SELECT cluster_promote({intent['term']})"
+        deadline = now + PROMOTE_TIMEOUT
+        version = self._version
+        call_id = self.node.start_call(
+            lambda later, event: self._finish_promotion(later, event, version)
+        )
+        self.node.emit(
+            agent_actions.QueryEndpoint(
+                call_id, self.name, intent["endpoint"], sql, deadline
+            )
+        )
+        return deadline
+
+    def _finish_promotion(
+        self, now: float, event: agent_events.AgentEvent, version: int
+    ) -> None:
+        if version != self._version:
+            return
+        self._busy = False
+        if isinstance(event, agent_events.EndpointAnswered) and event.rows:
+            self._offset = int(event.rows[0][0])
+            self._move("promoted", offset=self._offset)
+            return
+        self._failures += 1
+        self._statuses = {}
+        self._move("failed")
+
+    def _step_publishing(self, now: float, suspected: bool) -> float:
+        intent = self._read_intent()
+        state = self.group
+        start = core_view.TermStart(intent["term"], self._offset)
+        new = core_view.GroupState(
+            self.name,
+            intent["term"],
+            intent["endpoint"],
+            core_view.Phase.SERVING,
+            (*state.history, start),
+            self.node.make_change_id(),
+        )
+        fleet_invariants.term_grows_with_each_primary(state, new)
+        self.promotions.append(now)
+        self.demoted[state.primary] = now
+        self.demoted.pop(new.primary, None)
+        self.follow_up = self._list_endpoints() - {new.primary}
+        self._delete_handover()
+        self._write(views.dump_group_state(new))
+        self._due = now + RETRY_DELAY
+        return self._due
+
+    def _may_promote(self, now: float) -> bool:
+        since = now - PROMOTION_WINDOW
+        self.promotions = [time for time in self.promotions if time > since]
+        return len(self.promotions) < PROMOTION_LIMIT
+
+    def _list_endpoints(self) -> set[str]:
+        group = self.node.view.document.groups[self.name]
+        return {endpoint.name for endpoint in group.endpoints}
+
+    def _read_intent(self) -> dict | None:
+        stored = self.node.snapshot.find("group-state", self.name)
+        return stored.value.get("promoting")
+
+    def _make_intent(self, target: str) -> dict:
+        held = self._read_intent()
+        term = max(self.group.term, held["term"] if held else 0) + 1
+        return {"endpoint": target, "term": term}
+
+    def _ask_statuses(self, now: float) -> None:
+        self._statuses = {}
+        self._waiting = self._list_endpoints()
+        version = self._version
+        for name in sorted(self._waiting):
+            call_id = self.node.start_call(
+                lambda later, event, name=name: self._take_status(event, name, version)
+            )
+            deadline = now + STATUS_TIMEOUT
+            self.node.emit(
+                agent_actions.QueryEndpoint(
+                    call_id, self.name, name, STATUS_SQL, deadline
+                )
+            )
+
+    def _take_status(
+        self, event: agent_events.AgentEvent, name: str, version: int
+    ) -> None:
+        if version != self._version:
+            return
+        self._waiting.discard(name)
+        if not isinstance(event, agent_events.EndpointAnswered):
+            return
+        status = candidates.parse_status(event.rows)
+        if status is not None:
+            self._statuses[name] = status
+
+    def _write_phase(self, phase: core_view.Phase, intent: dict | None = None) -> None:
+        state = self.group
+        new = core_view.GroupState(
+            self.name,
+            state.term,
+            state.primary,
+            phase,
+            state.history,
+            self.node.make_change_id(),
+        )
+        value = views.dump_group_state(new)
+        if intent is not None:
+            value["promoting"] = intent
+        self._write(value)
+
+    def _write(self, value: dict) -> None:
+        self._busy = True
+        version = self._version
+        self.node.write(
+            "group-state",
+            self.name,
+            value,
+            version,
+            lambda now, event: self._finish_write(now, event, version),
+        )
+
+    def _finish_write(
+        self, now: float, event: agent_events.AgentEvent, version: int
+    ) -> None:
+        """Go on when the view shows the change; look again if it never does.
+
+        An answer that was lost says nothing: a change that took effect comes
+        back with the view, and one that did not is written again against the
+        same version, which only one of the two can meet.
+        """
+        if version == self._version:
+            self._busy = False
+            self._due = now + RETRY_DELAY
+
+    def _delete_handover(self) -> None:
+        stored = self.node.snapshot.find("handover", self.name)
+        if stored is not None:
+            self.node.write(
+                "handover", self.name, None, stored.version, lambda now, event: None
+            )
--- a/src/sardinehold/core/fleet_node.py
+++ b/src/sardinehold/core/fleet_node.py
@@ -29,6 +29,7 @@
     :param address: ``host:port`` of its peer service.
     :param incarnation: identity of this start of the process.
     :param seeds: addresses to ask for the view when there is none.
+    :param fresh_secret: random key, for a fleet that has no token keys yet.
     """
 
     __slots__ = (
@@ -47,6 +48,8 @@
         "platform_seen",
         "reports",
         "quiesced",
+        "fresh_secret",
+        "inbox",
         "actions",
         "_calls",
         "_last_call",
@@ -61,6 +64,7 @@
         address: str,
         incarnation: str,
         seeds: tuple[str, ...] = (),
+        fresh_secret: str = "",
     ) -> None:
         """Start with nothing known."""
         self.vm = vm
@@ -78,6 +82,8 @@
         self.platform_seen: float | None = None
         self.reports: dict[str, messages.EndpointReport] = {}
         self.quiesced: set[str] = set()
+        self.fresh_secret = fresh_secret
+        self.inbox: list[messages.Message] = []
         self.actions: list[agent_actions.AgentAction] = []
         self._calls: dict[int, Callback] = {}
         self._last_call = 0
@@ -103,7 +109,10 @@
         self.actions.append(action)
 
     def send(self, vm: str, message: messages.Message) -> None:
-        """Send a message to a member."""
+        """Send a message to a member; one to itself goes to the inbox."""
+        if vm == self.vm:
+            self.inbox.append(message)
+            return
         member = self.record.members.get(vm)
         if member is not None:
             self.emit(agent_actions.Send(vm, member.address, message))
--- a/src/sardinehold/core/messages.py
+++ b/src/sardinehold/core/messages.py
@@ -227,42 +227,45 @@
         self.unquiesced = unquiesced or {}
 
 
-class ReturnedGrant(Message):
-    """Tokens of a grant that will not be spent."""
+class TokenUsage(Message):
+    """What a node says of one team's tokens; see :class:`quota.Usage`."""
 
-    __slots__ = ("grant_id", "tokens")
+    __slots__ = ("team", "left", "returned", "wanted", "received")
 
-    def __init__(self, grant_id: int, tokens: int) -> None:
-        """Keep the parts of the message."""
-        self.grant_id = grant_id
-        self.tokens = tokens
+    def __init__(
+        self, team: str, left: int, returned: int, wanted: int, received: int
+    ) -> None:
+        """Keep the parts of the usage."""
+        self.team = team
+        self.left = left
+        self.returned = returned
+        self.wanted = wanted
+        self.received = received
 
 
 class Demand(Message):
     """A node asks the allocator for tokens and connections.
 
-    :param tokens: statements wanted now, by team.
+    :param sequence: grows with each demand of this incarnation.
     :param connections: connections that could be used, by endpoint.
     """
 
-    __slots__ = ("vm", "incarnation", "sequence", "tokens", "connections", "returned")
+    __slots__ = ("vm", "incarnation", "sequence", "usages", "connections")
 
     def __init__(
         self,
         vm: str,
         incarnation: str,
         sequence: int,
-        tokens: dict[str, int],
+        usages: tuple[TokenUsage, ...],
         connections: dict[str, int],
-        returned: tuple[ReturnedGrant, ...] = (),
     ) -> None:
         """Keep the parts of the message."""
         self.vm = vm
         self.incarnation = incarnation
         self.sequence = sequence
-        self.tokens = tokens
+        self.usages = usages
         self.connections = connections
-        self.returned = returned
 
 
 class TokenGrant(Message):
--- a/src/sardinehold/core/relay.py
+++ b/src/sardinehold/core/relay.py
@@ -176,9 +176,7 @@
     reached = [vm for vm in zone_vms if cut.get(vm) == newest]
     if len(reached) * 2 <= len(zone_vms):
         return 0, cut
-    exceptions = {
-        vm: cut.get(vm, 0) for vm in zone_vms if cut.get(vm, 0) != newest
-    }
+    exceptions = {vm: cut.get(vm, 0) for vm in zone_vms if cut.get(vm, 0) != newest}
     exceptions.update({vm: cut[vm] for vm in cut if vm not in zone_vms})
     return newest, exceptions
 
--- /dev/null
+++ b/src/sardinehold/core/roles.py
@@ -0,0 +1,197 @@
+"""Shared roles: taken by conditional update, fenced by an epoch.
+
+A role is an object of the view. Its holder acts only while its own lease is
+valid, and a new holder only behind a fence at the version that named it, so
+that a holder that was paused and does not know it has stopped before.
+"""
+
+import typing
+
+from sardinehold import views
+from sardinehold.core import agent_actions
+from sardinehold.core import agent_events
+from sardinehold.core import desk as desks
+from sardinehold.core import fence
+from sardinehold.core import fleet_invariants
+from sardinehold.core import fleet_node as nodes
+from sardinehold.core import membership
+from sardinehold.core import view as core_view
+
+TAKEOVER_GRACE = 2.0
+"""Seconds for which a node listens before it takes a role from another."""
+
+PLATFORM_WITHIN = 5.0
+"""Seconds within which a holder must have reached the platform."""
+
+RETRY_DELAY = 0.3
+"""Seconds to wait after a role could not be taken."""
+
+POLL_INTERVAL = 0.25
+"""Seconds between looks at a role that another node holds."""
+
+
+class Worker(typing.Protocol):
+    """What does the work of a role while this node holds it."""
+
+    def poll(self, now: float) -> float:
+        """Do what is due and return when to be polled again."""
+
+
+Factory = typing.Callable[[nodes.Node, desks.Desk, int, float], Worker]
+
+REGISTRY: dict[str, Factory] = {}
+"""The workers of all roles, by role."""
+
+
+def role(name: str) -> typing.Callable[[Factory], Factory]:
+    """File the decorated worker under the name of its role."""
+
+    def register(factory: Factory) -> Factory:
+        REGISTRY[name] = factory
+        return factory
+
+    return register
+
+
+class Keeper:
+    """Takes one role when its holder is gone, and runs its worker.
+
+    :param worker: None while this node does not act in the role.
+    """
+
+    __slots__ = (
+        "node",
+        "desk",
+        "name",
+        "worker",
+        "epoch",
+        "_fence",
+        "_busy",
+        "_retry_at",
+        "_listening_since",
+    )
+
+    def __init__(self, node: nodes.Node, desk: desks.Desk, name: str) -> None:
+        """Start without the role."""
+        self.node = node
+        self.desk = desk
+        self.name = name
+        self.worker: Worker | None = None
+        self.epoch = 0
+        self._fence: fence.Fence | None = None
+        self._busy = False
+        self._retry_at = 0.0
+        self._listening_since: float | None = None
+
+    def poll(self, now: float) -> float:
+        """Act in the role, or take it when it is due to this node."""
+        if self.node.view is None:
+            return now + POLL_INTERVAL
+        holder = self.node.view.roles.get(self.name)
+        if holder is not None and self._is_own(holder):
+            return self._act(now, holder)
+        self._drop()
+        if self._may_take(now, holder):
+            self._take(holder)
+        return now + POLL_INTERVAL
+
+    def release(self) -> None:
+        """Stop acting and say so, so that another node need not wait."""
+        if self.node.view is None:
+            return
+        holder = self.node.view.roles.get(self.name)
+        if holder is None or not self._is_own(holder):
+            return
+        self._drop()
+        self._write("", "", holder.epoch, self._find_version())
+
+    def is_effective(self, now: float) -> bool:
+        """Return whether this node acts in the role."""
+        return self.worker is not None and self.node.can_act(now)
+
+    def _is_own(self, holder: core_view.RoleHolder) -> bool:
+        node = self.node
+        return holder.vm == node.vm and holder.incarnation == node.incarnation
+
+    def _drop(self) -> None:
+        self.worker = None
+        self.epoch = 0
+        self._fence = None
+
+    def _act(self, now: float, holder: core_view.RoleHolder) -> float:
+        if self.node.leaving:
+            return now + POLL_INTERVAL
+        if self.epoch != holder.epoch:
+            self._drop()
+            self.epoch = holder.epoch
+            self._fence = fence.Fence(self._find_version())
+        if self.worker is None and not self._begin(now):
+            return now + 0.02
+        if not self.node.can_act(now):
+            return now + POLL_INTERVAL
+        deadline = self.node.lease.write_deadline
+        fleet_invariants.role_acts_within_lease(now, deadline, self._fence is not None)
+        return self.worker.poll(now)
+
+    def _begin(self, now: float) -> bool:
+        acknowledged = self.desk.collect_acknowledged(now)
+        if not self._fence.is_passed(now, self.node.record, acknowledged):
+            return False
+        if not self.node.can_act(now):
+            return False
+        self.worker = REGISTRY[self.name](self.node, self.desk, self.epoch, now)
+        self.node.emit(
+            agent_actions.Record("role_effective", role=self.name, epoch=self.epoch)
+        )
+        return True
+
+    def _may_take(self, now: float, holder: core_view.RoleHolder | None) -> bool:
+        node = self.node
+        if self._busy or now < self._retry_at or not node.can_act(now) or node.leaving:
+            return False
+        if not self.desk.following.is_relay():
+            self._listening_since = None
+            return False
+        if self._listening_since is None:
+            self._listening_since = now
+        if holder is not None and holder.vm:
+            if now - self._listening_since < TAKEOVER_GRACE:
+                return False
+            if self._is_fit(now, holder):
+                return False
+        candidates = self.desk.list_live_relays(now, PLATFORM_WITHIN)
+        order = membership.order_vms(self.name, candidates)
+        return bool(order) and order[0] == node.vm
+
+    def _is_fit(self, now: float, holder: core_view.RoleHolder) -> bool:
+        """Return whether a holder lives and, as far as known, can do its work."""
+        if not self.node.record.is_member(holder.vm, holder.incarnation):
+            return False
+        if self.node.record.members[holder.vm].leaving:
+            return False
+        if holder.vm not in self.desk.collect_acknowledged(now):
+            return False
+        age = self.desk.find_platform_age(now, holder.vm)
+        return age is None or age <= PLATFORM_WITHIN
+
+    def _take(self, holder: core_view.RoleHolder | None) -> None:
+        node = self.node
+        epoch = holder.epoch + 1 if holder else 1
+        node.emit(agent_actions.Record("role_wanted", role=self.name, epoch=epoch))
+        self._write(node.vm, node.incarnation, epoch, self._find_version())
+
+    def _write(self, vm: str, incarnation: str, epoch: int, version: int) -> None:
+        change_id = self.node.make_change_id()
+        holder = core_view.RoleHolder(self.name, vm, incarnation, epoch, change_id)
+        self._busy = True
+        value = views.dump_role(holder)
+        self.node.write("role", self.name, value, version, self._finish)
+
+    def _finish(self, now: float, event: agent_events.AgentEvent) -> None:
+        """Wait for the view to show who won, whatever the answer says."""
+        self._busy = False
+        self._retry_at = now + RETRY_DELAY
+
+    def _find_version(self) -> int:
+        stored = self.node.snapshot.find("role", self.name)
+        return 0 if stored is None else stored.version
--- /dev/null
+++ b/src/sardinehold/core/status.py
@@ -0,0 +1,131 @@
+"""Gathers what the nodes of a zone say of themselves into one object."""
+
+import json
+
+from sardinehold.core import agent_actions
+from sardinehold.core import agent_events
+from sardinehold.core import desk as desks
+from sardinehold.core import fleet_node as nodes
+from sardinehold.core import messages
+
+INTERVAL = 2.0
+"""Seconds between statuses of one node and writes of one zone."""
+
+KIND = "status"
+
+
+class StatusBoard:
+    """Sends this node's status, and writes that of the zone on its relay."""
+
+    __slots__ = (
+        "node",
+        "desk",
+        "body",
+        "_bodies",
+        "_heard",
+        "_due",
+        "_written",
+        "_version",
+        "_busy",
+    )
+
+    def __init__(self, node: nodes.Node, desk: desks.Desk) -> None:
+        """Start with nothing to say.
+
+        The daemon keeps ``body``, the counters and histograms, up to date.
+        """
+        self.node = node
+        self.desk = desk
+        self.body: dict = {}
+        self._bodies: dict[str, dict] = {}
+        self._heard: dict[str, float] = {}
+        self._due = 0.0
+        self._written: dict = {}
+        self._version: int | None = None
+        self._busy = False
+
+    def poll(self, now: float) -> float:
+        """Say or write what is due and return when to be polled again."""
+        if now < self._due or self.node.view is None:
+            return max(self._due, now + 0.1)
+        self._due = now + INTERVAL
+        parent = self.desk.following.parent
+        if parent:
+            text = json.dumps(self._describe(now))
+            status = messages.NodeStatus(self.node.vm, self.node.incarnation, text)
+            self.node.send(parent, status)
+            return self._due
+        self._bodies[self.node.vm] = self._describe(now)
+        self._heard[self.node.vm] = now
+        self._write_zone(now)
+        return self._due
+
+    def take(self, now: float, message: messages.NodeStatus) -> None:
+        """Keep the status of a follower."""
+        try:
+            body = json.loads(message.body)
+        except ValueError:
+            self.node.emit(agent_actions.Count("statuses_refused"))
+            return
+        if isinstance(body, dict):
+            self._bodies[message.vm] = body
+            self._heard[message.vm] = now
+
+    def _describe(self, now: float) -> dict:
+        node = self.node
+        state = "serving" if node.can_act(now) else "reading"
+        if now >= node.lease.serve_deadline:
+            state = "cut off"
+        if node.leaving:
+            state = "leaving"
+        return {
+            "document_version": node.view.document.version,
+            "view_version": node.snapshot.changed_version,
+            "state": state,
+            **self.body,
+        }
+
+    def _write_zone(self, now: float) -> None:
+        self._forget_old(now)
+        value = {"vms": dict(self._bodies)}
+        if self._busy or value == self._written:
+            return
+        self._busy = True
+        if self._version is None:
+            call_id = self.node.start_call(self._take_version)
+            self.node.emit(agent_actions.ReadObject(call_id, KIND, self.node.zone))
+            return
+        self.node.write(
+            KIND,
+            self.node.zone,
+            value,
+            self._version,
+            lambda later, event: self._finish(event, value),
+        )
+
+    def _take_version(self, now: float, event: agent_events.AgentEvent) -> None:
+        self._busy = False
+        self._due = now
+        if isinstance(event, agent_events.ObjectWritten):
+            self._version = event.version
+        elif (
+            isinstance(event, agent_events.PlatformFailed)
+            and event.failure is agent_events.Failure.MISSING
+        ):
+            self._version = 0
+        else:
+            self._due = now + INTERVAL
+
+    def _finish(self, event: agent_events.AgentEvent, value: dict) -> None:
+        self._busy = False
+        if isinstance(event, agent_events.ObjectWritten):
+            self._version = event.version
+            self._written = value
+        else:
+            self._version = None
+
+    def _forget_old(self, now: float) -> None:
+        for vm, heard in list(self._heard.items()):
+            if now - heard > 3 * INTERVAL:
+                del self._heard[vm]
+                self._bodies.pop(vm, None)
--- /dev/null
+++ b/src/sardinehold/core/supervisor.py
@@ -0,0 +1,145 @@
+"""The supervisor's work: promotions, members, and what the view lacks."""
+
+from sardinehold.core import agent_actions
+from sardinehold.core import agent_events
+from sardinehold.core import candidates
+from sardinehold.core import desk as desks
+from sardinehold.core import failover
+from sardinehold.core import fleet_node as nodes
+from sardinehold.core import housekeeping
+from sardinehold.core import roles
+from sardinehold.core import view as core_view
+
+ROLE = "supervisor-0"
+
+SUSPECTING_NODES = 2
+"""Nodes that must report a primary before it is replaced."""
+
+SUSPECTING_ZONES = 2
+"""Zones that they must be in."""
+
+AUDIT_INTERVAL = 1.0
+"""Seconds between looks at the endpoints of one group after another."""
+
+FOLLOW_TIMEOUT = 1.0
+"""Seconds that an endpoint may take to become a replica."""
+
+
+@roles.role(ROLE)
+class Supervisor:
+    """Acts for the whole fleet while its holder's lease is valid."""
+
+    __slots__ = (
+        "node",
+        "desk",
+        "epoch",
+        "procedures",
+        "housekeeping",
+        "_audit_due",
+        "_audited",
+    )
+
+    def __init__(
+        self, node: nodes.Node, desk: desks.Desk, epoch: int, now: float
+    ) -> None:
+        """Start with nothing but what the view says."""
+        self.node = node
+        self.desk = desk
+        self.epoch = epoch
+        self.procedures: dict[str, failover.Procedure] = {}
+        self.housekeeping = housekeeping.Housekeeping(node, desk, now)
+        self._audit_due = now
+        self._audited = 0
+
+    def poll(self, now: float) -> float:
+        """Do what is due and return when to be polled again."""
+        due = self.housekeeping.poll(now)
+        suspects = self._find_suspects(now)
+        for name, state in self.node.view.groups.items():
+            procedure = self._find_procedure(name)
+            due = min(due, procedure.poll(now, state.primary in suspects))
+            self._send_follow_ups(now, procedure)
+        if now >= self._audit_due:
+            self._audit(now)
+        return min(due, self._audit_due)
+
+    def _find_procedure(self, name: str) -> failover.Procedure:
+        procedure = self.procedures.get(name)
+        if procedure is None:
+            procedure = failover.Procedure(self.node, self.desk, name)
+            self.procedures[name] = procedure
+        return procedure
+
+    def _find_suspects(self, now: float) -> set[str]:
+        """Return the endpoints that enough nodes in enough zones report."""
+        live = self.desk.collect_acknowledged(now).keys()
+        members = self.node.record.members
+        zones = {members[vm].zone for vm in live if vm in members}
+        need_nodes = min(SUSPECTING_NODES, max(1, len(live)))
+        need_zones = min(SUSPECTING_ZONES, max(1, len(zones)))
+        suspects = set()
+        for endpoint, counts in self.desk.count_reports(now).items():
+            reported = [max(c.unhealthy, c.isolated) for c in counts.values()]
+            reported = [count for count in reported if count]
+            if sum(reported) >= need_nodes and len(reported) >= need_zones:
+                suspects.add(endpoint)
+        return suspects
+
+    def _audit(self, now: float) -> None:
+        """Ask the endpoints of the next group whether they follow its primary."""
+        self._audit_due = now + AUDIT_INTERVAL
+        names = sorted(self.node.view.groups)
+        if not names:
+            return
+        self._audited = (self._audited + 1) % len(names)
+        state = self.node.view.groups[names[self._audited]]
+        group = self.node.view.document.groups.get(state.name)
+        if group is None or state.phase is not core_view.Phase.SERVING:
+            return
+        for endpoint in group.endpoints:
+            if endpoint.name != state.primary:
+                self._check_endpoint(now, state, endpoint.name)
+
+    def _check_endpoint(
+        self, now: float, state: core_view.GroupState, name: str
+    ) -> None:
+        call_id = self.node.start_call(
+            lambda later, event: self._take_audit(event, state, name)
+        )
+        deadline = now + failover.STATUS_TIMEOUT
+        self.node.emit(
+            agent_actions.QueryEndpoint(
+                call_id, state.name, name, failover.STATUS_SQL, deadline
+            )
+        )
+
+    def _take_audit(
+        self, event: agent_events.AgentEvent, state: core_view.GroupState, name: str
+    ) -> None:
+        if not isinstance(event, agent_events.EndpointAnswered):
+            return
+        status = candidates.parse_status(event.rows)
+        if status is None:
+            return
+        if status.term < state.term or status.role == "primary":
+            self._find_procedure(state.name).follow_up.add(name)
+
+    def _send_follow_ups(self, now: float, procedure: failover.Procedure) -> None:
+        """Tell replaced primaries and old replicas whom to follow."""
+        state = self.node.view.groups[procedure.name]
+        group = self.node.view.document.groups.get(procedure.name)
+        if group is None or state.phase is not core_view.Phase.SERVING:
+            return
+        if not procedure.follow_up or procedure.state != "serving":
+            return
+        targets = procedure.follow_up - {state.primary}
+        procedure.follow_up = set()
+        endpoints = {endpoint.name: endpoint for endpoint in group.endpoints}
+        primary = endpoints[state.primary]
+        sql = f"SELECT cluster_follow({state.term}, '{primary.host}', {primary.port})"
+        for name in sorted(targets & endpoints.keys()):
+            call_id = self.node.start_call(lambda later, event: None)
+            deadline = now + FOLLOW_TIMEOUT
+            self.node.emit(
+                agent_actions.QueryEndpoint(call_id, state.name, name, sql, deadline)
+            )
