--- /dev/null
+++ b/src/sardinehold_bench/__init__.py
@@ -0,0 +1,1 @@
+"""A load and experiment tool: open-loop traffic, measures, comparisons."""
--- /dev/null
+++ b/src/sardinehold_bench/load.py
@@ -0,0 +1,259 @@
+"""Open-loop load: statements start when they are due, answered or not."""
+
+import itertools
+import random
+
+import anyio
+import httpx
+
+from sardinehold_bench import clients
+from sardinehold_bench import fleet as fleets
+from sardinehold_bench import results
+from sardinehold_bench import scenario as scenarios
+
+TABLE = "bench_entries"
+CREATE = f"CREATE TABLE IF NOT EXISTS {TABLE} (session TEXT, number INTEGER)"
+INDEX = f"CREATE INDEX IF NOT EXISTS {TABLE}_session ON {TABLE} (session)"
+ROLE = "(SELECT role FROM cluster_log_status LIMIT 1)"
+RECONNECT_SECONDS = 0.05
+GRACE_SECONDS = 12.0
+"""How long after the run answers are waited for."""
+
+PREPARE_ATTEMPTS = 20
+
+
+class Arrival:
+    """A statement that is due.
+
+    :param due: intended start in seconds of the event loop's clock.
+    """
+
+    __slots__ = ("due", "writes", "roams")
+
+    def __init__(self, due: float, writes: bool, roams: bool) -> None:
+        """Keep the parts of the arrival."""
+        self.due = due
+        self.writes = writes
+        self.roams = roams
+
+
+class Worker:
+    """One session of a team; runs its statements one after the other."""
+
+    __slots__ = ("run", "team", "name", "caller", "proxies", "written", "seen", "token")
+
+    def __init__(self, run: "Run", team: scenarios.TeamLoad, name: str) -> None:
+        """Prepare a session that has not connected."""
+        self.run = run
+        self.team = team
+        self.name = name
+        self.caller: clients.Caller | None = None
+        self.proxies = itertools.cycle(run.shuffle_proxies())
+        self.written = 0
+        self.seen = 0
+        self.token = ""
+
+    async def serve(self, arrival: Arrival) -> None:
+        """Run one statement and count what became of it."""
+        result = self.run.result.teams[self.team.name]
+        try:
+            await self._prepare(arrival)
+            if arrival.writes:
+                answer = await self._write()
+            else:
+                answer = await self._read()
+        except clients.ConnectionClosed:
+            await self._drop()
+            result.unknown += 1
+            return
+        self._count(result, arrival, answer)
+
+    async def _prepare(self, arrival: Arrival) -> None:
+        if arrival.roams:
+            await self._drop()
+        if self.caller is not None:
+            return
+        max_age = f"{self.run.scenario.max_age}s" if self.team.aged else ""
+        self.caller = await clients.connect(
+            next(self.proxies),
+            self.run.fleet.routes[self.team.name],
+            self.team.name,
+            self.run.fleet.keys[self.team.name],
+            self.token,
+            max_age,
+        )
+
+    async def _drop(self) -> None:
+        if self.caller is not None:
+            self.token = self.caller.token
+            await self.caller.close()
+        self.caller = None
+
+    async def _write(self) -> clients.Answer:
+        number = self.written + 1
+        self.written = number
+        answer = await self.caller.execute(
+            f"INSERT INTO {TABLE} VALUES ('{self.name}', {number})"
+        )
+        if not answer.sqlstate:
+            self.seen = max(self.seen, number)
+            self.run.note_write(self.team.group)
+        return answer
+
+    async def _read(self) -> clients.Answer:
+        answer = await self.caller.execute(
+            f"SELECT coalesce(max(number), 0), {ROLE} FROM {TABLE} "
+            f"WHERE session = '{self.name}'"
+        )
+        if not answer.sqlstate:
+            self._check_read(answer)
+        return answer
+
+    def _check_read(self, answer: clients.Answer) -> None:
+        number = int(answer.row[0] or 0)
+        self.run.result.reads += 1
+        if answer.row[1] == "replica":
+            self.run.result.replica_reads += 1
+        if not self.team.aged and number < self.seen:
+            self.run.result.stale_reads += 1
+        self.seen = max(self.seen, number)
+
+    def _count(
+        self, result: results.TeamResult, arrival: Arrival, answer: clients.Answer
+    ) -> None:
+        if answer.sqlstate and answer.is_refused():
+            result.refused += 1
+            if self.run.is_within_rate(self.team):
+                result.wrongful += 1
+            return
+        if answer.sqlstate:
+            result.unknown += 1
+            return
+        result.answered += 1
+        waited = anyio.current_time() - arrival.due
+        result.latency.record_value(max(1, int(waited * 1_000_000)))
+
+
+class Run:
+    """One run of a scenario against a fleet.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("scenario", "fleet", "result", "draw", "started")
+
+    def __init__(
+        self, scenario: scenarios.Scenario, fleet: fleets.Fleet, seed: int
+    ) -> None:
+        """Prepare; nothing is sent before :meth:`execute`."""
+        self.scenario = scenario
+        self.fleet = fleet
+        self.result = results.RunResult([team.name for team in scenario.teams])
+        self.draw = random.Random(seed)
+        self.started = 0.0
+
+    async def execute(self) -> results.RunResult:
+        """Drive the load and return what was found."""
+        await self._create_table()
+        self.started = anyio.current_time()
+        limit = self.scenario.seconds + GRACE_SECONDS
+        with anyio.move_on_after(limit):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._cut_primary)
+                for team in self.scenario.teams:
+                    tasks.start_soon(self._drive_team, team)
+        for team in self.scenario.teams:
+            allowed = team.burst + team.rate * self.scenario.seconds
+            self.result.teams[team.name].allowed = allowed
+        return self.result
+
+    def shuffle_proxies(self) -> list[str]:
+        """Return the proxies in random order, as a balancer would spread them."""
+        return self.draw.sample(self.fleet.proxies, len(self.fleet.proxies))
+
+    def note_write(self, group: str) -> None:
+        """Record that a write was acknowledged now."""
+        times = self.result.write_times.setdefault(group, [])
+        times.append(anyio.current_time() - self.started)
+
+    def is_within_rate(self, team: scenarios.TeamLoad) -> bool:
+        """Return whether the team's demand is inside its rate."""
+        return team.demand * self._find_surge(team, anyio.current_time()) <= team.rate
+
+    def _find_surge(self, team: scenarios.TeamLoad, time: float) -> float:
+        begins = self.started + self.scenario.surge_at * self.scenario.seconds
+        if not self.scenario.surge_at or time < begins:
+            return 1.0
+        return team.surge
+
+    async def _create_table(self) -> None:
+        done = set()
+        for team in self.scenario.teams:
+            if team.group in done:
+                continue
+            await self._prepare_group(team)
+            done.add(team.group)
+
+    async def _prepare_group(self, team: scenarios.TeamLoad) -> None:
+        for _ in range(PREPARE_ATTEMPTS):
+            worker = Worker(self, team, "prepare")
+            try:
+                await worker._prepare(Arrival(0.0, True, False))
+                answer = await worker.caller.execute(CREATE)
+                if not answer.sqlstate:
+                    await worker.caller.execute(INDEX)
+                await worker._drop()
+            except clients.ConnectionClosed:
+                answer = None
+            if answer is not None and not answer.sqlstate:
+                return
+            await anyio.sleep(1)
+        raise clients.ConnectionClosed(f"Group {team.group} takes no writes.")
+
+    async def _drive_team(self, team: scenarios.TeamLoad) -> None:
+        send, receive = anyio.create_memory_object_stream(float("inf"))
+        async with anyio.create_task_group() as tasks:
+            for number in range(self.scenario.sessions):
+                name = f"{team.name}-{number}"
+                tasks.start_soon(self._work, Worker(self, team, name), receive.clone())
+            receive.close()
+            async with send:
+                await self._schedule(team, send)
+
+    async def _schedule(self, team: scenarios.TeamLoad, send) -> None:
+        draw = random.Random(f"{team.name}-{self.draw.random()}")
+        due = self.started
+        end = self.started + self.scenario.seconds
+        while True:
+            demand = team.demand * self._find_surge(team, due)
+            due += draw.expovariate(demand)
+            if due >= end:
+                return
+            await anyio.sleep_until(due)
+            self.result.teams[team.name].sent += 1
+            writes = draw.random() < self.scenario.write_share
+            roams = draw.random() < self.scenario.roam_share
+            send.send_nowait(Arrival(due, writes, roams))
+
+    async def _work(self, worker: Worker, receive) -> None:
+        async with receive:
+            async for arrival in receive:
+                await worker.serve(arrival)
+        await worker._drop()
+
+    async def _cut_primary(self) -> None:
+        if not self.scenario.cut_at:
+            return
+        await anyio.sleep(self.scenario.cut_at * self.scenario.seconds)
+        self.result.cut_group = self.scenario.deployment.groups[0]
+        async with httpx.AsyncClient() as client:
+            await self._cut_in_group(client)
+        self.result.cut_at = anyio.current_time() - self.started
+
+    async def _cut_in_group(self, client: httpx.AsyncClient) -> None:
+        for endpoint, control in self.fleet.controls.items():
+            if not endpoint.startswith(self.result.cut_group):
+                continue
+            state = (await client.get(f"{control}/state")).json()
+            if state["role"] == "primary":
+                await client.post(f"{control}/faults", json={"isolated": True})
--- /dev/null
+++ b/src/sardinehold_bench/results.py
@@ -0,0 +1,119 @@
+"""What one run found, by team and in the three measures."""
+
+from hdrh import histogram
+
+LOWEST_MICROSECONDS = 1
+HIGHEST_MICROSECONDS = 120_000_000
+DIGITS = 3
+
+
+class TeamResult:
+    """What happened to one team's statements.
+
+    :param allowed: statements that rate and burst allowed in the run.
+    :param latency: from the intended start, in microseconds, so that a
+        stalled caller does not hide the wait (no coordinated omission).
+    """
+
+    __slots__ = (
+        "name",
+        "sent",
+        "answered",
+        "refused",
+        "unknown",
+        "wrongful",
+        "allowed",
+        "latency",
+    )
+
+    def __init__(self, name: str) -> None:
+        """Start with nothing counted."""
+        self.name = name
+        self.sent = 0
+        self.answered = 0
+        self.refused = 0
+        self.unknown = 0
+        self.wrongful = 0
+        self.allowed = 0.0
+        self.latency = histogram.HdrHistogram(
+            LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, DIGITS
+        )
+
+    def measure_share(self) -> float:
+        """Return the share of its allowed demand that was answered."""
+        entitled = min(self.sent, self.allowed)
+        if entitled <= 0:
+            return 1.0
+        return min(1.0, self.answered / entitled)
+
+    def read_latency(self, percentile: float) -> float:
+        """Return a latency percentile in milliseconds."""
+        return self.latency.get_value_at_percentile(percentile) / 1000
+
+
+class RunResult:
+    """What one run found.
+
+    :param write_times: when writes were acknowledged, in seconds of the run,
+        by group.
+    :param stale_reads: reads that missed a write of their own session, or
+        went backwards.
+    """
+
+    __slots__ = (
+        "teams",
+        "reads",
+        "replica_reads",
+        "write_times",
+        "stale_reads",
+        "cut_at",
+        "cut_group",
+    )
+
+    def __init__(self, teams: list[str]) -> None:
+        """Start with nothing counted."""
+        self.teams = {name: TeamResult(name) for name in teams}
+        self.reads = 0
+        self.replica_reads = 0
+        self.write_times: dict[str, list[float]] = {}
+        self.stale_reads = 0
+        self.cut_at = 0.0
+        self.cut_group = ""
+
+    def measure_replica_share(self) -> float:
+        """Return the share of reads that a replica served."""
+        return self.replica_reads / self.reads if self.reads else 0.0
+
+    def measure_failover_gap(self) -> float:
+        """Return seconds without an acknowledged write after the cut."""
+        if not self.cut_at:
+            return 0.0
+        times = sorted(self.write_times.get(self.cut_group, []))
+        before = [time for time in times if time <= self.cut_at]
+        after = [time for time in times if time > self.cut_at]
+        return _find_widest([*before[-1:], *after])
+
+    def find_worst_team(self) -> TeamResult:
+        """Return the team with the smallest share."""
+        return min(self.teams.values(), key=lambda team: team.measure_share())
+
+    def count_wrongful(self) -> int:
+        """Return refusals inside a team's rate."""
+        return sum(team.wrongful for team in self.teams.values())
+
+    def summarize(self) -> dict[str, float]:
+        """Return the measures by name."""
+        sent = sum(team.sent for team in self.teams.values())
+        return {
+            "statements": sent,
+            "replica_read_share": round(self.measure_replica_share(), 4),
+            "failover_gap_ms": round(self.measure_failover_gap() * 1000, 1),
+            "worst_team_served_share": round(self.find_worst_team().measure_share(), 4),
+            "wrongful_refusals": self.count_wrongful(),
+            "stale_reads": self.stale_reads,
+        }
+
+
+def _find_widest(times: list[float]) -> float:
+    gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+    return max(gaps, default=0.0)
