--- a/src/sardinehold_bench/clients.py
+++ b/src/sardinehold_bench/clients.py
@@ -12,6 +12,9 @@
 TOKEN_PARAMETER = "sardinehold.session"
 
 
+_BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError)
+
+
 class Answer:
     """What came back for one statement.
 
@@ -60,7 +63,7 @@
         """
         try:
             await self.stream.send(wire.build_query(sql))
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+        except _BROKEN as error:
             raise ConnectionClosed from error
         return await self.read_answer()
 
--- a/src/sardinehold_bench/scenario.py
+++ b/src/sardinehold_bench/scenario.py
@@ -139,18 +139,18 @@
     :raises errors.SettingsError: the file is missing or a value is not usable.
     """
     parser = configparser.ConfigParser()
-    if not parser.read(path, encoding="utf-8"):
-        raise errors.SettingsError(
-            f"Scenario {path} cannot be read.",
-            f"Name a file, or one of {', '.join(list_scenarios())}.",
-        )
     try:
-        return _build_scenario(parser)
+        if parser.read(path, encoding="utf-8"):
+            return _build_scenario(parser)
     except (configparser.Error, ValueError) as error:
         raise errors.SettingsError(
             f"Scenario {path} is not valid: {error}.",
             "Compare it with the scenarios that ship with the tool.",
         ) from error
+    raise errors.SettingsError(
+        f"Scenario {path} cannot be read.",
+        f"Name a file, or one of {', '.join(list_scenarios())}.",
+    )
 
 
 def list_scenarios() -> list[str]:
