--- /dev/null
+++ b/src/sardinehold/console/app.py
@@ -0,0 +1,91 @@
+"""Builds the web application of the console."""
+
+import urllib.parse
+
+from starlette import applications
+from starlette import exceptions
+from starlette import middleware
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from sardinehold import errors
+from sardinehold.console import api
+from sardinehold.console import context
+from sardinehold.console import pages
+from sardinehold.console import security
+from sardinehold.console import sessions
+
+_STYLE = context.TEMPLATES / "style.css"
+
+
+def build_app(console: context.Console) -> applications.Starlette:
+    """Return the application that serves ``console``."""
+    app = applications.Starlette(
+        routes=[
+            routing.Route("/style.css", _serve_style),
+            routing.Mount(api.PREFIX, routes=api.list_routes()),
+            *pages.list_routes(),
+        ],
+        middleware=[
+            middleware.Middleware(
+                security.HeaderMiddleware, is_secure=console.is_secure
+            )
+        ],
+        exception_handlers={
+            errors.SardineholdError: _answer_error,
+            exceptions.HTTPException: _answer_http_error,
+            Exception: _answer_defect,
+        },
+    )
+    app.state.console = console
+    return app
+
+
+async def _serve_style(_request: requests.Request) -> responses.Response:
+    headers = {"Cache-Control": "max-age=300"}
+    return responses.FileResponse(_STYLE, media_type="text/css", headers=headers)
+
+
+def _is_call(request: requests.Request) -> bool:
+    return request.url.path.startswith(api.PREFIX)
+
+
+async def _answer_error(
+    request: requests.Request, error: errors.SardineholdError
+) -> responses.Response:
+    must_sign_in = isinstance(error, sessions.SignInRequired)
+    if must_sign_in and request.method == "GET" and not _is_call(request):
+        target = urllib.parse.quote(request.url.path)
+        return responses.RedirectResponse(f"/sign-in?next={target}", 303)
+    return _answer(request, error)
+
+
+async def _answer_http_error(
+    request: requests.Request, error: exceptions.HTTPException
+) -> responses.Response:
+    wrapped = errors.SardineholdError(
+        f"{error.detail}: {request.method} {request.url.path}.",
+        "Begin again from the status page.",
+    )
+    response = _answer(request, wrapped)
+    response.status_code = error.status_code
+    return response
+
+
+async def _answer_defect(
+    request: requests.Request, error: Exception
+) -> responses.Response:
+    wrapped = errors.SardineholdError(
+        f"The console failed on this request ({type(error).__name__}).",
+        "Report this with the path and the time of day; the document is as it was.",
+    )
+    return _answer(request, wrapped)
+
+
+def _answer(
+    request: requests.Request, error: errors.SardineholdError
+) -> responses.Response:
+    if _is_call(request):
+        return api.answer_error(error)
+    return pages.answer_error(request, error)
--- /dev/null
+++ b/src/sardinehold/console/audit.py
@@ -0,0 +1,131 @@
+"""The audit: every version of the document, who made it and why.
+
+``audit/<version>`` holds a whole version. It is written before the version is
+replaced, so that a console that stops between two calls loses nothing.
+"""
+
+import datetime
+import typing
+
+from sardinehold import changes
+from sardinehold import document
+from sardinehold import errors
+from sardinehold import objects
+
+KIND = "audit"
+KEPT_VERSIONS = 500
+"""Versions that are kept; older ones are deleted as new ones come."""
+
+KEPT_HANDOVERS = 50
+"""Planned hand-overs of one group that are kept."""
+
+PAGE_LENGTH = 20
+"""Versions that one page of the history shows."""
+
+
+class Entry:
+    """One version in the history.
+
+    :param config: the document of that version.
+    :param made: what it changed, None when the version before is not kept.
+    """
+
+    __slots__ = ("config", "made")
+
+    def __init__(
+        self, config: document.Document, made: list[changes.Change] | None
+    ) -> None:
+        """Keep the parts of the entry."""
+        self.config = config
+        self.made = made
+
+
+async def archive_version(
+    client: objects.ObjectClient, config: document.Document
+) -> None:
+    """Make sure that the audit holds a version."""
+    value = {"document": document.dump_document(config)}
+    try:
+        await client.create(KIND, str(config.version), value)
+    except errors.VersionConflict:
+        return
+
+
+async def prune_versions(client: objects.ObjectClient, newest: int) -> None:
+    """Delete the version that is too old to be kept."""
+    name = str(newest - KEPT_VERSIONS)
+    try:
+        found = await client.get(KIND, name)
+        await client.delete(KIND, name, found.version)
+    except (errors.ObjectMissing, errors.VersionConflict):
+        return
+
+
+async def read_version(
+    client: objects.ObjectClient, version: int
+) -> document.Document | None:
+    """Return a version of the document, None when it is not kept."""
+    try:
+        found = await client.get(KIND, str(version))
+    except errors.ObjectMissing:
+        return None
+    return document.parse_document(found.value["document"], strict=False)
+
+
+async def read_entry(client: objects.ObjectClient, version: int) -> Entry | None:
+    """Return a version with what it changed, None when it is not kept."""
+    config = await read_version(client, version)
+    if config is None:
+        return None
+    before = await read_version(client, version - 1)
+    return _build_entry(config, before)
+
+
+async def read_entries(client: objects.ObjectClient, newest: int) -> list[Entry]:
+    """Return a page of versions, newest first."""
+    versions = []
+    for version in range(newest, max(0, newest - PAGE_LENGTH - 1), -1):
+        versions.append(await read_version(client, version))
+    entries = []
+    for index, config in enumerate(versions[:PAGE_LENGTH]):
+        if config is not None:
+            before = versions[index + 1] if index + 1 < len(versions) else None
+            entries.append(_build_entry(config, before))
+    return entries
+
+
+def _build_entry(config: document.Document, before: document.Document | None) -> Entry:
+    if before is None and config.version > 1:
+        return Entry(config, None)
+    return Entry(config, changes.compare_documents(before, config))
+
+
+async def record_handover(
+    client: objects.ObjectClient, group: str, request: dict[str, str]
+) -> None:
+    """Add a planned hand-over to the audit of its group."""
+    name = f"handover-{group}"
+    try:
+        found = await client.get(KIND, name)
+    except errors.ObjectMissing:
+        await client.create(KIND, name, {"entries": [request]})
+        return
+    entries = [*found.value["entries"], request][-KEPT_HANDOVERS:]
+    await client.update(KIND, name, {"entries": entries}, found.version)
+
+
+async def read_handovers(
+    client: objects.ObjectClient, group: str
+) -> list[dict[str, typing.Any]]:
+    """Return the planned hand-overs of a group, newest first."""
+    try:
+        found = await client.get(KIND, f"handover-{group}")
+    except errors.ObjectMissing:
+        return []
+    return list(reversed(found.value["entries"]))
+
+
+def format_now() -> str:
+    """Return the time of day as ISO 8601 in UTC."""
+    now = datetime.datetime.now(datetime.UTC)
+    return now.strftime("%Y-%m-%dT%H:%M:%SZ")
--- /dev/null
+++ b/src/sardinehold/console/pages.py
@@ -0,0 +1,309 @@
+"""The pages of the console: what operators read and where forms start."""
+
+import functools
+import json
+import typing
+import urllib.parse
+
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from sardinehold import document
+from sardinehold import errors
+from sardinehold import keys
+from sardinehold import operators
+from sardinehold.console import audit
+from sardinehold.console import context
+from sardinehold.console import fleet as fleets
+from sardinehold.console import restriction
+from sardinehold.console import security
+from sardinehold.console import sessions
+from sardinehold.console import summary
+from sardinehold.console import work
+
+_Handler = typing.Callable[
+    [context.Visit], typing.Coroutine[typing.Any, typing.Any, responses.Response]
+]
+_ROUTES: list[routing.Route] = []
+
+
+def page(path: str, method: str = "GET") -> typing.Callable[[_Handler], _Handler]:
+    """Register a page for operators who have signed in."""
+
+    def register(handler: _Handler) -> _Handler:
+        @functools.wraps(handler)
+        async def answer(request: requests.Request) -> responses.Response:
+            return await handler(await _open_visit(request))
+
+        _ROUTES.append(routing.Route(path, answer, methods=[method]))
+        return handler
+
+    return register
+
+
+def list_routes() -> list[routing.Route]:
+    """Return the routes of all pages."""
+    # Imported here because the forms register themselves through this module.
+    from sardinehold.console import form_pages
+
+    return [*_ROUTES, *form_pages.SIGN_IN_ROUTES]
+
+
+async def _open_visit(request: requests.Request) -> context.Visit:
+    console = context.get_console(request)
+    session = console.sessions.find(request.cookies.get(console.cookie_name, ""))
+    if session is None:
+        raise sessions.SignInRequired("Nobody is signed in.", "Sign in with your key.")
+    current = await console.store.read_current()
+    principal = operators.find_principal(
+        current.config, console.bootstrap, session.operator, session.prefix
+    )
+    if principal is None:
+        console.sessions.close(request.cookies[console.cookie_name])
+        raise sessions.SignInRequired(
+            "Your key is not in force any more.", "Sign in with your new key."
+        )
+    return context.Visit(console, request, principal, session, current)
+
+
+def answer_error(
+    request: requests.Request, error: errors.SardineholdError
+) -> responses.Response:
+    """Return an error as a page."""
+    console = context.get_console(request)
+    text = console.templates.get_template("error.html").render(
+        principal=None, csrf="", version=0, path=request.url.path, error=error
+    )
+    status = context.find_status(error)
+    headers = {}
+    if isinstance(error, sessions.TooManyTries):
+        headers["Retry-After"] = f"{error.wait:.0f}"
+    return responses.HTMLResponse(text, status, headers)
+
+
+@page("/")
+async def show_status(visit: context.Visit) -> responses.Response:
+    """Show the three measures, what is degraded and the next thing to do."""
+    if visit.current.config is None:
+        operators.require_platform_operator(visit.principal)
+        return responses.RedirectResponse("/edits/document.replace", 303)
+    if not visit.principal.sees_all:
+        return responses.RedirectResponse(f"/teams/{visit.principal.team}", 303)
+    fleet = await fleets.read_fleet(visit.console.store.client)
+    scene = summary.Scene(visit.config, fleet, visit.principal)
+    return visit.render(
+        "status.html",
+        config=visit.config,
+        fleet=fleet,
+        measures=summary.measure_fleet(fleet),
+        advice=summary.find_advice(scene),
+        accepted=_read_accepted(visit),
+    )
+
+
+def _read_accepted(visit: context.Visit) -> int:
+    text = visit.request.query_params.get("accepted", "")
+    return int(text) if text.isdecimal() and len(text) < 16 else 0
+
+
+@page("/teams")
+async def show_teams(visit: context.Visit) -> responses.Response:
+    """List the teams that the operator sees."""
+    fleet = await fleets.read_fleet(visit.console.store.client)
+    shown = restriction.restrict_document(visit.config, visit.principal)
+    return visit.render(
+        "teams.html",
+        teams=list(shown.teams.values()),
+        fleet=fleet,
+        summary=summary,
+        accepted=_read_accepted(visit),
+    )
+
+
+@page("/teams/{team}")
+async def show_team(visit: context.Visit) -> responses.Response:
+    """Show a team with its keys and routes."""
+    name = visit.request.path_params["team"]
+    visit.require_sight(f"teams.{name}")
+    team = visit.config.teams.get(name)
+    if team is None:
+        raise errors.ObjectMissing(f"There is no team {name}.", "Choose one listed.")
+    fleet = await fleets.read_fleet(visit.console.store.client)
+    listed = restriction.list_routes(visit.config, visit.principal)
+    return visit.render(
+        "team.html",
+        team=team,
+        routes=[route for route in listed if name in route.teams],
+        fleet=fleet,
+        served=fleet.sum_counter(summary.SERVED, team=name),
+        refused=fleet.sum_counter(summary.REFUSED, team=name),
+        in_rate=fleet.sum_counter(summary.REFUSED_IN_RATE, team=name),
+        keys=[_describe_key(visit, fleet, key) for key in reversed(team.keys)],
+        accepted=_read_accepted(visit),
+    )
+
+
+def _describe_key(
+    visit: context.Visit, fleet: fleets.Fleet, key: document.Key
+) -> dict[str, typing.Any]:
+    since = key.changed_in or visit.current.version
+    return {
+        "prefix": key.prefix,
+        "withdrawn": key.withdrawn,
+        "reach": fleet.format_in_force(since),
+        "is_settled": fleet.count_in_force(since) == len(fleet.vms),
+    }
+
+
+@page("/groups")
+async def show_groups(visit: context.Visit) -> responses.Response:
+    """List the groups, and those of the platform that the document lacks."""
+    operators.require_platform_sight(visit.principal)
+    client = visit.console.store.client
+    fleet = await fleets.read_fleet(client)
+    offered = await fleets.list_platform_groups(client)
+    return visit.render(
+        "groups.html",
+        groups=visit.config.groups,
+        fleet=fleet,
+        offered=sorted(name for name in offered if name not in visit.config.groups),
+        accepted=_read_accepted(visit),
+    )
+
+
+@page("/groups/{group}")
+async def show_group(visit: context.Visit) -> responses.Response:
+    """Show a group with its primary, its history and its hand-overs."""
+    operators.require_platform_sight(visit.principal)
+    name = visit.request.path_params["group"]
+    group = visit.config.groups.get(name)
+    if group is None:
+        raise errors.ObjectMissing(f"There is no group {name}.", "Choose one listed.")
+    client = visit.console.store.client
+    fleet = await fleets.read_fleet(client)
+    return visit.render(
+        "group.html",
+        group=group,
+        state=fleet.groups.get(name, {}),
+        pending=fleet.handovers.get(name),
+        handovers=await audit.read_handovers(client, name),
+        routes=[r for r in visit.config.routes.values() if r.group == name],
+        accepted=_read_accepted(visit),
+    )
+
+
+@page("/routes")
+async def show_routes(visit: context.Visit) -> responses.Response:
+    """List the routes that the operator sees."""
+    return visit.render(
+        "routes.html",
+        routes=restriction.list_routes(visit.config, visit.principal),
+        accepted=_read_accepted(visit),
+    )
+
+
+@page("/operators")
+async def show_operators(visit: context.Visit) -> responses.Response:
+    """List the operators."""
+    operators.require_platform_sight(visit.principal)
+    return visit.render(
+        "operators.html",
+        operators=list(visit.config.operators.values()),
+        accepted=_read_accepted(visit),
+    )
+
+
+@page("/document")
+async def show_document(visit: context.Visit) -> responses.Response:
+    """Show the document as JSON."""
+    shown = restriction.restrict_document(visit.config, visit.principal)
+    text = json.dumps(document.dump_document(shown), indent=2, ensure_ascii=False)
+    return visit.render("document.html", text=text, accepted=_read_accepted(visit))
+
+
+@page("/history")
+async def show_history(visit: context.Visit) -> responses.Response:
+    """List who changed what and why, newest first."""
+    newest = visit.current.version
+    before = visit.request.query_params.get("before", "")
+    if before.isdecimal() and len(before) < 16:
+        newest = min(newest, int(before) - 1)
+    entries = await audit.read_entries(visit.console.store.client, newest)
+    return visit.render(
+        "history.html",
+        entries=restriction.restrict_entries(entries, visit.principal),
+        older=max(0, newest - audit.PAGE_LENGTH + 1),
+        accepted=_read_accepted(visit),
+    )
+
+
+@page("/history/{number:int}")
+async def show_version(visit: context.Visit) -> responses.Response:
+    """Show what one version changed."""
+    entry = await work.read_entry(visit, visit.request.path_params["number"])
+    return visit.render("version.html", entry=entry)
+
+
+async def show_sign_in(request: requests.Request) -> responses.Response:
+    """Show the form to sign in."""
+    return _render_sign_in(request, "", 200)
+
+
+def _render_sign_in(
+    request: requests.Request, problem: str, status: int
+) -> responses.Response:
+    console = context.get_console(request)
+    text = console.templates.get_template("sign_in.html").render(
+        principal=None,
+        csrf="",
+        version=0,
+        path="/sign-in",
+        problem=problem,
+        target=_find_target(request),
+    )
+    return responses.HTMLResponse(text, status)
+
+
+def _find_target(request: requests.Request) -> str:
+    """Return the page to go to after signing in, never one of another site."""
+    target = request.query_params.get("next", "/")
+    parts = urllib.parse.urlsplit(target)
+    is_local = target.startswith("/") and not target.startswith(("//", "/\\"))
+    return target if is_local and not parts.netloc else "/"
+
+
+async def sign_in(request: requests.Request) -> responses.Response:
+    """Begin a session for the operator whose key was sent."""
+    console = context.get_console(request)
+    form = await security.read_form(request)
+    text = form.get("key", [""])[0].strip()
+    try:
+        principal = await console.sign_in(context.find_source(request), text)
+    except (sessions.SignInRequired, sessions.TooManyTries) as error:
+        problem = f"{error.message} {error.remedy}"
+        return _render_sign_in(request, problem, context.find_status(error))
+    console.recorder.record("operator_signed_in", operator=principal.name)
+    answer = responses.RedirectResponse(_find_target(request), 303)
+    answer.set_cookie(
+        console.cookie_name,
+        console.sessions.open(principal.name, keys.find_prefix(text)),
+        max_age=int(sessions.SESSION_TIMEOUT),
+        path="/",
+        secure=console.is_secure,
+        httponly=True,
+        samesite="strict",
+    )
+    return answer
+
+
+@page("/sign-out", "POST")
+async def sign_out(visit: context.Visit) -> responses.Response:
+    """End the session."""
+    form = await security.read_form(visit.request)
+    visit.session.require_csrf(form.get("csrf", [""])[0])
+    name = visit.console.cookie_name
+    visit.console.sessions.close(visit.request.cookies[name])
+    answer = responses.RedirectResponse("/sign-in", 303)
+    answer.delete_cookie(name, path="/", secure=visit.console.is_secure, httponly=True)
+    return answer
--- /dev/null
+++ b/src/sardinehold/console/server.py
@@ -0,0 +1,118 @@
+"""Runs the console as a process."""
+
+import socket
+import ssl
+import typing
+
+import anyio
+import uvicorn
+
+from sardinehold import certificates
+from sardinehold import errors
+from sardinehold import operators
+from sardinehold import settings as settings_
+from sardinehold import timeline
+from sardinehold.console import app
+from sardinehold.console import context
+from sardinehold.console import store
+
+STOP_TIMEOUT = 10
+"""Seconds that requests may take after SIGTERM."""
+
+MAX_CONNECTIONS = 500
+"""Connections served at once; others are answered 503."""
+
+def run(settings: settings_.ConsoleSettings) -> int:
+    """Serve until SIGTERM or SIGINT and return the exit code.
+
+    :raises sardinehold.errors.SettingsError: the port or a file cannot be used.
+    """
+    bootstrap = operators.read_bootstrap(settings.bootstrap_key)
+    recorder = timeline.Recorder(settings.timeline, settings.vm, settings.zone)
+    listener = bind_listener(settings.listen, "[console] listen")
+    with listener:
+        anyio.run(_serve, settings, bootstrap, recorder, listener)
+    recorder.close()
+    return 0
+
+
+def bind_listener(address: str, place: str) -> socket.socket:
+    """Return a listening socket.
+
+    :param place: section and key that name the address, for the error.
+    :raises sardinehold.errors.SettingsError: the address cannot be used.
+    """
+    host, port = settings_.split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    try:
+        return socket.create_server((host, port), family=family, backlog=128)
+    except OSError as error:
+        raise errors.SettingsError(
+            f"{place} = {address} cannot be listened on ({error.strerror}).",
+            "End the process that uses the port, or choose another address.",
+        ) from error
+
+
+async def _serve(
+    settings: settings_.ConsoleSettings,
+    bootstrap: str,
+    recorder: timeline.Recorder,
+    listener: socket.socket,
+) -> None:
+    # Imported here so that tests of the pages need no HTTP client.
+    from sardinehold import platform_client
+
+    client = platform_client.HttpObjectClient(
+        settings.platform_url, settings.vm, settings.platform_tls
+    )
+    reloader = certificates.build_reloader(settings.console_tls)
+    console = context.Console(
+        store.Store(client), bootstrap, reloader is not None, recorder
+    )
+    config = _build_config(console, reloader)
+    server = uvicorn.Server(config)
+    _announce(listener, reloader is not None)
+    recorder.record("process_started", role="console")
+    async with anyio.create_task_group() as tasks:
+        if reloader is not None:
+            tasks.start_soon(reloader.watch)
+        await server.serve(sockets=[listener])
+        tasks.cancel_scope.cancel()
+    recorder.record("process_stopped", role="console")
+    await client.close()
+
+
+def _build_config(
+    console: context.Console, reloader: certificates.Reloader | None
+) -> uvicorn.Config:
+    return uvicorn.Config(
+        app.build_app(console),
+        loop="asyncio",
+        http="h11",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        limit_concurrency=MAX_CONNECTIONS,
+        timeout_graceful_shutdown=STOP_TIMEOUT,
+        ssl_context_factory=_make_factory(reloader),
+    )
+
+
+def _make_factory(reloader: certificates.Reloader | None) -> typing.Callable[[uvicorn.Config, object], ssl.SSLContext] | None:
+    if reloader is None:
+        return None
+
+    def build_context(_config: uvicorn.Config, _default: object) -> ssl.SSLContext:
+        return reloader.context
+
+    return build_context
+
+
+def _announce(listener: socket.socket, is_secure: bool) -> None:
+    host, port = listener.getsockname()[:2]
+    scheme = "https" if is_secure else "http"
+    shown = f"[{host}]" if ":" in host else host
+    print(f"console: {scheme}://{shown}:{port}", flush=True)
--- /dev/null
+++ b/src/sardinehold/console/sessions.py
@@ -0,0 +1,173 @@
+"""Who is signed in, and how often a source may try."""
+
+import collections
+import hmac
+import secrets
+import typing
+
+from sardinehold import errors
+
+IDLE_TIMEOUT = 30 * 60
+"""Seconds without a request after which a session ends."""
+
+SESSION_TIMEOUT = 12 * 3600
+"""Seconds after which every session ends."""
+
+MAX_SESSIONS = 1000
+"""Sessions kept at once; the one used longest ago ends first."""
+
+TRIES = 5
+"""Wrong keys that one source may send at once."""
+
+TRY_INTERVAL = 10.0
+"""Seconds after which a source may send one more."""
+
+MAX_SOURCES = 10_000
+"""Sources remembered at once."""
+
+
+class SignInRequired(errors.SardineholdError):
+    """Nobody is signed in, or the key is not in force."""
+
+    code = "SH401"
+
+
+class TooManyTries(errors.SardineholdError):
+    """A source sent too many wrong keys.
+
+    :param wait: seconds after which it may try again.
+    """
+
+    code = "SH403"
+
+    def __init__(self, wait: float) -> None:
+        """Keep the wait."""
+        self.wait = wait
+        super().__init__(
+            "Too many wrong keys came from this address.",
+            f"Wait {wait:.0f} seconds, then try the right key.",
+        )
+
+
+class ForgedForm(errors.SardineholdError):
+    """A form did not come from a page of this console."""
+
+    code = "SH404"
+
+
+class Session:
+    """One sign-in.
+
+    :param operator: name of the operator.
+    :param prefix: of the key that they showed.
+    :param csrf: token that each of their forms carries.
+    :param deadline: when it ends in any case.
+    :param idle_deadline: when it ends without another request.
+    """
+
+    __slots__ = ("operator", "prefix", "csrf", "deadline", "idle_deadline")
+
+    def __init__(
+        self,
+        operator: str,
+        prefix: str,
+        csrf: str,
+        deadline: float,
+        idle_deadline: float,
+    ) -> None:
+        """Keep the parts of the session."""
+        self.operator = operator
+        self.prefix = prefix
+        self.csrf = csrf
+        self.deadline = deadline
+        self.idle_deadline = idle_deadline
+
+    def require_csrf(self, token: str) -> None:
+        """Raise :class:`ForgedForm` unless ``token`` is this session's."""
+        if not hmac.compare_digest(token.encode(), self.csrf.encode()):
+            raise ForgedForm(
+                "The form does not belong to this sign-in.",
+                "Open the page again and repeat the change.",
+            )
+
+
+class Sessions:
+    """All sign-ins of this process.
+
+    :param clock: returns monotonic seconds.
+    """
+
+    __slots__ = ("_clock", "_sessions")
+
+    def __init__(self, clock: typing.Callable[[], float]) -> None:
+        """Start with nobody signed in."""
+        self._clock = clock
+        self._sessions: collections.OrderedDict[str, Session] = (
+            collections.OrderedDict()
+        )
+
+    def open(self, operator: str, prefix: str) -> str:
+        """Begin a session and return the value of its cookie."""
+        now = self._clock()
+        cookie = secrets.token_urlsafe(32)
+        self._sessions[cookie] = Session(
+            operator,
+            prefix,
+            secrets.token_urlsafe(32),
+            now + SESSION_TIMEOUT,
+            now + IDLE_TIMEOUT,
+        )
+        if len(self._sessions) > MAX_SESSIONS:
+            self._sessions.popitem(last=False)
+        return cookie
+
+    def find(self, cookie: str) -> Session | None:
+        """Return the session of a cookie, None if it has ended."""
+        session = self._sessions.get(cookie)
+        if session is None:
+            return None
+        now = self._clock()
+        if now >= min(session.deadline, session.idle_deadline):
+            self.close(cookie)
+            return None
+        session.idle_deadline = now + IDLE_TIMEOUT
+        self._sessions.move_to_end(cookie)
+        return session
+
+    def close(self, cookie: str) -> None:
+        """End the session of a cookie."""
+        self._sessions.pop(cookie, None)
+
+
+class Throttle:
+    """Slows wrong keys by source, with a token bucket for each.
+
+    :param clock: returns monotonic seconds.
+    """
+
+    __slots__ = ("_clock", "_buckets")
+
+    def __init__(self, clock: typing.Callable[[], float]) -> None:
+        """Start with every source unknown."""
+        self._clock = clock
+        self._buckets: collections.OrderedDict[str, tuple[float, float]] = (
+            collections.OrderedDict()
+        )
+
+    def require_try(self, source: str) -> None:
+        """Raise :class:`TooManyTries` if the source has no try left."""
+        tokens = self._refill(source)
+        if tokens < 1:
+            raise TooManyTries((1 - tokens) * TRY_INTERVAL + 1)
+
+    def record_failure(self, source: str) -> None:
+        """Take one try from the source."""
+        self._buckets[source] = (self._refill(source) - 1, self._clock())
+        self._buckets.move_to_end(source)
+        if len(self._buckets) > MAX_SOURCES:
+            self._buckets.popitem(last=False)
+
+    def _refill(self, source: str) -> float:
+        now = self._clock()
+        tokens, updated = self._buckets.get(source, (float(TRIES), now))
+        return min(float(TRIES), tokens + (now - updated) / TRY_INTERVAL)
--- /dev/null
+++ b/src/sardinehold/console/store.py
@@ -0,0 +1,347 @@
+"""Reads and changes the configuration through the platform's objects.
+
+A change is one conditional update. Each carries an identity; if the platform's
+answer is lost, the document is read back and the identity tells whether the
+change took effect, so that it is never made twice.
+"""
+
+import copy
+import json
+import typing
+import uuid
+
+import anyio
+
+from sardinehold import changes
+from sardinehold import document
+from sardinehold import errors
+from sardinehold import faults
+from sardinehold import objects
+from sardinehold import operators
+from sardinehold import validation
+from sardinehold.console import audit
+
+MAX_VALUE_BYTES = 1024 * 1024
+"""Largest value that the platform takes."""
+
+ATTEMPTS = 4
+"""Times that a change whose answer was lost is read back or sent again."""
+
+ATTEMPT_WAIT = 0.25
+"""Seconds between two of them, doubled each time."""
+
+
+class Current:
+    """The document as the platform holds it.
+
+    :param config: None when the platform holds no document.
+    :param revision: the platform's version of the object, for its update.
+    """
+
+    __slots__ = ("config", "revision")
+
+    def __init__(self, config: document.Document | None, revision: int) -> None:
+        """Keep the parts."""
+        self.config = config
+        self.revision = revision
+
+    @property
+    def version(self) -> int:
+        """Version of the document, 0 when there is none."""
+        return self.config.version if self.config is not None else 0
+
+
+class Proposal:
+    """A change that passed every check.
+
+    :param before: the document that it changes.
+    :param config: the document that it makes.
+    :param made: what differs.
+    :param warnings: plausible mistakes of the new document.
+    """
+
+    __slots__ = ("before", "config", "made", "warnings")
+
+    def __init__(
+        self,
+        before: Current,
+        config: document.Document,
+        made: list[changes.Change],
+        warnings: list[faults.Fault],
+    ) -> None:
+        """Keep the parts of the proposal."""
+        self.before = before
+        self.config = config
+        self.made = made
+        self.warnings = warnings
+
+
+class Conflict(errors.VersionConflict):
+    """Somebody else changed the document in the meantime.
+
+    :param base: the version that the change was made on.
+    :param config: the document as it stands now.
+    :param made: what the others changed since, None when that is not kept.
+    """
+
+    code = "SH305"
+
+    def __init__(
+        self,
+        base: int,
+        config: document.Document | None,
+        made: list[changes.Change] | None,
+    ) -> None:
+        """Keep the parts of the conflict."""
+        self.base = base
+        self.config = config
+        self.made = made
+        author = config.author if config is not None else "nobody"
+        version = config.version if config is not None else 0
+        super().__init__(
+            f"The document is at version {version} by {author},"
+            f" the change was made on version {base}.",
+            "Look at the other change, then make yours again on the new version.",
+        )
+
+
+class UnknownEffect(errors.PlatformUnavailable):
+    """No answer of the platform said whether a change took effect."""
+
+    code = "SH306"
+
+
+class NothingChanged(errors.DocumentError):
+    """A change would leave the document as it is."""
+
+    code = "SH103"
+
+
+Edit = typing.Callable[[dict], None]
+"""Changes the JSON value of a document in place."""
+
+
+class Store:
+    """The configuration in the platform.
+
+    :param client: the platform's object API.
+    """
+
+    __slots__ = ("client",)
+
+    def __init__(self, client: objects.ObjectClient) -> None:
+        """Keep the client."""
+        self.client = client
+
+    async def read_current(self) -> Current:
+        """Return the document as it stands."""
+        try:
+            found = await self.client.get("document", "current")
+        except errors.ObjectMissing:
+            return Current(None, 0)
+        return Current(document.parse_document(found.value, False), found.version)
+
+    async def propose(
+        self,
+        principal: operators.Principal,
+        base: int,
+        reason: str,
+        edit: Edit,
+    ) -> Proposal:
+        """Check a change on version ``base`` without making it.
+
+        :raises Conflict: the document has another version by now.
+        :raises sardinehold.errors.DocumentError: naming every fault.
+        :raises sardinehold.operators.Forbidden: it is not theirs to make.
+        """
+        before = await self.read_current()
+        if before.version != base:
+            raise await self._build_conflict(base, before)
+        value = _draft_value(before)
+        edit(value)
+        value["version"] = before.version + 1
+        value["author"] = principal.name
+        value["reason"] = reason
+        value["change_id"] = uuid.uuid4().hex
+        value["written_at"] = audit.format_now()
+        return _check_value(principal, before, value)
+
+    async def _build_conflict(self, base: int, now: Current) -> Conflict:
+        seen = await audit.read_version(self.client, base) if base else None
+        made = None
+        if now.config is not None and (seen is not None or base == 0):
+            made = changes.compare_documents(seen, now.config)
+        return Conflict(base, now.config, made)
+
+    async def accept(self, proposal: Proposal) -> None:
+        """Make the change of a proposal.
+
+        :raises Conflict: somebody else was first.
+        :raises UnknownEffect: the platform does not answer any more.
+        """
+        before = proposal.before
+        if before.config is not None:
+            await audit.archive_version(self.client, before.config)
+        wait = ATTEMPT_WAIT
+        for _ in range(ATTEMPTS):
+            if await self._try_write(proposal):
+                await self._finish_audit(proposal.config)
+                return
+            await anyio.sleep(wait)
+            wait *= 2
+        raise UnknownEffect(
+            "The platform did not say whether the change took effect.",
+            f"Look into the history for version {proposal.config.version} by"
+            f" {proposal.config.author} before you make the change again.",
+        )
+
+    async def _try_write(self, proposal: Proposal) -> bool:
+        """Return whether the change took effect, False if that is not known."""
+        value = document.dump_document(proposal.config)
+        try:
+            if proposal.before.config is None:
+                await self.client.create("document", "current", value)
+            else:
+                revision = proposal.before.revision
+                await self.client.update("document", "current", value, revision)
+        except errors.VersionConflict:
+            # The conflict may be with this very change, when an earlier attempt
+            # took effect and its answer was lost.
+            return await self._find_change(proposal)
+        except errors.PlatformUnavailable:
+            return False
+        return True
+
+    async def _find_change(self, proposal: Proposal) -> bool:
+        wanted = proposal.config
+        try:
+            now = await self.read_current()
+            if now.version > wanted.version:
+                archived = await audit.read_version(self.client, wanted.version)
+            else:
+                archived = now.config
+        except errors.PlatformUnavailable:
+            return False
+        if archived is not None and archived.change_id == wanted.change_id:
+            return True
+        raise await self._build_conflict(proposal.before.version, now)
+
+    async def _finish_audit(self, config: document.Document) -> None:
+        # The next change archives this version if this attempt fails.
+        try:
+            await audit.archive_version(self.client, config)
+            await audit.prune_versions(self.client, config.version)
+        except errors.PlatformError:
+            return
+
+    async def request_handover(
+        self, principal: operators.Principal, group: str, target: str, reason: str
+    ) -> None:
+        """Ask the supervisor to hand the primary of a group over.
+
+        :param target: the endpoint to promote, ``""`` for the most advanced.
+        :raises sardinehold.errors.DocumentError: there is no such endpoint.
+        :raises HandoverPending: one is under way.
+        """
+        operators.require_platform_operator(principal)
+        current = await self.read_current()
+        _require_endpoint(current.config, group, target, reason)
+        request = {
+            "target": target,
+            "requested_by": principal.name,
+            "reason": reason,
+            "requested_at": audit.format_now(),
+            "change_id": uuid.uuid4().hex,
+        }
+        await self._create_handover(group, request)
+        try:
+            await audit.record_handover(self.client, group, request)
+        except errors.PlatformError:
+            # The request itself names who made it and why.
+            return
+
+    async def _create_handover(self, group: str, request: dict[str, str]) -> None:
+        wait = ATTEMPT_WAIT
+        for _ in range(ATTEMPTS):
+            try:
+                await self.client.create("handover", group, request)
+                return
+            except errors.VersionConflict:
+                await self._recognise_handover(group, request)
+                return
+            except errors.PlatformUnavailable:
+                await anyio.sleep(wait)
+                wait *= 2
+        raise UnknownEffect(
+            f"The platform did not say whether the hand-over of {group} was taken.",
+            "Look at the group's page before you ask again.",
+        )
+
+    async def _recognise_handover(self, group: str, request: dict[str, str]) -> None:
+        try:
+            found = await self.client.get("handover", group)
+        except errors.ObjectMissing:
+            return
+        if found.value["change_id"] == request["change_id"]:
+            return
+        raise HandoverPending(
+            f"A hand-over of {group} was asked for by"
+            f" {found.value['requested_by']} and is under way.",
+            "Wait until the group's page shows the new primary.",
+        )
+
+
+class HandoverPending(errors.VersionConflict):
+    """A hand-over of the group is under way already."""
+
+    code = "SH307"
+
+
+def _draft_value(before: Current) -> dict:
+    if before.config is None:
+        return {"teams": {}, "groups": {}, "routes": {}, "operators": {}}
+    return copy.deepcopy(document.dump_document(before.config))
+
+
+def _check_value(
+    principal: operators.Principal, before: Current, value: dict
+) -> Proposal:
+    config = document.parse_document(value)
+    made = changes.compare_documents(before.config, config)
+    operators.require_permission(principal, made)
+    if not made:
+        raise NothingChanged(
+            "The change leaves the document as it is.",
+            "Change a value, or go back without saving.",
+        )
+    if before.config is not None:
+        revived = changes.find_revivals(before.config, config)
+        if revived:
+            raise validation.InvalidDocument(revived)
+    size = len(json.dumps(value).encode())
+    if size > MAX_VALUE_BYTES:
+        raise errors.DocumentError(
+            f"The document has {size} bytes, the platform takes {MAX_VALUE_BYTES}.",
+            "Remove withdrawn keys, or teams and routes that are not used.",
+        )
+    return Proposal(before, config, made, validation.find_warnings(config))
+
+
+def _require_endpoint(
+    config: document.Document | None, group: str, target: str, reason: str
+) -> None:
+    known = config.groups.get(group) if config is not None else None
+    if known is None:
+        raise errors.DocumentError(
+            f"The document has no group {group}.", "Name a group of the document."
+        )
+    names = [endpoint.name for endpoint in known.endpoints]
+    if target and target not in names:
+        raise errors.DocumentError(
+            f"Group {group} has no endpoint {target}.",
+            faults.suggest_name(target, names),
+        )
+    if not reason:
+        raise errors.DocumentError(
+            "The hand-over has no reason.", "Say why, for those who read the audit."
+        )
--- /dev/null
+++ b/src/sardinehold/console/summary.py
@@ -0,0 +1,248 @@
+"""The status page: the three measures, what is degraded, the next thing to do."""
+
+import typing
+
+from sardinehold import document
+from sardinehold import operators
+from sardinehold import validation
+from sardinehold.console import fleet as fleets
+
+READS_ON_REPLICAS = "reads_replica"
+READS_ON_PRIMARIES = "reads_primary"
+FAILOVER_GAP = "failover_gap"
+SERVED = "requests_served"
+REFUSED = "requests_refused"
+REFUSED_IN_RATE = "requests_refused_in_rate"
+
+
+class Measure:
+    """One of the measures.
+
+    :param value: as text, ``–`` when nothing was counted yet.
+    :param meaning: what it says, in one sentence.
+    """
+
+    __slots__ = ("name", "value", "meaning")
+
+    def __init__(self, name: str, value: str, meaning: str) -> None:
+        """Keep the parts."""
+        self.name = name
+        self.value = value
+        self.meaning = meaning
+
+    def dump(self) -> dict[str, str]:
+        """Return the measure as a JSON object."""
+        return {"name": self.name, "value": self.value, "meaning": self.meaning}
+
+
+class Advice:
+    """Something degraded, or something to do.
+
+    :param problem: one sentence.
+    :param action: what to do about it, one sentence.
+    :param page: where to do it, ``""`` when there is nothing to click.
+    """
+
+    __slots__ = ("problem", "action", "page")
+
+    def __init__(self, problem: str, action: str, page: str = "") -> None:
+        """Keep the parts."""
+        self.problem = problem
+        self.action = action
+        self.page = page
+
+    def dump(self) -> dict[str, str]:
+        """Return the advice as a JSON object."""
+        return {"problem": self.problem, "action": self.action, "page": self.page}
+
+
+NOTHING = "–"
+"""Shown for a measure that nothing was counted for."""
+
+
+def measure_fleet(fleet: fleets.Fleet) -> list[Measure]:
+    """Return the three measures over all VMs since they started."""
+    return [
+        _measure_replica_reads(fleet),
+        _measure_failover(fleet),
+        _measure_worst_team(fleet),
+        _measure_wrongful_refusals(fleet),
+    ]
+
+
+def _measure_replica_reads(fleet: fleets.Fleet) -> Measure:
+    replica = fleet.sum_counter(READS_ON_REPLICAS)
+    total = replica + fleet.sum_counter(READS_ON_PRIMARIES)
+    value = _format_share(replica, total)
+    return Measure("Reads served by replicas", value, f"Of {total} reads.")
+
+
+def _measure_failover(fleet: fleets.Fleet) -> Measure:
+    gap = fleet.read_percentile(FAILOVER_GAP, 100)
+    value = NOTHING if gap is None else f"{gap * 1000:.0f} ms"
+    return Measure(
+        "Longest failover gap", value, "Without accepted writes in a group."
+    )
+
+
+def _measure_worst_team(fleet: fleets.Fleet) -> Measure:
+    worst, share = find_worst_team(fleet)
+    value = NOTHING if not worst else f"{share:.1%}"
+    meaning = f"Of the requests of {worst} were served." if worst else "No requests."
+    return Measure("Worst-served team", value, meaning)
+
+
+def _measure_wrongful_refusals(fleet: fleets.Fleet) -> Measure:
+    wrongful = fleet.sum_counter(REFUSED_IN_RATE)
+    return Measure(
+        "Refused inside the rate",
+        str(wrongful),
+        "Requests that their team's rate allowed.",
+    )
+
+
+def find_worst_team(fleet: fleets.Fleet) -> tuple[str, float]:
+    """Return the team whose share of served requests is smallest, and that share."""
+    worst, smallest = "", 2.0
+    for team in fleet.list_labels(SERVED, "team"):
+        served = fleet.sum_counter(SERVED, team=team)
+        refused = fleet.sum_counter(REFUSED, team=team)
+        if served + refused and served / (served + refused) < smallest:
+            worst, smallest = team, served / (served + refused)
+    return worst, smallest
+
+
+def _format_share(part: int, total: int) -> str:
+    return f"{part / total:.1%}" if total else NOTHING
+
+
+class Scene:
+    """All that advice is drawn from.
+
+    :param principal: who reads it.
+    """
+
+    __slots__ = ("config", "fleet", "principal")
+
+    def __init__(
+        self,
+        config: document.Document,
+        fleet: fleets.Fleet,
+        principal: operators.Principal,
+    ) -> None:
+        """Keep the parts."""
+        self.config = config
+        self.fleet = fleet
+        self.principal = principal
+
+
+_Advise = typing.Callable[[Scene], typing.Iterator[Advice]]
+_ADVISERS: list[_Advise] = []
+
+
+def _adviser(function: _Advise) -> _Advise:
+    _ADVISERS.append(function)
+    return function
+
+
+def find_advice(scene: Scene) -> list[Advice]:
+    """Return what is degraded and what to do, the most urgent first."""
+    return [advice for advise in _ADVISERS for advice in advise(scene)]
+
+
+@_adviser
+def _advise_groups(scene: Scene) -> typing.Iterator[Advice]:
+    for name in scene.config.groups:
+        state = scene.fleet.groups.get(name, {})
+        if name in scene.fleet.handovers:
+            yield Advice(
+                f"A hand-over of group {name} is under way.",
+                "Wait; writes are held back for less than a second.",
+                f"/groups/{name}",
+            )
+        elif not state.get("primary"):
+            yield Advice(
+                f"Group {name} has no primary: reads go on, writes are refused.",
+                "Bring an endpoint of the group up; it is promoted by itself.",
+                f"/groups/{name}",
+            )
+        elif state.get("phase") == "sealed":
+            yield Advice(
+                f"Group {name} is changing its primary.",
+                "Wait up to 5 seconds, then load this page again.",
+                f"/groups/{name}",
+            )
+
+
+@_adviser
+def _advise_vms(scene: Scene) -> typing.Iterator[Advice]:
+    vms = scene.fleet.vms.values()
+    if not scene.fleet.vms:
+        yield Advice(
+            "No proxy has reported yet.", "Start the proxies, or wait a few seconds."
+        )
+    silent = sorted(vm.name for vm in vms if vm.state == "silent")
+    if silent:
+        yield Advice(
+            f"No status comes from {', '.join(silent)}.",
+            "If that lasts a minute, replace the VM; nothing is kept on it.",
+        )
+    version = scene.config.version
+    behind = sorted(
+        vm.name for vm in vms if vm.state != "silent" and vm.version < version
+    )
+    if behind:
+        yield Advice(
+            f"Version {version} is not in force yet on {', '.join(behind)}.",
+            "Wait 8 seconds; a VM that stays behind refuses work by itself.",
+        )
+    leaving = sorted(vm.name for vm in vms if vm.state == "draining")
+    if leaving:
+        yield Advice(f"Stopping: {', '.join(leaving)}.", "Nothing to do.")
+
+
+@_adviser
+def _advise_teams(scene: Scene) -> typing.Iterator[Advice]:
+    wrongful = scene.fleet.sum_counter(REFUSED_IN_RATE)
+    if wrongful:
+        yield Advice(
+            f"{wrongful} requests were refused inside their team's rate.",
+            "Look at the groups' load; add endpoints if their queues are full.",
+            "/groups",
+        )
+    worst, share = find_worst_team(scene.fleet)
+    if worst and share < 0.99:
+        yield Advice(
+            f"Team {worst} had {1 - share:.1%} of its requests refused.",
+            "If it needs more than its rate, raise the rate.",
+            f"/teams/{worst}",
+        )
+
+
+@_adviser
+def _advise_bootstrap(scene: Scene) -> typing.Iterator[Advice]:
+    if scene.principal.name == operators.BOOTSTRAP:
+        yield Advice(
+            "You are signed in with the bootstrap key.",
+            "Add an operator of your own, then take bootstrap_key out of the settings.",
+            "/edits/operator.create",
+        )
+
+
+_SECTION_PAGES = {
+    "teams": "/teams",
+    "groups": "/groups",
+    "routes": "/routes",
+    "operators": "/operators",
+}
+
+
+@_adviser
+def _advise_document(scene: Scene) -> typing.Iterator[Advice]:
+    for warning in validation.find_warnings(scene.config):
+        section, _, rest = warning.path.partition(".")
+        name = rest.split(".")[0]
+        page = _SECTION_PAGES.get(section, "/document")
+        if section in ("teams", "groups") and name:
+            page = f"{page}/{name}"
+        yield Advice(f"{warning.path} {warning.problem}.", warning.remedy, page)
--- /dev/null
+++ b/src/sardinehold/console/work.py
@@ -0,0 +1,118 @@
+"""What forms and API calls do alike: propose, accept, read the history."""
+
+from sardinehold import document
+from sardinehold import errors
+from sardinehold.console import audit
+from sardinehold.console import context
+from sardinehold.console import document_edits
+from sardinehold.console import edits
+from sardinehold.console import restriction
+from sardinehold.console import route_edits
+from sardinehold.console import store
+from sardinehold.console import team_edits
+
+# Importing these modules fills the registry of edits.
+EDIT_MODULES = (team_edits, route_edits, document_edits)
+
+
+class Result:
+    """A proposal, and the key that it made.
+
+    :param secret: key text to show once after the change, ``""`` for none.
+    """
+
+    __slots__ = ("proposal", "secret")
+
+    def __init__(self, proposal: store.Proposal, secret: str) -> None:
+        """Keep the parts."""
+        self.proposal = proposal
+        self.secret = secret
+
+
+async def propose_edit(
+    visit: context.Visit, edit: edits.Edit, base: int, fields: dict, reason: str
+) -> Result:
+    """Check an edit on version ``base`` without making it.
+
+    :raises sardinehold.errors.SardineholdError: why it cannot be made.
+    """
+    fields = await _load_content(visit, edit, fields)
+    drafts: list[edits.Draft] = []
+
+    def apply(value: dict) -> None:
+        draft = edits.Draft(value)
+        edit.apply(draft, fields)
+        drafts.append(draft)
+
+    try:
+        proposal = await visit.console.store.propose(
+            visit.principal, base, reason.strip(), apply
+        )
+    except store.Conflict as conflict:
+        conflict.made = restriction.restrict_changes(conflict.made, visit.principal)
+        raise
+    proposal.warnings = [
+        fault for fault in proposal.warnings if visit.principal.may_see(fault.path)
+    ]
+    return Result(proposal, drafts[0].secret)
+
+
+async def _load_content(
+    visit: context.Visit, edit: edits.Edit, fields: dict
+) -> dict:
+    if edit.name != "document.restore":
+        return fields
+    text = str(fields["version"])
+    version = int(text) if text.isdecimal() else 0
+    earlier = await audit.read_version(visit.console.store.client, version)
+    if earlier is None:
+        raise _build_missing(text)
+    return {**fields, "content": document.dump_document(earlier)}
+
+
+def _build_missing(version: int | str) -> errors.ObjectMissing:
+    return errors.ObjectMissing(
+        f"The history holds no version {version}.", "Choose one that it lists."
+    )
+
+
+async def accept_edit(visit: context.Visit, edit: edits.Edit, result: Result) -> None:
+    """Make a proposed change and record it in the time line."""
+    try:
+        await visit.console.store.accept(result.proposal)
+    except store.Conflict as conflict:
+        conflict.made = restriction.restrict_changes(conflict.made, visit.principal)
+        raise
+    visit.console.recorder.record(
+        "document_accepted",
+        document_version=result.proposal.config.version,
+        operator=visit.principal.name,
+        edit=edit.name,
+    )
+
+
+async def read_entry(visit: context.Visit, version: int) -> audit.Entry:
+    """Return a version of the history as far as the operator sees it.
+
+    :raises sardinehold.errors.ObjectMissing: it is not kept.
+    """
+    entry = await audit.read_entry(visit.console.store.client, version)
+    kept = restriction.restrict_entries([entry] if entry else [], visit.principal)
+    if not kept:
+        raise _build_missing(version)
+    return kept[0]
+
+
+async def request_handover(
+    visit: context.Visit, group: str, target: str, reason: str
+) -> None:
+    """Ask for a planned hand-over and record it in the time line."""
+    await visit.console.store.request_handover(
+        visit.principal, group, target, reason.strip()
+    )
+    visit.console.recorder.record(
+        "handover_requested",
+        group=group,
+        target=target,
+        operator=visit.principal.name,
+    )
--- a/src/sardinehold/document.py
+++ b/src/sardinehold/document.py
@@ -26,18 +26,25 @@
     :param salt: hexadecimal salt of the digest.
     :param digest: hexadecimal digest, see :mod:`sardinehold.keys`.
     :param withdrawn: whether it must not work any more.
+    :param changed_in: document version that made or withdrew it, 0 if unknown.
     """
 
-    __slots__ = ("prefix", "salt", "digest", "withdrawn")
+    __slots__ = ("prefix", "salt", "digest", "withdrawn", "changed_in")
 
     def __init__(
-        self, prefix: str, salt: str, digest: str, withdrawn: bool = False
+        self,
+        prefix: str,
+        salt: str,
+        digest: str,
+        withdrawn: bool = False,
+        changed_in: int = 0,
     ) -> None:
         """Keep the parts of the key."""
         self.prefix = prefix
         self.salt = salt
         self.digest = digest
         self.withdrawn = withdrawn
+        self.changed_in = changed_in
 
 
 class Team:
@@ -211,6 +218,7 @@
     :param operators: who may administer, by name.
     :param change_id: identity of the change that made this version, by which
         its writer recognises it when the platform's answer was lost.
+    :param written_at: when it was made, ISO 8601 in UTC.
     """
 
     __slots__ = (
@@ -222,6 +230,7 @@
         "routes",
         "operators",
         "change_id",
+        "written_at",
     )
 
     def __init__(
@@ -234,6 +243,7 @@
         routes: dict[str, Route],
         operators: dict[str, Operator] | None = None,
         change_id: str = "",
+        written_at: str = "",
     ) -> None:
         """Keep the parts of the document."""
         self.version = version
@@ -244,6 +254,7 @@
         self.routes = routes
         self.operators = operators or {}
         self.change_id = change_id
+        self.written_at = written_at
 
 
 def parse_document(value: dict, strict: bool = True) -> Document:
@@ -278,6 +289,7 @@
         routes=_parse_each(_parse_route, value["routes"]),
         operators=_parse_each(_parse_operator, value.get("operators", {})),
         change_id=value.get("change_id", ""),
+        written_at=value.get("written_at", ""),
     )
 
 
--- a/src/sardinehold/keys.py
+++ b/src/sardinehold/keys.py
@@ -47,7 +47,7 @@
 
 def digest_key(text: str, salt: str) -> str:
     """Return the hexadecimal digest of a key."""
-    return hashlib.sha256(f"{salt}:{text}".encode()).hexdigest()
+    return hashlib.sha256(f"{salt}:{text}".encode(errors="surrogatepass")).hexdigest()
 
 
 def find_prefix(text: str) -> str:
@@ -61,3 +61,10 @@
 def verify_key(record: document.Key, text: str) -> bool:
     """Return whether ``text`` is the key of ``record``, in constant time."""
     return hmac.compare_digest(digest_key(text, record.salt), record.digest)
+
+
+def is_same(first: str, second: str) -> bool:
+    """Return whether two key texts are equal, in constant time."""
+    return hmac.compare_digest(
+        first.encode(errors="surrogatepass"), second.encode(errors="surrogatepass")
+    )
--- /dev/null
+++ b/src/sardinehold/operators.py
@@ -0,0 +1,152 @@
+"""Who asks: operators, their roles, and what they may see and change."""
+
+import pathlib
+
+from sardinehold import changes
+from sardinehold import document
+from sardinehold import errors
+from sardinehold import keys
+
+BOOTSTRAP = "bootstrap"
+"""Name in the audit of whoever signs in with the key of the console's settings."""
+
+_NO_RECORD = document.Key("", "0" * 16, "0" * 64)
+"""Verified in place of an unknown key, so that both take the same time."""
+
+
+class Forbidden(errors.SardineholdError):
+    """The operator's role or team does not allow this."""
+
+    code = "SH402"
+
+
+class Principal:
+    """An operator who has signed in.
+
+    :param name: name in the audit.
+    :param role: whether they may change anything.
+    :param team: the one team that they see and change, ``""`` for all.
+    """
+
+    __slots__ = ("name", "role", "team")
+
+    def __init__(self, name: str, role: document.Role, team: str = "") -> None:
+        """Keep the parts of the principal."""
+        self.name = name
+        self.role = role
+        self.team = team
+
+    @property
+    def may_change(self) -> bool:
+        """Whether they may change what they see."""
+        return self.role is document.Role.OPERATE
+
+    @property
+    def sees_all(self) -> bool:
+        """Whether they see every team, group and operator."""
+        return not self.team
+
+    def may_see(self, path: str) -> bool:
+        """Return whether they may see the value at a path of the document."""
+        return self.sees_all or _is_inside(path, f"teams.{self.team}")
+
+    def may_edit(self, path: str) -> bool:
+        """Return whether they may change the value at a path of the document.
+
+        A team's own operator changes its keys. Rate, burst and weight divide
+        what all teams share, so that only a platform operator changes them.
+        """
+        if not self.may_change:
+            return False
+        return self.sees_all or _is_inside(path, f"teams.{self.team}.keys")
+
+
+def _is_inside(path: str, root: str) -> bool:
+    return path == root or path.startswith(root + ".")
+
+
+def require_platform_operator(principal: Principal) -> None:
+    """Raise :class:`Forbidden` unless they may change the whole platform."""
+    if not (principal.may_change and principal.sees_all):
+        raise Forbidden(
+            f"{principal.name} may not change the platform.",
+            "Ask an operator with role operate for all teams.",
+        )
+
+
+def require_permission(principal: Principal, made: list[changes.Change]) -> None:
+    """Raise :class:`Forbidden` if any of the changes is not theirs to make."""
+    if not principal.may_change:
+        raise Forbidden(
+            f"{principal.name} has role view and may not change anything.",
+            "Ask an operator with role operate.",
+        )
+    foreign = [change.path for change in made if not principal.may_edit(change.path)]
+    if foreign:
+        shown = [path for path in foreign if principal.may_see(path)]
+        what = ", ".join(shown[:5]) or "what belongs to others"
+        raise Forbidden(
+            f"{principal.name} may not change {what}.",
+            "Ask an operator with role operate for all teams.",
+        )
+
+
+def authenticate(
+    config: document.Document | None, bootstrap: str, text: str
+) -> Principal | None:
+    """Return who holds the key ``text``, None if nobody does.
+
+    :param bootstrap: the key of the console's settings, ``""`` for none.
+    """
+    if bootstrap and keys.is_same(bootstrap, text):
+        return Principal(BOOTSTRAP, document.Role.OPERATE)
+    prefix = keys.find_prefix(text)
+    owner = None
+    if config is not None:
+        owner = next(
+            (o for o in config.operators.values() if o.key.prefix == prefix), None
+        )
+    record = owner.key if owner is not None else _NO_RECORD
+    if not keys.verify_key(record, text) or owner is None or record.withdrawn:
+        return None
+    return Principal(owner.name, owner.role, owner.team)
+
+
+def find_principal(
+    config: document.Document | None, bootstrap: str, name: str, prefix: str
+) -> Principal | None:
+    """Return who signed in before, None if that key is not in force any more."""
+    if name == BOOTSTRAP and bootstrap and keys.find_prefix(bootstrap) == prefix:
+        return Principal(BOOTSTRAP, document.Role.OPERATE)
+    operator = config.operators.get(name) if config is not None else None
+    if operator is None or operator.key.prefix != prefix or operator.key.withdrawn:
+        return None
+    return Principal(name, operator.role, operator.team)
+
+
+def read_bootstrap(path: str) -> str:
+    """Return the key text of the file, ``""`` for no file.
+
+    :raises sardinehold.errors.SettingsError: it holds no key.
+    """
+    if not path:
+        return ""
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8").strip()
+    except (OSError, UnicodeDecodeError):
+        text = ""
+    if not keys.find_prefix(text):
+        raise errors.SettingsError(
+            f"The file {path} of [console] bootstrap_key holds no key.",
+            "Write the first line of `sardinehold keys new` into it.",
+        )
+    return text
+
+
+def require_platform_sight(principal: Principal) -> None:
+    """Raise :class:`Forbidden` unless they see the whole platform."""
+    if not principal.sees_all:
+        raise Forbidden(
+            f"{principal.name} sees team {principal.team} only.",
+            "Ask an operator for all teams.",
+        )
--- a/src/sardinehold/schema.py
+++ b/src/sardinehold/schema.py
@@ -58,6 +58,8 @@
     (document.Document, "author"): _TEXT,
     (document.Document, "reason"): _TEXT,
     (document.Document, "change_id"): {"maxLength": 64},
+    (document.Document, "written_at"): {"maxLength": 32},
+    (document.Key, "changed_in"): {"minimum": 0},
 }
 """Bounds by class and field; what is not named here has none."""
 
--- a/src/sardinehold/validation.py
+++ b/src/sardinehold/validation.py
@@ -8,6 +8,7 @@
 import jsonschema
 from jsonschema import validators
 
+from sardinehold import changes
 from sardinehold import document
 from sardinehold import errors
 from sardinehold import faults
@@ -280,16 +281,7 @@
 @_register(_CHECKS)
 def _check_key_prefixes(config: document.Document) -> typing.Iterator[faults.Fault]:
     owners: dict[str, str] = {}
-    paths = [
-        (f"teams.{name}.keys.{index}", key)
-        for name, team in config.teams.items()
-        for index, key in enumerate(team.keys)
-    ]
-    paths.extend(
-        (f"operators.{name}.key", operator.key)
-        for name, operator in config.operators.items()
-    )
-    for path, key in paths:
+    for path, key in changes.list_keys(config):
         owner = owners.setdefault(key.prefix, path)
         if owner != path:
             yield faults.Fault(
