--- /dev/null
+++ b/src/sardinehold/callers.py
@@ -0,0 +1,527 @@
+"""Callers: their start-up, their messages, and what they are answered."""
+
+import asyncio
+import secrets
+import ssl
+import typing
+
+from sardinehold import errors
+from sardinehold import prepared
+from sardinehold import requests
+from sardinehold import sequences
+from sardinehold import startup
+from sardinehold import wire
+from sardinehold.core import actions
+from sardinehold.core import events
+from sardinehold.core import statements
+
+if typing.TYPE_CHECKING:
+    from sardinehold import datapath
+
+MAX_REQUEST = 64 * 1024 * 1024
+"""Bytes of the messages of one request."""
+
+MAX_WAITING = 256 * 1024
+"""Bytes that are read behind a request that is not answered yet."""
+
+LINGER_SECONDS = 5.0
+"""Seconds that a closed caller may take to read what it was sent."""
+
+_SECRET_BITS = 31
+_IGNORED = frozenset(b"dcf")
+_TLS_ACCEPTED = b"S"
+_REFUSED = b"N"
+_LOCAL_SETTINGS = {"application_name"}
+_ENCODINGS = {"utf8", "utf-8", "unicode"}
+
+
+class Caller(asyncio.BufferedProtocol):
+    """One connection of a caller, and the session on it.
+
+    :param path: what carries its requests.
+    :param tls: the context to offer, None for no TLS.
+    """
+
+    __slots__ = (
+        "path",
+        "tls",
+        "transport",
+        "session_id",
+        "secret",
+        "stage",
+        "backlog",
+        "route",
+        "status",
+        "request",
+        "statements",
+        "sequence",
+        "skipping",
+        "processing",
+        "paused",
+        "closed",
+        "secured",
+        "held_back",
+        "settings",
+        "token",
+    )
+
+    def __init__(self, path: "datapath.DataPath", tls: ssl.SSLContext | None) -> None:
+        """Start before the first packet."""
+        self.path = path
+        self.tls = tls
+        self.transport: asyncio.Transport | None = None
+        self.session_id = path.number_session(self)
+        self.secret = 0
+        self.stage: typing.Callable[[wire.Buffer, int], int] = self._read_packet
+        self.backlog: bytearray | None = None
+        self.route: startup.Startup | None = None
+        self.status = "I"
+        self.request: requests.Request | None = None
+        self.statements: prepared.SessionStatements | None = None
+        self.sequence: sequences.Sequence | None = None
+        self.skipping = False
+        self.processing = False
+        self.paused = False
+        self.closed = False
+        self.secured = False
+        self.held_back = False
+        self.settings: list[tuple[str, str]] = []
+        self.token = ""
+
+    # Bytes in
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keep the transport, if there is room for the caller."""
+        self.transport = transport
+        if not self.path.admit(self):
+            self.fail_session(
+                errors.QueueFull(
+                    "The proxy has no room for another caller.",
+                    "Connect again in a moment.",
+                )
+            )
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer of the process; it is empty between two calls."""
+        return self.path.buffer
+
+    def buffer_updated(self, size: int) -> None:
+        """Take up what the caller sent."""
+        if self.closed:
+            return
+        if self.backlog is None and not self.processing:
+            data: wire.Buffer = self.path.buffer[:size]
+            read = self._process(data, size)
+            if read < size and not self.closed:
+                self.backlog = bytearray(data[read:])
+        else:
+            self._append(self.path.buffer[:size])
+            self._resume()
+        self._limit()
+
+    def _append(self, data: memoryview) -> None:
+        if self.backlog is None:
+            self.backlog = bytearray()
+        self.backlog += data
+
+    def _resume(self) -> None:
+        """Go on with what arrived while a request was under way."""
+        if self.backlog is None or self.processing or self.closed:
+            return
+        data = bytes(self.backlog)
+        read = self._process(data, len(data))
+        if self.closed or read == len(data):
+            self.backlog = None
+        elif read:
+            del self.backlog[:read]
+
+    def _process(self, data: wire.Buffer, size: int) -> int:
+        """Read messages as far as possible; return how many bytes."""
+        self.processing = True
+        read = 0
+        try:
+            while read < size and not self.closed:
+                step = self.stage(data[read:size] if read else data, size - read)
+                if not step:
+                    break
+                read += step
+        except errors.RequestError as error:
+            self.fail_session(error)
+        finally:
+            self.processing = False
+        return read
+
+    def _limit(self) -> None:
+        """Read no more than is bounded while a request is under way."""
+        waiting = len(self.backlog) if self.backlog is not None else 0
+        if self.closed:
+            return
+        if self.request is not None and waiting > MAX_WAITING:
+            self.held_back = True
+            self.transport.pause_reading()
+        elif self.held_back:
+            self.held_back = False
+            self.transport.resume_reading()
+
+    # Start-up
+
+    def _read_packet(self, data: wire.Buffer, size: int) -> int:
+        stop = startup.find_packet_end(data, size)
+        if not stop:
+            return 0
+        packet = startup.parse_packet(bytes(data[:stop]))
+        if isinstance(packet, startup.Startup):
+            self._start(packet)
+        elif isinstance(packet, startup.CancelRequest):
+            self.path.cancel(packet)
+            self.close()
+        elif isinstance(packet, startup.TlsRequest) and self.tls and not self.secured:
+            self._accept_tls(size - stop)
+        else:
+            self.transport.write(_REFUSED)
+        return stop
+
+    def _accept_tls(self, surplus: int) -> None:
+        """Start TLS; bytes behind the request were sent in clear."""
+        if surplus:
+            raise errors.ProtocolViolation(
+                "Data followed the TLS request in clear.", "Use a PostgreSQL driver."
+            )
+        self.secured = True
+        self.stage = self._wait
+        self.transport.pause_reading()
+        self.transport.write(_TLS_ACCEPTED)
+        self.path.spawn(self._secure)
+
+    async def _secure(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            transport = await loop.start_tls(
+                self.transport, self, self.tls, server_side=True
+            )
+        except (OSError, ssl.SSLError):
+            self.close()
+            return
+        if transport is None or self.closed:
+            self.close()
+            return
+        self.transport = transport
+        self.stage = self._read_packet
+        self._resume()
+
+    def _start(self, packet: startup.Startup) -> None:
+        if self.tls and not self.secured:
+            raise errors.AuthenticationError(
+                "The proxy takes keys over TLS only.", "Connect with sslmode=require."
+            )
+        self._keep_settings(packet.settings)
+        self.route = packet
+        if self.path.is_open(packet.route):
+            self._sign_in("")
+            return
+        self.stage = self._read_password
+        self.transport.write(wire.build_authentication(wire.CLEARTEXT_PASSWORD))
+
+    def _keep_settings(self, settings: dict[str, str]) -> None:
+        """Keep the settings that must be set before the caller goes on."""
+        encoding = settings.pop("client_encoding", "utf8")
+        if encoding.strip("'\" ").lower() not in _ENCODINGS:
+            raise errors.Unsupported(
+                f"The client encoding {encoding[:20]} is not supported.",
+                "Set client_encoding to UTF8.",
+            )
+        for name, value in settings.items():
+            if name.startswith("_pq_.") or name in _LOCAL_SETTINGS:
+                continue
+            if self.path.parameters.get(name) != value:
+                self.settings.append((name, value))
+
+    def _read_password(self, data: wire.Buffer, size: int) -> int:
+        if data[0] != ord("p"):
+            raise errors.ProtocolViolation(
+                "A password was expected.", "Use a PostgreSQL driver."
+            )
+        stop = wire.find_end(data, 0, size, wire.MAX_STARTUP)
+        if stop:
+            key, _ = wire.read_string(data, wire.HEADER, stop)
+            self._sign_in(key)
+        return stop
+
+    def _sign_in(self, key: str) -> None:
+        self.stage = self._wait
+        packet = self.route
+        self.path.deliver(
+            events.SessionOpened(
+                self.session_id,
+                packet.route,
+                key,
+                packet.token,
+                packet.max_age,
+                self._find_source(),
+            )
+        )
+
+    def _find_source(self) -> str:
+        peer = self.transport.get_extra_info("peername")
+        return peer[0] if peer else ""
+
+    def accept(self, action: actions.SessionAccepted) -> None:
+        """Let the caller in, after the settings that it asked for."""
+        if self.closed:
+            return
+        self.route = None
+        self.token = action.token
+        self.statements = prepared.SessionStatements()
+        self._set_next()
+
+    def _set_next(self) -> None:
+        """Run the next setting of the start-up message, or welcome the caller."""
+        if not self.settings:
+            self._welcome()
+            return
+        name, value = self.settings.pop()
+        quoted = value.replace("'", "''")
+        identifier = name.replace('"', '""')
+        if "." not in name:
+            identifier = f'"{identifier}"'
+        sql = f"SET {identifier} = '{quoted}'"
+        content = sequences.SimpleQuery(wire.build_query(sql))
+        self.path.begin(self, content, hidden=True)
+
+    def _welcome(self) -> None:
+        self.settings = ()
+        self.secret = secrets.randbits(_SECRET_BITS)
+        parts = [wire.build_authentication(wire.AUTHENTICATION_OK)]
+        for name, value in self.path.parameters.items():
+            parts.append(wire.build_parameter(name, value))
+        if self.token:
+            parts.append(wire.build_parameter(startup.TOKEN_SETTING, self.token))
+            self.token = ""
+        parts.append(wire.build_key_data(self.session_id, self.secret))
+        parts.append(wire.build_ready(self.status))
+        self.transport.write(b"".join(parts))
+        self.path.note_started(self)
+        self.stage = self._read_messages
+        self._resume()
+
+    def _wait(self, data: wire.Buffer, size: int) -> int:
+        """Read nothing until a decision has been made."""
+        return 0
+
+    # Messages
+
+    def _read_messages(self, data: wire.Buffer, size: int) -> int:
+        start = 0
+        while start < size and self.request is None and not self.closed:
+            stop = wire.find_end(data, start, size)
+            if not stop:
+                break
+            self._read_message(data[start], data, start, stop)
+            start = stop
+        return start
+
+    def _read_message(
+        self, kind: int, data: wire.Buffer, start: int, stop: int
+    ) -> None:
+        if kind == 88:  # Terminate
+            self.close()
+        elif self.skipping:
+            self._skip(kind)
+        elif kind == 81:  # Query
+            self._read_query(bytes(data[start:stop]))
+        elif kind in b"PBDEC":
+            self._read_part(kind, bytes(data[start:stop]))
+        elif kind == 83:  # Sync
+            self._read_sync()
+        elif kind == 72:  # Flush
+            self._read_flush()
+        elif kind == 70:  # FunctionCall
+            self.refuse(
+                errors.Unsupported(
+                    "The function call message is not supported.",
+                    "Call the function with SELECT.",
+                )
+            )
+        elif kind not in _IGNORED:
+            raise errors.ProtocolViolation(
+                f"A message of kind {chr(kind)!r} is not known.",
+                "Use a PostgreSQL driver.",
+            )
+
+    def _skip(self, kind: int) -> None:
+        """Drop the rest of a sequence that failed, up to its Sync."""
+        if kind == 83:
+            self.skipping = False
+            self.transport.write(wire.build_ready(self.status))
+
+    def _read_query(self, raw: bytes) -> None:
+        content = sequences.SimpleQuery(raw)
+        if content.traits.kind is statements.Kind.DEALLOCATE:
+            if self._deallocate(content.traits.setting):
+                return
+        elif content.traits.kind is statements.Kind.DISCARD:
+            self.statements.clear()
+        self.path.begin(self, content)
+
+    def _deallocate(self, name: str) -> bool:
+        """Answer a DEALLOCATE of a statement that the proxy keeps."""
+        if name == "all":
+            self.statements.clear()
+        elif not self.statements.drop(name.encode()):
+            return False
+        tag = "DEALLOCATE ALL" if name == "all" else "DEALLOCATE"
+        self.transport.write(wire.build_complete(tag) + wire.build_ready(self.status))
+        return True
+
+    def _read_part(self, kind: int, raw: bytes) -> None:
+        if self.sequence is None:
+            self.sequence = sequences.Sequence(self.statements)
+        try:
+            self.sequence.add(kind, raw)
+        except (errors.UnknownStatement, errors.Unsupported) as error:
+            self._abandon(error)
+            return
+        if self.sequence.size > MAX_REQUEST:
+            raise errors.ProtocolViolation(
+                f"A request is larger than {MAX_REQUEST} bytes.", "Send Sync earlier."
+            )
+
+    def _abandon(self, error: errors.RequestError) -> None:
+        """Refuse a sequence of which nothing was sent."""
+        self.sequence.undo(0)
+        self.sequence = None
+        self.skipping = True
+        self.transport.write(wire.build_error(error))
+
+    def _take_sequence(self) -> sequences.Sequence:
+        sequence, self.sequence = self.sequence, None
+        return sequence or sequences.Sequence(self.statements)
+
+    def _read_sync(self) -> None:
+        sequence = self._take_sequence()
+        if sequence.is_local:
+            answer = sequence.describe_locally()
+            self.transport.write(answer + wire.build_ready(self.status))
+            return
+        self.path.begin(self, sequence)
+
+    def _read_flush(self) -> None:
+        """Run what came so far where a Sync in its place changes nothing.
+
+        That is so for messages that run nothing, for reads, and inside a
+        transaction block.
+        """
+        sequence = self.sequence
+        if sequence is None:
+            return
+        traits = sequence.traits
+        splits = traits.kind is statements.Kind.READ or traits.begins
+        if self.status == "I" and not splits:
+            self._abandon(
+                errors.Unsupported(
+                    "Flush behind a write outside of a transaction is not supported.",
+                    "Send Sync before the answer is read, or BEGIN first.",
+                )
+            )
+            return
+        self.sequence = None
+        if sequence.is_local:
+            self.transport.write(sequence.describe_locally())
+            return
+        self.path.begin(self, sequence, hides_ready=True)
+
+    # Answers
+
+    def send(self, data: bytes) -> None:
+        """Pass bytes on to the caller."""
+        if not self.closed:
+            self.transport.write(data)
+
+    def finish(self, request: requests.Request, answer: bytes, status: str) -> None:
+        """Give the caller the end of its answer and go on."""
+        self.request = None
+        self.status = status
+        if self.closed:
+            return
+        if request.hidden:
+            self._set_next()
+            return
+        self.transport.write(answer)
+        self._go_on()
+
+    def _go_on(self) -> None:
+        if self.backlog is not None:
+            self._resume()
+            self._limit()
+
+    def fail(
+        self, request: requests.Request, error: errors.RequestError, fatal: bool
+    ) -> None:
+        """Give the caller an error in place of what was held."""
+        self.request = None
+        if self.closed:
+            return
+        if request.is_cut:
+            self.close(abort=True)
+            return
+        if fatal or request.hidden:
+            self.fail_session(error)
+            return
+        if request.hides_ready:
+            self.skipping = True
+            self.transport.write(wire.build_error(error))
+        else:
+            self.refuse(error)
+        self._go_on()
+
+    def refuse(self, error: errors.RequestError) -> None:
+        """Answer a request with an error."""
+        self.transport.write(wire.build_error(error) + wire.build_ready(self.status))
+
+    def fail_session(self, error: errors.RequestError) -> None:
+        """End the session with an error."""
+        if self.closed:
+            return
+        if self.request is not None and self.request.is_cut:
+            self.close(abort=True)
+            return
+        self.transport.write(wire.build_error(error, "FATAL"))
+        self.close()
+
+    # Flow and end
+
+    def pause_writing(self) -> None:
+        """Stop reading the answer that the caller takes too slowly."""
+        self.paused = True
+        self.path.pause(self, True)
+
+    def resume_writing(self) -> None:
+        """Go on reading the answer."""
+        self.paused = False
+        self.path.pause(self, False)
+
+    def close(self, abort: bool = False) -> None:
+        """Close the connection; what was written still goes out in time."""
+        if self.closed:
+            return
+        self._end()
+        if abort:
+            self.transport.abort()
+            return
+        self.transport.close()
+        if self.transport.get_write_buffer_size():
+            loop = asyncio.get_running_loop()
+            loop.call_later(LINGER_SECONDS, self.transport.abort)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Tell the data path that the caller is gone."""
+        if not self.closed:
+            self._end()
+
+    def _end(self) -> None:
+        self.closed = True
+        self.backlog = None
+        self.sequence = None
+        if self.paused:
+            self.resume_writing()
+        self.path.forget(self)
--- /dev/null
+++ b/src/sardinehold/certificates.py
@@ -0,0 +1,88 @@
+"""TLS contexts that follow their files without a restart.
+
+A renewed certificate is loaded into the context that is in use; connections
+made from then on get it, those already open keep theirs.
+"""
+
+import pathlib
+import ssl
+
+from sardinehold import errors
+from sardinehold import settings
+
+CHECK_SECONDS = 10.0
+"""Seconds between two looks at the files."""
+
+
+class Certificates:
+    """The TLS context of one side.
+
+    :param files: paths of certificate, key and authorities.
+    :param purpose: ``ssl.Purpose.CLIENT_AUTH`` where others connect to us.
+    :param context: None when the settings name no files.
+    :raises sardinehold.errors.SettingsError: a file cannot be used.
+    """
+
+    __slots__ = ("files", "context", "_seen")
+
+    def __init__(self, files: settings.Tls, purpose: ssl.Purpose) -> None:
+        """Load the files."""
+        self.files = files
+        self.context: ssl.SSLContext | None = None
+        self._seen: tuple[int, ...] = ()
+        if not files.certificate and not files.authority:
+            return
+        context = ssl.create_default_context(purpose)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        _load(context, files, purpose)
+        self.context = context
+        self._seen = self._read_times()
+
+    def reload(self) -> bool:
+        """Load the files again if they changed; return whether they did.
+
+        :raises sardinehold.errors.SettingsError: the new files cannot be
+            used; the old ones stay in use.
+        """
+        if self.context is None:
+            return False
+        times = self._read_times()
+        if times == self._seen:
+            return False
+        trial = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        _load(trial, self.files, ssl.Purpose.CLIENT_AUTH)
+        _load(self.context, self.files, None)
+        self._seen = times
+        return True
+
+    def _read_times(self) -> tuple[int, ...]:
+        paths = (self.files.certificate, self.files.key, self.files.authority)
+        try:
+            return tuple(pathlib.Path(p).stat().st_mtime_ns for p in paths if p)
+        except OSError as error:
+            raise _build_error(self.files, error) from error
+
+
+def _load(
+    context: ssl.SSLContext, files: settings.Tls, purpose: ssl.Purpose | None
+) -> None:
+    """Load the files; ``purpose`` None leaves the checks as they are."""
+    try:
+        if files.certificate:
+            context.load_cert_chain(files.certificate, files.key or None)
+        if files.authority:
+            context.load_verify_locations(files.authority)
+    except (OSError, ssl.SSLError) as error:
+        raise _build_error(files, error) from error
+    if purpose is ssl.Purpose.CLIENT_AUTH and files.authority:
+        context.verify_mode = ssl.CERT_REQUIRED
+
+
+def _build_error(files: settings.Tls, error: Exception) -> errors.SettingsError:
+    paths = ", ".join(
+        path for path in (files.certificate, files.key, files.authority) if path
+    )
+    return errors.SettingsError(
+        f"The certificate files {paths} cannot be used: {error}.",
+        "Check the paths in [tls], that this user may read them, and that they are PEM.",
+    )
--- /dev/null
+++ b/src/sardinehold/datapath.py
@@ -0,0 +1,573 @@
+"""Carries out what the engine decides, and tells it what happened.
+
+Everything runs in callbacks of one loop. Events that arise while the engine's
+actions are carried out wait until all of these are done.
+"""
+
+import asyncio
+import collections
+import secrets
+import ssl
+import typing
+
+from sardinehold import answers
+from sardinehold import callers
+from sardinehold import endpoints
+from sardinehold import errors
+from sardinehold import metrics
+from sardinehold import probes
+from sardinehold import requests
+from sardinehold import startups
+from sardinehold import timeline
+from sardinehold import wire
+from sardinehold.core import actions
+from sardinehold.core import events
+from sardinehold.core import view as views
+
+if typing.TYPE_CHECKING:
+    from sardinehold import startup
+
+DEFAULT_PARAMETERS = {
+    "server_version": "15.0",
+    "server_encoding": "UTF8",
+    "client_encoding": "UTF8",
+    "DateStyle": "ISO, MDY",
+    "IntervalStyle": "postgres",
+    "TimeZone": "UTC",
+    "integer_datetimes": "on",
+    "standard_conforming_strings": "on",
+    "is_superuser": "off",
+    "session_authorization": "sardinehold",
+    "in_hot_standby": "off",
+    "default_transaction_read_only": "off",
+}
+"""What callers are told at start-up, until an endpoint has told its own."""
+
+CANCEL_SECONDS = 5.0
+"""Seconds that the delivery of a cancel request may take."""
+
+CONTROL_ACTIONS = (
+    actions.RequestTokens,
+    actions.ReturnTokens,
+    actions.RequestConnections,
+    actions.ReportEndpoint,
+    actions.DrainFinished,
+)
+"""What the agent of the fleet carries out."""
+
+_SHARED_PARAMETERS = frozenset(("server_version", "server_encoding"))
+
+
+class Engine(typing.Protocol):
+    """What decides."""
+
+    def handle(self, now: float, event: events.Event) -> list[actions.Action]:
+        """Take an event and return what is to be done."""
+
+
+class Control(typing.Protocol):
+    """What carries out actions that concern the fleet."""
+
+    def handle(self, action: actions.Action) -> None:
+        """Carry out an action."""
+
+
+Performer = typing.Callable[["DataPath", typing.Any], None]
+_performers: dict[type[actions.Action], Performer] = {}
+
+
+def performs(kind: type[actions.Action]) -> typing.Callable[[Performer], Performer]:
+    """Register the method that carries out a kind of action."""
+
+    def register(method: Performer) -> Performer:
+        _performers[kind] = method
+        return method
+
+    return register
+
+
+class DataPath:
+    """Sessions, requests and endpoint connections of one process.
+
+    :param spawn: starts a task in the program's task group.
+    :param endpoint_tls: the context for endpoints, None for no TLS.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        engine: Engine,
+        control: Control,
+        spawn: typing.Callable[..., None],
+        registry: metrics.Registry,
+        recorder: timeline.Recorder | None = None,
+        endpoint_tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Start with no session and no connection."""
+        self.engine = engine
+        self.control = control
+        self.spawn = spawn
+        self.registry = registry
+        self.recorder = recorder
+        self.endpoint_tls = endpoint_tls
+        self.loop = asyncio.get_running_loop()
+        self.buffer = memoryview(bytearray(endpoints.RECEIVE_BYTES))
+        self.parameters = dict(DEFAULT_PARAMETERS)
+        self.view: views.View | None = None
+        self.addresses: dict[str, endpoints.Address] = {}
+        self.callers: dict[int, callers.Caller] = {}
+        self.requests: dict[int, requests.Request] = {}
+        self.connections: dict[int, endpoints.EndpointConnection | None] = {}
+        self._pinned: dict[int, requests.Owner] = {}
+        self.startups = startups.Startups(self.loop)
+        self.prober = probes.Prober(self)
+        self._last_session = 0
+        self._last_request = 0
+        self._waiting: collections.deque[events.Event] = collections.deque()
+        self._delivering = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._wake_at = 0.0
+
+    # Events and actions
+
+    def deliver(self, event: events.Event) -> None:
+        """Give the engine an event and carry out what it decides."""
+        self._waiting.append(event)
+        if self._delivering:
+            return
+        self._delivering = True
+        try:
+            while self._waiting:
+                self._handle(self._waiting.popleft())
+        finally:
+            self._delivering = False
+
+    def _handle(self, event: events.Event) -> None:
+        if type(event) is events.ViewChanged:
+            self._take_view(event.view)
+        for action in self.engine.handle(self.loop.time(), event):
+            _performers[type(action)](self, action)
+
+    def _take_view(self, view: views.View) -> None:
+        self.view = view
+        self.addresses = {
+            endpoint.name: endpoints.Address(
+                endpoint.host, endpoint.port, group.database, group.user
+            )
+            for group in view.document.groups.values()
+            for endpoint in group.endpoints
+        }
+        self.prober.keep_only(self.addresses)
+
+    @performs(actions.WakeAt)
+    def _wake(self, action: actions.WakeAt) -> None:
+        if self._timer is not None:
+            if self._wake_at <= action.time:
+                return
+            self._timer.cancel()
+        self._wake_at = action.time
+        self._timer = self.loop.call_at(action.time, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self.deliver(events.Tick())
+
+    def _hand_over(self, action: actions.Action) -> None:
+        self.control.handle(action)
+
+    # Callers
+
+    def number_session(self, caller: callers.Caller) -> int:
+        """Return the identifier of a new session."""
+        self._last_session += 1
+        return self._last_session
+
+    def admit(self, caller: callers.Caller) -> bool:
+        """Take a caller's connection; return whether there is room."""
+        self.registry.count("callers_connected")
+        if len(self.callers) >= startups.MAX_CALLERS:
+            self.registry.count("callers_without_room")
+            return False
+        self.callers[caller.session_id] = caller
+        self.startups.add(caller)
+        return True
+
+    def note_started(self, caller: callers.Caller) -> None:
+        """Note that a caller finished its start-up."""
+        self.startups.discard(caller)
+
+    def is_open(self, route: str) -> bool:
+        """Return whether a route serves callers without a key."""
+        if self.view is None:
+            return False
+        found = self.view.document.routes.get(route)
+        return found is not None and found.open
+
+    def forget(self, caller: callers.Caller) -> None:
+        """Note that a caller is gone."""
+        self.startups.discard(caller)
+        if self.callers.pop(caller.session_id, None) is not None:
+            self.deliver(events.SessionClosed(caller.session_id))
+
+    def begin(
+        self,
+        caller: callers.Caller,
+        content: typing.Any,
+        hides_ready: bool = False,
+        hidden: bool = False,
+    ) -> None:
+        """Take up a request."""
+        self._last_request += 1
+        request = requests.Request(
+            self._last_request,
+            caller,
+            content,
+            self.loop.time(),
+            hides_ready,
+            hidden,
+        )
+        caller.request = request
+        self.requests[request.request_id] = request
+        self.registry.count("requests")
+        self.deliver(
+            events.RequestArrived(
+                request.request_id,
+                caller.session_id,
+                content.traits,
+                content.size,
+                content.in_pipeline,
+            )
+        )
+
+    def cancel(self, packet: "startup.CancelRequest") -> None:
+        """Cancel what a session of this process runs; others are unknown here."""
+        caller = self.callers.get(packet.process)
+        if caller is None or caller.request is None or not caller.secret:
+            return
+        if secrets.compare_digest(
+            str(caller.secret).encode(), str(packet.secret).encode()
+        ):
+            self.deliver(events.RequestCancelled(caller.request.request_id))
+
+    def pause(self, caller: callers.Caller, paused: bool) -> None:
+        """Stop or go on reading the answer that goes to a caller."""
+        request = caller.request
+        if request is None or request.answer is None:
+            return
+        connection = self.connections.get(request.connection_id)
+        if connection is None or connection.closed:
+            return
+        if paused:
+            connection.transport.pause_reading()
+        else:
+            connection.transport.resume_reading()
+
+    @performs(actions.SessionAccepted)
+    def _accept_session(self, action: actions.SessionAccepted) -> None:
+        caller = self.callers.get(action.session_id)
+        if caller is not None:
+            self.registry.count("sessions_accepted")
+            caller.accept(action)
+
+    @performs(actions.SessionRefused)
+    def _refuse_session(self, action: actions.SessionRefused) -> None:
+        caller = self.callers.get(action.session_id)
+        if caller is None:
+            return
+        self.registry.count(f"refused_{action.error.code}")
+        if action.retry_at > self.loop.time():
+            self.loop.call_at(action.retry_at, caller.fail_session, action.error)
+        else:
+            caller.fail_session(action.error)
+
+    @performs(actions.CloseSession)
+    def _close_session(self, action: actions.CloseSession) -> None:
+        caller = self.callers.get(action.session_id)
+        if caller is not None:
+            self.registry.count(f"closed_{action.error.code}")
+            caller.fail_session(action.error)
+
+    # Requests
+
+    @performs(actions.Dispatch)
+    def _dispatch(self, action: actions.Dispatch) -> None:
+        request = self.requests.get(action.request_id)
+        connection = self.connections.get(action.connection_id)
+        if request is None:
+            return
+        if connection is None or connection.closed or connection.tainted:
+            self._report_unsent(action, connection)
+            return
+        request.connection_id = action.connection_id
+        if action.setup:
+            self._prepare_connection(request, connection, action)
+        else:
+            self._send(request, connection, action.want_position)
+
+    def _report_unsent(
+        self,
+        action: actions.Dispatch,
+        connection: endpoints.EndpointConnection | None,
+    ) -> None:
+        """Report that nothing left; a connection that was cancelled is closed.
+
+        A cancel request may still reach what runs next on such a connection.
+        """
+        self.deliver(events.DispatchFailed(action.request_id, action.connection_id))
+        if connection is not None and connection.tainted:
+            self._drop_connection(action.connection_id)
+
+    def _drop_connection(self, connection_id: int) -> None:
+        connection = self.connections.pop(connection_id, None)
+        if connection is not None:
+            connection.close()
+            self.deliver(events.ConnectionLost(connection_id))
+
+    def _prepare_connection(
+        self,
+        request: requests.Request,
+        connection: endpoints.EndpointConnection,
+        action: actions.Dispatch,
+    ) -> None:
+        """Run the set-up statements; the request leaves when all succeeded."""
+        failed = False
+        left = len(action.setup)
+
+        def finish(collector: answers.Collector) -> None:
+            nonlocal failed, left
+            failed = failed or collector.error is not None
+            left -= 1
+            if left:
+                return
+            if failed:
+                self.registry.count("setups_failed")
+                connection.tainted = True
+                self._report_unsent(action, connection)
+            elif self.requests.get(request.request_id) is request:
+                self._send(request, connection, action.want_position)
+
+        for sql in action.setup:
+            if "DISCARD ALL" in sql.upper() or "DEALLOCATE" in sql.upper():
+                connection.statements.clear()
+        payload = b"".join([wire.build_query(sql) for sql in action.setup])
+        connection.send(payload, *[answers.Collector(finish) for _ in action.setup])
+
+    def _send(
+        self,
+        request: requests.Request,
+        connection: endpoints.EndpointConnection,
+        want_position: bool,
+    ) -> None:
+        outgoing = request.content.compose(connection.statements)
+        answer = answers.Answer(
+            self._build_sender(request),
+            lambda _: want_position or self._note_answered(request, connection, None),
+            want_position or request.hidden,
+            outgoing.steps,
+            connection.statements,
+        )
+        request.answer = answer
+        if request.owner.paused:
+            connection.transport.pause_reading()
+        if not want_position:
+            connection.send(outgoing.payload, answer)
+            return
+        collector = answers.Collector(
+            lambda found: self._note_answered(request, connection, found)
+        )
+        connection.send(outgoing.payload + _STATUS_MESSAGE, answer, collector)
+
+    def _build_sender(
+        self, request: requests.Request
+    ) -> typing.Callable[[bytes], None]:
+        def send(data: bytes) -> None:
+            if request.hidden:
+                return
+            if not request.started:
+                request.started = True
+                self.deliver(events.AnswerStarted(request.request_id))
+            if request.request_id in self.requests:
+                request.owner.send(data)
+
+        return send
+
+    def _note_answered(
+        self,
+        request: requests.Request,
+        connection: endpoints.EndpointConnection,
+        collector: answers.Collector | None,
+    ) -> None:
+        """Tell the engine that all of an answer has come."""
+        answer = request.answer
+        owner = request.owner
+        owner.status = answer.status
+        if answer.status == "I":
+            self._pinned.pop(request.connection_id, None)
+        else:
+            self._pinned[request.connection_id] = owner
+        if owner.paused:
+            connection.transport.resume_reading()
+        status = None
+        if collector is not None and collector.error is None:
+            status = answers.parse_status(collector.rows)
+        self.deliver(
+            events.RequestAnswered(
+                request.request_id,
+                request.connection_id,
+                answer.status,
+                answer.sqlstate,
+                status.received if status else None,
+                status.confirmed if status else (),
+            )
+        )
+
+    def _finish(self, request_id: int) -> requests.Request | None:
+        request = self.requests.pop(request_id, None)
+        if request is not None:
+            passed = self.loop.time() - request.arrived
+            self.registry.observe("request_seconds", passed)
+        return request
+
+    @performs(actions.Acknowledge)
+    def _acknowledge(self, action: actions.Acknowledge) -> None:
+        request = self._finish(action.request_id)
+        if request is None:
+            return
+        answer = request.answer
+        held = answer.held
+        if answer.sqlstate:
+            request.content.undo(answer.confirmed)
+        if action.token:
+            token = wire.build_parameter("sardinehold.session", action.token)
+            held[-wire.READY_SIZE : -wire.READY_SIZE] = token
+        if request.hides_ready:
+            del held[-wire.READY_SIZE :]
+            request.owner.skipping = bool(answer.sqlstate)
+        if request.hidden and answer.sqlstate:
+            request.owner.fail(request, _build_setting_error(answer.sqlstate), True)
+            return
+        request.owner.finish(request, bytes(held), answer.status)
+
+    @performs(actions.Refuse)
+    def _refuse(self, action: actions.Refuse) -> None:
+        request = self._finish(action.request_id)
+        if request is None:
+            return
+        self.registry.count(f"refused_{action.error.code}")
+        request.content.undo(0)
+        request.owner.fail(request, action.error, action.fatal)
+
+    @performs(actions.AnswerLocally)
+    def _answer_locally(self, action: actions.AnswerLocally) -> None:
+        request = self._finish(action.request_id)
+        if request is None:
+            return
+        answer = request.content.answer_locally(
+            action.tag, action.column, action.value
+        )
+        owner = request.owner
+        if not request.hides_ready:
+            answer += wire.build_ready(owner.status)
+        owner.finish(request, answer, owner.status)
+
+    # Connections
+
+    @performs(actions.OpenConnection)
+    def _open_connection(self, action: actions.OpenConnection) -> None:
+        self.connections[action.connection_id] = None
+        self.spawn(self._connect, action)
+
+    async def _connect(self, action: actions.OpenConnection) -> None:
+        identifier = action.connection_id
+        address = self.addresses.get(action.endpoint)
+        try:
+            if address is None:
+                raise errors.EndpointUnavailable(
+                    f"The view has no endpoint {action.endpoint}.",
+                    "Wait for the next view.",
+                )
+            connection = await endpoints.connect(
+                address, action.deadline, self.endpoint_tls, self.buffer
+            )
+        except errors.EndpointUnavailable as error:
+            self.registry.count("connections_failed")
+            if self.connections.pop(identifier, self) is None:
+                full = isinstance(error, endpoints.EndpointFull)
+                self.deliver(events.ConnectionFailed(identifier, full))
+            return
+        self._take_connection(identifier, connection)
+
+    def _take_connection(
+        self, identifier: int, connection: endpoints.EndpointConnection
+    ) -> None:
+        if identifier not in self.connections:
+            connection.close()
+            return
+        self.registry.count("connections_opened")
+        self.connections[identifier] = connection
+        connection.lost = lambda: self._lose_connection(identifier)
+        for name in _SHARED_PARAMETERS & connection.parameters.keys():
+            self.parameters[name] = connection.parameters[name]
+        self.deliver(events.ConnectionOpened(identifier))
+
+    def _lose_connection(self, connection_id: int) -> None:
+        if self.connections.pop(connection_id, None) is None:
+            return
+        self.registry.count("connections_lost")
+        self._end_transactions(connection_id)
+        self.deliver(events.ConnectionLost(connection_id))
+
+    def _end_transactions(self, connection_id: int) -> None:
+        """Note that a transaction block ended with its connection."""
+        owner = self._pinned.pop(connection_id, None)
+        if owner is not None:
+            owner.status = "I"
+
+    @performs(actions.CloseConnection)
+    def _close_connection(self, action: actions.CloseConnection) -> None:
+        connection = self.connections.pop(action.connection_id, None)
+        if connection is not None:
+            connection.close()
+            self._end_transactions(action.connection_id)
+
+    @performs(actions.CancelStatement)
+    def _cancel_statement(self, action: actions.CancelStatement) -> None:
+        connection = self.connections.get(action.connection_id)
+        if connection is None or connection.closed or not connection.key_data:
+            return
+        connection.tainted = True
+        self.registry.count("cancels_sent")
+        deadline = self.loop.time() + CANCEL_SECONDS
+        self.spawn(endpoints.cancel, connection, deadline)
+
+    @performs(actions.ProbeEndpoint)
+    def _probe_endpoint(self, action: actions.ProbeEndpoint) -> None:
+        self.spawn(self.prober.probe, action)
+
+    def close(self) -> None:
+        """Close all connections, at the end of the program."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self.startups.close()
+        for caller in list(self.callers.values()):
+            caller.fail_session(
+                errors.ShuttingDown("The proxy stops.", "Connect to another proxy.")
+            )
+        for connection in self.connections.values():
+            if connection is not None:
+                connection.close()
+        self.prober.close()
+
+
+for _kind in CONTROL_ACTIONS:
+    performs(_kind)(DataPath._hand_over)
+
+_STATUS_MESSAGE = wire.build_query(answers.STATUS_QUERY)
+
+
+def _build_setting_error(sqlstate: str) -> errors.RequestError:
+    return errors.Unsupported(
+        f"A setting of the start-up message was refused with SQLSTATE {sqlstate}.",
+        "Leave it out of the connection's options.",
+    )
--- /dev/null
+++ b/src/sardinehold/endpoints.py
@@ -0,0 +1,438 @@
+"""Connections to endpoints.
+
+A connection signs in with the group's user, never with anything of a caller.
+It reads answers in the order in which they were asked for; bytes that nobody
+asked for, or a broken message, end it.
+"""
+
+import asyncio
+import collections
+import ssl
+import typing
+
+import anyio
+
+from sardinehold import answers
+from sardinehold import errors
+from sardinehold import prepared
+from sardinehold import wire
+
+RECEIVE_BYTES = 256 * 1024
+"""Size of the one buffer that all connections of a process read into."""
+
+MAX_CONTROL_BYTES = 1024 * 1024
+"""Bytes of the longest message that the proxy reads itself."""
+
+APPLICATION_NAME = "sardinehold"
+
+_IDLE = frozenset(b"NSA")
+_NO_ROOM = "53300"
+
+
+class EndpointFull(errors.EndpointUnavailable):
+    """An endpoint has no room for another connection."""
+
+
+class Address(typing.NamedTuple):
+    """Where an endpoint is, and how the proxy signs in there."""
+
+    host: str
+    port: int
+    database: str
+    user: str
+
+
+class Reader(typing.Protocol):
+    """What reads one answer."""
+
+    done: bool
+
+    def feed(self, data: wire.Buffer, start: int, end: int) -> int:
+        """Read from ``start`` and return where reading stopped."""
+
+    def release(self) -> None:
+        """Pass on what need not be kept."""
+
+    finish: typing.Callable
+
+
+class SignIn:
+    """Reads what an endpoint says until it is ready.
+
+    :param outcome: resolved when it is ready, or refuses.
+    """
+
+    __slots__ = ("connection", "outcome", "done", "finish")
+
+    def __init__(
+        self, connection: "EndpointConnection", outcome: asyncio.Future
+    ) -> None:
+        """Start before the first message."""
+        self.connection = connection
+        self.outcome = outcome
+        self.done = False
+        self.finish = self._finish
+
+    def feed(self, data: wire.Buffer, start: int, end: int) -> int:
+        """Read from ``start`` and return where reading stopped."""
+        while not self.done:
+            stop = wire.find_end(data, start, end, MAX_CONTROL_BYTES)
+            if not stop:
+                break
+            self._read(data[start], bytes(data[start + wire.HEADER : stop]))
+            start = stop
+        return start
+
+    def _read(self, kind: int, payload: bytes) -> None:
+        if kind == ord("R") and payload != b"\0\0\0\0":
+            self._fail(
+                errors.EndpointUnavailable(
+                    "An endpoint asks the proxy for a password.",
+                    "Let the group's user in by trust or by client certificate.",
+                )
+            )
+        elif kind == ord("E"):
+            fields = wire.parse_error(payload)
+            kind_of_error = errors.EndpointUnavailable
+            if fields.sqlstate == _NO_ROOM:
+                kind_of_error = EndpointFull
+            self._fail(
+                kind_of_error(
+                    f"An endpoint refused a connection: {fields.message}.",
+                    "Check the group's user, database and connections.",
+                )
+            )
+        elif kind == ord("S"):
+            name, _, value = payload.partition(b"\0")
+            text = value.rstrip(b"\0").decode(errors="replace")
+            self.connection.parameters[name.decode(errors="replace")] = text
+        elif kind == ord("K") and len(payload) >= 8:
+            self.connection.key_data = payload[:8]
+        elif kind == ord("Z"):
+            self.done = True
+
+    def _fail(self, error: errors.EndpointUnavailable) -> None:
+        if not self.outcome.done():
+            self.outcome.set_exception(error)
+
+    def _finish(self, reader: "SignIn") -> None:
+        if not self.outcome.done():
+            self.outcome.set_result(None)
+
+    def release(self) -> None:
+        """Pass nothing on."""
+
+
+class EndpointConnection(asyncio.BufferedProtocol):
+    """One connection to an endpoint.
+
+    :param buffer: where the process receives bytes.
+    :param lost: called once when an established connection breaks.
+    """
+
+    __slots__ = (
+        "transport",
+        "buffer",
+        "carry",
+        "readers",
+        "statements",
+        "parameters",
+        "key_data",
+        "closed",
+        "tainted",
+        "lost",
+        "tls_answer",
+        "signing_in",
+        "address",
+        "tls",
+    )
+
+    def __init__(self, buffer: memoryview, address: Address) -> None:
+        """Start without a transport."""
+        self.transport: asyncio.Transport | None = None
+        self.buffer = buffer
+        self.address = address
+        self.tls: ssl.SSLContext | None = None
+        self.carry = b""
+        self.readers: collections.deque[Reader] = collections.deque()
+        self.statements = prepared.ConnectionStatements()
+        self.parameters: dict[str, str] = {}
+        self.key_data = b""
+        self.closed = False
+        self.tainted = False
+        self.lost: typing.Callable[[], None] | None = None
+        self.tls_answer: asyncio.Future | None = None
+        self.signing_in: asyncio.Future | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keep the transport."""
+        self.transport = transport
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer of the process; it is empty between two calls."""
+        return self.buffer
+
+    def buffer_updated(self, size: int) -> None:
+        """Read the answers that arrived."""
+        if self.closed:
+            return
+        if self.tls_answer is not None:
+            self._read_tls_answer(bytes(self.buffer[:size]))
+            return
+        data: wire.Buffer = self.buffer[:size]
+        if self.carry:
+            data = self.carry + data
+        try:
+            self._read(data, len(data))
+        except errors.ProtocolViolation:
+            self._lose()
+
+    def _read_tls_answer(self, data: bytes) -> None:
+        """Read the one byte that answers a TLS request.
+
+        More than one byte would be text sent in clear by somebody between.
+        """
+        answer, self.tls_answer = self.tls_answer, None
+        if not answer.done():
+            answer.set_result(data == b"S")
+
+    def _read(self, data: wire.Buffer, end: int) -> None:
+        position = 0
+        readers = self.readers
+        while position < end and not self.closed:
+            if not readers:
+                stop = self._skip_idle(data, position, end)
+                if not stop:
+                    break
+                position = stop
+                continue
+            reader = readers[0]
+            position = reader.feed(data, position, end)
+            if not reader.done:
+                reader.release()
+                break
+            readers.popleft()
+            reader.finish(reader)
+        self._keep(data, position, end)
+
+    def _keep(self, data: wire.Buffer, position: int, end: int) -> None:
+        """Keep the start of a message that is not complete."""
+        if self.closed or position >= end:
+            self.carry = b""
+            return
+        self.carry = bytes(data[position:end])
+        if len(self.carry) > MAX_CONTROL_BYTES:
+            self._lose()
+
+    def _skip_idle(self, data: wire.Buffer, position: int, end: int) -> int:
+        """Skip a message that needs no request; anything else is a fault."""
+        stop = wire.find_end(data, position, end, MAX_CONTROL_BYTES)
+        if stop and data[position] not in _IDLE:
+            self._lose()
+            return 0
+        return stop
+
+    def send(self, payload: bytes, *readers: Reader) -> None:
+        """Send a request and say who reads its answers."""
+        self.readers.extend(readers)
+        self.transport.write(payload)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Tell whoever waits that the connection broke."""
+        self._lose()
+
+    def _lose(self) -> None:
+        """Close a connection that broke, and say so once."""
+        if self.closed:
+            return
+        lost = self.lost
+        self.close()
+        for future in (self.tls_answer, self.signing_in):
+            if future is not None and not future.done():
+                future.set_exception(_build_lost_error())
+        if lost is not None:
+            lost()
+
+    def close(self) -> None:
+        """Close the connection; nothing that arrives later is read."""
+        self.closed = True
+        self.lost = None
+        self.readers.clear()
+        self.carry = b""
+        if self.transport is not None:
+            self.transport.abort()
+
+    async def secure(self, context: ssl.SSLContext) -> None:
+        """Ask for TLS and start it.
+
+        :raises sardinehold.errors.EndpointUnavailable: there is none.
+        """
+        loop = asyncio.get_running_loop()
+        self.tls_answer = answer = loop.create_future()
+        self.transport.write(wire.build_packet(wire.TLS_CODE))
+        if not await answer:
+            raise errors.EndpointUnavailable(
+                "An endpoint does not offer TLS.",
+                "Set up TLS on the endpoint, or leave out [tls] endpoint_authority.",
+            )
+        self.transport = await loop.start_tls(
+            self.transport, self, context, server_hostname=self.address.host
+        )
+
+    async def sign_in(self) -> None:
+        """Send the start-up message and wait until the endpoint is ready.
+
+        :raises sardinehold.errors.EndpointUnavailable: it refuses.
+        """
+        self.signing_in = asyncio.get_running_loop().create_future()
+        startup = wire.build_startup(
+            {
+                "user": self.address.user,
+                "database": self.address.database,
+                "application_name": APPLICATION_NAME,
+                "client_encoding": "UTF8",
+            }
+        )
+        self.send(startup, SignIn(self, self.signing_in))
+        await self.signing_in
+
+    async def fetch(self, sql: str) -> list[tuple[str | None, ...]]:
+        """Run one statement of the proxy's own and return its rows.
+
+        :raises sardinehold.errors.OutcomeUnknown: the connection broke.
+        :raises sardinehold.errors.EndpointUnavailable: the endpoint answered
+            with an error.
+        """
+        future = asyncio.get_running_loop().create_future()
+        before = self.lost
+
+        def finish(collector: answers.Collector) -> None:
+            if not future.done():
+                future.set_result(collector)
+
+        def lose() -> None:
+            if not future.done():
+                future.set_exception(_build_lost_error(errors.Outcome.UNKNOWN))
+            if before is not None:
+                before()
+
+        if self.closed:
+            raise _build_lost_error()
+        self.lost = lose
+        self.send(wire.build_query(sql), answers.Collector(finish))
+        try:
+            collector = await future
+        finally:
+            self.lost = before if not self.closed else None
+        if collector.error is not None:
+            raise errors.EndpointUnavailable(
+                f"An endpoint answered: {collector.error.message}.",
+                "Look at the endpoint's own log.",
+            )
+        return collector.rows
+
+
+def _build_lost_error(
+    outcome: errors.Outcome = errors.Outcome.NOT_RUN,
+) -> errors.EndpointUnavailable:
+    return errors.EndpointUnavailable(
+        "A connection to an endpoint broke.",
+        "Check that the endpoint is up and can be reached.",
+        outcome,
+    )
+
+
+async def connect(
+    address: Address,
+    deadline: float,
+    tls: ssl.SSLContext | None = None,
+    buffer: memoryview | None = None,
+) -> EndpointConnection:
+    """Open a connection and sign in.
+
+    :param deadline: on the loop's clock.
+    :raises EndpointFull: the endpoint has no room.
+    :raises sardinehold.errors.EndpointUnavailable: no connection in time.
+    """
+    loop = asyncio.get_running_loop()
+    if buffer is None:
+        buffer = memoryview(bytearray(RECEIVE_BYTES))
+    connection = EndpointConnection(buffer, address)
+    established = False
+    try:
+        with anyio.fail_after(max(deadline - loop.time(), 0)):
+            await loop.create_connection(lambda: connection, address.host, address.port)
+            if tls is not None:
+                await connection.secure(tls)
+            await connection.sign_in()
+        established = True
+    except (OSError, TimeoutError) as error:
+        raise errors.EndpointUnavailable(
+            f"No connection to {address.host}:{address.port}: {error or 'timeout'}.",
+            "Check that the endpoint is up and can be reached.",
+        ) from error
+    finally:
+        if not established:
+            connection.close()
+    connection.tls = tls
+    return connection
+
+
+async def cancel(connection: EndpointConnection, deadline: float) -> None:
+    """Ask the endpoint to cancel what runs on ``connection``.
+
+    Goes over a connection of its own, over TLS if ``connection`` does, and
+    returns when the endpoint has closed it. Failures are not reported: the
+    statement's own deadline counts.
+    """
+    loop = asyncio.get_running_loop()
+    process = int.from_bytes(connection.key_data[:4], "big", signed=True)
+    secret = int.from_bytes(connection.key_data[4:], "big", signed=True)
+    closed = loop.create_future()
+    messenger = EndpointConnection(connection.buffer, connection.address)
+    messenger.lost = lambda: closed.done() or closed.set_result(None)
+    try:
+        with anyio.fail_after(max(deadline - loop.time(), 0)):
+            await loop.create_connection(
+                lambda: messenger, connection.address.host, connection.address.port
+            )
+            if connection.tls is not None:
+                await messenger.secure(connection.tls)
+            messenger.transport.write(wire.build_cancel(process, secret))
+            await closed
+    except (OSError, TimeoutError, errors.EndpointUnavailable):
+        pass
+    finally:
+        messenger.close()
+
+
+async def query(
+    host: str,
+    port: int,
+    database: str,
+    user: str,
+    sql: str,
+    deadline: float,
+    tls: ssl.SSLContext | None = None,
+) -> list[tuple[str | None, ...]]:
+    """Run one statement over a connection opened for it and return its rows.
+
+    :param deadline: on the loop's clock.
+    :raises sardinehold.errors.EndpointUnavailable: with outcome ``not run``
+        when the statement did not leave or the endpoint answered an error,
+        ``unknown`` when its answer did not come.
+    """
+    loop = asyncio.get_running_loop()
+    address = Address(host, port, database, user)
+    connection = await connect(address, deadline, tls)
+    try:
+        with anyio.fail_after(max(deadline - loop.time(), 0)):
+            return await connection.fetch(sql)
+    except TimeoutError as error:
+        raise errors.EndpointUnavailable(
+            f"{host}:{port} did not answer in time.",
+            "Read the endpoint's state before trying again.",
+            errors.Outcome.UNKNOWN,
+        ) from error
+    finally:
+        connection.close()
--- a/src/sardinehold/errors.py
+++ b/src/sardinehold/errors.py
@@ -182,6 +182,13 @@
     sqlstate = "08P01"
 
 
+class UnknownStatement(RequestError):
+    """A message names a prepared statement that the session does not have."""
+
+    code = "SH216"
+    sqlstate = "26000"
+
+
 class PlatformError(SardineholdError):
     """The platform's object API did not do what was asked."""
 
--- /dev/null
+++ b/src/sardinehold/probes.py
@@ -0,0 +1,111 @@
+"""Probes that read endpoints' log status.
+
+Each endpoint keeps one long-lived probe connection; a fresh probe goes over a
+connection of its own, which tells a dead endpoint from a lost connection.
+"""
+
+import typing
+
+import anyio
+
+from sardinehold import answers
+from sardinehold import endpoints
+from sardinehold import errors
+from sardinehold.core import actions
+from sardinehold.core import events
+
+if typing.TYPE_CHECKING:
+    from sardinehold import datapath
+
+
+class Prober:
+    """Carries out probes.
+
+    :param path: the data path whose engine asked for them.
+    """
+
+    __slots__ = ("_path", "_connections")
+
+    def __init__(self, path: "datapath.DataPath") -> None:
+        """Start without connections."""
+        self._path = path
+        self._connections: dict[str, endpoints.EndpointConnection] = {}
+
+    async def probe(self, action: actions.ProbeEndpoint) -> None:
+        """Read an endpoint's log status and tell the engine."""
+        path = self._path
+        asked = path.loop.time()
+        path.registry.count("probes")
+        try:
+            with anyio.fail_after(max(action.deadline - asked, 0)):
+                status = await self._read_status(action)
+        except (TimeoutError, errors.EndpointUnavailable):
+            path.registry.count("probes_failed")
+            path.deliver(events.ProbeFailed(action.endpoint, action.fresh))
+            return
+        path.deliver(
+            events.StatusObserved(
+                action.endpoint,
+                status.role,
+                status.applied,
+                status.received,
+                status.confirmed,
+                asked,
+            )
+        )
+
+    async def _read_status(self, action: actions.ProbeEndpoint) -> answers.LogStatus:
+        """Return what the endpoint says.
+
+        :raises sardinehold.errors.EndpointUnavailable: it says nothing usable.
+        """
+        connection = self._connections.pop(action.endpoint, None)
+        if action.fresh or connection is None or connection.closed:
+            if connection is not None:
+                connection.close()
+            connection = await self._connect(action)
+        kept = False
+        try:
+            rows = await connection.fetch(answers.STATUS_QUERY)
+            kept = True
+        finally:
+            if not kept:
+                connection.close()
+        self._keep(action.endpoint, connection)
+        status = answers.parse_status(rows)
+        if status is None:
+            raise errors.EndpointUnavailable(
+                f"Endpoint {action.endpoint} states no log status.",
+                "Check its view cluster_log_status.",
+            )
+        return status
+
+    async def _connect(
+        self, action: actions.ProbeEndpoint
+    ) -> endpoints.EndpointConnection:
+        path = self._path
+        address = path.addresses.get(action.endpoint)
+        if address is None:
+            raise errors.EndpointUnavailable(
+                f"The view has no endpoint {action.endpoint}.",
+                "Wait for the next view.",
+            )
+        return await endpoints.connect(
+            address, action.deadline, path.endpoint_tls, path.buffer
+        )
+
+    def _keep(self, name: str, connection: endpoints.EndpointConnection) -> None:
+        """Keep one connection for the next probe."""
+        if name in self._connections or name not in self._path.addresses:
+            connection.close()
+        else:
+            self._connections[name] = connection
+
+    def keep_only(self, names: typing.Container[str]) -> None:
+        """Close the connections to endpoints that are gone."""
+        for name in [name for name in self._connections if name not in names]:
+            self._connections.pop(name).close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        self.keep_only(())
--- /dev/null
+++ b/src/sardinehold/startup.py
@@ -0,0 +1,197 @@
+"""The first packets of a caller: TLS, cancel request, start-up message."""
+
+import re
+import shlex
+
+from sardinehold import errors
+from sardinehold import wire
+
+TOKEN_SETTING = "sardinehold.session"
+AGE_SETTING = "sardinehold.max_age"
+KEY_SETTING = "sardinehold.idempotency_key"
+
+_AGE = re.compile(r"\s*(\d+(?:\.\d+)?)\s*(us|ms|s|min|h)?\s*", re.ASCII)
+_UNITS = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "min": 60.0, "h": 3600.0, None: 1.0}
+
+
+class TlsRequest:
+    """The caller asks for TLS."""
+
+    __slots__ = ()
+
+
+class GssRequest:
+    """The caller asks for GSSAPI encryption, which is not supported."""
+
+    __slots__ = ()
+
+
+class CancelRequest:
+    """A caller asks to cancel what a session runs.
+
+    :param process: number that the session was given.
+    :param secret: the secret that came with it.
+    """
+
+    __slots__ = ("process", "secret")
+
+    def __init__(self, process: int, secret: int) -> None:
+        """Keep the parts of the request."""
+        self.process = process
+        self.secret = secret
+
+
+class Startup:
+    """A start-up message.
+
+    :param route: the ``database`` parameter, by default that of ``user``.
+    :param token: session token from ``options``.
+    :param max_age: age in seconds from ``options``, or None.
+    :param settings: other settings that the caller asked for, by name.
+    """
+
+    __slots__ = ("user", "route", "token", "max_age", "settings")
+
+    def __init__(
+        self,
+        user: str,
+        route: str,
+        token: str = "",
+        max_age: float | None = None,
+        settings: dict[str, str] | None = None,
+    ) -> None:
+        """Keep the parts of the message."""
+        self.user = user
+        self.route = route
+        self.token = token
+        self.max_age = max_age
+        self.settings = settings or {}
+
+
+Packet = TlsRequest | GssRequest | CancelRequest | Startup
+
+
+def find_packet_end(data: wire.Buffer, end: int) -> int:
+    """Return the size of the first packet, 0 while it is incomplete.
+
+    :raises sardinehold.errors.ProtocolViolation: its length is impossible.
+    """
+    if end < 4:
+        return 0
+    (length,) = wire.unpack_length(data, 0)
+    if length < 8 or length > wire.MAX_STARTUP:
+        raise errors.ProtocolViolation(
+            f"A start-up packet states a length of {length} bytes.",
+            "Connect with a PostgreSQL driver.",
+        )
+    return length if length <= end else 0
+
+
+def parse_packet(data: bytes) -> Packet:
+    """Return what a caller's first packet asks for.
+
+    :raises sardinehold.errors.ProtocolViolation: it is malformed.
+    :raises sardinehold.errors.Unsupported: it asks for another protocol.
+    """
+    (code,) = wire.unpack_length(data, 4)
+    if code == wire.TLS_CODE:
+        return TlsRequest()
+    if code == wire.GSS_CODE:
+        return GssRequest()
+    if code == wire.CANCEL_CODE:
+        return _parse_cancel(data)
+    if code >> 16 != 3:
+        raise errors.Unsupported(
+            f"Protocol version {code >> 16}.{code & 0xFFFF} is not supported.",
+            "Use a driver that speaks version 3 of the PostgreSQL protocol.",
+        )
+    return _build_startup(_parse_parameters(data))
+
+
+def _parse_cancel(data: bytes) -> CancelRequest:
+    if len(data) < 16:
+        raise errors.ProtocolViolation(
+            "A cancel request is too short.", "Use a PostgreSQL driver."
+        )
+    (process,) = wire.unpack_length(data, 8)
+    (secret,) = wire.unpack_length(data, 12)
+    return CancelRequest(process, secret)
+
+
+def _parse_parameters(data: bytes) -> dict[str, str]:
+    parts = data[8:].split(b"\0")
+    if len(parts) < 2 or parts[-1] or parts[-2]:
+        raise errors.ProtocolViolation(
+            "A start-up message is not terminated.", "Use a PostgreSQL driver."
+        )
+    texts = [wire.decode(part) for part in parts[:-2]]
+    if len(texts) % 2:
+        raise errors.ProtocolViolation(
+            "A start-up parameter has no value.", "Use a PostgreSQL driver."
+        )
+    return dict(zip(texts[::2], texts[1::2], strict=True))
+
+
+def _build_startup(parameters: dict[str, str]) -> Startup:
+    user = parameters.pop("user", "")
+    if not user:
+        raise errors.ProtocolViolation(
+            "The start-up message names no user.", "State a user; any name will do."
+        )
+    route = parameters.pop("database", user)
+    if parameters.pop("replication", "false") not in ("false", "off", "0", "no"):
+        raise errors.Unsupported(
+            "Replication connections are not supported.",
+            "Connect to the endpoint for replication.",
+        )
+    settings = {**parameters, **parse_options(parameters.pop("options", ""))}
+    settings.pop("options", None)
+    token = settings.pop(TOKEN_SETTING, "")
+    age = settings.pop(AGE_SETTING, "")
+    return Startup(user, route, token, parse_age(age) if age else None, settings)
+
+
+def parse_options(text: str) -> dict[str, str]:
+    """Return the settings of ``-c name=value`` and ``--name=value`` options.
+
+    :raises sardinehold.errors.ProtocolViolation: an option is neither.
+    """
+    settings = {}
+    try:
+        words = iter(shlex.split(text))
+    except ValueError as error:
+        raise _build_option_error(text) from error
+    for word in words:
+        if word == "-c":
+            word = next(words, "")
+        elif word.startswith("-c"):
+            word = word[2:]
+        elif word.startswith("--"):
+            word = word[2:].replace("-", "_")
+        else:
+            raise _build_option_error(word)
+        name, equals, value = word.partition("=")
+        if not name or not equals:
+            raise _build_option_error(word)
+        settings[name] = value
+    return settings
+
+
+def _build_option_error(word: str) -> errors.ProtocolViolation:
+    return errors.ProtocolViolation(
+        f"The start-up option {word[:40]!r} cannot be read.",
+        "Write options as -c name=value.",
+    )
+
+
+def parse_age(text: str) -> float:
+    """Return an age such as ``2s`` or ``500ms`` in seconds.
+
+    :raises sardinehold.errors.ProtocolViolation: it is no such age.
+    """
+    match = _AGE.fullmatch(text)
+    if match is None:
+        raise errors.ProtocolViolation(
+            f"{text[:40]!r} is not an age.", "Write an age as in 500ms, 2s or 1min."
+        )
+    return float(match.group(1)) * _UNITS[match.group(2)]
