--- a/src/sardinehold/core/desk.py
+++ b/src/sardinehold/core/desk.py
@@ -1,11 +1,11 @@
 """The relay's side of a node: answers followers, and talks to other relays."""
 
 from sardinehold.core import agent_actions
+from sardinehold.core import fleet_node as nodes
 from sardinehold.core import follow
 from sardinehold.core import lease
 from sardinehold.core import membership
 from sardinehold.core import messages
-from sardinehold.core import fleet_node as nodes
 from sardinehold.core import relay
 from sardinehold.core import view as core_view
 from sardinehold.core import vouching
--- a/src/sardinehold/core/follow.py
+++ b/src/sardinehold/core/follow.py
@@ -2,9 +2,9 @@
 
 from sardinehold import objects
 from sardinehold.core import agent_actions
+from sardinehold.core import fleet_node as nodes
 from sardinehold.core import lease
 from sardinehold.core import messages
-from sardinehold.core import fleet_node as nodes
 from sardinehold.core import relay
 
 RENEW_INTERVAL = 0.5
--- a/src/sardinehold/core/housekeeping.py
+++ b/src/sardinehold/core/housekeeping.py
@@ -55,7 +55,7 @@
         self._listed: set[str] | None = None
         self._leaving: set[str] | None = None
         self._grouping = False
-        self._heard = {vm: now for vm in node.record.members}
+        self._heard = dict.fromkeys(node.record.members, now)
         self._fence: fence.Fence | None = None
 
     def poll(self, now: float) -> float:
--- a/src/sardinehold/core/relay.py
+++ b/src/sardinehold/core/relay.py
@@ -3,7 +3,6 @@
 from sardinehold.core import lease
 from sardinehold.core import membership
 from sardinehold.core import messages
-from sardinehold.core import vouching
 
 RELAYS_PER_ZONE = 2
 """Live members of a zone that watch the platform for the others."""
@@ -155,9 +154,9 @@
     """Return the versions by VM that a summary says are acknowledged."""
     if summary.members_version != record.version:
         return {}
-    acknowledged = {
-        vm: summary.default_version for vm in record.list_zone(summary.zone)
-    }
+    acknowledged = dict.fromkeys(
+        record.list_zone(summary.zone), summary.default_version
+    )
     acknowledged.update(summary.exceptions)
     return {vm: version for vm, version in acknowledged.items() if version}
 
--- a/src/sardinehold/views.py
+++ b/src/sardinehold/views.py
@@ -25,7 +25,7 @@
         if stored is None:
             return None
         if stored.version != self._version:
-            self._document = document.parse_document(stored.value)
+            self._document = document.parse_document(stored.value, strict=False)
             self._version = stored.version
         return views.View(
             version=snapshot.version,
