--- a/src/sardinehold/control.py
+++ b/src/sardinehold/control.py
@@ -1,233 +1,307 @@
-"""The fleet part of a proxy process: view, lease, grants and shared roles."""
+"""The fleet part of a proxy process: carries out what its agent decides."""
 
+import asyncio
 import secrets
 import typing
 
 import anyio
+import anyio.abc
 
+from sardinehold import endpoints
 from sardinehold import errors
 from sardinehold import metrics
 from sardinehold import objects
+from sardinehold import peers
 from sardinehold import platform_client
 from sardinehold import settings
 from sardinehold import timeline
-from sardinehold import views
 from sardinehold.core import actions
+from sardinehold.core import agent
+from sardinehold.core import agent_actions
+from sardinehold.core import agent_events
 from sardinehold.core import events
-from sardinehold.core import snapshot as snapshots
+from sardinehold.core import messages
+from sardinehold.core import snapshot
 from sardinehold.core import view as core_view
 
-LEASE = 2.0
-"""Seconds that a view may be trusted for acknowledging writes."""
+INCARNATION_BYTES = 4
+TOKEN_KEY_BYTES = 32
 
-SERVE_BOUND = 8.0
-"""Seconds that a view may be trusted for anything."""
+STATUS_INTERVAL = 2.0
+"""Seconds between updates of what this node says of itself."""
 
-WATCH_WAIT = 0.4
-"""Seconds that a watch waits for a change."""
+Deliver = typing.Callable[[events.Event], None]
+Performer = typing.Callable[["Control", typing.Any], None]
 
-GRANT_LIFETIME = 1.0
-"""Seconds that granted tokens may be spent."""
+_PERFORMERS: dict[type[agent_actions.AgentAction], Performer] = {}
 
-SHARE_LIFETIME = 10.0
-"""Seconds that a share of connections holds."""
+_FAILURES: dict[type[errors.PlatformError], agent_events.Failure] = {
+    errors.PlatformUnavailable: agent_events.Failure.UNAVAILABLE,
+    errors.VersionConflict: agent_events.Failure.CONFLICT,
+    errors.WatchExpired: agent_events.Failure.EXPIRED,
+    errors.ObjectMissing: agent_events.Failure.MISSING,
+}
 
-TOKEN_KEY_BYTES = 32
 
-Deliver = typing.Callable[[events.Event], None]
+def performs(
+    kind: type[agent_actions.AgentAction],
+) -> typing.Callable[[Performer], Performer]:
+    """File the decorated function as what carries out ``kind``."""
+
+    def register(performer: Performer) -> Performer:
+        _PERFORMERS[kind] = performer
+        return performer
+
+    return register
 
 
 class Control:
     """Keeps the engine of one node in step with the fleet.
 
     :param platform: the platform's object API, by default over HTTP.
+    :param seeds: addresses of other nodes to ask for the view while the
+        platform cannot be reached.
 
     .. versionadded:: 0.1
     """
 
-    __slots__ = (
-        "settings",
-        "recorder",
-        "metrics",
-        "platform",
-        "incarnation",
-        "snapshot",
-        "builder",
-        "view",
-        "deliver",
-        "budgets",
-    )
-
     def __init__(
         self,
         settings: settings.ProxySettings,
         recorder: timeline.Recorder,
         metrics: metrics.Registry,
         platform: objects.ObjectClient | None = None,
+        seeds: tuple[str, ...] = (),
     ) -> None:
         """Prepare; nothing is read before :meth:`run`."""
         self.settings = settings
         self.recorder = recorder
         self.metrics = metrics
         self.platform = platform
-        self.incarnation = secrets.token_hex(4)
-        self.snapshot = snapshots.Snapshot()
-        self.builder = views.ViewBuilder()
-        self.view: core_view.View | None = None
-        self.deliver: Deliver | None = None
-        self.budgets: dict[str, platform_client.TokenBucket] = {}
+        self.seeds = seeds
+        self.peers = peers.Peers(settings.peer_tls, recorder, metrics, self._hear)
+        self.agent: agent.Agent | None = None
+        self._deliver: Deliver | None = None
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._stopped = False
+
+    @property
+    def view(self) -> core_view.View | None:
+        """What the fleet agrees on as far as this node knows."""
+        return self.agent.node.view if self.agent else None
 
     async def run(self, deliver: Deliver) -> None:
-        """Feed the engine until cancelled.
+        """Feed the engine until cancelled, or until a planned stop is done.
 
         :param deliver: takes the events for the engine.
         """
-        self.deliver = deliver
+        self._deliver = deliver
         if self.platform is None:
             self.platform = platform_client.HttpObjectClient(
                 self.settings.platform_url,
                 self.settings.vm,
                 self.settings.platform_tls,
             )
-        while True:
-            try:
-                await self._follow_platform()
-            except errors.PlatformError as error:
-                self.metrics.count(f"platform_errors_{error.code}")
-
-    def handle(self, action: actions.Action) -> None:
-        """Take an action of the engine that is meant for the fleet."""
-        if isinstance(action, actions.RequestTokens):
-            self._grant_tokens(action)
-        elif isinstance(action, actions.RequestConnections):
-            self._grant_connections(action)
-
-    async def _follow_platform(self) -> None:
-        if not self.snapshot.version:
-            await self._list()
-        asked = anyio.current_time()
-        since = self.snapshot.version
-        try:
-            changes = await self.platform.watch(snapshots.KINDS, since, WATCH_WAIT)
-        except errors.WatchExpired:
-            await self._list()
-            return
-        if self.snapshot.apply(changes, since):
-            await self._publish()
-        self._renew(asked)
-
-    async def _list(self) -> None:
-        asked = anyio.current_time()
-        self.snapshot.replace(await self.platform.list(snapshots.KINDS))
-        await self._publish()
-        self._renew(asked)
-
-    async def _publish(self) -> None:
-        await self._bootstrap()
-        view = self.builder.build(self.snapshot)
-        if view is not None:
-            self.view = view
-            self.deliver(events.ViewChanged(view))
-
-    def _renew(self, asked: float) -> None:
-        if self.view is not None:
-            self.deliver(events.LeaseRenewed(asked + LEASE, asked + SERVE_BOUND))
-
-    async def _bootstrap(self) -> None:
-        if self.snapshot.find("secret", "token-keys") is None:
-            keys = {"keys": [secrets.token_hex(TOKEN_KEY_BYTES)]}
-            await self._create("secret", "token-keys", keys)
-        await self._join()
-        await self._create_groups()
-
-    async def _join(self) -> None:
-        member = core_view.Member(
+        address = await self.peers.start(self.settings.peer_listen)
+        self.agent = agent.Agent(
             self.settings.vm,
             self.settings.zone,
-            self.settings.peer_listen,
-            self.incarnation,
+            address,
+            secrets.token_hex(INCARNATION_BYTES),
+            self.seeds,
+            secrets.token_hex(TOKEN_KEY_BYTES),
         )
-        stored = self.snapshot.find("members", "current")
-        held = views.parse_members(stored).get(member.vm)
-        if held is not None and held.incarnation == self.incarnation:
-            return
-        value = {"members": {}} if stored is None else dict(stored.value)
-        value["members"] = value["members"] | {member.vm: views.dump_member(member)}
-        value["change_id"] = secrets.token_hex(8)
-        if stored is None:
-            await self._create("members", "current", value)
-            return
         try:
-            await self.platform.update("members", "current", value, stored.version)
-        except errors.VersionConflict:
-            self.metrics.count("platform_conflicts")
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                tasks.start_soon(self._update_status)
+                self._feed(agent_events.Tick())
+        finally:
+            self._tasks = None
+            self._cancel_timer()
+            with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
+                await self.peers.close()
 
-    async def _create_groups(self) -> None:
-        view = self.builder.build(self.snapshot)
-        if view is None or all(name in view.groups for name in view.document.groups):
+    def handle(self, action: actions.Action) -> None:
+        """Take an action of the engine that is meant for the fleet."""
+        self._feed(agent_events.EngineAsked(action))
+
+    def begin_stop(self) -> None:
+        """Tell the fleet that this node is stopping.
+
+        The node leaves when the engine says ``DrainFinished``; :meth:`run`
+        then returns.
+        """
+        self._feed(agent_events.StopRequested())
+
+    def _hear(self, message: messages.Message) -> None:
+        self._feed(agent_events.MessageArrived(message))
+
+    def _feed(self, event: agent_events.AgentEvent) -> None:
+        if self.agent is None or self._tasks is None or self._stopped:
             return
-        listed = {
-            group.name: group.value
-            for group in (await self.platform.list_groups()).objects
-        }
-        for name, group in view.document.groups.items():
-            if name in view.groups:
-                continue
-            state = _find_first_state(group, listed.get(name, {"endpoints": {}}))
-            value = views.dump_group_state(state)
-            await self._create("group-state", name, value)
-
-    async def _create(self, kind: str, name: str, value: dict) -> None:
+        for action in self.agent.handle(anyio.current_time(), event):
+            _PERFORMERS[type(action)](self, action)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._feed(agent_events.Tick())
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _start(self, call: agent_actions.Call, answer: typing.Awaitable) -> None:
+        self._tasks.start_soon(self._finish, call, answer)
+
+    async def _finish(
+        self,
+        call: agent_actions.Call,
+        answer: typing.Awaitable[agent_events.AgentEvent],
+    ) -> None:
         try:
-            await self.platform.create(kind, name, value)
-        except errors.VersionConflict:
-            self.metrics.count("platform_conflicts")
-
-    def _grant_tokens(self, action: actions.RequestTokens) -> None:
-        now = anyio.current_time()
-        granted = 0
-        while granted < action.tokens and self._take_token(action.team, now):
-            granted += 1
-        if granted:
-            deadline = now + GRANT_LIFETIME
-            self.deliver(events.TokensGranted(action.team, granted, deadline))
-
-    def _take_token(self, team: str, now: float) -> bool:
-        bucket = self.budgets.get(team)
-        if bucket is None:
-            rate, burst = self._find_rate(team)
-            bucket = platform_client.TokenBucket(rate, burst, now)
-            self.budgets[team] = bucket
-        if bucket.reserve(now) > 0:
-            bucket.tokens += 1
-            return False
-        return True
-
-    def _find_rate(self, team: str) -> tuple[float, float]:
-        configuration = self.view.document
-        count = max(1, len(self.view.members))
-        if team.startswith("route:"):
-            route = configuration.routes[team.removeprefix("route:")]
-            return route.rate / count, route.burst / count
-        found = configuration.teams[team]
-        return found.rate / count, found.burst / count
-
-    def _grant_connections(self, action: actions.RequestConnections) -> None:
-        count = max(1, len(self.view.members))
-        for group in self.view.document.groups.values():
-            if any(item.name == action.endpoint for item in group.endpoints):
-                share = min(action.connections, group.connections // count)
-                deadline = anyio.current_time() + SHARE_LIFETIME
-                event = events.ConnectionsGranted(action.endpoint, share, deadline)
-                self.deliver(event)
-                return
-
-
-def _find_first_state(group: typing.Any, listed: dict) -> core_view.GroupState:
-    for name, endpoint in listed["endpoints"].items():
-        if endpoint["role"] == "primary":
-            return core_view.GroupState(
-                group.name, endpoint["term"], name, change_id=secrets.token_hex(8)
+            event = await answer
+        except errors.PlatformError as error:
+            self.metrics.count(f"platform_errors_{error.code}")
+            failure = _FAILURES.get(type(error), agent_events.Failure.REFUSED)
+            event = agent_events.PlatformFailed(call.call_id, failure)
+        except errors.RequestError:
+            self.metrics.count("endpoint_calls_failed")
+            event = agent_events.EndpointFailed(call.call_id)
+        self._feed(event)
+
+    async def _read(
+        self, call_id: int, answer: typing.Awaitable[objects.Changes]
+    ) -> agent_events.AgentEvent:
+        return agent_events.ChangesRead(call_id, await answer)
+
+    async def _read_version(
+        self, call: agent_actions.ReadObject
+    ) -> agent_events.AgentEvent:
+        stored = await self.platform.get(call.kind, call.name)
+        return agent_events.ObjectWritten(call.call_id, stored.version)
+
+    async def _write(self, call: agent_actions.WriteObject) -> agent_events.AgentEvent:
+        if call.value is None:
+            await self.platform.delete(call.kind, call.name, call.version)
+            return agent_events.ObjectWritten(call.call_id, 0)
+        if call.version:
+            stored = await self.platform.update(
+                call.kind, call.name, call.value, call.version
             )
-    first = group.endpoints[0].name
-    return core_view.GroupState(group.name, 1, first, change_id=secrets.token_hex(8))
+        else:
+            stored = await self.platform.create(call.kind, call.name, call.value)
+        return agent_events.ObjectWritten(call.call_id, stored.version)
+
+    async def _query(
+        self, call: agent_actions.QueryEndpoint
+    ) -> agent_events.AgentEvent:
+        group = self.view.document.groups[call.group]
+        found = [item for item in group.endpoints if item.name == call.endpoint]
+        if not found:
+            return agent_events.EndpointFailed(call.call_id)
+        rows = await endpoints.query(
+            found[0].host,
+            found[0].port,
+            group.database,
+            group.user,
+            call.sql,
+            call.deadline,
+        )
+        return agent_events.EndpointAnswered(call.call_id, rows)
+
+    async def _update_status(self) -> None:
+        while not self._stopped:
+            self.agent.status.body = {
+                "counters": dict(self.metrics.counters),
+                "histograms": self.metrics.encode_histograms(),
+            }
+            await anyio.sleep(STATUS_INTERVAL)
+
+
+@performs(agent_actions.Deliver)
+def deliver_event(control: Control, action: agent_actions.Deliver) -> None:
+    """Hand an event to the engine."""
+    control._deliver(action.event)
+
+
+@performs(agent_actions.Send)
+def send_message(control: Control, action: agent_actions.Send) -> None:
+    """Send a message to another node."""
+    control.peers.send(action.address, action.message)
+
+
+@performs(agent_actions.ListObjects)
+def list_objects(control: Control, action: agent_actions.ListObjects) -> None:
+    """Read all objects of the view."""
+    answer = control.platform.list(snapshot.KINDS)
+    control._start(action, control._read(action.call_id, answer))
+
+
+@performs(agent_actions.WatchObjects)
+def watch_objects(control: Control, action: agent_actions.WatchObjects) -> None:
+    """Read what changed."""
+    answer = control.platform.watch(snapshot.KINDS, action.since, action.wait)
+    control._start(action, control._read(action.call_id, answer))
+
+
+@performs(agent_actions.ListVms)
+def list_vms(control: Control, action: agent_actions.ListVms) -> None:
+    """Read the list of VMs."""
+    answer = control.platform.list_vms()
+    control._start(action, control._read(action.call_id, answer))
+
+
+@performs(agent_actions.ListGroups)
+def list_groups(control: Control, action: agent_actions.ListGroups) -> None:
+    """Read the list of groups."""
+    answer = control.platform.list_groups()
+    control._start(action, control._read(action.call_id, answer))
+
+
+@performs(agent_actions.ReadObject)
+def read_object(control: Control, action: agent_actions.ReadObject) -> None:
+    """Read one object's version."""
+    control._start(action, control._read_version(action))
+
+
+@performs(agent_actions.WriteObject)
+def write_object(control: Control, action: agent_actions.WriteObject) -> None:
+    """Create, replace or delete an object."""
+    control._start(action, control._write(action))
+
+
+@performs(agent_actions.QueryEndpoint)
+def query_endpoint(control: Control, action: agent_actions.QueryEndpoint) -> None:
+    """Run a statement on an endpoint."""
+    control._start(action, control._query(action))
+
+
+@performs(agent_actions.Record)
+def record_event(control: Control, action: agent_actions.Record) -> None:
+    """Write an event to the time line and count it."""
+    control.metrics.count(f"fleet_{action.kind}")
+    control.recorder.record(action.kind, **action.fields)
+
+
+@performs(agent_actions.Count)
+def count_event(control: Control, action: agent_actions.Count) -> None:
+    """Add one to a counter."""
+    control.metrics.count(f"fleet_{action.name}")
+
+
+@performs(agent_actions.WakeAt)
+def wake_at(control: Control, action: agent_actions.WakeAt) -> None:
+    """Set the timer anew."""
+    control._cancel_timer()
+    loop = asyncio.get_running_loop()
+    control._timer = loop.call_at(action.time, control._tick)
+
+
+@performs(agent_actions.Stopped)
+def stop(control: Control, action: agent_actions.Stopped) -> None:
+    """End the run."""
+    control._stopped = True
+    control._tasks.cancel_scope.cancel()
--- /dev/null
+++ b/src/sardinehold/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code of the messages between proxies; see peers.proto."""
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -130,9 +130,7 @@
             self.view = event.view
             for name, state in event.view.groups.items():
                 if state.phase is view.Phase.DRAINING:
-                    asked = agent_events.EngineAsked(actions.GroupQuiesced(name))
-                    start = self.node.starts
-                    self.node.world.after(0, lambda: self.node.feed(asked, start))
+                    self.tell_quiesced(name)
         elif isinstance(event, events.LeaseRenewed):
             self.write_deadline = max(self.write_deadline, event.write_deadline)
             self.serve_deadline = max(self.serve_deadline, event.serve_deadline)
@@ -141,6 +139,11 @@
         elif isinstance(event, events.ConnectionsGranted):
             self.shares[event.endpoint] = event
 
+    def tell_quiesced(self, group):
+        asked = agent_events.EngineAsked(actions.GroupQuiesced(group))
+        start = self.node.starts
+        self.node.world.after(0, lambda: self.node.feed(asked, start))
+
     def probe(self):
         if self.view is None or GROUP not in self.view.groups:
             return
@@ -339,7 +342,9 @@
                 endpoint.role, endpoint.term = "primary", term
                 endpoint.promoted_at = len(endpoint.log)
             return answered(action.call_id, [(str(endpoint.promoted_at),)])
-        if term < endpoint.term or (term == endpoint.term and endpoint.role != "replica"):
+        if term < endpoint.term or (
+            term == endpoint.term and endpoint.role != "replica"
+        ):
             return agent_events.EndpointFailed(action.call_id)
         endpoint.role, endpoint.term = "replica", term
         host = sql.split("'")[1]
