--- a/src/sardinehold/core/agent.py
+++ b/src/sardinehold/core/agent.py
@@ -66,6 +66,7 @@
         "keepers",
         "demands",
         "status",
+        "_answered",
         "_leave_by",
         "_stopped",
     )
@@ -90,6 +91,7 @@
         }
         self.demands = allocation.Demands(self.node)
         self.status = status.StatusBoard(self.node, self.desk)
+        self._answered = False
         self._leave_by: float | None = None
         self._stopped = False
 
@@ -125,9 +127,16 @@
             self.status.poll(now),
             self._finish_stop(now),
         ]
-        due.extend(keeper.poll(now) for keeper in self.keepers.values())
+        urgent = self._answered or self.desk.take_urgent()
+        self._answered = False
+        due.extend(keeper.poll(now, urgent) for keeper in self.keepers.values())
         return min(due)
 
+    def finish_call(self, now: float, event: typing.Any) -> None:
+        """Pass an answer on to whoever asked."""
+        self._answered = True
+        self.node.finish_call(now, event.call_id, event)
+
     def _finish_stop(self, now: float) -> float:
         if self._leave_by is None or self._stopped:
             return now + LEAVE_LIMIT
@@ -156,7 +165,7 @@
 @handles(agent_events.EndpointFailed)
 def finish_call(agent: Agent, now: float, event: typing.Any) -> None:
     """Pass an answer on to whoever asked."""
-    agent.node.finish_call(now, event.call_id, event)
+    agent.finish_call(now, event)
 
 
 @handles(agent_events.MessageArrived)
--- a/src/sardinehold/core/desk.py
+++ b/src/sardinehold/core/desk.py
@@ -32,6 +32,8 @@
         "_pushed",
         "_news",
         "_rotation",
+        "_urgent",
+        "_signs",
     )
 
     def __init__(self, node: nodes.Node, following: follow.Following) -> None:
@@ -44,6 +46,20 @@
         self._pushed = 0
         self._news: object = None
         self._rotation = 0
+        self._urgent = False
+        self._signs: dict[str, object] = {}
+
+    def take_urgent(self) -> bool:
+        """Return whether something arrived that shared roles wait for."""
+        urgent = self._urgent
+        self._urgent = False
+        return urgent
+
+    def _note(self, vm: str, signs: object) -> None:
+        """Note what a message says; it is urgent if that is new."""
+        if self._signs.get(vm) != signs:
+            self._signs[vm] = signs
+            self._urgent = True
 
     def poll(self, now: float) -> float:
         """Push changes, send summaries when due, and return the next time."""
@@ -57,7 +73,9 @@
 
     def hurry(self, now: float) -> None:
         """Send summaries soon if there is news for them."""
-        if self.following.is_relay() and self._collect_news(now) != self._news:
+        news = self._collect_news(now)
+        self._note(self.node.vm, news)
+        if self.following.is_relay() and news != self._news:
             self._due = min(self._due, now + COALESCE)
 
     def take_renew(self, now: float, renew: messages.Renew) -> None:
@@ -74,6 +92,9 @@
         entry = self.relays.hear(now, summary)
         if entry is None:
             return
+        reports = tuple((c.endpoint, c.unhealthy, c.isolated) for c in summary.reports)
+        signs = (summary.default_version, summary.exceptions, reports)
+        self._note(summary.vm, (signs, summary.unquiesced))
         if summary.version > self.node.snapshot.version:
             self.following.ask_for_changes(now, summary.vm)
         elif entry.sent_at is not None and summary.age >= 0:
--- a/src/sardinehold/core/failover.py
+++ b/src/sardinehold/core/failover.py
@@ -33,6 +33,9 @@
 CATCH_UP_INTERVAL = 0.01
 """Seconds between looks at a replica that catches up."""
 
+IDLE_INTERVAL = 0.5
+"""Seconds between looks at a group that serves."""
+
 FENCE_INTERVAL = 0.01
 """Seconds between looks at a fence."""
 
@@ -146,7 +149,7 @@
         elif self.node.snapshot.find("handover", self.name) is not None:
             self._move("hand_over")
             self._write_phase(core_view.Phase.DRAINING)
-        return now + 0.1
+        return now + IDLE_INTERVAL
 
     def _step_draining(self, now: float, suspected: bool) -> float:
         if suspected:
--- a/src/sardinehold/core/feed.py
+++ b/src/sardinehold/core/feed.py
@@ -4,7 +4,7 @@
 from sardinehold.core import agent_events
 from sardinehold.core import fleet_node as nodes
 
-WATCH_WAIT = 0.4
+WATCH_WAIT = 0.3
 """Seconds that a watch waits for a change; its start dates the lease."""
 
 RETRY_DELAY = 0.2
--- a/src/sardinehold/core/fleet_node.py
+++ b/src/sardinehold/core/fleet_node.py
@@ -16,7 +16,7 @@
 from sardinehold.core import snapshot as snapshots
 from sardinehold.core import view as core_view
 
-STALE_AFTER = 1.0
+STALE_AFTER = 1.2
 """Seconds after which a view's age calls for other sources."""
 
 Callback = typing.Callable[[float, agent_events.AgentEvent], None]
@@ -184,7 +184,7 @@
             self._publish()
 
     def _publish(self) -> None:
-        self.record = membership.Record(self.snapshot.find("members", "current"))
+        self._read_members()
         try:
             view = self.builder.build(self.snapshot)
         except errors.DocumentError:
@@ -197,6 +197,11 @@
         self.emit(agent_actions.Deliver(events.ViewChanged(view)))
         self._deliver_lease()
 
+    def _read_members(self) -> None:
+        stored = self.snapshot.find("members", "current")
+        if stored is not None and stored.version != self.record.version:
+            self.record = membership.Record(stored)
+
     def _deliver_lease(self) -> None:
         if self.view is None or self.lease.as_of is None:
             return
--- a/src/sardinehold/core/housekeeping.py
+++ b/src/sardinehold/core/housekeeping.py
@@ -23,6 +23,9 @@
 REMOVE_LISTED_AFTER = 60.0
 """Seconds of silence after which a member on the list is removed as well."""
 
+POLL_INTERVAL = 0.25
+"""Seconds between looks when nothing happens."""
+
 RETRY_DELAY = 0.5
 """Seconds between tries of the same change."""
 
@@ -66,7 +69,7 @@
             self._read_vms(now)
         if not self._busy and now >= self._due:
             self._change(now)
-        return min(self._list_due, max(self._due, now + 0.05))
+        return min(self._list_due, max(self._due, now + POLL_INTERVAL))
 
     def _change(self, now: float) -> None:
         """Make the first change that is due."""
--- a/src/sardinehold/core/membership.py
+++ b/src/sardinehold/core/membership.py
@@ -54,7 +54,7 @@
     :param earlier: sets of members on which a lease may still rest.
     """
 
-    __slots__ = ("version", "members", "removed", "earlier")
+    __slots__ = ("version", "members", "removed", "earlier", "_zones")
 
     def __init__(self, stored: objects.StoredObject | None) -> None:
         """Parse the object; None is a fleet without members."""
@@ -63,6 +63,11 @@
         self.members: dict[str, core_view.Member] = views.parse_members(stored)
         self.removed = frozenset(value.get("removed", ()))
         self.earlier = _undo_changes(set(self.members), value.get("earlier", []))
+        self._zones: dict[str, list[str]] = {}
+        for vm, member in self.members.items():
+            self._zones.setdefault(member.zone, []).append(vm)
+        for zone, vms in self._zones.items():
+            self._zones[zone] = order_vms(zone, vms)
 
     def list_sets(self) -> list[set[str]]:
         """Return all sets of members that count, the newest first."""
@@ -75,12 +80,11 @@
 
     def list_zone(self, zone: str) -> list[str]:
         """Return the VMs of a zone in the order that relays are chosen."""
-        vms = [vm for vm, member in self.members.items() if member.zone == zone]
-        return order_vms(zone, vms)
+        return self._zones.get(zone, [])
 
     def list_zones(self) -> list[str]:
         """Return the names of all zones that have members."""
-        return sorted({member.zone for member in self.members.values()})
+        return sorted(self._zones)
 
 
 def _undo_changes(current: set[str], changes: list[dict]) -> list[set[str]]:
--- a/src/sardinehold/core/roles.py
+++ b/src/sardinehold/core/roles.py
@@ -77,6 +77,8 @@
         "_busy",
         "_retry_at",
         "_listening_since",
+        "_due",
+        "_seen",
     )
 
     def __init__(self, node: nodes.Node, desk: desks.Desk, name: str) -> None:
@@ -90,9 +92,21 @@
         self._busy = False
         self._retry_at = 0.0
         self._listening_since: float | None = None
+        self._due = 0.0
+        self._seen: core_view.View | None = None
 
-    def poll(self, now: float) -> float:
-        """Act in the role, or take it when it is due to this node."""
+    def poll(self, now: float, urgent: bool) -> float:
+        """Act in the role, or take it when it is due to this node.
+
+        :param urgent: whether something happened that its worker waits for.
+        """
+        if now < self._due and not urgent and self.node.view is self._seen:
+            return self._due
+        self._seen = self.node.view
+        self._due = self._look(now)
+        return self._due
+
+    def _look(self, now: float) -> float:
         if self.node.view is None:
             return now + POLL_INTERVAL
         holder = self.node.view.roles.get(self.name)
