--- a/src/sardinehold_standins/cli.py
+++ b/src/sardinehold_standins/cli.py
@@ -2,11 +2,18 @@
 
 import argparse
 import asyncio
+import pathlib
+import ssl
 import sys
 
+from sardinehold_standins import control
+from sardinehold_standins import engine
+from sardinehold_standins import faults as switches
 from sardinehold_standins import gate as gates
 from sardinehold_standins import platform
 from sardinehold_standins import poller
+from sardinehold_standins import replication
+from sardinehold_standins import server as servers
 from sardinehold_standins import service
 from sardinehold_standins import store as stores
 
@@ -16,6 +23,7 @@
     parser = argparse.ArgumentParser(prog="sardinehold-standin", description=__doc__)
     commands = parser.add_subparsers(dest="command", required=True)
     _add_platform(commands)
+    _add_database(commands)
     return parser
 
 
@@ -49,6 +57,83 @@
     )
 
 
+def _add_database(commands) -> None:
+    """Add the subcommand of a database."""
+    command = commands.add_parser(
+        "database",
+        help="serve one endpoint of a database group",
+        epilog="example: sardinehold-standin database --name a1 --group a "
+        "--listen 127.0.0.1:6501 --control 127.0.0.1:6601 --primary",
+    )
+    add = command.add_argument
+    add("--name", required=True)
+    add("--group", required=True)
+    add("--listen", required=True, metavar="HOST:PORT")
+    add("--control", required=True, metavar="HOST:PORT")
+    role = command.add_mutually_exclusive_group(required=True)
+    role.add_argument("--primary", action="store_true", help="start as primary")
+    role.add_argument("--follow", metavar="HOST:PORT", help="start as its replica")
+    add("--term", type=int, default=1, help="term of the primary")
+    add("--schema", metavar="FILE", help="SQL that the primary runs at its start")
+    add("--slots", type=int, default=3)
+    add("--connections", type=int, default=45)
+    add("--connect-delay", type=float, default=0.012, metavar="SECONDS")
+    add("--statement-cost", type=float, default=0.0, metavar="SECONDS")
+    add("--latency", type=float, default=0.0, metavar="SECONDS", help="one way")
+    add("--lag", type=parse_range, default=(0.0, 0.0), metavar="LEAST:MOST")
+    add("--password", default="", help="that clients must send; none by default")
+    add("--certificate", help="PEM file; answers TLS when given with --key")
+    add("--key", help="PEM file of the certificate's private key")
+    add("--seed", type=int, default=0)
+    command.set_defaults(run=run_database)
+
+
+def parse_range(text: str) -> tuple[float, float]:
+    """Return the two seconds of ``LEAST:MOST``, or one for both."""
+    least, _, most = text.partition(":")
+    return float(least), float(most or least)
+
+
+async def run_database(arguments: argparse.Namespace) -> None:
+    """Serve one endpoint until a signal."""
+    database = engine.Database(arguments.name, arguments.seed)
+    faults = switches.Faults(arguments.lag, arguments.latency)
+    server = servers.Server(database, build_options(arguments), faults, arguments.seed)
+    server.replication = replication.Replication(server, arguments.seed)
+    control_listener = service.bind(arguments.control)
+    listener = service.bind(arguments.listen)
+    if arguments.primary:
+        database.become_primary(arguments.term)
+        if arguments.schema:
+            server.run_script(pathlib.Path(arguments.schema).read_text("utf-8"))
+    else:
+        server.replication.follow(service.parse_address(arguments.follow))
+    await server.start(listener)
+    _announce(arguments.name, service.format_address(listener))
+    app = control.Control(server, arguments.group).app
+    try:
+        await service.run_until_signal(service.serve_app(app, control_listener))
+    finally:
+        server.replication.stop()
+        server.stop()
+
+
+def build_options(arguments: argparse.Namespace) -> servers.Options:
+    """Return the options of an endpoint."""
+    context = None
+    if arguments.certificate:
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.load_cert_chain(arguments.certificate, arguments.key)
+    return servers.Options(
+        arguments.slots,
+        arguments.connections,
+        arguments.connect_delay,
+        arguments.statement_cost,
+        arguments.password,
+        context,
+    )
+
+
 def _announce(name: str, address: str) -> None:
     """Print the address of a stand-in that is ready."""
     print(f"{name} listening on {address}", flush=True)
--- /dev/null
+++ b/src/sardinehold_standins/engine.py
@@ -0,0 +1,356 @@
+"""One endpoint's data, log and role; no I/O, the time is passed in.
+
+The primary keeps two copies of the data: a transaction writes to the working
+copy, and its commit appends the statements to the log and applies them to the
+committed copy, which all other sessions read. So readers neither wait nor see
+what is not committed. A replica has the committed copy only and applies the
+log of its primary to it.
+"""
+
+import collections
+import datetime
+import random
+import sqlite3
+
+from sardinehold_standins import sqltypes
+from sardinehold_standins import wire
+
+LOG_ENTRIES = 20_000
+"""Entries that the log keeps for replicas; one that needs older ones gets a
+snapshot."""
+
+CACHED_STATEMENTS = 512
+"""Prepared statements that sqlite keeps for each copy."""
+
+SEED_BITS = 62
+"""Bits of the number that seeds the random functions of a transaction."""
+
+
+class Entry:
+    """One committed transaction.
+
+    :param term: term in which it was committed.
+    :param offset: its place in the log, counted from 1.
+    :param began: wall time of the transaction's start in seconds.
+    :param time: wall time of the commit in seconds.
+    :param seed: of the random functions in its statements.
+    :param statements: (SQL, parameters) in the order in which they ran.
+    """
+
+    __slots__ = ("term", "offset", "began", "time", "seed", "statements")
+
+    def __init__(
+        self,
+        term: int,
+        offset: int,
+        began: float,
+        time: float,
+        seed: int,
+        statements: list[tuple[str, list]],
+    ) -> None:
+        """Keep the parts of the entry."""
+        self.term = term
+        self.offset = offset
+        self.began = began
+        self.time = time
+        self.seed = seed
+        self.statements = statements
+
+
+class Copy:
+    """One sqlite database in memory.
+
+    :param process: number of the session that reads.
+    :param is_replica: what ``pg_is_in_recovery`` returns.
+    """
+
+    __slots__ = ("connection", "process", "is_replica", "_moment", "_random")
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.process = 0
+        self.is_replica = True
+        self.connection = sqlite3.connect(
+            ":memory:",
+            isolation_level=None,
+            cached_statements=CACHED_STATEMENTS,
+            detect_types=sqlite3.PARSE_DECLTYPES,
+            check_same_thread=False,
+        )
+        self.connection.execute("PRAGMA foreign_keys = ON")
+        self.set_context(0.0, 0)
+        for name, count, function in self._list_functions():
+            self.connection.create_function(name, count, function)
+
+    def set_context(self, time: float, seed: int) -> None:
+        """Fix what the functions of time and chance return."""
+        self._moment = time
+        self._random = seed
+
+    def _list_functions(self):
+        """Return the functions of PostgreSQL that sqlite lacks."""
+        return (
+            ("now", 0, self._read_time),
+            ("clock_timestamp", 0, self._read_time),
+            ("current_timestamp", 0, self._read_time),
+            ("random", 0, self._draw),
+            ("pg_sleep", 1, lambda seconds: ""),
+            ("repeat", 2, lambda text, times: text * times),
+            ("pg_backend_pid", 0, lambda: self.process),
+            ("pg_is_in_recovery", 0, lambda: self.is_replica),
+            ("version", 0, lambda: "PostgreSQL 16.0 (sardinehold stand-in)"),
+            ("current_database", 0, lambda: "main"),
+            ("current_schema", 0, lambda: "public"),
+            ("pg_advisory_unlock_all", 0, lambda: ""),
+            ("octet_length", 1, _count_octets),
+        )
+
+    def _read_time(self) -> str:
+        """Return the time of the transaction."""
+        moment = datetime.datetime.fromtimestamp(self._moment, datetime.UTC)
+        return moment.isoformat(sep=" ").replace("+00:00", "+00")
+
+    def _draw(self) -> float:
+        """Return the next random number of the transaction."""
+        generator = random.Random(self._random)
+        self._random = generator.getrandbits(SEED_BITS)
+        return generator.random()
+
+
+class Database:
+    """One endpoint of a group.
+
+    :param name: of the endpoint.
+    :param seed: of all randomness in it.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(self, name: str, seed: int = 0) -> None:
+        """Start as an empty replica of term 0."""
+        self.name = name
+        self.is_primary = False
+        self.term = 0
+        self.history: list[tuple[int, int]] = []
+        self.log: collections.deque[Entry] = collections.deque()
+        self.received = 0
+        self.applied = 0
+        self.committed = Copy()
+        self.working: Copy | None = None
+        self.schema: dict[str, dict[str, int]] = {}
+        self.schema_version = 0
+        self._pending: collections.deque[Entry] = collections.deque()
+        self._seeds = random.Random(f"{name}/{seed}")
+        self._statements: list[tuple[str, list]] = []
+        self._began: tuple[float, int] = (0.0, 0)
+
+    def become_primary(self, term: int) -> int:
+        """Take over as primary of a term; return the promotion point.
+
+        :raises sardinehold_standins.wire.Failure: the term is an old one.
+        """
+        if self.is_primary and term == self.term:
+            return self.history[-1][1]
+        if term <= self.term:
+            raise wire.Failure("55000", f"term {term} is not above {self.term}")
+        self.apply_all()
+        self.working = self.working or self._copy_committed()
+        self.working.is_replica = self.committed.is_replica = False
+        self.is_primary = True
+        self.term = term
+        self.history.append((term, self.received))
+        return self.received
+
+    def become_replica(self) -> None:
+        """Stop to accept writes; an open transaction is lost."""
+        self.is_primary = False
+        self.committed.is_replica = True
+        self.working = None
+        self._statements = []
+
+    def begin(self, now: float) -> None:
+        """Start the one writing transaction."""
+        self._began = (now, self._seeds.getrandbits(SEED_BITS))
+        self._statements = []
+        self.working.set_context(*self._began)
+        self.working.connection.execute("BEGIN")
+
+    def read(self, sql: str, parameters: list, now: float) -> sqlite3.Cursor:
+        """Run a query on what is committed."""
+        copy = self.committed
+        copy.set_context(now, self._seeds.getrandbits(SEED_BITS))
+        return copy.connection.execute(sql, parameters)
+
+    def read_working(self, sql: str, parameters: list) -> sqlite3.Cursor:
+        """Run a query inside the writing transaction."""
+        return self.working.connection.execute(sql, parameters)
+
+    def write(self, sql: str, parameters: list) -> sqlite3.Cursor:
+        """Run a statement in the writing transaction."""
+        cursor = self.working.connection.execute(sql, parameters)
+        self._statements.append((sql, parameters))
+        return cursor
+
+    def commit(self, now: float) -> Entry | None:
+        """Commit the writing transaction; return its entry if it changed anything."""
+        self.working.connection.execute("COMMIT")
+        if not self._statements:
+            return None
+        began, seed = self._began
+        entry = Entry(self.term, self.received + 1, began, now, seed, self._statements)
+        self._statements = []
+        self._append(entry)
+        self._apply(entry)
+        return entry
+
+    def rollback(self) -> None:
+        """Undo the writing transaction."""
+        self._statements = []
+        if self.working.connection.in_transaction:
+            self.working.connection.execute("ROLLBACK")
+
+    def receive(self, entry: Entry) -> None:
+        """Append an entry of the primary's log; it is applied later."""
+        if entry.offset != self.received + 1:
+            raise ValueError(f"entry {entry.offset} after {self.received}")
+        self._append(entry)
+        self._pending.append(entry)
+
+    def next_pending(self) -> Entry | None:
+        """Return the entry to be applied next."""
+        return self._pending[0] if self._pending else None
+
+    def apply_next(self) -> None:
+        """Apply the next received entry."""
+        self._apply(self._pending.popleft())
+
+    def apply_all(self) -> None:
+        """Apply all received entries."""
+        while self._pending:
+            self.apply_next()
+
+    def adopt(self, term: int, history: list[tuple[int, int]]) -> None:
+        """Take over term and history of the primary that is followed."""
+        self.term = term
+        self.history = list(history)
+
+    def holds(self, term: int, offset: int) -> bool:
+        """Return whether a log that ends there is a beginning of this log."""
+        if offset > self.received:
+            return False
+        if offset and term not in [known for known, _ in self.history]:
+            return False
+        return all(offset <= start for known, start in self.history if known > term)
+
+    def read_log(self, offset: int) -> list[Entry] | None:
+        """Return the entries after ``offset``; None if they are no longer kept."""
+        oldest = self.log[0].offset if self.log else self.received + 1
+        if offset + 1 < oldest:
+            return None
+        return [entry for entry in self.log if entry.offset > offset]
+
+    def take_snapshot(self) -> bytes:
+        """Return the committed data as of ``applied``."""
+        return self.committed.connection.serialize()
+
+    def load_snapshot(self, data: bytes, offset: int) -> None:
+        """Replace all data and the log by a snapshot."""
+        source = sqlite3.connect(":memory:")
+        source.deserialize(data)
+        source.backup(self.committed.connection)
+        source.close()
+        self.log.clear()
+        self._pending.clear()
+        self.received = self.applied = offset
+        self.read_schema()
+
+    def dump(self) -> dict:
+        """Return the rows of all tables that are committed."""
+        connection = self.committed.connection
+        tables = {}
+        for table in sorted(self.schema):
+            cursor = connection.execute(f'SELECT * FROM "{table}" ORDER BY 1')
+            columns = [column[0] for column in cursor.description]
+            tables[table] = {"columns": columns, "rows": cursor.fetchall()}
+        return tables
+
+    def read_schema(self) -> None:
+        """Read the types of all columns."""
+        connection = self.committed.connection
+        names = connection.execute(
+            "SELECT name FROM sqlite_master WHERE type IN ('table', 'view') "
+            "AND name NOT LIKE 'sqlite_%'"
+        ).fetchall()
+        self.schema = {}
+        for (name,) in names:
+            columns = connection.execute(f'PRAGMA table_info("{name}")').fetchall()
+            self.schema[name.lower()] = {
+                column[1].lower(): sqltypes.find_oid(column[2]) for column in columns
+            }
+        self.schema_version += 1
+
+    def _append(self, entry: Entry) -> None:
+        """Append an entry to the log and drop the oldest beyond the limit."""
+        self.log.append(entry)
+        self.received = entry.offset
+        if len(self.log) > LOG_ENTRIES:
+            self.log.popleft()
+
+    def _apply(self, entry: Entry) -> None:
+        """Run the statements of an entry on the committed copy."""
+        copy = self.committed
+        execute = copy.connection.execute
+        copy.set_context(entry.began, entry.seed)
+        execute("BEGIN")
+        for sql, parameters in entry.statements:
+            execute(sql, parameters).fetchall()
+        execute("COMMIT")
+        self.applied = entry.offset
+        if any(_changes_schema(sql) for sql, _ in entry.statements):
+            self.read_schema()
+
+    def _copy_committed(self) -> Copy:
+        """Return a second copy of the committed data."""
+        copy = Copy()
+        self.committed.connection.backup(copy.connection)
+        return copy
+
+
+def _changes_schema(sql: str) -> bool:
+    """Return whether a statement may define or drop a table."""
+    return sql[:6].lstrip().lower().startswith(("create", "drop", "alter"))
+
+
+def _count_octets(value: str | bytes | None) -> int | None:
+    """Return the size of a value in bytes."""
+    if value is None:
+        return None
+    return len(value) if isinstance(value, bytes) else len(str(value).encode())
+
+
+def explain(error: sqlite3.Error) -> wire.Failure:
+    """Return the error of PostgreSQL for one of sqlite."""
+    message = str(error)
+    for words, sqlstate in _SQLSTATES:
+        if words in message:
+            return wire.Failure(sqlstate, message)
+    return wire.Failure("42000", message)
+
+
+_SQLSTATES = (
+    ("UNIQUE constraint", "23505"),
+    ("NOT NULL constraint", "23502"),
+    ("FOREIGN KEY constraint", "23503"),
+    ("CHECK constraint", "23514"),
+    ("datatype mismatch", "42804"),
+    ("no such table", "42P01"),
+    ("already exists", "42P07"),
+    ("no such column", "42703"),
+    ("no such function", "42883"),
+    ("no such savepoint", "3B001"),
+    ("syntax error", "42601"),
+    ("incomplete input", "42601"),
+)
+
+sqlite3.register_converter("boolean", lambda value: value != b"0")
+sqlite3.register_converter("bool", lambda value: value != b"0")
--- /dev/null
+++ b/src/sardinehold_standins/extended.py
@@ -0,0 +1,251 @@
+"""The extended query protocol of one session."""
+
+from sardinehold_standins import answers
+from sardinehold_standins import plan as plans
+from sardinehold_standins import splitting
+from sardinehold_standins import sqltypes
+from sardinehold_standins import wire
+
+_HANDLERS = {}
+"""How to answer each kind of frame; filled by :func:`handles`."""
+
+
+def handles(kind: bytes):
+    """Register how to answer one kind of frame."""
+
+    def register(function):
+        _HANDLERS[kind] = function
+        return function
+
+    return register
+
+
+class Statement:
+    """A prepared statement; ``plan`` is None for an empty one."""
+
+    __slots__ = ("text", "plan", "oids")
+
+    def __init__(self, text: str, plan: plans.Plan | None, oids: list[int]) -> None:
+        """Keep the parts."""
+        self.text = text
+        self.plan = plan
+        self.oids = oids
+
+
+class Portal:
+    """A statement with its parameters.
+
+    :param formats: format codes of the columns as the client gave them.
+    :param result: what it returned, None before it ran.
+    :param sent: rows that were sent already.
+    """
+
+    __slots__ = ("statement", "parameters", "formats", "result", "sent")
+
+    def __init__(
+        self, statement: Statement, parameters: list, formats: list[int]
+    ) -> None:
+        """Keep the parts."""
+        self.statement = statement
+        self.parameters = parameters
+        self.formats = formats
+        self.result: answers.Result | None = None
+        self.sent = 0
+
+
+class Extended:
+    """Answers Parse, Bind, Describe, Execute, Close, Sync and Flush.
+
+    :param session: whose client gets the answers.
+    """
+
+    def __init__(self, session) -> None:
+        """Start with nothing prepared."""
+        self.session = session
+        self._statements: dict[str, Statement] = {}
+        self._portals: dict[str, Portal] = {}
+        self._is_skipping = False
+
+    async def handle(self, kind: bytes, payload: bytes) -> None:
+        """Answer one frame.
+
+        :raises sardinehold_standins.wire.Failure: the frame is unknown.
+        """
+        handler = _HANDLERS.get(kind)
+        if handler is None:
+            raise wire.Failure("08P01", f"unexpected frame {kind!r}", fatal=True)
+        if self._is_skipping and kind != b"S":
+            return
+        try:
+            await handler(self, wire.Reader(payload))
+        except wire.Failure as failure:
+            if failure.fatal:
+                raise
+            self._is_skipping = True
+            self.session.runner.fail(failure)
+
+    def deallocate(self, name: str) -> None:
+        """Forget a prepared statement, or all."""
+        if name.lower() == "all":
+            self._statements.clear()
+        elif self._statements.pop(name, None) is None:
+            raise wire.Failure("26000", f'prepared statement "{name}" does not exist')
+
+    @handles(b"P")
+    async def _parse(self, reader: wire.Reader) -> None:
+        """Prepare a statement."""
+        name = reader.read_text()
+        text = reader.read_text()
+        given = [reader.read_int32() for _ in range(reader.read_int16())]
+        if name and name in self._statements:
+            raise wire.Failure("42P05", f'prepared statement "{name}" already exists')
+        parts = splitting.split_statements(text)
+        if len(parts) > 1:
+            message = "cannot insert multiple commands into a prepared statement"
+            raise wire.Failure("42601", message)
+        plan = self.session.runner.prepare(parts[0], True) if parts else None
+        wanted = list(plan.parameters) if plan else []
+        for place, oid in enumerate(given):
+            if place < len(wanted):
+                wanted[place] = oid or wanted[place]
+        oids = [oid or sqltypes.TEXT for oid in wanted]
+        self._statements[name] = Statement(text, plan, oids)
+        self.session.send(wire.PARSE_COMPLETE)
+
+    @handles(b"B")
+    async def _bind(self, reader: wire.Reader) -> None:
+        """Make a portal."""
+        name = reader.read_text()
+        statement = self._find_statement(reader.read_text())
+        codes = [reader.read_int16() for _ in range(reader.read_int16())]
+        values = [reader.read_value() for _ in range(reader.read_int16())]
+        formats = [reader.read_int16() for _ in range(reader.read_int16())]
+        if len(values) != len(statement.oids):
+            raise wire.Failure(
+                "08P01",
+                f"bind message supplies {len(values)} parameters, but the statement "
+                f"requires {len(statement.oids)}",
+            )
+        codes = answers.expand_formats(codes, len(values))
+        parameters = [
+            sqltypes.decode(value, oid, code)
+            for value, oid, code in zip(values, statement.oids, codes, strict=True)
+        ]
+        self._portals[name] = Portal(statement, parameters, formats)
+        self.session.send(wire.BIND_COMPLETE)
+
+    @handles(b"D")
+    async def _describe(self, reader: wire.Reader) -> None:
+        """Describe a statement or a portal."""
+        is_statement = reader.read_byte() == b"S"
+        name = reader.read_text()
+        if not is_statement:
+            await self._describe_portal(self._find_portal(name))
+            return
+        statement = self._find_statement(name)
+        self.session.send(wire.build_parameters(statement.oids))
+        plan = statement.plan
+        if plan is not None and plan.returns_rows and plan.columns is None:
+            message = "the stand-in cannot tell the columns before it runs this"
+            raise wire.Failure("0A000", message)
+        self._send_description(_list_columns(statement.plan), [])
+
+    @handles(b"E")
+    async def _execute(self, reader: wire.Reader) -> None:
+        """Run a portal, or go on with it."""
+        portal = self._find_portal(reader.read_text())
+        limit = reader.read_int32()
+        plan = portal.statement.plan
+        if plan is None:
+            self.session.send(wire.EMPTY_QUERY)
+            return
+        if portal.result is None:
+            portal.result = await self.session.runner.run(plan, portal.parameters)
+            _fix_columns(portal.result, plan)
+        result = portal.result
+        if result.columns is None:
+            self.session.send(wire.build_complete(result.format_tag()))
+            return
+        rows = result.rows[portal.sent :]
+        if limit:
+            rows = rows[:limit]
+        columns = result.columns
+        formats = answers.expand_formats(portal.formats, len(columns))
+        await answers.send_rows(self.session, rows, columns, formats)
+        portal.sent += len(rows)
+        if limit and portal.sent < len(result.rows):
+            self.session.send(wire.PORTAL_SUSPENDED)
+            return
+        if limit and result.count is not None:
+            result.count = len(rows)
+        self.session.send(wire.build_complete(result.format_tag()))
+
+    @handles(b"C")
+    async def _close(self, reader: wire.Reader) -> None:
+        """Forget a statement or a portal."""
+        named = self._statements if reader.read_byte() == b"S" else self._portals
+        named.pop(reader.read_text(), None)
+        self.session.send(wire.CLOSE_COMPLETE)
+
+    @handles(b"S")
+    async def _sync(self, reader: wire.Reader) -> None:
+        """End a sequence: commit what is implicit and say that it is done."""
+        self._is_skipping = False
+        runner = self.session.runner
+        runner.commit_implicit()
+        if runner.status == "I":
+            self._portals.clear()
+        await self.session.finish()
+
+    @handles(b"H")
+    async def _flush(self, reader: wire.Reader) -> None:
+        """Send what there is."""
+        self.session.flush()
+
+    async def _describe_portal(self, portal: Portal) -> None:
+        """Describe a portal; one with unknown types runs first."""
+        plan = portal.statement.plan
+        columns = _list_columns(plan)
+        is_unknown = columns is None or any(not oid for _, oid in columns)
+        if plan is not None and plan.kind is plans.Kind.READ and is_unknown:
+            portal.result = await self.session.runner.run(plan, portal.parameters)
+            columns = portal.result.columns
+        self._send_description(columns, portal.formats)
+
+    def _send_description(
+        self, columns: list[tuple[str, int]] | None, formats: list[int]
+    ) -> None:
+        """Send a RowDescription or NoData."""
+        if columns is None:
+            self.session.send(wire.NO_DATA)
+            return
+        columns = [(name, oid or sqltypes.TEXT) for name, oid in columns]
+        codes = answers.expand_formats(formats, len(columns))
+        self.session.send(wire.build_description(columns, codes, sqltypes.SIZES))
+
+    def _find_statement(self, name: str) -> Statement:
+        """Return a prepared statement."""
+        statement = self._statements.get(name)
+        if statement is None:
+            raise wire.Failure("26000", f'prepared statement "{name}" does not exist')
+        return statement
+
+    def _find_portal(self, name: str) -> Portal:
+        """Return a portal."""
+        portal = self._portals.get(name)
+        if portal is None:
+            raise wire.Failure("34000", f'portal "{name}" does not exist')
+        return portal
+
+
+def _fix_columns(result: answers.Result, plan: plans.Plan) -> None:
+    """Give columns of unknown type the type that Describe stated, text."""
+    if result.columns is not None and plan.columns is not None:
+        result.columns = [(name, oid or sqltypes.TEXT) for name, oid in plan.columns]
+
+
+def _list_columns(plan: plans.Plan | None) -> list[tuple[str, int]] | None:
+    """Return the columns that are known of a statement with a result."""
+    if plan is None or not plan.returns_rows:
+        return None
+    return plan.columns
--- /dev/null
+++ b/src/sardinehold_standins/plan.py
@@ -0,0 +1,314 @@
+"""What a statement is and how the engine runs it."""
+
+import enum
+import re
+
+from sardinehold_standins import inference
+from sardinehold_standins import splitting
+from sardinehold_standins import sqltypes
+from sardinehold_standins import wire
+
+
+class Kind(enum.Enum):
+    """What a statement does."""
+
+    READ = enum.auto()
+    WRITE = enum.auto()
+    DDL = enum.auto()
+    BEGIN = enum.auto()
+    COMMIT = enum.auto()
+    ROLLBACK = enum.auto()
+    SAVEPOINT = enum.auto()
+    RELEASE = enum.auto()
+    ROLLBACK_TO = enum.auto()
+    SET = enum.auto()
+    RESET = enum.auto()
+    SHOW = enum.auto()
+    DEALLOCATE = enum.auto()
+    DISCARD = enum.auto()
+    NOTHING = enum.auto()
+    LOG_STATUS = enum.auto()
+    PROMOTE = enum.auto()
+    FOLLOW = enum.auto()
+    EMPTY = enum.auto()
+
+
+STATUS_COLUMNS = (
+    ("endpoint", sqltypes.TEXT),
+    ("role", sqltypes.TEXT),
+    ("term", sqltypes.INT8),
+    ("received", sqltypes.INT8),
+    ("applied", sqltypes.INT8),
+)
+"""Columns of ``cluster_log_status``."""
+
+_CLUSTER_COLUMNS = {
+    Kind.LOG_STATUS: list(STATUS_COLUMNS),
+    Kind.PROMOTE: [("cluster_promote", sqltypes.INT8)],
+    Kind.FOLLOW: [("cluster_follow", sqltypes.TEXT)],
+}
+
+
+class Plan:
+    """A statement ready to run.
+
+    :param tag: first words of its command tag.
+    :param sql: the statement as sqlite reads it.
+    :param parameters: type OIDs by parameter, 0 where unknown.
+    :param columns: (name, type OID) of the result, None when not known.
+    :param returns_rows: whether it has a result.
+    :param sleeps: seconds, or numbers of parameters, that ``pg_sleep`` gets.
+    :param name: of the savepoint, variable or prepared statement.
+    :param value: of SET.
+    :param local: whether SET is LOCAL.
+    :param locks: whether a read locks rows, as FOR UPDATE does.
+    :param read_only: whether BEGIN starts a transaction that may only read.
+    """
+
+    __slots__ = (
+        "kind",
+        "tag",
+        "text",
+        "sql",
+        "parameters",
+        "columns",
+        "returns_rows",
+        "sleeps",
+        "name",
+        "value",
+        "local",
+        "locks",
+        "read_only",
+    )
+
+    def __init__(self, kind: Kind, tag: str, text: str) -> None:
+        """Start with a statement that sqlite reads as it stands."""
+        self.kind = kind
+        self.tag = tag
+        self.text = text
+        self.sql = text
+        self.parameters: list[int] = []
+        self.columns: list[tuple[str, int]] | None = None
+        self.returns_rows = False
+        self.sleeps: list[float | str] = []
+        self.name = ""
+        self.value = ""
+        self.local = False
+        self.locks = False
+        self.read_only = False
+
+
+_WORDS = {
+    "select": (Kind.READ, "SELECT"),
+    "with": (Kind.READ, "SELECT"),
+    "values": (Kind.READ, "SELECT"),
+    "table": (Kind.READ, "SELECT"),
+    "insert": (Kind.WRITE, "INSERT 0"),
+    "update": (Kind.WRITE, "UPDATE"),
+    "delete": (Kind.WRITE, "DELETE"),
+    "truncate": (Kind.DDL, "TRUNCATE TABLE"),
+    "create": (Kind.DDL, "CREATE TABLE"),
+    "drop": (Kind.DDL, "DROP TABLE"),
+    "alter": (Kind.DDL, "ALTER TABLE"),
+    "begin": (Kind.BEGIN, "BEGIN"),
+    "start": (Kind.BEGIN, "START TRANSACTION"),
+    "commit": (Kind.COMMIT, "COMMIT"),
+    "end": (Kind.COMMIT, "COMMIT"),
+    "rollback": (Kind.ROLLBACK, "ROLLBACK"),
+    "abort": (Kind.ROLLBACK, "ROLLBACK"),
+    "savepoint": (Kind.SAVEPOINT, "SAVEPOINT"),
+    "release": (Kind.RELEASE, "RELEASE"),
+    "set": (Kind.SET, "SET"),
+    "reset": (Kind.RESET, "RESET"),
+    "show": (Kind.SHOW, "SHOW"),
+    "deallocate": (Kind.DEALLOCATE, "DEALLOCATE"),
+    "discard": (Kind.DISCARD, "DISCARD ALL"),
+    "close": (Kind.NOTHING, "CLOSE CURSOR ALL"),
+    "unlisten": (Kind.NOTHING, "UNLISTEN"),
+    "analyze": (Kind.NOTHING, "ANALYZE"),
+    "vacuum": (Kind.NOTHING, "VACUUM"),
+}
+
+_FIRST = re.compile(r"[A-Za-z]+|\(")
+_RETURNING = re.compile(r"\breturning\b", re.IGNORECASE)
+_LOCKING = re.compile(
+    r"\bfor\s+(?:no\s+key\s+)?(?:update|share)\b|\bpg_advisory", re.IGNORECASE
+)
+_WITH_WRITE = re.compile(r"\b(insert\s+into|update\s+\w|delete\s+from)", re.IGNORECASE)
+_SLEEP = re.compile(r"pg_sleep\s*\(\s*(\$\d+|[\d.]+)", re.IGNORECASE)
+_CLUSTER = re.compile(r"\bcluster_(log_status|promote|follow)\b", re.IGNORECASE)
+_SAVEPOINT = re.compile(
+    r"(?:rollback|abort)\s+(?:work\s+|transaction\s+)?to\s+(?:savepoint\s+)?(\"?\w+)"
+    r"|savepoint\s+(\"?\w+)|release\s+(?:savepoint\s+)?(\"?\w+)",
+    re.IGNORECASE,
+)
+_SET = re.compile(
+    r"set\s+(?:(local|session)\s+)?(?:(time\s+zone)\s+|([\w.]+)\s*(?:=|\bto\b)\s*)"
+    r"(.*?)\s*$",
+    re.IGNORECASE | re.DOTALL,
+)
+_VARIABLE = re.compile(
+    r"(?:show|reset|deallocate)\s+(?:prepare\s+)?(.+?)\s*$", re.IGNORECASE
+)
+_READ_ONLY = re.compile(r"\bread\s+only\b", re.IGNORECASE)
+
+_REWRITES = (
+    (
+        re.compile(r"\b(?:big|small)?serial\s+primary\s+key\b", re.IGNORECASE),
+        "INTEGER PRIMARY KEY AUTOINCREMENT",
+    ),
+    (
+        re.compile(
+            r"\b(?:big)?int(?:eger)?\s+generated\s+(?:always|by\s+default)\s+as\s+"
+            r"identity\s+primary\s+key\b",
+            re.IGNORECASE,
+        ),
+        "INTEGER PRIMARY KEY AUTOINCREMENT",
+    ),
+    (re.compile(r"\bdefault\s+(now\(\))", re.IGNORECASE), r"DEFAULT (\1)"),
+    (
+        re.compile(r"\btruncate\s+(?:table\s+)?(\w+).*", re.IGNORECASE),
+        r"DELETE FROM \1",
+    ),
+    (re.compile(r"\b(drop\s+table\b.*?)\s+cascade\b", re.IGNORECASE), r"\1"),
+)
+
+
+def build_plan(text: str, schema: inference.Schema, is_prepared: bool) -> Plan:
+    """Return the plan of one statement.
+
+    :param is_prepared: find the types of parameters and columns beforehand.
+    :raises sardinehold_standins.wire.Failure: it is not supported.
+    """
+    body = splitting.strip_comments(text)
+    word = _FIRST.match(body)
+    found = _WORDS.get(word.group().lower()) if word else None
+    if word and word.group() == "(":
+        found = (Kind.READ, "SELECT")
+    if found is None:
+        first = word.group().upper() if word else body[:20]
+        raise wire.Failure("0A000", f"{first} is not supported by the stand-in")
+    plan = Plan(*found, body)
+    _REFINERS.get(plan.kind, _leave)(plan)
+    if plan.kind in (Kind.READ, Kind.WRITE) and (
+        is_prepared or inference.is_foreign(body)
+    ):
+        _infer_types(plan, schema)
+    elif plan.kind in _CLUSTER_COLUMNS:
+        _infer_types(plan, {"cluster_log_status": dict(STATUS_COLUMNS)})
+        plan.columns = plan.columns or _CLUSTER_COLUMNS[plan.kind]
+    elif plan.kind is Kind.SHOW:
+        plan.columns = [(plan.name, sqltypes.TEXT)]
+    elif is_prepared:
+        sql, count = splitting.replace_parameters(plan.sql, "?{}")
+        plan.sql = sql
+        plan.parameters = [0] * count
+    return plan
+
+
+def _infer_types(plan: Plan, schema: inference.Schema) -> None:
+    """Fill in what sqlglot tells of a statement."""
+    inferred = inference.infer(plan.text, schema)
+    plan.sql = inferred.sql
+    plan.parameters = inferred.parameters
+    plan.columns = inferred.columns
+
+
+def _leave(plan: Plan) -> None:
+    """Change nothing."""
+
+
+def _refine_read(plan: Plan) -> None:
+    """Tell sleeps, locks, cluster functions and writes in WITH from reads."""
+    plan.returns_rows = True
+    text = plan.text
+    if "cluster_" in text:
+        match = _CLUSTER.search(text)
+        if match:
+            plan.kind = Kind[match.group(1).upper()]
+            return
+    if text[:4].lower() == "with":
+        written = _WITH_WRITE.search(text)
+        if written:
+            plan.kind, plan.tag = _WORDS[written.group(1).split()[0].lower()]
+            plan.returns_rows = _RETURNING.search(text) is not None
+    plan.locks = _LOCKING.search(text) is not None
+    if "pg_sleep" in text:
+        plan.sleeps = [
+            found if found.startswith("$") else float(found)
+            for found in _SLEEP.findall(text)
+        ]
+
+
+def _refine_write(plan: Plan) -> None:
+    """Find whether a write has a result."""
+    plan.returns_rows = _RETURNING.search(plan.text) is not None
+    if "pg_sleep" in plan.text:
+        _refine_read(plan)
+
+
+def _refine_ddl(plan: Plan) -> None:
+    """Write a definition as sqlite reads it."""
+    words = plan.text.split(None, 2)[:2]
+    plan.tag = " ".join(words).upper()
+    if words[0].lower() == "truncate":
+        plan.tag = "TRUNCATE TABLE"
+    for pattern, replacement in _REWRITES:
+        plan.sql = pattern.sub(replacement, plan.sql)
+
+
+def _refine_savepoint(plan: Plan) -> None:
+    """Find the name of a savepoint."""
+    match = _SAVEPOINT.match(plan.text)
+    if match is None:
+        return
+    plan.name = next(name for name in match.groups() if name).strip('"')
+    if plan.kind is Kind.ROLLBACK:
+        plan.kind = Kind.ROLLBACK_TO
+    plan.sql = f'{plan.kind.name.replace("_", " ")} "{plan.name}"'
+
+
+def _refine_begin(plan: Plan) -> None:
+    """Find the mode of a transaction."""
+    plan.read_only = _READ_ONLY.search(plan.text) is not None
+
+
+def _refine_set(plan: Plan) -> None:
+    """Find variable and value."""
+    match = _SET.match(plan.text)
+    if match is None:
+        plan.kind = Kind.NOTHING
+        return
+    scope, zone, name, value = match.groups()
+    plan.local = (scope or "").lower() == "local"
+    plan.name = "timezone" if zone else name.lower()
+    if value.startswith("'") and value.endswith("'"):
+        value = value[1:-1].replace("''", "'")
+    plan.value = value
+
+
+def _refine_variable(plan: Plan) -> None:
+    """Find the name of a variable or prepared statement."""
+    match = _VARIABLE.match(plan.text)
+    plan.name = match.group(1).strip('"') if match else ""
+    if plan.kind is Kind.SHOW:
+        plan.returns_rows = True
+    if plan.kind is not Kind.DEALLOCATE:
+        plan.name = plan.name.lower()
+        if plan.name == "transaction isolation level":
+            plan.name = "transaction_isolation"
+
+
+_REFINERS = {
+    Kind.READ: _refine_read,
+    Kind.WRITE: _refine_write,
+    Kind.DDL: _refine_ddl,
+    Kind.BEGIN: _refine_begin,
+    Kind.ROLLBACK: _refine_savepoint,
+    Kind.SAVEPOINT: _refine_savepoint,
+    Kind.RELEASE: _refine_savepoint,
+    Kind.SET: _refine_set,
+    Kind.RESET: _refine_variable,
+    Kind.SHOW: _refine_variable,
+    Kind.DEALLOCATE: _refine_variable,
+}
--- /dev/null
+++ b/src/sardinehold_standins/running.py
@@ -0,0 +1,387 @@
+"""Runs the statements of one session and keeps its transaction."""
+
+import re
+import sqlite3
+
+from sardinehold_standins import answers
+from sardinehold_standins import engine
+from sardinehold_standins import plan as plans
+from sardinehold_standins import splitting
+from sardinehold_standins import sqltypes
+from sardinehold_standins import variables
+from sardinehold_standins import wire
+
+_ACTIONS = {}
+"""How to run each kind of statement; filled by :func:`runs`."""
+
+_ENDING = {plans.Kind.COMMIT, plans.Kind.ROLLBACK, plans.Kind.ROLLBACK_TO}
+_STATUS_QUERY = re.compile(
+    r"select\s+endpoint\s*,\s*role\s*,\s*term\s*,\s*received\s*,\s*applied\s+"
+    r"from\s+cluster_log_status\s*$",
+    re.IGNORECASE,
+)
+_ARGUMENTS = re.compile(r"cluster_\w+\s*\((.*)\)", re.IGNORECASE | re.DOTALL)
+
+
+def runs(*kinds: plans.Kind):
+    """Register how to run some kinds of statements."""
+
+    def register(function):
+        for kind in kinds:
+            _ACTIONS[kind] = function
+        return function
+
+    return register
+
+
+class Runner:
+    """Runs statements for a session.
+
+    :param session: whose client gets the answers.
+    """
+
+    def __init__(self, session) -> None:
+        """Start outside of a transaction."""
+        self.session = session
+        self.server = session.server
+        self.database = session.server.database
+        self.variables = variables.Variables()
+        self.status = "I"
+        self.has_writer = False
+        self.is_read_only = False
+        self.savepoints: list[str] = []
+
+    async def run_query(self, text: str) -> None:
+        """Answer a simple query."""
+        try:
+            statements = splitting.split_statements(text)
+            if not statements:
+                self.session.send(wire.EMPTY_QUERY)
+            for place, statement in enumerate(statements, 1):
+                result = await self.run(self.prepare(statement, False), [])
+                if place == len(statements):
+                    self.commit_implicit()
+                await self._send(result)
+        except wire.Failure as failure:
+            self.fail(failure)
+        await self.session.finish()
+
+    def prepare(self, text: str, is_prepared: bool) -> plans.Plan:
+        """Return the plan of a statement, from the cache if it is there."""
+        plan = self.server.find_plan(text, is_prepared)
+        if plan is None:
+            plan = plans.build_plan(text, self.database.schema, is_prepared)
+            if is_prepared:
+                self._check_plan(plan)
+            self.server.keep_plan(text, is_prepared, plan)
+        return plan
+
+    async def run(self, plan: plans.Plan, parameters: list) -> answers.Result:
+        """Run one statement.
+
+        :raises sardinehold_standins.wire.Failure: it failed.
+        """
+        if self.status == "E" and plan.kind not in _ENDING:
+            raise wire.Failure(
+                "25P02",
+                "current transaction is aborted, commands ignored until end of "
+                "transaction block",
+            )
+        self.server.count("statements")
+        try:
+            return await _ACTIONS[plan.kind](self, plan, parameters)
+        except sqlite3.Error as error:
+            raise engine.explain(error) from error
+        except OverflowError as error:
+            raise wire.Failure("22003", str(error)) from error
+
+    def fail(self, failure: wire.Failure) -> None:
+        """Tell the client of an error and abort the transaction."""
+        self.server.count("errors")
+        self.session.send(wire.build_error(failure))
+        self.session.flush()
+        if self.status == "I":
+            self._roll_back()
+            return
+        self.status = "E"
+        if not self.savepoints:
+            self._release_writer()
+
+    def commit_implicit(self) -> None:
+        """Commit what ran outside of a transaction block."""
+        if self.status == "I" and self.has_writer:
+            self._commit()
+
+    def abandon(self) -> None:
+        """Roll back because the session ends."""
+        self._release_writer()
+
+    async def occupy_slot(self, plan: plans.Plan, parameters: list) -> None:
+        """Hold a slot for as long as the statement takes."""
+        seconds = self.server.options.statement_cost
+        for argument in plan.sleeps:
+            if isinstance(argument, str):
+                seconds += float(parameters[int(argument[1:]) - 1])
+            else:
+                seconds += argument
+        waiter = self.session.waiter
+        await self.server.slots.acquire(waiter)
+        try:
+            if seconds:
+                await waiter.sleep(seconds)
+        finally:
+            self.server.slots.release()
+
+    async def acquire_writer(self) -> None:
+        """Become the one session that writes."""
+        self._check_writable()
+        if self.has_writer:
+            return
+        await self.server.writer.acquire(self.session.waiter)
+        self.has_writer = True
+        try:
+            self._check_writable()
+        except wire.Failure:
+            self.has_writer = False
+            self.server.writer.release()
+            raise
+        self.database.begin(self.server.now())
+        for name in self.savepoints:
+            self.database.write(f'SAVEPOINT "{name}"', [])
+
+    def _check_writable(self) -> None:
+        """Raise unless this session may write now."""
+        if not self.database.is_primary:
+            raise wire.Failure(
+                "25006", "cannot write: this endpoint is a replica of its group"
+            )
+        if self.is_read_only:
+            raise wire.Failure("25006", "cannot write in a read-only transaction")
+
+    def _check_plan(self, plan: plans.Plan) -> None:
+        """Raise if a statement cannot be run, as where a table is missing."""
+        if plan.kind not in (plans.Kind.READ, plans.Kind.WRITE):
+            return
+        database = self.database
+        copy = database.working if self.has_writer else database.committed
+        try:
+            copy.connection.execute(
+                f"EXPLAIN {plan.sql}", [None] * len(plan.parameters)
+            )
+        except sqlite3.Error as error:
+            raise engine.explain(error) from error
+
+    def _commit(self) -> None:
+        """Commit the writing transaction and make its entry known."""
+        entry = self.database.commit(self.server.now())
+        self._give_writer_back()
+        if entry is None:
+            return
+        self.server.count("commits")
+        if self.server.replication:
+            self.server.replication.announce()
+        if self.server.faults.lose_answers > 0:
+            self.server.faults.lose_answers -= 1
+            self.session.lose_answer()
+
+    def _release_writer(self) -> None:
+        """Undo the writing transaction, if there is one."""
+        if not self.has_writer:
+            return
+        if self.database.is_primary:
+            self.database.rollback()
+        self._give_writer_back()
+
+    def _give_writer_back(self) -> None:
+        """Let the next session write."""
+        self.has_writer = False
+        self.server.writer.release()
+
+    def _roll_back(self) -> None:
+        """End the transaction and undo it."""
+        self._release_writer()
+        self._end_block(committed=False)
+
+    def _end_block(self, committed: bool) -> None:
+        """Leave the transaction block."""
+        self.status = "I"
+        self.is_read_only = False
+        self.savepoints = []
+        self.variables.end(committed)
+
+    async def _send(self, result: answers.Result) -> None:
+        """Send the result of a simple query in text format."""
+        if result.columns is not None:
+            formats = [0] * len(result.columns)
+            self.session.send(
+                wire.build_description(result.columns, formats, sqltypes.SIZES)
+            )
+            await answers.send_rows(self.session, result.rows, result.columns, formats)
+        self.session.send(wire.build_complete(result.format_tag()))
+
+    @runs(plans.Kind.READ)
+    async def _read(self, plan: plans.Plan, parameters: list) -> answers.Result:
+        """Run a query on what is committed, or inside the own transaction."""
+        await self.occupy_slot(plan, parameters)
+        if plan.locks and self.status == "T" and self.database.is_primary:
+            await self.acquire_writer()
+        self.database.committed.process = self.session.process
+        if self.has_writer:
+            self.database.working.process = self.session.process
+            cursor = self.database.read_working(plan.sql, parameters)
+        else:
+            cursor = self.database.read(plan.sql, parameters, self.server.now())
+        rows = cursor.fetchall()
+        columns = answers.complete_columns(plan.columns, cursor.description, rows)
+        return answers.Result(plan.tag, columns, rows, len(rows))
+
+    @runs(plans.Kind.WRITE, plans.Kind.DDL)
+    async def _write(self, plan: plans.Plan, parameters: list) -> answers.Result:
+        """Run a statement that changes data or tables."""
+        self._check_writable()
+        await self.occupy_slot(plan, parameters)
+        await self.acquire_writer()
+        cursor = self.database.write(plan.sql, parameters)
+        if plan.returns_rows:
+            rows = cursor.fetchall()
+            columns = answers.complete_columns(plan.columns, cursor.description, rows)
+            return answers.Result(plan.tag, columns, rows, len(rows))
+        count = cursor.rowcount if plan.kind is plans.Kind.WRITE else None
+        return answers.Result(plan.tag, count=count)
+
+    @runs(plans.Kind.BEGIN)
+    async def _begin(self, plan: plans.Plan, parameters: list) -> answers.Result:
+        """Open a transaction block."""
+        if self.status != "I":
+            text = "there is already a transaction in progress"
+            self.session.send(wire.build_notice("25001", text))
+            return answers.Result(plan.tag)
+        self.status = "T"
+        self.is_read_only = plan.read_only
+        self.variables.begin()
+        return answers.Result(plan.tag)
+
+    @runs(plans.Kind.COMMIT)
+    async def _end(self, plan: plans.Plan, parameters: list) -> answers.Result:
+        """Commit, or roll back a failed transaction."""
+        if self.status == "E":
+            self._roll_back()
+            return answers.Result("ROLLBACK")
+        if self.has_writer:
+            self._commit()
+        self._end_block(committed=True)
+        return answers.Result(plan.tag)
+
+    @runs(plans.Kind.ROLLBACK)
+    async def _undo(self, plan: plans.Plan, parameters: list) -> answers.Result:
+        """Roll back."""
+        self._roll_back()
+        return answers.Result(plan.tag)
+
+    @runs(plans.Kind.SAVEPOINT)
+    async def _save(self, plan: plans.Plan, parameters: list) -> answers.Result:
+        """Set a savepoint."""
+        if self.status == "I":
+            raise wire.Failure("25P01", "SAVEPOINT needs a transaction block")
+        if self.has_writer:
+            self.database.write(plan.sql, [])
+        self.savepoints.append(plan.name)
+        return answers.Result(plan.tag)
+
+    @runs(plans.Kind.RELEASE, plans.Kind.ROLLBACK_TO)
+    async def _leave_savepoint(
+        self, plan: plans.Plan, parameters: list
+    ) -> answers.Result:
+        """Release a savepoint, or roll back to it."""
+        if plan.name not in self.savepoints:
+            raise wire.Failure("3B001", f"savepoint {plan.name} does not exist")
+        if self.has_writer:
+            self.database.write(plan.sql, [])
+        last = len(self.savepoints) - 1 - self.savepoints[::-1].index(plan.name)
+        if plan.kind is plans.Kind.RELEASE:
+            del self.savepoints[last:]
+            return answers.Result(plan.tag)
+        del self.savepoints[last + 1 :]
+        self.status = "T"
+        return answers.Result(plan.tag)
+
+    @runs(plans.Kind.SET, plans.Kind.RESET)
+    async def _set(self, plan: plans.Plan, parameters: list) -> answers.Result:
+        """Change or reset a variable and announce it where that is due."""
+        if plan.kind is plans.Kind.SET:
+            self.variables.change(plan.name, plan.value, plan.local)
+        else:
+            self.variables.reset(plan.name)
+        if plan.name in variables.REPORTED:
+            name = self.variables.name(plan.name)
+            value = self.variables.read(plan.name) or ""
+            self.session.send(wire.build_status(name, value))
+        return answers.Result(plan.tag)
+
+    @runs(plans.Kind.SHOW)
+    async def _show(self, plan: plans.Plan, parameters: list) -> answers.Result:
+        """Show a variable."""
+        value = self.variables.read(plan.name)
+        if value is None:
+            message = f'unrecognized configuration parameter "{plan.name}"'
+            raise wire.Failure("42704", message)
+        return answers.Result("SHOW", [(plan.name, sqltypes.TEXT)], [(value,)])
+
+    @runs(plans.Kind.DEALLOCATE, plans.Kind.DISCARD)
+    async def _discard(self, plan: plans.Plan, parameters: list) -> answers.Result:
+        """Forget prepared statements, and variables with DISCARD ALL."""
+        if plan.kind is plans.Kind.DISCARD and self.status != "I":
+            raise wire.Failure("25001", "DISCARD ALL cannot run in a transaction")
+        if plan.kind is plans.Kind.DISCARD:
+            self.variables.reset("all")
+            self.session.extended.deallocate("all")
+        else:
+            self.session.extended.deallocate(plan.name)
+        return answers.Result(plan.tag)
+
+    @runs(plans.Kind.NOTHING)
+    async def _do_nothing(self, plan: plans.Plan, parameters: list) -> answers.Result:
+        """Accept a statement that has nothing to do here."""
+        return answers.Result(plan.tag)
+
+    @runs(plans.Kind.LOG_STATUS)
+    async def _show_log(self, plan: plans.Plan, parameters: list) -> answers.Result:
+        """Show the log positions."""
+        rows = self.server.read_status()
+        if _STATUS_QUERY.match(plan.text):
+            columns = list(plans.STATUS_COLUMNS)
+            return answers.Result(plan.tag, columns, rows, len(rows))
+        scratch = sqlite3.connect(":memory:")
+        names = ", ".join(name for name, _ in plans.STATUS_COLUMNS)
+        scratch.execute(f"CREATE TABLE cluster_log_status ({names})")
+        scratch.executemany(
+            "INSERT INTO cluster_log_status VALUES (?, ?, ?, ?, ?)", rows
+        )
+        cursor = scratch.execute(plan.sql, parameters)
+        rows = cursor.fetchall()
+        columns = answers.complete_columns(plan.columns, cursor.description, rows)
+        return answers.Result(plan.tag, columns, rows, len(rows))
+
+    @runs(plans.Kind.PROMOTE)
+    async def _promote(self, plan: plans.Plan, parameters: list) -> answers.Result:
+        """Become primary of a term."""
+        (term,) = _evaluate(plan, parameters, 1)
+        point = self.server.promote(int(term))
+        return answers.Result(plan.tag, plan.columns, [(point,)], 1)
+
+    @runs(plans.Kind.FOLLOW)
+    async def _follow(self, plan: plans.Plan, parameters: list) -> answers.Result:
+        """Become replica of another endpoint."""
+        term, host, port = _evaluate(plan, parameters, 3)
+        self.server.follow(int(term), str(host), int(port))
+        return answers.Result(plan.tag, plan.columns, [("",)], 1)
+
+
+def _evaluate(plan: plans.Plan, parameters: list, count: int) -> tuple:
+    """Return the arguments of a cluster function."""
+    match = _ARGUMENTS.search(plan.sql)
+    scratch = sqlite3.connect(":memory:")
+    values = scratch.execute(f"SELECT {match.group(1)}", parameters).fetchone()
+    if len(values) != count:
+        raise wire.Failure("42883", f"the function takes {count} arguments")
+    return values
--- /dev/null
+++ b/src/sardinehold_standins/server.py
@@ -0,0 +1,231 @@
+"""One endpoint: its listener, its sessions and what they share."""
+
+import asyncio
+import random
+import socket
+import ssl
+import time
+
+from sardinehold_standins import engine
+from sardinehold_standins import faults as switches
+from sardinehold_standins import plan as plans
+from sardinehold_standins import session as sessions
+from sardinehold_standins import splitting
+from sardinehold_standins import waiting
+from sardinehold_standins import wire
+
+SILENT_SESSION_SECONDS = 5.0
+"""After which the endpoint gives up a session whose connection went silent."""
+
+PLAN_CACHE = 4096
+"""Plans of statements that are kept."""
+
+
+class Options:
+    """What does not change while an endpoint runs.
+
+    :param slots: statements that run at once.
+    :param connections: sessions that are accepted.
+    :param connect_delay: seconds that a new connection takes.
+    :param statement_cost: seconds that a statement holds its slot.
+    :param password: that clients must send, ``""`` for none.
+    :param tls: server side context, or None.
+    """
+
+    __slots__ = (
+        "slots",
+        "connections",
+        "connect_delay",
+        "statement_cost",
+        "password",
+        "tls",
+    )
+
+    def __init__(
+        self,
+        slots: int = 3,
+        connections: int = 45,
+        connect_delay: float = 0.0,
+        statement_cost: float = 0.0,
+        password: str = "",
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Keep the options."""
+        self.slots = slots
+        self.connections = connections
+        self.connect_delay = connect_delay
+        self.statement_cost = statement_cost
+        self.password = password
+        self.tls = tls
+
+
+class Server:
+    """Serves one database to PostgreSQL clients.
+
+    :param database: its data and log.
+    :param faults: its fault switches.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        database: engine.Database,
+        options: Options,
+        faults: switches.Faults | None = None,
+        seed: int = 0,
+    ) -> None:
+        """Prepare to serve; ``start`` opens the listener."""
+        self.database = database
+        self.options = options
+        self.faults = faults or switches.Faults()
+        self.slots = waiting.Semaphore(options.slots)
+        self.writer = waiting.Semaphore(1)
+        self.sessions: dict[int, sessions.Session] = {}
+        self.plans: dict[tuple[str, bool], object] = {}
+        self.counters: dict[str, int] = {}
+        self.chance = random.Random(f"{database.name}/{seed}/server")
+        self.replication = None
+        self.address = ("", 0)
+        self._listener: asyncio.Server | None = None
+        self._next_process = 1
+        self._kept: list[asyncio.BaseTransport] = []
+        self._plans_version = 0
+
+    async def start(self, listener: socket.socket) -> None:
+        """Accept connections on a listening socket."""
+        self.address = listener.getsockname()[:2]
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(self._accept, sock=listener)
+
+    def stop(self) -> None:
+        """Close the listener and all sessions."""
+        if self._listener:
+            self._listener.close()
+        for session in list(self.sessions.values()):
+            session.end()
+            session.link.abort()
+        for transport in self._kept:
+            transport.abort()
+        self._kept.clear()
+
+    def count(self, name: str) -> None:
+        """Add one to a counter."""
+        self.counters[name] = self.counters.get(name, 0) + 1
+
+    def register(self, session: sessions.Session) -> None:
+        """Admit a session.
+
+        :raises sardinehold_standins.wire.Failure: there is no room for it.
+        """
+        if len(self.sessions) >= self.options.connections:
+            self.count("connections_refused")
+            raise wire.Failure("53300", "sorry, too many clients already", fatal=True)
+        session.process = self._next_process
+        self._next_process += 1
+        self.sessions[session.process] = session
+        self.count("connections")
+
+    def unregister(self, session: sessions.Session) -> None:
+        """Forget a session that ended."""
+        self.sessions.pop(session.process, None)
+
+    def cancel(self, process: int, secret: int) -> None:
+        """Cancel what a session runs, if the secret is right."""
+        session = self.sessions.get(process)
+        if session is not None and session.secret == secret:
+            self.count("cancels")
+            session.waiter.cancel()
+
+    def find_plan(self, text: str, is_prepared: bool):
+        """Return the plan of a statement if it is cached."""
+        if self._plans_version != self.database.schema_version:
+            self.plans.clear()
+            self._plans_version = self.database.schema_version
+        return self.plans.get((text, is_prepared))
+
+    def keep_plan(self, text: str, is_prepared: bool, plan) -> None:
+        """Cache a plan, dropping the oldest beyond the limit."""
+        if len(self.plans) >= PLAN_CACHE:
+            del self.plans[next(iter(self.plans))]
+        self.plans[(text, is_prepared)] = plan
+
+    def promote(self, term: int) -> int:
+        """Become primary of a term; return the promotion point."""
+        point = self.database.become_primary(term)
+        if self.replication:
+            self.replication.follow(None)
+        return point
+
+    def follow(self, term: int, host: str, port: int) -> None:
+        """Become a replica of the primary of a term."""
+        database = self.database
+        if term < database.term or (term == database.term and database.is_primary):
+            raise wire.Failure(
+                "55000", f"endpoint is of term {database.term}, not before {term}"
+            )
+        if database.is_primary:
+            database.become_replica()
+            for session in list(self.sessions.values()):
+                session.demote()
+        self.replication.follow((host, port), term)
+
+    def run_script(self, text: str) -> None:
+        """Run statements in one transaction of the primary."""
+        self.database.begin(self.now())
+        for statement in splitting.split_statements(text):
+            plan = plans.build_plan(statement, self.database.schema, False)
+            self.database.write(plan.sql, [])
+        self.database.commit(self.now())
+
+    def read_status(self) -> list[tuple]:
+        """Return the rows of ``cluster_log_status``."""
+        database = self.database
+        role = "primary" if database.is_primary else "replica"
+        own = (database.name, role, database.term, database.received, database.applied)
+        rows = [own]
+        if database.is_primary and self.replication:
+            rows.extend(self.replication.list_confirmed())
+        return rows
+
+    def silence(self, share: float = 1.0) -> int:
+        """Let open connections go silent for good; return how many."""
+        chosen = [
+            session
+            for session in self.sessions.values()
+            if not session.link.is_silent and self.chance.random() < share
+        ]
+        for session in chosen:
+            self.silence_session(session)
+        return len(chosen)
+
+    def silence_session(self, session: sessions.Session) -> None:
+        """Let one connection go silent; its session ends some time later."""
+        session.link.go_silent()
+        self._kept.append(session.link.transport)
+        loop = asyncio.get_running_loop()
+        loop.call_later(SILENT_SESSION_SECONDS, session.end)
+
+    async def set_dead(self, dead: bool) -> None:
+        """Stop to answer and refuse connections, or come back with all data."""
+        if dead and self._listener:
+            self._listener.close()
+            self._listener = None
+            self.silence()
+            for session in list(self.sessions.values()):
+                session.end()
+        elif not dead and self._listener is None:
+            loop = asyncio.get_running_loop()
+            self._listener = await loop.create_server(
+                self._accept, *self.address, reuse_address=True
+            )
+        if self.replication:
+            self.replication.restart()
+
+    def now(self) -> float:
+        """Return the wall time, in seconds."""
+        return time.time()
+
+    def _accept(self) -> sessions.Session:
+        """Return the protocol of a new connection."""
+        return sessions.Session(self)
--- /dev/null
+++ b/src/sardinehold_standins/session.py
@@ -0,0 +1,271 @@
+"""One client connection: start-up, then its frames in order."""
+
+import asyncio
+import collections
+import secrets
+import struct
+
+from sardinehold_standins import extended
+from sardinehold_standins import link as links
+from sardinehold_standins import running
+from sardinehold_standins import waiting
+from sardinehold_standins import wire
+
+FLUSH_BYTES = 64 * 1024
+"""Answer bytes from which on they are sent before the answer is complete."""
+
+QUEUED_FRAMES = 2000
+"""Frames that are read ahead of the one that runs."""
+
+KEY_MARKER = b"shk_"
+"""Beginning of a caller's key, which no endpoint may ever see."""
+
+PARAMETERS = {
+    "server_version": "16.0",
+    "server_encoding": "UTF8",
+    "client_encoding": "UTF8",
+    "application_name": "",
+    "is_superuser": "off",
+    "session_authorization": "sardinehold",
+    "DateStyle": "ISO, MDY",
+    "IntervalStyle": "postgres",
+    "TimeZone": "UTC",
+    "integer_datetimes": "on",
+    "standard_conforming_strings": "on",
+}
+"""What a session announces at its start."""
+
+
+class Session(asyncio.Protocol):
+    """Speaks the protocol with one client.
+
+    :param server: the endpoint.
+    """
+
+    def __init__(self, server) -> None:
+        """Wait for the connection."""
+        self.server = server
+        self.process = 0
+        self.secret = secrets.randbits(32)
+        self.waiter = waiting.Waiter()
+        self.link: links.Link | None = None
+        self.out: list[bytes] = []
+        self.out_size = 0
+        self.frames: collections.deque[tuple[bytes, bytes]] = collections.deque()
+        self.runner = running.Runner(self)
+        self.extended = extended.Extended(self)
+        self.is_ended = False
+        self._buffer = bytearray()
+        self._is_started = False
+        self._arrived: asyncio.Future | None = None
+        self._task: asyncio.Task | None = None
+        self._is_paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to serve."""
+        faults = self.server.faults
+        self.link = links.Link(transport, self._feed, lambda: faults.latency)
+        self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes from the client."""
+        if KEY_MARKER in data:
+            self.server.count("keys_seen")
+        self.link.feed(data)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """End the session."""
+        self.end()
+
+    def pause_writing(self) -> None:
+        """Hold back answers."""
+        self.link.pause()
+
+    def resume_writing(self) -> None:
+        """Go on with answers."""
+        self.link.resume()
+
+    def end(self) -> None:
+        """Roll back and free all that the session holds."""
+        if self.is_ended:
+            return
+        self.is_ended = True
+        self.server.unregister(self)
+        if self._task is not asyncio.current_task():
+            self._task.cancel()
+        self.link.resume()
+        self.runner.abandon()
+
+    def demote(self) -> None:
+        """End the session if it has an open write: the endpoint is a replica now."""
+        if not self.runner.has_writer:
+            return
+        failure = wire.Failure("57P01", "endpoint became a replica", fatal=True)
+        self.link.write(wire.build_error(failure))
+        self.link.close()
+        self.end()
+
+    def send(self, data: bytes) -> None:
+        """Add to the answer."""
+        self.out.append(data)
+        self.out_size += len(data)
+
+    def flush(self) -> None:
+        """Send what there is of the answer."""
+        if self.out:
+            self.link.write(b"".join(self.out))
+            self.out.clear()
+            self.out_size = 0
+
+    async def drain(self) -> None:
+        """Send what there is when it is much, and wait for the client."""
+        if self.out_size >= FLUSH_BYTES:
+            self.flush()
+            await self.link.drain()
+
+    async def finish(self) -> None:
+        """End an answer with ReadyForQuery."""
+        self.send(wire.READY[self.runner.status])
+        faults = self.server.faults
+        if faults.late and self.server.chance.random() < faults.late_share:
+            await asyncio.sleep(faults.late)
+        self.flush()
+
+    def lose_answer(self) -> None:
+        """Close or go silent in place of answering; ends the session."""
+        self.server.count("answers_lost")
+        self.out.clear()
+        if self.server.faults.lose_how == "silent":
+            self.server.silence_session(self)
+        else:
+            self.link.abort()
+        raise asyncio.CancelledError
+
+    async def next_frame(self) -> tuple[bytes, bytes]:
+        """Return the next frame, waiting for it."""
+        while not self.frames:
+            await self._wait()
+        if self._is_paused and len(self.frames) < QUEUED_FRAMES // 2:
+            self._is_paused = False
+            self.link.transport.resume_reading()
+        return self.frames.popleft()
+
+    def _feed(self, data: bytes) -> None:
+        """Split bytes into frames and wake the session."""
+        self._buffer += data
+        if self._is_started:
+            try:
+                wire.split_frames(self._buffer, self.frames)
+            except wire.Failure as failure:
+                self.link.write(wire.build_error(failure))
+                self.link.close()
+                return
+            if len(self.frames) > QUEUED_FRAMES and not self._is_paused:
+                self._is_paused = True
+                self.link.transport.pause_reading()
+        self._wake()
+
+    async def _wait(self) -> None:
+        """Wait until bytes arrive."""
+        self._arrived = asyncio.get_running_loop().create_future()
+        await self._arrived
+        self._arrived = None
+
+    def _wake(self) -> None:
+        """Let the session look at what arrived."""
+        if self._arrived is not None and not self._arrived.done():
+            self._arrived.set_result(None)
+
+    async def _serve(self) -> None:
+        """Serve the client until it leaves."""
+        try:
+            parameters = await self._start()
+            if parameters is None:
+                return
+            if "cluster_replica" in parameters:
+                await self.server.replication.serve_replica(self, parameters)
+                return
+            await self._authenticate(parameters)
+            await self._serve_frames()
+        except wire.Failure as failure:
+            self.send(wire.build_error(failure))
+            self.flush()
+        finally:
+            self.end()
+            if not self.link.is_silent:
+                self.link.close()
+
+    async def _start(self) -> dict[str, str] | None:
+        """Read the start-up message; None if it was a CancelRequest."""
+        while True:
+            body = await self._read_startup()
+            (code,) = struct.unpack_from("!i", body)
+            if code == wire.SSL_REQUEST and self.server.options.tls:
+                await self._start_tls()
+            elif code in (wire.SSL_REQUEST, wire.GSS_REQUEST):
+                self.link.write(b"N")
+            elif code == wire.CANCEL_REQUEST:
+                self.server.cancel(*struct.unpack_from("!iI", body, 4))
+                return None
+            elif code >> 16 == 3:
+                self._is_started = True
+                self._feed(b"")
+                fields = body[4:].decode().split("\0")
+                return dict(zip(fields[::2], fields[1::2], strict=False))
+            else:
+                raise wire.Failure("08P01", f"unsupported protocol {code}", fatal=True)
+
+    async def _read_startup(self) -> bytes:
+        """Read one message without a kind."""
+        while True:
+            if len(self._buffer) >= 4:
+                (size,) = struct.unpack_from("!i", self._buffer)
+                if not 8 <= size <= 10_000:
+                    raise wire.Failure("08P01", "invalid start-up", fatal=True)
+                if len(self._buffer) >= size:
+                    body = bytes(self._buffer[4:size])
+                    del self._buffer[:size]
+                    return body
+            await self._wait()
+
+    async def _start_tls(self) -> None:
+        """Answer yes and change over to TLS."""
+        transport = self.link.transport
+        transport.write(b"S")
+        loop = asyncio.get_running_loop()
+        self.link.transport = await loop.start_tls(
+            transport, self, self.server.options.tls, server_side=True
+        )
+
+    async def _authenticate(self, parameters: dict[str, str]) -> None:
+        """Admit the session and announce its parameters."""
+        self.server.register(self)
+        if self.server.options.connect_delay:
+            await asyncio.sleep(self.server.options.connect_delay)
+        password = self.server.options.password
+        if password:
+            self.link.write(wire.PASSWORD_REQUEST)
+            kind, payload = await self.next_frame()
+            if kind != b"p" or payload.rstrip(b"\0").decode() != password:
+                raise wire.Failure("28P01", "password authentication failed", True)
+        user = parameters.get("user", "")
+        announced = {**PARAMETERS, "session_authorization": user}
+        for name in ("application_name", "client_encoding"):
+            announced[name] = parameters.get(name, announced[name])
+        self.runner.variables.start(announced)
+        self.send(wire.AUTHENTICATION_OK)
+        for name, value in announced.items():
+            self.send(wire.build_status(name, value))
+        self.send(wire.build_key_data(self.process, self.secret))
+        await self.finish()
+
+    async def _serve_frames(self) -> None:
+        """Answer frame by frame."""
+        while True:
+            kind, payload = await self.next_frame()
+            if kind == b"Q":
+                await self.runner.run_query(payload[:-1].decode())
+            elif kind == b"X":
+                return
+            else:
+                await self.extended.handle(kind, payload)
--- /dev/null
+++ b/src/sardinehold_standins/splitting.py
@@ -0,0 +1,60 @@
+"""Splits a query into statements and finds their parameters."""
+
+import re
+
+_TOKENS = re.compile(
+    r"""
+    '(?:[^']|'')*'              # string
+  | "(?:[^"]|"")*"              # quoted identifier
+  | --[^\n]*                    # line comment
+  | /\*.*?\*/                   # block comment
+  | \$(?P<tag>[A-Za-z_]\w*)?\$.*?\$(?(tag)(?P=tag))\$  # dollar quoted string
+  | \$(?P<parameter>\d+)        # parameter
+  | (?P<semicolon>;)
+    """,
+    re.VERBOSE | re.DOTALL,
+)
+
+_COMMENT = re.compile(r"(?:\s+|--[^\n]*(?:\n|$)|/\*.*?\*/)*", re.DOTALL)
+
+
+def split_statements(text: str) -> list[str]:
+    """Return the statements of a query that are not empty."""
+    if ";" not in text:
+        return [text] if _is_statement(text) else []
+    statements = []
+    start = 0
+    for match in _TOKENS.finditer(text):
+        if match.group("semicolon"):
+            statements.append(text[start : match.start()])
+            start = match.end()
+    statements.append(text[start:])
+    return [statement for statement in statements if _is_statement(statement)]
+
+
+def strip_comments(text: str) -> str:
+    """Return ``text`` without what stands before its first word."""
+    return text[_COMMENT.match(text).end() :]
+
+
+def replace_parameters(text: str, pattern: str) -> tuple[str, int]:
+    """Rewrite each parameter ``$n`` as ``pattern`` with ``{}`` for n.
+
+    :returns: the text, and the highest number of a parameter.
+    """
+    highest = 0
+
+    def replace(match: re.Match) -> str:
+        nonlocal highest
+        number = match.group("parameter")
+        if not number:
+            return match.group()
+        highest = max(highest, int(number))
+        return pattern.format(number)
+
+    return _TOKENS.sub(replace, text), highest
+
+
+def _is_statement(text: str) -> bool:
+    """Return whether there is more than white space and comments."""
+    return _COMMENT.match(text).end() < len(text)
--- /dev/null
+++ b/src/sardinehold_standins/variables.py
@@ -0,0 +1,92 @@
+"""Variables of a session: SET, RESET and SHOW."""
+
+REPORTED = {
+    "server_version",
+    "server_encoding",
+    "client_encoding",
+    "application_name",
+    "datestyle",
+    "intervalstyle",
+    "timezone",
+    "standard_conforming_strings",
+}
+"""Variables whose change is announced by ParameterStatus, in lower case."""
+
+_DEFAULTS = {
+    "transaction_isolation": "read committed",
+    "default_transaction_isolation": "read committed",
+    "default_transaction_read_only": "off",
+    "statement_timeout": "0",
+    "search_path": '"$user", public',
+    "max_identifier_length": "63",
+}
+
+
+class Variables:
+    """The variables of one session.
+
+    Changes inside a transaction are undone by its rollback, local ones by its
+    end.
+    """
+
+    __slots__ = ("_names", "_defaults", "_values", "_saved", "_local")
+
+    def __init__(self) -> None:
+        """Start with the defaults."""
+        self._names: dict[str, str] = {}
+        self._defaults = dict(_DEFAULTS)
+        self._values = dict(_DEFAULTS)
+        self._saved: dict[str, str] | None = None
+        self._local: dict[str, str | None] = {}
+
+    def start(self, announced: dict[str, str]) -> None:
+        """Take over what the session announced at its start."""
+        self._names = {name.lower(): name for name in announced}
+        self._defaults.update({k.lower(): v for k, v in announced.items()})
+        self._values = dict(self._defaults)
+
+    def read(self, name: str) -> str | None:
+        """Return a value, None if the variable does not exist."""
+        return self._values.get(name)
+
+    def name(self, name: str) -> str:
+        """Return a variable's name as it is announced."""
+        return self._names.get(name, name)
+
+    def list_all(self) -> list[tuple[str, str]]:
+        """Return all variables in order of their names."""
+        return sorted(self._values.items())
+
+    def change(self, name: str, value: str, local: bool) -> None:
+        """Set a variable; DEFAULT resets it."""
+        if local:
+            self._local.setdefault(name, self._values.get(name))
+        if value.lower() == "default":
+            self.reset(name)
+        else:
+            self._values[name] = value
+
+    def reset(self, name: str) -> None:
+        """Set a variable, or all, back to its default."""
+        if name == "all":
+            self._values = dict(self._defaults)
+        elif name in self._defaults:
+            self._values[name] = self._defaults[name]
+        else:
+            self._values.pop(name, None)
+
+    def begin(self) -> None:
+        """Remember the values at the start of a transaction."""
+        self._saved = dict(self._values)
+
+    def end(self, committed: bool) -> None:
+        """Undo local changes, or all changes after a rollback."""
+        if self._saved is not None and not committed:
+            self._values = self._saved
+        for name, value in self._local.items() if committed else ():
+            if value is None:
+                self._values.pop(name, None)
+            else:
+                self._values[name] = value
+        self._saved = None
+        self._local = {}
