--- a/src/sardinehold/console/api.py
+++ b/src/sardinehold/console/api.py
@@ -90,6 +90,8 @@
     }
     if isinstance(error, validation.InvalidDocument):
         body["faults"] = [fault.dump() for fault in error.faults]
+    if isinstance(error, store.Conflict) and error.made is not None:
+        body["changes"] = [change.dump() for change in error.made]
     headers = {}
     if isinstance(error, sessions.TooManyTries):
         headers["Retry-After"] = f"{error.wait:.0f}"
--- a/src/sardinehold/console/document_edits.py
+++ b/src/sardinehold/console/document_edits.py
@@ -8,14 +8,18 @@
     "document.replace",
     "Replace the document",
     "/document",
-    edits.Field("content", "Document", "JSON, as `sardinehold check` accepts it.", "lines"),
+    edits.Field(
+        "content", "Document", "JSON, as `sardinehold check` accepts it.", "lines"
+    ),
 )
 def replace_document(draft: edits.Draft, fields: dict) -> None:
     """Put a whole document in the place of this one, as one new version."""
     content = fields["content"]
     value = content if isinstance(content, dict) else checking.parse_json(content)
     if not isinstance(value, dict):
-        raise edits.EditError("The document is not a JSON object.", "Begin it with a brace.")
+        raise edits.EditError(
+            "The document is not a JSON object.", "Begin it with a brace."
+        )
     kept = draft.value["operators"]
     draft.value.clear()
     draft.value.update(value)
--- a/src/sardinehold/console/edits.py
+++ b/src/sardinehold/console/edits.py
@@ -11,6 +11,7 @@
 from sardinehold import errors
 from sardinehold import keys
 
+
 class EditError(errors.DocumentError):
     """What an edit should change does not exist, or exists already."""
 
--- a/src/sardinehold/console/fleet.py
+++ b/src/sardinehold/console/fleet.py
@@ -137,4 +137,6 @@
         listed = await client.list_groups()
     except errors.PlatformError:
         return {}
-    return {item.name: (item.value or {}).get("endpoints", {}) for item in listed.objects}
+    return {
+        item.name: (item.value or {}).get("endpoints", {}) for item in listed.objects
+    }
--- a/src/sardinehold/console/forms.py
+++ b/src/sardinehold/console/forms.py
@@ -34,9 +34,7 @@
     What is no number stays text: validation then names the path and the remedy.
     """
     return {
-        field.name: _CONVERTERS.get(field.kind, _convert_text)(
-            form.get(field.name, [])
-        )
+        field.name: _CONVERTERS.get(field.kind, _convert_text)(form.get(field.name, []))
         for field in edit.fields
     }
 
@@ -76,7 +74,9 @@
     known = {field.name: field for field in edit.fields}
     for name, value in given.items():
         if name not in known:
-            raise edits.EditError(f"{edit.name} has no field {name}.", _list_fields(edit))
+            raise edits.EditError(
+                f"{edit.name} has no field {name}.", _list_fields(edit)
+            )
         _require_type(known[name], value)
     for field in edit.fields:
         if _is_needed(edit, field) and field.name not in given:
--- a/src/sardinehold/console/route_edits.py
+++ b/src/sardinehold/console/route_edits.py
@@ -25,7 +25,9 @@
         (),
         DEFAULT_CONNECTIONS,
     ),
-    edits.Field("database", "Database", "Its name on the endpoints.", "text", (), "main"),
+    edits.Field(
+        "database", "Database", "Its name on the endpoints.", "text", (), "main"
+    ),
     edits.Field(
         "user",
         "User",
@@ -74,7 +76,9 @@
         part["endpoints"] = parse_endpoints(fields["endpoints"])
 
 
-@edits.edit("group.remove", "Remove a group", "/groups", edits.fix_field("group", "Group"))
+@edits.edit(
+    "group.remove", "Remove a group", "/groups", edits.fix_field("group", "Group")
+)
 def remove_group(draft: edits.Draft, fields: dict) -> None:
     """Forget a group; remove the routes that lead to it first."""
     draft.remove("groups", fields["group"])
@@ -127,7 +131,9 @@
         (),
         False,
     ),
-    edits.Field("rate", "Rate of an open route", "Statements a second.", "number", (), 0),
+    edits.Field(
+        "rate", "Rate of an open route", "Statements a second.", "number", (), 0
+    ),
     edits.Field("burst", "Burst of an open route", "Statements.", "whole", (), 0),
     edits.Field(
         "max_age",
@@ -169,21 +175,29 @@
     return part
 
 
-@edits.edit("route.create", "Add a route", "/routes", edits.name_field("Name", "route"), *_ROUTE)
+@edits.edit(
+    "route.create", "Add a route", "/routes", edits.name_field("Name", "route"), *_ROUTE
+)
 def create_route(draft: edits.Draft, fields: dict) -> None:
     """Add a database name that callers connect to."""
     draft.add("routes", fields["route"], _pick_route(fields))
 
 
-@edits.edit("route.change", "Change a route", "/routes", edits.fix_field("route", "Route"), *_ROUTE)
+@edits.edit(
+    "route.change",
+    "Change a route",
+    "/routes",
+    edits.fix_field("route", "Route"),
+    *_ROUTE,
+)
 def change_route(draft: edits.Draft, fields: dict) -> None:
     """Change who may use the route and how it answers."""
     draft.find("routes", fields["route"]).update(_pick_route(fields))
 
 
-@edits.edit("route.remove", "Remove a route", "/routes", edits.fix_field("route", "Route"))
+@edits.edit(
+    "route.remove", "Remove a route", "/routes", edits.fix_field("route", "Route")
+)
 def remove_route(draft: edits.Draft, fields: dict) -> None:
     """End the route's sessions; its databases stay."""
     draft.remove("routes", fields["route"])
-
-
--- a/src/sardinehold/console/server.py
+++ b/src/sardinehold/console/server.py
@@ -2,9 +2,9 @@
 
 import socket
 import ssl
-import typing
 
 import anyio
+import logbook
 import uvicorn
 
 from sardinehold import certificates
@@ -22,6 +22,9 @@
 MAX_CONNECTIONS = 500
 """Connections served at once; others are answered 503."""
 
+_log = logbook.Logger("console")
+
+
 def run(settings: settings_.ConsoleSettings) -> int:
     """Serve until SIGTERM or SIGINT and return the exit code.
 
@@ -65,17 +68,15 @@
     client = platform_client.HttpObjectClient(
         settings.platform_url, settings.vm, settings.platform_tls
     )
-    reloader = certificates.build_reloader(settings.console_tls)
-    console = context.Console(
-        store.Store(client), bootstrap, reloader is not None, recorder
-    )
-    config = _build_config(console, reloader)
+    tls = certificates.Certificates(settings.console_tls, ssl.Purpose.CLIENT_AUTH)
+    is_secure = tls.context is not None
+    console = context.Console(store.Store(client), bootstrap, is_secure, recorder)
+    config = _build_config(console, tls.context)
     server = uvicorn.Server(config)
-    _announce(listener, reloader is not None)
+    _announce(listener, is_secure)
     recorder.record("process_started", role="console")
     async with anyio.create_task_group() as tasks:
-        if reloader is not None:
-            tasks.start_soon(reloader.watch)
+        tasks.start_soon(_watch_certificates, tls)
         await server.serve(sockets=[listener])
         tasks.cancel_scope.cancel()
     recorder.record("process_stopped", role="console")
@@ -83,7 +84,7 @@
 
 
 def _build_config(
-    console: context.Console, reloader: certificates.Reloader | None
+    console: context.Console, tls: ssl.SSLContext | None
 ) -> uvicorn.Config:
     return uvicorn.Config(
         app.build_app(console),
@@ -97,18 +98,18 @@
         server_header=False,
         limit_concurrency=MAX_CONNECTIONS,
         timeout_graceful_shutdown=STOP_TIMEOUT,
-        ssl_context_factory=_make_factory(reloader),
+        ssl_context_factory=(lambda _config, _default: tls) if tls else None,
     )
 
 
-def _make_factory(reloader: certificates.Reloader | None) -> typing.Callable[[uvicorn.Config, object], ssl.SSLContext] | None:
-    if reloader is None:
-        return None
-
-    def build_context(_config: uvicorn.Config, _default: object) -> ssl.SSLContext:
-        return reloader.context
-
-    return build_context
+async def _watch_certificates(tls: certificates.Certificates) -> None:
+    while True:
+        await anyio.sleep(certificates.CHECK_SECONDS)
+        try:
+            if tls.reload():
+                _log.notice("certificate replaced")
+        except errors.SettingsError as error:
+            _log.warning("certificate kept: {}", error.format_message())
 
 
 def _announce(listener: socket.socket, is_secure: bool) -> None:
--- a/src/sardinehold/console/store.py
+++ b/src/sardinehold/console/store.py
@@ -179,22 +179,30 @@
         :raises Conflict: somebody else was first.
         :raises UnknownEffect: the platform does not answer any more.
         """
-        before = proposal.before
-        if before.config is not None:
-            await audit.archive_version(self.client, before.config)
-        wait = ATTEMPT_WAIT
-        for _ in range(ATTEMPTS):
+        if proposal.before.config is not None:
+            await self._archive(proposal.before.config)
+        async for _ in _pace_attempts():
             if await self._try_write(proposal):
                 await self._finish_audit(proposal.config)
                 return
-            await anyio.sleep(wait)
-            wait *= 2
         raise UnknownEffect(
             "The platform did not say whether the change took effect.",
             f"Look into the history for version {proposal.config.version} by"
             f" {proposal.config.author} before you make the change again.",
         )
 
+    async def _archive(self, config: document.Document) -> None:
+        async for _ in _pace_attempts():
+            try:
+                await audit.archive_version(self.client, config)
+                return
+            except errors.PlatformUnavailable:
+                continue
+        raise errors.PlatformUnavailable(
+            "The platform does not answer; nothing was changed.",
+            "Make the change again when the platform is back.",
+        )
+
     async def _try_write(self, proposal: Proposal) -> bool:
         """Return whether the change took effect, False if that is not known."""
         value = document.dump_document(proposal.config)
@@ -261,8 +269,7 @@
             return
 
     async def _create_handover(self, group: str, request: dict[str, str]) -> None:
-        wait = ATTEMPT_WAIT
-        for _ in range(ATTEMPTS):
+        async for _ in _pace_attempts():
             try:
                 await self.client.create("handover", group, request)
                 return
@@ -270,8 +277,7 @@
                 await self._recognise_handover(group, request)
                 return
             except errors.PlatformUnavailable:
-                await anyio.sleep(wait)
-                wait *= 2
+                continue
         raise UnknownEffect(
             f"The platform did not say whether the hand-over of {group} was taken.",
             "Look at the group's page before you ask again.",
@@ -297,6 +303,16 @@
     code = "SH307"
 
 
+async def _pace_attempts() -> typing.AsyncIterator[int]:
+    """Yield the numbers of attempts, waiting longer before each."""
+    wait = ATTEMPT_WAIT
+    for attempt in range(ATTEMPTS):
+        if attempt:
+            await anyio.sleep(wait)
+            wait *= 2
+        yield attempt
+
+
 def _draft_value(before: Current) -> dict:
     if before.config is None:
         return {"teams": {}, "groups": {}, "routes": {}, "operators": {}}
--- a/src/sardinehold/console/summary.py
+++ b/src/sardinehold/console/summary.py
@@ -80,9 +80,7 @@
 def _measure_failover(fleet: fleets.Fleet) -> Measure:
     gap = fleet.read_percentile(FAILOVER_GAP, 100)
     value = NOTHING if gap is None else f"{gap * 1000:.0f} ms"
-    return Measure(
-        "Longest failover gap", value, "Without accepted writes in a group."
-    )
+    return Measure("Longest failover gap", value, "Without accepted writes in a group.")
 
 
 def _measure_worst_team(fleet: fleets.Fleet) -> Measure:
--- a/src/sardinehold/console/team_edits.py
+++ b/src/sardinehold/console/team_edits.py
@@ -26,14 +26,26 @@
 )
 
 
-@edits.edit("team.create", "Add a team", "/teams/{team}", edits.name_field("Name", "team"), *_LIMITS)
+@edits.edit(
+    "team.create",
+    "Add a team",
+    "/teams/{team}",
+    edits.name_field("Name", "team"),
+    *_LIMITS,
+)
 def create_team(draft: edits.Draft, fields: dict) -> None:
     """Add a tenant with its share of the platform; its first key is the next step."""
     part = edits.pick_fields(fields, _LIMITS)
     draft.add("teams", fields["team"], {**part, "keys": []})
 
 
-@edits.edit("team.change", "Change a team", "/teams/{team}", edits.fix_field("team", "Team"), *_LIMITS)
+@edits.edit(
+    "team.change",
+    "Change a team",
+    "/teams/{team}",
+    edits.fix_field("team", "Team"),
+    *_LIMITS,
+)
 def change_team(draft: edits.Draft, fields: dict) -> None:
     """Change what the team may use, on all VMs within seconds."""
     draft.find("teams", fields["team"]).update(edits.pick_fields(fields, _LIMITS))
@@ -45,7 +57,9 @@
     draft.remove("teams", fields["team"])
 
 
-@edits.edit("key.create", "Make a key", "/teams/{team}", edits.fix_field("team", "Team"))
+@edits.edit(
+    "key.create", "Make a key", "/teams/{team}", edits.fix_field("team", "Team")
+)
 def create_key(draft: edits.Draft, fields: dict) -> None:
     """Make a further key for the team and show it once; the others go on working."""
     draft.find("teams", fields["team"])["keys"].append(draft.make_key())
@@ -152,7 +166,9 @@
 )
 def change_operator(draft: edits.Draft, fields: dict) -> None:
     """Change what the operator may do."""
-    draft.find("operators", fields["operator"]).update(edits.pick_fields(fields, _OPERATOR))
+    draft.find("operators", fields["operator"]).update(
+        edits.pick_fields(fields, _OPERATOR)
+    )
 
 
 @edits.edit(
@@ -167,10 +183,11 @@
 
 
 @edits.edit(
-    "operator.remove", "Remove an operator", "/operators", edits.fix_field("operator", "Operator")
+    "operator.remove",
+    "Remove an operator",
+    "/operators",
+    edits.fix_field("operator", "Operator"),
 )
 def remove_operator(draft: edits.Draft, fields: dict) -> None:
     """End the operator's sessions and forget their key."""
     draft.remove("operators", fields["operator"])
-
-
--- a/src/sardinehold/console/work.py
+++ b/src/sardinehold/console/work.py
@@ -57,9 +57,7 @@
     return Result(proposal, drafts[0].secret)
 
 
-async def _load_content(
-    visit: context.Visit, edit: edits.Edit, fields: dict
-) -> dict:
+async def _load_content(visit: context.Visit, edit: edits.Edit, fields: dict) -> dict:
     if edit.name != "document.restore":
         return fields
     text = str(fields["version"])
