--- /dev/null
+++ b/src/sardinehold/core/admission.py
@@ -0,0 +1,205 @@
+"""From a caller's request to a token of its team's rate."""
+
+from sardinehold import errors
+from sardinehold.core import actions
+from sardinehold.core import balance as balances
+from sardinehold.core import deadlines
+from sardinehold.core import events
+from sardinehold.core import handlers
+from sardinehold.core import losses
+from sardinehold.core import node as nodes
+from sardinehold.core import request as requests
+from sardinehold.core import routing
+from sardinehold.core import statements
+from sardinehold.core import variables
+
+MAX_WAITING = 512
+"""Requests of one team that wait for tokens."""
+
+WAIT_SHARE = 0.5
+"""Share of the time to the deadline that a request waits for a token."""
+
+_LOCAL = frozenset(
+    [
+        statements.Kind.SET,
+        statements.Kind.RESET,
+        statements.Kind.SHOW,
+        statements.Kind.DEALLOCATE,
+        statements.Kind.DISCARD,
+    ]
+)
+
+
+@handlers.handles(events.RequestArrived)
+def accept(node: nodes.Node, event: events.RequestArrived) -> None:
+    """Accept a request and fix its deadline."""
+    session = node.sessions.get(event.session_id)
+    if session is None:
+        node.count("requests_without_session")
+        return
+    request = requests.Request(event, session, node.now)
+    node.requests[request.request_id] = request
+    session.request = request
+    traits = event.traits
+    if traits.refusal:
+        error = errors.Unsupported(f"{traits.refusal}.", "Nothing was sent.")
+        requests.refuse(node, request, error)
+        return
+    try:
+        if traits.kind in _LOCAL and variables.answer_locally(node, request):
+            return
+    except errors.Unsupported as error:
+        requests.refuse(node, request, error)
+        return
+    if not request.is_read:
+        _mark_idempotent(session, request)
+    node.timers.set_shared(request.deadline, expire, request.request_id)
+    losses.note_request(node, request.owner)
+    admit(node, request)
+
+
+def _mark_idempotent(session: object, request: requests.Request) -> None:
+    """Let a write be retried that its caller declared idempotent.
+
+    A key that was SET marks the next write only.
+    """
+    key = request.traits.idempotency_key or session.idempotency_key
+    if key and not request.in_transaction and not request.traits.begins:
+        request.is_retryable = True
+        session.idempotency_key = ""
+
+
+def admit(node: nodes.Node, request: requests.Request) -> None:
+    """Spend a token on a request, or let it wait for one."""
+    balance = request.session.balance
+    balance.note_arrival()
+    if not balance.is_reviewed:
+        start_review(node, balance)
+    if not balance.waiting and balance.take(node.now):
+        request.has_token = True
+        routing.route(node, request)
+        return
+    _wait(node, request, balance)
+
+
+def _wait(
+    node: nodes.Node, request: requests.Request, balance: balances.Balance
+) -> None:
+    """Queue a request for tokens unless its wait would be too long."""
+    limit = WAIT_SHARE * (request.deadline - node.now)
+    expected = 0.0
+    if balance.income > 0:
+        expected = len(balance.waiting) / balance.income
+    if len(balance.waiting) >= MAX_WAITING or expected > limit:
+        requests.refuse(node, request, _over_rate(balance, expected))
+        return
+    request.advance("queue")
+    request.wait_until = node.now + limit
+    balance.waiting.append(request)
+    node.timers.set_shared(request.wait_until, _give_up, request.request_id)
+    request_tokens(node, balance)
+
+
+def _give_up(node: nodes.Node, request_ids: list[int]) -> None:
+    """Refuse requests that have waited too long for a token."""
+    for request_id in request_ids:
+        request = node.requests.get(request_id)
+        if request is None or request.has_token or not request.is_waiting():
+            continue
+        balance = request.session.balance
+        expected = len(balance.waiting) / balance.income if balance.income else 0.0
+        requests.refuse(node, request, _over_rate(balance, expected))
+
+
+def _over_rate(balance: balances.Balance, expected: float) -> errors.RequestError:
+    return errors.RateExceeded(
+        f"{balance.owner} has used its rate and burst;"
+        f" the expected wait is {expected:.2f} s.",
+        f"Send fewer statements; repeat this one after {max(expected, 1.0):.0f} s.",
+    )
+
+
+def find_balance(node: nodes.Node, owner: str) -> balances.Balance:
+    """Return the owner's balance, made when it is first needed."""
+    balance = node.balances.get(owner)
+    if balance is None:
+        balance = node.balances[owner] = balances.Balance(owner, node.now)
+    return balance
+
+
+def start_review(node: nodes.Node, balance: balances.Balance) -> None:
+    """Look at the demand from now on, and ask for tokens."""
+    balance.is_reviewed = True
+    request_tokens(node, balance)
+    node.timers.set(node.now + balances.REVIEW_INTERVAL, _review, balance)
+
+
+def _review(node: nodes.Node, balance: balances.Balance) -> None:
+    """Ask for tokens ahead of need; give back what is not needed."""
+    balance.review(node.now)
+    _forget_ended(balance)
+    if balance.is_idle():
+        balance.is_reviewed = False
+        return
+    target = balance.find_target()
+    if balance.tokens < target:
+        request_tokens(node, balance)
+    elif node.now - balance.quiet_since >= balances.QUIET:
+        return_tokens(node, balance, balance.tokens - target)
+    elif balance.tokens > 2 * target + balances.FIRST_REQUEST:
+        return_tokens(node, balance, balance.tokens - 2 * target)
+    node.timers.set(node.now + balances.REVIEW_INTERVAL, _review, balance)
+
+
+def _forget_ended(balance: balances.Balance) -> None:
+    """Drop requests that were refused while they waited."""
+    waiting = balance.waiting
+    while waiting and not waiting[0].is_waiting():
+        waiting.popleft()
+
+
+def request_tokens(node: nodes.Node, balance: balances.Balance) -> None:
+    """Ask the allocator for what the demand needs."""
+    if node.now - balance.asked_at < balances.REQUEST_INTERVAL:
+        return
+    wanted = max(balance.find_target(), balances.FIRST_REQUEST) - balance.tokens
+    if wanted > 0:
+        balance.asked_at = node.now
+        node.actions.append(actions.RequestTokens(balance.owner, wanted))
+
+
+def return_tokens(node: nodes.Node, balance: balances.Balance, tokens: int) -> None:
+    """Give tokens back that are not needed."""
+    taken = balance.withdraw(tokens)
+    if taken:
+        node.actions.append(actions.ReturnTokens(balance.owner, taken))
+
+
+@handlers.handles(events.TokensGranted)
+def take_grant(node: nodes.Node, event: events.TokensGranted) -> None:
+    """Let waiting requests go on with new tokens."""
+    balance = find_balance(node, event.team)
+    if event.deadline < node.now:
+        return
+    balance.grant(event.tokens, event.deadline)
+    waiting = balance.waiting
+    while waiting:
+        request = waiting[0]
+        if not request.is_waiting() or request.has_token:
+            waiting.popleft()
+            continue
+        if not balance.take(node.now):
+            break
+        waiting.popleft()
+        request.has_token = True
+        routing.route(node, request)
+    if not balance.is_reviewed:
+        start_review(node, balance)
+
+
+def expire(node: nodes.Node, request_ids: list[int]) -> None:
+    """End the requests whose deadline has passed."""
+    for request_id in request_ids:
+        request = node.requests.get(request_id)
+        if request is not None:
+            deadlines.end(node, request)
--- /dev/null
+++ b/src/sardinehold/core/answers.py
@@ -0,0 +1,148 @@
+"""What endpoints answer, and what becomes of the request."""
+
+from sardinehold.core import dispatch
+from sardinehold.core import durability
+from sardinehold.core import events
+from sardinehold.core import floors
+from sardinehold.core import groups
+from sardinehold.core import handlers
+from sardinehold.core import node as nodes
+from sardinehold.core import pool
+from sardinehold.core import probing
+from sardinehold.core import request as requests
+from sardinehold.core import statements
+from sardinehold.core import transaction
+from sardinehold.core import variables
+
+LATENCY_SMOOTHING = 0.1
+"""Weight of the newest answer in the moving average of an endpoint's latency."""
+
+
+@handlers.handles(events.RequestAnswered)
+def take_answer(node: nodes.Node, event: events.RequestAnswered) -> None:
+    """Free the connection, then answer the caller or hold the answer."""
+    request = node.requests.get(event.request_id)
+    connection = node.connections.get(event.connection_id)
+    if (
+        request is None
+        or connection is None
+        or connection.request is not request
+        or request.connection is not connection
+    ):
+        node.count("answers_late")
+        return
+    endpoint = connection.endpoint
+    _measure(node, request, endpoint)
+    connection.request = None
+    connection.answered_at = node.now
+    endpoint.in_flight -= 1
+    request.connection = None
+    request.position = event.position
+    if event.position is not None:
+        groups.note_write(
+            request.group, endpoint, event.position, event.confirmed, request.sent_at
+        )
+    session = request.session
+    if request.traits.pins and not event.sqlstate:
+        session.is_pinned = True
+    variables.note_answer(node, request, connection, event)
+    was_open = request.in_transaction
+    transaction.note_status(node, session, connection, event.status)
+    if session.is_closed and request.is_read:
+        requests.drop(node, request)
+    else:
+        _conclude(node, request, event, was_open)
+    if endpoint.queue.size:
+        dispatch.pump(node, endpoint)
+
+
+def _measure(
+    node: nodes.Node, request: requests.Request, endpoint: pool.Endpoint
+) -> None:
+    """Take the time of a statement into costs, latency and limit."""
+    seconds = node.now - request.sent_at
+    flow = endpoint.queue.find_flow(request.owner, request.session.weight)
+    expected = flow.find_cost(request.is_read)
+    endpoint.limit.note(seconds, expected, endpoint.in_flight, node.now)
+    flow.note_cost(request.is_read, seconds)
+    endpoint.latency += LATENCY_SMOOTHING * (seconds - endpoint.latency)
+
+
+def _conclude(
+    node: nodes.Node,
+    request: requests.Request,
+    event: events.RequestAnswered,
+    was_open: bool,
+) -> None:
+    """Acknowledge a request, now or once it is durable."""
+    session = request.session
+    if event.status == "I" and not request.is_read and _may_have_written(request):
+        if not event.sqlstate:
+            durability.hold(node, request)
+            return
+        if event.position is not None:
+            _raise_floor(request, event)
+            requests.finish(node, request, _make_token(node, request))
+            return
+    if request.max_age is None or was_open:
+        is_new = floors.note_read(session.floor, request.endpoint.name, node.now)
+        if is_new:
+            requests.finish(node, request, _make_token(node, request))
+            return
+    requests.finish(node, request)
+
+
+def _may_have_written(request: requests.Request) -> bool:
+    """Return whether the end of the request may have committed something."""
+    kind = request.traits.kind
+    return kind is statements.Kind.WRITE or kind is statements.Kind.COMMIT
+
+
+def _raise_floor(request: requests.Request, event: events.RequestAnswered) -> None:
+    """Raise the floor by a failed request that told a position of this term."""
+    state = request.group.state
+    if state is not None and event.position.term == state.term:
+        floors.note_write(request.session.floor, event.position)
+
+
+def _make_token(node: nodes.Node, request: requests.Request) -> str:
+    session = request.session
+    return floors.make_token(node, session.floors, session.owner)
+
+
+@handlers.handles(events.AnswerStarted)
+def note_start(node: nodes.Node, event: events.AnswerStarted) -> None:
+    """Remember that a request cannot be retried any more."""
+    request = node.requests.get(event.request_id)
+    if request is not None:
+        request.has_started = True
+
+
+@handlers.handles(events.ConnectionOpened)
+def take_connection(node: nodes.Node, event: events.ConnectionOpened) -> None:
+    """Use a new connection."""
+    connection = node.connections.get(event.connection_id)
+    if connection is None or connection.is_open:
+        return
+    endpoint = connection.endpoint
+    connection.is_open = True
+    connection.answered_at = node.now
+    endpoint.opening -= 1
+    endpoint.failures = 0
+    pool.schedule_trim(node, endpoint)
+    pool.release(node, connection)
+    dispatch.pump(node, endpoint)
+
+
+@handlers.handles(events.ConnectionFailed)
+def take_failure(node: nodes.Node, event: events.ConnectionFailed) -> None:
+    """Wait before opening again; ask how the endpoint is unless it was full."""
+    connection = node.connections.get(event.connection_id)
+    if connection is None or connection.is_open:
+        return
+    endpoint = connection.endpoint
+    pool.forget(node, connection)
+    node.count("connections_refused" if event.full else "connections_failed")
+    pool.delay_opening(node, endpoint)
+    if not event.full and endpoint.is_healthy:
+        probing.send(node, endpoint, fresh=True)
--- /dev/null
+++ b/src/sardinehold/core/balance.py
@@ -0,0 +1,184 @@
+"""Tokens of a team's rate that this node may spend.
+
+Tokens are moved between nodes, never copied: what is granted here is gone
+elsewhere until it is spent, given back, or past its deadline.
+"""
+
+import collections
+import math
+
+from sardinehold.core import invariants
+
+HORIZON = 0.4
+"""Seconds of demand that a node keeps tokens for."""
+
+QUIET = 0.25
+"""Seconds without use after which surplus tokens go back."""
+
+REVIEW_INTERVAL = 0.1
+"""Seconds between looks at the demand."""
+
+REQUEST_INTERVAL = 0.02
+"""Seconds between two requests for tokens while statements wait."""
+
+FIRST_REQUEST = 4
+"""Tokens asked for when the demand is not known yet."""
+
+DEMAND_SMOOTHING = 0.4
+"""Weight of the newest interval in the moving average of the demand."""
+
+
+@invariants.invariant("No team gets more than its rate and burst across all VMs.")
+def tokens_never_negative(balance: "Balance") -> bool:
+    """Return whether no more was spent than granted."""
+    return balance.tokens >= 0 and balance.spent_total <= balance.granted_total
+
+
+@invariants.invariant("No team gets more than its rate and burst across all VMs.")
+def tokens_not_spent_past_deadline(grant: "Grant", now: float) -> bool:
+    """Return whether the grant that pays is in force."""
+    return now <= grant.deadline
+
+
+class Grant:
+    """Tokens with the deadline until which they may be spent."""
+
+    __slots__ = ("deadline", "tokens")
+
+    def __init__(self, deadline: float, tokens: int) -> None:
+        """Keep the parts of the grant."""
+        self.deadline = deadline
+        self.tokens = tokens
+
+
+class Balance:
+    """What one owner may spend on this node.
+
+    :param owner: a team's name, or ``route:NAME`` for an open route.
+    :param tokens: what is left of all grants.
+    :param waiting: requests that wait for a token, oldest first.
+    :param demand: statements a second, a moving average.
+    :param income: tokens granted a second, a moving average.
+    :param is_reviewed: whether a timer looks at the demand.
+    """
+
+    __slots__ = (
+        "owner",
+        "tokens",
+        "waiting",
+        "demand",
+        "income",
+        "is_reviewed",
+        "granted_total",
+        "spent_total",
+        "asked_at",
+        "quiet_since",
+        "_grants",
+        "_arrived",
+        "_granted",
+        "_reviewed_at",
+    )
+
+    def __init__(self, owner: str, now: float) -> None:
+        """Start without tokens."""
+        self.owner = owner
+        self.tokens = 0
+        self.waiting: collections.deque = collections.deque()
+        self.demand = 0.0
+        self.income = 0.0
+        self.is_reviewed = False
+        self.granted_total = 0
+        self.spent_total = 0
+        self.asked_at = -math.inf
+        self.quiet_since = now
+        self._grants: collections.deque[Grant] = collections.deque()
+        self._arrived = 0
+        self._granted = 0
+        self._reviewed_at = now
+
+    def grant(self, tokens: int, deadline: float) -> None:
+        """Add tokens that may be spent until ``deadline``."""
+        if tokens <= 0:
+            return
+        self.tokens += tokens
+        self.granted_total += tokens
+        self._granted += tokens
+        last = self._grants[-1] if self._grants else None
+        if last is not None and last.deadline == deadline:
+            last.tokens += tokens
+        else:
+            self._insert(Grant(deadline, tokens))
+
+    def _insert(self, grant: Grant) -> None:
+        """Keep the grants in the order of their deadlines."""
+        grants = self._grants
+        later = []
+        while grants and grants[-1].deadline > grant.deadline:
+            later.append(grants.pop())
+        grants.append(grant)
+        grants.extend(reversed(later))
+
+    def note_arrival(self) -> None:
+        """Count a statement towards the demand."""
+        self._arrived += 1
+
+    def take(self, now: float) -> bool:
+        """Spend one token; return whether there was one."""
+        if self.tokens <= 0:
+            return False
+        grant = self._grants[0]
+        if grant.deadline < now:
+            self.drop_expired(now)
+            if self.tokens <= 0:
+                return False
+            grant = self._grants[0]
+        tokens_not_spent_past_deadline(grant, now)
+        grant.tokens -= 1
+        self.tokens -= 1
+        self.spent_total += 1
+        if not grant.tokens:
+            self._grants.popleft()
+        tokens_never_negative(self)
+        return True
+
+    def drop_expired(self, now: float) -> None:
+        """Forget grants that are past their deadline."""
+        grants = self._grants
+        while grants and grants[0].deadline < now:
+            self.tokens -= grants.popleft().tokens
+
+    def withdraw(self, tokens: int) -> int:
+        """Take unspent tokens out to give them back; return how many."""
+        taken = 0
+        while taken < tokens and self._grants:
+            grant = self._grants[-1]
+            part = min(grant.tokens, tokens - taken)
+            grant.tokens -= part
+            taken += part
+            if not grant.tokens:
+                self._grants.pop()
+        self.tokens -= taken
+        self.granted_total -= taken
+        return taken
+
+    def review(self, now: float) -> None:
+        """Bring the averages up to date."""
+        elapsed = now - self._reviewed_at
+        if elapsed <= 0:
+            return
+        self.demand += DEMAND_SMOOTHING * (self._arrived / elapsed - self.demand)
+        self.income += DEMAND_SMOOTHING * (self._granted / elapsed - self.income)
+        if self._arrived or self.waiting:
+            self.quiet_since = now
+        self._arrived = self._granted = 0
+        self._reviewed_at = now
+        self.drop_expired(now)
+
+    def find_target(self) -> int:
+        """Return how many tokens the demand asks for."""
+        expected = max(self.demand * HORIZON, float(self._arrived))
+        return math.ceil(expected) + len(self.waiting)
+
+    def is_idle(self) -> bool:
+        """Return whether there is nothing to look after."""
+        return not (self.tokens or self.waiting or self.demand >= 1.0)
--- /dev/null
+++ b/src/sardinehold/core/concurrency.py
@@ -0,0 +1,86 @@
+"""How many statements an endpoint gets at once from this node.
+
+``gradient`` lowers the limit of an endpoint whose statements take longer than
+they used to, relative to what each kind of statement costs, and raises it
+while they do not (after the concurrency limits that Netflix published).
+``fixed`` is the baseline: the node's whole share.
+"""
+
+import typing
+
+LIMITS: dict[str, type] = {}
+"""Limits by name, filled by :func:`limit`."""
+
+SLOW_RATIO = 2.0
+"""Times its usual cost that a statement may take before the limit falls."""
+
+DECREASE = 0.8
+"""What the limit is multiplied with when an endpoint slows down."""
+
+DECREASE_INTERVAL = 0.05
+"""Seconds between two decreases."""
+
+RATIO_SMOOTHING = 0.2
+"""Weight of the newest statement in the moving average of the ratio."""
+
+MAX_RATIO = 20.0
+"""What one statement can count at most."""
+
+MIN_LIMIT = 1.0
+"""Statements that an endpoint always gets."""
+
+
+def limit(name: str) -> typing.Callable[[type], type]:
+    """File the decorated class as the limit ``name``."""
+
+    def register(kind: type) -> type:
+        LIMITS[name] = kind
+        return kind
+
+    return register
+
+
+@limit("fixed")
+class FixedLimit:
+    """All connections may be busy at once."""
+
+    __slots__ = ("value",)
+
+    def __init__(self, slots: int) -> None:
+        """Start with no limit but the connections."""
+        self.value = float("inf")
+
+    def note(self, seconds: float, expected: float, in_flight: int, now: float) -> None:
+        """Ignore the measured time of a statement."""
+
+
+@limit("gradient")
+class GradientLimit:
+    """Additive increase, multiplicative decrease by relative latency.
+
+    :param slots: statements that the endpoint runs at once.
+    """
+
+    __slots__ = ("value", "_slots", "_ratio", "_changed_at")
+
+    def __init__(self, slots: int) -> None:
+        """Start with the endpoint's own slots."""
+        self.value = float(slots)
+        self._slots = slots
+        self._ratio = 1.0
+        self._changed_at = 0.0
+
+    def note(self, seconds: float, expected: float, in_flight: int, now: float) -> None:
+        """Take a measured time into account.
+
+        :param expected: what such a statement usually takes.
+        :param in_flight: statements that ran at the same time, this included.
+        """
+        ratio = seconds / expected if expected > 0 else 1.0
+        self._ratio += RATIO_SMOOTHING * (min(ratio, MAX_RATIO) - self._ratio)
+        if self._ratio > SLOW_RATIO:
+            if now - self._changed_at >= DECREASE_INTERVAL:
+                self.value = max(MIN_LIMIT, self.value * DECREASE)
+                self._changed_at = now
+        elif in_flight + 1 > self.value:
+            self.value += 1.0 / self.value
--- /dev/null
+++ b/src/sardinehold/core/durability.py
@@ -0,0 +1,160 @@
+"""When a write may be acknowledged.
+
+A write is held until its position is as durable as the route asks. At the
+moment of acknowledgement the lease must be in force and the term, the primary
+and the phase of the group must be those under which the write was sent.
+"""
+
+from sardinehold import document
+from sardinehold import errors
+from sardinehold.core import floors
+from sardinehold.core import groups
+from sardinehold.core import invariants
+from sardinehold.core import node as nodes
+from sardinehold.core import positions
+from sardinehold.core import probing
+from sardinehold.core import request as requests
+from sardinehold.core import view as views
+
+_CHECK = "Check whether the write took effect before repeating it."
+
+
+@invariants.invariant("No write is acknowledged by a primary that was replaced.")
+def write_acknowledged_under_current_term(
+    node: nodes.Node, request: requests.Request
+) -> bool:
+    """Return whether lease, term, primary and phase are those of the write."""
+    state = node.view.groups.get(request.group.name)
+    return (
+        node.now <= node.write_deadline
+        and state is not None
+        and state.term == request.term == request.position.term
+        and state.primary == request.endpoint.name
+        and state.phase is not views.Phase.SEALED
+    )
+
+
+@invariants.invariant("An acknowledged write is as durable as its route says.")
+def write_acknowledged_when_durable(request: requests.Request) -> bool:
+    """Return whether as many replicas as promised have received the write."""
+    durability = request.session.route.durability
+    if durability is document.Durability.PRIMARY:
+        return True
+    offset = request.position.offset
+    have = [
+        endpoint.received >= offset
+        for endpoint in request.group.endpoints.values()
+        if endpoint is not request.endpoint
+    ]
+    if durability is document.Durability.ALL:
+        return all(have)
+    return any(have)
+
+
+def hold(node: nodes.Node, request: requests.Request) -> None:
+    """Acknowledge an answered write as soon as it is durable.
+
+    :param request: with its position, None if the answer did not tell it.
+    """
+    request.advance("hold")
+    request.answered_at = node.now
+    if not may_acknowledge(node, request):
+        fail(node, request)
+    elif request.position is not None and is_durable(request):
+        acknowledge(node, request)
+    else:
+        request.group.held.append(request)
+        probing.confirm(node, request.group)
+
+
+def is_durable(request: requests.Request) -> bool:
+    """Return whether the route's durability is met."""
+    durability = request.session.route.durability
+    if durability is document.Durability.PRIMARY:
+        return True
+    offset = request.position.offset
+    others = 0
+    having = 0
+    for endpoint in request.group.endpoints.values():
+        if endpoint is not request.endpoint:
+            others += 1
+            having += endpoint.received >= offset
+    if durability is document.Durability.ALL:
+        return having == others
+    return having > 0
+
+
+def may_acknowledge(node: nodes.Node, request: requests.Request) -> bool:
+    """Return whether the write's primary is still the one in force."""
+    state = request.group.state
+    if state is None or node.now > node.write_deadline:
+        return False
+    if state.term != request.term or state.primary != request.endpoint.name:
+        return False
+    if request.position is not None and request.position.term != state.term:
+        return False
+    return state.phase is not views.Phase.SEALED
+
+
+def acknowledge(node: nodes.Node, request: requests.Request) -> None:
+    """Tell the caller that its write succeeded."""
+    write_acknowledged_under_current_term(node, request)
+    write_acknowledged_when_durable(request)
+    session = request.session
+    floor = session.floor
+    floors.note_write(floor, request.position)
+    node.count("writes_acknowledged")
+    requests.finish(
+        node, request, floors.make_token(node, session.floors, session.owner)
+    )
+
+
+def fail(node: nodes.Node, request: requests.Request) -> None:
+    """Tell the caller that the effect of its write is unknown."""
+    error = errors.OutcomeUnknown(
+        "The write ran on a primary that may have been replaced.", _CHECK
+    )
+    end_unknown(node, request, error)
+
+
+def end_unknown(
+    node: nodes.Node, request: requests.Request, error: errors.RequestError
+) -> None:
+    """End a sent request whose effect cannot be told."""
+    if request.session.is_closed:
+        node.count("writes_unknown_without_caller")
+        requests.drop(node, request)
+        return
+    requests.refuse(node, request, error)
+
+
+def review(node: nodes.Node, group: groups.Group) -> None:
+    """Look again at the held writes of a group, as after a status."""
+    held, group.held = group.held, []
+    for request in held:
+        if request.state != "held":
+            continue
+        if not may_acknowledge(node, request):
+            fail(node, request)
+        elif request.position is not None and is_durable(request):
+            acknowledge(node, request)
+        else:
+            group.held.append(request)
+
+
+def fill_positions(
+    group: groups.Group, position: positions.Position, asked: float
+) -> None:
+    """Give writes without a position that of the primary, asked after them."""
+    for request in group.held:
+        if request.position is None and request.answered_at <= asked:
+            request.position = position
+
+
+def expire(node: nodes.Node, request: requests.Request) -> None:
+    """End a held write whose deadline passed before it was durable."""
+    request.group.held.remove(request)
+    error = errors.OutcomeUnknown(
+        "The write ran, but too few replicas confirmed it in time.", _CHECK
+    )
+    end_unknown(node, request, error)
--- /dev/null
+++ b/src/sardinehold/core/engine.py
@@ -0,0 +1,108 @@
+"""The decisions of one node: typed events in, typed actions out.
+
+The engine does no I/O and reads no clock. A daemon, a test or a bench feeds
+it events with the time, and gets the same actions for the same events.
+"""
+
+from sardinehold.core import actions
+from sardinehold.core import admission
+from sardinehold.core import answers
+from sardinehold.core import closing
+from sardinehold.core import deadlines
+from sardinehold.core import events
+from sardinehold.core import handlers
+from sardinehold.core import leases
+from sardinehold.core import losses
+from sardinehold.core import node as nodes
+from sardinehold.core import opening
+from sardinehold.core import pool
+from sardinehold.core import probing
+from sardinehold.core import quiescence
+from sardinehold.core import shutdown
+from sardinehold.core import timers
+from sardinehold.core import updates
+
+PARTS = (
+    admission,
+    answers,
+    closing,
+    deadlines,
+    leases,
+    losses,
+    opening,
+    pool,
+    probing,
+    shutdown,
+    updates,
+)
+"""The modules whose handlers make up the engine."""
+
+
+class Engine:
+    """The engine of one node.
+
+    It refuses all sessions until it has a view and a lease.
+
+    :param seed: spreads the node's timers apart from those of other nodes.
+    :param now: the node's monotonic clock in seconds.
+    :param zone: the node's availability zone, preferred on a tie.
+    :param policies: names of the policies in force.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("node",)
+
+    def __init__(
+        self,
+        seed: int,
+        now: float,
+        zone: str = "",
+        policies: nodes.Policies | None = None,
+    ) -> None:
+        """Start without a view and without a lease."""
+        self.node = nodes.Node(seed, now, zone, policies or nodes.Policies())
+
+    def handle(self, now: float, event: events.Event) -> list[actions.Action]:
+        """Take an event and return what to do, in order.
+
+        :param now: the node's monotonic clock, never less than before.
+        :raises sardinehold.errors.InvariantViolation: a promise would be
+            broken; the event's actions are not returned.
+        """
+        node = self.node
+        node.now = now
+        if now >= node.timers.next_time:
+            node.timers.run_due(node, now)
+        handlers.REGISTRY[type(event)](node, event)
+        if node.drain_deadline is not None:
+            shutdown.advance(node)
+        self._announce_wake(node)
+        result = node.actions
+        node.actions = []
+        return result
+
+    def _announce_wake(self, node: nodes.Node) -> None:
+        """Ask for a tick if the next timer is earlier than the last one asked."""
+        if node.announced_wake <= node.now:
+            node.announced_wake = timers.NEVER
+        if node.timers.next_time < node.announced_wake:
+            node.announced_wake = node.timers.next_time
+            node.actions.append(actions.WakeAt(node.announced_wake))
+
+    def is_quiesced(self, group: str) -> bool:
+        """Return whether no write and no transaction is open on the primary.
+
+        A group that this node does not use is quiesced.
+        """
+        return quiescence.is_quiesced(self.node, group)
+
+    @property
+    def counters(self) -> dict[str, int]:
+        """Return what was counted, by name."""
+        return self.node.counters
+
+
+@handlers.handles(events.Tick)
+def tick(node: nodes.Node, event: events.Tick) -> None:
+    """Let the timers that are due do the work."""
--- /dev/null
+++ b/src/sardinehold/core/fairness.py
@@ -0,0 +1,211 @@
+"""Queues in front of an endpoint: who goes next.
+
+``fair`` is start-time fair queueing (Goyal, Vin and Cheng, 1996) over teams,
+with the measured cost of a statement in place of a packet's length. Inside a
+team, reads and writes take turns by cost, so that writes do not starve reads.
+``fifo`` is the baseline.
+"""
+
+import collections
+import heapq
+import typing
+
+QUEUES: dict[str, type] = {}
+"""Queue disciplines by name, filled by :func:`discipline`."""
+
+INITIAL_COST = 0.002
+"""Seconds that a statement is taken to cost before any was measured."""
+
+MIN_COST = 0.0001
+"""Seconds that a statement costs at least."""
+
+COST_SMOOTHING = 0.1
+"""Weight of the newest statement in the moving average of the cost."""
+
+MAX_IDLE_FLOWS = 256
+"""Flows without queued requests that are remembered."""
+
+
+def discipline(name: str) -> typing.Callable[[type], type]:
+    """File the decorated class as the queue discipline ``name``."""
+
+    def register(queue: type) -> type:
+        QUEUES[name] = queue
+        return queue
+
+    return register
+
+
+class Flow:
+    """The requests of one team in front of one endpoint.
+
+    :param finish: virtual time up to which the team was served.
+    :param read_cost: seconds, the moving average of its reads.
+    :param write_cost: seconds, the moving average of everything else.
+    """
+
+    __slots__ = (
+        "finish",
+        "weight",
+        "read_cost",
+        "write_cost",
+        "reads",
+        "writes",
+        "_read_spent",
+        "_write_spent",
+    )
+
+    def __init__(self, weight: float) -> None:
+        """Start without requests."""
+        self.finish = 0.0
+        self.weight = weight
+        self.read_cost = INITIAL_COST
+        self.write_cost = INITIAL_COST
+        self.reads: collections.deque = collections.deque()
+        self.writes: collections.deque = collections.deque()
+        self._read_spent = 0.0
+        self._write_spent = 0.0
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return len(self.reads) + len(self.writes)
+
+    def push(self, request: typing.Any) -> None:
+        """Add a request behind those of its kind."""
+        (self.reads if request.is_read else self.writes).append(request)
+
+    def pop(self) -> tuple[typing.Any, float]:
+        """Return the next request and its expected cost."""
+        if self.reads and (not self.writes or self._read_spent <= self._write_spent):
+            self._read_spent += self.read_cost
+            request, cost = self.reads.popleft(), self.read_cost
+        else:
+            self._write_spent += self.write_cost
+            request, cost = self.writes.popleft(), self.write_cost
+        if not self.reads or not self.writes:
+            self._read_spent = self._write_spent = 0.0
+        return request, cost
+
+    def find_cost(self, is_read: bool) -> float:
+        """Return the expected cost of a request in seconds."""
+        return self.read_cost if is_read else self.write_cost
+
+    def note_cost(self, is_read: bool, seconds: float) -> None:
+        """Take a measured cost into the average."""
+        if is_read:
+            self.read_cost += COST_SMOOTHING * (seconds - self.read_cost)
+            self.read_cost = max(self.read_cost, MIN_COST)
+        else:
+            self.write_cost += COST_SMOOTHING * (seconds - self.write_cost)
+            self.write_cost = max(self.write_cost, MIN_COST)
+
+
+class _Queue:
+    """What both disciplines share: flows by team and the measured costs."""
+
+    __slots__ = ("size", "flows")
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.size = 0
+        self.flows: dict[str, Flow] = {}
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return self.size
+
+    def find_flow(self, owner: str, weight: float) -> Flow:
+        """Return the owner's flow, new if it is not known."""
+        flow = self.flows.get(owner)
+        if flow is None:
+            if len(self.flows) > MAX_IDLE_FLOWS:
+                self._forget_idle()
+            flow = self.flows[owner] = Flow(weight)
+        return flow
+
+    def _forget_idle(self) -> None:
+        self.flows = {owner: flow for owner, flow in self.flows.items() if len(flow)}
+
+
+@discipline("fair")
+class FairQueue(_Queue):
+    """Start-time fair queueing over teams."""
+
+    __slots__ = ("_virtual", "_heap", "_sequence")
+
+    def __init__(self) -> None:
+        """Start empty."""
+        super().__init__()
+        self._virtual = 0.0
+        self._heap: list[tuple[float, int, Flow]] = []
+        self._sequence = 0
+
+    def push(self, request: typing.Any, weight: float) -> None:
+        """Add a request of ``request.owner``."""
+        flow = self.find_flow(request.owner, weight)
+        flow.weight = weight
+        if not len(flow):
+            self._activate(flow, max(self._virtual, flow.finish))
+        flow.push(request)
+        self.size += 1
+
+    def _activate(self, flow: Flow, start: float) -> None:
+        self._sequence += 1
+        heapq.heappush(self._heap, (start, self._sequence, flow))
+
+    def pop(self) -> typing.Any:
+        """Return the request that goes next."""
+        start, _, flow = heapq.heappop(self._heap)
+        self._virtual = max(self._virtual, start)
+        request, cost = flow.pop()
+        flow.finish = start + cost / flow.weight
+        if len(flow):
+            self._activate(flow, flow.finish)
+        self.size -= 1
+        return request
+
+    def expect_wait(self, owner: str, weight: float, parallel: float) -> float:
+        """Return the seconds that a new request of ``owner`` would wait.
+
+        :param parallel: statements that run at once.
+        """
+        flow = self.flows.get(owner)
+        if flow is None or not len(flow):
+            return 0.0
+        ahead = len(flow.reads) * flow.read_cost + len(flow.writes) * flow.write_cost
+        competing = sum(other.weight for _, _, other in self._heap)
+        return ahead * max(1.0, competing / weight) / parallel
+
+    def drain(self) -> list:
+        """Take all requests out."""
+        return [self.pop() for _ in range(self.size)]
+
+
+@discipline("fifo")
+class FifoQueue(_Queue):
+    """First come, first served."""
+
+    __slots__ = ("_requests",)
+
+    def __init__(self) -> None:
+        """Start empty."""
+        super().__init__()
+        self._requests: collections.deque = collections.deque()
+
+    def push(self, request: typing.Any, weight: float) -> None:
+        """Add a request at the end."""
+        self._requests.append(request)
+        self.size += 1
+
+    def pop(self) -> typing.Any:
+        """Return the oldest request."""
+        self.size -= 1
+        return self._requests.popleft()
+
+    def expect_wait(self, owner: str, weight: float, parallel: float) -> float:
+        """Return the seconds that a new request would wait."""
+        return self.size * INITIAL_COST / parallel
+
+    def drain(self) -> list:
+        """Take all requests out."""
+        return [self.pop() for _ in range(self.size)]
--- a/src/sardinehold/core/functions.py
+++ b/src/sardinehold/core/functions.py
@@ -16,20 +16,90 @@
 """Nodes of a query that change something or lock rows."""
 
 _SAFE_NAMES = frozenset(
-    """
-    age array_agg bit_length btrim char_length clock_timestamp current_database
-    current_schema current_setting datetime degrees format gcd gen_random_uuid
-    generate_series getdate hex initcap inet_server_addr isfinite julianday
-    justify_days justify_hours justify_interval lcm make_date make_interval
-    make_time make_timestamp make_timestamptz md5 mod now num_nonnulls num_nulls
-    numnode overlay pg_column_size pg_is_in_recovery pg_size_pretty pg_sleep
-    pg_typeof phraseto_tsquery pi plainto_tsquery position printf querytree
-    quote_ident quote_literal quote_nullable radians random row_to_json
-    scale setweight sha224 sha256 sha384 sha512 similarity sind strftime
-    strpos strip substr substring timeofday to_tsquery to_tsvector
-    total translate trim_scale ts_headline ts_rank ts_rank_cd typeof unistr
-    unixepoch version websearch_to_tsquery width_bucket
-    """.split()
+    [
+        "age",
+        "array_agg",
+        "bit_length",
+        "btrim",
+        "char_length",
+        "clock_timestamp",
+        "current_database",
+        "current_schema",
+        "current_setting",
+        "datetime",
+        "degrees",
+        "format",
+        "gcd",
+        "gen_random_uuid",
+        "generate_series",
+        "getdate",
+        "hex",
+        "initcap",
+        "inet_server_addr",
+        "isfinite",
+        "julianday",
+        "justify_days",
+        "justify_hours",
+        "justify_interval",
+        "lcm",
+        "make_date",
+        "make_interval",
+        "make_time",
+        "make_timestamp",
+        "make_timestamptz",
+        "md5",
+        "mod",
+        "now",
+        "num_nonnulls",
+        "num_nulls",
+        "numnode",
+        "overlay",
+        "pg_column_size",
+        "pg_is_in_recovery",
+        "pg_size_pretty",
+        "pg_sleep",
+        "pg_typeof",
+        "phraseto_tsquery",
+        "pi",
+        "plainto_tsquery",
+        "position",
+        "printf",
+        "querytree",
+        "quote_ident",
+        "quote_literal",
+        "quote_nullable",
+        "radians",
+        "random",
+        "row_to_json",
+        "scale",
+        "setweight",
+        "sha224",
+        "sha256",
+        "sha384",
+        "sha512",
+        "similarity",
+        "sind",
+        "strftime",
+        "strpos",
+        "strip",
+        "substr",
+        "substring",
+        "timeofday",
+        "to_tsquery",
+        "to_tsvector",
+        "total",
+        "translate",
+        "trim_scale",
+        "ts_headline",
+        "ts_rank",
+        "ts_rank_cd",
+        "typeof",
+        "unistr",
+        "unixepoch",
+        "version",
+        "websearch_to_tsquery",
+        "width_bucket",
+    ]
 )
 """Functions without effect that sqlglot has no node of its own for."""
 
--- /dev/null
+++ b/src/sardinehold/core/groups.py
@@ -0,0 +1,242 @@
+"""Database groups as this node knows them: positions, ages, who may read.
+
+Everything known of positions comes from answers and from probes that all
+sessions share.
+"""
+
+import collections
+
+from sardinehold import document
+from sardinehold.core import events
+from sardinehold.core import node as nodes
+from sardinehold.core import pool
+from sardinehold.core import positions
+from sardinehold.core import view as views
+
+LEAVING_GRACE = 2.0
+"""Seconds in which a leaving primary still takes writes."""
+
+LAG_SMOOTHING = 0.3
+"""Weight of the newest status in the moving average of a replica's lag."""
+
+
+class Group:
+    """One database group.
+
+    :param state: term, primary and phase out of the view, or None.
+    :param primary: the endpoint that the view names, or None.
+    :param replicas: healthy endpoints beside the primary that are not leaving.
+    :param waiting_reads: requests that wait for a replica to catch up.
+    :param waiting_writes: requests that wait for a primary.
+    :param is_active: whether its endpoints are probed regularly.
+    :param held: writes whose acknowledgement waits for durability.
+    """
+
+    __slots__ = (
+        "name",
+        "config",
+        "state",
+        "primary",
+        "endpoints",
+        "replicas",
+        "waiting_reads",
+        "waiting_writes",
+        "held",
+        "last_used",
+        "turn",
+        "is_active",
+        "unconfirmed_since",
+    )
+
+    def __init__(self, config: document.Group) -> None:
+        """Start with nothing known."""
+        self.name = config.name
+        self.config = config
+        self.state: views.GroupState | None = None
+        self.primary: pool.Endpoint | None = None
+        self.endpoints: dict[str, pool.Endpoint] = {}
+        self.replicas: list[pool.Endpoint] = []
+        self.waiting_reads: list = []
+        self.waiting_writes: collections.deque = collections.deque()
+        self.held: list = []
+        self.last_used = -1.0
+        self.turn = 0
+        self.is_active = False
+        self.unconfirmed_since: float | None = None
+
+    def update_replicas(self) -> None:
+        """Find out again who may serve reads."""
+        self.replicas = [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint is not self.primary
+            and endpoint.is_healthy
+            and endpoint.leaving_since is None
+        ]
+
+
+def find_group(node: nodes.Node, name: str) -> Group:
+    """Return the group, made when it is first used."""
+    group = node.groups.get(name)
+    if group is None:
+        config = node.view.document.groups[name]
+        group = node.groups[name] = Group(config)
+        update_group(node, group)
+    return group
+
+
+def update_group(node: nodes.Node, group: Group) -> bool:
+    """Bring a group up to date with the view.
+
+    :returns: whether term, primary or phase changed.
+    """
+    config = node.view.document.groups.get(group.name)
+    if config is not None:
+        group.config = config
+        _update_endpoints(node, group)
+    old = group.state
+    state = group.state = node.view.groups.get(group.name)
+    group.primary = group.endpoints.get(state.primary) if state else None
+    if old is None or state is None or old.term != state.term:
+        _forget_positions(group)
+    for endpoint in group.endpoints.values():
+        _update_leaving(node, endpoint)
+    group.update_replicas()
+    return old is None or state is None or _differs(old, state)
+
+
+def _differs(old: views.GroupState, new: views.GroupState) -> bool:
+    return (old.term, old.primary, old.phase) != (new.term, new.primary, new.phase)
+
+
+def _update_endpoints(node: nodes.Node, group: Group) -> None:
+    """Take endpoints in and out as the document names them."""
+    configs = {config.name: config for config in group.config.endpoints}
+    for name in list(group.endpoints):
+        if name not in configs:
+            endpoint = group.endpoints.pop(name)
+            node.endpoints.pop(name, None)
+            endpoint.is_healthy = False
+            for connection in list(endpoint.idle):
+                pool.close(node, connection)
+    for name, config in configs.items():
+        endpoint = group.endpoints.get(name)
+        if endpoint is None:
+            endpoint = pool.Endpoint(group, config, node.policies)
+            group.endpoints[name] = node.endpoints[name] = endpoint
+        endpoint.config = config
+        pool.update_share(node, endpoint)
+
+
+def _forget_positions(group: Group) -> None:
+    """Drop what is known of positions: it was of another term."""
+    for endpoint in group.endpoints.values():
+        endpoint.applied = endpoint.received = -1
+        endpoint.samples.clear()
+
+
+def _update_leaving(node: nodes.Node, endpoint: pool.Endpoint) -> None:
+    if endpoint.name not in node.view.leaving:
+        endpoint.leaving_since = None
+    elif endpoint.leaving_since is None:
+        endpoint.leaving_since = node.now
+
+
+def takes_writes(node: nodes.Node, group: Group) -> bool:
+    """Return whether the group has a primary that takes new writes now."""
+    state = group.state
+    primary = group.primary
+    if primary is None or state.phase is not views.Phase.SERVING:
+        return False
+    since = primary.leaving_since
+    return since is None or node.now < since + LEAVING_GRACE
+
+
+def serves_primary_reads(group: Group) -> bool:
+    """Return whether reads may go to the primary."""
+    primary = group.primary
+    if primary is None or not primary.is_healthy:
+        return False
+    return primary.leaving_since is None and group.state.phase is not views.Phase.SEALED
+
+
+def note_write(
+    group: Group,
+    endpoint: pool.Endpoint,
+    position: positions.Position,
+    confirmed: tuple,
+    asked: float,
+) -> None:
+    """Learn from the primary's answer to a write."""
+    state = group.state
+    if state is None or position.term != state.term or endpoint is not group.primary:
+        return
+    offset = position.offset
+    if offset > endpoint.applied:
+        endpoint.applied = endpoint.received = offset
+    endpoint.samples.add(asked, offset)
+    _note_confirmed(group, confirmed)
+
+
+def _note_confirmed(group: Group, confirmed: tuple) -> None:
+    """Learn what replicas have received, as the primary sees it."""
+    term = group.state.term
+    for name, position in confirmed:
+        endpoint = group.endpoints.get(name)
+        if endpoint is None or position.term != term:
+            continue
+        if position.offset > endpoint.received:
+            endpoint.received = position.offset
+
+
+def note_status(
+    node: nodes.Node, group: Group, event: events.StatusObserved
+) -> pool.Endpoint | None:
+    """Learn from a probe; return the endpoint if the status was of use.
+
+    A status of an older term says nothing: its endpoint may follow a primary
+    that has been replaced. One of a newer term waits for the view.
+    """
+    endpoint = group.endpoints.get(event.endpoint)
+    state = group.state
+    if endpoint is None or state is None or event.applied.term != state.term:
+        return None
+    is_primary = endpoint is group.primary
+    if is_primary != (event.role == "primary"):
+        return None
+    endpoint.asked = max(endpoint.asked, event.asked)
+    endpoint.applied = max(endpoint.applied, event.applied.offset)
+    endpoint.received = max(endpoint.received, event.received.offset, endpoint.applied)
+    endpoint.samples.add(event.asked, event.applied.offset)
+    if is_primary:
+        _note_confirmed(group, event.confirmed)
+    else:
+        _note_lag(group, endpoint, event)
+    return endpoint
+
+
+def _note_lag(
+    group: Group, endpoint: pool.Endpoint, event: events.StatusObserved
+) -> None:
+    """Bring the average lag of a replica up to date."""
+    if group.primary is None:
+        return
+    covered = group.primary.samples.find_time_covered(event.applied.offset)
+    if covered is None:
+        return
+    lag = max(0.0, event.asked - covered)
+    endpoint.lag += LAG_SMOOTHING * (lag - endpoint.lag)
+
+
+def find_age(node: nodes.Node, group: Group, endpoint: pool.Endpoint) -> float:
+    """Return how old what an endpoint serves may be, in seconds.
+
+    It is the time since the latest moment at which the primary's whole log
+    lay within what the endpoint is known to have applied.
+    """
+    if group.primary is None:
+        return float("inf")
+    covered = group.primary.samples.find_time_covered(endpoint.applied)
+    if covered is None:
+        return float("inf")
+    return node.now - covered
--- /dev/null
+++ b/src/sardinehold/core/leases.py
@@ -0,0 +1,51 @@
+"""What the node may do under its lease over the view.
+
+Past the serve deadline the node cannot know which keys are withdrawn, so it
+runs nothing. Past the write deadline it cannot know whether a primary was
+replaced, so it runs no writes and acknowledges none.
+"""
+
+from sardinehold import errors
+from sardinehold.core import events
+from sardinehold.core import handlers
+from sardinehold.core import node as nodes
+from sardinehold.core import request as requests
+from sardinehold.core import statements
+
+_REMEDY = "Reconnect to reach another proxy and repeat the statement there."
+
+
+def find_refusal(
+    node: nodes.Node, request: requests.Request
+) -> errors.RequestError | None:
+    """Return why the lease does not allow a request, or None."""
+    if node.now > node.serve_deadline:
+        return errors.LeaseLapsed("This proxy is cut off and serves nothing.", _REMEDY)
+    if request.is_read or node.now <= node.write_deadline:
+        return None
+    if request.traits.kind is statements.Kind.ROLLBACK:
+        return None
+    return errors.LeaseLapsed("This proxy is cut off and runs no writes.", _REMEDY)
+
+
+def may_send(node: nodes.Node, request: requests.Request) -> bool:
+    """Return whether a request may still be sent; refuse it if the lease lapsed.
+
+    One whose deadline passed is not sent; its timer refuses it.
+    """
+    if node.now > request.deadline:
+        return False
+    if node.now <= node.write_deadline and node.now <= node.serve_deadline:
+        return True
+    error = find_refusal(node, request)
+    if error is None:
+        return True
+    requests.refuse(node, request, error)
+    return False
+
+
+@handlers.handles(events.LeaseRenewed)
+def renew(node: nodes.Node, event: events.LeaseRenewed) -> None:
+    """Extend the lease; a deadline never moves back."""
+    node.write_deadline = max(node.write_deadline, event.write_deadline)
+    node.serve_deadline = max(node.serve_deadline, event.serve_deadline)
--- /dev/null
+++ b/src/sardinehold/core/losses.py
@@ -0,0 +1,177 @@
+"""What becomes of requests whose connection or endpoint was lost."""
+
+from sardinehold import errors
+from sardinehold.core import actions
+from sardinehold.core import durability
+from sardinehold.core import events
+from sardinehold.core import handlers
+from sardinehold.core import node as nodes
+from sardinehold.core import pool
+from sardinehold.core import probing
+from sardinehold.core import request as requests
+from sardinehold.core import routing
+from sardinehold.core import transaction
+
+RETRY_SHARE = 0.1
+"""Retries that a team may make for each of its requests."""
+
+MAX_RETRIES = 10.0
+"""Retries that a team can save up."""
+
+_CHECK = "Check whether the statement took effect before repeating it."
+
+
+def note_request(node: nodes.Node, owner: str) -> None:
+    """Let an owner save up for retries."""
+    budgets = node.retry_budgets
+    saved = budgets.get(owner, MAX_RETRIES)
+    if saved < MAX_RETRIES:
+        budgets[owner] = saved + RETRY_SHARE
+
+
+def _spend_retry(node: nodes.Node, owner: str) -> bool:
+    """Return whether the owner's budget pays for a retry."""
+    saved = node.retry_budgets.get(owner, MAX_RETRIES)
+    if saved < 1.0:
+        node.count("retries_over_budget")
+        return False
+    node.retry_budgets[owner] = saved - 1.0
+    return True
+
+
+def may_retry(node: nodes.Node, request: requests.Request) -> bool:
+    """Return whether a request that was sent may be sent again."""
+    return (
+        request.is_retryable
+        and not request.has_started
+        and not request.in_transaction
+        and not request.session.is_closed
+        and not request.session.is_pinned
+        and node.now < request.deadline
+        and _spend_retry(node, request.owner)
+    )
+
+
+def lose(node: nodes.Node, request: requests.Request) -> None:
+    """Retry or end a request that was sent and whose connection is gone."""
+    request.connection = None
+    session = request.session
+    if request.in_transaction or session.is_pinned:
+        _lose_pinned(node, request)
+        return
+    if may_retry(node, request):
+        node.count("retries")
+        request.advance("queue")
+        routing.route(node, request)
+        return
+    error: errors.RequestError
+    if request.is_read:
+        error = errors.EndpointUnavailable(
+            "The connection to the endpoint was lost.",
+            "Repeat the statement.",
+            errors.Outcome.UNKNOWN,
+        )
+    else:
+        error = errors.OutcomeUnknown(
+            "The connection to the endpoint was lost before the answer.", _CHECK
+        )
+    durability.end_unknown(node, request, error)
+
+
+def _lose_pinned(node: nodes.Node, request: requests.Request) -> None:
+    """End a session whose transaction or state was on a lost connection."""
+    session = request.session
+    session.connection = None
+    if session.is_closed:
+        node.count("writes_unknown_without_caller")
+        requests.drop(node, request)
+        return
+    transaction.abort(node, session, "The connection to the endpoint was lost.")
+
+
+def drop_connection(node: nodes.Node, connection: pool.Connection) -> None:
+    """Forget a broken connection and settle what was on it."""
+    request = connection.request
+    session = connection.session
+    pool.forget(node, connection)
+    if request is not None:
+        lose(node, request)
+    elif session is not None and not session.is_closed:
+        session.connection = None
+        transaction.abort(node, session, "The connection to the endpoint was lost.")
+
+
+def close_connection(node: nodes.Node, connection: pool.Connection) -> None:
+    """Close a connection and settle what was on it."""
+    node.actions.append(actions.CloseConnection(connection.connection_id))
+    drop_connection(node, connection)
+
+
+@handlers.handles(events.ConnectionLost)
+def take_loss(node: nodes.Node, event: events.ConnectionLost) -> None:
+    """Settle what was on a connection that broke, and ask how the endpoint is."""
+    connection = node.connections.get(event.connection_id)
+    if connection is None:
+        return
+    endpoint = connection.endpoint
+    node.count("connections_lost")
+    drop_connection(node, connection)
+    if endpoint.is_healthy:
+        probing.send(node, endpoint, fresh=True)
+    pool.ensure_open(node, endpoint)
+
+
+@handlers.handles(events.DispatchFailed)
+def take_back(node: nodes.Node, event: events.DispatchFailed) -> None:
+    """Route a request again of which no byte was written."""
+    connection = node.connections.get(event.connection_id)
+    request = node.requests.get(event.request_id)
+    if connection is None or connection.request is not request or request is None:
+        return
+    request.sends -= 1
+    request.connection = None
+    pool.close(node, connection)
+    node.count("dispatches_failed")
+    session = request.session
+    if request.in_transaction or session.is_pinned:
+        session.connection = None
+        transaction.abort(node, session, "The connection to the endpoint was lost.")
+        return
+    if session.is_closed:
+        requests.drop(node, request)
+        return
+    request.advance("queue")
+    routing.route(node, request)
+
+
+def leave_silent(node: nodes.Node, connection: pool.Connection) -> None:
+    """Try a read elsewhere when its endpoint is well but its connection is not.
+
+    A write waits for its answer up to its deadline.
+    """
+    request = connection.request
+    if not request.is_read or request.sends > 1:
+        return
+    if not may_retry(node, request):
+        return
+    endpoint = connection.endpoint
+    node.count("connections_silent")
+    sent_at = request.sent_at
+    pool.close(node, connection)
+    pool.close_silent(node, endpoint, sent_at)
+    request.connection = None
+    node.count("retries")
+    request.advance("queue")
+    routing.route(node, request)
+
+
+def leave_endpoint(node: nodes.Node, endpoint: pool.Endpoint) -> None:
+    """Move what can be moved away from an endpoint that does not answer."""
+    for connection in list(endpoint.idle):
+        pool.close(node, connection)
+    for connection in list(endpoint.connections.values()):
+        request = connection.request
+        if request is not None and request.is_read and not request.in_transaction:
+            close_connection(node, connection)
+    if endpoint is not endpoint.group.primary:
+        routing.reroute(node, endpoint.group)
--- /dev/null
+++ b/src/sardinehold/core/pool.py
@@ -0,0 +1,311 @@
+"""Connections to one endpoint: this node's share of them, warm and bounded.
+
+Each node holds open no more than its share of what the endpoint accepts.
+Connections are opened ahead of need and never many at once, and those that
+have gone silent are closed by age.
+"""
+
+import typing
+
+from sardinehold import document
+from sardinehold.core import actions
+from sardinehold.core import concurrency
+from sardinehold.core import events
+from sardinehold.core import fairness
+from sardinehold.core import handlers
+from sardinehold.core import invariants
+from sardinehold.core import node as nodes
+from sardinehold.core import samples
+
+MAX_OPENING = 2
+"""Connections to one endpoint that are being opened at once."""
+
+OPEN_TIMEOUT = 1.0
+"""Seconds that opening a connection may take."""
+
+RETRY_DELAY = 0.05
+"""Seconds before opening is tried again after the first failure."""
+
+MAX_RETRY_DELAY = 2.0
+"""Seconds that the growing delay between attempts ends at."""
+
+WARM = 1
+"""Idle connections that are kept open to each endpoint in use."""
+
+MAX_IDLE = 30.0
+"""Seconds after which an idle connection is closed."""
+
+NO_SETTINGS: dict[str, str] = {}
+"""The settings of a connection on which nothing was set."""
+
+SHARES: dict[str, typing.Callable[[nodes.Node, "Endpoint"], int]] = {}
+"""Ways to find the node's share of connections, filled by :func:`share`."""
+
+
+def share(name: str) -> typing.Callable:
+    """File the decorated function as the way ``name`` to find the share."""
+
+    def register(function: typing.Callable) -> typing.Callable:
+        SHARES[name] = function
+        return function
+
+    return register
+
+
+@invariants.invariant("No endpoint gets more connections than the node's share.")
+def connections_within_share(node: nodes.Node, endpoint: "Endpoint") -> bool:
+    """Return whether one more connection is still within the share."""
+    return len(endpoint.connections) < endpoint.share
+
+
+class Connection:
+    """A connection to an endpoint.
+
+    :param is_open: whether it is ready.
+    :param request: what was sent on it and is not answered.
+    :param session: the session that it is pinned to, or None.
+    :param settings: what SET left on it; shared, never changed in place.
+    :param is_tainted: whether it must be closed when it becomes free.
+    """
+
+    __slots__ = (
+        "connection_id",
+        "endpoint",
+        "is_open",
+        "request",
+        "session",
+        "settings",
+        "is_tainted",
+        "answered_at",
+    )
+
+    def __init__(self, connection_id: int, endpoint: "Endpoint", now: float) -> None:
+        """Start as a connection that is being opened."""
+        self.connection_id = connection_id
+        self.endpoint = endpoint
+        self.is_open = False
+        self.request = None
+        self.session = None
+        self.settings = NO_SETTINGS
+        self.is_tainted = False
+        self.answered_at = now
+
+
+class Endpoint:
+    """One endpoint as this node sees it.
+
+    :param group: the group that it belongs to.
+    :param config: what the document says of it.
+    :param idle: connections that are free, the most recently used last.
+    :param in_flight: statements that run on it for this node.
+    :param is_healthy: False once a new connection failed, until one works.
+    :param leaving_since: when the view first called it leaving, or None.
+    :param applied: offset that its readers see, of the group's current term;
+        -1 when it is not known.
+    :param received: offset that would survive its promotion; -1 likewise.
+    :param lag: seconds behind the primary, a moving average.
+    """
+
+    __slots__ = (
+        "name",
+        "group",
+        "config",
+        "queue",
+        "limit",
+        "connections",
+        "idle",
+        "opening",
+        "in_flight",
+        "grant",
+        "grant_deadline",
+        "share",
+        "wanted",
+        "peak",
+        "failures",
+        "retry_at",
+        "is_healthy",
+        "is_isolated",
+        "leaving_since",
+        "latency",
+        "applied",
+        "received",
+        "samples",
+        "lag",
+        "asked",
+        "probe",
+        "last_used",
+        "is_trimmed",
+        "hash",
+    )
+
+    def __init__(
+        self, group: typing.Any, config: document.Endpoint, policies: nodes.Policies
+    ) -> None:
+        """Start with no connection and nothing known."""
+        self.name = config.name
+        self.group = group
+        self.config = config
+        self.queue = fairness.QUEUES[policies.queue]()
+        self.limit = concurrency.LIMITS[policies.limit](group.config.slots)
+        self.connections: dict[int, Connection] = {}
+        self.idle: list[Connection] = []
+        self.opening = 0
+        self.in_flight = 0
+        self.grant: int | None = None
+        self.grant_deadline = 0.0
+        self.share = 0
+        self.wanted = 0
+        self.peak = 0
+        self.failures = 0
+        self.retry_at = 0.0
+        self.is_healthy = True
+        self.is_isolated = False
+        self.leaving_since: float | None = None
+        self.latency = fairness.INITIAL_COST
+        self.applied = -1
+        self.received = -1
+        self.samples = samples.Samples()
+        self.lag = 0.05
+        self.asked = -1.0
+        self.probe: typing.Any = None
+        self.last_used = -1.0
+        self.is_trimmed = False
+        self.hash = sum(map(ord, config.name)) * 31 + len(config.name)
+
+
+@share("even")
+def find_even_share(node: nodes.Node, endpoint: Endpoint) -> int:
+    """Return an equal part of the endpoint's connections for each member."""
+    limit = endpoint.group.config.connections
+    members = max(1, len(node.view.members) if node.view else 1)
+    return limit // members
+
+
+@share("granted")
+def find_granted_share(node: nodes.Node, endpoint: Endpoint) -> int:
+    """Return what the allocator granted, an equal part before any grant.
+
+    A grant past its deadline may have been given to another node, so only
+    what both allow is left.
+    """
+    even = find_even_share(node, endpoint)
+    if endpoint.grant is None:
+        return even
+    if node.now <= endpoint.grant_deadline:
+        return endpoint.grant
+    return min(even, endpoint.grant)
+
+
+def update_share(node: nodes.Node, endpoint: Endpoint) -> None:
+    """Bring the share up to date and close idle connections above it."""
+    endpoint.share = SHARES[node.policies.share](node, endpoint)
+    while len(endpoint.connections) > endpoint.share and endpoint.idle:
+        close(node, endpoint.idle[0])
+
+
+def ensure_open(node: nodes.Node, endpoint: Endpoint) -> None:
+    """Open connections ahead of need, a few at a time."""
+    ready = len(endpoint.idle) + endpoint.opening
+    needed = endpoint.queue.size + WARM - ready
+    if needed <= 0 or not endpoint.is_healthy:
+        return
+    if node.now < endpoint.retry_at:
+        return
+    room = min(endpoint.share - len(endpoint.connections), needed)
+    for _ in range(min(room, MAX_OPENING - endpoint.opening)):
+        _open(node, endpoint)
+
+
+def _open(node: nodes.Node, endpoint: Endpoint) -> None:
+    connections_within_share(node, endpoint)
+    connection = Connection(node.next_connection_id, endpoint, node.now)
+    node.next_connection_id += 1
+    endpoint.connections[connection.connection_id] = connection
+    endpoint.opening += 1
+    node.connections[connection.connection_id] = connection
+    deadline = node.now + OPEN_TIMEOUT
+    node.actions.append(
+        actions.OpenConnection(connection.connection_id, endpoint.name, deadline)
+    )
+    node.count("connections_opened")
+
+
+def close(node: nodes.Node, connection: Connection) -> None:
+    """Close a connection and forget it."""
+    forget(node, connection)
+    node.actions.append(actions.CloseConnection(connection.connection_id))
+
+
+def forget(node: nodes.Node, connection: Connection) -> None:
+    """Drop a connection from the books."""
+    if node.connections.pop(connection.connection_id, None) is None:
+        return
+    endpoint = connection.endpoint
+    del endpoint.connections[connection.connection_id]
+    if not connection.is_open:
+        endpoint.opening -= 1
+    elif connection in endpoint.idle:
+        endpoint.idle.remove(connection)
+    if connection.request is not None:
+        endpoint.in_flight -= 1
+        connection.request = None
+    connection.session = None
+
+
+def release(node: nodes.Node, connection: Connection) -> None:
+    """Take back a connection that no transaction and no session needs."""
+    endpoint = connection.endpoint
+    connection.session = None
+    if connection.is_tainted or len(endpoint.connections) > endpoint.share:
+        close(node, connection)
+        return
+    endpoint.idle.append(connection)
+
+
+def close_silent(node: nodes.Node, endpoint: Endpoint, since: float) -> None:
+    """Close idle connections that have not answered since a silent one was used."""
+    for connection in list(endpoint.idle):
+        if connection.answered_at < since:
+            close(node, connection)
+
+
+def trim(node: nodes.Node, endpoint: Endpoint) -> None:
+    """Close connections that have been idle for long; look again later."""
+    endpoint.is_trimmed = False
+    limit = node.now - MAX_IDLE
+    for connection in list(endpoint.idle):
+        if connection.answered_at < limit:
+            close(node, connection)
+    if endpoint.connections:
+        schedule_trim(node, endpoint)
+
+
+def schedule_trim(node: nodes.Node, endpoint: Endpoint) -> None:
+    """Look at idle connections once they can be too old."""
+    if endpoint.is_trimmed:
+        return
+    endpoint.is_trimmed = True
+    delay = MAX_IDLE * (0.5 + 0.5 * nodes.spread(node.seed, endpoint.hash))
+    node.timers.set(node.now + delay, trim, endpoint)
+
+
+def delay_opening(node: nodes.Node, endpoint: Endpoint) -> None:
+    """Wait longer after each failure, by another part on each node."""
+    delay = min(MAX_RETRY_DELAY, RETRY_DELAY * 2**endpoint.failures)
+    endpoint.failures = min(endpoint.failures + 1, 10)
+    jitter = 0.5 + nodes.spread(node.seed, endpoint.hash, endpoint.failures)
+    endpoint.retry_at = node.now + delay * jitter
+    node.timers.set(endpoint.retry_at, ensure_open, endpoint)
+
+
+@handlers.handles(events.ConnectionsGranted)
+def take_grant(node: nodes.Node, event: events.ConnectionsGranted) -> None:
+    """Use the share that the allocator granted."""
+    endpoint = node.endpoints.get(event.endpoint)
+    if endpoint is None:
+        return
+    endpoint.grant = event.connections
+    endpoint.grant_deadline = event.deadline
+    update_share(node, endpoint)
+    ensure_open(node, endpoint)
+    node.timers.set(event.deadline, update_share, endpoint)
--- /dev/null
+++ b/src/sardinehold/core/probing.py
@@ -0,0 +1,313 @@
+"""When endpoints are asked for their positions, and what is told of them.
+
+Only groups in use are asked, all sessions share the answers, and the interval
+follows the need: short while reads or writes wait, long while nothing does.
+"""
+
+from sardinehold.core import actions
+from sardinehold.core import durability
+from sardinehold.core import events
+from sardinehold.core import groups
+from sardinehold.core import handlers
+from sardinehold.core import losses
+from sardinehold.core import node as nodes
+from sardinehold.core import pool
+from sardinehold.core import routing
+
+INTERVAL = 0.1
+"""Seconds between two probes of an endpoint whose group is in use."""
+
+URGENT_INTERVAL = 0.01
+"""Seconds between two probes of a replica while reads wait for it."""
+
+CONFIRM_INTERVAL = 0.002
+"""Seconds between two probes of a primary while writes wait, at first."""
+
+MAX_CONFIRM_INTERVAL = 0.02
+"""Seconds that the growing interval ends at."""
+
+PROBES_PER_SECOND = 200
+"""Regular probes of one node; with more endpoints the interval grows."""
+
+IN_USE = 5.0
+"""Seconds after its last request for which a group counts as in use."""
+
+PROBE_TIMEOUT = 0.5
+"""Seconds that a probe may take."""
+
+UNHEALTHY_INTERVAL = 0.5
+"""Seconds between two probes of an endpoint that does not answer."""
+
+REPORT_INTERVAL = 1.0
+"""Seconds between two reports of an endpoint that does not answer."""
+
+ISOLATED_AFTER = 1.0
+"""Seconds without any confirmation after which a primary counts as isolated."""
+
+WATCH_INTERVAL = 0.1
+"""Seconds between two looks for connections that have gone silent."""
+
+SILENT_AFTER = 0.25
+"""Seconds without an answer after which a connection is suspected."""
+
+SILENT_FACTOR = 8.0
+"""Times its usual cost that a statement may take before it is suspected."""
+
+
+class Probe:
+    """What is known of the probes of one endpoint.
+
+    :param in_flight_until: deadline of a probe that is not answered, or 0.
+    :param is_scheduled: whether a timer is set for the next regular probe.
+    :param is_watched: whether a timer looks at what runs on the endpoint.
+    :param next_report: when to repeat a report, or None while it is well.
+    """
+
+    __slots__ = (
+        "in_flight_until",
+        "is_scheduled",
+        "is_watched",
+        "next_report",
+        "is_fresh",
+        "sent_at",
+    )
+
+    def __init__(self) -> None:
+        """Start without a probe."""
+        self.in_flight_until = 0.0
+        self.is_scheduled = False
+        self.is_watched = False
+        self.next_report: float | None = None
+        self.is_fresh = False
+        self.sent_at = -1.0
+
+
+def find_probe(endpoint: pool.Endpoint) -> Probe:
+    """Return the endpoint's probe state."""
+    if endpoint.probe is None:
+        endpoint.probe = Probe()
+    return endpoint.probe
+
+
+def send(node: nodes.Node, endpoint: pool.Endpoint, fresh: bool = False) -> None:
+    """Probe an endpoint unless a probe is on its way already."""
+    probe = find_probe(endpoint)
+    if node.now < probe.in_flight_until and (probe.is_fresh or not fresh):
+        return
+    deadline = node.now + PROBE_TIMEOUT
+    probe.in_flight_until = deadline
+    probe.is_fresh = fresh
+    probe.sent_at = node.now
+    node.count("probes")
+    node.actions.append(actions.ProbeEndpoint(endpoint.name, fresh, deadline))
+
+
+def activate(node: nodes.Node, group: groups.Group) -> None:
+    """Start to probe a group that is in use."""
+    node.active_groups[group.name] = group
+    group.is_active = True
+    group.last_used = node.now
+    for endpoint in group.endpoints.values():
+        send(node, endpoint)
+        probe = find_probe(endpoint)
+        if not probe.is_scheduled:
+            probe.is_scheduled = True
+            jitter = 0.5 + nodes.spread(node.seed, endpoint.hash)
+            node.timers.set(node.now + INTERVAL * jitter, _probe_again, endpoint)
+
+
+def _find_interval(node: nodes.Node, endpoint: pool.Endpoint) -> float:
+    """Return the seconds to the next regular probe."""
+    if not endpoint.is_healthy:
+        return UNHEALTHY_INTERVAL
+    group = endpoint.group
+    if group.waiting_reads and endpoint is not group.primary:
+        return URGENT_INTERVAL
+    endpoints = 3 * len(node.active_groups)
+    return max(INTERVAL, endpoints / PROBES_PER_SECOND)
+
+
+def _probe_again(node: nodes.Node, endpoint: pool.Endpoint) -> None:
+    """Probe an endpoint of a group in use, and come back."""
+    group = endpoint.group
+    if node.endpoints.get(endpoint.name) is not endpoint or not _is_in_use(node, group):
+        find_probe(endpoint).is_scheduled = False
+        group.is_active = False
+        node.active_groups.pop(group.name, None)
+        return
+    send(node, endpoint, fresh=not endpoint.is_healthy)
+    _repeat_report(node, endpoint)
+    delay = _find_interval(node, endpoint)
+    node.timers.set(node.now + delay, _probe_again, endpoint)
+
+
+def _is_in_use(node: nodes.Node, group: groups.Group) -> bool:
+    if group.waiting_reads or group.waiting_writes or group.held:
+        return True
+    if any(not endpoint.is_healthy for endpoint in group.endpoints.values()):
+        return True
+    return node.now - group.last_used < IN_USE
+
+
+def hasten(node: nodes.Node, group: groups.Group) -> None:
+    """Probe the replicas soon because a read waits for one."""
+    if len(group.waiting_reads) > 1:
+        return
+    node.timers.set(node.now + URGENT_INTERVAL, _probe_for_reads, group)
+
+
+def _probe_for_reads(node: nodes.Node, group: groups.Group) -> None:
+    """Probe what waiting reads need, until none waits."""
+    if not group.waiting_reads:
+        return
+    for endpoint in group.endpoints.values():
+        if endpoint.is_healthy:
+            send(node, endpoint)
+    node.timers.set(node.now + URGENT_INTERVAL, _probe_for_reads, group)
+
+
+def confirm(node: nodes.Node, group: groups.Group) -> None:
+    """Ask the primary what replicas have received, until no write is held."""
+    if group.unconfirmed_since is None:
+        group.unconfirmed_since = node.now
+    if len(group.held) > 1:
+        return
+    delay = CONFIRM_INTERVAL
+    node.timers.set(node.now + delay, _probe_for_writes, (group, delay))
+
+
+def _probe_for_writes(node: nodes.Node, subject: tuple[groups.Group, float]) -> None:
+    """Probe the primary of a group with held writes, less and less often."""
+    group, delay = subject
+    if not group.held:
+        return
+    if group.primary is not None:
+        send(node, group.primary)
+    delay = min(MAX_CONFIRM_INTERVAL, delay * 1.5)
+    node.timers.set(node.now + delay, _probe_for_writes, (group, delay))
+
+
+@handlers.handles(events.StatusObserved)
+def observe_status(node: nodes.Node, event: events.StatusObserved) -> None:
+    """Learn positions, then let what waited for them go on."""
+    endpoint = node.endpoints.get(event.endpoint)
+    if endpoint is None:
+        return
+    group = endpoint.group
+    find_probe(endpoint).in_flight_until = 0.0
+    mark_healthy(node, endpoint)
+    if groups.note_status(node, group, event) is None:
+        return
+    if endpoint is group.primary:
+        durability.fill_positions(group, event.applied, event.asked)
+        _note_isolation(node, group, event)
+    if group.held:
+        durability.review(node, group)
+    if group.waiting_reads:
+        routing.retry_reads(node, group)
+
+
+def _note_isolation(
+    node: nodes.Node, group: groups.Group, event: events.StatusObserved
+) -> None:
+    """Report a primary whose log no replica confirms any more."""
+    primary = group.primary
+    best = max((position for _, position in event.confirmed), default=None)
+    if best is not None and best >= event.applied:
+        group.unconfirmed_since = None
+    if not group.held:
+        group.unconfirmed_since = None
+    since = group.unconfirmed_since
+    is_isolated = since is not None and node.now - since > ISOLATED_AFTER
+    if is_isolated != primary.is_isolated:
+        primary.is_isolated = is_isolated
+        report(node, primary)
+
+
+@handlers.handles(events.ProbeFailed)
+def take_failure(node: nodes.Node, event: events.ProbeFailed) -> None:
+    """Suspect an endpoint; only a new connection that fails condemns it."""
+    endpoint = node.endpoints.get(event.endpoint)
+    if endpoint is None:
+        return
+    find_probe(endpoint).in_flight_until = 0.0
+    if not event.fresh:
+        send(node, endpoint, fresh=True)
+        return
+    if endpoint.is_healthy:
+        mark_unhealthy(node, endpoint)
+
+
+def mark_healthy(node: nodes.Node, endpoint: pool.Endpoint) -> None:
+    """Use an endpoint again that answered."""
+    if endpoint.is_healthy:
+        return
+    endpoint.is_healthy = True
+    endpoint.failures = 0
+    endpoint.retry_at = 0.0
+    endpoint.group.update_replicas()
+    report(node, endpoint)
+    pool.ensure_open(node, endpoint)
+
+
+def mark_unhealthy(node: nodes.Node, endpoint: pool.Endpoint) -> None:
+    """Stop using an endpoint on which a new connection failed."""
+    endpoint.is_healthy = False
+    endpoint.group.update_replicas()
+    node.count("endpoints_lost")
+    report(node, endpoint)
+    if not endpoint.group.is_active:
+        activate(node, endpoint.group)
+    losses.leave_endpoint(node, endpoint)
+
+
+def report(node: nodes.Node, endpoint: pool.Endpoint) -> None:
+    """Tell the supervisor how an endpoint does."""
+    probe = find_probe(endpoint)
+    is_well = endpoint.is_healthy and not endpoint.is_isolated
+    probe.next_report = None if is_well else node.now + REPORT_INTERVAL
+    node.actions.append(
+        actions.ReportEndpoint(endpoint.name, endpoint.is_healthy, endpoint.is_isolated)
+    )
+
+
+def _repeat_report(node: nodes.Node, endpoint: pool.Endpoint) -> None:
+    """Repeat a report while the endpoint is not well."""
+    due = find_probe(endpoint).next_report
+    if due is not None and node.now >= due:
+        report(node, endpoint)
+
+
+def is_watched(endpoint: pool.Endpoint) -> bool:
+    """Return whether something looks for silent connections already."""
+    return endpoint.probe is not None and endpoint.probe.is_watched
+
+
+def watch(node: nodes.Node, endpoint: pool.Endpoint) -> None:
+    """Look for silent connections while statements run."""
+    find_probe(endpoint).is_watched = True
+    node.timers.set(node.now + WATCH_INTERVAL, _look_for_silence, endpoint)
+
+
+def _look_for_silence(node: nodes.Node, endpoint: pool.Endpoint) -> None:
+    """Probe over a new connection when a statement takes long."""
+    find_probe(endpoint).is_watched = False
+    if not endpoint.in_flight:
+        return
+    for connection in list(endpoint.connections.values()):
+        request = connection.request
+        if request is None:
+            continue
+        silence = node.now - request.sent_at
+        if silence < SILENT_AFTER:
+            continue
+        flow = endpoint.queue.find_flow(request.owner, request.session.weight)
+        if silence < SILENT_FACTOR * flow.find_cost(request.is_read):
+            continue
+        probe = find_probe(endpoint)
+        if probe.sent_at < request.sent_at + SILENT_AFTER:
+            send(node, endpoint, fresh=True)
+        elif endpoint.is_healthy and not probe.in_flight_until:
+            losses.leave_silent(node, connection)
+    if endpoint.in_flight:
+        watch(node, endpoint)
--- /dev/null
+++ b/src/sardinehold/core/request.py
@@ -0,0 +1,172 @@
+"""Requests: accepted with a fixed deadline, and ended exactly once."""
+
+import typing
+
+from sardinehold import errors
+from sardinehold.core import actions
+from sardinehold.core import charts
+from sardinehold.core import events
+from sardinehold.core import invariants
+from sardinehold.core import node as nodes
+from sardinehold.core import statements
+
+CHART = charts.load_chart("request")
+"""The states of a request."""
+
+_TRANSITIONS = CHART.transitions
+_READ_KINDS = frozenset(
+    [
+        statements.Kind.READ,
+        statements.Kind.SHOW,
+        statements.Kind.SET,
+        statements.Kind.RESET,
+        statements.Kind.EMPTY,
+    ]
+)
+
+
+@invariants.invariant("A refusal that says not run is true.")
+def not_run_never_sent(request: "Request", error: errors.RequestError) -> bool:
+    """Return whether a refusal that says not run was never sent."""
+    return error.outcome is not errors.Outcome.NOT_RUN or not request.sends
+
+
+@invariants.invariant("A caller gets the whole answer to its own request.")
+def answer_belongs_to_session(node: nodes.Node, request: "Request") -> bool:
+    """Return whether the session still waits for just this request."""
+    return request.session.request is request
+
+
+class Request:
+    """One request of a session.
+
+    :param owner: whose tokens it spends and in whose flow it waits.
+    :param deadline: fixed when it is accepted, never moved.
+    :param is_read: whether it may run on a replica.
+    :param is_retryable: whether it may be sent twice.
+    :param sends: how often it may have reached an endpoint.
+    :param need: offset that the endpoint of a read must have applied.
+    :param only: name of the one endpoint that may serve a read, ``""`` for any.
+    :param max_age: seconds, for a read that accepts an age, or None.
+    :param wait_until: when a read stops waiting for a replica.
+    :param term: term of the group when the request was sent.
+    :param position: log position after a write.
+    :param has_token: whether a token of the rate was spent on it.
+    :param has_started: whether bytes of an answer went to the caller.
+    """
+
+    __slots__ = (
+        "request_id",
+        "session",
+        "group",
+        "owner",
+        "traits",
+        "state",
+        "deadline",
+        "accepted_at",
+        "is_read",
+        "is_retryable",
+        "in_transaction",
+        "sends",
+        "need",
+        "only",
+        "max_age",
+        "wait_until",
+        "endpoint",
+        "connection",
+        "term",
+        "sent_at",
+        "position",
+        "answered_at",
+        "has_token",
+        "has_started",
+    )
+
+    def __init__(
+        self, event: events.RequestArrived, session: typing.Any, now: float
+    ) -> None:
+        """Accept a request."""
+        traits = event.traits
+        self.request_id = event.request_id
+        self.session = session
+        self.group = session.group
+        self.owner = session.owner
+        self.traits = traits
+        self.state = "accepted"
+        self.accepted_at = now
+        self.deadline = now + session.route.statement_timeout
+        self.in_transaction = session.status != "I"
+        self.is_read = traits.kind in _READ_KINDS and not traits.pins
+        self.is_retryable = self.is_read
+        self.sends = 0
+        self.need = 0
+        self.only = ""
+        self.max_age = session.max_age
+        self.wait_until = 0.0
+        self.endpoint = None
+        self.connection = None
+        self.term = 0
+        self.sent_at = 0.0
+        self.position = None
+        self.answered_at = 0.0
+        self.has_token = False
+        self.has_started = False
+
+    def advance(self, event: str) -> None:
+        """Follow the chart."""
+        state = _TRANSITIONS.get((self.state, event))
+        if state is None:
+            state = CHART.follow(self.state, event)
+        self.state = state
+
+    def is_waiting(self) -> bool:
+        """Return whether it has not been sent or ended."""
+        return self.state == "queued" or self.state == "accepted"
+
+
+def remove(node: nodes.Node, request: Request) -> None:
+    """Forget a request that has ended."""
+    node.requests.pop(request.request_id, None)
+    session = request.session
+    if session.request is request:
+        session.request = None
+
+
+def refuse(
+    node: nodes.Node,
+    request: Request,
+    error: errors.RequestError,
+    fatal: bool = False,
+) -> None:
+    """End a request with an error; what was sent is never called not run."""
+    if request.sends and error.outcome is errors.Outcome.NOT_RUN:
+        error.outcome = errors.Outcome.UNKNOWN
+    not_run_never_sent(request, error)
+    answer_belongs_to_session(node, request)
+    request.advance("lose" if request.state in ("sent", "held") else "refuse")
+    remove(node, request)
+    node.count(f"refused_{error.code}")
+    node.actions.append(
+        actions.Refuse(request.request_id, request.session.session_id, error, fatal)
+    )
+
+
+def drop(node: nodes.Node, request: Request) -> None:
+    """End a request whose caller is gone."""
+    request.advance("drop")
+    remove(node, request)
+    node.count("requests_dropped")
+
+
+def finish(node: nodes.Node, request: Request, token: str = "") -> None:
+    """End a request with its answer."""
+    session = request.session
+    if session.is_closed:
+        drop(node, request)
+        return
+    answer_belongs_to_session(node, request)
+    request.advance("answer")
+    remove(node, request)
+    node.actions.append(
+        actions.Acknowledge(request.request_id, session.session_id, token)
+    )
--- /dev/null
+++ b/src/sardinehold/core/routing.py
@@ -0,0 +1,261 @@
+"""Which endpoint a request goes to."""
+
+import typing
+
+from sardinehold import errors
+from sardinehold.core import dispatch
+from sardinehold.core import floors
+from sardinehold.core import groups
+from sardinehold.core import leases
+from sardinehold.core import node as nodes
+from sardinehold.core import pool
+from sardinehold.core import probing
+from sardinehold.core import request as requests
+from sardinehold.core import statements
+from sardinehold.core import transaction
+from sardinehold.core import waiting
+
+Choice = typing.Callable[
+    [nodes.Node, groups.Group, list[pool.Endpoint], requests.Request], pool.Endpoint
+]
+
+CHOICES: dict[str, Choice] = {}
+"""Ways to choose among replicas that would do, filled by :func:`choice`."""
+
+MAX_WAITING = 512
+"""Requests of one group that wait for a replica or a primary."""
+
+
+def choice(name: str) -> typing.Callable[[Choice], Choice]:
+    """File the decorated function as the way ``name`` to choose a replica."""
+
+    def register(function: Choice) -> Choice:
+        CHOICES[name] = function
+        return function
+
+    return register
+
+
+@choice("fastest")
+def choose_fastest(
+    node: nodes.Node,
+    group: groups.Group,
+    endpoints: list[pool.Endpoint],
+    request: requests.Request,
+) -> pool.Endpoint:
+    """Choose by latency times outstanding requests, the own zone on a tie."""
+    best = endpoints[0]
+    if len(endpoints) == 1:
+        return best
+    best_score = _score(node, best)
+    for endpoint in endpoints[1:]:
+        score = _score(node, endpoint)
+        if score < best_score:
+            best, best_score = endpoint, score
+    return best
+
+
+def _score(node: nodes.Node, endpoint: pool.Endpoint) -> float:
+    outstanding = 1 + endpoint.in_flight + endpoint.queue.size
+    far = 1.0 if endpoint.config.zone == node.zone else 1.1
+    return outstanding * endpoint.latency * far
+
+
+@choice("round_robin")
+def choose_in_turn(
+    node: nodes.Node,
+    group: groups.Group,
+    endpoints: list[pool.Endpoint],
+    request: requests.Request,
+) -> pool.Endpoint:
+    """Choose one after the other."""
+    group.turn += 1
+    return endpoints[group.turn % len(endpoints)]
+
+
+@choice("random")
+def choose_by_hash(
+    node: nodes.Node,
+    group: groups.Group,
+    endpoints: list[pool.Endpoint],
+    request: requests.Request,
+) -> pool.Endpoint:
+    """Choose without regard to load."""
+    place = int(nodes.spread(node.seed, request.request_id) * len(endpoints))
+    return endpoints[min(place, len(endpoints) - 1)]
+
+
+def route(node: nodes.Node, request: requests.Request) -> None:
+    """Send a request on its way."""
+    session = request.session
+    group = request.group
+    if not leases.may_send(node, request):
+        return
+    group.last_used = node.now
+    if not group.is_active:
+        probing.activate(node, group)
+    if session.connection is not None:
+        transaction.submit(node, request)
+        return
+    try:
+        is_known = floors.refresh(session.floor, group)
+    except errors.PositionLost as error:
+        node.count("positions_lost")
+        requests.refuse(node, request, error)
+        return
+    if not request.is_read:
+        route_write(node, request)
+    elif is_known:
+        route_read(node, request)
+    else:
+        _park_read(node, request, request.deadline)
+
+
+def route_write(node: nodes.Node, request: requests.Request) -> None:
+    """Send a write to the primary, or let it wait for one."""
+    group = request.group
+    if groups.takes_writes(node, group):
+        dispatch.submit(node, group.primary, request)
+        return
+    if len(group.waiting_writes) >= MAX_WAITING:
+        requests.refuse(node, request, _no_primary(group))
+        return
+    request.advance("queue")
+    group.waiting_writes.append(request)
+    node.count("writes_waited")
+
+
+def route_read(node: nodes.Node, request: requests.Request) -> None:
+    """Send a read to a replica that will do, or decide what else."""
+    group = request.group
+    endpoint = find_replica(node, request)
+    if endpoint is not None:
+        node.count("reads_on_replica")
+        dispatch.submit(node, endpoint, request)
+        return
+    if not groups.serves_primary_reads(group):
+        _park_read(node, request, request.deadline)
+        return
+    wait = waiting.POLICIES[node.policies.wait](node, group, request)
+    if wait > 0:
+        node.count("reads_waited")
+        _park_read(node, request, node.now + wait)
+    else:
+        send_to_primary(node, request)
+
+
+def find_replica(node: nodes.Node, request: requests.Request) -> pool.Endpoint | None:
+    """Return the replica that a read should go to, None if none will do."""
+    group = request.group
+    if request.max_age is not None:
+        limit = request.max_age
+        fitting = [
+            endpoint
+            for endpoint in group.replicas
+            if groups.find_age(node, group, endpoint) <= limit
+        ]
+    else:
+        need = floors.find_need(request.session.floor, group)
+        request.need = offset = need.offset
+        request.only = only = need.only
+        fitting = [
+            endpoint
+            for endpoint in group.replicas
+            if endpoint.applied >= offset and (not only or endpoint.name == only)
+        ]
+    if not fitting:
+        return None
+    return CHOICES[node.policies.replica](node, group, fitting, request)
+
+
+def send_to_primary(node: nodes.Node, request: requests.Request) -> None:
+    """Send a read to the primary, which has every position of its term."""
+    node.count("reads_on_primary")
+    dispatch.submit(node, request.group.primary, request)
+
+
+def _park_read(node: nodes.Node, request: requests.Request, until: float) -> None:
+    """Let a read wait for a replica, a primary or a newer view."""
+    group = request.group
+    if len(group.waiting_reads) >= MAX_WAITING:
+        error = errors.QueueFull(
+            f"Too many reads of group {group.name} wait for a replica.",
+            "Retry after a second, or state an age with sardinehold.max_age.",
+        )
+        requests.refuse(node, request, error)
+        return
+    request.advance("queue")
+    request.wait_until = min(until, request.deadline)
+    group.waiting_reads.append(request)
+    if until < request.deadline:
+        node.timers.set(until, _give_up_waiting, request)
+    probing.hasten(node, group)
+
+
+def _give_up_waiting(node: nodes.Node, request: requests.Request) -> None:
+    """Send a read that has waited long enough to the primary."""
+    waiting_reads = request.group.waiting_reads
+    if request.state != "queued" or request not in waiting_reads:
+        return
+    waiting_reads.remove(request)
+    node.count("reads_gave_up_waiting")
+    if groups.serves_primary_reads(request.group) and _is_current(request):
+        send_to_primary(node, request)
+    else:
+        _park_read(node, request, request.deadline)
+
+
+def _is_current(request: requests.Request) -> bool:
+    """Return whether the session's floor is of the term in force."""
+    state = request.group.state
+    return state is not None and request.session.floor.position.term == state.term
+
+
+def retry_reads(node: nodes.Node, group: groups.Group) -> None:
+    """Send the reads that wait and have found a replica meanwhile."""
+    still_waiting = []
+    parked, group.waiting_reads = group.waiting_reads, still_waiting
+    for request in parked:
+        if not request.is_waiting():
+            continue
+        endpoint = find_replica(node, request) if _is_current(request) else None
+        if endpoint is None:
+            still_waiting.append(request)
+        else:
+            node.count("reads_on_replica")
+            dispatch.submit(node, endpoint, request)
+
+
+def reroute(node: nodes.Node, group: groups.Group) -> None:
+    """Route again all that waits in a group, as after a change of the view."""
+    parked = group.waiting_reads + list(group.waiting_writes)
+    group.waiting_reads = []
+    group.waiting_writes.clear()
+    for endpoint in group.endpoints.values():
+        parked.extend(endpoint.queue.drain())
+    parked.sort(key=lambda request: request.request_id)
+    for request in parked:
+        if request.is_waiting():
+            route(node, request)
+
+
+def _no_primary(group: groups.Group) -> errors.RequestError:
+    return errors.EndpointUnavailable(
+        f"Group {group.name} has no primary that takes writes now.",
+        "Repeat the statement in a few seconds.",
+    )
+
+
+def explain_expiry(request: requests.Request) -> errors.RequestError:
+    """Return the error for a request whose deadline passed before it was sent."""
+    if not request.is_read and request.endpoint is None and request.has_token:
+        return _no_primary(request.group)
+    return errors.DeadlineExceeded(
+        "The statement's deadline passed while it waited.",
+        "Repeat it; raise the route's statement_timeout if this happens often.",
+    )
+
+
+def is_plain_read(request: requests.Request) -> bool:
+    """Return whether the request is a query rather than a setting."""
+    return request.traits.kind is statements.Kind.READ
--- /dev/null
+++ b/src/sardinehold/core/samples.py
@@ -0,0 +1,70 @@
+"""Log offsets of an endpoint at known times.
+
+Each sample says that the endpoint's log, or what its readers saw, had reached
+no more than ``offset`` at ``time``, and had reached it when the answer came.
+"""
+
+import bisect
+
+MAX_SAMPLES = 128
+"""Samples kept for an endpoint."""
+
+MIN_SPACING = 0.005
+"""Seconds between two samples that are kept."""
+
+
+class Samples:
+    """The recent samples of one endpoint in one term, oldest first."""
+
+    __slots__ = ("_times", "_offsets")
+
+    def __init__(self) -> None:
+        """Start without samples."""
+        self._times: list[float] = []
+        self._offsets: list[int] = []
+
+    def clear(self) -> None:
+        """Forget all samples, as when the term changed."""
+        self._times.clear()
+        self._offsets.clear()
+
+    def add(self, time: float, offset: int) -> None:
+        """Add a sample; one that is out of order or close to the last is left out.
+
+        :param time: when the question was sent.
+        :param offset: the answer.
+        """
+        times = self._times
+        if times:
+            if time - times[-1] < MIN_SPACING or offset < self._offsets[-1]:
+                return
+            if len(times) >= MAX_SAMPLES:
+                del times[: MAX_SAMPLES // 2]
+                del self._offsets[: MAX_SAMPLES // 2]
+        times.append(time)
+        self._offsets.append(offset)
+
+    def find_offset_after(self, time: float) -> int | None:
+        """Return an offset that covers all that was seen up to ``time``.
+
+        :returns: that of the first question sent at ``time`` or later, or
+            None when there was none yet.
+        """
+        place = bisect.bisect_left(self._times, time)
+        if place == len(self._times):
+            return None
+        return self._offsets[place]
+
+    def find_time_covered(self, offset: int) -> float | None:
+        """Return the latest time whose whole log lies within ``offset``."""
+        place = bisect.bisect_right(self._offsets, offset)
+        if not place:
+            return None
+        return self._times[place - 1]
+
+    def find_time_reached(self, offset: int) -> float | None:
+        """Return the earliest sample time at which ``offset`` was reached."""
+        place = bisect.bisect_left(self._offsets, offset)
+        if place == len(self._offsets):
+            return None
+        return self._times[place]
--- /dev/null
+++ b/src/sardinehold/core/shutdown.py
@@ -0,0 +1,62 @@
+"""A planned stop: no new sessions, what runs is finished, then it is over."""
+
+from sardinehold import errors
+from sardinehold.core import actions
+from sardinehold.core import admission
+from sardinehold.core import closing
+from sardinehold.core import events
+from sardinehold.core import handlers
+from sardinehold.core import invariants
+from sardinehold.core import node as nodes
+
+_STOPPING = (
+    "This proxy is stopping.",
+    "Reconnect to reach another proxy.",
+)
+
+
+@invariants.invariant("A planned stop is a graceful shutdown that cuts no request.")
+def stop_cuts_nothing_early(node: nodes.Node, cut: int) -> bool:
+    """Return whether nothing is cut before the deadline of the stop."""
+    return not cut or node.now >= node.drain_deadline
+
+
+@handlers.handles(events.DrainStarted)
+def start(node: nodes.Node, event: events.DrainStarted) -> None:
+    """Stop taking sessions; end those that have nothing open."""
+    if node.drain_deadline is not None and event.deadline >= node.drain_deadline:
+        return
+    node.drain_deadline = event.deadline
+    node.timers.set(event.deadline, _cut, None)
+    advance(node)
+
+
+def advance(node: nodes.Node) -> None:
+    """End sessions that have become idle; say when none is left."""
+    if node.is_drained:
+        return
+    for session in list(node.sessions.values()):
+        if session.request is None and session.status == "I":
+            closing.end(node, session, errors.ShuttingDown(*_STOPPING))
+    if not node.sessions and not node.requests:
+        _finish(node, 0)
+
+
+def _cut(node: nodes.Node, _: None) -> None:
+    """Cut what still runs at the deadline."""
+    if node.is_drained or node.now < node.drain_deadline:
+        return
+    cut = 0
+    for session in list(node.sessions.values()):
+        cut += session.request is not None or session.status != "I"
+        closing.end(node, session, errors.ShuttingDown(*_STOPPING))
+    _finish(node, cut)
+
+
+def _finish(node: nodes.Node, cut: int) -> None:
+    """Give tokens back and say that the proxy may stop."""
+    stop_cuts_nothing_early(node, cut)
+    for balance in node.balances.values():
+        admission.return_tokens(node, balance, balance.tokens)
+    node.is_drained = True
+    node.actions.append(actions.DrainFinished(cut))
--- /dev/null
+++ b/src/sardinehold/core/timers.py
@@ -0,0 +1,64 @@
+"""Deadlines of one node, in a heap and in buckets.
+
+Single deadlines lie in a heap. Deadlines of requests, of which there are
+thousands a second and most never come, share buckets of 10 ms.
+"""
+
+import heapq
+import typing
+
+BUCKETS_PER_SECOND = 100
+"""Buckets of request deadlines in a second."""
+
+NEVER = float("inf")
+"""The time of a timer that is not set."""
+
+Callback = typing.Callable[[typing.Any, typing.Any], None]
+
+
+class Timers:
+    """All timers of a node.
+
+    :param next_time: when the earliest timer is due.
+    """
+
+    __slots__ = ("next_time", "_heap", "_sequence", "_buckets")
+
+    def __init__(self) -> None:
+        """Start without timers."""
+        self.next_time = NEVER
+        self._heap: list[tuple[float, int, Callback, typing.Any]] = []
+        self._sequence = 0
+        self._buckets: dict[int, list[typing.Any]] = {}
+
+    def set(self, time: float, callback: Callback, subject: typing.Any) -> None:
+        """Call ``callback(node, subject)`` at ``time``; it cannot be taken back."""
+        self._sequence += 1
+        heapq.heappush(self._heap, (time, self._sequence, callback, subject))
+        if time < self.next_time:
+            self.next_time = time
+
+    def set_shared(self, time: float, callback: Callback, subject: int) -> None:
+        """Call ``callback(node, subjects)`` within 10 ms after ``time``.
+
+        :param callback: the same for all subjects.
+        """
+        number = int(time * BUCKETS_PER_SECOND) + 1
+        bucket = self._buckets.get(number)
+        if bucket is not None:
+            bucket.append(subject)
+            return
+        self._buckets[number] = [subject]
+
+        def run_bucket(node: typing.Any, number: int) -> None:
+            callback(node, self._buckets.pop(number))
+
+        self.set(number / BUCKETS_PER_SECOND, run_bucket, number)
+
+    def run_due(self, node: typing.Any, now: float) -> None:
+        """Call what is due, earliest first."""
+        heap = self._heap
+        while heap and heap[0][0] <= now:
+            _, _, callback, subject = heapq.heappop(heap)
+            callback(node, subject)
+        self.next_time = heap[0][0] if heap else NEVER
--- /dev/null
+++ b/src/sardinehold/core/waiting.py
@@ -0,0 +1,101 @@
+"""Whether a read waits for a replica or goes to the primary.
+
+A policy returns for how many seconds the read may wait; 0 sends it to the
+primary at once. The baseline sends every such read to the primary.
+"""
+
+import typing
+
+from sardinehold.core import groups
+from sardinehold.core import node as nodes
+from sardinehold.core import request as requests
+
+Policy = typing.Callable[[nodes.Node, groups.Group, requests.Request], float]
+
+POLICIES: dict[str, Policy] = {}
+"""Policies by name, filled by :func:`policy`."""
+
+WAIT_SHARE = 0.1
+"""Share of the time to the deadline that a read waits at most."""
+
+MAX_WAIT = 0.25
+"""Seconds that a read waits at most while the primary could serve it."""
+
+SLACK = 1.5
+"""Times the predicted wait after which the read gives up."""
+
+STATUS_DELAY = 0.01
+"""Seconds until the next status tells that a replica has caught up."""
+
+
+def policy(name: str) -> typing.Callable[[Policy], Policy]:
+    """File the decorated function as the policy ``name``."""
+
+    def register(function: Policy) -> Policy:
+        POLICIES[name] = function
+        return function
+
+    return register
+
+
+def predict_catch_up(
+    node: nodes.Node, group: groups.Group, request: requests.Request
+) -> float:
+    """Return the seconds until some replica is expected to do.
+
+    A replica has an offset about its lag later than the primary had it.
+    """
+    if not group.replicas or group.primary is None:
+        return float("inf")
+    lag = min(endpoint.lag for endpoint in group.replicas)
+    if request.max_age is not None:
+        return max(0.0, lag - request.max_age) + STATUS_DELAY
+    reached = group.primary.samples.find_time_reached(request.need)
+    if reached is None or request.only:
+        reached = node.now
+    return max(0.0, reached + lag - node.now) + STATUS_DELAY
+
+
+def predict_primary(group: groups.Group, request: requests.Request) -> float:
+    """Return the seconds until the primary is expected to answer."""
+    primary = group.primary
+    parallel = max(1.0, min(primary.limit.value, float(primary.share)))
+    queued = primary.queue.size + primary.in_flight
+    return primary.latency * (1.0 + queued / parallel)
+
+
+@policy("primary")
+def go_to_primary(
+    node: nodes.Node, group: groups.Group, request: requests.Request
+) -> float:
+    """Never wait."""
+    return 0.0
+
+
+@policy("sooner")
+def pick_sooner(
+    node: nodes.Node, group: groups.Group, request: requests.Request
+) -> float:
+    """Wait if a replica is expected to answer before the primary would."""
+    predicted = predict_catch_up(node, group, request)
+    if predicted > predict_primary(group, request):
+        return 0.0
+    return _bound(node, request, predicted)
+
+
+@policy("bounded")
+def wait_bounded(
+    node: nodes.Node, group: groups.Group, request: requests.Request
+) -> float:
+    """Wait if a replica is expected to do within a share of the deadline."""
+    predicted = predict_catch_up(node, group, request)
+    limit = min(MAX_WAIT, WAIT_SHARE * (request.deadline - node.now))
+    if predicted > limit:
+        return 0.0
+    return _bound(node, request, predicted)
+
+
+def _bound(node: nodes.Node, request: requests.Request, predicted: float) -> float:
+    """Return how long to wait for something predicted."""
+    limit = WAIT_SHARE * (request.deadline - node.now)
+    return min(limit, MAX_WAIT, predicted * SLACK)
