--- /dev/null
+++ b/bench/decision_cost.py
@@ -0,0 +1,93 @@
+"""Core time of one statement: arrive, dispatch, answered, acknowledged.
+
+Run with ``python bench/decision_cost.py``. It feeds one engine with virtual
+time, with more and more teams and groups, and measures processor time alone.
+The last line is JSON.
+"""
+
+import argparse
+import gc
+import json
+import statistics
+
+import worlds
+from sardinehold.core import classify
+from sardinehold.core import events
+
+TARGET = 20.0
+"""Microseconds of core time that a statement may cost."""
+
+BATCH = 2000
+"""Statements of one batch."""
+
+SHAPES = ((8, 3), (80, 30), (800, 3), (8, 1500), (800, 1500))
+"""Teams and groups of the runs."""
+
+
+class Fleet:
+    """One engine with sessions of all teams on groups in turn."""
+
+    def __init__(self, teams: int, groups: int, sessions: int) -> None:
+        """Open the sessions and let connections and positions settle."""
+        self.world = worlds.World(worlds.build_view(teams, groups, rate=1e9))
+        self.sessions = [
+            self.world.open(f"team-{i % teams}", f"route-{i % groups}")
+            for i in range(sessions)
+        ]
+        self.world.settle()
+        self.request_id = 1_000_000
+
+    def run(self, traits: tuple, statements: int) -> float:
+        """Return the microseconds of core time for one statement."""
+        world = self.world
+        sessions = self.sessions
+        count = len(sessions)
+        world.spent = 0
+        for number in range(statements):
+            self.request_id += 1
+            world.now += 0.0004
+            kind = traits[number % len(traits)]
+            session_id = sessions[number % count]
+            world.send(events.RequestArrived(self.request_id, session_id, kind))
+            answer = world.find_answer(self.request_id)
+            world.now += 0.0004
+            world.send(answer)
+        return world.spent / statements / 1000
+
+
+def measure(fleet: Fleet, traits: tuple, batches: int) -> tuple[float, float]:
+    """Return the median and the lowest cost of some batches."""
+    gc.collect()
+    costs = [fleet.run(traits, BATCH) for _ in range(batches)]
+    return statistics.median(costs), min(costs)
+
+
+def main() -> None:
+    """Print a table and a line of JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--batches", type=int, default=15)
+    options = parser.parse_args()
+    read = classify.classify("select * from letters where id = 1")
+    write = classify.classify("insert into letters values (1)")
+    mix = (read,) * 9 + (write,)
+    rows = []
+    print("microseconds a statement: median of batches (lowest)")
+    print(f"{'teams':>6} {'groups':>7} {'reads':>16} {'1 write in 10':>16}")
+    for teams, groups in SHAPES:
+        fleet = Fleet(teams, groups, sessions=max(64, teams))
+        fleet.run(mix, BATCH)
+        gc.freeze()
+        reads, reads_low = measure(fleet, (read,), options.batches)
+        mixed, mixed_low = measure(fleet, mix, options.batches)
+        gc.unfreeze()
+        rows.append({"teams": teams, "groups": groups, "read": reads, "mix": mixed})
+        first = f"{reads:.1f} ({reads_low:.1f})"
+        second = f"{mixed:.1f} ({mixed_low:.1f})"
+        print(f"{teams:>6} {groups:>7} {first:>16} {second:>16}")
+    worst = max(max(row["read"], row["mix"]) for row in rows)
+    result = {"target_us": TARGET, "worst_us": worst, "met": worst <= TARGET}
+    print(json.dumps({**result, "rows": rows}))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sardinehold/core/admission.py
+++ b/src/sardinehold/core/admission.py
@@ -6,7 +6,6 @@
 from sardinehold.core import deadlines
 from sardinehold.core import events
 from sardinehold.core import handlers
-from sardinehold.core import losses
 from sardinehold.core import node as nodes
 from sardinehold.core import request as requests
 from sardinehold.core import routing
@@ -19,6 +18,7 @@
 WAIT_SHARE = 0.5
 """Share of the time to the deadline that a request waits for a token."""
 
+_READ = statements.Kind.READ
 _LOCAL = frozenset(
     [
         statements.Kind.SET,
@@ -46,7 +46,11 @@
         requests.refuse(node, request, error)
         return
     try:
-        if traits.kind in _LOCAL and variables.answer_locally(node, request):
+        if (
+            traits.kind is not _READ
+            and traits.kind in _LOCAL
+            and variables.answer_locally(node, request)
+        ):
             return
     except errors.Unsupported as error:
         requests.refuse(node, request, error)
@@ -54,7 +58,6 @@
     if not request.is_read:
         _mark_idempotent(session, request)
     node.timers.set_shared(request.deadline, expire, request.request_id)
-    losses.note_request(node, request.owner)
     admit(node, request)
 
 
@@ -131,7 +134,7 @@
     """Look at the demand from now on, and ask for tokens."""
     balance.is_reviewed = True
     request_tokens(node, balance)
-    node.timers.set(node.now + balances.REVIEW_INTERVAL, _review, balance)
+    node.timers.set(node.now + balances.QUIET, _review, balance)
 
 
 def _review(node: nodes.Node, balance: balances.Balance) -> None:
@@ -145,10 +148,10 @@
     if balance.tokens < target:
         request_tokens(node, balance)
     elif node.now - balance.quiet_since >= balances.QUIET:
-        return_tokens(node, balance, balance.tokens - target)
+        return_tokens(node, balance, balance.tokens)
     elif balance.tokens > 2 * target + balances.FIRST_REQUEST:
         return_tokens(node, balance, balance.tokens - 2 * target)
-    node.timers.set(node.now + balances.REVIEW_INTERVAL, _review, balance)
+    node.timers.set(node.now + balance.find_interval(), _review, balance)
 
 
 def _forget_ended(balance: balances.Balance) -> None:
--- a/src/sardinehold/core/answers.py
+++ b/src/sardinehold/core/answers.py
@@ -45,9 +45,15 @@
     session = request.session
     if request.traits.pins and not event.sqlstate:
         session.is_pinned = True
-    variables.note_answer(node, request, connection, event)
     was_open = request.in_transaction
-    transaction.note_status(node, session, connection, event.status)
+    if event.status == "I" and session.connection is None and not session.is_pinned:
+        kind = request.traits.kind
+        if kind is not statements.Kind.READ and kind in variables.TRACKED:
+            variables.note_answer(node, request, connection, event)
+        pool.release(node, connection)
+    else:
+        variables.note_answer(node, request, connection, event)
+        transaction.note_status(node, session, connection, event.status)
     if session.is_closed and request.is_read:
         requests.drop(node, request)
     else:
@@ -61,10 +67,11 @@
 ) -> None:
     """Take the time of a statement into costs, latency and limit."""
     seconds = node.now - request.sent_at
-    flow = endpoint.queue.find_flow(request.owner, request.session.weight)
-    expected = flow.find_cost(request.is_read)
+    flow = endpoint.queue.flows.get(request.owner)
+    if flow is None:
+        flow = endpoint.queue.find_flow(request.owner, request.session.weight)
+    expected = flow.note_cost(request.is_read, seconds)
     endpoint.limit.note(seconds, expected, endpoint.in_flight, node.now)
-    flow.note_cost(request.is_read, seconds)
     endpoint.latency += LATENCY_SMOOTHING * (seconds - endpoint.latency)
 
 
--- a/src/sardinehold/core/balance.py
+++ b/src/sardinehold/core/balance.py
@@ -16,7 +16,13 @@
 """Seconds without use after which surplus tokens go back."""
 
 REVIEW_INTERVAL = 0.1
-"""Seconds between looks at the demand."""
+"""Seconds between looks at the demand of a busy owner."""
+
+MAX_REVIEW_INTERVAL = 1.0
+"""Seconds between looks at the demand of an owner with little of it."""
+
+REVIEWED_STATEMENTS = 5.0
+"""Statements that an owner sends between two looks, as far as bounds allow."""
 
 REQUEST_INTERVAL = 0.02
 """Seconds between two requests for tokens while statements wait."""
@@ -24,6 +30,12 @@
 FIRST_REQUEST = 4
 """Tokens asked for when the demand is not known yet."""
 
+RETRY_SHARE = 0.1
+"""Retries that an owner may make for each of its requests."""
+
+MAX_RETRIES = 10.0
+"""Retries that an owner can save up."""
+
 DEMAND_SMOOTHING = 0.4
 """Weight of the newest interval in the moving average of the demand."""
 
@@ -59,6 +71,7 @@
     :param waiting: requests that wait for a token, oldest first.
     :param demand: statements a second, a moving average.
     :param income: tokens granted a second, a moving average.
+    :param retries: retries that the owner has saved up.
     :param is_reviewed: whether a timer looks at the demand.
     """
 
@@ -68,6 +81,7 @@
         "waiting",
         "demand",
         "income",
+        "retries",
         "is_reviewed",
         "granted_total",
         "spent_total",
@@ -86,6 +100,7 @@
         self.waiting: collections.deque = collections.deque()
         self.demand = 0.0
         self.income = 0.0
+        self.retries = MAX_RETRIES
         self.is_reviewed = False
         self.granted_total = 0
         self.spent_total = 0
@@ -119,8 +134,17 @@
         grants.extend(reversed(later))
 
     def note_arrival(self) -> None:
-        """Count a statement towards the demand."""
+        """Count a statement towards the demand and the retries."""
         self._arrived += 1
+        if self.retries < MAX_RETRIES:
+            self.retries += RETRY_SHARE
+
+    def spend_retry(self) -> bool:
+        """Return whether a retry is saved up, and spend it."""
+        if self.retries < 1.0:
+            return False
+        self.retries -= 1.0
+        return True
 
     def take(self, now: float) -> bool:
         """Spend one token; return whether there was one."""
@@ -174,6 +198,17 @@
         self._reviewed_at = now
         self.drop_expired(now)
 
+    def find_interval(self) -> float:
+        """Return the seconds to the next look at the demand.
+
+        An owner with little demand is looked at less often, so that the cost
+        of looking follows the statements and not the number of owners.
+        """
+        if self.waiting:
+            return REVIEW_INTERVAL
+        interval = REVIEWED_STATEMENTS / max(self.demand, 0.1)
+        return min(MAX_REVIEW_INTERVAL, max(REVIEW_INTERVAL, interval))
+
     def find_target(self) -> int:
         """Return how many tokens the demand asks for."""
         expected = max(self.demand * HORIZON, float(self._arrived))
@@ -181,4 +216,4 @@
 
     def is_idle(self) -> bool:
         """Return whether there is nothing to look after."""
-        return not (self.tokens or self.waiting or self.demand >= 1.0)
+        return not (self.tokens or self.waiting or self._arrived)
--- a/src/sardinehold/core/dispatch.py
+++ b/src/sardinehold/core/dispatch.py
@@ -103,7 +103,6 @@
     request.endpoint = endpoint
     idle = endpoint.idle
     if idle and not endpoint.queue.size and endpoint.in_flight < endpoint.limit.value:
-        request.advance("queue")
         send(node, request, take(endpoint, request))
         return
     _enqueue(node, endpoint, request)
--- a/src/sardinehold/core/fairness.py
+++ b/src/sardinehold/core/fairness.py
@@ -90,14 +90,17 @@
         """Return the expected cost of a request in seconds."""
         return self.read_cost if is_read else self.write_cost
 
-    def note_cost(self, is_read: bool, seconds: float) -> None:
-        """Take a measured cost into the average."""
+    def note_cost(self, is_read: bool, seconds: float) -> float:
+        """Take a measured cost into the average; return what was expected."""
+        if seconds < MIN_COST:
+            seconds = MIN_COST
         if is_read:
-            self.read_cost += COST_SMOOTHING * (seconds - self.read_cost)
-            self.read_cost = max(self.read_cost, MIN_COST)
+            expected = self.read_cost
+            self.read_cost = expected + COST_SMOOTHING * (seconds - expected)
         else:
-            self.write_cost += COST_SMOOTHING * (seconds - self.write_cost)
-            self.write_cost = max(self.write_cost, MIN_COST)
+            expected = self.write_cost
+            self.write_cost = expected + COST_SMOOTHING * (seconds - expected)
+        return expected
 
 
 class _Queue:
--- a/src/sardinehold/core/floors.py
+++ b/src/sardinehold/core/floors.py
@@ -11,22 +11,6 @@
 from sardinehold.core import positions
 from sardinehold.core import tokens
 
-
-class Need:
-    """What the endpoint of a read must have.
-
-    :param offset: applied offset of the current term.
-    :param only: name of the endpoint that alone is known to do, or ``""``.
-    """
-
-    __slots__ = ("offset", "only")
-
-    def __init__(self, offset: int, only: str = "") -> None:
-        """Keep the parts of the need."""
-        self.offset = offset
-        self.only = only
-
-
 _LOST = (
     "A position that this session had seen did not survive a change of primary.",
     "Read again what the session relies on, then repeat the statement.",
@@ -68,14 +52,7 @@
     return starts[-1] if starts else 0
 
 
-def find_need(floor: tokens.Floor, group: groups.Group) -> Need:
-    """Return what a read of the session needs; the floor is of this term."""
-    if floor.endpoint:
-        _resolve(floor, group)
-    return Need(floor.position.offset, floor.endpoint)
-
-
-def _resolve(floor: tokens.Floor, group: groups.Group) -> None:
+def resolve(floor: tokens.Floor, group: groups.Group) -> None:
     """Replace the endpoint read last by a position that covers the read."""
     endpoint = group.endpoints.get(floor.endpoint)
     found = None
--- a/src/sardinehold/core/invariants.py
+++ b/src/sardinehold/core/invariants.py
@@ -7,6 +7,7 @@
 """
 
 import functools
+import inspect
 import typing
 
 from sardinehold import errors
@@ -32,6 +33,44 @@
 """All invariants of the program by name."""
 
 
+def _wrap_one(entry: Invariant, check: typing.Callable) -> typing.Callable:
+    def verify(first: object) -> None:
+        entry.checked += 1
+        if not check(first):
+            _fail(entry)
+
+    return verify
+
+
+def _wrap_two(entry: Invariant, check: typing.Callable) -> typing.Callable:
+    def verify(first: object, second: object) -> None:
+        entry.checked += 1
+        if not check(first, second):
+            _fail(entry)
+
+    return verify
+
+
+def _wrap_many(entry: Invariant, check: typing.Callable) -> typing.Callable:
+    def verify(*arguments: object) -> None:
+        entry.checked += 1
+        if not check(*arguments):
+            _fail(entry)
+
+    return verify
+
+
+_WRAPPERS = {1: _wrap_one, 2: _wrap_two}
+"""Wrappers by number of parameters: checks run for each statement."""
+
+
+def _fail(entry: Invariant) -> None:
+    raise errors.InvariantViolation(
+        f"Invariant {entry.name} does not hold: {entry.promise}",
+        "Report this with the time line of the process.",
+    )
+
+
 def invariant(
     promise: str,
 ) -> typing.Callable[[typing.Callable[..., bool]], typing.Callable[..., None]]:
@@ -47,16 +86,9 @@
         entry = Invariant(name, promise)
         REGISTRY[name] = entry
 
-        @functools.wraps(check)
-        def verify(*arguments: object) -> None:
-            entry.checked += 1
-            if not check(*arguments):
-                raise errors.InvariantViolation(
-                    f"Invariant {name} does not hold: {promise}",
-                    "Report this with the time line of the process.",
-                )
-
-        return verify
+        parameters = len(inspect.signature(check).parameters)
+        verify = _WRAPPERS.get(parameters, _wrap_many)(entry, check)
+        return functools.wraps(check)(verify)
 
     return register
 
--- a/src/sardinehold/core/losses.py
+++ b/src/sardinehold/core/losses.py
@@ -12,33 +12,9 @@
 from sardinehold.core import routing
 from sardinehold.core import transaction
 
-RETRY_SHARE = 0.1
-"""Retries that a team may make for each of its requests."""
-
-MAX_RETRIES = 10.0
-"""Retries that a team can save up."""
-
 _CHECK = "Check whether the statement took effect before repeating it."
 
 
-def note_request(node: nodes.Node, owner: str) -> None:
-    """Let an owner save up for retries."""
-    budgets = node.retry_budgets
-    saved = budgets.get(owner, MAX_RETRIES)
-    if saved < MAX_RETRIES:
-        budgets[owner] = saved + RETRY_SHARE
-
-
-def _spend_retry(node: nodes.Node, owner: str) -> bool:
-    """Return whether the owner's budget pays for a retry."""
-    saved = node.retry_budgets.get(owner, MAX_RETRIES)
-    if saved < 1.0:
-        node.count("retries_over_budget")
-        return False
-    node.retry_budgets[owner] = saved - 1.0
-    return True
-
-
 def may_retry(node: nodes.Node, request: requests.Request) -> bool:
     """Return whether a request that was sent may be sent again."""
     return (
@@ -48,7 +24,7 @@
         and not request.session.is_closed
         and not request.session.is_pinned
         and node.now < request.deadline
-        and _spend_retry(node, request.owner)
+        and request.session.balance.spend_retry()
     )
 
 
--- a/src/sardinehold/core/node.py
+++ b/src/sardinehold/core/node.py
@@ -21,7 +21,7 @@
 
     def __init__(
         self,
-        replica: str = "fastest",
+        replica: str = "sticky",
         wait: str = "bounded",
         queue: str = "fair",
         limit: str = "gradient",
@@ -73,7 +73,6 @@
         "endpoints",
         "connections",
         "balances",
-        "retry_budgets",
         "sources",
         "timers",
         "counters",
@@ -101,7 +100,6 @@
         self.endpoints: dict = {}
         self.connections: dict = {}
         self.balances: dict = {}
-        self.retry_budgets: dict = {}
         self.sources: dict = {}
         self.timers = timers.Timers()
         self.counters: dict[str, int] = {}
--- a/src/sardinehold/core/probing.py
+++ b/src/sardinehold/core/probing.py
@@ -17,8 +17,8 @@
 INTERVAL = 0.1
 """Seconds between two probes of an endpoint whose group is in use."""
 
-URGENT_INTERVAL = 0.01
-"""Seconds between two probes of a replica while reads wait for it."""
+URGENT_INTERVAL = 0.02
+"""Seconds between two probes of the replica that waiting reads wait for."""
 
 CONFIRM_INTERVAL = 0.002
 """Seconds between two probes of a primary while writes wait, at first."""
@@ -120,9 +120,6 @@
     """Return the seconds to the next regular probe."""
     if not endpoint.is_healthy:
         return UNHEALTHY_INTERVAL
-    group = endpoint.group
-    if group.waiting_reads and endpoint is not group.primary:
-        return URGENT_INTERVAL
     endpoints = 3 * len(node.active_groups)
     return max(INTERVAL, endpoints / PROBES_PER_SECOND)
 
@@ -160,12 +157,15 @@
     """Probe what waiting reads need, until none waits."""
     if not group.waiting_reads:
         return
-    for endpoint in group.endpoints.values():
-        if endpoint.is_healthy:
-            send(node, endpoint)
+    if group.replicas:
+        send(node, min(group.replicas, key=_find_lag))
     node.timers.set(node.now + URGENT_INTERVAL, _probe_for_reads, group)
 
 
+def _find_lag(endpoint: pool.Endpoint) -> float:
+    return endpoint.lag
+
+
 def confirm(node: nodes.Node, group: groups.Group) -> None:
     """Ask the primary what replicas have received, until no write is held."""
     if group.unconfirmed_since is None:
--- a/src/sardinehold/core/request.py
+++ b/src/sardinehold/core/request.py
@@ -14,14 +14,13 @@
 """The states of a request."""
 
 _TRANSITIONS = CHART.transitions
-_READ_KINDS = frozenset(
-    [
-        statements.Kind.READ,
-        statements.Kind.SHOW,
-        statements.Kind.SET,
-        statements.Kind.RESET,
-        statements.Kind.EMPTY,
-    ]
+_READ = statements.Kind.READ
+_READ_KINDS = (
+    statements.Kind.READ,
+    statements.Kind.SHOW,
+    statements.Kind.SET,
+    statements.Kind.RESET,
+    statements.Kind.EMPTY,
 )
 
 
@@ -32,9 +31,9 @@
 
 
 @invariants.invariant("A caller gets the whole answer to its own request.")
-def answer_belongs_to_session(node: nodes.Node, request: "Request") -> bool:
+def answer_belongs_to_session(session: typing.Any, request: "Request") -> bool:
     """Return whether the session still waits for just this request."""
-    return request.session.request is request
+    return session.request is request
 
 
 class Request:
@@ -96,7 +95,8 @@
         self.accepted_at = now
         self.deadline = now + session.route.statement_timeout
         self.in_transaction = session.status != "I"
-        self.is_read = traits.kind in _READ_KINDS and not traits.pins
+        kind = traits.kind
+        self.is_read = (kind is _READ or kind in _READ_KINDS) and not traits.pins
         self.is_retryable = self.is_read
         self.sends = 0
         self.need = 0
@@ -142,7 +142,7 @@
     if request.sends and error.outcome is errors.Outcome.NOT_RUN:
         error.outcome = errors.Outcome.UNKNOWN
     not_run_never_sent(request, error)
-    answer_belongs_to_session(node, request)
+    answer_belongs_to_session(request.session, request)
     request.advance("lose" if request.state in ("sent", "held") else "refuse")
     remove(node, request)
     node.count(f"refused_{error.code}")
@@ -164,9 +164,10 @@
     if session.is_closed:
         drop(node, request)
         return
-    answer_belongs_to_session(node, request)
+    answer_belongs_to_session(session, request)
     request.advance("answer")
-    remove(node, request)
+    del node.requests[request.request_id]
+    session.request = None
     node.actions.append(
         actions.Acknowledge(request.request_id, session.session_id, token)
     )
--- a/src/sardinehold/core/routing.py
+++ b/src/sardinehold/core/routing.py
@@ -11,13 +11,10 @@
 from sardinehold.core import pool
 from sardinehold.core import probing
 from sardinehold.core import request as requests
-from sardinehold.core import statements
 from sardinehold.core import transaction
 from sardinehold.core import waiting
 
-Choice = typing.Callable[
-    [nodes.Node, groups.Group, list[pool.Endpoint], requests.Request], pool.Endpoint
-]
+Choice = typing.Callable[[nodes.Node, requests.Request], pool.Endpoint | None]
 
 CHOICES: dict[str, Choice] = {}
 """Ways to choose among replicas that would do, filled by :func:`choice`."""
@@ -36,25 +33,60 @@
     return register
 
 
+def find_fitting(node: nodes.Node, request: requests.Request) -> list[pool.Endpoint]:
+    """Return the replicas that a read may run on."""
+    group = request.group
+    if request.max_age is not None:
+        return [
+            endpoint
+            for endpoint in group.replicas
+            if groups.find_age(node, group, endpoint) <= request.max_age
+        ]
+    floor = request.session.floor
+    if floor.endpoint:
+        floors.resolve(floor, group)
+    request.need = offset = floor.position.offset
+    request.only = only = floor.endpoint
+    return [
+        endpoint
+        for endpoint in group.replicas
+        if endpoint.applied >= offset and (not only or endpoint.name == only)
+    ]
+
+
 @choice("fastest")
-def choose_fastest(
-    node: nodes.Node,
-    group: groups.Group,
-    endpoints: list[pool.Endpoint],
-    request: requests.Request,
-) -> pool.Endpoint:
+def choose_fastest(node: nodes.Node, request: requests.Request) -> pool.Endpoint | None:
     """Choose by latency times outstanding requests, the own zone on a tie."""
-    best = endpoints[0]
-    if len(endpoints) == 1:
-        return best
-    best_score = _score(node, best)
-    for endpoint in endpoints[1:]:
+    best = None
+    best_score = 0.0
+    for endpoint in find_fitting(node, request):
         score = _score(node, endpoint)
-        if score < best_score:
+        if best is None or score < best_score:
             best, best_score = endpoint, score
     return best
 
 
+@choice("sticky")
+def choose_same(node: nodes.Node, request: requests.Request) -> pool.Endpoint | None:
+    """Choose the session's last replica while it is free, else the fastest.
+
+    What the session saw there is there still, so nothing has to be found out.
+    """
+    if request.max_age is None:
+        group = request.group
+        floor = request.session.floor
+        last = group.endpoints.get(floor.endpoint)
+        if (
+            last is not None
+            and last.idle
+            and last in group.replicas
+            and last.applied >= floor.position.offset
+            and last.in_flight < last.limit.value
+        ):
+            return last
+    return choose_fastest(node, request)
+
+
 def _score(node: nodes.Node, endpoint: pool.Endpoint) -> float:
     outstanding = 1 + endpoint.in_flight + endpoint.queue.size
     far = 1.0 if endpoint.config.zone == node.zone else 1.1
@@ -62,27 +94,23 @@
 
 
 @choice("round_robin")
-def choose_in_turn(
-    node: nodes.Node,
-    group: groups.Group,
-    endpoints: list[pool.Endpoint],
-    request: requests.Request,
-) -> pool.Endpoint:
+def choose_in_turn(node: nodes.Node, request: requests.Request) -> pool.Endpoint | None:
     """Choose one after the other."""
-    group.turn += 1
-    return endpoints[group.turn % len(endpoints)]
+    fitting = find_fitting(node, request)
+    if not fitting:
+        return None
+    request.group.turn += 1
+    return fitting[request.group.turn % len(fitting)]
 
 
 @choice("random")
-def choose_by_hash(
-    node: nodes.Node,
-    group: groups.Group,
-    endpoints: list[pool.Endpoint],
-    request: requests.Request,
-) -> pool.Endpoint:
+def choose_by_hash(node: nodes.Node, request: requests.Request) -> pool.Endpoint | None:
     """Choose without regard to load."""
-    place = int(nodes.spread(node.seed, request.request_id) * len(endpoints))
-    return endpoints[min(place, len(endpoints) - 1)]
+    fitting = find_fitting(node, request)
+    if not fitting:
+        return None
+    place = int(nodes.spread(node.seed, request.request_id) * len(fitting))
+    return fitting[min(place, len(fitting) - 1)]
 
 
 def route(node: nodes.Node, request: requests.Request) -> None:
@@ -97,8 +125,19 @@
     if session.connection is not None:
         transaction.submit(node, request)
         return
+    state = group.state
+    if state is None or session.floor.position.term != state.term:
+        _route_across_terms(node, request)
+    elif request.is_read:
+        route_read(node, request)
+    else:
+        route_write(node, request)
+
+
+def _route_across_terms(node: nodes.Node, request: requests.Request) -> None:
+    """Bring the session's floor into the current term first."""
     try:
-        is_known = floors.refresh(session.floor, group)
+        is_known = floors.refresh(request.session.floor, request.group)
     except errors.PositionLost as error:
         node.count("positions_lost")
         requests.refuse(node, request, error)
@@ -146,26 +185,7 @@
 
 def find_replica(node: nodes.Node, request: requests.Request) -> pool.Endpoint | None:
     """Return the replica that a read should go to, None if none will do."""
-    group = request.group
-    if request.max_age is not None:
-        limit = request.max_age
-        fitting = [
-            endpoint
-            for endpoint in group.replicas
-            if groups.find_age(node, group, endpoint) <= limit
-        ]
-    else:
-        need = floors.find_need(request.session.floor, group)
-        request.need = offset = need.offset
-        request.only = only = need.only
-        fitting = [
-            endpoint
-            for endpoint in group.replicas
-            if endpoint.applied >= offset and (not only or endpoint.name == only)
-        ]
-    if not fitting:
-        return None
-    return CHOICES[node.policies.replica](node, group, fitting, request)
+    return CHOICES[node.policies.replica](node, request)
 
 
 def send_to_primary(node: nodes.Node, request: requests.Request) -> None:
@@ -254,8 +274,3 @@
         "The statement's deadline passed while it waited.",
         "Repeat it; raise the route's statement_timeout if this happens often.",
     )
-
-
-def is_plain_read(request: requests.Request) -> bool:
-    """Return whether the request is a query rather than a setting."""
-    return request.traits.kind is statements.Kind.READ
--- a/src/sardinehold/core/transaction.py
+++ b/src/sardinehold/core/transaction.py
@@ -36,7 +36,6 @@
         requests.refuse(node, request, error, fatal=True)
         end_session(node, session, error=None)
         return
-    request.advance("queue")
     dispatch.send(node, request, connection)
 
 
--- a/src/sardinehold/core/variables.py
+++ b/src/sardinehold/core/variables.py
@@ -22,6 +22,12 @@
 _OFF = frozenset(["", "off", "none", "default"])
 
 
+TRACKED = frozenset(
+    [statements.Kind.SET, statements.Kind.RESET, statements.Kind.DISCARD]
+)
+"""Kinds that change settings on a connection."""
+
+
 def parse_age(text: str) -> float | None:
     """Return the seconds of an age such as ``2s`` or ``500ms``; None for off.
 
