--- a/src/sardinehold/core/relay.py
+++ b/src/sardinehold/core/relay.py
@@ -3,12 +3,11 @@
 from sardinehold.core import lease
 from sardinehold.core import membership
 from sardinehold.core import messages
-from sardinehold.core import vouching
 
 RELAYS_PER_ZONE = 2
 """Live members of a zone that watch the platform for the others."""
 
-MISSING_AFTER = 1.5
+MISSING_AFTER = 1.2
 """Seconds without a message after which a node counts as missing."""
 
 
@@ -155,9 +154,9 @@
     """Return the versions by VM that a summary says are acknowledged."""
     if summary.members_version != record.version:
         return {}
-    acknowledged = {
-        vm: summary.default_version for vm in record.list_zone(summary.zone)
-    }
+    acknowledged = dict.fromkeys(
+        record.list_zone(summary.zone), summary.default_version
+    )
     acknowledged.update(summary.exceptions)
     return {vm: version for vm, version in acknowledged.items() if version}
 
@@ -176,9 +175,7 @@
     reached = [vm for vm in zone_vms if cut.get(vm) == newest]
     if len(reached) * 2 <= len(zone_vms):
         return 0, cut
-    exceptions = {
-        vm: cut.get(vm, 0) for vm in zone_vms if cut.get(vm, 0) != newest
-    }
+    exceptions = {vm: cut.get(vm, 0) for vm in zone_vms if cut.get(vm, 0) != newest}
     exceptions.update({vm: cut[vm] for vm in cut if vm not in zone_vms})
     return newest, exceptions
 
