--- /dev/null
+++ b/src/sardinehold/proxy.py
@@ -0,0 +1,199 @@
+"""The proxy daemon: one loop that serves callers until it is told to stop.
+
+SIGTERM or SIGINT starts a planned stop: no new callers, requests and
+transactions finish within the settings' drain deadline. A second signal ends
+the process at once and says what it cuts.
+"""
+
+import asyncio
+import functools
+import secrets
+import signal
+import ssl
+
+import anyio
+import logbook
+
+from sardinehold import callers
+from sardinehold import certificates
+from sardinehold import control
+from sardinehold import datapath
+from sardinehold import errors
+from sardinehold import metrics
+from sardinehold import metrics_page
+from sardinehold import settings
+from sardinehold import timeline
+from sardinehold.core import actions
+from sardinehold.core import engine
+from sardinehold.core import events
+
+BACKLOG = 1024
+"""Connections that the system keeps until the proxy accepts them."""
+
+DRAIN_GRACE = 1.0
+"""Seconds behind the drain deadline after which the proxy stops regardless."""
+
+SEED_BITS = 63
+
+log = logbook.Logger("proxy")
+
+
+def run(loaded: settings.ProxySettings) -> int:
+    """Serve until told to stop, and return the exit code.
+
+    :returns: 0 after a stop that cut nothing, 1 otherwise.
+    :raises sardinehold.errors.SettingsError: a port is in use, or a
+        certificate cannot be used.
+    """
+    return anyio.run(serve, loaded)
+
+
+async def serve(
+    loaded: settings.ProxySettings,
+    fleet: control.Control | None = None,
+    decisions: datapath.Engine | None = None,
+) -> int:
+    """Serve as :func:`run` does, inside a program of anyio.
+
+    :param fleet: stands in for the fleet's part; made from the settings by
+        default.
+    :param decisions: stands in for the engine.
+    """
+    daemon = Daemon(loaded, fleet, decisions)
+    return await daemon.serve()
+
+
+class Daemon:
+    """One proxy process.
+
+    :param loaded: its settings.
+    """
+
+    def __init__(
+        self,
+        loaded: settings.ProxySettings,
+        fleet: control.Control | None = None,
+        decisions: datapath.Engine | None = None,
+    ) -> None:
+        """Load certificates and prepare the parts."""
+        self.settings = loaded
+        self.registry = metrics.Registry()
+        self.recorder = timeline.Recorder(loaded.timeline, loaded.vm, loaded.zone)
+        client_auth = ssl.Purpose.CLIENT_AUTH
+        self.caller_tls = certificates.Certificates(loaded.caller_tls, client_auth)
+        server_auth = ssl.Purpose.SERVER_AUTH
+        self.endpoint_tls = certificates.Certificates(loaded.endpoint_tls, server_auth)
+        self.fleet = fleet or control.Control(loaded, self.recorder, self.registry)
+        self.decisions = decisions
+        self.path: datapath.DataPath | None = None
+        self.port = 0
+        self.drained = anyio.Event()
+        self.cut = 0
+
+    async def serve(self) -> int:
+        """Serve until told to stop, and return the exit code."""
+        loop = asyncio.get_running_loop()
+        decisions = self.decisions or engine.Engine(
+            secrets.randbits(SEED_BITS), loop.time()
+        )
+        async with anyio.create_task_group() as group:
+            self.path = datapath.DataPath(
+                decisions,
+                self,
+                group.start_soon,
+                self.registry,
+                self.recorder,
+                self.endpoint_tls.context,
+            )
+            listener = await self._listen()
+            if self.settings.metrics_listen:
+                serve_page = functools.partial(
+                    metrics_page.serve, self.registry, self.settings.metrics_listen
+                )
+                await group.start(serve_page)
+            group.start_soon(self.fleet.run, self.path.deliver)
+            group.start_soon(self._watch_certificates)
+            self.recorder.record("proxy_started", port=self.port)
+            log.notice("serving callers on port {}", self.port)
+            await self._wait_for_stop(listener)
+            self.path.close()
+            group.cancel_scope.cancel()
+        self.recorder.record("proxy_stopped", cut=self.cut)
+        log.notice("stopped; requests and transactions cut: {}", self.cut)
+        return 1 if self.cut else 0
+
+    def handle(self, action: actions.Action) -> None:
+        """Take an action of the engine that concerns the fleet."""
+        if isinstance(action, actions.DrainFinished):
+            self.cut += action.cut
+            self.drained.set()
+        self.fleet.handle(action)
+
+    async def _listen(self) -> asyncio.Server:
+        host, port = settings.split_address(self.settings.listen)
+        loop = asyncio.get_running_loop()
+        try:
+            server = await loop.create_server(
+                self._accept, host, port, backlog=BACKLOG
+            )
+        except OSError as error:
+            raise errors.SettingsError(
+                f"[proxy] listen = {self.settings.listen} cannot be used: {error}.",
+                "Free the port, or state another.",
+            ) from error
+        self.port = server.sockets[0].getsockname()[1]
+        return server
+
+    def _accept(self) -> callers.Caller:
+        return callers.Caller(self.path, self.caller_tls.context)
+
+    async def _watch_certificates(self) -> None:
+        while True:
+            await anyio.sleep(certificates.CHECK_SECONDS)
+            for side in (self.caller_tls, self.endpoint_tls):
+                self._reload(side)
+
+    def _reload(self, side: certificates.Certificates) -> None:
+        try:
+            if side.reload():
+                self.registry.count("certificates_reloaded")
+                self.recorder.record("certificate_reloaded", path=side.files.certificate)
+        except errors.SettingsError as error:
+            self.registry.count("certificates_failed")
+            log.warning("{}", error.format_message())
+
+    async def _wait_for_stop(self, listener: asyncio.Server) -> None:
+        """Return when the proxy may end."""
+        stop_signals = (signal.SIGTERM, signal.SIGINT)
+        with anyio.open_signal_receiver(*stop_signals) as received:
+            await anext(received)
+            listener.close()
+            deadline = self.path.loop.time() + self.settings.drain_deadline
+            self.recorder.record("drain_started", sessions=len(self.path.callers))
+            log.notice("stopping within {} s", self.settings.drain_deadline)
+            self.path.deliver(events.DrainStarted(deadline))
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._wait_for_drain, group, deadline)
+                await anext(received)
+                if not self.drained.is_set():
+                    self._note_cut("a second signal came")
+                group.cancel_scope.cancel()
+
+    async def _wait_for_drain(
+        self, group: anyio.abc.TaskGroup, deadline: float
+    ) -> None:
+        remaining = deadline + DRAIN_GRACE - self.path.loop.time()
+        with anyio.move_on_after(max(remaining, 0)):
+            await self.drained.wait()
+        if not self.drained.is_set():
+            self._note_cut("the drain deadline passed")
+        group.cancel_scope.cancel()
+
+    def _note_cut(self, cause: str) -> None:
+        running = len(self.path.requests)
+        transactions = self.path.count_transactions()
+        self.cut += max(running, transactions)
+        log.warning(
+            "{}: cutting {} requests and {} transactions", cause, running, transactions
+        )
+        self.recorder.record("drain_cut", requests=running, transactions=transactions)
