--- a/bench/relay.py
+++ b/bench/relay.py
@@ -12,6 +12,7 @@
 import typing
 
 import anyio
+
 import canned
 
 
@@ -64,9 +65,7 @@
 ) -> None:
     """Relay bytes with anyio's streams, one connection for each caller."""
 
-    async def copy(
-        source: anyio.abc.ByteStream, target: anyio.abc.ByteStream
-    ) -> None:
+    async def copy(source: anyio.abc.ByteStream, target: anyio.abc.ByteStream) -> None:
         try:
             while True:
                 await target.send(await source.receive())
--- a/src/sardinehold/answers.py
+++ b/src/sardinehold/answers.py
@@ -19,9 +19,7 @@
 MAX_CONTROL_ROWS = 1_000
 """Rows of an answer that the proxy reads itself."""
 
-STATUS_QUERY = (
-    "SELECT endpoint, role, term, received, applied FROM cluster_log_status"
-)
+STATUS_QUERY = "SELECT endpoint, role, term, received, applied FROM cluster_log_status"
 
 _READY = ord("Z")
 _ROW = ord("D")
--- a/src/sardinehold/datapath.py
+++ b/src/sardinehold/datapath.py
@@ -463,9 +463,7 @@
         request = self._finish(action.request_id)
         if request is None:
             return
-        answer = request.content.answer_locally(
-            action.tag, action.column, action.value
-        )
+        answer = request.content.answer_locally(action.tag, action.column, action.value)
         owner = request.owner
         if not request.hides_ready:
             answer += wire.build_ready(owner.status)
--- a/src/sardinehold/proxy.py
+++ b/src/sardinehold/proxy.py
@@ -133,9 +133,7 @@
         host, port = settings.split_address(self.settings.listen)
         loop = asyncio.get_running_loop()
         try:
-            server = await loop.create_server(
-                self._accept, host, port, backlog=BACKLOG
-            )
+            server = await loop.create_server(self._accept, host, port, backlog=BACKLOG)
         except OSError as error:
             raise errors.SettingsError(
                 f"[proxy] listen = {self.settings.listen} cannot be used: {error}.",
@@ -157,7 +155,9 @@
         try:
             if side.reload():
                 self.registry.count("certificates_reloaded")
-                self.recorder.record("certificate_reloaded", path=side.files.certificate)
+                self.recorder.record(
+                    "certificate_reloaded", path=side.files.certificate
+                )
         except errors.SettingsError as error:
             self.registry.count("certificates_failed")
             log.warning("{}", error.format_message())
--- a/tests/builders_wire.py
+++ b/tests/builders_wire.py
@@ -32,6 +32,7 @@
         self.waiting = []
         self.traits = {}
         self.pinned = {}
+        self.running = {}
         self.setup = ()
         self.retries = 0
         self.connections = 0
@@ -50,9 +51,7 @@
     def on_SessionOpened(self, now, event):  # noqa: N802
         if event.key not in ("", KEY):
             error = errors.AuthenticationError("Wrong key.", "Ask for a key.")
-            return [
-                actions.SessionRefused(event.session_id, error, now + self.delay)
-            ]
+            return [actions.SessionRefused(event.session_id, error, now + self.delay)]
         return [actions.SessionAccepted(event.session_id, "desk", event.token)]
 
     def on_RequestArrived(self, now, event):  # noqa: N802
@@ -75,12 +74,14 @@
 
     def _dispatch(self, event, connection_id):
         kinds = (statements.Kind.READ, statements.Kind.BEGIN)
+        self.running[event.request_id] = connection_id
+        setup, self.setup = self.setup, ()
         return actions.Dispatch(
             event.request_id,
             event.session_id,
             connection_id,
             "e1",
-            self.setup,
+            setup,
             event.traits.kind not in kinds,
         )
 
@@ -97,6 +98,7 @@
 
     def on_DispatchFailed(self, now, event):  # noqa: N802
         arrived = self._find(event.request_id)
+        del self.running[event.request_id]
         self.waiting.append(arrived)
         self.connections += 1
         return [actions.OpenConnection(self.connections, "e1", now + 5)]
@@ -110,13 +112,13 @@
         for session_id, connection_id in list(self.pinned.items()):
             if connection_id == event.connection_id:
                 del self.pinned[session_id]
-        for request_id in list(self.traits):
+        for request_id, connection_id in list(self.running.items()):
+            if connection_id != event.connection_id:
+                continue
             arrived = self._find(request_id)
             error = errors.OutcomeUnknown("Lost.", "Look.")
-            refusals.append(
-                actions.Refuse(request_id, arrived.session_id, error)
-            )
-            del self.traits[request_id]
+            refusals.append(actions.Refuse(request_id, arrived.session_id, error))
+            del self.running[request_id]
         return refusals
 
     def on_RequestAnswered(self, now, event):  # noqa: N802
@@ -125,6 +127,7 @@
             self.retries -= 1
             return [self._dispatch(arrived, event.connection_id)]
         traits = self.traits.pop(event.request_id)
+        self.running.pop(event.request_id, None)
         if event.status == "I":
             self.pinned.pop(arrived.session_id, None)
             self.idle.append(event.connection_id)
@@ -158,8 +161,8 @@
 class FakeEndpoint(asyncio.Protocol):
     """An endpoint with scripted answers.
 
-    Statements: ``rows N SIZE`` answers N rows of SIZE bytes, ``fail`` an
-    error, ``hang`` nothing until a cancel request, ``die`` closes.
+    Statements: ``SELECT 'ROWS', N, SIZE`` answers N rows of SIZE bytes, ``FAIL`` an
+    error, ``HANG`` nothing until a cancel request, ``DIE`` closes.
     """
 
     def __init__(self, server):
@@ -179,7 +182,7 @@
         self.buffer += data
         if not self.started:
             self._start()
-        while len(self.buffer) >= 5 and self.started:
+        while len(self.buffer) >= 5 and self.started and self.status != b"?":
             stop = wire.find_end(self.buffer, 0, len(self.buffer))
             if not stop:
                 return
@@ -252,7 +255,7 @@
 
     def run(self, sql, describe):
         self.server.ran.append(sql)
-        words = sql.replace("(", " ").replace(")", " ").split()
+        words = sql.replace("'", " ").replace(",", " ").split()
         if sql == answers.STATUS_QUERY:
             self.server.ran.pop()
             columns = ["endpoint", "role", "term", "received", "applied"]
@@ -271,6 +274,8 @@
             columns, rows = ["text"], [("x" * size,)] * count
         else:
             columns, rows = ["text"], [(sql,)]
+        if words[0] == "DISCARD":
+            self.prepared.clear()
         if words[0] == "BEGIN":
             self.status = b"T"
         elif words[0] in ("COMMIT", "ROLLBACK"):
@@ -305,6 +310,7 @@
             connection.fail("57014")
             connection.failed = False
             connection.transport.write(wire.build_ready("I"))
+            connection.data_received(b"")
 
 
 def build_view(port, tls=None):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,11 +1,18 @@
 """Callers' sessions over a real socket, with a fake engine and endpoint."""
 
+import asyncio
+import struct
+
 import anyio
-import builders_wire as builders
 import pytest
 
+import builders_wire as builders
+from sardinehold import callers
+from sardinehold import startups
 from sardinehold import wire
+from sardinehold.core import actions
 from sardinehold.core import events
+from sardinehold.core import positions
 
 pytestmark = pytest.mark.anyio
 
@@ -15,9 +22,356 @@
     return "asyncio"
 
 
+async def wait_until(condition):
+    while not condition():
+        await anyio.sleep(0.001)
+
+
 async def test_simple_query_is_answered_byte_for_byte():
     async with builders.run_path() as fleet:
         caller = await fleet.connect()
         frames = await caller.ask("SELECT 1")
         assert builders.kinds(frames) == "TDCZ"
         assert wire.parse_row(frames[1][1]) == ("SELECT 1",)
+
+
+async def test_greeting_holds_what_drivers_need():
+    async with builders.run_path() as fleet:
+        options = "-c sardinehold.session=abc -c sardinehold.max_age=250ms"
+        caller = await fleet.connect(options=options)
+        told = {}
+        for kind, payload in caller.greeting:
+            if kind == b"S":
+                name, value, _ = payload.decode().split("\0")
+                told[name] = value
+        assert told["client_encoding"] == "UTF8"
+        assert told["standard_conforming_strings"] == "on"
+        assert told["integer_datetimes"] == "on"
+        assert told["sardinehold.session"] == "abc"
+        opened = fleet.engine.seen(events.SessionOpened)[0]
+        assert (opened.route, opened.token, opened.max_age) == ("letters", "abc", 0.25)
+        assert opened.source == builders.HOST
+
+
+async def test_caller_key_never_reaches_the_endpoint():
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        await caller.ask("SELECT 1")
+        sent = b"".join(fleet.server.startups + fleet.server.messages)
+        assert builders.KEY.encode() not in sent
+        assert b"user\0sardinehold\0" in sent
+
+
+async def test_wrong_key_is_refused_not_before_retry_at():
+    async with builders.run_path() as fleet:
+        fleet.engine.delay = 0.05
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        caller = await fleet.connect(key="wrong")
+        error = builders.read_error(caller.greeting)
+        assert error["C"] == "28P01"
+        assert error["D"] == "outcome: not run"
+        assert error["H"] == "Ask for a key."
+        assert loop.time() - start >= 0.05
+
+
+async def test_open_route_asks_for_no_password():
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect(route="public")
+        assert builders.kinds(caller.greeting).startswith("RS")
+        assert caller.greeting[0][1] == b"\0\0\0\0"
+
+
+@pytest.mark.parametrize("code", [wire.TLS_CODE, wire.GSS_CODE])
+async def test_encryption_that_is_not_offered_is_declined(code):
+    async with builders.run_path() as fleet:
+        caller = await builders.Caller.open(fleet.port)
+        caller.write(wire.build_packet(code))
+        assert await caller.reader.readexactly(1) == b"N"
+
+
+async def test_startup_settings_are_set_before_the_greeting():
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect(search_path="letters", application_name="psql")
+        assert builders.kinds(caller.greeting).endswith("KZ")
+        assert fleet.server.ran == ["SET \"search_path\" = 'letters'"]
+
+
+async def test_refused_statement_never_leaves_and_states_outcome_and_remedy():
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        frames = await caller.ask("COPY letters FROM STDIN")
+        error = builders.read_error(frames)
+        assert error["C"] == "0A000"
+        assert error["D"] == "outcome: not run"
+        assert error["H"]
+        assert fleet.server.messages == []
+        assert builders.kinds(await caller.ask("SELECT 1")) == "TDCZ"
+
+
+async def test_write_shows_the_token_before_ready_and_reports_the_position():
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        frames = await caller.ask("INSERT INTO letters VALUES (1)")
+        assert builders.kinds(frames) == "TDCSZ"
+        assert frames[-2][1] == b"sardinehold.session\0t1\0"
+        answered = fleet.engine.seen(events.RequestAnswered)[0]
+        assert answered.position == positions.Position(2, 9)
+        assert answered.confirmed == (("e2", positions.Position(2, 8)),)
+
+
+async def test_write_is_held_until_the_engine_acknowledges():
+    async with builders.run_path() as fleet:
+        fleet.engine.hold = True
+        caller = await fleet.connect()
+        caller.write(wire.build_query("INSERT INTO letters VALUES (1)"))
+        await wait_until(lambda: fleet.engine.held)
+        assert not caller.reader._buffer
+        action = fleet.engine.held.pop()
+        fleet.engine.on_Tick = lambda now, event: [action]
+        fleet.path.deliver(events.Tick())
+        assert builders.kinds(await caller.read_until(b"Z")) == "TDCSZ"
+
+
+async def test_refused_acknowledgement_replaces_the_held_answer():
+    async with builders.run_path() as fleet:
+        fleet.engine.hold = True
+        caller = await fleet.connect()
+        caller.write(wire.build_query("INSERT INTO letters VALUES (1)"))
+        await wait_until(lambda: fleet.engine.held)
+        held = fleet.engine.held.pop()
+        error = builders.errors.OutcomeUnknown("The lease lapsed.", "Read it back.")
+        refusal = actions.Refuse(held.request_id, held.session_id, error)
+        fleet.engine.on_Tick = lambda now, event: [refusal]
+        fleet.path.deliver(events.Tick())
+        frames = await caller.read_until(b"Z")
+        assert builders.kinds(frames) == "EZ"
+        assert builders.read_error(frames)["D"] == "outcome: unknown"
+
+
+async def test_large_answer_streams_and_is_complete():
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        caller.write(wire.build_query("SELECT 'ROWS', 100, 100000"))
+        frames = await caller.read_until(b"Z")
+        assert builders.kinds(frames) == "T" + "D" * 100 + "CZ"
+        assert all(len(payload) == 100006 for _, payload in frames[1:-2])
+        assert len(fleet.engine.seen(events.AnswerStarted)) == 1
+
+
+async def test_slow_caller_stops_the_endpoint_from_sending():
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        caller.write(wire.build_query("SELECT 'ROWS', 400, 100000"))
+        await wait_until(lambda: any(c.paused for c in fleet.path.callers.values()))
+        await anyio.sleep(0.05)
+        session = next(iter(fleet.path.callers.values()))
+        limit = 4 * len(fleet.path.buffer)
+        assert session.transport.get_write_buffer_size() < limit
+        frames = await caller.read_until(b"Z")
+        assert len(frames) == 403
+
+
+async def test_large_returning_streams_rows_but_holds_the_end():
+    async with builders.run_path() as fleet:
+        fleet.engine.hold = True
+        caller = await fleet.connect()
+        caller.write(wire.build_query("INSERT 'ROWS', 50, 100000"))
+        frames = [await caller.read_frame() for _ in range(41)]
+        await wait_until(lambda: fleet.engine.held)
+        action = fleet.engine.held.pop()
+        held = fleet.path.requests[action.request_id].answer.held
+        assert held.endswith(wire.build_complete("SELECT 50") + wire.build_ready("I"))
+        fleet.engine.on_Tick = lambda now, event: [action]
+        fleet.path.deliver(events.Tick())
+        frames += await caller.read_until(b"Z")
+        assert builders.kinds(frames) == "T" + "D" * 50 + "CSZ"
+
+
+async def test_pipelined_queries_are_answered_in_order():
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        texts = [f"SELECT {n}" for n in range(50)]
+        caller.write(b"".join(wire.build_query(text) for text in texts))
+        for text in texts:
+            frames = await caller.read_until(b"Z")
+            assert wire.parse_row(frames[1][1]) == (text,)
+
+
+async def test_transaction_stays_on_its_connection():
+    async with builders.run_path() as fleet:
+        first, second = await fleet.connect(), await fleet.connect()
+        begun = await first.ask("BEGIN")
+        assert begun[-1][1] == b"T"
+        await second.ask("SELECT 2")
+        await first.ask("SELECT 1")
+        ended = await first.ask("COMMIT")
+        assert ended[-1][1] == b"I"
+        assert len(fleet.server.startups) == 2
+        used = [e.connection_id for e in fleet.engine.seen(events.RequestAnswered)]
+        assert used == [1, 2, 1, 1]
+
+
+async def test_lost_connection_is_outcome_unknown():
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        frames = await caller.ask("INSERT DIE")
+        error = builders.read_error(frames)
+        assert (error["C"], error["D"]) == ("08007", "outcome: unknown")
+        assert builders.kinds(await caller.ask("SELECT 1")) == "TDCZ"
+
+
+async def test_failed_statement_is_sent_again_when_the_engine_retries():
+    async with builders.run_path() as fleet:
+        fleet.engine.retries = 1
+        caller = await fleet.connect()
+        frames = await caller.ask("SELECT FAIL")
+        assert builders.kinds(frames) == "EZ"
+        assert fleet.server.ran == ["SELECT FAIL", "SELECT FAIL"]
+
+
+async def test_set_up_statements_run_first_and_their_answers_are_swallowed():
+    async with builders.run_path() as fleet:
+        fleet.engine.setup = ("SET a = 1", "SET b = 2")
+        caller = await fleet.connect()
+        frames = await caller.ask("SELECT 1")
+        assert wire.parse_row(frames[1][1]) == ("SELECT 1",)
+        assert fleet.server.ran == ["SET a = 1", "SET b = 2", "SELECT 1"]
+
+
+async def test_failed_set_up_keeps_the_request_from_leaving():
+    async with builders.run_path() as fleet:
+        fleet.engine.setup = ("SET FAIL",)
+        caller = await fleet.connect()
+        caller.write(wire.build_query("INSERT INTO letters VALUES (1)"))
+        await wait_until(lambda: fleet.engine.seen(events.DispatchFailed))
+        assert builders.kinds(await caller.read_until(b"Z")) == "TDCSZ"
+        assert fleet.server.ran == ["SET FAIL", "INSERT INTO letters VALUES (1)"]
+        lost = [e.connection_id for e in fleet.engine.seen(events.ConnectionLost)]
+        assert lost == [1]
+
+
+async def cancel(fleet, process, secret):
+    caller = await builders.Caller.open(fleet.port)
+    caller.write(wire.build_cancel(process, secret))
+    assert await caller.reader.read() == b""
+
+
+async def test_cancel_request_reaches_only_the_statement_that_it_names():
+    async with builders.run_path() as fleet:
+        caller, other = await fleet.connect(), await fleet.connect()
+        keys = next(p for kind, p in caller.greeting if kind == b"K")
+        process, secret = struct.unpack("!ii", keys)
+        caller.write(wire.build_query("SELECT HANG"))
+        await wait_until(lambda: "SELECT HANG" in fleet.server.ran)
+        await cancel(fleet, process, secret ^ 1)
+        await cancel(fleet, process + 1, secret)
+        assert not fleet.engine.seen(events.RequestCancelled)
+        await cancel(fleet, process, secret)
+        frames = await caller.read_until(b"Z")
+        assert builders.read_error(frames)["C"] == "57014"
+        assert fleet.server.cancels == [(1, 7)]
+        assert builders.kinds(await other.ask("SELECT 2")) == "TDCZ"
+        lost = [e.connection_id for e in fleet.engine.seen(events.ConnectionLost)]
+        assert lost == [1]
+        assert len(fleet.server.startups) == 2
+
+
+async def test_answer_for_a_closed_connection_reaches_nobody():
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        caller.write(wire.build_query("SELECT HANG"))
+        await wait_until(lambda: "SELECT HANG" in fleet.server.ran)
+        arrived = fleet.engine.seen(events.RequestArrived)[0]
+        error = builders.errors.DeadlineExceeded("Too late.", "Wait.")
+        ids = arrived.request_id, arrived.session_id
+        fleet.engine.on_Tick = lambda now, event: [
+            actions.CloseConnection(1),
+            actions.Refuse(*ids, error),
+        ]
+        fleet.path.deliver(events.Tick())
+        assert builders.kinds(await caller.read_until(b"Z")) == "EZ"
+        fleet.server.cancel((1, 7))
+        assert wire.parse_row((await caller.ask("SELECT 1"))[1][1]) == ("SELECT 1",)
+
+
+async def test_caller_that_leaves_is_reported_and_its_write_finishes():
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        caller.write(wire.build_query("INSERT HANG"))
+        await wait_until(lambda: "INSERT HANG" in fleet.server.ran)
+        caller.close()
+        await wait_until(lambda: fleet.engine.seen(events.SessionClosed))
+        fleet.server.cancel((1, 7))
+        await wait_until(lambda: fleet.engine.seen(events.RequestAnswered))
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        b"Q\x7f\xff\xff\xff",
+        b"Q\0\0\0\1",
+        wire.build_frame(b"?"),
+        wire.build_frame(b"Q", b"SELECT 1"),
+        wire.build_frame(b"Q", b"SELECT '\xff'\0"),
+        wire.build_frame(b"P", b"x"),
+        wire.build_frame(b"B", b"x\0"),
+    ],
+)
+async def test_broken_message_ends_the_session_with_an_error(message):
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        caller.write(message)
+        frames = await caller.read_until(b"E")
+        error = builders.read_error(frames)
+        assert (error["S"], error["C"]) == ("FATAL", "08P01")
+        assert await caller.reader.read() == b""
+
+
+async def test_oldest_startup_makes_room_when_there_are_too_many(monkeypatch):
+    monkeypatch.setattr(startups, "MAX_STARTUPS", 20)
+    async with builders.run_path() as fleet:
+        idle = [await builders.Caller.open(fleet.port) for _ in range(200)]
+        assert await idle[0].reader.read() == b""
+        assert len(fleet.path.startups) <= 20
+        assert len(fleet.path.callers) <= 20
+        caller = await fleet.connect()
+        assert builders.kinds(await caller.ask("SELECT 1")) == "TDCZ"
+
+
+async def test_startup_past_its_deadline_is_closed(monkeypatch):
+    monkeypatch.setattr(startups, "STARTUP_SECONDS", 0.0)
+    monkeypatch.setattr(startups, "SWEEP_SECONDS", 0.01)
+    async with builders.run_path() as fleet:
+        caller = await builders.Caller.open(fleet.port)
+        caller.write(b"\0")
+        assert await caller.reader.read() == b""
+
+
+async def test_reading_stops_while_much_waits_behind_a_request(monkeypatch):
+    monkeypatch.setattr(callers, "MAX_WAITING", 1000)
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        caller.write(wire.build_query("SELECT HANG"))
+        await wait_until(lambda: "SELECT HANG" in fleet.server.ran)
+        session = next(iter(fleet.path.callers.values()))
+        caller.write(wire.build_query("SELECT 2") * 100)
+        await wait_until(lambda: session.held_back)
+        assert not session.transport.is_reading()
+        fleet.server.cancel((1, 7))
+        for _ in range(101):
+            await caller.read_until(b"Z")
+        assert session.transport.is_reading()
+
+
+async def test_withdrawn_key_ends_an_open_session():
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        session_id = next(iter(fleet.path.callers))
+        error = builders.errors.KeyWithdrawn("The key is withdrawn.", "Ask for one.")
+        action = actions.CloseSession(session_id, error)
+        fleet.engine.on_Tick = lambda now, event: [action]
+        fleet.path.deliver(events.Tick())
+        frames = await caller.read_until(b"E")
+        assert builders.read_error(frames)["C"] == "28000"
+        assert await caller.reader.read() == b""
