--- a/bench/relay.py
+++ b/bench/relay.py
@@ -73,10 +73,12 @@
             await target.aclose()
 
     async def handle(caller: anyio.abc.SocketStream) -> None:
-        async with await anyio.connect_tcp(*endpoint) as server:
-            async with anyio.create_task_group() as group:
-                group.start_soon(copy, caller, server)
-                group.start_soon(copy, server, caller)
+        async with (
+            await anyio.connect_tcp(*endpoint) as server,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(copy, caller, server)
+            group.start_soon(copy, server, caller)
 
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     report(listener.extra(anyio.abc.SocketAttribute.local_port))
--- a/src/sardinehold/certificates.py
+++ b/src/sardinehold/certificates.py
@@ -84,5 +84,5 @@
     )
     return errors.SettingsError(
         f"The certificate files {paths} cannot be used: {error}.",
-        "Check the paths in [tls], that this user may read them, and that they are PEM.",
+        "Check the paths in [tls], and that this user may read the PEM files.",
     )
--- a/src/sardinehold/datapath.py
+++ b/src/sardinehold/datapath.py
@@ -10,6 +10,8 @@
 import ssl
 import typing
 
+import logbook
+
 from sardinehold import answers
 from sardinehold import callers
 from sardinehold import endpoints
@@ -55,6 +57,8 @@
 )
 """What the agent of the fleet carries out."""
 
+log = logbook.Logger("datapath")
+
 _SHARED_PARAMETERS = frozenset(("server_version", "server_encoding"))
 
 
@@ -146,9 +150,29 @@
     def _handle(self, event: events.Event) -> None:
         if type(event) is events.ViewChanged:
             self._take_view(event.view)
-        for action in self.engine.handle(self.loop.time(), event):
+        try:
+            decided = self.engine.handle(self.loop.time(), event)
+        except errors.InvariantViolation as error:
+            self._note_violation(event, error)
+            return
+        for action in decided:
             _performers[type(action)](self, action)
 
+    def _note_violation(
+        self, event: events.Event, error: errors.InvariantViolation
+    ) -> None:
+        """End the session whose request met a broken promise."""
+        self.registry.count("invariant_violations")
+        log.error("{}", error.format_message())
+        if self.recorder is not None:
+            self.recorder.record(
+                "invariant_violated", event=type(event).__name__, reason=error.message
+            )
+        request = self._finish(getattr(event, "request_id", 0))
+        if request is not None:
+            refusal = errors.OutcomeUnknown(error.message, error.remedy)
+            request.owner.fail(request, refusal, True)
+
     def _take_view(self, view: views.View) -> None:
         self.view = view
         self.addresses = {
--- a/tests/builders_wire.py
+++ b/tests/builders_wire.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import struct
 
 import anyio
@@ -15,7 +16,6 @@
 from sardinehold import wire
 from sardinehold.core import actions
 from sardinehold.core import events
-from sardinehold.core import positions
 from sardinehold.core import statements
 from sardinehold.core import view as views
 
@@ -433,5 +433,6 @@
         group.cancel_scope.cancel()
 
 
-def position(offset):
-    return positions.Position(2, offset)
+def build_random(seed):
+    """Return a generator of the same bytes each time."""
+    return random.Random(seed)
--- /dev/null
+++ b/tests/test_fuzz_wire.py
@@ -0,0 +1,172 @@
+"""Random bytes at the framing: no crash, no hang, bounded memory."""
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as options
+from hypothesis import strategies as st
+
+import builders_wire as builders
+from sardinehold import answers
+from sardinehold import errors
+from sardinehold import prepared
+from sardinehold import sequences
+from sardinehold import startup
+from sardinehold import wire
+
+fixed = options(derandomize=True, deadline=None, max_examples=300)
+
+TEXT = st.text(st.characters(codec="utf-8", exclude_characters="\0"), max_size=20)
+KINDS = st.sampled_from(list(b"123TDCEZNSAnItsGKR?"))
+MESSAGES = st.builds(
+    lambda kind, payload: wire.build_frame(bytes((kind,)), payload),
+    KINDS,
+    st.binary(max_size=40),
+)
+
+
+@fixed
+@given(st.binary(max_size=200))
+def test_startup_packet_is_read_or_refused(payload):
+    data = wire.build_packet(wire.PROTOCOL_VERSION, payload)
+    assert startup.find_packet_end(data, len(data)) == len(data)
+    try:
+        packet = startup.parse_packet(data)
+    except (errors.ProtocolViolation, errors.Unsupported):
+        return
+    assert packet.user
+
+
+@fixed
+@given(st.dictionaries(TEXT.filter(bool), TEXT, max_size=5), TEXT.filter(bool))
+def test_startup_parameters_are_kept(parameters, user):
+    reserved = {"user", "database", "options", "replication"}
+    own = {startup.TOKEN_SETTING, startup.AGE_SETTING}
+    kept = {k: v for k, v in parameters.items() if k not in reserved | own}
+    packet = startup.parse_packet(wire.build_startup({"user": user, **kept}))
+    assert packet.settings == kept
+    assert packet.user == packet.route == user
+
+
+@fixed
+@given(st.sampled_from(list(b"PBDEC")), st.binary(max_size=60))
+def test_extended_message_is_read_or_refused(kind, payload):
+    sequence = sequences.Sequence(prepared.SessionStatements())
+    raw = wire.build_frame(bytes((kind,)), payload)
+    refusals = (
+        errors.ProtocolViolation,
+        errors.UnknownStatement,
+        errors.Unsupported,
+    )
+    try:
+        sequence.add(kind, raw)
+    except refusals:
+        return
+    outgoing = sequence.compose(prepared.ConnectionStatements())
+    assert outgoing.payload.endswith(wire.SYNC)
+
+
+@fixed
+@given(st.binary(max_size=100))
+def test_row_is_read_or_refused(payload):
+    try:
+        row = wire.parse_row(payload)
+    except errors.ProtocolViolation:
+        return
+    assert isinstance(row, tuple)
+
+
+def read_answer(data, cuts, keeps=False, steps=None):
+    """Feed ``data`` in pieces; return the answer and what was passed on."""
+    passed = []
+    known = prepared.ConnectionStatements()
+    answer = answers.Answer(passed.append, None, keeps, steps, known)
+    carry, position = b"", 0
+    for cut in [*sorted(cuts), len(data)]:
+        piece = carry + data[position : max(cut, position)]
+        position = max(cut, position)
+        read = answer.feed(piece, 0, len(piece))
+        carry = piece[read:]
+        if answer.done:
+            break
+        answer.release()
+    return answer, b"".join(passed) + bytes(answer.held)
+
+
+CUTS = st.lists(st.integers(0, 300), max_size=8)
+
+
+@fixed
+@given(st.lists(st.binary(max_size=40), max_size=8), CUTS, st.booleans())
+def test_answer_passes_on_byte_for_byte_wherever_it_is_cut(rows, cuts, keeps):
+    data = b"".join(wire.build_frame(b"D", row) for row in rows)
+    data += wire.build_complete("SELECT") + wire.build_ready("T")
+    answer, passed = read_answer(data, cuts, keeps)
+    assert passed == data
+    assert (answer.done, answer.status) == (True, "T")
+
+
+@fixed
+@given(st.lists(MESSAGES, max_size=10), CUTS, st.booleans())
+def test_tail_of_an_answer_is_never_passed_on_before_its_end(messages, cuts, keeps):
+    data = b"".join(messages) + wire.build_ready("I")
+    try:
+        answer, passed = read_answer(data, cuts, keeps)
+    except errors.ProtocolViolation:
+        return
+    assert data.startswith(passed)
+    assert answer.done
+    assert bytes(answer.held).endswith(passed[-wire.READY_SIZE :])
+
+
+@fixed
+@given(st.binary(max_size=300), CUTS)
+def test_random_answer_is_followed_or_refused(data, cuts):
+    try:
+        _, passed = read_answer(data, cuts)
+    except errors.ProtocolViolation:
+        return
+    assert data.startswith(passed)
+
+
+STEPS = st.lists(st.sampled_from(["pass", "swallow", "inject"]), max_size=8)
+
+
+@fixed
+@given(STEPS, CUTS)
+def test_steps_leave_out_and_put_in_answers(plan, cuts):
+    sent, expected, steps = b"", b"", []
+    for number, kind in enumerate(plan):
+        frame = wire.build_complete(f"step {number}")
+        if kind == "inject":
+            steps.append(sequences.Step(injected=frame))
+        else:
+            sent += frame
+            steps.append(sequences.Step(swallowed=kind == "swallow"))
+        if kind != "swallow":
+            expected += frame
+    ready = wire.build_ready("I")
+    answer, passed = read_answer(sent + ready, cuts, steps=steps)
+    assert passed == expected + ready
+    assert answer.done
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.mark.anyio
+async def test_random_callers_leave_nothing_behind():
+    async with builders.run_path() as fleet:
+        generator = builders.build_random(7)
+        for _ in range(200):
+            caller = await builders.Caller.open(fleet.port)
+            size = generator.randrange(40)
+            caller.write(generator.randbytes(size))
+            caller.writer.write_eof()
+            await caller.reader.read()
+            caller.close()
+        while fleet.path.callers:
+            await builders.anyio.sleep(0.001)
+        assert len(fleet.path.startups) == 0
+        assert fleet.path.requests == {}
