--- a/bench/relay.py
+++ b/bench/relay.py
@@ -12,6 +12,7 @@
 import typing
 
 import anyio
+
 import canned
 
 
@@ -64,9 +65,7 @@
 ) -> None:
     """Relay bytes with anyio's streams, one connection for each caller."""
 
-    async def copy(
-        source: anyio.abc.ByteStream, target: anyio.abc.ByteStream
-    ) -> None:
+    async def copy(source: anyio.abc.ByteStream, target: anyio.abc.ByteStream) -> None:
         try:
             while True:
                 await target.send(await source.receive())
@@ -74,10 +73,12 @@
             await target.aclose()
 
     async def handle(caller: anyio.abc.SocketStream) -> None:
-        async with await anyio.connect_tcp(*endpoint) as server:
-            async with anyio.create_task_group() as group:
-                group.start_soon(copy, caller, server)
-                group.start_soon(copy, server, caller)
+        async with (
+            await anyio.connect_tcp(*endpoint) as server,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(copy, caller, server)
+            group.start_soon(copy, server, caller)
 
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
     report(listener.extra(anyio.abc.SocketAttribute.local_port))
