Load all modules into one process; give each invariant one name

Cause: engine and fleet each registered view_never_reverts, and the first proxy process ended at import.

--- a/src/sardinehold/core/fleet_invariants.py
+++ b/src/sardinehold/core/fleet_invariants.py
@@ -5,7 +5,7 @@
 
 
 @invariants.invariant("An accepted configuration never reverts.")
-def view_never_reverts(before: int, after: int) -> bool:
+def snapshot_never_reverts(before: int, after: int) -> bool:
     """Return whether a view's version did not go back."""
     return after >= before
 
--- a/src/sardinehold/core/fleet_node.py
+++ b/src/sardinehold/core/fleet_node.py
@@ -179,7 +179,7 @@
             self._deliver_lease()
 
     def _settle(self, before: int, changed: bool) -> None:
-        fleet_invariants.view_never_reverts(before, self.snapshot.version)
+        fleet_invariants.snapshot_never_reverts(before, self.snapshot.version)
         if changed:
             self._publish()
 
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -1,10 +1,16 @@
 """The core imports no I/O library."""
 
 import ast
+import importlib
 import pathlib
+import pkgutil
 
 import pytest
 
+import sardinehold
+import sardinehold_bench
+import sardinehold_standins
+
 CORE = pathlib.Path(__file__).parent.parent / "src" / "sardinehold" / "core"
 FORBIDDEN = {
     "anyio",
@@ -41,3 +47,13 @@
     module = tmp_path / "module.py"
     module.write_text("import time\nfrom anyio import abc\n", encoding="utf-8")
     assert find_imports(module) & FORBIDDEN == {"time", "anyio"}
+
+
+def test_all_modules_load_into_one_process():
+    names = [
+        module.name
+        for package in (sardinehold, sardinehold_bench, sardinehold_standins)
+        for module in pkgutil.walk_packages(package.__path__, f"{package.__name__}.")
+    ]
+    loaded = [importlib.import_module(name) for name in names]
+    assert len(loaded) > 50
