Report unspent tokens truthfully; never return the same tokens twice

Cause: the engine left 'left' at 0, so that spent and unspent tokens both stopped counting against the burst; and a demand whose answer was lost gave its tokens back again although the allocator may have taken them. Ruled out: the allocator's own accounting (tests/test_quota.py holds).

--- a/src/sardinehold/core/admission.py
+++ b/src/sardinehold/core/admission.py
@@ -168,14 +168,16 @@
     wanted = max(balance.find_target(), balances.FIRST_REQUEST) - balance.tokens
     if wanted > 0:
         balance.asked_at = node.now
-        node.actions.append(actions.RequestTokens(balance.owner, wanted))
+        node.actions.append(
+            actions.RequestTokens(balance.owner, wanted, balance.tokens)
+        )
 
 
 def return_tokens(node: nodes.Node, balance: balances.Balance, tokens: int) -> None:
     """Give tokens back that are not needed."""
     taken = balance.withdraw(tokens)
     if taken:
-        node.actions.append(actions.ReturnTokens(balance.owner, taken))
+        node.actions.append(actions.ReturnTokens(balance.owner, taken, balance.tokens))
 
 
 @handlers.handles(events.TokensGranted)
--- a/src/sardinehold/core/allocation.py
+++ b/src/sardinehold/core/allocation.py
@@ -61,7 +61,6 @@
         "_shares_due",
         "_sequence",
         "_asked",
-        "_returning",
         "_epoch",
     )
 
@@ -74,7 +73,6 @@
         self._shares_due = 0.0
         self._sequence = 0
         self._asked: float | None = None
-        self._returning: dict[str, int] = {}
         self._epoch = 0
 
     def want_tokens(self, now: float, action: actions.RequestTokens) -> None:
@@ -119,7 +117,6 @@
             return
         asked = self._asked
         self._asked = None
-        self._returning = {}
         for grant in message.tokens:
             self._pass_on(asked, grant)
         for share in message.shares:
@@ -152,10 +149,8 @@
             self._asked = None
 
     def _lose_answer(self) -> None:
+        # The demand may have arrived: what it returned is not returned twice.
         self._asked = None
-        for team, tokens in self._returning.items():
-            self.balances[team].returned += tokens
-        self._returning = {}
 
     def _find_due(self, now: float) -> float:
         busy = any(
@@ -176,11 +171,6 @@
             return
         self._sequence += 1
         self._asked = now
-        self._returning = {
-            team: balance.returned
-            for team, balance in self.balances.items()
-            if balance.returned
-        }
         self.node.send(holder.vm, self._make_demand(now))
 
     def _make_demand(self, now: float) -> messages.Demand:
