--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -172,7 +172,7 @@
         primary.log.append((state.term, next(world.write_ids)))
         return state.term, primary.log[-1]
 
-    def finish_write(self, term, entry):
+    def finish_write(self, term, entry, confirmed):
         """Acknowledge a write unless the node may not."""
         world = self.node.world
         if not self.node.can_write or world.now < self.node.paused_until:
@@ -180,7 +180,7 @@
         state = self.view.groups[GROUP]
         if state.term != term or state.phase is view.Phase.SEALED:
             return False
-        world.acknowledge(self.node.vm, term, entry)
+        world.acknowledge(self.node.vm, term, entry, confirmed)
         return True
 
 
@@ -370,8 +370,11 @@
             if item.role == "replica"
         )
 
-    def write(self, vm, duration=0.004):
-        """Let a client write through a node."""
+    def write(self, vm, duration=0.004, confirmed=True):
+        """Let a client write through a node.
+
+        :param confirmed: whether the route asks for a replica's confirmation.
+        """
         node = self.nodes[vm]
         if not node.alive or self.now < node.paused_until:
             return
@@ -382,17 +385,20 @@
         engine = node.engine
 
         def finish():
-            if self.is_confirmed(entry) and node.engine is engine:
-                engine.finish_write(term, entry)
+            if node.engine is not engine or not node.alive:
+                return
+            if not confirmed or self.is_confirmed(entry):
+                engine.finish_write(term, entry, confirmed)
 
         self.after(duration, finish)
 
-    def acknowledge(self, vm, term, entry):
+    def acknowledge(self, vm, term, entry, confirmed):
         assert term >= self.highest_term, (
             f"{vm} acknowledged term {term} after {self.highest_term} at {self.now}"
         )
         self.highest_term = term
-        self.acknowledged.append((self.now, vm, entry))
+        if confirmed:
+            self.acknowledged.append((self.now, vm, entry))
 
     def list_lost(self):
         """Return acknowledged writes that the primary does not hold."""
