--- a/src/sardinehold/core/agent.py
+++ b/src/sardinehold/core/agent.py
@@ -113,10 +113,7 @@
     def _poll(self, now: float) -> float:
         node = self.node
         self.feed.wanted = (
-            self.following.is_relay()
-            or node.view is None
-            or not node.is_member
-            or node.is_stale(now)
+            self.following.is_relay() or node.view is None or node.is_stale(now)
         )
         due = [
             self.feed.poll(now),
--- a/src/sardinehold/core/membership.py
+++ b/src/sardinehold/core/membership.py
@@ -12,7 +12,7 @@
 from sardinehold import views
 from sardinehold.core import view as core_view
 
-PENDING_LIMIT = 8
+PENDING_LIMIT = 32
 """Changes that may wait to be known everywhere; further joins wait for them."""
 
 DIGEST_BYTES = 8
