--- a/src/sardinehold/core/admission.py
+++ b/src/sardinehold/core/admission.py
@@ -80,6 +80,8 @@
         start_review(node, balance)
     if not balance.waiting and balance.take(node.now):
         request.has_token = True
+        if balance.tokens < balance.low_mark:
+            request_tokens(node, balance)
         routing.route(node, request)
         return
     _wait(node, request, balance)
@@ -162,8 +164,12 @@
 
 
 def request_tokens(node: nodes.Node, balance: balances.Balance) -> None:
-    """Ask the allocator for what the demand needs."""
-    if node.now - balance.asked_at < balances.REQUEST_INTERVAL:
+    """Ask the allocator for what the demand needs, soon if it was just asked."""
+    next_at = balance.asked_at + balances.REQUEST_INTERVAL
+    if node.now < next_at:
+        if balance.waiting and not balance.is_asking:
+            balance.is_asking = True
+            node.timers.set(next_at, _ask_again, balance)
         return
     wanted = max(balance.find_target(), balances.FIRST_REQUEST) - balance.tokens
     if wanted > 0:
@@ -171,6 +177,13 @@
         node.actions.append(actions.RequestTokens(balance.owner, wanted))
 
 
+def _ask_again(node: nodes.Node, balance: balances.Balance) -> None:
+    """Ask for tokens once the last question is old enough."""
+    balance.is_asking = False
+    if balance.waiting:
+        request_tokens(node, balance)
+
+
 def return_tokens(node: nodes.Node, balance: balances.Balance, tokens: int) -> None:
     """Give tokens back that are not needed."""
     taken = balance.withdraw(tokens)
--- a/src/sardinehold/core/balance.py
+++ b/src/sardinehold/core/balance.py
@@ -71,6 +71,9 @@
     :param waiting: requests that wait for a token, oldest first.
     :param demand: statements a second, a moving average.
     :param income: tokens granted a second, a moving average.
+    :param asked_at: when tokens were last asked for.
+    :param is_asking: whether a timer is set to ask again.
+    :param low_mark: tokens below which more are asked for.
     :param retries: retries that the owner has saved up.
     :param is_reviewed: whether a timer looks at the demand.
     """
@@ -86,6 +89,8 @@
         "granted_total",
         "spent_total",
         "asked_at",
+        "is_asking",
+        "low_mark",
         "quiet_since",
         "_grants",
         "_arrived",
@@ -105,6 +110,8 @@
         self.granted_total = 0
         self.spent_total = 0
         self.asked_at = -math.inf
+        self.is_asking = False
+        self.low_mark = FIRST_REQUEST // 2
         self.quiet_since = now
         self._grants: collections.deque[Grant] = collections.deque()
         self._arrived = 0
@@ -197,6 +204,7 @@
         self._arrived = self._granted = 0
         self._reviewed_at = now
         self.drop_expired(now)
+        self.low_mark = max(FIRST_REQUEST, self.find_target()) // 2
 
     def find_interval(self) -> float:
         """Return the seconds to the next look at the demand.
--- a/src/sardinehold/core/durability.py
+++ b/src/sardinehold/core/durability.py
@@ -56,6 +56,10 @@
 
     :param request: with its position, None if the answer did not tell it.
     """
+    if request.session.is_closed:
+        node.count("writes_finished_without_caller")
+        requests.drop(node, request)
+        return
     request.advance("hold")
     request.answered_at = node.now
     if not may_acknowledge(node, request):
--- a/src/sardinehold/core/losses.py
+++ b/src/sardinehold/core/losses.py
@@ -133,6 +133,7 @@
     endpoint = connection.endpoint
     node.count("connections_silent")
     sent_at = request.sent_at
+    node.actions.append(actions.CancelStatement(connection.connection_id))
     pool.close(node, connection)
     pool.close_silent(node, endpoint, sent_at)
     request.connection = None
--- a/src/sardinehold/core/pool.py
+++ b/src/sardinehold/core/pool.py
@@ -32,6 +32,9 @@
 WARM = 1
 """Idle connections that are kept open to each endpoint in use."""
 
+DEMAND_INTERVAL = 0.25
+"""Seconds between two looks at how many connections are needed."""
+
 MAX_IDLE = 30.0
 """Seconds after which an idle connection is closed."""
 
@@ -98,6 +101,9 @@
     :param config: what the document says of it.
     :param idle: connections that are free, the most recently used last.
     :param in_flight: statements that run on it for this node.
+    :param wanted: most connections that were needed at once lately.
+    :param peak: most statements that ran at once lately.
+    :param demand: connections that the allocator was last asked for.
     :param is_healthy: False once a new connection failed, until one works.
     :param leaving_since: when the view first called it leaving, or None.
     :param applied: offset that its readers see, of the group's current term;
@@ -121,6 +127,8 @@
         "share",
         "wanted",
         "peak",
+        "demand",
+        "demand_told_at",
         "failures",
         "retry_at",
         "is_healthy",
@@ -156,6 +164,8 @@
         self.share = 0
         self.wanted = 0
         self.peak = 0
+        self.demand = 0
+        self.demand_told_at = -DEMAND_INTERVAL
         self.failures = 0
         self.retry_at = 0.0
         self.is_healthy = True
@@ -289,6 +299,30 @@
     node.timers.set(node.now + delay, trim, endpoint)
 
 
+def review_demand(node: nodes.Node, endpoint: Endpoint) -> None:
+    """Tell the allocator when another number of connections is needed.
+
+    The need grows at once and falls by half of the difference.
+    """
+    if node.now - endpoint.demand_told_at < DEMAND_INTERVAL:
+        return
+    needed = max(endpoint.wanted, endpoint.peak) + WARM
+    endpoint.wanted = 0
+    endpoint.peak = endpoint.in_flight
+    if needed < endpoint.demand:
+        needed = (needed + endpoint.demand) // 2
+    tell_demand(node, endpoint, needed)
+
+
+def tell_demand(node: nodes.Node, endpoint: Endpoint, connections: int) -> None:
+    """Ask for connections if the number is another one than last time."""
+    if connections == endpoint.demand:
+        return
+    endpoint.demand = connections
+    endpoint.demand_told_at = node.now
+    node.actions.append(actions.RequestConnections(endpoint.name, connections))
+
+
 def delay_opening(node: nodes.Node, endpoint: Endpoint) -> None:
     """Wait longer after each failure, by another part on each node."""
     delay = min(MAX_RETRY_DELAY, RETRY_DELAY * 2**endpoint.failures)
--- a/src/sardinehold/core/probing.py
+++ b/src/sardinehold/core/probing.py
@@ -50,6 +50,9 @@
 SILENT_AFTER = 0.25
 """Seconds without an answer after which a connection is suspected."""
 
+LEAVE_AFTER = 1.0
+"""Seconds without an answer after which a read leaves its connection."""
+
 SILENT_FACTOR = 8.0
 """Times its usual cost that a statement may take before it is suspected."""
 
@@ -60,6 +63,7 @@
     :param in_flight_until: deadline of a probe that is not answered, or 0.
     :param is_scheduled: whether a timer is set for the next regular probe.
     :param is_watched: whether a timer looks at what runs on the endpoint.
+    :param heard_at: when the last question that was answered had been sent.
     :param next_report: when to repeat a report, or None while it is well.
     """
 
@@ -69,7 +73,7 @@
         "is_watched",
         "next_report",
         "is_fresh",
-        "sent_at",
+        "heard_at",
     )
 
     def __init__(self) -> None:
@@ -79,7 +83,7 @@
         self.is_watched = False
         self.next_report: float | None = None
         self.is_fresh = False
-        self.sent_at = -1.0
+        self.heard_at = -1.0
 
 
 def find_probe(endpoint: pool.Endpoint) -> Probe:
@@ -97,7 +101,6 @@
     deadline = node.now + PROBE_TIMEOUT
     probe.in_flight_until = deadline
     probe.is_fresh = fresh
-    probe.sent_at = node.now
     node.count("probes")
     node.actions.append(actions.ProbeEndpoint(endpoint.name, fresh, deadline))
 
@@ -130,10 +133,12 @@
     if node.endpoints.get(endpoint.name) is not endpoint or not _is_in_use(node, group):
         find_probe(endpoint).is_scheduled = False
         group.is_active = False
+        pool.tell_demand(node, endpoint, 0)
         node.active_groups.pop(group.name, None)
         return
     send(node, endpoint, fresh=not endpoint.is_healthy)
     _repeat_report(node, endpoint)
+    pool.review_demand(node, endpoint)
     delay = _find_interval(node, endpoint)
     node.timers.set(node.now + delay, _probe_again, endpoint)
 
@@ -194,7 +199,9 @@
     if endpoint is None:
         return
     group = endpoint.group
-    find_probe(endpoint).in_flight_until = 0.0
+    probe = find_probe(endpoint)
+    probe.in_flight_until = 0.0
+    probe.heard_at = max(probe.heard_at, event.asked)
     mark_healthy(node, endpoint)
     if groups.note_status(node, group, event) is None:
         return
@@ -304,10 +311,10 @@
         flow = endpoint.queue.find_flow(request.owner, request.session.weight)
         if silence < SILENT_FACTOR * flow.find_cost(request.is_read):
             continue
-        probe = find_probe(endpoint)
-        if probe.sent_at < request.sent_at + SILENT_AFTER:
+        heard_at = find_probe(endpoint).heard_at
+        if heard_at < request.sent_at + SILENT_AFTER:
             send(node, endpoint, fresh=True)
-        elif endpoint.is_healthy and not probe.in_flight_until:
+        elif endpoint.is_healthy and silence >= LEAVE_AFTER:
             losses.leave_silent(node, connection)
     if endpoint.in_flight:
         watch(node, endpoint)
--- /dev/null
+++ b/tests/test_classify.py
@@ -0,0 +1,117 @@
+import pytest
+
+from sardinehold.core import classify
+from sardinehold.core import statements
+
+Kind = statements.Kind
+
+
+@pytest.mark.parametrize(
+    ("text", "kind"),
+    [
+        ("select 1", Kind.READ),
+        ("select count(*), lower(a) from t where b = $1", Kind.READ),
+        ("(select 1) union (select 2)", Kind.READ),
+        ("with a as (select 1) select * from a", Kind.READ),
+        ("values (1)", Kind.READ),
+        ("select 1; select 2", Kind.READ),
+        ("explain select 1", Kind.READ),
+        ("explain analyze insert into t values (1)", Kind.WRITE),
+        ("select unknown_function(1)", Kind.WRITE),
+        ("select nextval('s')", Kind.WRITE),
+        ("select * from t for update", Kind.WRITE),
+        ("with a as (delete from t returning *) select * from a", Kind.WRITE),
+        ("select * into u from t", Kind.WRITE),
+        ("insert into t values (1)", Kind.WRITE),
+        ("select 1; delete from t", Kind.WRITE),
+        ("select 'unterminated", Kind.WRITE),
+        ("((((", Kind.WRITE),
+        ("explain select ';' ; insert into t values ('a', 'b')", Kind.WRITE),
+        ("begin", Kind.BEGIN),
+        ("start transaction read only", Kind.BEGIN),
+        ("end", Kind.COMMIT),
+        ("abort", Kind.ROLLBACK),
+        ("rollback to savepoint a", Kind.WRITE),
+        ("", Kind.EMPTY),
+        ("-- nothing", Kind.EMPTY),
+        ("discard all", Kind.DISCARD),
+        ("deallocate a", Kind.DEALLOCATE),
+    ],
+)
+def test_kind(text, kind):
+    assert classify.classify(text).kind is kind
+
+
+@pytest.mark.parametrize(
+    ("text", "setting", "value", "local"),
+    [
+        ("SET sardinehold.max_age = '2s'", "sardinehold.max_age", "2s", False),
+        ('set search_path to a, "B"', "search_path", 'a, "B"', False),
+        ("set local x = 1", "x", "1", True),
+        ("set session x = 1", "x", "1", False),
+        ("set time zone 'utc'", "timezone", "'utc'", False),
+    ],
+)
+def test_set_names_variable_and_value(text, setting, value, local):
+    traits = classify.classify(text)
+    assert traits.kind is Kind.SET
+    assert (traits.setting, traits.value, traits.local) == (setting, value, local)
+
+
+@pytest.mark.parametrize(
+    ("text", "begins", "ends"),
+    [
+        ("begin; insert into t values (1); commit", False, False),
+        ("begin; select 1", True, False),
+        ("commit; begin", True, True),
+        ("commit and chain", True, True),
+        ("insert into t values (1); commit", False, True),
+    ],
+)
+def test_what_a_text_does_to_the_transaction(text, begins, ends):
+    traits = classify.classify(text)
+    assert (traits.begins, traits.ends) == (begins, ends)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "create temp table t (a int)",
+        "select * into temp t from u",
+        "listen a",
+        "select pg_advisory_lock(1)",
+        "prepare a as select 1",
+        "declare c cursor with hold for select 1",
+        "set x = 1; select 1",
+        "insert into t values ('" + "x" * 20_000 + "'); set a = 1",
+    ],
+)
+def test_state_left_on_the_connection_pins(text):
+    assert classify.classify(text).pins
+
+
+@pytest.mark.parametrize(
+    "text", ["select 1", "select pg_advisory_xact_lock(1)", "set local x = 1"]
+)
+def test_nothing_left_does_not_pin(text):
+    assert not classify.classify(text).pins
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "copy t from stdin",
+        "set role admin",
+        "prepare transaction 'a'",
+        "select lastval()",
+        "set sardinehold.max_age = '1s'; select 1",
+    ],
+)
+def test_unsupported_is_refused(text):
+    assert classify.classify(text).refusal
+
+
+def test_idempotency_key_comes_from_a_trailing_comment():
+    text = "insert into t values (1) /* sardinehold.idempotency_key='a%20b' */"
+    assert classify.classify(text).idempotency_key == "a b"
+    assert classify.classify("insert into t values (1)").idempotency_key == ""
