Spend less time on each statement in the adapters

Requests are the sink of their answers in place of closures, answers that pass through keep no plan, and one message is read without a second copy.

--- a/src/sardinehold/answers.py
+++ b/src/sardinehold/answers.py
@@ -67,17 +67,70 @@
         """Pass nothing on."""
 
 
+class Sink(typing.Protocol):
+    """Where an answer goes."""
+
+    def pass_on(self, data: bytes) -> None:
+        """Pass bytes on to the caller."""
+
+    def note_complete(self, answer: "Answer") -> None:
+        """Take note that all of the answer has come."""
+
+
+class Plan:
+    """What becomes of each answer to a sequence that was changed.
+
+    :param known: the statements of the connection, kept up to date.
+    :param confirmed: changes to the session's statements that succeeded.
+    """
+
+    __slots__ = ("steps", "place", "known", "confirmed")
+
+    def __init__(
+        self, steps: list[sequences.Step], known: prepared.ConnectionStatements
+    ) -> None:
+        """Start at the first step."""
+        self.steps = steps
+        self.place = 0
+        self.known = known
+        self.confirmed = 0
+
+    def inject(self) -> bytes:
+        """Return the answers to messages that were not sent, up to the next sent."""
+        injected = b""
+        while self.place < len(self.steps) and self.steps[self.place].injected:
+            step = self.steps[self.place]
+            injected += step.injected
+            self.confirmed += step.confirms
+            self.place += 1
+        return injected
+
+    def complete(self) -> bool:
+        """Take the next step; return whether the caller must not see it."""
+        if self.place >= len(self.steps):
+            return False
+        step = self.steps[self.place]
+        self.place += 1
+        self.confirmed += step.confirms
+        if step.added:
+            self.known.add(step.added)
+        if step.dropped:
+            self.known.discard(step.dropped)
+        return step.swallowed
+
+
 class Answer:
     """Follows the answer to a caller's request.
 
-    :param send: passes bytes on to the caller.
-    :param finish: called when the answer is complete.
+    :param sink: where it goes.
     :param keeps: whether all of it is kept while it is small, as for a write.
-    :param steps: what becomes of each answer, None when all pass through.
-    :param known: the statements of the connection, kept up to date.
+    :param plan: what becomes of its parts, None when all pass through.
     """
 
     __slots__ = (
+        "sink",
+        "keeps",
+        "plan",
         "held",
         "guard",
         "rest",
@@ -85,24 +138,13 @@
         "status",
         "done",
         "cut_frame",
-        "keeps",
-        "steps",
-        "step",
-        "known",
-        "confirmed",
-        "send",
-        "finish",
     )
 
-    def __init__(
-        self,
-        send: typing.Callable[[bytes], None],
-        finish: typing.Callable[[], None],
-        keeps: bool = False,
-        steps: list[sequences.Step] | None = None,
-        known: prepared.ConnectionStatements | None = None,
-    ) -> None:
+    def __init__(self, sink: Sink, keeps: bool = False, plan: Plan | None = None):
         """Start before the answer."""
+        self.sink = sink
+        self.keeps = keeps
+        self.plan = plan
         self.held = bytearray()
         self.guard = -1
         self.rest = 0
@@ -110,13 +152,15 @@
         self.status = ""
         self.done = False
         self.cut_frame = False
-        self.keeps = keeps
-        self.steps = steps
-        self.step = 0
-        self.known = known
-        self.confirmed = 0
-        self.send = send
-        self.finish = finish
+
+    @property
+    def confirmed(self) -> int:
+        """Changes to the session's statements that are known to have succeeded."""
+        return self.plan.confirmed if self.plan else 0
+
+    def finish(self, answer: "Answer") -> None:
+        """Tell the sink that all of the answer has come."""
+        self.sink.note_complete(self)
 
     def feed(self, data: wire.Buffer, start: int, end: int) -> int:
         """Read from ``start`` and return where reading stopped.
@@ -129,8 +173,8 @@
             self.rest -= stop - start
             self.held += data[start:stop]
             start = stop
-        if self.steps is not None:
-            return self._feed_steps(data, start, end)
+        if self.plan is not None:
+            return self._feed_plan(data, start, end)
         stop = self._walk(data, start, end)
         self.held += data[start:stop]
         return stop
@@ -138,90 +182,72 @@
     def _walk(self, data: wire.Buffer, start: int, end: int) -> int:
         """Find where the complete messages end, or the answer does."""
         base = len(self.held) - start
-        position = start
-        while end - position >= wire.HEADER:
-            kind = data[position]
-            (length,) = wire.unpack_length(data, position + 1)
-            stop = position + 1 + length
-            if kind == _ROW and length >= 4:
+        unpack_length = wire.unpack_length
+        last = end - wire.HEADER
+        while start <= last:
+            kind = data[start]
+            stop = start + 1 + unpack_length(data, start + 1)[0]
+            if stop - start < wire.HEADER or kind in _COPY:
+                raise _build_violation()
+            if kind == _ROW:
                 self.guard = -1
                 if stop > end:
                     self.rest = stop - end
                     return end
-            elif not self._note(kind, data, position, stop, end, base + position):
-                break
-            position = stop
-            if kind == _READY:
+            elif stop > end:
                 break
-        return position
-
-    def _note(
-        self, kind: int, data: wire.Buffer, start: int, stop: int, end: int, place: int
-    ) -> bool:
-        """Note a message that is not a row; return whether it is complete."""
-        if stop < start + wire.HEADER or kind in _COPY:
-            raise errors.ProtocolViolation(
-                "An endpoint sent a message that was not asked for.",
-                "Check what runs on its port.",
-            )
-        if stop > end:
-            return False
-        if kind == _READY:
-            self.status = chr(data[start + wire.HEADER])
-            self.done = True
-        elif kind in _TERMINAL:
-            if self.guard < 0:
-                self.guard = place
-            if kind == _ERROR:
-                fields = wire.parse_error(data[start + wire.HEADER : stop])
-                self.sqlstate = fields.sqlstate
-        elif kind not in _ASYNCHRONOUS:
-            self.guard = -1
-        return True
-
-    def _feed_steps(self, data: wire.Buffer, start: int, end: int) -> int:
+            elif kind == _READY:
+                self._end(data, start)
+                return stop
+            elif kind in _TERMINAL:
+                self._note_terminal(kind, data, start, stop, base + start)
+            elif kind not in _ASYNCHRONOUS:
+                self.guard = -1
+            start = stop
+        return start
+
+    def _end(self, data: wire.Buffer, start: int) -> None:
+        self.status = chr(data[start + wire.HEADER])
+        self.done = True
+
+    def _note_terminal(
+        self, kind: int, data: wire.Buffer, start: int, stop: int, place: int
+    ) -> None:
+        """Keep back from here what tells of success or failure."""
+        if self.guard < 0:
+            self.guard = place
+        if kind == _ERROR:
+            fields = wire.parse_error(data[start + wire.HEADER : stop])
+            self.sqlstate = fields.sqlstate
+
+    def _feed_plan(self, data: wire.Buffer, start: int, end: int) -> int:
         """Read message by message, leaving out and putting in answers."""
-        self._inject()
+        plan = self.plan
+        self.held += plan.inject()
         while end - start >= wire.HEADER and not self.done:
             kind = data[start]
-            (length,) = wire.unpack_length(data, start + 1)
-            stop = start + 1 + length
-            if kind == _ROW and length >= 4:
+            stop = start + 1 + wire.unpack_length(data, start + 1)[0]
+            if stop - start < wire.HEADER or kind in _COPY:
+                raise _build_violation()
+            if kind == _ROW:
                 self.guard = -1
                 self.rest = max(stop - end, 0)
                 stop = min(stop, end)
-                self.held += data[start:stop]
-            elif not self._note(kind, data, start, stop, end, len(self.held)):
+            elif stop > end:
                 break
-            elif kind not in _COMPLETING or not self._complete():
+            elif kind == _READY:
+                self._end(data, start)
+            elif kind in _TERMINAL:
+                self._note_terminal(kind, data, start, stop, len(self.held))
+            elif kind not in _ASYNCHRONOUS:
+                self.guard = -1
+            if kind not in _COMPLETING or not plan.complete():
                 self.held += data[start:stop]
             start = stop
             if not self.sqlstate:
-                self._inject()
+                self.held += plan.inject()
         return start
 
-    def _inject(self) -> None:
-        """Put in the answers to messages that were not sent."""
-        steps = self.steps
-        while self.step < len(steps) and steps[self.step].injected:
-            step = steps[self.step]
-            self.held += step.injected
-            self.confirmed += step.confirms
-            self.step += 1
-
-    def _complete(self) -> bool:
-        """Take the next step; return whether the caller must not see it."""
-        if self.step >= len(self.steps):
-            return False
-        step = self.steps[self.step]
-        self.step += 1
-        self.confirmed += step.confirms
-        if step.added:
-            self.known.add(step.added)
-        if step.dropped:
-            self.known.discard(step.dropped)
-        return step.swallowed
-
     def release(self) -> None:
         """Pass on what need not be kept while the answer is not complete."""
         held = self.held
@@ -231,11 +257,18 @@
         if not cut:
             return
         self.cut_frame = self.rest > 0 and cut == len(held)
-        self.send(bytes(held[:cut]))
+        self.sink.pass_on(bytes(held[:cut]))
         del held[:cut]
         self.guard = 0 if self.guard >= 0 and held else -1
 
 
+def _build_violation() -> errors.ProtocolViolation:
+    return errors.ProtocolViolation(
+        "An endpoint sent a message that was not asked for.",
+        "Check what runs on its port.",
+    )
+
+
 class LogStatus(typing.NamedTuple):
     """The log status that an endpoint states.
 
--- a/src/sardinehold/callers.py
+++ b/src/sardinehold/callers.py
@@ -28,6 +28,8 @@
 """Seconds that a closed caller may take to read what it was sent."""
 
 _SECRET_BITS = 31
+_DEALLOCATE = statements.Kind.DEALLOCATE
+_DISCARD = statements.Kind.DISCARD
 _IGNORED = frozenset(b"dcf")
 _TLS_ACCEPTED = b"S"
 _REFUSED = b"N"
@@ -109,20 +111,16 @@
         """Take up what the caller sent."""
         if self.closed:
             return
-        if self.backlog is None and not self.processing:
-            data: wire.Buffer = self.path.buffer[:size]
+        data = self.path.buffer[:size]
+        if self.backlog is None:
             read = self._process(data, size)
             if read < size and not self.closed:
                 self.backlog = bytearray(data[read:])
-        else:
-            self._append(self.path.buffer[:size])
-            self._resume()
-        self._limit()
-
-    def _append(self, data: memoryview) -> None:
-        if self.backlog is None:
-            self.backlog = bytearray()
+                self._limit()
+            return
         self.backlog += data
+        self._resume()
+        self._limit()
 
     def _resume(self) -> None:
         """Go on with what arrived while a request was under way."""
@@ -300,7 +298,7 @@
         parts.append(wire.build_key_data(self.session_id, self.secret))
         parts.append(wire.build_ready(self.status))
         self.transport.write(b"".join(parts))
-        self.path.note_started(self)
+        self.path.note_signed_in(self)
         self.stage = self._read_messages
         self._resume()
 
@@ -323,12 +321,12 @@
     def _read_message(
         self, kind: int, data: wire.Buffer, start: int, stop: int
     ) -> None:
-        if kind == 88:  # Terminate
+        if kind == 81 and not self.skipping:  # Query
+            self._read_query(bytes(data[start:stop]))
+        elif kind == 88:  # Terminate
             self.close()
         elif self.skipping:
             self._skip(kind)
-        elif kind == 81:  # Query
-            self._read_query(bytes(data[start:stop]))
         elif kind in b"PBDEC":
             self._read_part(kind, bytes(data[start:stop]))
         elif kind == 83:  # Sync
@@ -356,10 +354,11 @@
 
     def _read_query(self, raw: bytes) -> None:
         content = sequences.SimpleQuery(raw)
-        if content.traits.kind is statements.Kind.DEALLOCATE:
+        kind = content.traits.kind
+        if kind is _DEALLOCATE:
             if self._deallocate(content.traits.setting):
                 return
-        elif content.traits.kind is statements.Kind.DISCARD:
+        elif kind is _DISCARD:
             self.statements.clear()
         self.path.begin(self, content)
 
--- a/src/sardinehold/datapath.py
+++ b/src/sardinehold/datapath.py
@@ -137,11 +137,12 @@
 
     def deliver(self, event: events.Event) -> None:
         """Give the engine an event and carry out what it decides."""
-        self._waiting.append(event)
         if self._delivering:
+            self._waiting.append(event)
             return
         self._delivering = True
         try:
+            self._handle(event)
             while self._waiting:
                 self._handle(self._waiting.popleft())
         finally:
@@ -217,7 +218,7 @@
         self.startups.add(caller)
         return True
 
-    def note_started(self, caller: callers.Caller) -> None:
+    def note_signed_in(self, caller: callers.Caller) -> None:
         """Note that a caller finished its start-up."""
         self.startups.discard(caller)
 
@@ -245,6 +246,7 @@
         self._last_request += 1
         request = requests.Request(
             self._last_request,
+            self,
             caller,
             content,
             self.loop.time(),
@@ -253,7 +255,6 @@
         )
         caller.request = request
         self.requests[request.request_id] = request
-        self.registry.count("requests")
         self.deliver(
             events.RequestArrived(
                 request.request_id,
@@ -277,9 +278,7 @@
     def pause(self, caller: callers.Caller, paused: bool) -> None:
         """Stop or go on reading the answer that goes to a caller."""
         request = caller.request
-        if request is None or request.answer is None:
-            return
-        connection = self.connections.get(request.connection_id)
+        connection = request.connection if request is not None else None
         if connection is None or connection.closed:
             return
         if paused:
@@ -324,10 +323,13 @@
             self._report_unsent(action, connection)
             return
         request.connection_id = action.connection_id
+        request.connection = connection
+        if request.owner.paused:
+            connection.transport.pause_reading()
         if action.setup:
             self._prepare_connection(request, connection, action)
         else:
-            self._send(request, connection, action.want_position)
+            request.send(action.want_position)
 
     def _report_unsent(
         self,
@@ -368,8 +370,8 @@
                 self.registry.count("setups_failed")
                 connection.tainted = True
                 self._report_unsent(action, connection)
-            elif self.requests.get(request.request_id) is request:
-                self._send(request, connection, action.want_position)
+            elif not request.finished:
+                request.send(action.want_position)
 
         for sql in action.setup:
             if "DISCARD ALL" in sql.upper() or "DEALLOCATE" in sql.upper():
@@ -377,78 +379,40 @@
         payload = b"".join([wire.build_query(sql) for sql in action.setup])
         connection.send(payload, *[answers.Collector(finish) for _ in action.setup])
 
-    def _send(
-        self,
-        request: requests.Request,
-        connection: endpoints.EndpointConnection,
-        want_position: bool,
-    ) -> None:
-        outgoing = request.content.compose(connection.statements)
-        answer = answers.Answer(
-            self._build_sender(request),
-            lambda _: want_position or self._note_answered(request, connection, None),
-            want_position or request.hidden,
-            outgoing.steps,
-            connection.statements,
-        )
-        request.answer = answer
-        if request.owner.paused:
-            connection.transport.pause_reading()
-        if not want_position:
-            connection.send(outgoing.payload, answer)
-            return
-        collector = answers.Collector(
-            lambda found: self._note_answered(request, connection, found)
-        )
-        connection.send(outgoing.payload + _STATUS_MESSAGE, answer, collector)
-
-    def _build_sender(
-        self, request: requests.Request
-    ) -> typing.Callable[[bytes], None]:
-        def send(data: bytes) -> None:
-            if request.hidden:
-                return
-            if not request.started:
-                request.started = True
-                self.deliver(events.AnswerStarted(request.request_id))
-            if request.request_id in self.requests:
-                request.owner.send(data)
-
-        return send
+    def note_started(self, request: requests.Request) -> None:
+        """Tell the engine that a request can no longer be sent again."""
+        self.deliver(events.AnswerStarted(request.request_id))
 
-    def _note_answered(
-        self,
-        request: requests.Request,
-        connection: endpoints.EndpointConnection,
-        collector: answers.Collector | None,
-    ) -> None:
+    def note_answered(self, request: requests.Request) -> None:
         """Tell the engine that all of an answer has come."""
         answer = request.answer
         owner = request.owner
         owner.status = answer.status
-        if answer.status == "I":
-            self._pinned.pop(request.connection_id, None)
-        else:
+        if answer.status != "I":
             self._pinned[request.connection_id] = owner
+        elif self._pinned:
+            self._pinned.pop(request.connection_id, None)
         if owner.paused:
-            connection.transport.resume_reading()
-        status = None
-        if collector is not None and collector.error is None:
-            status = answers.parse_status(collector.rows)
-        self.deliver(
-            events.RequestAnswered(
-                request.request_id,
-                request.connection_id,
-                answer.status,
-                answer.sqlstate,
-                status.received if status else None,
-                status.confirmed if status else (),
-            )
+            request.connection.transport.resume_reading()
+        event = events.RequestAnswered(
+            request.request_id, request.connection_id, answer.status, answer.sqlstate
         )
+        if request.status is not None:
+            self._add_position(event, request.status)
+        self.deliver(event)
+
+    def _add_position(
+        self, event: events.RequestAnswered, collector: answers.Collector
+    ) -> None:
+        status = answers.parse_status(collector.rows)
+        if status is not None and collector.error is None:
+            event.position = status.received
+            event.confirmed = status.confirmed
 
     def _finish(self, request_id: int) -> requests.Request | None:
         request = self.requests.pop(request_id, None)
         if request is not None:
+            request.finished = True
             passed = self.loop.time() - request.arrived
             self.registry.observe("request_seconds", passed)
         return request
@@ -471,7 +435,7 @@
         if request.hidden and answer.sqlstate:
             request.owner.fail(request, _build_setting_error(answer.sqlstate), True)
             return
-        request.owner.finish(request, bytes(held), answer.status)
+        request.owner.finish(request, held, answer.status)
 
     @performs(actions.Refuse)
     def _refuse(self, action: actions.Refuse) -> None:
@@ -567,6 +531,10 @@
     def _probe_endpoint(self, action: actions.ProbeEndpoint) -> None:
         self.spawn(self.prober.probe, action)
 
+    def count_transactions(self) -> int:
+        """Return how many transaction blocks are open."""
+        return len(self._pinned)
+
     def close(self) -> None:
         """Close all connections, at the end of the program."""
         if self._timer is not None:
@@ -585,8 +553,6 @@
 for _kind in CONTROL_ACTIONS:
     performs(_kind)(DataPath._hand_over)
 
-_STATUS_MESSAGE = wire.build_query(answers.STATUS_QUERY)
-
 
 def _build_setting_error(sqlstate: str) -> errors.RequestError:
     return errors.Unsupported(
--- a/src/sardinehold/requests.py
+++ b/src/sardinehold/requests.py
@@ -3,8 +3,10 @@
 import typing
 
 from sardinehold import answers
+from sardinehold import endpoints
 from sardinehold import prepared
 from sardinehold import sequences
+from sardinehold import wire
 
 
 class Content(typing.Protocol):
@@ -40,9 +42,20 @@
         """Give the caller an error in place of what was held."""
 
 
+class Carrier(typing.Protocol):
+    """The data path, as its requests see it."""
+
+    def note_started(self, request: "Request") -> None:
+        """Take note that the caller gets the first bytes of an answer."""
+
+    def note_answered(self, request: "Request") -> None:
+        """Take note that all has come that the request waits for."""
+
+
 class Request:
     """One request of a session, from its arrival to its answer.
 
+    :param carrier: the data path that carries it.
     :param arrived: when it arrived, on the loop's clock.
     :param hides_ready: whether the proxy added its Sync, so that the caller
         must not see the ReadyForQuery.
@@ -51,19 +64,24 @@
 
     __slots__ = (
         "request_id",
+        "carrier",
         "owner",
         "content",
         "arrived",
         "hides_ready",
         "hidden",
         "connection_id",
+        "connection",
         "answer",
+        "status",
         "started",
+        "finished",
     )
 
     def __init__(
         self,
         request_id: int,
+        carrier: Carrier,
         owner: Owner,
         content: Content,
         arrived: float,
@@ -72,16 +90,60 @@
     ) -> None:
         """Keep the parts of the request."""
         self.request_id = request_id
+        self.carrier = carrier
         self.owner = owner
         self.content = content
         self.arrived = arrived
         self.hides_ready = hides_ready
         self.hidden = hidden
         self.connection_id = 0
+        self.connection: endpoints.EndpointConnection | None = None
         self.answer: answers.Answer | None = None
+        self.status: answers.Collector | None = None
         self.started = False
+        self.finished = False
 
     @property
     def is_cut(self) -> bool:
         """Whether the caller has got a part of a message so far."""
         return self.answer is not None and self.answer.cut_frame
+
+    def send(self, want_position: bool) -> None:
+        """Send the request on its connection.
+
+        :param want_position: whether the log status is read behind it.
+        """
+        connection = self.connection
+        payload, steps = self.content.compose(connection.statements)
+        plan = answers.Plan(steps, connection.statements) if steps else None
+        self.answer = answers.Answer(self, want_position or self.hidden, plan)
+        self.status = None
+        if not want_position:
+            connection.readers.append(self.answer)
+            connection.transport.write(payload)
+            return
+        self.status = answers.Collector(self._note_status)
+        connection.send(payload + _STATUS_MESSAGE, self.answer, self.status)
+
+    def pass_on(self, data: bytes) -> None:
+        """Pass a part of the answer on to the caller."""
+        if self.hidden or self.finished:
+            return
+        if not self.started:
+            self.started = True
+            self.carrier.note_started(self)
+            if self.finished:
+                return
+        self.owner.send(data)
+
+    def note_complete(self, answer: answers.Answer) -> None:
+        """Take note that the answer has come; the log status may follow."""
+        if self.status is None and not self.finished:
+            self.carrier.note_answered(self)
+
+    def _note_status(self, status: answers.Collector) -> None:
+        if not self.finished:
+            self.carrier.note_answered(self)
+
+
+_STATUS_MESSAGE = wire.build_query(answers.STATUS_QUERY)
--- a/src/sardinehold/sequences.py
+++ b/src/sardinehold/sequences.py
@@ -21,6 +21,7 @@
 
 _STATEMENT = ord("S")
 _LOCAL = statements.Traits(statements.Kind.EMPTY)
+_DISCARD = statements.Kind.DISCARD
 _READ = statements.Traits(statements.Kind.READ)
 _WRITE = statements.Traits(statements.Kind.WRITE)
 
@@ -144,9 +145,9 @@
 
     def compose(self, known: prepared.ConnectionStatements) -> Outgoing:
         """Return what to send to a connection that has parsed ``known``."""
-        if self.traits.kind is statements.Kind.DISCARD:
+        if self.traits.kind is _DISCARD:
             known.clear()
-        return Outgoing(self.raw)
+        return Outgoing(self.raw, None)
 
     def undo(self, confirmed: int) -> None:
         """Take back what the request did to the session; nothing."""
--- a/src/sardinehold/wire.py
+++ b/src/sardinehold/wire.py
@@ -64,7 +64,7 @@
     """
     if end - start < HEADER:
         return 0
-    (length,) = unpack_length(data, start + 1)
+    length = unpack_length(data, start + 1)[0]
     if length < 4 or length > limit:
         raise errors.ProtocolViolation(
             f"A message states a length of {length} bytes.",
--- a/tests/test_fuzz_wire.py
+++ b/tests/test_fuzz_wire.py
@@ -75,11 +75,18 @@
     assert isinstance(row, tuple)
 
 
+class Sink:
+    def __init__(self):
+        self.passed = []
+        self.pass_on = self.passed.append
+
+
 def read_answer(data, cuts, keeps=False, steps=None):
     """Feed ``data`` in pieces; return the answer and what was passed on."""
-    passed = []
+    sink = Sink()
     known = prepared.ConnectionStatements()
-    answer = answers.Answer(passed.append, None, keeps, steps, known)
+    plan = None if steps is None else answers.Plan(steps, known)
+    answer = answers.Answer(sink, keeps, plan)
     carry, position = b"", 0
     for cut in [*sorted(cuts), len(data)]:
         piece = carry + data[position : max(cut, position)]
@@ -89,7 +96,7 @@
         if answer.done:
             break
         answer.release()
-    return answer, b"".join(passed) + bytes(answer.held)
+    return answer, b"".join(sink.passed) + bytes(answer.held)
 
 
 CUTS = st.lists(st.integers(0, 300), max_size=8)
