Refuse no in-rate statement: smaller grants, and no stale prediction

Cause: nine nodes each asked for four tokens ahead of need and emptied a burst of 25, and tokens that lapsed unspent were gone; after a jump the income of an idle node predicted a wait of seconds. Ruled out: the exchange interval. Now a grant takes at most half a bucket, and income predicts only when the oldest request has waited 0.5 s.

--- a/src/sardinehold/core/admission.py
+++ b/src/sardinehold/core/admission.py
@@ -18,6 +18,9 @@
 WAIT_SHARE = 0.5
 """Share of the time to the deadline that a request waits for a token."""
 
+INCOME_EVIDENCE = 0.5
+"""Seconds of waiting after which the income of tokens predicts the wait."""
+
 _READ = statements.Kind.READ
 _LOCAL = frozenset(
     [
@@ -92,9 +95,7 @@
 ) -> None:
     """Queue a request for tokens unless its wait would be too long."""
     limit = WAIT_SHARE * (request.deadline - node.now)
-    expected = 0.0
-    if balance.income > 0:
-        expected = len(balance.waiting) / balance.income
+    expected = _predict_wait(node, balance)
     if len(balance.waiting) >= MAX_WAITING or expected > limit:
         requests.refuse(node, request, _over_rate(balance, expected))
         return
@@ -105,6 +106,19 @@
     request_tokens(node, balance)
 
 
+def _predict_wait(node: nodes.Node, balance: balances.Balance) -> float:
+    """Return the seconds that a new request would wait for a token.
+
+    The income says nothing about a demand that has just moved to this node:
+    it counts once the oldest request has waited long enough to be part of it.
+    """
+    if not balance.waiting or balance.income <= 0:
+        return 0.0
+    if node.now - balance.waiting[0].accepted_at < INCOME_EVIDENCE:
+        return 0.0
+    return len(balance.waiting) / balance.income
+
+
 def _give_up(node: nodes.Node, request_ids: list[int]) -> None:
     """Refuse requests that have waited too long for a token."""
     for request_id in request_ids:
--- a/src/sardinehold/core/quota.py
+++ b/src/sardinehold/core/quota.py
@@ -20,6 +20,10 @@
 CLOCK_RATE_MARGIN = 0.01
 """By how much the rates of two monotonic clocks may differ, as a fraction."""
 
+TAKEN_PART = 2
+"""A grant takes at most this part of a bucket, so that one node with a wish
+ahead of its need does not empty it for those whose requests wait."""
+
 
 class Rate:
     """What a team may use over all VMs together.
@@ -247,7 +251,8 @@
         if bucket is None or now < self.starts_at:
             return Grant(self._grants, usage.team, 0, GRANT_LIFETIME)
         bucket.refill(now)
-        tokens = min(usage.wanted, int(bucket.tokens))
+        available = int(bucket.tokens)
+        tokens = min(usage.wanted, available, max(1, available // TAKEN_PART))
         grant = Grant(self._grants, usage.team, tokens, GRANT_LIFETIME)
         if tokens:
             bucket.move(now, node, grant)
