Test the stand-ins with psycopg, asyncpg and httpx

What the parts above them rely on: values, transactions, isolation, cancel, limits, replication, promotion, rewinding, and each fault switch.

--- a/tests/builders_standins.py
+++ b/tests/builders_standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import select
 import threading
 
 import psycopg
@@ -59,6 +60,23 @@
         )
 
 
+def finish(connection):
+    """Return the result of the one statement that runs.
+
+    libpq's own wait would keep the interpreter lock from the endpoints.
+    """
+    pgconn = connection.pgconn
+    result = None
+    while True:
+        while pgconn.is_busy():
+            assert select.select([pgconn.socket], [], [], WAIT_SECONDS)[0]
+            pgconn.consume_input()
+        last = pgconn.get_result()
+        if last is None:
+            return result
+        result = result or last
+
+
 async def _start(count, options, lag):
     endpoints = []
     for number in range(count):
