--- a/src/sardinehold/settings.py
+++ b/src/sardinehold/settings.py
@@ -10,6 +10,9 @@
 from sardinehold import options
 
 
+split_address = options.split_address
+
+
 class Tls:
     """Certificate files of one side; all empty means no TLS.
 
