--- a/src/sardinehold/settings.py
+++ b/src/sardinehold/settings.py
@@ -9,7 +9,6 @@
 from sardinehold import faults
 from sardinehold import options
 
-
 split_address = options.split_address
 
 
