--- a/examples/local/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""A local fleet for the demo."""
