Run the demo's traffic and faults, and check it against the endpoints

The check reads the tables of each group's primary and compares them with what callers were told; the share of reads on replicas comes from the endpoints' own counts.

--- /dev/null
+++ b/examples/local/demo.py
@@ -0,0 +1,246 @@
+"""Twenty seconds of a local fleet under traffic and faults (``make demo``).
+
+All teams send through all proxies with roaming sessions. Meanwhile one key is
+withdrawn, one team sends five times its rate, and one primary is cut off. The
+last line is a JSON object of figures; the exit code is 1 if anything was lost,
+doubled or read stale.
+"""
+
+import argparse
+import asyncio
+import json
+import math
+import signal
+import sys
+import time
+
+import fleet as fleets
+import psycopg
+import traffic
+import verdict as verdicts
+
+SECONDS = 20.0
+WITHDRAW_AT = 3.0
+BURST_FROM, BURST_UNTIL = 5.0, 11.0
+CUT_AT = 12.0
+"""When things happen, in seconds from the start."""
+
+LOAD = 0.6
+"""Share of its rate that each team sends."""
+
+BURST = 5.0
+"""Times its rate that one team sends."""
+
+BURST_SESSIONS = 200
+"""Sessions of that team, so that those who wait do not slow it down."""
+
+KEY_WITHDRAWN = "28000"
+"""SQLSTATE of a statement whose key was withdrawn."""
+
+BURST_TEAM = "sports"
+WITHDRAWN_TEAM = "interns"
+CUT_GROUP = "letters-1"
+POLL_SECONDS = 0.1
+"""Time between two statements of a session that waits for the end of its key."""
+
+
+class Demo:
+    """One run.
+
+    :param fleet: the local fleet.
+    """
+
+    def __init__(self, fleet: fleets.Fleet, seed: int) -> None:
+        """Prepare the run."""
+        self.fleet = fleet
+        self.seed = seed
+        self.record = traffic.Record()
+        self.started = 0.0
+        self.cut_at = 0.0
+        self.withdrawn_at = 0.0
+        self.key_ended_at = 0.0
+
+    async def run(self) -> None:
+        """Run traffic and faults."""
+        self.started = time.monotonic()
+        deadline = self.started + SECONDS
+        callers = traffic.build_callers(self.fleet, self.record, self.seed, LOAD)
+        tasks = [self._run_caller(caller, deadline) for caller in callers]
+        await asyncio.gather(
+            *tasks,
+            self._withdraw(),
+            self._burst(),
+            self._cut(),
+            self._report(deadline),
+        )
+
+    async def _run_caller(self, caller: traffic.Caller, deadline: float) -> None:
+        """Run one caller; that of the withdrawn team ends before its key does."""
+        if caller.team == WITHDRAWN_TEAM:
+            deadline = self.started + WITHDRAW_AT - 1.0
+        await caller.run(deadline)
+
+    async def _withdraw(self) -> None:
+        """Withdraw a key and measure for how long open sessions still work."""
+        await self._sleep_until(WITHDRAW_AT - 1.0)
+        watchers = [
+            asyncio.ensure_future(self._watch_key(name)) for name in self.fleet.proxies
+        ]
+        await self._sleep_until(WITHDRAW_AT)
+        self.withdrawn_at = time.monotonic()
+        self._say(f"withdraws the key of {WITHDRAWN_TEAM}")
+        await asyncio.to_thread(self.fleet.withdraw_key, WITHDRAWN_TEAM)
+        self.key_ended_at = max(await asyncio.gather(*watchers))
+        self._say(f"the key ended everywhere after {self.key_withdrawal_ms:.0f} ms")
+
+    async def _watch_key(self, proxy: str) -> float:
+        """Use a key on one connection; return when it was refused as withdrawn."""
+        dsn = self.fleet.format_dsn(proxy, "letters", WITHDRAWN_TEAM)
+        connection = await psycopg.AsyncConnection.connect(dsn, autocommit=True)
+        while time.monotonic() < self.started + SECONDS:
+            try:
+                await connection.execute("SELECT title FROM page")
+            except psycopg.Error as error:
+                if connection.closed or error.sqlstate == KEY_WITHDRAWN:
+                    return self._check_withdrawn()
+            await asyncio.sleep(POLL_SECONDS)
+        return math.inf
+
+    def _check_withdrawn(self) -> float:
+        """Return the time, which counts only behind the withdrawal."""
+        now = time.monotonic()
+        if not self.withdrawn_at:
+            raise RuntimeError("a connection ended before its key was withdrawn")
+        return now
+
+    async def _burst(self) -> None:
+        """Let one team send far more than its rate."""
+        await self._sleep_until(BURST_FROM)
+        self.record.bursting.add(BURST_TEAM)
+        rate = self.fleet.document["teams"][BURST_TEAM]["rate"] * BURST / BURST_SESSIONS
+        self._say(f"{BURST_TEAM} sends {BURST:.0f} times its rate")
+        callers = [
+            traffic.Caller(
+                self.fleet,
+                self.record,
+                BURST_TEAM,
+                "letters",
+                "letters-1",
+                rate,
+                f"{self.seed}/burst/{number}",
+                write_share=0.1,
+            )
+            for number in range(BURST_SESSIONS)
+        ]
+        deadline = self.started + BURST_UNTIL
+        await asyncio.gather(*(caller.run(deadline) for caller in callers))
+
+    async def _cut(self) -> None:
+        """Cut a primary off from its replicas."""
+        await self._sleep_until(CUT_AT)
+        primary = await asyncio.to_thread(self.fleet.read_primary, CUT_GROUP)
+        await asyncio.to_thread(self.fleet.change_faults, primary, cut_off=True)
+        self.cut_at = time.monotonic()
+        self._say(f"cut off {primary}, the primary of {CUT_GROUP}")
+
+    async def _report(self, deadline: float) -> None:
+        """Print a line now and then."""
+        while time.monotonic() < deadline:
+            await asyncio.sleep(2.0)
+            acknowledged = sum(
+                write.told is traffic.Told.ACKNOWLEDGED for write in self.record.writes
+            )
+            self._say(
+                f"{self.record.statements} statements, "
+                f"{acknowledged} acknowledged writes, {len(self.record.stale)} stale"
+            )
+
+    async def _sleep_until(self, offset: float) -> None:
+        """Wait until some seconds after the start."""
+        await asyncio.sleep(max(0.0, self.started + offset - time.monotonic()))
+
+    def _say(self, text: str) -> None:
+        """Print a progress line."""
+        print(f"{time.monotonic() - self.started:5.1f} s  {text}", flush=True)
+
+    @property
+    def key_withdrawal_ms(self) -> float:
+        """Time from sending the withdrawal until all sessions were refused."""
+        return (self.key_ended_at - self.withdrawn_at) * 1000
+
+
+def summarize(demo: Demo, verdict: verdicts.Verdict) -> dict:
+    """Return the figures of the last line."""
+    until = demo.started + SECONDS
+    gap = verdicts.find_gap(demo.record, CUT_GROUP, demo.cut_at, until)
+    steady = {
+        name: tally
+        for name, tally in demo.record.teams.items()
+        if name not in demo.record.bursting
+    }
+    return {
+        "statements": demo.record.statements,
+        "acknowledged_writes": verdict.acknowledged,
+        "lost_writes": len(verdict.lost),
+        "doubled_writes": len(verdict.doubled),
+        "read_your_writes_violations": len(verdict.stale),
+        "replica_read_share": round(verdicts.read_replica_share(demo.fleet), 4),
+        "failover_gap_ms": round(gap * 1000),
+        "worst_team_served_share": round(
+            min(tally.served / max(1, tally.asked) for tally in steady.values()), 4
+        ),
+        "wrongful_refusals": sum(tally.wrongful for tally in steady.values()),
+        "key_withdrawal_ms": round(min(demo.key_withdrawal_ms, SECONDS * 1000)),
+        "untrue_refusals": len(verdict.untrue),
+        "unknown_writes": verdict.unknown,
+        "keys_seen_by_endpoints": verdicts.count_keys_seen(demo.fleet),
+    }
+
+
+def print_table(record: traffic.Record) -> None:
+    """Print what each team asked and got."""
+    print(
+        f"\n{'team':10} {'asked':>7} {'served':>7} {'share':>7} {'refused':>8}  errors"
+    )
+    for name, tally in sorted(record.teams.items()):
+        share = tally.served / max(1, tally.asked)
+        states = ", ".join(f"{k}: {v}" for k, v in sorted(tally.states.items()))
+        print(
+            f"{name:10} {tally.asked:7} {tally.served:7} {share:7.2%} "
+            f"{tally.refused:8}  {states}"
+        )
+    print()
+
+
+def main() -> int:
+    """Run the demo and return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--logs", action="store_true", help="print logs at the end")
+    arguments = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    print("starting platform, nine endpoints, three proxies and a console", flush=True)
+    try:
+        with fleets.Fleet(free_ports=True) as fleet:
+            demo = Demo(fleet, arguments.seed)
+            asyncio.run(demo.run())
+            verdict = verdicts.judge(fleet, demo.record)
+            print_table(demo.record)
+            figures = summarize(demo, verdict)
+            for stale in verdict.stale[:5]:
+                print(f"stale: {stale}")
+            if arguments.logs:
+                for process in fleet.running.values():
+                    print(f"--- {process.name}\n{process.read_log()}")
+    except fleets.NotReady as error:
+        print(error, file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        return 130
+    is_clean = verdict.is_clean and not figures["keys_seen_by_endpoints"]
+    print(json.dumps(figures))
+    return 0 if is_clean else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/examples/local/traffic.py
@@ -0,0 +1,264 @@
+"""Traffic of all teams over roaming sessions, and what callers were told."""
+
+import asyncio
+import contextlib
+import enum
+import random
+import time
+import uuid
+
+import psycopg
+
+ATTEMPT_SECONDS = 12.0
+"""How long a caller waits for one answer."""
+
+ROAM_SHARE = 0.04
+"""Share of the statements after which a session moves to another proxy."""
+
+RETRY_SECONDS = 0.1
+"""Pause after a connection could not be opened."""
+
+REFUSALS = {"53400", "53300"}
+"""SQLSTATEs of refusals for a team's rate or queue."""
+
+SESSION_ROUTES = ("letters", "print", "archive")
+"""Routes whose reads must show the session's own writes."""
+
+READ = "SELECT n FROM letter WHERE session = %s ORDER BY n DESC LIMIT 1"
+WRITE = "INSERT INTO letter (id, session, n, team) VALUES (%s, %s, %s, %s)"
+
+
+class Told(enum.Enum):
+    """What a caller was told of a statement."""
+
+    ACKNOWLEDGED = "acknowledged"
+    NOT_RUN = "not run"
+    UNKNOWN = "unknown"
+
+
+class Write:
+    """One write as its caller saw it."""
+
+    __slots__ = ("id", "group", "told", "at")
+
+    def __init__(self, id: str, group: str, told: Told, at: float) -> None:
+        """Keep the parts."""
+        self.id = id
+        self.group = group
+        self.told = told
+        self.at = at
+
+
+class Tally:
+    """What one team asked and got.
+
+    :param wrongful: refusals for rate or queue; counted only while the team
+        stays within its rate.
+    """
+
+    __slots__ = ("asked", "served", "refused", "wrongful", "states")
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.asked = 0
+        self.served = 0
+        self.refused = 0
+        self.wrongful = 0
+        self.states: dict[str, int] = {}
+
+
+class Record:
+    """All that callers were told."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.writes: list[Write] = []
+        self.teams: dict[str, Tally] = {}
+        self.stale: list[str] = []
+        self.reads = 0
+        self.bursting: set[str] = set()
+        self.withdrawn: set[str] = set()
+
+    def count(self, team: str, sqlstate: str | None) -> None:
+        """Count one statement; ``sqlstate`` is None if it succeeded."""
+        if team in self.withdrawn:
+            return
+        tally = self.teams.setdefault(team, Tally())
+        tally.asked += 1
+        if sqlstate is None:
+            tally.served += 1
+            return
+        tally.states[sqlstate] = tally.states.get(sqlstate, 0) + 1
+        if sqlstate in REFUSALS:
+            tally.refused += 1
+            tally.wrongful += team not in self.bursting
+
+    @property
+    def statements(self) -> int:
+        """How many statements callers sent."""
+        return sum(tally.asked for tally in self.teams.values())
+
+
+class Caller:
+    """One session that roams between proxies.
+
+    :param fleet: the local fleet.
+    :param route: that it connects to.
+    :param group: of the route.
+    :param rate: statements a second that it asks for.
+    """
+
+    def __init__(
+        self,
+        fleet,
+        record: Record,
+        team: str,
+        route: str,
+        group: str,
+        rate: float,
+        seed: str,
+        write_share: float = 0.2,
+    ) -> None:
+        """Prepare the session."""
+        self.fleet = fleet
+        self.record = record
+        self.team = team
+        self.route = route
+        self.group = group
+        self.rate = rate
+        self.write_share = write_share
+        self.name = str(uuid.uuid5(uuid.NAMESPACE_OID, seed))
+        self._chance = random.Random(seed)
+        self._token = ""
+        self._n = 0
+        self._acknowledged = 0
+        self._seen = 0
+        self._connection: psycopg.AsyncConnection | None = None
+
+    async def run(self, deadline: float) -> None:
+        """Send statements until a time of the monotonic clock."""
+        next_at = time.monotonic() + self._chance.random() / self.rate
+        while time.monotonic() < deadline:
+            await asyncio.sleep(max(0.0, next_at - time.monotonic()))
+            next_at = max(next_at + 1 / self.rate, time.monotonic() - 1.0)
+            if self._connection is None and not await self._connect():
+                continue
+            await self._send()
+            if self._chance.random() < ROAM_SHARE:
+                await self._leave()
+        await self._leave()
+
+    async def _connect(self) -> bool:
+        """Connect to any proxy with the token; return whether it worked."""
+        proxy = self._chance.choice(list(self.fleet.proxies))
+        dsn = self.fleet.format_dsn(proxy, self.route, self.team)
+        options = f"-c sardinehold.session={self._token}" if self._token else ""
+        try:
+            self._connection = await asyncio.wait_for(
+                psycopg.AsyncConnection.connect(dsn, autocommit=True, options=options),
+                ATTEMPT_SECONDS,
+            )
+        except (psycopg.Error, TimeoutError):
+            await asyncio.sleep(RETRY_SECONDS)
+            return False
+        return True
+
+    async def _leave(self) -> None:
+        """Close the connection and keep the token."""
+        if self._connection is None:
+            return
+        connection, self._connection = self._connection, None
+        self._keep_token(connection)
+        with contextlib.suppress(psycopg.Error, TimeoutError):
+            await asyncio.wait_for(connection.close(), 1.0)
+
+    def _keep_token(self, connection: psycopg.AsyncConnection) -> None:
+        """Keep the token of the last answer."""
+        token = connection.info.parameter_status("sardinehold.session")
+        self._token = token or self._token
+
+    async def _send(self) -> None:
+        """Send one statement and note what came of it."""
+        if self._chance.random() < self.write_share:
+            await self._write()
+        else:
+            await self._read()
+        if self._connection is not None:
+            self._keep_token(self._connection)
+
+    async def _write(self) -> None:
+        """Insert a letter of a new id."""
+        self._n += 1
+        id = f"{self.name}/{self._n}"
+        sqlstate, told, _ = await self._execute(
+            WRITE, id, self.name, self._n, self.team
+        )
+        self.record.writes.append(Write(id, self.group, told, time.monotonic()))
+        if told is Told.ACKNOWLEDGED:
+            self._acknowledged = self._n
+        self.record.count(self.team, sqlstate)
+
+    async def _read(self) -> None:
+        """Read the newest letter of the own session and check that it is."""
+        sqlstate, told, rows = await self._execute(READ, self.name)
+        self.record.count(self.team, sqlstate)
+        if told is not Told.ACKNOWLEDGED:
+            return
+        self.record.reads += 1
+        found = rows[0][0] if rows else 0
+        if found < max(self._acknowledged, self._seen):
+            wanted = max(self._acknowledged, self._seen)
+            self.record.stale.append(f"{self.name}: {found} in place of {wanted}")
+        self._seen = max(self._seen, found)
+
+    async def _execute(self, query: str, *parameters):
+        """Run a statement.
+
+        :returns: SQLSTATE of the error or None, what was told, and the rows.
+        """
+        connection = self._connection
+        try:
+            async with asyncio.timeout(ATTEMPT_SECONDS):
+                cursor = await connection.execute(query, parameters)
+                rows = await cursor.fetchall() if cursor.description else []
+        except TimeoutError:
+            self._drop()
+            return "timeout", Told.UNKNOWN, []
+        except psycopg.Error as error:
+            if connection.closed:
+                self._drop()
+            return error.sqlstate or "lost", read_outcome(error), []
+        return None, Told.ACKNOWLEDGED, rows
+
+    def _drop(self) -> None:
+        """Give up a broken connection."""
+        connection, self._connection = self._connection, None
+        self._keep_token(connection)
+        connection.pgconn.finish()
+
+
+def read_outcome(error: psycopg.Error) -> Told:
+    """Return what an error says of the statement's effect.
+
+    Without a word of it the effect is unknown, as when the connection broke.
+    """
+    detail = error.diag.message_detail or ""
+    if "outcome: not run" in detail:
+        return Told.NOT_RUN
+    return Told.UNKNOWN
+
+
+def build_callers(fleet, record: Record, seed: int, load: float) -> list[Caller]:
+    """Return sessions of all teams, together at ``load`` times their rates."""
+    callers = []
+    routes = fleet.document["routes"]
+    for team, value in sorted(fleet.document["teams"].items()):
+        own = [name for name in SESSION_ROUTES if team in routes[name]["teams"]]
+        count = 3 if value["rate"] >= 80 else 2
+        for number in range(count):
+            route = own[number % len(own)]
+            rate = value["rate"] * load / count
+            group = routes[route]["group"]
+            name = f"{seed}/{team}/{number}"
+            callers.append(Caller(fleet, record, team, route, group, rate, name))
+    return callers
--- /dev/null
+++ b/examples/local/verdict.py
@@ -0,0 +1,99 @@
+"""Compares what endpoints hold with what callers were told.
+
+It trusts neither the proxies nor their counters: it reads the tables of the
+primary of each group, and the calls that each endpoint counted.
+"""
+
+import collections
+
+import traffic
+
+GAP_START_SECONDS = 0.5
+"""How long before a fault the gap without writes may have begun."""
+
+
+class Verdict:
+    """What the check found.
+
+    :param lost: acknowledged writes that no primary holds.
+    :param doubled: writes that are there more than once.
+    :param untrue: writes that are there although they were said not to run.
+    """
+
+    __slots__ = ("acknowledged", "lost", "doubled", "untrue", "unknown", "stale")
+
+    def __init__(self) -> None:
+        """Start with nothing found."""
+        self.acknowledged = 0
+        self.lost: list[str] = []
+        self.doubled: list[str] = []
+        self.untrue: list[str] = []
+        self.unknown = 0
+        self.stale: list[str] = []
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether nothing was lost, doubled, stale or untrue."""
+        return not (self.lost or self.doubled or self.untrue or self.stale)
+
+
+def judge(fleet, record: traffic.Record) -> Verdict:
+    """Return the verdict on all that callers were told."""
+    verdict = Verdict()
+    verdict.stale = list(record.stale)
+    held = {group: count_letters(fleet, group) for group in fleet.document["groups"]}
+    for write in record.writes:
+        count = held[write.group][write.id]
+        if count > 1:
+            verdict.doubled.append(write.id)
+        if write.told is traffic.Told.ACKNOWLEDGED:
+            verdict.acknowledged += 1
+            if count == 0:
+                verdict.lost.append(write.id)
+        elif write.told is traffic.Told.NOT_RUN:
+            if count:
+                verdict.untrue.append(write.id)
+        else:
+            verdict.unknown += 1
+    return verdict
+
+
+def count_letters(fleet, group: str) -> collections.Counter:
+    """Return how often each letter is in the tables of a group's primary."""
+    dump = fleet.read_dump(fleet.read_primary(group))
+    table = dump["tables"]["letter"]
+    place = table["columns"].index("id")
+    return collections.Counter(row[place] for row in table["rows"])
+
+
+def read_replica_share(fleet) -> float:
+    """Return the share of reads that replicas ran, by the endpoints' counts."""
+    on_replicas = on_primaries = 0
+    for control in fleet.controls.values():
+        counters = fleet.http.get(f"http://{control}/status").json()["counters"]
+        on_replicas += counters.get("reads_as_replica", 0)
+        on_primaries += counters.get("reads_as_primary", 0)
+    return on_replicas / max(1, on_replicas + on_primaries)
+
+
+def find_gap(record: traffic.Record, group: str, since: float, until: float) -> float:
+    """Return the longest time in seconds without an acknowledged write."""
+    start = since - GAP_START_SECONDS
+    times = sorted(
+        write.at
+        for write in record.writes
+        if write.group == group
+        and write.told is traffic.Told.ACKNOWLEDGED
+        and start <= write.at <= until
+    )
+    ends = [start, *times, until]
+    return max(later - earlier for earlier, later in zip(ends, ends[1:], strict=False))
+
+
+def count_keys_seen(fleet) -> int:
+    """Return how often an endpoint saw a caller's key."""
+    statuses = (
+        fleet.http.get(f"http://{control}/status").json()
+        for control in fleet.controls.values()
+    )
+    return sum(status["counters"].get("keys_seen", 0) for status in statuses)
--- /dev/null
+++ b/examples/roaming.py
@@ -0,0 +1,117 @@
+"""Shows a session that moves between proxies, a retry, and outcomes.
+
+Usage: ``python examples/roaming.py KEY [HOST:PORT ...]`` with the key of a team
+that ``make up`` prints; the proxies are those of ``make up`` by default.
+"""
+
+import sys
+import uuid
+
+import psycopg
+
+PROXIES = ["127.0.0.1:6431", "127.0.0.1:6432", "127.0.0.1:6433"]
+ATTEMPTS = 3
+SAFE_TO_RETRY = "outcome: not run"
+
+
+class Session:
+    """A session that keeps its token, and so its place, on any proxy.
+
+    :param key: the team's key.
+    :param route: name of the database to connect to.
+    """
+
+    def __init__(self, key: str, route: str) -> None:
+        """Start without a token."""
+        self.key = key
+        self.route = route
+        self.token = ""
+        self.connection: psycopg.Connection | None = None
+
+    def move_to(self, proxy: str) -> None:
+        """Go on with the session on another proxy."""
+        self.close()
+        host, port = proxy.split(":")
+        options = f"-c sardinehold.session={self.token}" if self.token else ""
+        self.connection = psycopg.connect(
+            host=host,
+            port=port,
+            dbname=self.route,
+            user="example",
+            password=self.key,
+            options=options,
+            autocommit=True,
+        )
+
+    def close(self) -> None:
+        """Keep the token and close the connection."""
+        if self.connection is not None:
+            self.keep_token()
+            self.connection.close()
+
+    def keep_token(self) -> None:
+        """Keep the token that came with the last answer."""
+        token = self.connection.info.parameter_status("sardinehold.session")
+        self.token = token or self.token
+
+    def execute(self, query: str, parameters: tuple = ()) -> psycopg.Cursor:
+        """Run a statement and keep the token of its answer."""
+        cursor = self.connection.execute(query, parameters)
+        self.keep_token()
+        return cursor
+
+    def execute_idempotent(self, query: str, parameters: tuple) -> psycopg.Cursor:
+        """Run a statement that may run twice with the same effect.
+
+        The comment allows the proxy to retry it; here it is retried as well
+        when the connection broke.
+        """
+        marked = f"{query} /*idempotency_key='{uuid.uuid4()}'*/"
+        for _ in range(ATTEMPTS - 1):
+            try:
+                return self.execute(marked, parameters)
+            except psycopg.OperationalError as error:
+                print(f"retrying: {error}; {read_outcome(error)}")
+        return self.execute(marked, parameters)
+
+
+def read_outcome(error: psycopg.Error) -> str:
+    """Return what the proxy says of a failed statement's effect."""
+    return error.diag.message_detail or "outcome: unknown"
+
+
+def main(arguments: list[str]) -> int:
+    """Run the example and return the exit code."""
+    if not arguments:
+        print(__doc__, file=sys.stderr)
+        return 2
+    proxies = arguments[1:] or PROXIES
+    session = Session(arguments[0], "letters")
+    letter = str(uuid.uuid4())
+
+    session.move_to(proxies[0])
+    session.execute("INSERT INTO letter (id, body) VALUES (%s, 'draft')", (letter,))
+    for proxy in proxies[1:]:
+        session.move_to(proxy)
+        row = session.execute("SELECT body FROM letter WHERE id = %s", (letter,))
+        print(f"{proxy} shows the session's own write: {row.fetchone()[0]}")
+
+    session.execute_idempotent(
+        "UPDATE letter SET body = %s WHERE id = %s", ("trimmed", letter)
+    )
+    row = session.execute("SELECT body FROM letter WHERE id = %s", (letter,))
+    print(f"after an idempotent update: {row.fetchone()[0]}")
+
+    try:
+        session.execute("COPY letter TO STDOUT")
+    except psycopg.Error as error:
+        outcome = read_outcome(error)
+        print(f"refused with {error.sqlstate}: {outcome}")
+        print(f"  safe to send again: {SAFE_TO_RETRY in outcome}")
+        print(f"  hint: {error.diag.message_hint}")
+    session.close()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/src/sardinehold_standins/plan.py
+++ b/src/sardinehold_standins/plan.py
@@ -62,6 +62,7 @@
     :param value: of SET.
     :param local: whether SET is LOCAL.
     :param locks: whether a read locks rows, as FOR UPDATE does.
+    :param reads_tables: whether it has a FROM clause, as probes do not.
     :param read_only: whether BEGIN starts a transaction that may only read.
     """
 
@@ -78,6 +79,7 @@
         "value",
         "local",
         "locks",
+        "reads_tables",
         "read_only",
     )
 
@@ -95,6 +97,7 @@
         self.value = ""
         self.local = False
         self.locks = False
+        self.reads_tables = False
         self.read_only = False
 
 
@@ -130,6 +133,7 @@
 }
 
 _FIRST = re.compile(r"[A-Za-z]+|\(")
+_FROM = re.compile(r"\bfrom\b", re.IGNORECASE)
 _RETURNING = re.compile(r"\breturning\b", re.IGNORECASE)
 _LOCKING = re.compile(
     r"\bfor\s+(?:no\s+key\s+)?(?:update|share)\b|\bpg_advisory", re.IGNORECASE
@@ -232,6 +236,7 @@
         if written:
             plan.kind, plan.tag = _WORDS[written.group(1).split()[0].lower()]
             plan.returns_rows = _RETURNING.search(text) is not None
+    plan.reads_tables = _FROM.search(text) is not None
     plan.locks = _LOCKING.search(text) is not None
     if "pg_sleep" in text:
         plan.sleeps = [
--- a/src/sardinehold_standins/running.py
+++ b/src/sardinehold_standins/running.py
@@ -223,6 +223,9 @@
     async def _read(self, plan: plans.Plan, parameters: list) -> answers.Result:
         """Run a query on what is committed, or inside the own transaction."""
         await self.occupy_slot(plan, parameters)
+        if plan.reads_tables:
+            role = "primary" if self.database.is_primary else "replica"
+            self.server.count(f"reads_as_{role}")
         if plan.locks and self.status == "T" and self.database.is_primary:
             await self.acquire_writer()
         self.database.committed.process = self.session.process
