--- a/tests/browser/programs.py
+++ b/tests/browser/programs.py
@@ -3,6 +3,7 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import sys
 
@@ -31,7 +32,11 @@
 
     def stop(self):
         self.process.send_signal(signal.SIGTERM)
-        return self.process.wait(15)
+        try:
+            return self.process.wait(15)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            raise
 
 
 class Programs:
@@ -77,3 +82,96 @@
 
     def stop(self):
         return self.console.stop(), self.platform.stop()
+
+
+def find_port():
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        return free.getsockname()[1]
+
+
+PROXY_INI = """\
+[vm]
+name = entry-{number}
+zone = {zone}
+[proxy]
+listen = 127.0.0.1:{port}
+peer_listen = 127.0.0.1:{peer_port}
+[platform]
+url = {platform}
+[timeline]
+path = {folder}/entry-{number}.events
+"""
+ZONES = ("dallas", "houston", "austin")
+
+
+class Fleet(Programs):
+    """The same with three proxies and one group of three endpoints."""
+
+    def __init__(self, folder):
+        super().__init__(folder)
+        self.folder = folder
+        self.started = []
+        self.ports = []
+        try:
+            self._start_group("letters-1")
+            for number, zone in enumerate(ZONES, 1):
+                self._start_proxy(number, zone)
+        except BaseException:
+            self.stop()
+            raise
+
+    def _start_group(self, group):
+        schema = self.folder / "schema.sql"
+        schema.write_text("CREATE TABLE letters (id INTEGER PRIMARY KEY, text TEXT);")
+        endpoints = {
+            f"{group}{letter}": {
+                "host": "127.0.0.1",
+                "port": find_port(),
+                "zone": zone,
+                "control": f"127.0.0.1:{find_port()}",
+            }
+            for letter, zone in zip("abc", ZONES, strict=True)
+        }
+        first = endpoints[f"{group}a"]["port"]
+        for name, part in endpoints.items():
+            follow = ["--follow", f"127.0.0.1:{first}"]
+            role = ["--primary", "--schema", str(schema)] if name[-1] == "a" else follow
+            address = f"127.0.0.1:{part['port']}"
+            self.started.append(
+                Program(
+                    "sardinehold_standins.cli",
+                    "database",
+                    *("--name", name, "--group", group, "--connections", "45"),
+                    *("--listen", address, "--control", part["control"]),
+                    *("--lag", "0.02:0.2", *role),
+                )
+            )
+            self.started[-1].read_url()
+        self._admin(f"groups/{group}", {"endpoints": endpoints})
+
+    def _start_proxy(self, number, zone):
+        port, peer_port = find_port(), find_port()
+        path = self.folder / f"entry-{number}.ini"
+        text = PROXY_INI.format(
+            number=number,
+            zone=zone,
+            port=port,
+            peer_port=peer_port,
+            platform=self.platform_url,
+            folder=self.folder,
+        )
+        path.write_text(text, encoding="utf-8")
+        value = {"zone": zone, "state": "live", "purpose": "proxy"}
+        self._admin(f"vms/entry-{number}", value)
+        proxy = Program("sardinehold.cli", "proxy", "--settings", str(path))
+        self.started.append(proxy)
+        self.ports.append(port)
+
+    def _admin(self, path, value):
+        with httpx.Client(trust_env=False) as client:
+            answer = client.put(f"{self.platform_url}/admin/{path}", json=value)
+        assert answer.status_code < 300, answer.text
+
+    def stop(self):
+        codes = [program.stop() for program in reversed(self.started)]
+        return (*super().stop(), *codes)
