Look at a reported primary from zones that do not use it

Relays of other zones now look for themselves when they hear of a report; isolation counts only if a node with held writes reports it.

--- a/src/sardinehold/core/agent.py
+++ b/src/sardinehold/core/agent.py
@@ -19,6 +19,7 @@
 from sardinehold.core import roles
 from sardinehold.core import status
 from sardinehold.core import supervisor
+from sardinehold.core import vantage
 
 SHORTEST_WAIT = 0.002
 """Seconds between two wake-ups at least."""
@@ -66,6 +67,7 @@
         "keepers",
         "demands",
         "status",
+        "vantage",
         "_answered",
         "_leave_by",
         "_stopped",
@@ -91,6 +93,7 @@
         }
         self.demands = allocation.Demands(self.node)
         self.status = status.StatusBoard(self.node, self.desk)
+        self.vantage = vantage.Vantage(self.node, self.desk, self.following)
         self._answered = False
         self._leave_by: float | None = None
         self._stopped = False
@@ -125,6 +128,7 @@
             self.joining.poll(now),
             self.demands.poll(now),
             self.status.poll(now),
+            self.vantage.poll(now),
             self._finish_stop(now),
         ]
         urgent = self._answered or self.desk.take_urgent()
--- /dev/null
+++ b/src/sardinehold/core/vantage.py
@@ -0,0 +1,149 @@
+"""Looks at suspected primaries from the zones that do not use them.
+
+One node's report may be about its own network, so a failover asks for reports
+from several zones. A group can be in use in one zone only; the relays of the
+other zones then look for themselves as soon as they hear of a report.
+"""
+
+from sardinehold.core import agent_actions
+from sardinehold.core import agent_events
+from sardinehold.core import candidates
+from sardinehold.core import desk as desks
+from sardinehold.core import failover
+from sardinehold.core import fleet_node as nodes
+from sardinehold.core import follow
+from sardinehold.core import messages
+
+CHECK_INTERVAL = 0.4
+"""Seconds between two looks at a primary that others report."""
+
+IDLE_INTERVAL = 1.0
+"""Seconds to the next look for reports when there are none."""
+
+
+class Check:
+    """What this node found out about one reported primary.
+
+    :param due: when to look again.
+    :param confirmed: highest offset that a replica had confirmed, None
+        before the first answer.
+    :param has_reported: whether this node's report comes from the check.
+    """
+
+    __slots__ = ("due", "is_asking", "confirmed", "has_reported")
+
+    def __init__(self) -> None:
+        """Start with a look that is due."""
+        self.due = 0.0
+        self.is_asking = False
+        self.confirmed: int | None = None
+        self.has_reported = False
+
+
+class Vantage:
+    """Adds this node's own report where others have reported a primary.
+
+    .. versionadded:: 0.1
+    """
+
+    __slots__ = ("node", "desk", "following", "checks")
+
+    def __init__(
+        self, node: nodes.Node, desk: desks.Desk, following: follow.Following
+    ) -> None:
+        """Start without checks."""
+        self.node = node
+        self.desk = desk
+        self.following = following
+        self.checks: dict[str, Check] = {}
+
+    def poll(self, now: float) -> float:
+        """Look at what is reported and due; return when to be polled again."""
+        reported = self._find_reported(now)
+        for name in self.checks.keys() - reported.keys():
+            self._clear(now, name, self.checks.pop(name))
+        due = now + IDLE_INTERVAL
+        for name, group in reported.items():
+            check = self.checks.setdefault(name, Check())
+            if not check.is_asking and now >= check.due:
+                self._ask(now, check, group, name)
+            due = min(due, max(check.due, now + CHECK_INTERVAL))
+        return due
+
+    def _find_reported(self, now: float) -> dict[str, str]:
+        """Return the groups of primaries that others report, by endpoint."""
+        view = self.node.view
+        if view is None or not self.following.is_relay():
+            return {}
+        reports = self.desk.count_reports(now)
+        if not reports:
+            return {}
+        return {
+            state.primary: state.name
+            for state in view.groups.values()
+            if state.primary in reports and self._may_check(state.primary)
+        }
+
+    def _may_check(self, name: str) -> bool:
+        """Return whether the engine of this node has not reported it itself."""
+        return name in self.checks or name not in self.node.reports
+
+    def _ask(self, now: float, check: Check, group: str, name: str) -> None:
+        check.is_asking = True
+        check.due = now + CHECK_INTERVAL
+        call_id = self.node.start_call(
+            lambda later, event: self._take(later, event, check, name)
+        )
+        deadline = now + failover.STATUS_TIMEOUT
+        self.node.emit(
+            agent_actions.QueryEndpoint(
+                call_id, group, name, failover.STATUS_SQL, deadline
+            )
+        )
+
+    def _take(
+        self, now: float, event: agent_events.AgentEvent, check: Check, name: str
+    ) -> None:
+        check.is_asking = False
+        if self.checks.get(name) is not check:
+            return
+        status = None
+        if isinstance(event, agent_events.EndpointAnswered):
+            status = candidates.parse_status(event.rows)
+        if status is None:
+            self._report(now, check, messages.EndpointReport(name, True, False))
+        elif self._is_isolated(check, status) and self._hears_isolated(now, name):
+            self._report(now, check, messages.EndpointReport(name, False, True))
+        else:
+            self._clear(now, name, check)
+
+    def _hears_isolated(self, now: float, name: str) -> bool:
+        """Return whether a node reports that writes there are not confirmed."""
+        counts = self.desk.count_reports(now).get(name, {})
+        return any(count.isolated for count in counts.values())
+
+    @staticmethod
+    def _is_isolated(check: Check, status: candidates.LogStatus) -> bool:
+        """Return whether no replica has moved since the look before."""
+        best = max(status.confirmed.values(), default=-1)
+        stood_still = check.confirmed == best
+        check.confirmed = best
+        return stood_still and best < status.received
+
+    def _report(
+        self, now: float, check: Check, report: messages.EndpointReport
+    ) -> None:
+        check.has_reported = True
+        self.node.reports[report.endpoint] = report
+        self._tell(now)
+
+    def _clear(self, now: float, name: str, check: Check) -> None:
+        if not check.has_reported:
+            return
+        check.has_reported = False
+        self.node.reports.pop(name, None)
+        self._tell(now)
+
+    def _tell(self, now: float) -> None:
+        self.following.hurry()
+        self.desk.hurry(now)
--- a/tests/builders_engine_world.py
+++ b/tests/builders_engine_world.py
@@ -3,10 +3,8 @@
 import heapq
 
 import builders_engine as builders
-
 from sardinehold import document
 from sardinehold import errors
-from sardinehold.core import actions
 from sardinehold.core import classify
 from sardinehold.core import engine as engines
 from sardinehold.core import events
--- a/tests/test_engine_random.py
+++ b/tests/test_engine_random.py
@@ -1,11 +1,9 @@
-import builders_engine as builders
-import builders_engine_world as worlds
 import hypothesis
-import pytest
 from hypothesis import stateful
 from hypothesis import strategies
 
-from sardinehold import errors
+import builders_engine as builders
+import builders_engine_world as worlds
 
 QUICK = hypothesis.settings(
     derandomize=True,
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -177,6 +177,16 @@
     assert world.read_group()["term"] == 1
 
 
+def test_primary_is_replaced_when_one_node_alone_uses_its_group():
+    world = make_busy_world(seed=6)
+    user = next(iter(world.nodes.values()))
+    for node in world.nodes.values():
+        if node is not user:
+            node.engine.probe = lambda: None
+    kill_primary(world)
+    assert world.run_until(lambda: has_new_primary(world), 3.0)
+
+
 def test_group_without_replica_stays_sealed_until_one_is_back():
     world = make_busy_world(seed=7)
     for endpoint in world.endpoints.values():
