--- /dev/null
+++ b/examples/local/chaos.py
@@ -0,0 +1,295 @@
+"""Random faults against a local fleet under traffic (``make chaos``).
+
+Kills, pauses and restarts proxies, cuts primaries off, silences connections,
+takes the platform down or slows it, and cuts one proxy off from the platform,
+at random from a seed. The demo's check follows; the last line is a JSON object
+of totals, and the exit code is 1 if anything was lost, doubled, untrue or
+stale.
+"""
+
+import argparse
+import asyncio
+import json
+import random
+import signal
+import sys
+import time
+
+import fleet as fleets
+import traffic
+import verdict as verdicts
+
+LOAD = 0.35
+"""Share of its rate that each team sends."""
+
+PAUSE_SECONDS = (0.5, 3.0)
+"""Between the end of a fault and the start of the next."""
+
+FAULT_SECONDS = (0.5, 6.0)
+"""How long a fault lasts."""
+
+SETTLE_SECONDS = 8.0
+"""Without faults at the end, before the check."""
+
+SECOND_FAULT_SHARE = 0.25
+"""Share of the faults that meet another one."""
+
+_FAULTS = {}
+"""Faults by name, each with its end; filled by :func:`fault`."""
+
+
+def fault(function):
+    """Register a fault: a coroutine that starts it, waits and ends it."""
+    _FAULTS[function.__name__] = function
+    return function
+
+
+class Chaos:
+    """One run.
+
+    :param fleet: the local fleet.
+    """
+
+    def __init__(self, fleet: fleets.Fleet, seed: int, seconds: float) -> None:
+        """Prepare the run."""
+        self.fleet = fleet
+        self.seed = seed
+        self.chance = random.Random(seed)
+        self.record = traffic.Record()
+        self.counts: dict[str, int] = {}
+        self.busy: set[str] = set()
+        self.started = time.monotonic()
+        self.faults_until = self.started + seconds
+
+    async def run(self) -> None:
+        """Run traffic and faults."""
+        deadline = self.faults_until + SETTLE_SECONDS
+        callers = traffic.build_callers(self.fleet, self.record, self.seed, LOAD)
+        running = [caller.run(deadline) for caller in callers]
+        await asyncio.gather(*running, self._inject(), self._report(deadline))
+
+    async def hold(self) -> None:
+        """Wait for as long as a fault lasts."""
+        left = self.faults_until - time.monotonic()
+        await asyncio.sleep(max(0.0, min(self.chance.uniform(*FAULT_SECONDS), left)))
+
+    def pick_proxy(self) -> str | None:
+        """Return a proxy while none has a fault, so that two go on serving."""
+        free = [name for name in sorted(self.fleet.proxies) if name not in self.busy]
+        return (
+            self.chance.choice(free) if len(free) == len(self.fleet.proxies) else None
+        )
+
+    async def pick_primary(self) -> str:
+        """Return the primary of a random group."""
+        group = self.chance.choice(sorted(self.fleet.document["groups"]))
+        return await asyncio.to_thread(self.fleet.read_primary, group)
+
+    def say(self, text: str) -> None:
+        """Print a progress line."""
+        print(f"{time.monotonic() - self.started:7.1f} s  {text}", flush=True)
+
+    async def _inject(self) -> None:
+        """Start faults one after the other, some of them two at once."""
+        while time.monotonic() < self.faults_until:
+            together = 2 if self.chance.random() < SECOND_FAULT_SHARE else 1
+            names = self.chance.sample(sorted(_FAULTS), together)
+            await asyncio.gather(*(self._run_fault(name) for name in names))
+            await asyncio.sleep(self.chance.uniform(*PAUSE_SECONDS))
+
+    async def _run_fault(self, name: str) -> None:
+        """Run one fault and count it."""
+        self.counts[name] = self.counts.get(name, 0) + 1
+        try:
+            await _FAULTS[name](self)
+        except Exception as error:
+            self.say(f"{name} could not be injected: {error!r}")
+            self.counts[f"{name}_failed"] = self.counts.get(f"{name}_failed", 0) + 1
+
+    async def _report(self, deadline: float) -> None:
+        """Print a line now and then."""
+        while time.monotonic() < deadline:
+            await asyncio.sleep(min(10.0, max(0.1, deadline - time.monotonic())))
+            served = sum(tally.served for tally in self.record.teams.values())
+            self.say(
+                f"{self.record.statements} statements, {served} served, "
+                f"{len(self.record.writes)} writes, {len(self.record.stale)} stale, "
+                f"faults {sum(self.counts.values())}"
+            )
+
+
+@fault
+async def kill_proxy(chaos: Chaos) -> None:
+    """Kill a proxy and start it again."""
+    name = chaos.pick_proxy()
+    if name is None:
+        return
+    chaos.busy.add(name)
+    chaos.say(f"kill {name}")
+    chaos.fleet.running[name].send(signal.SIGKILL)
+    await asyncio.to_thread(chaos.fleet.running[name].wait, 5.0)
+    await chaos.hold()
+    chaos.fleet.start_proxy(name)
+    await asyncio.sleep(2.0)
+    chaos.busy.discard(name)
+
+
+@fault
+async def pause_proxy(chaos: Chaos) -> None:
+    """Stop a proxy for a while, unaware of it."""
+    name = chaos.pick_proxy()
+    if name is None:
+        return
+    chaos.busy.add(name)
+    chaos.say(f"pause {name}")
+    chaos.fleet.running[name].send(signal.SIGSTOP)
+    await chaos.hold()
+    chaos.fleet.running[name].send(signal.SIGCONT)
+    chaos.busy.discard(name)
+
+
+@fault
+async def cut_off_primary(chaos: Chaos) -> None:
+    """Cut a primary off from its peers while clients still reach it."""
+    primary = await chaos.pick_primary()
+    chaos.say(f"cut off {primary}")
+    await asyncio.to_thread(chaos.fleet.change_faults, primary, cut_off=True)
+    await chaos.hold()
+    await asyncio.to_thread(chaos.fleet.change_faults, primary, cut_off=False)
+
+
+@fault
+async def kill_primary(chaos: Chaos) -> None:
+    """Let a primary die and come back with its data."""
+    primary = await chaos.pick_primary()
+    chaos.say(f"{primary} dies")
+    await asyncio.to_thread(chaos.fleet.change_faults, primary, dead=True)
+    await chaos.hold()
+    await asyncio.to_thread(chaos.fleet.change_faults, primary, dead=False)
+
+
+@fault
+async def silence_connections(chaos: Chaos) -> None:
+    """Let open connections to an endpoint go silent while new ones work."""
+    endpoint = chaos.chance.choice(sorted(chaos.fleet.controls))
+    chaos.say(f"silence connections to {endpoint}")
+    await asyncio.to_thread(chaos.fleet.silence, endpoint, chaos.chance.random())
+
+
+@fault
+async def lose_answers(chaos: Chaos) -> None:
+    """Lose answers after their commit."""
+    primary = await chaos.pick_primary()
+    chaos.say(f"{primary} loses answers")
+    how = chaos.chance.choice(["close", "silent"])
+    await asyncio.to_thread(
+        chaos.fleet.change_faults, primary, lose_answers=3, lose_how=how
+    )
+
+
+@fault
+async def answer_late(chaos: Chaos) -> None:
+    """Let an endpoint answer late."""
+    endpoint = chaos.chance.choice(sorted(chaos.fleet.controls))
+    late = chaos.chance.uniform(0.05, 1.0)
+    chaos.say(f"{endpoint} answers {late:.2f} s late")
+    change = chaos.fleet.change_faults
+    await asyncio.to_thread(change, endpoint, late=late, late_share=0.2)
+    await chaos.hold()
+    await asyncio.to_thread(change, endpoint, late=0.0)
+
+
+@fault
+async def lag_replica(chaos: Chaos) -> None:
+    """Let an endpoint fall behind."""
+    endpoint = chaos.chance.choice(sorted(chaos.fleet.controls))
+    chaos.say(f"{endpoint} lags")
+    change = chaos.fleet.change_faults
+    await asyncio.to_thread(change, endpoint, lag=[1.0, 4.0])
+    await chaos.hold()
+    await asyncio.to_thread(change, endpoint, lag=[0.02, 0.2])
+
+
+@fault
+async def take_platform_down(chaos: Chaos) -> None:
+    """Let the platform refuse all calls."""
+    chaos.say("platform down")
+    change = chaos.fleet.change_platform_faults
+    await asyncio.to_thread(change, down=True)
+    await chaos.hold()
+    await asyncio.to_thread(change, down=False)
+
+
+@fault
+async def slow_platform(chaos: Chaos) -> None:
+    """Let the platform take two seconds for an answer, and lose some."""
+    chaos.say("platform slow")
+    change = chaos.fleet.change_platform_faults
+    await asyncio.to_thread(change, slow=2.0, lose_answers=2)
+    await chaos.hold()
+    await asyncio.to_thread(change, slow=0.0, lose_answers=0)
+
+
+@fault
+async def cut_off_proxy(chaos: Chaos) -> None:
+    """Keep one proxy from the platform."""
+    name = chaos.chance.choice(sorted(chaos.fleet.proxies))
+    chaos.say(f"{name} cannot reach the platform")
+    change = chaos.fleet.change_platform_faults
+    await asyncio.to_thread(change, unreachable=[name])
+    await chaos.hold()
+    await asyncio.to_thread(change, unreachable=[])
+
+
+def summarize(chaos: Chaos, verdict: verdicts.Verdict) -> dict:
+    """Return the totals of the last line."""
+    tallies = chaos.record.teams.values()
+    return {
+        "seed": chaos.seed,
+        "minutes": round((chaos.faults_until - chaos.started) / 60, 2),
+        "faults": dict(sorted(chaos.counts.items())),
+        "statements": chaos.record.statements,
+        "served": sum(tally.served for tally in tallies),
+        "acknowledged_writes": verdict.acknowledged,
+        "unknown_writes": verdict.unknown,
+        "lost_writes": len(verdict.lost),
+        "doubled_writes": len(verdict.doubled),
+        "untrue_refusals": len(verdict.untrue),
+        "read_your_writes_violations": len(verdict.stale),
+        "wrongful_refusals": sum(tally.wrongful for tally in tallies),
+        "replica_read_share": round(verdicts.read_replica_share(chaos.fleet), 4),
+        "keys_seen_by_endpoints": verdicts.count_keys_seen(chaos.fleet),
+    }
+
+
+def main() -> int:
+    """Run the faults and return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--minutes", type=float, default=5.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--logs", action="store_true", help="print logs at the end")
+    arguments = parser.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    try:
+        with fleets.Fleet(free_ports=True, with_console=False) as fleet:
+            chaos = Chaos(fleet, arguments.seed, arguments.minutes * 60)
+            asyncio.run(chaos.run())
+            verdict = verdicts.judge(fleet, chaos.record)
+            totals = summarize(chaos, verdict)
+            for name in ("lost", "doubled", "untrue", "stale"):
+                for item in getattr(verdict, name)[:10]:
+                    print(f"{name}: {item}")
+            if arguments.logs:
+                for process in fleet.running.values():
+                    print(f"--- {process.name}\n{process.read_log()}")
+    except fleets.NotReady as error:
+        print(error, file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        return 130
+    print(json.dumps(totals))
+    return 0 if verdict.is_clean and not totals["keys_seen_by_endpoints"] else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
