--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -28,13 +28,17 @@
 
 
 @pytest.fixture(scope="module")
-def fleet():
+def launcher():
     sys.path.insert(0, str(ROOT / "examples" / "local"))
     try:
-        module = importlib.import_module("fleet")
+        return importlib.import_module("fleet")
     finally:
         sys.path.pop(0)
-    with module.Fleet(free_ports=True, lag="0:0", with_console=False) as running:
+
+
+@pytest.fixture(scope="module")
+def fleet(launcher):
+    with launcher.Fleet(free_ports=True, lag="0:0", with_console=False) as running:
         yield running
 
 
@@ -244,6 +248,22 @@
         assert "keys_seen" not in status["counters"]
 
 
+def test_launcher_stops_all_it_started_after_a_failure(launcher, monkeypatch):
+    fleet = launcher.Fleet(free_ports=True, with_console=False)
+    started = fleet.running
+    kept = []
+
+    def fail(name):
+        kept.extend(started.values())
+        raise RuntimeError(name)
+
+    monkeypatch.setattr(fleet, "start_proxy", fail)
+    with pytest.raises(RuntimeError), fleet:
+        pass
+    assert len(kept) == 10
+    assert not any(process.is_running for process in kept)
+
+
 @pytest.mark.parametrize(
     ("change", "words"),
     [
