--- a/src/sardinehold_standins/engine.py
+++ b/src/sardinehold_standins/engine.py
@@ -13,6 +13,7 @@
 import sqlite3
 
 from sardinehold_standins import sqltypes
+from sardinehold_standins import temporary
 from sardinehold_standins import wire
 
 LOG_ENTRIES = 20_000
@@ -64,10 +65,18 @@
     :param is_replica: what ``pg_is_in_recovery`` returns.
     """
 
-    __slots__ = ("connection", "process", "is_replica", "_moment", "_random")
-
-    def __init__(self) -> None:
-        """Start empty."""
+    __slots__ = (
+        "connection",
+        "process",
+        "is_replica",
+        "locks",
+        "_moment",
+        "_random",
+    )
+
+    def __init__(self, locks: temporary.Locks) -> None:
+        """Start empty, with the advisory locks of the endpoint."""
+        self.locks = locks
         self.process = 0
         self.is_replica = True
         self.connection = sqlite3.connect(
@@ -101,7 +110,9 @@
             ("version", 0, lambda: "PostgreSQL 16.0 (sardinehold stand-in)"),
             ("current_database", 0, lambda: "main"),
             ("current_schema", 0, lambda: "public"),
-            ("pg_advisory_unlock_all", 0, lambda: ""),
+            ("pg_try_advisory_lock", 1, self._try_lock),
+            ("pg_advisory_unlock", 1, self._unlock),
+            ("pg_advisory_unlock_all", 0, self._unlock_all),
             ("octet_length", 1, _count_octets),
         )
 
@@ -110,6 +121,19 @@
         moment = datetime.datetime.fromtimestamp(self._moment, datetime.UTC)
         return moment.isoformat(sep=" ").replace("+00:00", "+00")
 
+    def _try_lock(self, key: int) -> bool:
+        """Take an advisory lock for the session that reads."""
+        return self.locks.try_lock(key, self.process)
+
+    def _unlock(self, key: int) -> bool:
+        """Give an advisory lock back."""
+        return self.locks.unlock(key, self.process)
+
+    def _unlock_all(self) -> str:
+        """Give all advisory locks of the session back."""
+        self.locks.unlock_all(self.process)
+        return ""
+
     def _draw(self) -> float:
         """Return the next random number of the transaction."""
         generator = random.Random(self._random)
@@ -135,7 +159,8 @@
         self.log: collections.deque[Entry] = collections.deque()
         self.received = 0
         self.applied = 0
-        self.committed = Copy()
+        self.locks = temporary.Locks()
+        self.committed = Copy(self.locks)
         self.working: Copy | None = None
         self.schema: dict[str, dict[str, int]] = {}
         self.schema_version = 0
@@ -269,6 +294,8 @@
         connection = self.committed.connection
         tables = {}
         for table in sorted(self.schema):
+            if table.startswith(temporary.PREFIX):
+                continue
             cursor = connection.execute(f'SELECT * FROM "{table}" ORDER BY 1')
             columns = [column[0] for column in cursor.description]
             tables[table] = {"columns": columns, "rows": cursor.fetchall()}
@@ -311,7 +338,7 @@
 
     def _copy_committed(self) -> Copy:
         """Return a second copy of the committed data."""
-        copy = Copy()
+        copy = Copy(self.locks)
         self.committed.connection.backup(copy.connection)
         return copy
 
--- a/src/sardinehold_standins/inference.py
+++ b/src/sardinehold_standins/inference.py
@@ -19,7 +19,7 @@
 """Type OIDs by table and column."""
 
 _FOREIGN = re.compile(
-    r"::|\b(?:ilike|generate_series|cast|interval|any|similar|pg_is_in_recovery)\b"
+    r"::|\b(?:ilike|generate_series|cast|interval|any|similar|pg_is_in_recovery|pg_\w*advisory\w*)\b"
     r"|\bfor\s+(?:no\s+key\s+)?(?:update|share)\b|\be'",
     re.IGNORECASE,
 )
@@ -45,6 +45,8 @@
     "version": sqltypes.TEXT,
     "pg_backend_pid": sqltypes.INT4,
     "pg_is_in_recovery": sqltypes.BOOL,
+    "pg_try_advisory_lock": sqltypes.BOOL,
+    "pg_advisory_unlock": sqltypes.BOOL,
     "cluster_promote": sqltypes.INT8,
     "octet_length": sqltypes.INT4,
 }
@@ -54,6 +56,8 @@
     "repeat": (sqltypes.TEXT, sqltypes.INT4),
     "cluster_promote": (sqltypes.INT8,),
     "cluster_follow": (sqltypes.INT8, sqltypes.TEXT, sqltypes.INT4),
+    "pg_try_advisory_lock": (sqltypes.INT8,),
+    "pg_advisory_unlock": (sqltypes.INT8,),
     "generate_series": (sqltypes.INT8, sqltypes.INT8, sqltypes.INT8),
     "octet_length": (sqltypes.TEXT,),
 }
--- a/src/sardinehold_standins/plan.py
+++ b/src/sardinehold_standins/plan.py
@@ -135,9 +135,7 @@
 _FIRST = re.compile(r"[A-Za-z]+|\(")
 _FROM = re.compile(r"\bfrom\b", re.IGNORECASE)
 _RETURNING = re.compile(r"\breturning\b", re.IGNORECASE)
-_LOCKING = re.compile(
-    r"\bfor\s+(?:no\s+key\s+)?(?:update|share)\b|\bpg_advisory", re.IGNORECASE
-)
+_LOCKING = re.compile(r"\bfor\s+(?:no\s+key\s+)?(?:update|share)\b", re.IGNORECASE)
 _WITH_WRITE = re.compile(r"\b(insert\s+into|update\s+\w|delete\s+from)", re.IGNORECASE)
 _SLEEP = re.compile(r"pg_sleep\s*\(\s*(\$\d+|[\d.]+)", re.IGNORECASE)
 _CLUSTER = re.compile(r"\bcluster_(log_status|promote|follow)\b", re.IGNORECASE)
--- a/src/sardinehold_standins/running.py
+++ b/src/sardinehold_standins/running.py
@@ -8,6 +8,7 @@
 from sardinehold_standins import plan as plans
 from sardinehold_standins import splitting
 from sardinehold_standins import sqltypes
+from sardinehold_standins import temporary
 from sardinehold_standins import variables
 from sardinehold_standins import wire
 
@@ -50,6 +51,7 @@
         self.has_writer = False
         self.is_read_only = False
         self.savepoints: list[str] = []
+        self.temporary = temporary.Tables()
 
     async def run_query(self, text: str) -> None:
         """Answer a simple query."""
@@ -68,6 +70,7 @@
 
     def prepare(self, text: str, is_prepared: bool) -> plans.Plan:
         """Return the plan of a statement, from the cache if it is there."""
+        text = self.temporary.rewrite(text, self.session.process)
         plan = self.server.find_plan(text, is_prepared)
         if plan is None:
             plan = plans.build_plan(text, self.database.schema, is_prepared)
@@ -113,7 +116,8 @@
             self._commit()
 
     def abandon(self) -> None:
-        """Roll back because the session ends."""
+        """Roll back because the session ends, and give its locks back."""
+        self.database.locks.unlock_all(self.session.process)
         self._release_writer()
 
     async def occupy_slot(self, plan: plans.Plan, parameters: list) -> None:
@@ -337,6 +341,8 @@
             raise wire.Failure("25001", "DISCARD ALL cannot run in a transaction")
         if plan.kind is plans.Kind.DISCARD:
             self.variables.reset("all")
+            self.temporary.forget()
+            self.database.locks.unlock_all(self.session.process)
             self.session.extended.deallocate("all")
         else:
             self.session.extended.deallocate(plan.name)
--- a/src/sardinehold_standins/splitting.py
+++ b/src/sardinehold_standins/splitting.py
@@ -55,6 +55,21 @@
     return _TOKENS.sub(replace, text), highest
 
 
+def replace_outside_strings(text: str, pattern: re.Pattern, replace) -> str:
+    """Rewrite what matches a pattern, except in strings and comments.
+
+    :param replace: returns the text for a match.
+    """
+    parts = []
+    start = 0
+    for token in _TOKENS.finditer(text):
+        parts.append(pattern.sub(replace, text[start : token.start()]))
+        parts.append(token.group())
+        start = token.end()
+    parts.append(pattern.sub(replace, text[start:]))
+    return "".join(parts)
+
+
 def _is_statement(text: str) -> bool:
     """Return whether there is more than white space and comments."""
     return _COMMENT.match(text).end() < len(text)
--- /dev/null
+++ b/src/sardinehold_standins/temporary.py
@@ -0,0 +1,80 @@
+"""Temporary tables and advisory locks: state that belongs to one session.
+
+A temporary table is a table of a name that no other session can write: the
+session's number is part of it. It is replicated like any other, and left
+behind under that name when the session ends.
+"""
+
+import re
+
+from sardinehold_standins import splitting
+
+PREFIX = "pg_temp_"
+"""Beginning of the names under which temporary tables are kept."""
+
+_CREATE = re.compile(
+    r"(\s*create\s+)(?:temp|temporary)\s+(table\s+(?:if\s+not\s+exists\s+)?)\"?(\w+)",
+    re.IGNORECASE,
+)
+
+
+class Tables:
+    """The temporary tables of one session."""
+
+    __slots__ = ("_names", "_pattern")
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._names: dict[str, str] = {}
+        self._pattern: re.Pattern | None = None
+
+    def rewrite(self, text: str, process: int) -> str:
+        """Return a statement with the names under which the tables are kept.
+
+        :param process: number of the session.
+        """
+        created = _CREATE.match(text)
+        if created:
+            name = created.group(3).lower()
+            self._names[name] = f"{PREFIX}{process}_{name}"
+            words = "|".join(re.escape(known) for known in self._names)
+            self._pattern = re.compile(rf"\b(?:{words})\b", re.IGNORECASE)
+            text = _CREATE.sub(r"\1\2\3", text, count=1)
+        if self._pattern is None:
+            return text
+        return splitting.replace_outside_strings(text, self._pattern, self._rename)
+
+    def forget(self) -> None:
+        """Drop all names, as DISCARD does."""
+        self._names.clear()
+        self._pattern = None
+
+    def _rename(self, match: re.Match) -> str:
+        """Return the name under which a table is kept."""
+        return self._names[match.group().lower()]
+
+
+class Locks:
+    """Advisory locks of an endpoint by key."""
+
+    __slots__ = ("_holders",)
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._holders: dict[int, int] = {}
+
+    def try_lock(self, key: int, process: int) -> bool:
+        """Take a lock for a session; return whether it has it."""
+        return self._holders.setdefault(key, process) == process
+
+    def unlock(self, key: int, process: int) -> bool:
+        """Give a lock back; return whether the session had it."""
+        if self._holders.get(key) != process:
+            return False
+        del self._holders[key]
+        return True
+
+    def unlock_all(self, process: int) -> None:
+        """Give all locks of a session back."""
+        for key in [k for k, holder in self._holders.items() if holder == process]:
+            del self._holders[key]
--- a/tests/test_standin_protocol.py
+++ b/tests/test_standin_protocol.py
@@ -186,6 +186,37 @@
         assert connection.execute("SHOW application_name").fetchone() == ("",)
 
 
+def test_temporary_table_belongs_to_its_session(group):
+    with group.connect() as first, group.connect() as second:
+        first.execute("CREATE TEMP TABLE note (id int, text text)")
+        first.execute("INSERT INTO note VALUES (%s, 'note')", (1,))
+        assert first.execute("SELECT * FROM note").fetchall() == [(1, "note")]
+        with pytest.raises(psycopg.errors.UndefinedTable):
+            second.execute("SELECT * FROM note")
+        first.execute("DISCARD ALL")
+        with pytest.raises(psycopg.errors.UndefinedTable):
+            first.execute("SELECT * FROM note")
+    assert group.call(group.primary.database.dump).keys() == {"reading"}
+
+
+def test_advisory_lock_ends_with_its_session(group):
+    query = "SELECT pg_try_advisory_lock(7)"
+    with group.connect() as first, group.connect() as second:
+        assert first.execute(query).fetchone() == (True,)
+        assert second.execute(query).fetchone() == (False,)
+        first.close()
+        group.wait_until(lambda: len(group.primary.sessions) == 1)
+        assert second.execute(query).fetchone() == (True,)
+
+
+def test_latency_keeps_the_order(group):
+    group.primary.faults.change({"latency": 0.002})
+    with group.connect() as connection:
+        with connection.pipeline():
+            cursors = [connection.execute("SELECT %s::int", (i,)) for i in range(50)]
+        assert [cursor.fetchone()[0] for cursor in cursors] == list(range(50))
+
+
 def test_large_values_and_results(group):
     text = "é" * 1_000_000
     with group.connect() as connection:
--- a/tests/test_standin_replication.py
+++ b/tests/test_standin_replication.py
@@ -117,6 +117,17 @@
     assert [row[0] for row in read_all(group, 0)] == [3]
 
 
+def test_promotion_loses_what_was_still_under_way(group):
+    for replica in group.endpoints[1:]:
+        replica.faults.change({"receive_lag": 60.0})
+    with group.connect() as connection:
+        insert(connection, 1)
+    with group.connect(1) as connection:
+        promote = "SELECT cluster_promote(2)"
+        assert connection.execute(promote).fetchone() == (1,)
+    assert read_all(group, 1) == []
+
+
 def test_demotion_ends_sessions_that_write(group):
     host, port = group.endpoints[1].address
     with group.connect() as writer, group.connect(1) as promoted:
