Keep the platform's stand-in up when an endpoint is dead; take ports that stay free

The run now fails if a stand-in ends by itself. Ports of the range for outgoing connections could be taken while a killed proxy was down; free ones are now chosen below it.

--- a/examples/local/chaos.py
+++ b/examples/local/chaos.py
@@ -106,10 +106,17 @@
             self.say(f"{name} could not be injected: {error!r}")
             self.counts[f"{name}_failed"] = self.counts.get(f"{name}_failed", 0) + 1
 
+    def check_standins(self) -> None:
+        """Raise if a stand-in ended by itself, as the run proves nothing then."""
+        for name, process in self.fleet.running.items():
+            if name not in self.fleet.proxies and not process.is_running:
+                raise RuntimeError(f"{name} ended: {process.read_log()}")
+
     async def _report(self, deadline: float) -> None:
         """Print a line now and then."""
         while time.monotonic() < deadline:
             await asyncio.sleep(min(10.0, max(0.1, deadline - time.monotonic())))
+            self.check_standins()
             served = sum(tally.served for tally in self.record.teams.values())
             self.say(
                 f"{self.record.statements} statements, {served} served, "
--- a/examples/local/fleet.py
+++ b/examples/local/fleet.py
@@ -3,6 +3,7 @@
 import configparser
 import json
 import pathlib
+import random
 import socket
 import tempfile
 import time
@@ -18,6 +19,9 @@
 CONTROL_OFFSET = 100
 """What is added to an endpoint's port for its control port."""
 
+FREE_PORTS = range(18_000, 30_000)
+"""Ports of which free ones are taken."""
+
 READY_SECONDS = 20.0
 """How long the fleet may take to be ready."""
 
@@ -292,11 +296,17 @@
 
 
 def _find_free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    """Return ports that nothing listens on now.
+
+    They lie below the ports that systems give to outgoing connections, so that
+    none is taken while a process that had it is started again.
+    """
+    ports: list[int] = []
+    candidates = random.SystemRandom().sample(FREE_PORTS, len(FREE_PORTS))
+    for port in candidates:
+        if len(ports) == count:
+            break
+        with socket.socket() as probe:
+            if probe.connect_ex(("127.0.0.1", port)) != 0:
+                ports.append(port)
     return ports
--- a/src/sardinehold_standins/poller.py
+++ b/src/sardinehold_standins/poller.py
@@ -20,7 +20,7 @@
     async with httpx.AsyncClient(timeout=TIMEOUT_SECONDS, trust_env=False) as client:
         while True:
             for name, value in read_latest(store.groups).items():
-                await _refresh_group(client, store, name, value)
+                await refresh_group(client, store, name, value)
             await asyncio.sleep(period)
 
 
@@ -29,7 +29,7 @@
     return {entry.name: entry.value for entry in entries.read_latest() if entry.value}
 
 
-async def _refresh_group(
+async def refresh_group(
     client: httpx.AsyncClient, store: stores.Store, name: str, value: dict
 ) -> None:
     """Ask all endpoints of one group."""
@@ -51,6 +51,7 @@
         return {}
     try:
         response = await client.get(f"http://{control}/status")
+        response.raise_for_status()
         status = response.json()
     except (httpx.HTTPError, ValueError):
         return {}
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -8,6 +8,7 @@
 
 from sardinehold_standins import gate as gates
 from sardinehold_standins import platform
+from sardinehold_standins import poller
 from sardinehold_standins import service
 from sardinehold_standins import store as stores
 
@@ -15,6 +16,9 @@
 CREATE = {"If-None-Match": "*"}
 
 
+CONTROL = {"role": "primary", "term": 3, "received": 7}
+
+
 @contextlib.asynccontextmanager
 async def run_platform(**limits):
     store = stores.Store()
@@ -145,3 +149,25 @@
         assert (await client.get("/v1/vms")).json()["objects"] == []
 
     run_scenario(scenario)
+
+
+def test_dead_endpoint_keeps_what_was_last_known_of_it():
+    store = stores.Store()
+    answers = iter([httpx.Response(200, json=CONTROL), httpx.Response(503, json={})])
+
+    async def scenario():
+        transport = httpx.MockTransport(lambda request: next(answers))
+        async with httpx.AsyncClient(transport=transport) as client:
+            for _ in range(2):
+                for name, value in poller.read_latest(store.groups).items():
+                    await poller.refresh_group(client, store, name, value)
+
+    store.groups.put(0.0, "letters", {"endpoints": {"a1": {"control": "127.0.0.1:1"}}})
+    asyncio.run(scenario())
+    endpoint = poller.read_latest(store.groups)["letters"]["endpoints"]["a1"]
+    assert endpoint == {
+        "control": "127.0.0.1:1",
+        "role": "primary",
+        "term": 3,
+        "position": 7,
+    }
