--- a/tests/browser/browsers.py
+++ b/tests/browser/browsers.py
@@ -59,9 +59,16 @@
         answer = self._http.request(method, self._session + path, json=body)
         value = answer.json()["value"]
         if answer.status_code != 200:
-            raise AssertionError(f"{path}: {value['message'].splitlines()[0]}")
+            raise AssertionError(
+                f"{path}: {value['message'].splitlines()[0]}\n{self._read_page()}"
+            )
         return value
 
+    def _read_page(self):
+        body = {"script": "return document.body.innerText", "args": []}
+        answer = self._http.post(self._session + "/execute/sync", json=body)
+        return answer.json()["value"]
+
     def open(self, url):
         self._call("POST", "/url", {"url": url})
 
@@ -96,6 +103,16 @@
         self._call("POST", f"/element/{element}/clear", {})
         self._call("POST", f"/element/{element}/value", {"text": text})
 
+    def leave_by(self, selector):
+        """Click on what leads to another page, and wait until that is there."""
+        self.run("window.isLeft = true")
+        self.click(selector)
+        ready = "return !window.isLeft && document.readyState === 'complete'"
+        start = time.monotonic()
+        while not self.run(ready):
+            assert time.monotonic() - start < 20, self._read_page()
+            time.sleep(0.02)
+
     def press(self, keys):
         """Press keys wherever the focus is; ``\\ue004`` is Tab."""
         actions = [
--- a/tests/browser/fleet_browser.py
+++ b/tests/browser/fleet_browser.py
@@ -49,7 +49,7 @@
     for name, text in {"reason": "trying it out", **fields}.items():
         browser.type(f"[name={name}]", text)
     start = time.monotonic()
-    browser.click("button[value=save]")
+    browser.leave_by("button[value=save]")
     return start
 
 
@@ -91,7 +91,9 @@
 
 
 def wait_in_force(fleet, browser, accepted, times, name):
-    version = re.search(r"accepted=(\d+)", browser.read_url())[1]
+    found = re.search(r"accepted=(\d+)", browser.read_url())
+    assert found, browser.read_text()
+    version = found[1]
     browser.open(f"{fleet.url}/?accepted={version}")
     browser.wait_for("It is in force on 3 of 3 VMs", EFFECT_BOUND)
     times[name] = round(time.monotonic() - accepted, 2)
@@ -101,7 +103,7 @@
 def test_newcomer_goes_all_the_way(fleet, browser, times):
     browser.open(fleet.url)
     browser.type("#key", builders.BOOTSTRAP)
-    browser.click("main button")
+    browser.leave_by("main button")
     browser.run(f"document.querySelector('[name=content]').value = '{EMPTY}'")
     submit(browser)
     browser.open(f"{fleet.url}/groups")
@@ -153,13 +155,15 @@
     )
     assert not can_connect(fleet, key)
 
+
+def test_newcomer_hands_a_primary_over(fleet, browser, times):
     browser.open(f"{fleet.url}/groups/letters-1")
     assert browser.read(".figure") == "letters-1a"
     browser.follow("Hand the primary over")
     browser.click("option[value=letters-1b]")
     browser.type("[name=reason]", "new disk")
     asked = time.monotonic()
-    browser.click("main button")
+    browser.leave_by("main button")
 
     def has_moved():
         browser.open(f"{fleet.url}/groups/letters-1")
--- a/tests/browser/forms_browser.py
+++ b/tests/browser/forms_browser.py
@@ -80,7 +80,7 @@
 def sign_in(browser, running, key=builders.BOOTSTRAP):
     browser.open(f"{running.url}/sign-in")
     browser.type("#key", key)
-    browser.click("main button")
+    browser.leave_by("main button")
 
 
 def fill(browser, **fields):
@@ -89,7 +89,7 @@
 
 
 def submit(browser, intent="save"):
-    browser.click(f"button[value={intent}]")
+    browser.leave_by(f"button[value={intent}]")
 
 
 def test_first_operator_sets_the_platform_up(running, browser):
@@ -116,7 +116,7 @@
     assert re.fullmatch(r"shk_[0-9a-f]{8}_[0-9a-f]{64}", key)
     save(browser, "operator-key")
     browser.follow("I have copied it")
-    browser.click(".who button")
+    browser.leave_by(".who button")
     sign_in(browser, running, key)
     assert "ana" in browser.read(".who")
 
@@ -187,7 +187,7 @@
     save(browser, "handover")
     browser.click("option[value=letters-1b]")
     fill(browser, reason="new disk")
-    browser.click("main button")
+    browser.leave_by("main button")
     assert "under way" in browser.read_text()
     save(browser, "group")
 
