--- a/src/sardinehold/drawing.py
+++ b/src/sardinehold/drawing.py
@@ -14,8 +14,14 @@
 from sardinehold import timeline
 
 FORMATS = (".svg", ".png")
-LANE_HEIGHT = 0.42
-"""Inches."""
+LINE_HEIGHT = 0.2
+"""Inches of one line of labels; a lane has as many as its labels need."""
+
+CHARACTER_WIDTH = 0.065
+"""Inches that a character of a label takes at most."""
+
+MAX_LINES = 6
+"""Lines of labels in one lane; further labels are left out."""
 
 WIDTH = 12.0
 """Inches."""
@@ -57,6 +63,23 @@
         self.colour = colour
 
 
+class Lane:
+    """A row of the picture.
+
+    :param name: the process, group or role.
+    :param top: line on which it begins.
+    :param lines: how many lines of labels it has, and one for marks.
+    """
+
+    __slots__ = ("name", "top", "lines")
+
+    def __init__(self, name: str, top: int, lines: int) -> None:
+        """Keep the parts of the lane."""
+        self.name = name
+        self.top = top
+        self.lines = lines
+
+
 class Step:
     """What an event says of a lane: a span begins there, or the one open ends.
 
@@ -142,11 +165,6 @@
     return [Step(event.vm, "process", "stopping", "wait")]
 
 
-@rule("proxy_started", "process_started")
-def _begin_process(event: timeline.Event) -> list[Step]:
-    return [Step(event.vm, "process", "running")]
-
-
 @rule("proxy_stopped", "process_stopped")
 def _end_process(event: timeline.Event) -> list[Step]:
     return [Step(event.vm, "process"), Step(event.vm, "lease")]
@@ -201,66 +219,108 @@
             "No event is left to draw.", "Name other files or a wider selection."
         )
     spans = find_spans(events)
-    lanes = _list_lanes(events, spans)
+    start = events[0].wall
+    length = max((events[-1].wall - start) / 1e6, 0.001)
+    lines = place_labels(spans, start, length * CHARACTER_WIDTH / WIDTH)
+    lanes = _build_lanes(events, spans, lines)
+    total = sum(lane.lines for lane in lanes.values())
     drawing = figure.Figure(
-        figsize=(WIDTH, 1.2 + LANE_HEIGHT * len(lanes)), layout="constrained"
+        figsize=(WIDTH, 1.0 + LINE_HEIGHT * total), layout="constrained"
     )
     axes = drawing.add_subplot()
-    start = events[0].wall
-    _draw_spans(axes, spans, lanes, start)
+    _draw_spans(axes, spans, lanes, lines, start)
     _draw_marks(axes, events, lanes, start)
-    _finish_axes(axes, events, lanes)
+    _finish_axes(axes, lanes, length)
     _save(drawing, path)
 
 
-def _list_lanes(events: list[timeline.Event], spans: list[Span]) -> dict[str, int]:
-    """Return the row of each lane: processes first, then groups and roles."""
+def place_labels(spans: list[Span], start: int, width: float) -> dict[Span, int]:
+    """Return the line of each span's label, so that none covers another.
+
+    :param width: seconds that a character takes.
+    """
+    ends: dict[str, list[float]] = {}
+    lines = {}
+    for span in spans:
+        left = (span.start - start) / 1e6
+        taken = ends.setdefault(span.lane, [])
+        line = next((i for i, end in enumerate(taken) if end <= left), len(taken))
+        if line == MAX_LINES:
+            continue
+        taken[line : line + 1] = [left + (len(span.label) + 2) * width]
+        lines[span] = line
+    return lines
+
+
+def _build_lanes(
+    events: list[timeline.Event], spans: list[Span], lines: dict[Span, int]
+) -> dict[str, Lane]:
+    """Return the lanes: processes first, then groups and roles."""
     processes = sorted({event.vm for event in events})
     others = sorted({span.lane for span in spans} - set(processes))
-    return {lane: row for row, lane in enumerate([*processes, *others])}
+    lanes: dict[str, Lane] = {}
+    top = 0
+    for name in [*processes, *others]:
+        used = [lines[span] for span in spans if span.lane == name and span in lines]
+        marks = 1 if name in processes else 0
+        lanes[name] = Lane(name, top, max([*used, 0]) + 1 + marks)
+        top += lanes[name].lines
+    return lanes
 
 
 def _draw_spans(
-    axes: typing.Any, spans: list[Span], lanes: dict[str, int], start: int
+    axes: typing.Any,
+    spans: list[Span],
+    lanes: dict[str, Lane],
+    lines: dict[Span, int],
+    start: int,
 ) -> None:
     for span in spans:
         left = (span.start - start) / 1e6
-        length = (span.end - span.start) / 1e6
-        row = lanes[span.lane]
+        lane = lanes[span.lane]
         axes.barh(
-            row,
-            length,
+            lane.top + lane.lines / 2,
+            (span.end - span.start) / 1e6,
             left=left,
-            height=0.7,
+            height=lane.lines - 0.3,
             color=_COLOURS[span.colour],
             edgecolor="#8a96a6",
             linewidth=0.6,
         )
-        axes.text(left, row - 0.1, f" {span.label}", fontsize=7, clip_on=True)
+        if span in lines:
+            height = lane.top + lines[span] + 0.5
+            axes.text(left, height, f" {span.label}", fontsize=7, va="center")
 
 
 def _draw_marks(
     axes: typing.Any,
     events: list[timeline.Event],
-    lanes: dict[str, int],
+    lanes: dict[str, Lane],
     start: int,
 ) -> None:
     is_named = len(events) <= MAX_LABELS
     for event in events:
         second = (event.wall - start) / 1e6
-        row = lanes[event.vm]
-        axes.plot(second, row + 0.2, marker="|", markersize=9, color="#14539a")
+        lane = lanes[event.vm]
+        height = lane.top + lane.lines - 0.6
+        axes.plot(second, height, marker="|", markersize=8, color="#14539a")
         if is_named and event.kind not in RULES:
-            axes.text(second, row + 0.42, f" {event.kind}", fontsize=6, color="#14539a")
-
-
-def _finish_axes(
-    axes: typing.Any, events: list[timeline.Event], lanes: dict[str, int]
-) -> None:
-    length = max((events[-1].wall - events[0].wall) / 1e6, 0.001)
-    axes.set_xlim(-0.02 * length, 1.08 * length)
-    axes.set_ylim(len(lanes) - 0.4, -0.6)
-    axes.set_yticks(list(lanes.values()), list(lanes))
+            axes.text(
+                second,
+                height,
+                f" {event.kind}",
+                fontsize=6,
+                color="#14539a",
+                va="center",
+            )
+
+
+def _finish_axes(axes: typing.Any, lanes: dict[str, Lane], length: float) -> None:
+    total = sum(lane.lines for lane in lanes.values())
+    axes.set_xlim(-0.02 * length, 1.12 * length)
+    axes.set_ylim(total, 0)
+    middles = [lane.top + lane.lines / 2 for lane in lanes.values()]
+    axes.set_yticks(middles, list(lanes))
     axes.set_xlabel("seconds since the first event")
     axes.grid(axis="x", color="#d5dbe3", linewidth=0.6)
     axes.set_axisbelow(True)
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -178,6 +178,15 @@
     assert named["letters-1", "serving, term 5"] == (6_000_000, 7_000_000)
 
 
+def test_labels_of_one_lane_cover_no_other():
+    spans = [
+        drawing.Span("letters-1", "x" * length, start, start + 1)
+        for start, length in ((0, 10), (2_000_000, 3), (4_000_000, 1), (9_000_000, 1))
+    ]
+    lines = drawing.place_labels(spans, 0, 0.5)
+    assert [lines[span] for span in spans] == [0, 1, 2, 0]
+
+
 @pytest.mark.parametrize(("suffix", "magic"), [("svg", b"<?xml"), ("png", b"\x89PNG")])
 def test_picture_is_drawn(failover, tmp_path, suffix, magic):
     picture = tmp_path / f"failover.{suffix}"
