--- a/tests/test_console_process.py
+++ b/tests/test_console_process.py
@@ -4,10 +4,10 @@
 import ipaddress
 import os
 import signal
+import ssl
 import subprocess
 import sys
 
-import builders_document as builders
 import httpx
 import pytest
 from cryptography import x509
@@ -15,6 +15,8 @@
 from cryptography.hazmat.primitives import serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 
+import builders_document as builders
+
 
 def write_certificate(folder):
     """Write a certificate for 127.0.0.1 signed by itself; return the paths."""
@@ -49,7 +51,7 @@
     if scheme == "https":
         certificate, key = write_certificate(tmp_path)
         text += f"[console_tls]\ncertificate = {certificate}\nkey = {key}\n"
-        verify = httpx.create_ssl_context(verify=str(certificate))
+        verify = ssl.create_default_context(cafile=str(certificate))
     path = tmp_path / "console.ini"
     path.write_text(text + f"[timeline]\npath = {tmp_path}/events\n")
     process = subprocess.Popen(
