Show no form out of an operator's reach; replace audits of a deleted document

A form of another team's part was shown, filled with its values, to an operator who could not send it. Found on reading the code again; a test opens such forms.

--- a/src/sardinehold/console/audit.py
+++ b/src/sardinehold/console/audit.py
@@ -43,12 +43,19 @@
 async def archive_version(
     client: objects.ObjectClient, config: document.Document
 ) -> None:
-    """Make sure that the audit holds a version."""
+    """Make sure that the audit holds this very version.
+
+    An entry of the same number with another identity comes from a document that
+    was deleted in the platform since; it is replaced.
+    """
     value = {"document": document.dump_document(config)}
+    name = str(config.version)
     try:
-        await client.create(KIND, str(config.version), value)
+        await client.create(KIND, name, value)
     except errors.VersionConflict:
-        return
+        found = await client.get(KIND, name)
+        if found.value["document"].get("change_id") != config.change_id:
+            await client.update(KIND, name, value, found.version)
 
 
 async def prune_versions(client: objects.ObjectClient, newest: int) -> None:
--- a/src/sardinehold/console/form_pages.py
+++ b/src/sardinehold/console/form_pages.py
@@ -29,8 +29,9 @@
 @pages.page("/edits/{name}")
 async def show_edit(visit: context.Visit) -> responses.Response:
     """Show the form of an edit, filled with what is in force."""
-    edit = _find_edit(visit)
+    edit = edits.find_edit(visit.request.path_params["name"])
     given = dict(visit.request.query_params)
+    work.require_reach(visit, edit, given.get("team", ""))
     if edit.name == "group.create" and "group" in given:
         offered = await fleets.list_platform_groups(visit.console.store.client)
         endpoints = offered.get(given["group"], {})
@@ -39,16 +40,6 @@
     return _render_edit(visit, edit, values, "")
 
 
-def _find_edit(visit: context.Visit) -> edits.Edit:
-    edit = edits.find_edit(visit.request.path_params["name"])
-    if not visit.principal.may_change:
-        raise operators.Forbidden(
-            f"{visit.principal.name} has role view and may not change anything.",
-            "Ask an operator with role operate.",
-        )
-    return edit
-
-
 def _render_edit(
     visit: context.Visit,
     edit: edits.Edit,
@@ -85,10 +76,11 @@
 @pages.page("/edits/{name}", "POST")
 async def submit_edit(visit: context.Visit) -> responses.Response:
     """Try or make an edit."""
-    edit = _find_edit(visit)
+    edit = edits.find_edit(visit.request.path_params["name"])
     form = await security.read_form(visit.request)
     visit.session.require_csrf(form.get("csrf", [""])[0])
     values = forms.read_fields(edit, form)
+    work.require_reach(visit, edit, str(values.get("team", "")))
     reason = form.get("reason", [""])[0].strip()
     try:
         result = await _submit(visit, edit, values, reason, form)
--- a/src/sardinehold/console/store.py
+++ b/src/sardinehold/console/store.py
@@ -196,7 +196,7 @@
             try:
                 await audit.archive_version(self.client, config)
                 return
-            except errors.PlatformUnavailable:
+            except (errors.PlatformUnavailable, errors.VersionConflict):
                 continue
         raise errors.PlatformUnavailable(
             "The platform does not answer; nothing was changed.",
--- a/src/sardinehold/console/work.py
+++ b/src/sardinehold/console/work.py
@@ -2,6 +2,7 @@
 
 from sardinehold import document
 from sardinehold import errors
+from sardinehold import operators
 from sardinehold.console import audit
 from sardinehold.console import context
 from sardinehold.console import document_edits
@@ -36,6 +37,7 @@
 
     :raises sardinehold.errors.SardineholdError: why it cannot be made.
     """
+    require_reach(visit, edit, str(fields.get("team", "")))
     fields = await _load_content(visit, edit, fields)
     drafts: list[edits.Draft] = []
 
@@ -57,6 +59,26 @@
     return Result(proposal, drafts[0].secret)
 
 
+def require_reach(visit: context.Visit, edit: edits.Edit, team: str) -> None:
+    """Raise :class:`sardinehold.operators.Forbidden` for an edit out of reach.
+
+    The permission to change is judged by the difference that an edit makes. This
+    comes before, so that neither a form nor a fault shows what others have.
+    """
+    principal = visit.principal
+    if not principal.may_change:
+        raise operators.Forbidden(
+            f"{principal.name} has role view and may not change anything.",
+            "Ask an operator with role operate.",
+        )
+    if not principal.sees_all and not edit.name.startswith("key."):
+        raise operators.Forbidden(
+            f"{principal.name} manages the keys of team {principal.team} only.",
+            "Ask an operator for all teams.",
+        )
+    visit.require_sight(f"teams.{team}")
+
+
 async def _load_content(visit: context.Visit, edit: edits.Edit, fields: dict) -> dict:
     if edit.name != "document.restore":
         return fields
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -276,6 +276,13 @@
     assert writes.index((audit.KIND, "1")) < writes.index(("document", "current"))
 
 
+def test_audit_of_a_deleted_document_is_replaced(bench):
+    stale = builders.build_value(change_id="of another life", reason="stale")
+    bench.platform.put(audit.KIND, "1", {"document": stale})
+    assert change_rate(bench).status_code == 200
+    assert bench.call("GET", "/history/1").json()["reason"] == "first"
+
+
 def test_old_versions_are_pruned(bench, monkeypatch):
     monkeypatch.setattr(audit, "KEPT_VERSIONS", 2)
     for version in (1, 2, 3):
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -248,6 +248,24 @@
     assert bench.platform.writes == []
 
 
+@pytest.mark.parametrize("name", ["vic", "dee"])
+@pytest.mark.parametrize(
+    "query",
+    [
+        "team.change?team=print",
+        "key.create?team=print",
+        "operator.change?operator=ana",
+        "group.change?group=letters-1",
+        "route.create",
+        "document.replace",
+    ],
+)
+def test_form_out_of_reach_is_not_shown(bench, name, query):
+    answer = bench.sign_in(name).get(f"/edits/{query}")
+    assert answer.status_code == 403
+    assert "letters-1a" not in answer.text
+
+
 def test_team_operator_manages_and_sees_own_team_only(bench):
     client = bench.sign_in("dee")
     assert client.get("/").headers["location"] == "/teams/desk"
