--- a/src/sardinehold/core/invariants.py
+++ b/src/sardinehold/core/invariants.py
@@ -17,15 +17,17 @@
     """One named check.
 
     :param promise: the promise of the system, in one sentence.
+    :param module: where the check stands.
     :param checked: how often it was checked in this process.
     """
 
-    __slots__ = ("name", "promise", "checked")
+    __slots__ = ("name", "promise", "module", "checked")
 
-    def __init__(self, name: str, promise: str) -> None:
+    def __init__(self, name: str, promise: str, module: str = "") -> None:
         """Start with nothing checked."""
         self.name = name
         self.promise = promise
+        self.module = module
         self.checked = 0
 
 
@@ -83,7 +85,7 @@
         name = check.__name__
         if name in REGISTRY:
             raise ValueError(f"Two invariants are named {name}.")
-        entry = Invariant(name, promise)
+        entry = Invariant(name, promise, check.__module__)
         REGISTRY[name] = entry
 
         parameters = len(inspect.signature(check).parameters)
--- a/tests/builders_engine_world.py
+++ b/tests/builders_engine_world.py
@@ -3,10 +3,8 @@
 import heapq
 
 import builders_engine as builders
-
 from sardinehold import document
 from sardinehold import errors
-from sardinehold.core import actions
 from sardinehold.core import classify
 from sardinehold.core import engine as engines
 from sardinehold.core import events
@@ -99,6 +97,7 @@
         self.durability = durability or document.Durability.REPLICA
         self.view = self.build_view()
         self.sealed = False
+        self.is_broken = False
         self.proxies = [Proxy(i + 1, policies) for i in range(proxies)]
         self.counts = {}
         self.renew()
@@ -275,7 +274,12 @@
     # Events and actions.
 
     def send(self, proxy, event):
-        for action in proxy.engine.handle(self.now, event):
+        if self.is_broken:
+            return
+        self.is_broken = True
+        out = proxy.engine.handle(self.now, event)
+        self.is_broken = False
+        for action in out:
             handler = getattr(self, f"on_{type(action).__name__}", None)
             if handler is not None:
                 handler(proxy, action)
--- a/tests/test_engine_random.py
+++ b/tests/test_engine_random.py
@@ -1,18 +1,41 @@
-import builders_engine as builders
-import builders_engine_world as worlds
+import collections
+
 import hypothesis
 import pytest
 from hypothesis import stateful
 from hypothesis import strategies
 
+import builders_engine as builders
+import builders_engine_world as worlds
 from sardinehold import errors
+from sardinehold.core import answers
+from sardinehold.core import balance as balances
+from sardinehold.core import closing
+from sardinehold.core import dispatch
+from sardinehold.core import durability
+from sardinehold.core import engine as engines
+from sardinehold.core import events
+from sardinehold.core import groups
+from sardinehold.core import handlers
+from sardinehold.core import invariants
+from sardinehold.core import leases
+from sardinehold.core import losses
+from sardinehold.core import opening
+from sardinehold.core import pool
+from sardinehold.core import request as requests
+from sardinehold.core import routing
+from sardinehold.core import shutdown
+from sardinehold.core import transaction
+from sardinehold.core import updates
 
+TOTALS = collections.Counter()
 QUICK = hypothesis.settings(
     derandomize=True,
     deadline=None,
     max_examples=150,
     stateful_step_count=60,
     phases=[hypothesis.Phase.generate],
+    report_multiple_bugs=False,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
 
@@ -48,7 +71,11 @@
     )
     def ask(self, plan):
         for number, kind, delay in plan:
-            self.world.ask(self.pick(number), kind)
+            TOTALS["statements"] += 1
+            client = self.pick(number)
+            if client.in_transaction and kind in ("begin", "keyed"):
+                kind = "commit"
+            self.world.ask(client, kind)
             self.world.advance(delay / 1000)
 
     @stateful.rule(number=strategies.integers(0, 9), place=strategies.integers(0, 1))
@@ -112,17 +139,160 @@
 
     def teardown(self):
         world = getattr(self, "world", None)
-        if world is None:
+        if world is None or world.is_broken:
             return
         for endpoint in world.endpoints.values():
             endpoint.alive = True
         world.advance(5.0)
+        TOTALS.update(world.counts)
         world.check_end()
 
 
-def run(settings=QUICK):
+def run(examples):
+    """Run the machine anew; return what was counted."""
+    TOTALS.clear()
+    settings = hypothesis.settings(QUICK, max_examples=examples)
     stateful.run_state_machine_as_test(Machine, settings=settings)
+    return TOTALS
 
 
 def test_promises_hold_in_random_runs():
-    run()
+    before = invariants.count_checks()
+    totals = run(150)
+    for kind in ("read", "write", "begin", "commit"):
+        assert totals[f"acknowledged_{kind}"] > 30, totals
+    for name in ("promotions", "refused_OutcomeUnknown", "refused_LeaseLapsed"):
+        assert totals[name] > 0, totals
+    after = invariants.count_checks()
+    for name in ("read_not_behind_floor", "write_acknowledged_under_current_term"):
+        assert after[name] > before[name]
+
+
+def take_first_replica(node, request):
+    return next(iter(request.group.replicas), None)
+
+
+def release_always(node, session, connection, status):
+    session.status = status
+    session.connection = None
+    pool.release(node, connection)
+
+
+def authenticate_anyone(node, route, key):
+    return node.find_team("web")
+
+
+def count_twice(self, tokens, deadline):
+    self.tokens += 2 * tokens
+    self.granted_total += tokens
+    self._grants.append(balances.Grant(deadline, 2 * tokens))
+
+
+def claim_not_run(node, request, error, fatal=False, refuse=requests.refuse):
+    error.outcome = errors.Outcome.NOT_RUN
+    request.sends = 0
+    refuse(node, request, error, fatal)
+
+
+def cross_answers(node, event):
+    mine = node.requests.get(event.request_id)
+    for other in node.requests.values():
+        if mine and other.state == "sent" and other is not mine:
+            mine.session, other.session = other.session, mine.session
+            break
+    answers.take_answer(node, event)
+
+
+def open_more(node, endpoint):
+    if endpoint.opening < 2 and len(endpoint.idle) < 3:
+        pool._open(node, endpoint)
+
+
+def take_any_primary(node, group):
+    return group.primary is not None
+
+
+def ignore(*arguments):
+    return None
+
+
+def accept(*arguments):
+    return True
+
+
+MUTATIONS = {
+    "read_not_behind_floor": (routing.CHOICES, "sticky", take_first_replica),
+    "write_acknowledged_under_current_term": (durability, "may_acknowledge", accept),
+    "write_acknowledged_when_durable": (durability, "is_durable", accept),
+    "connection_not_shared_by_transactions": (
+        transaction,
+        "note_status",
+        release_always,
+    ),
+    "request_team_matches_key": (opening, "_authenticate", authenticate_anyone),
+    "key_in_force_when_sent": (closing, "revalidate", ignore),
+    "tokens_never_negative": (balances.Balance, "grant", count_twice),
+    "tokens_not_spent_past_deadline": (balances.Balance, "drop_expired", ignore),
+    "not_run_never_sent": (requests, "refuse", claim_not_run),
+    "at_most_once_sent": (losses, "may_retry", accept),
+    "leaving_endpoint_gets_no_new_work": (groups, "takes_writes", take_any_primary),
+    "view_never_reverts": (updates, "_is_newer", accept),
+    "sent_within_deadline": (leases, "may_send", accept),
+    "connections_within_share": (pool, "ensure_open", open_more),
+    "answer_belongs_to_session": (
+        handlers.REGISTRY,
+        events.RequestAnswered,
+        cross_answers,
+    ),
+}
+"""Broken mechanisms by the invariant that stands for their promise."""
+
+NODE_MODULES = {part.__name__ for part in engines.PARTS} | {
+    f"sardinehold.core.{name}"
+    for name in ("balance", "dispatch", "durability", "request")
+}
+"""Modules in which the invariants of one node stand."""
+
+DIRECTED = {"no_key_towards_endpoint", "stop_cuts_nothing_early"}
+"""Invariants whose mutations have a directed test below."""
+
+
+@pytest.mark.parametrize("name", sorted(MUTATIONS))
+def test_random_run_finds_a_broken_mechanism(name, monkeypatch):
+    owner, attribute, mutant = MUTATIONS[name]
+    if isinstance(owner, dict):
+        monkeypatch.setitem(owner, attribute, mutant)
+    else:
+        monkeypatch.setattr(owner, attribute, mutant)
+    with pytest.raises((errors.InvariantViolation, AssertionError)):
+        run(150)
+    print(f"{name}: found after {TOTALS['statements']} statements")
+
+
+def test_every_invariant_of_the_node_has_a_mutation():
+    here = {
+        name
+        for name, entry in invariants.REGISTRY.items()
+        if entry.module in NODE_MODULES
+    }
+    assert here <= set(MUTATIONS) | DIRECTED
+
+
+def test_key_in_a_setting_is_found_before_it_is_sent(monkeypatch):
+    def leak(old, new):
+        return (f"SET a TO '{builders.KEYS['desk'].text}'",)
+
+    monkeypatch.setattr(dispatch, "make_setup", leak)
+    driver = builders.Driver(builders.make_view())
+    session = driver.open()
+    driver.answer(driver.ask(session, "set search_path to a"))
+    with pytest.raises(errors.InvariantViolation, match="no_key_towards_endpoint"):
+        driver.ask(driver.open(), "select 1")
+
+
+def test_stop_that_cuts_early_is_found():
+    driver = builders.Driver(builders.make_view())
+    driver.ask(driver.open(), "select 1")
+    driver.node.drain_deadline = 10.0
+    with pytest.raises(errors.InvariantViolation, match="stop_cuts_nothing_early"):
+        shutdown._finish(driver.node, 1)
