Compare policies in virtual time; measure a statement's cost without load

The concurrency limit compared a statement with an average that grew with the queue itself, so it never fell; it now compares with the unloaded cost.

--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,391 @@
+"""Policies of one node side by side, in virtual time.
+
+Run with ``python bench/policies.py``. Each row is one run of the real engine
+before three endpoints with a fixed seed; the last line is JSON. The baselines
+are the policies named first: every such read to the primary, a replica by
+chance, first come first served, an even split of connections, no limit.
+"""
+
+import argparse
+import collections
+import heapq
+import json
+import random
+
+import worlds
+from sardinehold import document
+from sardinehold.core import actions
+from sardinehold.core import classify
+from sardinehold.core import engine as engines
+from sardinehold.core import events
+from sardinehold.core import node as nodes
+from sardinehold.core import positions
+
+SECONDS = 20.0
+"""Virtual seconds of a run."""
+
+LAGS = (0.02, 0.2)
+"""Seconds between which the lag of a replica changes every second."""
+
+NETWORK = 0.001
+"""Seconds one way between the node and an endpoint."""
+
+SERVICE = 0.005
+"""Seconds that a statement takes on an endpoint on average."""
+
+READ = classify.classify("select * from letters where id = 1")
+WRITE = classify.classify("insert into letters values (1)")
+
+
+class Endpoint:
+    """An endpoint with slots, and a lag behind the primary's log."""
+
+    def __init__(self, name: str, slots: int) -> None:
+        """Start idle."""
+        self.name = name
+        self.free = slots
+        self.waiting: collections.deque = collections.deque()
+        self.lag = 0.1
+        self.slowdown = 1.0
+
+
+class Bench:
+    """The real engine of one node with fakes around it."""
+
+    def __init__(self, policies: nodes.Policies, view: object, seed: int) -> None:
+        """Start an engine with a view and a lease."""
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.queue: list = []
+        self.sequence = 0
+        self.engine = engines.Engine(seed, 0.0, "zone-0", policies)
+        group = view.document.groups["group-0"]
+        self.endpoints = {
+            endpoint.name: Endpoint(endpoint.name, group.slots)
+            for endpoint in group.endpoints
+        }
+        self.primary = group.endpoints[0].name
+        self.log_times = [0.0]
+        self.arrived: dict[int, tuple[int, str, bool, float]] = {}
+        self.busy: set[int] = set()
+        self.waits = collections.defaultdict(list)
+        self.totals = collections.defaultdict(list)
+        self.offered: collections.Counter = collections.Counter()
+        self.served: collections.Counter = collections.Counter()
+        self.places: collections.Counter = collections.Counter()
+        self.rates: dict[str, float] = {}
+        self.bucket: dict[str, tuple[float, float]] = {}
+        self.max_grant = 0
+        self.request_id = 0
+        self.send(events.ViewChanged(view))
+        self.send(events.LeaseRenewed(worlds.FAR, worlds.FAR))
+        self.change_lags()
+
+    def at(self, delay: float, function: object, *arguments: object) -> None:
+        """Call a function later."""
+        self.sequence += 1
+        entry = (self.now + delay, self.sequence, function, arguments)
+        heapq.heappush(self.queue, entry)
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        end = self.now + seconds
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, function, arguments = heapq.heappop(self.queue)
+            function(*arguments)
+        self.now = end
+
+    def change_lags(self) -> None:
+        """Give each replica another lag every second."""
+        for endpoint in self.endpoints.values():
+            endpoint.lag = self.random.uniform(*LAGS)
+        self.at(1.0, self.change_lags)
+
+    def send(self, event: events.Event) -> None:
+        """Handle an event and do what comes out."""
+        for action in self.engine.handle(self.now, event):
+            handler = _FOLLOWERS.get(type(action))
+            if handler is not None:
+                handler(self, action)
+
+    def find_applied(self, endpoint: Endpoint) -> int:
+        """Return the offset that readers of an endpoint see."""
+        if endpoint.name == self.primary:
+            return len(self.log_times) - 1
+        limit = self.now - endpoint.lag
+        offset = len(self.log_times) - 1
+        while offset and self.log_times[offset] > limit:
+            offset -= 1
+        return offset
+
+    def arrive(self, session_id: int, owner: str, is_read: bool, key: object) -> None:
+        """Send a statement unless the session still waits for one."""
+        self.offered[key] += 1
+        if session_id in self.busy:
+            return
+        self.request_id += 1
+        self.busy.add(session_id)
+        self.arrived[self.request_id] = (session_id, key, is_read, self.now)
+        traits = READ if is_read else WRITE
+        self.send(events.RequestArrived(self.request_id, session_id, traits))
+
+    def dispatch(self, action: actions.Dispatch) -> None:
+        """Take a statement to its endpoint."""
+        _, key, is_read, arrived = self.arrived[action.request_id]
+        self.waits[key].append(self.now - arrived)
+        if is_read:
+            self.places[
+                "primary" if action.endpoint == self.primary else "replica"
+            ] += 1
+        self.at(NETWORK, self.enter, self.endpoints[action.endpoint], action)
+
+    def enter(self, endpoint: Endpoint, action: actions.Dispatch) -> None:
+        """Run a statement, or let it wait for a slot of the endpoint."""
+        if not endpoint.free:
+            endpoint.waiting.append(action)
+            return
+        endpoint.free -= 1
+        seconds = self.random.expovariate(1 / SERVICE) * endpoint.slowdown
+        self.at(seconds, self.leave, endpoint, action)
+
+    def leave(self, endpoint: Endpoint, action: actions.Dispatch) -> None:
+        """Answer a statement and start the next."""
+        endpoint.free += 1
+        position = None
+        if action.want_position:
+            self.log_times.append(self.now)
+            position = positions.Position(1, len(self.log_times) - 1)
+        event = events.RequestAnswered(
+            action.request_id, action.connection_id, "I", "", position
+        )
+        self.at(NETWORK, self.send, event)
+        if endpoint.waiting:
+            self.enter(endpoint, endpoint.waiting.popleft())
+
+    def end(self, action: actions.Acknowledge) -> None:
+        """Count an answer."""
+        session_id, key, _, arrived = self.arrived.pop(action.request_id)
+        self.busy.discard(session_id)
+        self.served[key] += 1
+        self.totals[key].append(self.now - arrived)
+
+    def refuse(self, action: actions.Refuse) -> None:
+        """Count a refusal."""
+        session_id, _, _, _ = self.arrived.pop(action.request_id)
+        self.busy.discard(session_id)
+
+    def grant(self, action: actions.RequestTokens) -> None:
+        """Grant tokens out of the team's rate."""
+        rate = self.rates.get(action.team, 1e9)
+        saved, since = self.bucket.get(action.team, (rate, self.now))
+        saved = min(rate, saved + rate * (self.now - since))
+        tokens = int(min(saved, action.tokens))
+        self.bucket[action.team] = (saved - tokens, self.now)
+        if tokens:
+            event = events.TokensGranted(action.team, tokens, self.now + 2.0)
+            self.at(2 * NETWORK, self.send, event)
+
+    def take_back(self, action: actions.ReturnTokens) -> None:
+        """Put returned tokens back."""
+        saved, since = self.bucket.get(action.team, (0.0, self.now))
+        self.bucket[action.team] = (saved + action.tokens, since)
+
+    def share(self, action: actions.RequestConnections) -> None:
+        """Grant connections as far as other nodes leave any."""
+        if self.max_grant:
+            number = min(self.max_grant, action.connections)
+            event = events.ConnectionsGranted(action.endpoint, number, worlds.FAR)
+            self.at(0.05, self.send, event)
+
+    def probe(self, action: actions.ProbeEndpoint) -> None:
+        """Read an endpoint's status."""
+        self.at(NETWORK, self.read_status, action.endpoint, self.now)
+
+    def read_status(self, name: str, asked: float) -> None:
+        """Answer a probe."""
+        endpoint = self.endpoints[name]
+        here = positions.Position(1, self.find_applied(endpoint))
+        role = "primary" if name == self.primary else "replica"
+        event = events.StatusObserved(name, role, here, here, (), asked)
+        self.at(NETWORK, self.send, event)
+
+
+_FOLLOWERS = {
+    actions.Dispatch: Bench.dispatch,
+    actions.Acknowledge: Bench.end,
+    actions.Refuse: Bench.refuse,
+    actions.RequestTokens: Bench.grant,
+    actions.ReturnTokens: Bench.take_back,
+    actions.RequestConnections: Bench.share,
+    actions.ProbeEndpoint: Bench.probe,
+    actions.OpenConnection: lambda bench, action: bench.at(
+        0.012, bench.send, events.ConnectionOpened(action.connection_id)
+    ),
+    actions.WakeAt: lambda bench, action: bench.at(
+        max(0.0, action.time - bench.now), bench.send, events.Tick()
+    ),
+}
+
+
+def percentile(values: list[float], part: float) -> float:
+    """Return a percentile in milliseconds."""
+    ordered = sorted(values)
+    return 1000 * ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+def open_sessions(bench: Bench, team: str, count: int, max_age: float | None) -> list:
+    """Open sessions of a team."""
+    first = 1 + len(bench.engine.node.sessions)
+    key = worlds.find_key(team).text
+    for number in range(first, first + count):
+        bench.send(events.SessionOpened(number, "route-0", key, max_age=max_age))
+    return list(range(first, first + count))
+
+
+def load(bench: Bench, sessions: list, rate: float, team: str, writes: float) -> None:
+    """Send statements of a team at a rate, at random times and sessions."""
+
+    def step() -> None:
+        is_read = bench.random.random() >= writes
+        free = [number for number in sessions if number not in bench.busy]
+        number = bench.random.choice(free or sessions)
+        bench.arrive(number, team, is_read, team)
+        bench.at(bench.random.expovariate(rate), step)
+
+    bench.at(bench.random.expovariate(rate), step)
+
+
+def talk(bench: Bench, session_id: int, pause: float) -> None:
+    """Send statements on one session, one write in ten, with pauses."""
+
+    def step() -> None:
+        is_read = bench.random.random() >= 0.1
+        bench.arrive(session_id, "team-0", is_read, "read" if is_read else "write")
+        bench.at(bench.random.expovariate(1 / pause), step)
+
+    bench.at(bench.random.expovariate(1 / pause), step)
+
+
+def run_reads(policies: nodes.Policies, max_age: float | None, pause: float) -> dict:
+    """Return where reads ran and how long they took."""
+    view = worlds.build_view(1, 1, rate=1e6, connections=45)
+    bench = Bench(policies, view, seed=7)
+    count = int(100 * min(1.0, pause / 0.2))
+    for session_id in open_sessions(bench, "team-0", count, max_age):
+        talk(bench, session_id, pause)
+    bench.run(2.0)
+    bench.places.clear()
+    bench.totals.clear()
+    bench.run(SECONDS)
+    reads = bench.places
+    return {
+        "replica": policies.replica,
+        "wait": policies.wait,
+        "pause_s": pause,
+        "max_age_s": max_age,
+        "replica_share": reads["replica"] / max(1, sum(reads.values())),
+        "read_p50_ms": percentile(bench.totals["read"], 0.5),
+        "read_p99_ms": percentile(bench.totals["read"], 0.99),
+    }
+
+
+def run_teams(policies: nodes.Policies, loud: float, rates: bool) -> dict:
+    """Return how the seven quiet teams fare beside one at ``loud`` times its rate."""
+    rate = 60.0
+    view = worlds.build_view(
+        8, 1, rate=rate, connections=108, durability=document.Durability.PRIMARY
+    )
+    bench = Bench(policies, view, seed=11)
+    if rates:
+        bench.rates = {f"team-{i}": rate * 1.05 for i in range(8)}
+    for i in range(8):
+        team = f"team-{i}"
+        sessions = open_sessions(bench, team, 60, None)
+        load(bench, sessions, rate * (loud if i == 0 else 1.0), team, 1.0)
+    bench.run(3.0)
+    for counts in (bench.offered, bench.served, bench.waits, bench.totals):
+        counts.clear()
+    bench.run(SECONDS)
+    quiet = [f"team-{i}" for i in range(1, 8)]
+    return {
+        "queue": policies.queue,
+        "limit": policies.limit,
+        "loud": loud,
+        "rates": rates,
+        "worst_served": min(bench.served[team] / bench.offered[team] for team in quiet),
+        "worst_p99_ms": max(percentile(bench.totals[team], 0.99) for team in quiet),
+        "loud_served": bench.served["team-0"] / bench.offered["team-0"],
+    }
+
+
+def run_shares(policies: nodes.Policies) -> dict:
+    """Return how one busy node of nine fares with its share of connections."""
+    view = worlds.build_view(1, 1, rate=1e6, connections=20)
+    view.members = {f"vm-{i}": None for i in range(9)}
+    bench = Bench(policies, view, seed=13)
+    bench.max_grant = 12
+    sessions = open_sessions(bench, "team-0", 100, None)
+    load(bench, sessions, 350.0, "team-0", 1.0)
+    bench.run(3.0)
+    for counts in (bench.offered, bench.served, bench.waits, bench.totals):
+        counts.clear()
+    bench.run(SECONDS)
+    return {
+        "share": policies.share,
+        "served": bench.served["team-0"] / bench.offered["team-0"],
+        "p99_ms": percentile(bench.totals["team-0"], 0.99),
+    }
+
+
+def show(title: str, rows: list[dict]) -> None:
+    """Print rows as a table."""
+    print(f"\n{title}")
+    names = list(rows[0])
+    print("  ".join(f"{name:>13}" for name in names))
+    for row in rows:
+        cells = [
+            f"{row[name]:.3f}" if isinstance(row[name], float) else str(row[name])
+            for name in names
+        ]
+        print("  ".join(f"{cell:>13}" for cell in cells))
+
+
+def main() -> None:
+    """Run all comparisons."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.parse_args()
+    make = nodes.Policies
+    waits = ("primary", "sooner", "bounded")
+    reads = [
+        run_reads(make(wait=wait), None, pause)
+        for pause in (0.05, 0.2, 1.0)
+        for wait in waits
+    ]
+    show("Session reads: wait or primary (lag 20 to 200 ms)", reads)
+    choices = [
+        run_reads(make(replica=name), None, 1.0)
+        for name in ("random", "round_robin", "fastest", "sticky")
+    ]
+    show("Session reads: choice of replica", choices)
+    aged = [run_reads(make(replica=name), 1.0, 0.2) for name in ("random", "fastest")]
+    show("Reads that accept an age of 1 s", aged)
+    teams = [
+        run_teams(make(queue=queue, limit=limit), loud, rates)
+        for queue, limit in (("fifo", "fixed"), ("fair", "fixed"), ("fair", "gradient"))
+        for loud, rates in ((1.0, True), (5.0, True), (5.0, False))
+    ]
+    show("Seven teams beside a loud one", teams)
+    shares = [run_shares(make(share=name)) for name in ("even", "granted")]
+    show("One busy node of nine, 20 connections", shares)
+    result = {
+        "reads": reads,
+        "choices": choices,
+        "aged": aged,
+        "teams": teams,
+        "shares": shares,
+    }
+    print(json.dumps(result))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sardinehold/core/answers.py
+++ b/src/sardinehold/core/answers.py
@@ -70,8 +70,8 @@
     flow = endpoint.queue.flows.get(request.owner)
     if flow is None:
         flow = endpoint.queue.find_flow(request.owner, request.session.weight)
-    expected = flow.note_cost(request.is_read, seconds)
-    endpoint.limit.note(seconds, expected, endpoint.in_flight, node.now)
+    cost = flow.read_cost if request.is_read else flow.write_cost
+    endpoint.limit.note(seconds, cost.note(seconds), endpoint.in_flight, node.now)
     endpoint.latency += LATENCY_SMOOTHING * (seconds - endpoint.latency)
 
 
--- a/src/sardinehold/core/concurrency.py
+++ b/src/sardinehold/core/concurrency.py
@@ -11,7 +11,7 @@
 LIMITS: dict[str, type] = {}
 """Limits by name, filled by :func:`limit`."""
 
-SLOW_RATIO = 2.0
+SLOW_RATIO = 3.0
 """Times its usual cost that a statement may take before the limit falls."""
 
 DECREASE = 0.8
@@ -20,7 +20,7 @@
 DECREASE_INTERVAL = 0.05
 """Seconds between two decreases."""
 
-RATIO_SMOOTHING = 0.2
+RATIO_SMOOTHING = 0.05
 """Weight of the newest statement in the moving average of the ratio."""
 
 MAX_RATIO = 20.0
--- a/src/sardinehold/core/fairness.py
+++ b/src/sardinehold/core/fairness.py
@@ -22,6 +22,12 @@
 COST_SMOOTHING = 0.1
 """Weight of the newest statement in the moving average of the cost."""
 
+BASE_SMOOTHING = 0.02
+"""Weight of the newest statement in the slower average."""
+
+BASE_DRIFT = 0.002
+"""Share of the way to the slower average that the base goes up each time."""
+
 MAX_IDLE_FLOWS = 256
 """Flows without queued requests that are remembered."""
 
@@ -36,12 +42,45 @@
     return register
 
 
+class Cost:
+    """What one kind of statement of one team takes on one endpoint.
+
+    :param mean: seconds, a moving average of the last statements.
+    :param base: seconds, what it takes while the endpoint is not loaded: the
+        lowest value of a slower average, which drifts up slowly.
+    """
+
+    __slots__ = ("mean", "base", "_slow")
+
+    def __init__(self) -> None:
+        """Start with what is taken before anything was measured."""
+        self.mean = INITIAL_COST
+        self.base = 0.0
+        self._slow = 0.0
+
+    def note(self, seconds: float) -> float:
+        """Take a measured time into the averages; return the base."""
+        if seconds < MIN_COST:
+            seconds = MIN_COST
+        base = self.base
+        if not base:
+            self.mean = self.base = self._slow = seconds
+            return seconds
+        self.mean += COST_SMOOTHING * (seconds - self.mean)
+        slow = self._slow = self._slow + BASE_SMOOTHING * (seconds - self._slow)
+        if slow < base:
+            self.base = slow
+        else:
+            self.base = base + BASE_DRIFT * (slow - base)
+        return base
+
+
 class Flow:
     """The requests of one team in front of one endpoint.
 
     :param finish: virtual time up to which the team was served.
-    :param read_cost: seconds, the moving average of its reads.
-    :param write_cost: seconds, the moving average of everything else.
+    :param read_cost: of its reads.
+    :param write_cost: of everything else.
     """
 
     __slots__ = (
@@ -59,8 +98,8 @@
         """Start without requests."""
         self.finish = 0.0
         self.weight = weight
-        self.read_cost = INITIAL_COST
-        self.write_cost = INITIAL_COST
+        self.read_cost = Cost()
+        self.write_cost = Cost()
         self.reads: collections.deque = collections.deque()
         self.writes: collections.deque = collections.deque()
         self._read_spent = 0.0
@@ -77,31 +116,21 @@
     def pop(self) -> tuple[typing.Any, float]:
         """Return the next request and its expected cost."""
         if self.reads and (not self.writes or self._read_spent <= self._write_spent):
-            self._read_spent += self.read_cost
-            request, cost = self.reads.popleft(), self.read_cost
+            cost = self.read_cost.mean
+            self._read_spent += cost
+            request = self.reads.popleft()
         else:
-            self._write_spent += self.write_cost
-            request, cost = self.writes.popleft(), self.write_cost
+            cost = self.write_cost.mean
+            self._write_spent += cost
+            request = self.writes.popleft()
         if not self.reads or not self.writes:
             self._read_spent = self._write_spent = 0.0
         return request, cost
 
-    def find_cost(self, is_read: bool) -> float:
-        """Return the expected cost of a request in seconds."""
+    def find_cost(self, is_read: bool) -> Cost:
+        """Return what a kind of request takes."""
         return self.read_cost if is_read else self.write_cost
 
-    def note_cost(self, is_read: bool, seconds: float) -> float:
-        """Take a measured cost into the average; return what was expected."""
-        if seconds < MIN_COST:
-            seconds = MIN_COST
-        if is_read:
-            expected = self.read_cost
-            self.read_cost = expected + COST_SMOOTHING * (seconds - expected)
-        else:
-            expected = self.write_cost
-            self.write_cost = expected + COST_SMOOTHING * (seconds - expected)
-        return expected
-
 
 class _Queue:
     """What both disciplines share: flows by team and the measured costs."""
@@ -175,7 +204,10 @@
         flow = self.flows.get(owner)
         if flow is None or not len(flow):
             return 0.0
-        ahead = len(flow.reads) * flow.read_cost + len(flow.writes) * flow.write_cost
+        ahead = (
+            len(flow.reads) * flow.read_cost.mean
+            + len(flow.writes) * flow.write_cost.mean
+        )
         competing = sum(other.weight for _, _, other in self._heap)
         return ahead * max(1.0, competing / weight) / parallel
 
--- a/src/sardinehold/core/probing.py
+++ b/src/sardinehold/core/probing.py
@@ -309,7 +309,7 @@
         if silence < SILENT_AFTER:
             continue
         flow = endpoint.queue.find_flow(request.owner, request.session.weight)
-        if silence < SILENT_FACTOR * flow.find_cost(request.is_read):
+        if silence < SILENT_FACTOR * flow.find_cost(request.is_read).mean:
             continue
         heard_at = find_probe(endpoint).heard_at
         if heard_at < request.sent_at + SILENT_AFTER:
