--- a/src/sardinehold/core/admission.py
+++ b/src/sardinehold/core/admission.py
@@ -58,7 +58,17 @@
     if not request.is_read:
         _mark_idempotent(session, request)
     node.timers.set_shared(request.deadline, expire, request.request_id)
-    admit(node, request)
+    balance = session.balance
+    balance.note_arrival()
+    if not balance.is_reviewed:
+        start_review(node, balance)
+    if balance.waiting or not balance.take(node.now):
+        _wait(node, request, balance)
+        return
+    request.has_token = True
+    if balance.tokens < balance.low_mark:
+        request_tokens(node, balance)
+    routing.route(node, request)
 
 
 def _mark_idempotent(session: object, request: requests.Request) -> None:
@@ -72,21 +82,6 @@
         session.idempotency_key = ""
 
 
-def admit(node: nodes.Node, request: requests.Request) -> None:
-    """Spend a token on a request, or let it wait for one."""
-    balance = request.session.balance
-    balance.note_arrival()
-    if not balance.is_reviewed:
-        start_review(node, balance)
-    if not balance.waiting and balance.take(node.now):
-        request.has_token = True
-        if balance.tokens < balance.low_mark:
-            request_tokens(node, balance)
-        routing.route(node, request)
-        return
-    _wait(node, request, balance)
-
-
 def _wait(
     node: nodes.Node, request: requests.Request, balance: balances.Balance
 ) -> None:
@@ -149,7 +144,7 @@
     target = balance.find_target()
     if balance.tokens < target:
         request_tokens(node, balance)
-    elif node.now - balance.quiet_since >= balances.QUIET:
+    elif balance.is_quiet(node.now):
         return_tokens(node, balance, balance.tokens)
     elif balance.tokens > 2 * target + balances.FIRST_REQUEST:
         return_tokens(node, balance, balance.tokens - 2 * target)
--- a/src/sardinehold/core/balance.py
+++ b/src/sardinehold/core/balance.py
@@ -36,6 +36,15 @@
 MAX_RETRIES = 10.0
 """Retries that an owner can save up."""
 
+MIN_DEMAND = 0.5
+"""Statements a second below which tokens go back soon."""
+
+HELD_STATEMENTS = 3.0
+"""Statements that an owner could have sent before its tokens go back."""
+
+MAX_HOLD = 2.0
+"""Seconds after which unused tokens go back in any case."""
+
 DEMAND_SMOOTHING = 0.4
 """Weight of the newest interval in the moving average of the demand."""
 
@@ -217,6 +226,17 @@
         interval = REVIEWED_STATEMENTS / max(self.demand, 0.1)
         return min(MAX_REVIEW_INTERVAL, max(REVIEW_INTERVAL, interval))
 
+    def is_quiet(self, now: float) -> bool:
+        """Return whether what is left should go back.
+
+        An owner with a little demand keeps its few tokens for a while, so
+        that they do not go back and forth for each statement.
+        """
+        hold = QUIET
+        if self.demand >= MIN_DEMAND:
+            hold = max(QUIET, min(MAX_HOLD, HELD_STATEMENTS / self.demand))
+        return now - self.quiet_since >= hold
+
     def find_target(self) -> int:
         """Return how many tokens the demand asks for."""
         expected = max(self.demand * HORIZON, float(self._arrived))
--- a/src/sardinehold/core/dispatch.py
+++ b/src/sardinehold/core/dispatch.py
@@ -96,6 +96,26 @@
     return not any(_KEY_START in statement for statement in setup)
 
 
+SENDING = invariants.Suite(
+    "at_most_once_sent",
+    "connection_not_shared_by_transactions",
+    "request_team_matches_key",
+    "key_in_force_when_sent",
+    "read_not_behind_floor",
+    "leaving_endpoint_gets_no_new_work",
+    "sent_within_deadline",
+)
+"""What is checked each time that a request is sent."""
+
+_at_most_once_sent = at_most_once_sent.__wrapped__
+_connection_not_shared = connection_not_shared_by_transactions.__wrapped__
+_request_team_matches_key = request_team_matches_key.__wrapped__
+_key_in_force = key_in_force_when_sent.__wrapped__
+_read_not_behind_floor = read_not_behind_floor.__wrapped__
+_leaving_endpoint = leaving_endpoint_gets_no_new_work.__wrapped__
+_sent_within_deadline = sent_within_deadline.__wrapped__
+
+
 def submit(
     node: nodes.Node, endpoint: pool.Endpoint, request: requests.Request
 ) -> None:
@@ -197,6 +217,17 @@
 ) -> None:
     """Check all that must hold when a request is sent."""
     endpoint = connection.endpoint
+    if (
+        _at_most_once_sent(request)
+        and _connection_not_shared(connection, request)
+        and _request_team_matches_key(node, request)
+        and _key_in_force(node, request)
+        and _read_not_behind_floor(request, endpoint)
+        and _leaving_endpoint(node, request, endpoint)
+        and _sent_within_deadline(node, request)
+    ):
+        SENDING.checked += 1
+        return
     at_most_once_sent(request)
     connection_not_shared_by_transactions(connection, request)
     request_team_matches_key(node, request)
--- a/src/sardinehold/core/engine.py
+++ b/src/sardinehold/core/engine.py
@@ -18,6 +18,7 @@
 from sardinehold.core import pool
 from sardinehold.core import probing
 from sardinehold.core import quiescence
+from sardinehold.core import routing
 from sardinehold.core import shutdown
 from sardinehold.core import timers
 from sardinehold.core import updates
@@ -62,6 +63,7 @@
     ) -> None:
         """Start without a view and without a lease."""
         self.node = nodes.Node(seed, now, zone, policies or nodes.Policies())
+        self.node.choose_replica = routing.CHOICES[self.node.policies.replica]
 
     def handle(self, now: float, event: events.Event) -> list[actions.Action]:
         """Take an event and return what to do, in order.
@@ -77,7 +79,8 @@
         handlers.REGISTRY[type(event)](node, event)
         if node.drain_deadline is not None:
             shutdown.advance(node)
-        self._announce_wake(node)
+        if node.timers.next_time != node.announced_wake:
+            self._announce_wake(node)
         result = node.actions
         node.actions = []
         return result
--- a/src/sardinehold/core/invariants.py
+++ b/src/sardinehold/core/invariants.py
@@ -13,22 +13,47 @@
 from sardinehold import errors
 
 
+class Suite:
+    """Invariants that are always checked together.
+
+    Whoever checks them calls the plain functions, raises ``checked`` once,
+    and calls the invariants themselves only when one does not hold.
+
+    :param checked: how often the suite was checked in this process.
+    """
+
+    __slots__ = ("checked",)
+
+    def __init__(self, *names: str) -> None:
+        """Join the invariants of these names."""
+        self.checked = 0
+        for name in names:
+            REGISTRY[name].suites.append(self)
+
+
 class Invariant:
     """One named check.
 
     :param promise: the promise of the system, in one sentence.
     :param module: where the check stands.
-    :param checked: how often it was checked in this process.
+    :param single: how often it was checked alone in this process.
+    :param suites: the suites that check it as well.
     """
 
-    __slots__ = ("name", "promise", "module", "checked")
+    __slots__ = ("name", "promise", "module", "single", "suites")
 
     def __init__(self, name: str, promise: str, module: str = "") -> None:
         """Start with nothing checked."""
         self.name = name
         self.promise = promise
         self.module = module
-        self.checked = 0
+        self.single = 0
+        self.suites: list[Suite] = []
+
+    @property
+    def checked(self) -> int:
+        """Return how often it was checked, alone or in a suite."""
+        return self.single + sum(suite.checked for suite in self.suites)
 
 
 REGISTRY: dict[str, Invariant] = {}
@@ -37,7 +62,7 @@
 
 def _wrap_one(entry: Invariant, check: typing.Callable) -> typing.Callable:
     def verify(first: object) -> None:
-        entry.checked += 1
+        entry.single += 1
         if not check(first):
             _fail(entry)
 
@@ -46,7 +71,7 @@
 
 def _wrap_two(entry: Invariant, check: typing.Callable) -> typing.Callable:
     def verify(first: object, second: object) -> None:
-        entry.checked += 1
+        entry.single += 1
         if not check(first, second):
             _fail(entry)
 
@@ -55,7 +80,7 @@
 
 def _wrap_many(entry: Invariant, check: typing.Callable) -> typing.Callable:
     def verify(*arguments: object) -> None:
-        entry.checked += 1
+        entry.single += 1
         if not check(*arguments):
             _fail(entry)
 
--- a/src/sardinehold/core/node.py
+++ b/src/sardinehold/core/node.py
@@ -1,5 +1,7 @@
 """The state of one node's engine, shared by the modules that decide."""
 
+import typing
+
 from sardinehold import document
 from sardinehold.core import actions
 from sardinehold.core import timers
@@ -52,6 +54,7 @@
     :param now: seconds, the time of the event being handled.
     :param actions: what the event being handled has led to.
     :param keys: owners of all keys by prefix.
+    :param choose_replica: the policy that chooses the replica of a read.
     :param drain_deadline: when a planned stop cuts what still runs, or None.
     """
 
@@ -79,6 +82,7 @@
         "next_connection_id",
         "active_groups",
         "announced_wake",
+        "choose_replica",
     )
 
     def __init__(self, seed: int, now: float, zone: str, policies: Policies) -> None:
@@ -106,6 +110,7 @@
         self.next_connection_id = 1
         self.active_groups: dict = {}
         self.announced_wake = timers.NEVER
+        self.choose_replica: typing.Callable | None = None
 
     def count(self, name: str) -> None:
         """Add one to the counter ``name``."""
--- a/src/sardinehold/core/routing.py
+++ b/src/sardinehold/core/routing.py
@@ -169,7 +169,8 @@
     group = request.group
     endpoint = find_replica(node, request)
     if endpoint is not None:
-        node.count("reads_on_replica")
+        counters = node.counters
+        counters["reads_on_replica"] = counters.get("reads_on_replica", 0) + 1
         dispatch.submit(node, endpoint, request)
         return
     if not groups.serves_primary_reads(group):
@@ -185,7 +186,7 @@
 
 def find_replica(node: nodes.Node, request: requests.Request) -> pool.Endpoint | None:
     """Return the replica that a read should go to, None if none will do."""
-    return CHOICES[node.policies.replica](node, request)
+    return node.choose_replica(node, request)
 
 
 def send_to_primary(node: nodes.Node, request: requests.Request) -> None:
--- a/src/sardinehold/core/tokens.py
+++ b/src/sardinehold/core/tokens.py
@@ -13,7 +13,10 @@
 from sardinehold.core import positions
 
 MAC_BYTES = 16
-"""Bytes of the truncated HMAC-SHA-256."""
+"""Bytes of the MAC: BLAKE2b with a key (RFC 7693)."""
+
+MAX_KEY_BYTES = 64
+"""Bytes of a key that BLAKE2b takes."""
 
 MAX_GROUPS = 32
 """Groups that one token can hold; the oldest goes first."""
@@ -94,7 +97,9 @@
     """Return the MAC over owner and body; the length keeps them apart."""
     name = owner.encode()
     message = len(name).to_bytes(2, "big") + name + body
-    return hmac.digest(key, message, hashlib.sha256)[:MAC_BYTES]
+    return hashlib.blake2b(
+        message, digest_size=MAC_BYTES, key=key[:MAX_KEY_BYTES]
+    ).digest()
 
 
 def _decode(text: str) -> bytes:
