--- a/src/sardinehold/settings.py
+++ b/src/sardinehold/settings.py
@@ -1,6 +1,15 @@
 """INI settings of a process, checked before anything starts."""
 
+import configparser
 import pathlib
+import ssl
+import typing
+
+from sardinehold import errors
+from sardinehold import faults
+from sardinehold import options
+
+split_address = options.split_address
 
 
 class Tls:
@@ -23,7 +32,7 @@
 
 
 class ProxySettings:
-    """Settings of a proxy process; sections [vm], [proxy], [platform], [tls].
+    """Settings of a proxy process.
 
     :param vm: name of the VM, unique in the fleet.
     :param zone: its availability zone.
@@ -81,10 +90,15 @@
 
 
 class ConsoleSettings:
-    """Settings of a console process; sections [vm], [console], [platform], [tls].
+    """Settings of a console process.
 
+    :param vm: name of the VM, unique in the fleet.
+    :param zone: its availability zone.
     :param listen: ``host:port`` of the forms and the administration API.
-    :param bootstrap_key: path of a file with the first operator's key.
+    :param platform_url: base URL of the platform's object API.
+    :param timeline: path of the events file, ``""`` for none.
+    :param bootstrap_key: path of a file that holds the key text of the first
+        operator, ``""`` for none.
     """
 
     __slots__ = (
@@ -120,13 +134,124 @@
         self.platform_tls = platform_tls or Tls()
 
 
+class InvalidSettings(errors.SettingsError):
+    """Settings that were refused.
+
+    :param found: every fault of them.
+    """
+
+    def __init__(self, path: pathlib.Path, found: list[faults.Fault]) -> None:
+        """Keep the faults."""
+        super().__init__(
+            f"{path}: {faults.format_faults(found)}",
+            "Nothing was started; `sardinehold check FILE` tries it again.",
+        )
+        self.faults = found
+
+
+_VM = (
+    options.Option(
+        "name", options.convert_name, "name of the VM, unique in the fleet", None, "vm"
+    ),
+    options.Option("zone", options.convert_name, "its availability zone"),
+)
+_PLATFORM = (
+    options.Option(
+        "url",
+        options.convert_url,
+        "base URL of the platform's object API",
+        None,
+        "platform_url",
+    ),
+)
+_TIMELINE = (
+    options.Option(
+        "path",
+        options.convert_output,
+        "file that events are appended to; empty records nothing",
+        "",
+        "timeline",
+    ),
+)
+_TLS = (
+    options.Option("certificate", options.convert_input, "certificate chain, PEM", ""),
+    options.Option(
+        "key", options.convert_input, "private key of the certificate, PEM", ""
+    ),
+    options.Option(
+        "authority",
+        options.convert_input,
+        "authorities that the other side must be signed by, PEM",
+        "",
+    ),
+)
+
+PROXY_SECTIONS: dict[str, tuple[options.Option, ...]] = {
+    "vm": _VM,
+    "proxy": (
+        options.Option(
+            "listen",
+            options.convert_address,
+            "IP:PORT for callers; port 0 takes a free one",
+        ),
+        options.Option(
+            "peer_listen", options.convert_address, "IP:PORT of the peer service"
+        ),
+        options.Option(
+            "metrics_listen",
+            options.convert_optional_address,
+            "IP:PORT of the metrics page; empty for none",
+            "",
+        ),
+        options.Option(
+            "drain_deadline",
+            options.convert_seconds,
+            "seconds that a planned stop may take",
+            "30",
+        ),
+    ),
+    "platform": _PLATFORM,
+    "timeline": _TIMELINE,
+    "caller_tls": _TLS,
+    "endpoint_tls": _TLS,
+    "peer_tls": _TLS,
+    "platform_tls": _TLS,
+}
+"""Sections and keys of a proxy's settings."""
+
+_SERVING = ("caller_tls", "peer_tls", "console_tls")
+"""Sides on which others connect to this process."""
+
+CONSOLE_SECTIONS: dict[str, tuple[options.Option, ...]] = {
+    "vm": _VM,
+    "console": (
+        options.Option(
+            "listen",
+            options.convert_address,
+            "IP:PORT of the forms and the administration API",
+        ),
+        options.Option(
+            "bootstrap_key",
+            options.convert_input,
+            "file with the key text of the first operator; empty for none",
+            "",
+        ),
+    ),
+    "platform": _PLATFORM,
+    "timeline": _TIMELINE,
+    "console_tls": _TLS,
+    "platform_tls": _TLS,
+}
+"""Sections and keys of a console's settings."""
+
+
 def load_proxy(path: pathlib.Path) -> ProxySettings:
     """Read and check the settings of a proxy.
 
     :raises sardinehold.errors.SettingsError: naming every fault with its
         section, key and remedy.
     """
-    raise NotImplementedError
+    return ProxySettings(**_load(pathlib.Path(path), PROXY_SECTIONS))
 
 
 def load_console(path: pathlib.Path) -> ConsoleSettings:
@@ -134,4 +259,141 @@
 
     :raises sardinehold.errors.SettingsError: naming every fault.
     """
-    raise NotImplementedError
+    return ConsoleSettings(**_load(pathlib.Path(path), CONSOLE_SECTIONS))
+
+
+def load_any(path: pathlib.Path) -> ProxySettings | ConsoleSettings:
+    """Read and check settings of either program, told apart by their sections.
+
+    :raises sardinehold.errors.SettingsError: naming every fault.
+    """
+    if "console" in _read_sections(pathlib.Path(path)):
+        return load_console(path)
+    return load_proxy(path)
+
+
+def _read_sections(path: pathlib.Path) -> dict[str, dict[str, str]]:
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    try:
+        parser.read_string(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise errors.SettingsError(
+            f"{path} cannot be read ({error.strerror}).",
+            "Name a settings file that exists and is readable.",
+        ) from error
+    except (configparser.Error, UnicodeDecodeError) as error:
+        problem = str(error).replace("\n", " ")
+        raise errors.SettingsError(
+            f"{path} is not an INI file: {problem}.",
+            "Write [section] lines and `key = value` lines in UTF-8.",
+        ) from error
+    return {name: dict(parser[name]) for name in parser.sections()}
+
+
+def _load(
+    path: pathlib.Path, sections: dict[str, tuple[options.Option, ...]]
+) -> dict[str, typing.Any]:
+    texts = _read_sections(path)
+    found = _find_unknown(texts, sections)
+    values: dict[str, typing.Any] = {}
+    for name, section in sections.items():
+        converted = _convert_section(name, section, texts.get(name), found)
+        if section is _TLS:
+            values[name] = _build_tls(name, converted, found)
+        else:
+            values.update(converted)
+    if found:
+        raise InvalidSettings(path, found)
+    return values
+
+
+def _find_unknown(
+    texts: dict[str, dict[str, str]], sections: dict[str, tuple[options.Option, ...]]
+) -> list[faults.Fault]:
+    found = []
+    for name, keys in texts.items():
+        if name not in sections:
+            remedy = f"Remove it. {faults.suggest_name(name, list(sections))}"
+            found.append(faults.Fault(f"[{name}]", "is an unknown section", remedy))
+            continue
+        known = [option.key for option in sections[name]]
+        for key in keys:
+            if key not in known:
+                remedy = f"Remove it. {faults.suggest_name(key, known)}"
+                found.append(
+                    faults.Fault(f"[{name}] {key}", "is an unknown key", remedy)
+                )
+    return found
+
+
+def _convert_section(
+    name: str,
+    section: tuple[options.Option, ...],
+    texts: dict[str, str] | None,
+    found: list[faults.Fault],
+) -> dict[str, typing.Any]:
+    values = {}
+    for option in section:
+        text = (texts or {}).get(option.key, option.default)
+        place = f"[{name}] {option.key}"
+        if text is None:
+            missing = (
+                "is missing" if texts is not None else "and its section are missing"
+            )
+            found.append(faults.Fault(place, missing, f"Add it: {option.doc}."))
+            continue
+        try:
+            values[option.parameter] = option.convert(text)
+        except ValueError as error:
+            problem, remedy = error.args
+            shown = faults.format_value(text)
+            found.append(faults.Fault(place, problem, remedy, shown))
+    return values
+
+
+def _build_tls(
+    section: str, paths: dict[str, str], found: list[faults.Fault]
+) -> Tls | None:
+    if len(paths) < len(_TLS):
+        return None
+    tls = Tls(**paths)
+    if bool(tls.certificate) != bool(tls.key):
+        found.append(
+            faults.Fault(
+                f"[{section}]",
+                "names only one of certificate and key",
+                "Name both, or none for no certificate.",
+            )
+        )
+        return None
+    if section in _SERVING and tls.authority and not tls.certificate:
+        found.append(
+            faults.Fault(
+                f"[{section}]",
+                "names an authority and no certificate",
+                "Name a certificate and its key too.",
+            )
+        )
+    try:
+        _try_tls(tls)
+    except (ssl.SSLError, OSError, ValueError) as error:
+        found.append(
+            faults.Fault(
+                f"[{section}]",
+                f"cannot be loaded ({error})",
+                "Give PEM files, and the key that belongs to the certificate.",
+            )
+        )
+    return tls
+
+
+def _try_tls(tls: Tls) -> None:
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    if tls.certificate:
+        context.load_cert_chain(tls.certificate, tls.key, password=_refuse_password)
+    if tls.authority:
+        context.load_verify_locations(tls.authority)
+
+
+def _refuse_password() -> str:
+    raise ValueError("the private key is encrypted")
--- /dev/null
+++ b/src/sardinehold/validation.py
@@ -0,0 +1,275 @@
+"""Validation of configuration documents: all faults at once, and warnings."""
+
+import collections
+import typing
+
+from sardinehold import changes
+from sardinehold import document
+from sardinehold import errors
+from sardinehold import faults
+from sardinehold import shape
+
+STATEMENT_COST = 0.005
+"""Seconds of a slot that a statement takes, to judge what a group can carry."""
+
+
+class InvalidDocument(errors.DocumentError):
+    """A document that was refused.
+
+    :param found: every fault of it.
+    """
+
+    def __init__(self, found: list[faults.Fault]) -> None:
+        """Keep the faults."""
+        super().__init__(
+            f"The document is not valid: {faults.format_faults(found)}",
+            "Nothing was changed; correct each fault and submit it again.",
+        )
+        self.faults = found
+
+
+def require_valid(value: object) -> None:
+    """Raise :class:`InvalidDocument` if ``value`` has any fault."""
+    found = find_faults(value)
+    if found:
+        raise InvalidDocument(found)
+
+
+def find_faults(value: object) -> list[faults.Fault]:
+    """Return every fault of a JSON value that should be a document."""
+    found = shape.find_faults(value)
+    if found:
+        return found
+    return [
+        fault
+        for check in _CHECKS
+        for fault in check(document.parse_document(value, False))
+    ]
+
+
+_Check = typing.Callable[[document.Document], typing.Iterator[faults.Fault]]
+_CHECKS: list[_Check] = []
+_WARNINGS: list[_Check] = []
+
+
+def _register(registry: list[_Check]) -> typing.Callable[[_Check], _Check]:
+    def register(function: _Check) -> _Check:
+        registry.append(function)
+        return function
+
+    return register
+
+
+@_register(_CHECKS)
+def _check_route_groups(config: document.Document) -> typing.Iterator[faults.Fault]:
+    for name, route in config.routes.items():
+        if route.group not in config.groups:
+            hint = faults.suggest_name(route.group, list(config.groups))
+            yield faults.Fault(
+                f"routes.{name}.group",
+                "names a group that the document does not have",
+                f"Name a group. {hint}",
+                faults.format_value(route.group),
+            )
+
+
+@_register(_CHECKS)
+def _check_route_teams(config: document.Document) -> typing.Iterator[faults.Fault]:
+    for name, route in config.routes.items():
+        for team in route.teams:
+            if team not in config.teams:
+                yield faults.Fault(
+                    f"routes.{name}.teams",
+                    "names a team that the document does not have",
+                    f"Name a team. {faults.suggest_name(team, list(config.teams))}",
+                    faults.format_value(team),
+                )
+
+
+@_register(_CHECKS)
+def _check_operator_teams(config: document.Document) -> typing.Iterator[faults.Fault]:
+    for name, operator in config.operators.items():
+        if operator.team and operator.team not in config.teams:
+            yield faults.Fault(
+                f"operators.{name}.team",
+                "names a team that the document does not have",
+                "Name a team, or leave it empty for all teams. "
+                + faults.suggest_name(operator.team, list(config.teams)),
+                faults.format_value(operator.team),
+            )
+
+
+@_register(_CHECKS)
+def _check_endpoint_names(config: document.Document) -> typing.Iterator[faults.Fault]:
+    groups = collections.defaultdict(list)
+    for name, group in config.groups.items():
+        for endpoint in group.endpoints:
+            groups[endpoint.name].append(name)
+    for endpoint, names in groups.items():
+        if len(names) > 1:
+            yield faults.Fault(
+                f"groups.{names[1]}.endpoints.{endpoint}",
+                f"has the name of an endpoint of group {names[0]}",
+                "Give each endpoint a name of its own over all groups.",
+            )
+
+
+@_register(_CHECKS)
+def _check_endpoint_addresses(
+    config: document.Document,
+) -> typing.Iterator[faults.Fault]:
+    owners: dict[tuple[str, int], str] = {}
+    for name, group in config.groups.items():
+        for endpoint in group.endpoints:
+            address = (endpoint.host, endpoint.port)
+            owner = owners.setdefault(address, endpoint.name)
+            if owner != endpoint.name:
+                yield faults.Fault(
+                    f"groups.{name}.endpoints.{endpoint.name}",
+                    f"has the same host and port as endpoint {owner}",
+                    "Correct the host or the port.",
+                    f"{endpoint.host}:{endpoint.port}",
+                )
+
+
+@_register(_CHECKS)
+def _check_key_prefixes(config: document.Document) -> typing.Iterator[faults.Fault]:
+    owners: dict[str, str] = {}
+    for path, key in changes.list_keys(config):
+        owner = owners.setdefault(key.prefix, path)
+        if owner != path:
+            yield faults.Fault(
+                path,
+                f"has the prefix of {owner}",
+                "Make a new key; each key belongs to one owner.",
+                key.prefix,
+            )
+
+
+def find_warnings(config: document.Document) -> list[faults.Fault]:
+    """Return the plausible mistakes of a valid document."""
+    return [fault for check in _WARNINGS for fault in check(config)]
+
+
+@_register(_WARNINGS)
+def _warn_of_zero_rates(config: document.Document) -> typing.Iterator[faults.Fault]:
+    for name, team in config.teams.items():
+        if team.rate == 0:
+            yield faults.Fault(
+                f"teams.{name}.rate",
+                "is zero, so every request of the team is refused",
+                "Give the statements a second that the team needs.",
+            )
+        if team.burst < 1:
+            yield faults.Fault(
+                f"teams.{name}.burst",
+                "is zero, so no request ever finds a token",
+                "Give a burst of at least 1.",
+            )
+    for name, route in config.routes.items():
+        if route.open and not (route.rate and route.burst):
+            yield faults.Fault(
+                f"routes.{name}.rate",
+                "or the burst of this open route is zero: every request is refused",
+                "Give the open route a rate and a burst.",
+            )
+
+
+@_register(_WARNINGS)
+def _warn_of_overload(config: document.Document) -> typing.Iterator[faults.Fault]:
+    for name, group in config.groups.items():
+        demand = _sum_demand(config, name)
+        capacity = len(group.endpoints) * group.slots / STATEMENT_COST
+        if demand > capacity:
+            yield faults.Fault(
+                f"groups.{name}",
+                f"can carry about {capacity:.0f} statements a second"
+                f" ({len(group.endpoints)} endpoints of {group.slots} slots at"
+                f" {STATEMENT_COST * 1000:.0f} ms), the rates that lead to it"
+                f" add up to {demand:.0f}",
+                "Lower rates, add endpoints, or move routes to another group.",
+            )
+
+
+def _sum_demand(config: document.Document, group: str) -> float:
+    routes = [route for route in config.routes.values() if route.group == group]
+    teams = {team for route in routes if not route.open for team in route.teams}
+    keyed = sum(config.teams[team].rate for team in teams)
+    return keyed + sum(route.rate for route in routes if route.open)
+
+
+@_register(_WARNINGS)
+def _warn_of_keyless_teams(config: document.Document) -> typing.Iterator[faults.Fault]:
+    for name, team in config.teams.items():
+        if not team.keys:
+            yield faults.Fault(
+                f"teams.{name}.keys",
+                "is empty, so the team cannot connect",
+                "Make a key for the team.",
+            )
+        elif all(key.withdrawn for key in team.keys):
+            yield faults.Fault(
+                f"teams.{name}.keys",
+                "has withdrawn keys and no successor, so the team cannot connect",
+                "Make a new key for the team.",
+            )
+
+
+@_register(_WARNINGS)
+def _warn_of_useless_routes(config: document.Document) -> typing.Iterator[faults.Fault]:
+    for name, route in config.routes.items():
+        if not route.open and not route.teams:
+            yield faults.Fault(
+                f"routes.{name}.teams",
+                "is empty, so nobody can use the route",
+                "Add a team, or make the route open to all.",
+            )
+        if route.open and route.teams:
+            yield faults.Fault(
+                f"routes.{name}.teams",
+                "is unused, because the route is open to all",
+                "Remove the teams, or close the route.",
+            )
+
+
+@_register(_WARNINGS)
+def _warn_of_lone_endpoints(config: document.Document) -> typing.Iterator[faults.Fault]:
+    for name, group in config.groups.items():
+        if len(group.endpoints) < 2:
+            yield faults.Fault(
+                f"groups.{name}.endpoints",
+                "holds one endpoint, so a failover is impossible",
+                "Add a replica in another availability zone.",
+            )
+        elif len({endpoint.zone for endpoint in group.endpoints}) < 2:
+            yield faults.Fault(
+                f"groups.{name}.endpoints",
+                "all stand in one availability zone",
+                "Place a replica in another availability zone.",
+            )
+        kept = [r for r in config.routes.values() if r.group == name]
+        alone = len(group.endpoints) < 2
+        if alone and any(r.durability is document.Durability.REPLICA for r in kept):
+            yield faults.Fault(
+                f"groups.{name}.endpoints",
+                "has no replica, but a route waits for one before acknowledging",
+                "Add a replica, or set the durability of the routes to primary.",
+            )
+
+
+@_register(_WARNINGS)
+def _warn_of_no_operator(config: document.Document) -> typing.Iterator[faults.Fault]:
+    able = [
+        operator
+        for operator in config.operators.values()
+        if operator.role is document.Role.OPERATE
+        and not operator.team
+        and not operator.key.withdrawn
+    ]
+    if not able:
+        yield faults.Fault(
+            "operators",
+            "holds nobody who may change everything",
+            "Add an operator with role operate; until then only the bootstrap"
+            " key of the console's settings signs in.",
+        )
