Say when a draining group has come to rest; tell the allocator what is left

A share whose grant lapsed falls to the base that the allocator counts on. A request that cannot leave four times is refused in place of being routed for ever.

--- a/src/sardinehold/core/admission.py
+++ b/src/sardinehold/core/admission.py
@@ -158,6 +158,8 @@
     target = balance.find_target()
     if balance.tokens < target:
         request_tokens(node, balance)
+    elif balance.spent_total != balance.spent_told:
+        tell_left(node, balance, 0)
     elif balance.is_quiet(node.now):
         return_tokens(node, balance, balance.tokens)
     elif balance.tokens > 2 * target + balances.FIRST_REQUEST:
@@ -183,9 +185,13 @@
     wanted = max(balance.find_target(), balances.FIRST_REQUEST) - balance.tokens
     if wanted > 0:
         balance.asked_at = node.now
-        node.actions.append(
-            actions.RequestTokens(balance.owner, wanted, balance.tokens)
-        )
+        tell_left(node, balance, wanted)
+
+
+def tell_left(node: nodes.Node, balance: balances.Balance, wanted: int) -> None:
+    """Tell the allocator what is left, and how much is wanted on top."""
+    balance.spent_told = balance.spent_total
+    node.actions.append(actions.RequestTokens(balance.owner, wanted, balance.tokens))
 
 
 def _ask_again(node: nodes.Node, balance: balances.Balance) -> None:
--- a/src/sardinehold/core/balance.py
+++ b/src/sardinehold/core/balance.py
@@ -97,6 +97,7 @@
         "is_reviewed",
         "granted_total",
         "spent_total",
+        "spent_told",
         "asked_at",
         "is_asking",
         "low_mark",
@@ -118,6 +119,7 @@
         self.is_reviewed = False
         self.granted_total = 0
         self.spent_total = 0
+        self.spent_told = 0
         self.asked_at = -math.inf
         self.is_asking = False
         self.low_mark = FIRST_REQUEST // 2
--- a/src/sardinehold/core/engine.py
+++ b/src/sardinehold/core/engine.py
@@ -77,6 +77,8 @@
         if now >= node.timers.next_time:
             node.timers.run_due(node, now)
         handlers.REGISTRY[type(event)](node, event)
+        if node.draining:
+            quiescence.announce(node)
         if node.drain_deadline is not None:
             shutdown.advance(node)
         if node.timers.next_time != node.announced_wake:
--- a/src/sardinehold/core/losses.py
+++ b/src/sardinehold/core/losses.py
@@ -12,6 +12,9 @@
 from sardinehold.core import routing
 from sardinehold.core import transaction
 
+MAX_FAILED = 4
+"""Times that a request may fail to leave before it is refused."""
+
 _CHECK = "Check whether the statement took effect before repeating it."
 
 
@@ -116,8 +119,16 @@
     if session.is_closed:
         requests.drop(node, request)
         return
+    request.failed += 1
     request.advance("queue")
-    routing.route(node, request)
+    if request.failed < MAX_FAILED:
+        routing.route(node, request)
+        return
+    error = errors.EndpointUnavailable(
+        "The statement could not be sent; the session's settings may be refused.",
+        "RESET ALL, then repeat the statement.",
+    )
+    requests.refuse(node, request, error)
 
 
 def leave_silent(node: nodes.Node, connection: pool.Connection) -> None:
--- a/src/sardinehold/core/node.py
+++ b/src/sardinehold/core/node.py
@@ -55,6 +55,7 @@
     :param actions: what the event being handled has led to.
     :param keys: owners of all keys by prefix.
     :param choose_replica: the policy that chooses the replica of a read.
+    :param draining: groups being drained that have not come to rest.
     :param drain_deadline: when a planned stop cuts what still runs, or None.
     """
 
@@ -70,6 +71,7 @@
         "serve_deadline",
         "drain_deadline",
         "is_drained",
+        "draining",
         "sessions",
         "requests",
         "groups",
@@ -98,6 +100,7 @@
         self.serve_deadline = -timers.NEVER
         self.drain_deadline: float | None = None
         self.is_drained = False
+        self.draining: set[str] = set()
         self.sessions: dict = {}
         self.requests: dict = {}
         self.groups: dict = {}
--- a/src/sardinehold/core/pool.py
+++ b/src/sardinehold/core/pool.py
@@ -16,6 +16,7 @@
 from sardinehold.core import invariants
 from sardinehold.core import node as nodes
 from sardinehold.core import samples
+from sardinehold.core import shares
 
 MAX_OPENING = 2
 """Connections to one endpoint that are being opened at once."""
@@ -196,14 +197,14 @@
     """Return what the allocator granted, an equal part before any grant.
 
     A grant past its deadline may have been given to another node, so only
-    what both allow is left.
+    the base is left that every member may always hold.
     """
     even = find_even_share(node, endpoint)
     if endpoint.grant is None:
         return even
     if node.now <= endpoint.grant_deadline:
         return endpoint.grant
-    return min(even, endpoint.grant)
+    return min(even, shares.BASE_CONNECTIONS)
 
 
 def update_share(node: nodes.Node, endpoint: Endpoint) -> None:
--- a/src/sardinehold/core/quiescence.py
+++ b/src/sardinehold/core/quiescence.py
@@ -1,6 +1,8 @@
 """Whether anything still runs on the primary of a group."""
 
+from sardinehold.core import actions
 from sardinehold.core import node as nodes
+from sardinehold.core import view as views
 
 
 def is_quiesced(node: nodes.Node, name: str) -> bool:
@@ -19,3 +21,27 @@
             if session is not None and session.status != "I":
                 return False
     return True
+
+
+def note_view(node: nodes.Node, old: views.View | None, new: views.View) -> None:
+    """Remember which groups the new view began to drain."""
+    for name, state in new.groups.items():
+        if state.phase is not views.Phase.DRAINING:
+            node.draining.discard(name)
+        elif not _was_draining(old, state):
+            node.draining.add(name)
+
+
+def _was_draining(old: views.View | None, state: views.GroupState) -> bool:
+    before = old.groups.get(state.name) if old is not None else None
+    if before is None or before.phase is not views.Phase.DRAINING:
+        return False
+    return (before.term, before.change_id) == (state.term, state.change_id)
+
+
+def announce(node: nodes.Node) -> None:
+    """Say once of each draining group that nothing runs on it any more."""
+    for name in sorted(node.draining):
+        if is_quiesced(node, name):
+            node.draining.discard(name)
+            node.actions.append(actions.GroupQuiesced(name))
--- a/src/sardinehold/core/updates.py
+++ b/src/sardinehold/core/updates.py
@@ -9,6 +9,7 @@
 from sardinehold.core import invariants
 from sardinehold.core import losses
 from sardinehold.core import node as nodes
+from sardinehold.core import quiescence
 from sardinehold.core import routing
 from sardinehold.core import transaction
 from sardinehold.core import view as views
@@ -32,6 +33,7 @@
         return
     view_never_reverts(old, new)
     node.view = new
+    quiescence.note_view(node, old, new)
     if old is None or old.document is not new.document:
         node.keys = _index_keys(new.document)
         for session in list(node.sessions.values()):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -75,6 +75,7 @@
         request = driver.ask(session, "select 1")
         driver.answer(request)
     asked = [a.tokens for a in driver.all(actions.RequestTokens)]
+    assert driver.find(actions.RequestTokens).left <= 50
     granted, spent = sum(asked), 300
     returned = sum(action.tokens for action in driver.all(actions.ReturnTokens))
     assert granted - returned - spent <= 100
--- a/tests/test_request.py
+++ b/tests/test_request.py
@@ -106,6 +106,16 @@
     assert driver.error(request) is None
 
 
+def test_request_that_never_leaves_did_not_run():
+    driver, request = start(PLAIN)
+    for _ in range(5):
+        sent = dispatches(driver, request)[-1]
+        driver.send(events.DispatchFailed(request, sent.connection_id))
+        driver.advance(0.1)
+    assert driver.error(request).outcome is errors.Outcome.NOT_RUN
+    assert len(dispatches(driver, request)) <= 4
+
+
 @pytest.mark.parametrize("wrong_connection", [True, False])
 def test_late_and_crossed_answers_reach_nobody(wrong_connection):
     driver, request = start()
--- a/tests/test_transaction.py
+++ b/tests/test_transaction.py
@@ -152,3 +152,12 @@
     driver.answer(commit, 3)
     assert driver.find(actions.Acknowledge, commit)
     assert driver.engine.is_quiesced("letters")
+    assert [a.group for a in driver.all(actions.GroupQuiesced)] == ["letters"]
+
+
+def test_group_that_is_not_in_use_is_quiesced_at_once():
+    driver = builders.Driver(builders.make_view())
+    state = views.GroupState("letters", 1, "letters-0", views.Phase.DRAINING)
+    for version in (2, 3):
+        driver.send(events.ViewChanged(builders.make_view(version, states=[state])))
+    assert len(driver.all(actions.GroupQuiesced)) == 1
