--- a/src/sardinehold/core/node.py
+++ b/src/sardinehold/core/node.py
@@ -1,5 +1,7 @@
 """The state of one node's engine, shared by the modules that decide."""
 
+import typing
+
 from sardinehold import document
 from sardinehold.core import actions
 from sardinehold.core import timers
@@ -52,6 +54,8 @@
     :param now: seconds, the time of the event being handled.
     :param actions: what the event being handled has led to.
     :param keys: owners of all keys by prefix.
+    :param choose_replica: the policy that chooses the replica of a read.
+    :param draining: groups being drained that have not come to rest.
     :param drain_deadline: when a planned stop cuts what still runs, or None.
     """
 
@@ -67,6 +71,7 @@
         "serve_deadline",
         "drain_deadline",
         "is_drained",
+        "draining",
         "sessions",
         "requests",
         "groups",
@@ -79,6 +84,7 @@
         "next_connection_id",
         "active_groups",
         "announced_wake",
+        "choose_replica",
     )
 
     def __init__(self, seed: int, now: float, zone: str, policies: Policies) -> None:
@@ -94,6 +100,7 @@
         self.serve_deadline = -timers.NEVER
         self.drain_deadline: float | None = None
         self.is_drained = False
+        self.draining: set[str] = set()
         self.sessions: dict = {}
         self.requests: dict = {}
         self.groups: dict = {}
@@ -106,6 +113,7 @@
         self.next_connection_id = 1
         self.active_groups: dict = {}
         self.announced_wake = timers.NEVER
+        self.choose_replica: typing.Callable | None = None
 
     def count(self, name: str) -> None:
         """Add one to the counter ``name``."""
