--- /dev/null
+++ b/bench/added_latency.py
@@ -0,0 +1,152 @@
+"""Latency that the proxy adds to a statement at a steady rate.
+
+``python bench/added_latency.py --rate 1000 --seconds 5 --rounds 3`` sends the
+same statements at the same pace straight to a canned endpoint and through the
+proxy, in turn, and compares medians and 99th percentiles with the targets of
+issue 4: at most 0.3 ms and 2 ms more. A statement that finds all callers busy
+waits, and its wait counts. Exits with 1 when a target is missed.
+"""
+
+import argparse
+import collections
+import json
+import statistics
+import sys
+import time
+
+import anyio
+
+import canned
+import relay
+import static_fleet
+from sardinehold import keys
+
+TARGET_MEDIAN = 0.3e-3
+"""Seconds."""
+
+TARGET_P99 = 2e-3
+"""Seconds."""
+
+WARM_UP = 0.2
+"""Share of the samples that is not counted."""
+
+
+class _Pacer:
+    """Sends statements at fixed times over a few callers."""
+
+    def __init__(self) -> None:
+        self.idle: collections.deque[_Caller] = collections.deque()
+        self.due: collections.deque[float] = collections.deque()
+
+    def start(self, scheduled: float) -> None:
+        if self.idle:
+            self.idle.popleft().send_at(scheduled)
+        else:
+            self.due.append(scheduled)
+
+    def take_back(self, caller: "_Caller") -> None:
+        if self.due:
+            caller.send_at(self.due.popleft())
+        else:
+            self.idle.append(caller)
+
+
+class _Caller(canned.Caller):
+    """A caller that sends when the pacer says so."""
+
+    pacer: _Pacer
+
+    def send_at(self, scheduled: float) -> None:
+        self.sent = scheduled
+        self.transport.write(self.query)
+
+    def finish(self) -> None:
+        self.pacer.take_back(self)
+
+
+async def _run(
+    address: tuple[str, int], rate: float, seconds: float, connections: int, key: str
+) -> list[float]:
+    """Return the latencies of all statements but the first ones."""
+    tally = canned.Tally(keep=True)
+    pacer = _Pacer()
+    _Caller.pacer = pacer
+    callers = await canned.sign_in(address, connections, tally, _Caller, key=key)
+    for caller in callers:
+        caller.running = True
+        pacer.idle.append(caller)
+    start = time.perf_counter()
+    for number in range(int(rate * seconds)):
+        scheduled = start + number / rate
+        wait = scheduled - time.perf_counter()
+        if wait > 0:
+            await anyio.sleep(wait)
+        # The timer's own delay is the generator's, not the proxy's.
+        pacer.start(max(scheduled, time.perf_counter()) if wait > 0 else scheduled)
+    while tally.statements < int(rate * seconds):
+        await anyio.sleep(0.01)
+    for caller in callers:
+        caller.transport.abort()
+    if tally.errors:
+        raise RuntimeError(f"{tally.errors} statements were answered by an error")
+    return tally.latencies[int(len(tally.latencies) * WARM_UP) :]
+
+
+def main() -> int:
+    """Measure, print and judge."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rate", type=float, default=1000.0)
+    parser.add_argument("--seconds", type=float, default=5.0)
+    parser.add_argument("--connections", type=int, default=32)
+    parser.add_argument("--rounds", type=int, default=3)
+    options = parser.parse_args()
+    key = keys.generate_key().text
+    figures = {"direct": [], "proxy": []}
+    with (
+        relay.Child(relay.serve_endpoint) as endpoint,
+        relay.Child(static_fleet.serve_proxy, endpoint.address, key) as proxy,
+    ):
+        targets = {"direct": endpoint.address, "proxy": proxy.address}
+        for _ in range(options.rounds):
+            for name, address in targets.items():
+                found = anyio.run(
+                    _run,
+                    address,
+                    options.rate,
+                    options.seconds,
+                    options.connections,
+                    key,
+                )
+                cuts = statistics.quantiles(found, n=100)
+                figures[name].append((statistics.median(found), cuts[98]))
+    return _judge(figures)
+
+
+def _judge(figures: dict[str, list[tuple[float, float]]]) -> int:
+    medians = {}
+    for name, found in figures.items():
+        shown = "  ".join(f"{m * 1e3:.3f}/{p * 1e3:.3f}" for m, p in found)
+        medians[name] = [
+            statistics.median(values) for values in zip(*found, strict=True)
+        ]
+        print(f"{name:<8} median/p99 ms: {shown}")
+    added = [
+        through - direct
+        for through, direct in zip(medians["proxy"], medians["direct"], strict=True)
+    ]
+    print(f"added    median/p99 ms: {added[0] * 1e3:.3f}/{added[1] * 1e3:.3f}")
+    met = added[0] <= TARGET_MEDIAN and added[1] <= TARGET_P99
+    print(
+        json.dumps(
+            {
+                "added_median_ms": round(added[0] * 1e3, 4),
+                "added_p99_ms": round(added[1] * 1e3, 4),
+                "met": met,
+            }
+        )
+    )
+    return 0 if met else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/statement_cost.py
@@ -0,0 +1,150 @@
+"""Processor time of one statement in the proxy, without sockets.
+
+``python bench/statement_cost.py --statements 20000`` feeds the adapters with
+what callers and endpoints would send and splits the time between the engine and
+the adapters. Without the system's calls the figures vary less than those of
+``throughput.py``.
+"""
+
+import argparse
+import asyncio
+import json
+import time
+import typing
+
+import canned
+import static_fleet
+from sardinehold import callers
+from sardinehold import datapath
+from sardinehold import endpoints
+from sardinehold import keys
+from sardinehold import metrics
+from sardinehold.core import actions
+from sardinehold.core import engine
+from sardinehold.core import events
+
+CALLERS = 64
+CONNECTIONS = 128
+ROUNDS = 5
+"""Of which the fastest counts."""
+
+WARM_UP = 2_000
+"""Statements before the first round."""
+
+
+class _Transport:
+    """Takes what would be sent."""
+
+    def __init__(self) -> None:
+        self.sent = b""
+
+    def write(self, data: bytes) -> None:
+        self.sent = data
+
+    def get_extra_info(self, name: str) -> tuple[str, int]:
+        return ("127.0.0.1", 1)
+
+
+class _TimedEngine:
+    """Adds up the time that the engine takes."""
+
+    def __init__(self, inner: engine.Engine) -> None:
+        self.inner = inner
+        self.seconds = 0.0
+
+    def handle(self, now: float, event: events.Event) -> list[actions.Action]:
+        start = time.perf_counter()
+        decided = self.inner.handle(now, event)
+        self.seconds += time.perf_counter() - start
+        return decided
+
+
+class _Bench:
+    """A data path whose sockets are replaced."""
+
+    def __init__(self) -> None:
+        self.opening: list[actions.OpenConnection] = []
+        now = asyncio.get_running_loop().time()
+        self.engine = _TimedEngine(engine.Engine(static_fleet.SEED, now))
+        control = static_fleet.StaticControl()
+        self.path = datapath.DataPath(
+            self.engine, control, self._spawn, metrics.Registry()
+        )
+        control.path = self.path
+        self.callers: list[callers.Caller] = []
+
+    def _spawn(self, function: typing.Callable, action: typing.Any) -> None:
+        if isinstance(action, actions.OpenConnection):
+            self.opening.append(action)
+
+    def start(self) -> None:
+        key = keys.generate_key().text
+        far = asyncio.get_running_loop().time() + static_fleet.FAR
+        deliver = self.path.deliver
+        deliver(events.ViewChanged(static_fleet.build_view(("127.0.0.1", 1), key)))
+        deliver(events.LeaseRenewed(far, far))
+        deliver(events.TokensGranted("desk", int(static_fleet.RATE), far))
+        deliver(events.ConnectionsGranted("e1", CONNECTIONS, far))
+        for _ in range(CALLERS):
+            caller = callers.Caller(self.path, None)
+            caller.connection_made(_Transport())
+            self._feed(caller, canned.build_startup("letters"))
+            self._feed(caller, canned.build_password(key))
+            self.callers.append(caller)
+
+    def _feed(self, protocol: asyncio.BufferedProtocol, data: bytes) -> None:
+        self.path.buffer[: len(data)] = data
+        protocol.buffer_updated(len(data))
+
+    def _open(self) -> None:
+        while self.opening:
+            action = self.opening.pop()
+            connection = endpoints.EndpointConnection(self.path.buffer, None)
+            connection.connection_made(_Transport())
+            self.path._take_connection(action.connection_id, connection)
+
+    def run(self, statements: int) -> float:
+        """Return the seconds that some statements took."""
+        start = time.perf_counter()
+        for number in range(statements):
+            caller = self.callers[number % CALLERS]
+            self._feed(caller, canned.QUERY)
+            while caller.request.connection is None:
+                self._open()
+            self._feed(caller.request.connection, canned.ANSWER)
+            if caller.request is not None:
+                raise RuntimeError("a statement was not answered")
+        return time.perf_counter() - start
+
+
+async def _measure(statements: int) -> tuple[float, float]:
+    """Return seconds of a statement in all, and in the engine."""
+    bench = _Bench()
+    bench.start()
+    bench.run(WARM_UP)
+    found = []
+    for _ in range(ROUNDS):
+        bench.engine.seconds = 0.0
+        whole = bench.run(statements)
+        found.append((whole / statements, bench.engine.seconds / statements))
+    return min(found)
+
+
+def main() -> None:
+    """Measure and print."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--statements", type=int, default=10_000)
+    options = parser.parse_args()
+    whole, decided = asyncio.run(_measure(options.statements))
+    figures = {
+        "statement_us": round(whole * 1e6, 1),
+        "engine_us": round(decided * 1e6, 1),
+        "adapters_us": round((whole - decided) * 1e6, 1),
+    }
+    for name, value in figures.items():
+        print(f"{name:<14}{value:>8.1f}")
+    print(json.dumps(figures))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sardinehold/callers.py
+++ b/src/sardinehold/callers.py
@@ -1,6 +1,7 @@
 """Callers: their start-up, their messages, and what they are answered."""
 
 import asyncio
+import re
 import secrets
 import ssl
 import typing
@@ -24,12 +25,16 @@
 MAX_WAITING = 256 * 1024
 """Bytes that are read behind a request that is not answered yet."""
 
-LINGER_SECONDS = 5.0
-"""Seconds that a closed caller may take to read what it was sent."""
-
 _SECRET_BITS = 31
+_SETTING_NAME = re.compile(r"[a-z_][a-z0-9_]*(\.[a-z_][a-z0-9_]*)?", re.IGNORECASE)
 _DEALLOCATE = statements.Kind.DEALLOCATE
 _DISCARD = statements.Kind.DISCARD
+_QUERY = ord("Q")
+_SYNC = ord("S")
+_FLUSH = ord("H")
+_TERMINATE = ord("X")
+_FUNCTION_CALL = ord("F")
+_EXTENDED = frozenset(b"PBDEC")
 _IGNORED = frozenset(b"dcf")
 _TLS_ACCEPTED = b"S"
 _REFUSED = b"N"
@@ -63,6 +68,7 @@
         "closed",
         "secured",
         "held_back",
+        "ready",
         "settings",
         "token",
     )
@@ -87,6 +93,7 @@
         self.closed = False
         self.secured = False
         self.held_back = False
+        self.ready = False
         self.settings: list[tuple[str, str]] = []
         self.token = ""
 
@@ -113,6 +120,8 @@
             return
         data = self.path.buffer[:size]
         if self.backlog is None:
+            if self._take_query(data, size):
+                return
             read = self._process(data, size)
             if read < size and not self.closed:
                 self.backlog = bytearray(data[read:])
@@ -122,6 +131,20 @@
         self._resume()
         self._limit()
 
+    def _take_query(self, data: memoryview, size: int) -> bool:
+        """Take up bytes that are one whole query, the most frequent case."""
+        if data[0] != _QUERY or size < wire.HEADER or not self.ready:
+            return False
+        if wire.unpack_length(data, 1)[0] + 1 != size:
+            return False
+        if self.request is not None or self.skipping:
+            return False
+        try:
+            self._read_query(bytes(data))
+        except errors.RequestError as error:
+            self.fail_session(error)
+        return True
+
     def _resume(self) -> None:
         """Go on with what arrived while a request was under way."""
         if self.backlog is None or self.processing or self.closed:
@@ -231,6 +254,11 @@
         for name, value in settings.items():
             if name.startswith("_pq_.") or name in _LOCAL_SETTINGS:
                 continue
+            if not _SETTING_NAME.fullmatch(name):
+                raise errors.ProtocolViolation(
+                    f"{name[:40]!r} is not the name of a setting.",
+                    "Leave it out of the connection's options.",
+                )
             if self.path.parameters.get(name) != value:
                 self.settings.append((name, value))
 
@@ -279,10 +307,7 @@
             return
         name, value = self.settings.pop()
         quoted = value.replace("'", "''")
-        identifier = name.replace('"', '""')
-        if "." not in name:
-            identifier = f'"{identifier}"'
-        sql = f"SET {identifier} = '{quoted}'"
+        sql = f"SET {name} = '{quoted}'"
         content = sequences.SimpleQuery(wire.build_query(sql))
         self.path.begin(self, content, hidden=True)
 
@@ -300,6 +325,7 @@
         self.transport.write(b"".join(parts))
         self.path.note_signed_in(self)
         self.stage = self._read_messages
+        self.ready = True
         self._resume()
 
     def _wait(self, data: wire.Buffer, size: int) -> int:
@@ -321,19 +347,19 @@
     def _read_message(
         self, kind: int, data: wire.Buffer, start: int, stop: int
     ) -> None:
-        if kind == 81 and not self.skipping:  # Query
+        if kind == _QUERY and not self.skipping:
             self._read_query(bytes(data[start:stop]))
-        elif kind == 88:  # Terminate
+        elif kind == _TERMINATE:
             self.close()
         elif self.skipping:
             self._skip(kind)
-        elif kind in b"PBDEC":
+        elif kind in _EXTENDED:
             self._read_part(kind, bytes(data[start:stop]))
-        elif kind == 83:  # Sync
+        elif kind == _SYNC:
             self._read_sync()
-        elif kind == 72:  # Flush
+        elif kind == _FLUSH:
             self._read_flush()
-        elif kind == 70:  # FunctionCall
+        elif kind == _FUNCTION_CALL:
             self.refuse(
                 errors.Unsupported(
                     "The function call message is not supported.",
@@ -348,7 +374,7 @@
 
     def _skip(self, kind: int) -> None:
         """Drop the rest of a sequence that failed, up to its Sync."""
-        if kind == 83:
+        if kind == _SYNC:
             self.skipping = False
             self.transport.write(wire.build_ready(self.status))
 
@@ -500,20 +526,30 @@
         self.path.pause(self, False)
 
     def close(self, abort: bool = False) -> None:
-        """Close the connection; what was written still goes out in time."""
+        """Close the connection; what was written still goes out in time.
+
+        Only the sending side is closed at first: closing with unread bytes
+        would reset the connection, and the caller might lose the last error.
+        """
         if self.closed:
             return
         self._end()
+        transport = self.transport
         if abort:
-            self.transport.abort()
-            return
-        self.transport.close()
-        if self.transport.get_write_buffer_size():
-            loop = asyncio.get_running_loop()
-            loop.call_later(LINGER_SECONDS, self.transport.abort)
+            transport.abort()
+        elif transport.can_write_eof() and self.path.startups.linger(self):
+            transport.write_eof()
+            transport.resume_reading()
+        else:
+            transport.close()
+
+    def abort(self) -> None:
+        """Drop a connection that lingers."""
+        self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Tell the data path that the caller is gone."""
+        self.path.startups.forget(self)
         if not self.closed:
             self._end()
 
--- a/src/sardinehold/datapath.py
+++ b/src/sardinehold/datapath.py
@@ -8,6 +8,7 @@
 import collections
 import secrets
 import ssl
+import time
 import typing
 
 import logbook
@@ -59,6 +60,9 @@
 
 log = logbook.Logger("datapath")
 
+_read_clock = time.monotonic
+"""The clock of asyncio's loops."""
+
 _SHARED_PARAMETERS = frozenset(("server_version", "server_encoding"))
 
 
@@ -152,7 +156,7 @@
         if type(event) is events.ViewChanged:
             self._take_view(event.view)
         try:
-            decided = self.engine.handle(self.loop.time(), event)
+            decided = self.engine.handle(_read_clock(), event)
         except errors.InvariantViolation as error:
             self._note_violation(event, error)
             return
@@ -249,7 +253,7 @@
             self,
             caller,
             content,
-            self.loop.time(),
+            _read_clock(),
             hides_ready,
             hidden,
         )
@@ -413,8 +417,8 @@
         request = self.requests.pop(request_id, None)
         if request is not None:
             request.finished = True
-            passed = self.loop.time() - request.arrived
-            self.registry.observe("request_seconds", passed)
+            passed = _read_clock() - request.arrived
+            self.registry.observe("request", passed)
         return request
 
     @performs(actions.Acknowledge)
--- a/src/sardinehold/endpoints.py
+++ b/src/sardinehold/endpoints.py
@@ -213,7 +213,8 @@
                 break
             readers.popleft()
             reader.finish(reader)
-        self._keep(data, position, end)
+        if self.carry or position < end:
+            self._keep(data, position, end)
 
     def _keep(self, data: wire.Buffer, position: int, end: int) -> None:
         """Keep the start of a message that is not complete."""
--- a/src/sardinehold/proxy.py
+++ b/src/sardinehold/proxy.py
@@ -10,6 +10,7 @@
 import secrets
 import signal
 import ssl
+import typing
 
 import anyio
 import logbook
@@ -33,8 +34,13 @@
 DRAIN_GRACE = 1.0
 """Seconds behind the drain deadline after which the proxy stops regardless."""
 
+FAREWELL_SECONDS = 1.0
+"""Seconds that callers may take to read why the proxy stopped."""
+
 SEED_BITS = 63
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 log = logbook.Logger("proxy")
 
 
@@ -45,7 +51,10 @@
     :raises sardinehold.errors.SettingsError: a port is in use, or a
         certificate cannot be used.
     """
-    return anyio.run(serve, loaded)
+    code = anyio.run(serve, loaded)
+    # The process ends: another signal must not change its exit code.
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    return code
 
 
 async def serve(
@@ -94,7 +103,7 @@
         """Serve until told to stop, and return the exit code."""
         loop = asyncio.get_running_loop()
         decisions = self.decisions or engine.Engine(
-            secrets.randbits(SEED_BITS), loop.time()
+            secrets.randbits(SEED_BITS), loop.time(), self.settings.zone
         )
         async with anyio.create_task_group() as group:
             self.path = datapath.DataPath(
@@ -115,8 +124,10 @@
             group.start_soon(self._watch_certificates)
             self.recorder.record("proxy_started", port=self.port)
             log.notice("serving callers on port {}", self.port)
-            await self._wait_for_stop(listener)
-            self.path.close()
+            with anyio.open_signal_receiver(*STOP_SIGNALS) as received:
+                await self._wait_for_stop(listener, received)
+                self.path.close()
+                await self.path.startups.wait_for_callers(FAREWELL_SECONDS)
             group.cancel_scope.cancel()
         self.recorder.record("proxy_stopped", cut=self.cut)
         log.notice("stopped; requests and transactions cut: {}", self.cut)
@@ -162,22 +173,24 @@
             self.registry.count("certificates_failed")
             log.warning("{}", error.format_message())
 
-    async def _wait_for_stop(self, listener: asyncio.Server) -> None:
+    async def _wait_for_stop(
+        self,
+        listener: asyncio.Server,
+        received: typing.AsyncIterator[signal.Signals],
+    ) -> None:
         """Return when the proxy may end."""
-        stop_signals = (signal.SIGTERM, signal.SIGINT)
-        with anyio.open_signal_receiver(*stop_signals) as received:
+        await anext(received)
+        listener.close()
+        deadline = self.path.loop.time() + self.settings.drain_deadline
+        self.recorder.record("drain_started", sessions=len(self.path.callers))
+        log.notice("stopping within {} s", self.settings.drain_deadline)
+        self.path.deliver(events.DrainStarted(deadline))
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._wait_for_drain, group, deadline)
             await anext(received)
-            listener.close()
-            deadline = self.path.loop.time() + self.settings.drain_deadline
-            self.recorder.record("drain_started", sessions=len(self.path.callers))
-            log.notice("stopping within {} s", self.settings.drain_deadline)
-            self.path.deliver(events.DrainStarted(deadline))
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._wait_for_drain, group, deadline)
-                await anext(received)
-                if not self.drained.is_set():
-                    self._note_cut("a second signal came")
-                group.cancel_scope.cancel()
+            if not self.drained.is_set():
+                self._note_cut("a second signal came")
+            group.cancel_scope.cancel()
 
     async def _wait_for_drain(
         self, group: anyio.abc.TaskGroup, deadline: float
--- a/src/sardinehold/sequences.py
+++ b/src/sardinehold/sequences.py
@@ -5,6 +5,7 @@
 that it goes to.
 """
 
+import functools
 import typing
 
 from sardinehold import errors
@@ -19,7 +20,12 @@
 EXECUTE = ord("E")
 CLOSE = ord("C")
 
-_STATEMENT = ord("S")
+CACHE_ENTRIES = 4096
+"""Query messages whose traits are kept."""
+
+MAX_CACHED = 1024
+"""Bytes of the longest message whose traits are kept."""
+
 _LOCAL = statements.Traits(statements.Kind.EMPTY)
 _DISCARD = statements.Kind.DISCARD
 _READ = statements.Traits(statements.Kind.READ)
@@ -135,13 +141,12 @@
 
         :raises sardinehold.errors.ProtocolViolation: the text is malformed.
         """
-        if raw[-1] != 0:
-            raise errors.ProtocolViolation(
-                "A query is not terminated.", "Use a PostgreSQL driver."
-            )
         self.raw = raw
         self.size = len(raw)
-        self.traits = classify.classify(wire.decode(raw[wire.HEADER : -1]))
+        if self.size > MAX_CACHED:
+            self.traits = _read_traits(raw)
+        else:
+            self.traits = _read_cached_traits(raw)
 
     def compose(self, known: prepared.ConnectionStatements) -> Outgoing:
         """Return what to send to a connection that has parsed ``known``."""
@@ -160,6 +165,18 @@
         return rows + _complete(tag)
 
 
+def _read_traits(raw: bytes) -> statements.Traits:
+    """Return the traits of a Query message."""
+    if raw[-1] != 0:
+        raise errors.ProtocolViolation(
+            "A query is not terminated.", "Use a PostgreSQL driver."
+        )
+    return classify.classify(wire.decode(raw[wire.HEADER : -1]))
+
+
+_read_cached_traits = functools.lru_cache(maxsize=CACHE_ENTRIES)(_read_traits)
+
+
 def _complete(tag: str) -> bytes:
     return wire.build_complete(tag) if tag else wire.build_frame(b"I")
 
--- a/src/sardinehold/startups.py
+++ b/src/sardinehold/startups.py
@@ -1,9 +1,11 @@
-"""Bounds what callers that have not signed in may hold."""
+"""Bounds what callers hold that have not signed in, or were sent away."""
 
 import asyncio
 import collections
 import typing
 
+import anyio
+
 MAX_STARTUPS = 2_000
 """Callers that may be in their start-up at once; the oldest makes room."""
 
@@ -17,22 +19,36 @@
 """Seconds between two looks for start-ups past their deadline."""
 
 
+LINGER_SECONDS = 5.0
+"""Seconds that a closed caller may take to read what it was sent."""
+
+LINGER_CHECK = 0.01
+"""Seconds between two looks at the callers that still read."""
+
+MAX_LINGERING = 1_000
+"""Closed callers that may take that time at once."""
+
+
 class Pending(typing.Protocol):
-    """A caller in its start-up."""
+    """A caller in its start-up, or closed and still reading."""
 
     def close(self, abort: bool = False) -> None:
         """Close the connection."""
 
+    def abort(self) -> None:
+        """Drop a connection that lingers."""
+
 
 class Startups:
     """The callers that have not signed in yet, oldest first."""
 
-    __slots__ = ("_deadlines", "_loop", "_timer")
+    __slots__ = ("_deadlines", "_lingering", "_loop", "_timer")
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Start with none."""
         self._deadlines: collections.OrderedDict[Pending, float]
         self._deadlines = collections.OrderedDict()
+        self._lingering: dict[Pending, asyncio.TimerHandle] = {}
         self._loop = loop
         self._timer: asyncio.TimerHandle | None = None
 
@@ -53,6 +69,26 @@
         """Note that a caller signed in or left."""
         self._deadlines.pop(caller, None)
 
+    def linger(self, caller: Pending) -> bool:
+        """Let a closed caller read what it was sent; return whether it may."""
+        if len(self._lingering) >= MAX_LINGERING:
+            return False
+        timer = self._loop.call_later(LINGER_SECONDS, caller.abort)
+        self._lingering[caller] = timer
+        return True
+
+    def forget(self, caller: Pending) -> None:
+        """Note that a caller's connection is gone."""
+        timer = self._lingering.pop(caller, None)
+        if timer is not None:
+            timer.cancel()
+
+    async def wait_for_callers(self, seconds: float) -> None:
+        """Wait until no closed caller reads any more, for some seconds at most."""
+        with anyio.move_on_after(seconds):
+            while self._lingering:
+                await anyio.sleep(LINGER_CHECK)
+
     def _sweep(self) -> None:
         self._timer = None
         now = self._loop.time()
