--- a/src/sardinehold/core/admission.py
+++ b/src/sardinehold/core/admission.py
@@ -18,6 +18,9 @@
 WAIT_SHARE = 0.5
 """Share of the time to the deadline that a request waits for a token."""
 
+INCOME_EVIDENCE = 0.5
+"""Seconds of waiting after which the income of tokens predicts the wait."""
+
 _READ = statements.Kind.READ
 _LOCAL = frozenset(
     [
@@ -80,6 +83,8 @@
         start_review(node, balance)
     if not balance.waiting and balance.take(node.now):
         request.has_token = True
+        if balance.tokens < balance.low_mark:
+            request_tokens(node, balance)
         routing.route(node, request)
         return
     _wait(node, request, balance)
@@ -90,9 +95,7 @@
 ) -> None:
     """Queue a request for tokens unless its wait would be too long."""
     limit = WAIT_SHARE * (request.deadline - node.now)
-    expected = 0.0
-    if balance.income > 0:
-        expected = len(balance.waiting) / balance.income
+    expected = _predict_wait(node, balance)
     if len(balance.waiting) >= MAX_WAITING or expected > limit:
         requests.refuse(node, request, _over_rate(balance, expected))
         return
@@ -103,6 +106,19 @@
     request_tokens(node, balance)
 
 
+def _predict_wait(node: nodes.Node, balance: balances.Balance) -> float:
+    """Return the seconds that a new request would wait for a token.
+
+    The income says nothing about a demand that has just moved to this node:
+    it counts once the oldest request has waited long enough to be part of it.
+    """
+    if not balance.waiting or balance.income <= 0:
+        return 0.0
+    if node.now - balance.waiting[0].accepted_at < INCOME_EVIDENCE:
+        return 0.0
+    return len(balance.waiting) / balance.income
+
+
 def _give_up(node: nodes.Node, request_ids: list[int]) -> None:
     """Refuse requests that have waited too long for a token."""
     for request_id in request_ids:
@@ -162,8 +178,12 @@
 
 
 def request_tokens(node: nodes.Node, balance: balances.Balance) -> None:
-    """Ask the allocator for what the demand needs."""
-    if node.now - balance.asked_at < balances.REQUEST_INTERVAL:
+    """Ask the allocator for what the demand needs, soon if it was just asked."""
+    next_at = balance.asked_at + balances.REQUEST_INTERVAL
+    if node.now < next_at:
+        if balance.waiting and not balance.is_asking:
+            balance.is_asking = True
+            node.timers.set(next_at, _ask_again, balance)
         return
     wanted = max(balance.find_target(), balances.FIRST_REQUEST) - balance.tokens
     if wanted > 0:
@@ -173,6 +193,13 @@
         )
 
 
+def _ask_again(node: nodes.Node, balance: balances.Balance) -> None:
+    """Ask for tokens once the last question is old enough."""
+    balance.is_asking = False
+    if balance.waiting:
+        request_tokens(node, balance)
+
+
 def return_tokens(node: nodes.Node, balance: balances.Balance, tokens: int) -> None:
     """Give tokens back that are not needed."""
     taken = balance.withdraw(tokens)
