Keep the actions' performers in modules by what they concern

A cancelled connection stays with the session whose transaction is open on it, and is closed instead of being used by another. TLS towards endpoints tested.

--- a/bench/statement_cost.py
+++ b/bench/statement_cost.py
@@ -73,9 +73,9 @@
         control.path = self.path
         self.callers: list[callers.Caller] = []
 
-    def _spawn(self, function: typing.Callable, action: typing.Any) -> None:
-        if isinstance(action, actions.OpenConnection):
-            self.opening.append(action)
+    def _spawn(self, function: typing.Callable, *arguments: typing.Any) -> None:
+        if isinstance(arguments[-1], actions.OpenConnection):
+            self.opening.append(arguments[-1])
 
     def start(self) -> None:
         key = keys.generate_key().text
@@ -101,7 +101,7 @@
             action = self.opening.pop()
             connection = endpoints.EndpointConnection(self.path.buffer, None)
             connection.connection_made(_Transport())
-            self.path._take_connection(action.connection_id, connection)
+            self.path.take_connection(action.connection_id, connection)
 
     def run(self, statements: int) -> float:
         """Return the seconds that some statements took."""
--- a/src/sardinehold/datapath.py
+++ b/src/sardinehold/datapath.py
@@ -15,14 +15,18 @@
 
 from sardinehold import answers
 from sardinehold import callers
+from sardinehold import connection_actions
+from sardinehold import control_actions
 from sardinehold import endpoints
 from sardinehold import errors
 from sardinehold import metrics
+from sardinehold import performers
 from sardinehold import probes
+from sardinehold import request_actions
 from sardinehold import requests
+from sardinehold import session_actions
 from sardinehold import startups
 from sardinehold import timeline
-from sardinehold import wire
 from sardinehold.core import actions
 from sardinehold.core import events
 from sardinehold.core import view as views
@@ -46,17 +50,8 @@
 }
 """What callers are told at start-up, until an endpoint has told its own."""
 
-CANCEL_SECONDS = 5.0
-"""Seconds that the delivery of a cancel request may take."""
-
-CONTROL_ACTIONS = (
-    actions.RequestTokens,
-    actions.ReturnTokens,
-    actions.RequestConnections,
-    actions.ReportEndpoint,
-    actions.DrainFinished,
-)
-"""What the agent of the fleet carries out."""
+ACTIONS = (connection_actions, control_actions, request_actions, session_actions)
+"""The modules that carry out actions; importing them fills the registry."""
 
 log = logbook.Logger("datapath")
 
@@ -80,20 +75,6 @@
         """Carry out an action."""
 
 
-Performer = typing.Callable[["DataPath", typing.Any], None]
-_performers: dict[type[actions.Action], Performer] = {}
-
-
-def performs(kind: type[actions.Action]) -> typing.Callable[[Performer], Performer]:
-    """Register the method that carries out a kind of action."""
-
-    def register(method: Performer) -> Performer:
-        _performers[kind] = method
-        return method
-
-    return register
-
-
 class DataPath:
     """Sessions, requests and endpoint connections of one process.
 
@@ -160,8 +141,9 @@
         except errors.InvariantViolation as error:
             self._note_violation(event, error)
             return
+        perform = performers.REGISTRY
         for action in decided:
-            _performers[type(action)](self, action)
+            perform[type(action)](self, action)
 
     def _note_violation(
         self, event: events.Event, error: errors.InvariantViolation
@@ -173,7 +155,7 @@
             self.recorder.record(
                 "invariant_violated", event=type(event).__name__, reason=error.message
             )
-        request = self._finish(getattr(event, "request_id", 0))
+        request = self.finish(getattr(event, "request_id", 0))
         if request is not None:
             refusal = errors.OutcomeUnknown(error.message, error.remedy)
             request.owner.fail(request, refusal, True)
@@ -189,22 +171,19 @@
         }
         self.prober.keep_only(self.addresses)
 
-    @performs(actions.WakeAt)
-    def _wake(self, action: actions.WakeAt) -> None:
+    def wake_at(self, moment: float) -> None:
+        """Send a tick at this time, or at an earlier one that was asked for."""
         if self._timer is not None:
-            if self._wake_at <= action.time:
+            if self._wake_at <= moment:
                 return
             self._timer.cancel()
-        self._wake_at = action.time
-        self._timer = self.loop.call_at(action.time, self._tick)
+        self._wake_at = moment
+        self._timer = self.loop.call_at(moment, self._tick)
 
     def _tick(self) -> None:
         self._timer = None
         self.deliver(events.Tick())
 
-    def _hand_over(self, action: actions.Action) -> None:
-        self.control.handle(action)
-
     # Callers
 
     def number_session(self, caller: callers.Caller) -> int:
@@ -290,99 +269,6 @@
         else:
             connection.transport.resume_reading()
 
-    @performs(actions.SessionAccepted)
-    def _accept_session(self, action: actions.SessionAccepted) -> None:
-        caller = self.callers.get(action.session_id)
-        if caller is not None:
-            self.registry.count("sessions_accepted")
-            caller.accept(action)
-
-    @performs(actions.SessionRefused)
-    def _refuse_session(self, action: actions.SessionRefused) -> None:
-        caller = self.callers.get(action.session_id)
-        if caller is None:
-            return
-        self.registry.count(f"refused_{action.error.code}")
-        if action.retry_at > self.loop.time():
-            self.loop.call_at(action.retry_at, caller.fail_session, action.error)
-        else:
-            caller.fail_session(action.error)
-
-    @performs(actions.CloseSession)
-    def _close_session(self, action: actions.CloseSession) -> None:
-        caller = self.callers.get(action.session_id)
-        if caller is not None:
-            self.registry.count(f"closed_{action.error.code}")
-            caller.fail_session(action.error)
-
-    # Requests
-
-    @performs(actions.Dispatch)
-    def _dispatch(self, action: actions.Dispatch) -> None:
-        request = self.requests.get(action.request_id)
-        connection = self.connections.get(action.connection_id)
-        if request is None:
-            return
-        if connection is None or connection.closed or connection.tainted:
-            self._report_unsent(action, connection)
-            return
-        request.connection_id = action.connection_id
-        request.connection = connection
-        if request.owner.paused:
-            connection.transport.pause_reading()
-        if action.setup:
-            self._prepare_connection(request, connection, action)
-        else:
-            request.send(action.want_position)
-
-    def _report_unsent(
-        self,
-        action: actions.Dispatch,
-        connection: endpoints.EndpointConnection | None,
-    ) -> None:
-        """Report that nothing left; a connection that was cancelled is closed.
-
-        A cancel request may still reach what runs next on such a connection.
-        """
-        self.deliver(events.DispatchFailed(action.request_id, action.connection_id))
-        if connection is not None and connection.tainted:
-            self._drop_connection(action.connection_id)
-
-    def _drop_connection(self, connection_id: int) -> None:
-        connection = self.connections.pop(connection_id, None)
-        if connection is not None:
-            connection.close()
-            self.deliver(events.ConnectionLost(connection_id))
-
-    def _prepare_connection(
-        self,
-        request: requests.Request,
-        connection: endpoints.EndpointConnection,
-        action: actions.Dispatch,
-    ) -> None:
-        """Run the set-up statements; the request leaves when all succeeded."""
-        failed = False
-        left = len(action.setup)
-
-        def finish(collector: answers.Collector) -> None:
-            nonlocal failed, left
-            failed = failed or collector.error is not None
-            left -= 1
-            if left:
-                return
-            if failed:
-                self.registry.count("setups_failed")
-                connection.tainted = True
-                self._report_unsent(action, connection)
-            elif not request.finished:
-                request.send(action.want_position)
-
-        for sql in action.setup:
-            if "DISCARD ALL" in sql.upper() or "DEALLOCATE" in sql.upper():
-                connection.statements.clear()
-        payload = b"".join([wire.build_query(sql) for sql in action.setup])
-        connection.send(payload, *[answers.Collector(finish) for _ in action.setup])
-
     def note_started(self, request: requests.Request) -> None:
         """Tell the engine that a request can no longer be sent again."""
         self.deliver(events.AnswerStarted(request.request_id))
@@ -413,7 +299,8 @@
             event.position = status.received
             event.confirmed = status.confirmed
 
-    def _finish(self, request_id: int) -> requests.Request | None:
+    def finish(self, request_id: int) -> requests.Request | None:
+        """Take a request off the list; return it, None if it is not there."""
         request = self.requests.pop(request_id, None)
         if request is not None:
             request.finished = True
@@ -421,76 +308,10 @@
             self.registry.observe("request", passed)
         return request
 
-    @performs(actions.Acknowledge)
-    def _acknowledge(self, action: actions.Acknowledge) -> None:
-        request = self._finish(action.request_id)
-        if request is None:
-            return
-        answer = request.answer
-        held = answer.held
-        if answer.sqlstate:
-            request.content.undo(answer.confirmed)
-        if action.token:
-            token = wire.build_parameter("sardinehold.session", action.token)
-            held[-wire.READY_SIZE : -wire.READY_SIZE] = token
-        if request.hides_ready:
-            del held[-wire.READY_SIZE :]
-            request.owner.skipping = bool(answer.sqlstate)
-        if request.hidden and answer.sqlstate:
-            request.owner.fail(request, _build_setting_error(answer.sqlstate), True)
-            return
-        request.owner.finish(request, held, answer.status)
-
-    @performs(actions.Refuse)
-    def _refuse(self, action: actions.Refuse) -> None:
-        request = self._finish(action.request_id)
-        if request is None:
-            return
-        self.registry.count(f"refused_{action.error.code}")
-        request.content.undo(0)
-        request.owner.fail(request, action.error, action.fatal)
-
-    @performs(actions.AnswerLocally)
-    def _answer_locally(self, action: actions.AnswerLocally) -> None:
-        request = self._finish(action.request_id)
-        if request is None:
-            return
-        answer = request.content.answer_locally(action.tag, action.column, action.value)
-        owner = request.owner
-        if not request.hides_ready:
-            answer += wire.build_ready(owner.status)
-        owner.finish(request, answer, owner.status)
-
-    # Connections
-
-    @performs(actions.OpenConnection)
-    def _open_connection(self, action: actions.OpenConnection) -> None:
-        self.connections[action.connection_id] = None
-        self.spawn(self._connect, action)
-
-    async def _connect(self, action: actions.OpenConnection) -> None:
-        identifier = action.connection_id
-        address = self.addresses.get(action.endpoint)
-        try:
-            if address is None:
-                raise errors.EndpointUnavailable(
-                    f"The view has no endpoint {action.endpoint}.",
-                    "Wait for the next view.",
-                )
-            connection = await endpoints.connect(
-                address, action.deadline, self.endpoint_tls, self.buffer
-            )
-        except errors.EndpointUnavailable as error:
-            self.registry.count("connections_failed")
-            if self.connections.pop(identifier, self) is None:
-                full = isinstance(error, endpoints.EndpointFull)
-                self.deliver(events.ConnectionFailed(identifier, full))
-            return
-        self._take_connection(identifier, connection)
-
-    def _take_connection(
+    def take_connection(
         self, identifier: int, connection: endpoints.EndpointConnection
     ) -> None:
+        """Take up a connection that is ready, unless it is no longer wanted."""
         if identifier not in self.connections:
             connection.close()
             return
@@ -505,35 +326,18 @@
         if self.connections.pop(connection_id, None) is None:
             return
         self.registry.count("connections_lost")
-        self._end_transactions(connection_id)
+        self.end_transactions(connection_id)
         self.deliver(events.ConnectionLost(connection_id))
 
-    def _end_transactions(self, connection_id: int) -> None:
+    def end_transactions(self, connection_id: int) -> None:
         """Note that a transaction block ended with its connection."""
         owner = self._pinned.pop(connection_id, None)
         if owner is not None:
             owner.status = "I"
 
-    @performs(actions.CloseConnection)
-    def _close_connection(self, action: actions.CloseConnection) -> None:
-        connection = self.connections.pop(action.connection_id, None)
-        if connection is not None:
-            connection.close()
-            self._end_transactions(action.connection_id)
-
-    @performs(actions.CancelStatement)
-    def _cancel_statement(self, action: actions.CancelStatement) -> None:
-        connection = self.connections.get(action.connection_id)
-        if connection is None or connection.closed or not connection.key_data:
-            return
-        connection.tainted = True
-        self.registry.count("cancels_sent")
-        deadline = self.loop.time() + CANCEL_SECONDS
-        self.spawn(endpoints.cancel, connection, deadline)
-
-    @performs(actions.ProbeEndpoint)
-    def _probe_endpoint(self, action: actions.ProbeEndpoint) -> None:
-        self.spawn(self.prober.probe, action)
+    def is_pinned(self, connection_id: int, owner: requests.Owner) -> bool:
+        """Return whether a session has a transaction open on a connection."""
+        return self._pinned.get(connection_id) is owner
 
     def count_transactions(self) -> int:
         """Return how many transaction blocks are open."""
@@ -552,14 +356,3 @@
             if connection is not None:
                 connection.close()
         self.prober.close()
-
-
-for _kind in CONTROL_ACTIONS:
-    performs(_kind)(DataPath._hand_over)
-
-
-def _build_setting_error(sqlstate: str) -> errors.RequestError:
-    return errors.Unsupported(
-        f"A setting of the start-up message was refused with SQLSTATE {sqlstate}.",
-        "Leave it out of the connection's options.",
-    )
--- /dev/null
+++ b/src/sardinehold/session_actions.py
@@ -0,0 +1,40 @@
+"""Carries out what the engine decides about sessions."""
+
+import typing
+
+from sardinehold import performers
+from sardinehold.core import actions
+
+if typing.TYPE_CHECKING:
+    from sardinehold import datapath
+
+
+@performers.performs(actions.SessionAccepted)
+def accept_session(path: "datapath.DataPath", action: actions.SessionAccepted) -> None:
+    """Let a caller in."""
+    caller = path.callers.get(action.session_id)
+    if caller is not None:
+        path.registry.count("sessions_accepted")
+        caller.accept(action)
+
+
+@performers.performs(actions.SessionRefused)
+def refuse_session(path: "datapath.DataPath", action: actions.SessionRefused) -> None:
+    """Send a caller away, not before the time that the engine states."""
+    caller = path.callers.get(action.session_id)
+    if caller is None:
+        return
+    path.registry.count(f"refused_{action.error.code}")
+    if action.retry_at > path.loop.time():
+        path.loop.call_at(action.retry_at, caller.fail_session, action.error)
+    else:
+        caller.fail_session(action.error)
+
+
+@performers.performs(actions.CloseSession)
+def close_session(path: "datapath.DataPath", action: actions.CloseSession) -> None:
+    """End an open session."""
+    caller = path.callers.get(action.session_id)
+    if caller is not None:
+        path.registry.count(f"closed_{action.error.code}")
+        caller.fail_session(action.error)
--- a/tests/builders_wire.py
+++ b/tests/builders_wire.py
@@ -169,6 +169,7 @@
         self.server = server
         self.buffer = b""
         self.started = False
+        self.securing = False
         self.status = b"I"
         self.prepared = {}
         self.portal = ""
@@ -180,6 +181,8 @@
 
     def data_received(self, data):
         self.buffer += data
+        if self.securing or not self.buffer:
+            return
         if not self.started:
             self._start()
         while len(self.buffer) >= 5 and self.started and self.status != b"?":
@@ -197,6 +200,12 @@
             self.server.cancel(struct.unpack_from("!ii", packet, 8))
             self.transport.close()
             return
+        if code == wire.TLS_CODE:
+            self.transport.write(b"S" if self.server.tls else b"N")
+            if self.server.tls:
+                self.securing = True
+                self.server.task = asyncio.create_task(self._secure())
+            return
         self.server.startups.append(packet)
         if self.server.full:
             fields = b"SFATAL\0C53300\0Mno room\0\0"
@@ -213,6 +222,14 @@
             + wire.build_ready("I")
         )
 
+    async def _secure(self):
+        loop = asyncio.get_running_loop()
+        self.transport = await loop.start_tls(
+            self.transport, self, self.server.tls, server_side=True
+        )
+        self.securing = False
+        self.data_received(b"")
+
     def answer(self, kind, payload):
         if kind == b"S":
             self.failed = False
@@ -298,6 +315,8 @@
         self.connections = {}
         self.cancels = []
         self.full = False
+        self.resumed = "I"
+        self.tls = None
 
     def make(self):
         return FakeEndpoint(self)
@@ -306,10 +325,10 @@
         self.cancels.append(keys)
         connection = self.connections[keys[0]]
         if connection.status == b"?":
-            connection.status = b"I"
+            connection.status = self.resumed.encode()
             connection.fail("57014")
             connection.failed = False
-            connection.transport.write(wire.build_ready("I"))
+            connection.transport.write(wire.build_ready(self.resumed))
             connection.data_received(b"")
 
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -247,8 +247,7 @@
         await wait_until(lambda: fleet.engine.seen(events.DispatchFailed))
         assert builders.kinds(await caller.read_until(b"Z")) == "TDCSZ"
         assert fleet.server.ran == ["SET FAIL", "INSERT INTO letters VALUES (1)"]
-        lost = [e.connection_id for e in fleet.engine.seen(events.ConnectionLost)]
-        assert lost == [1]
+        assert list(fleet.path.connections) == [2]
 
 
 async def cancel(fleet, process, secret):
@@ -272,11 +271,27 @@
         assert builders.read_error(frames)["C"] == "57014"
         assert fleet.server.cancels == [(1, 7)]
         assert builders.kinds(await other.ask("SELECT 2")) == "TDCZ"
-        lost = [e.connection_id for e in fleet.engine.seen(events.ConnectionLost)]
-        assert lost == [1]
+        assert list(fleet.path.connections) == [2]
         assert len(fleet.server.startups) == 2
 
 
+async def test_cancel_in_a_transaction_leaves_it_to_its_session():
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        keys = next(p for kind, p in caller.greeting if kind == b"K")
+        await caller.ask("BEGIN")
+        await caller.ask("SELECT 1")
+        caller.write(wire.build_query("SELECT HANG"))
+        await wait_until(lambda: "SELECT HANG" in fleet.server.ran)
+        fleet.server.resumed = "T"
+        await cancel(fleet, *struct.unpack("!ii", keys))
+        assert builders.kinds(await caller.read_until(b"Z")) == "EZ"
+        frames = await caller.ask("ROLLBACK")
+        assert frames[-1] == (b"Z", b"I")
+        await caller.ask("SELECT 2")
+        assert list(fleet.path.connections) == [2]
+
+
 async def test_answer_for_a_closed_connection_reaches_nobody():
     async with builders.run_path() as fleet:
         caller = await fleet.connect()
--- a/tests/test_certificates.py
+++ b/tests/test_certificates.py
@@ -13,6 +13,7 @@
 
 import builders_wire as builders
 from sardinehold import certificates
+from sardinehold import endpoints
 from sardinehold import errors
 from sardinehold import settings
 from sardinehold import wire
@@ -142,6 +143,49 @@
         assert len(fleet.path.startups) == 0
 
 
+async def query_over_tls(server, authority):
+    loop = asyncio.get_running_loop()
+    listening = await loop.create_server(server.make, "localhost", 0)
+    port = listening.sockets[0].getsockname()[1]
+    tls = certificates.Certificates(
+        settings.Tls(authority=authority), ssl.Purpose.SERVER_AUTH
+    )
+    try:
+        return await endpoints.query(
+            "localhost", port, "main", "me", "SELECT 1", loop.time() + 5, tls.context
+        )
+    finally:
+        listening.close()
+
+
+@pytest.mark.anyio
+async def test_endpoint_is_reached_over_tls(tmp_path):
+    files = write_certificate(tmp_path, "endpoint")
+    server = builders.FakeServer()
+    server.tls = load(files).context
+    assert await query_over_tls(server, files.certificate) == [("SELECT 1",)]
+
+
+@pytest.mark.anyio
+async def test_endpoint_without_tls_is_sent_nothing_in_clear(tmp_path):
+    files = write_certificate(tmp_path, "endpoint")
+    server = builders.FakeServer()
+    with pytest.raises(errors.EndpointUnavailable):
+        await query_over_tls(server, files.certificate)
+    assert server.startups == []
+
+
+@pytest.mark.anyio
+async def test_endpoint_of_another_authority_is_not_trusted(tmp_path):
+    server = builders.FakeServer()
+    server.tls = load(write_certificate(tmp_path, "endpoint")).context
+    other = tmp_path / "other"
+    other.mkdir()
+    with pytest.raises(errors.EndpointUnavailable):
+        await query_over_tls(server, write_certificate(other, "other").certificate)
+    assert server.startups == []
+
+
 @pytest.mark.parametrize("broken", ["cert.pem", "key.pem"])
 def test_unusable_files_name_the_remedy_and_keep_the_old_ones(tmp_path, broken):
     files = write_certificate(tmp_path, "first")
