Test drivers and signals against real processes; say what a second signal cuts

Found: nothing was logged without a handler, and a port in use ended in a traceback with code 1 in place of one line and code 2.

--- a/src/sardinehold/proxy.py
+++ b/src/sardinehold/proxy.py
@@ -51,12 +51,24 @@
     :raises sardinehold.errors.SettingsError: a port is in use, or a
         certificate cannot be used.
     """
-    code = anyio.run(serve, loaded)
+    try:
+        with logbook.StderrHandler(level=logbook.NOTICE).applicationbound():
+            code = anyio.run(serve, loaded)
+    except ExceptionGroup as group:
+        raise _find_cause(group) from group
     # The process ends: another signal must not change its exit code.
     signal.signal(signal.SIGTERM, signal.SIG_IGN)
     return code
 
 
+def _find_cause(group: ExceptionGroup) -> Exception:
+    """Return the error of ours in a group, or the group if there is none."""
+    ours = group.subgroup(errors.SardineholdError)
+    while isinstance(ours, ExceptionGroup):
+        ours = ours.exceptions[0]
+    return ours or group
+
+
 async def serve(
     loaded: settings.ProxySettings,
     fleet: control.Control | None = None,
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,105 @@
+"""The proxy as a process: what stops it, and how it ends."""
+
+import signal
+import socket
+
+import psycopg
+import pytest
+
+import builders_processes as processes
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with processes.run_fleet(tmp_path_factory.mktemp("fleet")) as running:
+        yield running
+
+
+@pytest.fixture
+def proxy(fleet):
+    """A proxy of its own, ready to serve."""
+    processes.stop(fleet.proxy, signal.SIGKILL)
+    fleet.start_proxy()
+    processes.wait_until(lambda: accepts(fleet))
+    yield fleet.proxy
+    processes.stop(fleet.proxy, signal.SIGKILL)
+
+
+def connect(fleet, **options):
+    return psycopg.connect(
+        host=processes.HOST,
+        port=fleet.port,
+        user="me",
+        dbname="letters",
+        password=fleet.key.text,
+        **options,
+    )
+
+
+def accepts(fleet):
+    try:
+        with connect(fleet, autocommit=True) as connection:
+            return connection.execute("DELETE FROM letters WHERE id < 0")
+    except psycopg.OperationalError:
+        return None
+
+
+def refuses_connections(fleet):
+    with socket.socket() as probe:
+        return probe.connect_ex((processes.HOST, fleet.port)) != 0
+
+
+def test_idle_proxy_stops_at_once(fleet, proxy):
+    with connect(fleet, autocommit=True) as idle:
+        idle.execute("SELECT 1")
+        assert processes.stop(proxy)[0] == 0
+        with pytest.raises(psycopg.OperationalError, match="outcome: not run"):
+            idle.execute("SELECT 1")
+
+
+def test_open_transaction_finishes_before_the_proxy_stops(fleet, proxy):
+    connection = connect(fleet)
+    connection.execute("INSERT INTO letters (id, body) VALUES (1, 'kept')")
+    proxy.send_signal(signal.SIGTERM)
+    processes.wait_until(lambda: refuses_connections(fleet))
+    connection.execute("INSERT INTO letters (id, body) VALUES (2, 'kept')")
+    connection.commit()
+    assert processes.stop(proxy, 0)[0] == 0
+    fleet.start_proxy()
+    processes.wait_until(lambda: accepts(fleet))
+    with connect(fleet) as other:
+        found = other.execute("SELECT id FROM letters WHERE id < 10").fetchall()
+    assert found == [(1,), (2,)]
+
+
+def test_second_signal_ends_at_once_and_says_what_is_cut(fleet, proxy):
+    connection = connect(fleet)
+    connection.execute("INSERT INTO letters (id, body) VALUES (20, 'cut')")
+    proxy.send_signal(signal.SIGTERM)
+    processes.wait_until(lambda: refuses_connections(fleet))
+    code, output = processes.stop(proxy)
+    assert code == 1
+    assert "a second signal came: cutting 0 requests and 1 transactions" in output
+
+
+def run_to_the_end(fleet, path):
+    process = processes.start("sardinehold.cli", "proxy", "--settings", str(path))
+    _, output = process.communicate(timeout=processes.PATIENCE)
+    return process.returncode, output.strip().splitlines()
+
+
+def test_port_in_use_is_one_clear_line_and_code_2(fleet):
+    with socket.create_server((processes.HOST, 0)) as taken:
+        address = f"{processes.HOST}:{taken.getsockname()[1]}"
+        code, lines = run_to_the_end(fleet, fleet.write_settings(address))
+    assert code == 2
+    assert len(lines) == 1
+    assert address in lines[0]
+
+
+def test_unreadable_certificate_is_one_clear_line_and_code_2(fleet):
+    extra = "[caller_tls]\ncertificate = none.pem\nkey = none.pem\n"
+    code, lines = run_to_the_end(fleet, fleet.write_settings(extra=extra))
+    assert code == 2
+    assert [line for line in lines if "[caller_tls] certificate" in line]
+    assert not [line for line in lines if "Traceback" in line]
