--- a/src/sardinehold/core/admission.py
+++ b/src/sardinehold/core/admission.py
@@ -18,6 +18,9 @@
 WAIT_SHARE = 0.5
 """Share of the time to the deadline that a request waits for a token."""
 
+INCOME_EVIDENCE = 0.5
+"""Seconds of waiting after which the income of tokens predicts the wait."""
+
 _READ = statements.Kind.READ
 _LOCAL = frozenset(
     [
@@ -58,7 +61,17 @@
     if not request.is_read:
         _mark_idempotent(session, request)
     node.timers.set_shared(request.deadline, expire, request.request_id)
-    admit(node, request)
+    balance = session.balance
+    balance.note_arrival()
+    if not balance.is_reviewed:
+        start_review(node, balance)
+    if balance.waiting or not balance.take(node.now):
+        _wait(node, request, balance)
+        return
+    request.has_token = True
+    if balance.tokens < balance.low_mark:
+        request_tokens(node, balance)
+    routing.route(node, request)
 
 
 def _mark_idempotent(session: object, request: requests.Request) -> None:
@@ -72,27 +85,12 @@
         session.idempotency_key = ""
 
 
-def admit(node: nodes.Node, request: requests.Request) -> None:
-    """Spend a token on a request, or let it wait for one."""
-    balance = request.session.balance
-    balance.note_arrival()
-    if not balance.is_reviewed:
-        start_review(node, balance)
-    if not balance.waiting and balance.take(node.now):
-        request.has_token = True
-        routing.route(node, request)
-        return
-    _wait(node, request, balance)
-
-
 def _wait(
     node: nodes.Node, request: requests.Request, balance: balances.Balance
 ) -> None:
     """Queue a request for tokens unless its wait would be too long."""
     limit = WAIT_SHARE * (request.deadline - node.now)
-    expected = 0.0
-    if balance.income > 0:
-        expected = len(balance.waiting) / balance.income
+    expected = _predict_wait(node, balance)
     if len(balance.waiting) >= MAX_WAITING or expected > limit:
         requests.refuse(node, request, _over_rate(balance, expected))
         return
@@ -103,6 +101,19 @@
     request_tokens(node, balance)
 
 
+def _predict_wait(node: nodes.Node, balance: balances.Balance) -> float:
+    """Return the seconds that a new request would wait for a token.
+
+    The income says nothing about a demand that has just moved to this node:
+    it counts once the oldest request has waited long enough to be part of it.
+    """
+    if not balance.waiting or balance.income <= 0:
+        return 0.0
+    if node.now - balance.waiting[0].accepted_at < INCOME_EVIDENCE:
+        return 0.0
+    return len(balance.waiting) / balance.income
+
+
 def _give_up(node: nodes.Node, request_ids: list[int]) -> None:
     """Refuse requests that have waited too long for a token."""
     for request_id in request_ids:
@@ -147,7 +158,9 @@
     target = balance.find_target()
     if balance.tokens < target:
         request_tokens(node, balance)
-    elif node.now - balance.quiet_since >= balances.QUIET:
+    elif balance.spent_total != balance.spent_told:
+        tell_left(node, balance, 0)
+    elif balance.is_quiet(node.now):
         return_tokens(node, balance, balance.tokens)
     elif balance.tokens > 2 * target + balances.FIRST_REQUEST:
         return_tokens(node, balance, balance.tokens - 2 * target)
@@ -162,15 +175,30 @@
 
 
 def request_tokens(node: nodes.Node, balance: balances.Balance) -> None:
-    """Ask the allocator for what the demand needs."""
-    if node.now - balance.asked_at < balances.REQUEST_INTERVAL:
+    """Ask the allocator for what the demand needs, soon if it was just asked."""
+    next_at = balance.asked_at + balances.REQUEST_INTERVAL
+    if node.now < next_at:
+        if balance.waiting and not balance.is_asking:
+            balance.is_asking = True
+            node.timers.set(next_at, _ask_again, balance)
         return
     wanted = max(balance.find_target(), balances.FIRST_REQUEST) - balance.tokens
     if wanted > 0:
         balance.asked_at = node.now
-        node.actions.append(
-            actions.RequestTokens(balance.owner, wanted, balance.tokens)
-        )
+        tell_left(node, balance, wanted)
+
+
+def tell_left(node: nodes.Node, balance: balances.Balance, wanted: int) -> None:
+    """Tell the allocator what is left, and how much is wanted on top."""
+    balance.spent_told = balance.spent_total
+    node.actions.append(actions.RequestTokens(balance.owner, wanted, balance.tokens))
+
+
+def _ask_again(node: nodes.Node, balance: balances.Balance) -> None:
+    """Ask for tokens once the last question is old enough."""
+    balance.is_asking = False
+    if balance.waiting:
+        request_tokens(node, balance)
 
 
 def return_tokens(node: nodes.Node, balance: balances.Balance, tokens: int) -> None:
