--- a/src/sardinehold/control.py
+++ b/src/sardinehold/control.py
@@ -85,6 +85,7 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._stopped = False
+        self.left = anyio.Event()
 
     @property
     def view(self) -> core_view.View | None:
@@ -135,6 +136,10 @@
         """
         self._feed(agent_events.StopRequested())
 
+    async def wait_stopped(self) -> None:
+        """Return when the node has left the fleet after a planned stop."""
+        await self.left.wait()
+
     def _hear(self, message: messages.Message) -> None:
         self._feed(agent_events.MessageArrived(message))
 
@@ -304,4 +309,5 @@
 def stop(control: Control, action: agent_actions.Stopped) -> None:
     """End the run."""
     control._stopped = True
+    control.left.set()
     control._tasks.cancel_scope.cancel()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -95,7 +95,8 @@
             fleet.controls["a"].begin_stop()
             fleet.controls["a"].handle(actions.DrainFinished(0))
             await wait_for(lambda: set(fleet.controls["b"].view.members) == {"b"})
-            await wait_for(lambda: fleet.controls["a"]._stopped)
+            with anyio.fail_after(5):
+                await fleet.controls["a"].wait_stopped()
             tasks.cancel_scope.cancel()
 
     run(check)
