--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -1,58 +1,49 @@
 """Measures what the control path costs a node, at several sizes of fleet.
 
-All nodes share one process, see ``fleets.py``; each size runs in a process of
-its own. Run it from the root:
+See ``fleets.py`` for what runs. Run it from the root:
 ``PYTHONPATH=src:tests:bench python bench/control_cost.py``.
 """
 
 import argparse
-import gc
 import json
-import subprocess
 import sys
+import time
 
-import anyio
-
-import builders_fleet
 import fleets
 
 SIZES = (3, 9, 30, 100)
+SETTLE = 4.0
 
 
-async def measure(size, seconds):
+def measure(size, seconds):
     """Return the figures of one size."""
-    gc.collect()
-    before = fleets.read_memory()
-    fleet = fleets.Fleet(size, builders_fleet.make_document_value())
-    async with anyio.create_task_group() as tasks:
-        started = await fleet.start(tasks)
-        await anyio.sleep(3.0)
-        sent = fleet.count("peer_bytes_sent")
-        messages = fleet.count("peer_messages_sent")
-        calls = fleet.count_calls()
-        cpu = fleets.read_cpu()
-        await anyio.sleep(seconds)
-        cpu = fleets.read_cpu() - cpu
-        per_second = {
-            kind: round((amount - calls.get(kind, 0)) / seconds, 2)
-            for kind, amount in fleet.count_calls().items()
-        }
-        figures = {
-            "nodes": size,
-            "started_s": round(started, 2),
-            "bytes_sent_node_s": round(
-                (fleet.count("peer_bytes_sent") - sent) / seconds / size
-            ),
-            "messages_node_s": round(
-                (fleet.count("peer_messages_sent") - messages) / seconds / size, 2
-            ),
-            "cpu_percent_node": round(100 * cpu / seconds / size, 3),
-            "memory_kib_node": round((fleets.read_memory() - before) / size / 1024),
-            "platform_calls_s": {k: v for k, v in sorted(per_second.items()) if v},
-            "serving": sum(node.is_serving for node in fleet.nodes),
-        }
-        tasks.cancel_scope.cancel()
-    return figures
+    began = time.monotonic()
+    with fleets.Fleet(size) as fleet:
+        started = time.monotonic() - began
+        time.sleep(SETTLE)
+        before, calls = add_up(fleet.ask("read")), fleet.count_calls()
+        time.sleep(seconds)
+        after, later = add_up(fleet.ask("read")), fleet.count_calls()
+    spent = {name: (after[name] - before[name]) / seconds / size for name in after}
+    return {
+        "nodes": size,
+        "started_s": round(started, 1),
+        "bytes_sent_node_s": round(spent["bytes"]),
+        "messages_node_s": round(spent["messages"], 1),
+        "cpu_percent_node": round(100 * spent["cpu"], 2),
+        "memory_kib_node": round(after["memory"] / size / 1024),
+        "platform_calls_s": {
+            kind: round((amount - calls.get(kind, 0)) / seconds, 1)
+            for kind, amount in sorted(later.items())
+            if amount > calls.get(kind, 0)
+        },
+        "serving": after["serving"],
+    }
+
+
+def add_up(answers):
+    """Return the sums over all workers."""
+    return {name: sum(answer[name] for answer in answers) for name in answers[0]}
 
 
 def main():
@@ -60,22 +51,15 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", type=int, nargs="+", default=list(SIZES))
     parser.add_argument("--seconds", type=float, default=10.0)
-    parser.add_argument("--one", type=int, help="measure this size and print JSON")
     arguments = parser.parse_args()
-    if arguments.one:
-        print(json.dumps(anyio.run(measure, arguments.one, arguments.seconds)))
-        return 0
     rows = []
-    print("nodes  start s  bytes/node/s  messages  cpu %  KiB/node  platform calls/s")
+    print("nodes  start s  bytes/node/s  msgs/node/s  cpu %  KiB/node  platform/s")
     for size in arguments.sizes:
-        command = [sys.executable, __file__, "--one", str(size)]
-        command += ["--seconds", str(arguments.seconds)]
-        done = subprocess.run(command, capture_output=True, text=True, check=True)
-        row = json.loads(done.stdout.splitlines()[-1])
+        row = measure(size, arguments.seconds)
         rows.append(row)
         print(
             f"{row['nodes']:>5}{row['started_s']:>9}{row['bytes_sent_node_s']:>14}"
-            f"{row['messages_node_s']:>10}{row['cpu_percent_node']:>7}"
+            f"{row['messages_node_s']:>13}{row['cpu_percent_node']:>7}"
             f"{row['memory_kib_node']:>10}  {row['platform_calls_s']}",
             flush=True,
         )
--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -1,57 +1,55 @@
-"""Fleets of real agents in one process, for the benches of the control path.
+"""Fleets of real agents for the benches of the control path.
 
-The agents, the peer streams over 127.0.0.1 and the platform's HTTP handling
-share one process and one loop, so that the CPU of a node includes its part of
-the platform stand-in. No caller is served.
+The nodes of a fleet are spread over a few worker processes, at most
+``NODES_PER_WORKER`` in each; the platform stand-in is a process of its own.
+Agents, peer streams and HTTP clients are those of the product; no caller is
+served. A worker takes commands as lines and answers with lines of JSON.
 """
 
+import asyncio
+import json
 import resource
+import socket
+import subprocess
+import sys
 
 import anyio
+import builders_fleet
 import httpx
 
 from sardinehold import control
 from sardinehold import metrics
-from sardinehold import platform_client
 from sardinehold import settings
 from sardinehold import timeline
 from sardinehold.core import events
-from sardinehold_standins import gate
-from sardinehold_standins import platform
-from sardinehold_standins import store
 
 ZONES = 3
-BATCH = 6
-"""Nodes that are started at once."""
+NODES_PER_WORKER = 20
+BATCH = 4
+"""Nodes of a worker that are started at once."""
 
-DOCUMENT = ("document", "current")
+START_LIMIT = 60.0
 
 
 class Node:
-    """One agent with its engine's last events."""
+    """One agent with the last events for its engine."""
 
-    def __init__(self, fleet, index, zones):
+    def __init__(self, url, index):
         """Prepare the node."""
         self.vm = f"vm-{index}"
         self.registry = metrics.Registry()
-        self.view = None
         self.write_deadline = 0.0
         self.changed = {}
-        transport = httpx.ASGITransport(fleet.platform.app)
-        client = platform_client.HttpObjectClient(
-            "http://platform", self.vm, transport=transport
-        )
         listen = "127.0.0.1:0"
         settled = settings.ProxySettings(
-            self.vm, f"zone-{index % zones}", listen, listen, "http://platform"
+            self.vm, f"zone-{index % ZONES}", listen, listen, url
         )
         recorder = timeline.Recorder("", self.vm, "")
-        self.control = control.Control(settled, recorder, self.registry, client)
+        self.control = control.Control(settled, recorder, self.registry)
 
     def take(self, event):
         """Stand in for the engine."""
         if isinstance(event, events.ViewChanged):
-            self.view = event.view
             version = event.view.document.version
             self.changed.setdefault(version, anyio.current_time())
         elif isinstance(event, events.LeaseRenewed):
@@ -63,57 +61,143 @@
         return self.write_deadline > anyio.current_time()
 
 
-class Fleet:
-    """Nodes around one platform."""
-
-    def __init__(self, size, document, zones=ZONES):
-        """Prepare ``size`` nodes."""
-        self.store = store.Store()
-        self.gate = gate.Gate()
-        self.platform = platform.Platform(self.store, self.gate)
-        self.store.create(*DOCUMENT, document)
-        self.nodes = [Node(self, index, zones) for index in range(size)]
-
-    async def start(self, tasks, limit=60.0):
-        """Start the nodes a few at a time; return the seconds that it took.
-
-        One process cannot carry the joins of all nodes at once.
-        """
-        began = anyio.current_time()
-        for first in range(0, len(self.nodes), BATCH):
-            batch = self.nodes[first : first + BATCH]
-            for node in batch:
-                tasks.start_soon(node.control.run, node.take)
-            with anyio.fail_after(limit):
-                while not all(node.is_serving for node in batch):
-                    await anyio.sleep(0.02)
-        return anyio.current_time() - began
-
-    async def change_document(self, document, limit=20.0):
-        """Put a document and return the seconds until the last node has it."""
-        began = anyio.current_time()
-        version = self.store.get(*DOCUMENT).version
-        self.store.update(*DOCUMENT, document, version)
-        self.platform._wake()
-        with anyio.fail_after(limit):
-            while any(document["version"] not in n.changed for n in self.nodes):
-                await anyio.sleep(0.001)
-        return max(n.changed[document["version"]] for n in self.nodes) - began
+class Worker:
+    """The nodes of one process."""
+
+    def __init__(self, url, first, count):
+        """Prepare the nodes."""
+        self.memory = read_memory()
+        self.nodes = [Node(url, index) for index in range(first, first + count)]
+
+    async def run(self):
+        """Start the nodes and answer commands until the input ends."""
+        reader = asyncio.StreamReader()
+        await asyncio.get_running_loop().connect_read_pipe(
+            lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+        )
+        async with anyio.create_task_group() as tasks:
+            for first in range(0, len(self.nodes), BATCH):
+                batch = self.nodes[first : first + BATCH]
+                for node in batch:
+                    tasks.start_soon(node.control.run, node.take)
+                with anyio.move_on_after(START_LIMIT):
+                    while not all(node.is_serving for node in batch):
+                        await anyio.sleep(0.02)
+            print(json.dumps(self.read()), flush=True)
+            while line := (await reader.readline()).decode().strip():
+                print(json.dumps(await self.answer(line)), flush=True)
+            tasks.cancel_scope.cancel()
+
+    async def answer(self, command):
+        """Return the figures, or when the last node had a document."""
+        if command == "read":
+            return self.read()
+        version = int(command)
+        with anyio.move_on_after(20.0):
+            while any(version not in node.changed for node in self.nodes):
+                await anyio.sleep(0.002)
+        times = [node.changed.get(version, float("inf")) for node in self.nodes]
+        return {"last": max(times)}
+
+    def read(self):
+        """Return the sums over all nodes."""
+        return {
+            "bytes": self.count("peer_bytes_sent"),
+            "messages": self.count("peer_messages_sent"),
+            "cpu": read_cpu(),
+            "memory": read_memory() - self.memory,
+            "serving": sum(node.is_serving for node in self.nodes),
+        }
 
     def count(self, name):
         """Return a counter summed over all nodes."""
         return sum(node.registry.counters.get(name, 0) for node in self.nodes)
 
+
+class Fleet:
+    """The parent's side: a platform and workers. Use it in a ``with``."""
+
+    def __init__(self, size):
+        """Prepare a fleet of ``size`` nodes."""
+        self.size = size
+        self.url = f"http://127.0.0.1:{find_port()}"
+        self.processes = []
+        self.workers = []
+
+    def __enter__(self):
+        """Start platform and workers, and wait until all nodes serve."""
+        listen = self.url.removeprefix("http://")
+        self.spawn(["-m", "sardinehold_standins.cli", "platform", "--listen", listen])
+        self.http = httpx.Client(base_url=self.url, trust_env=False)
+        self.put_document(builders_fleet.make_document_value())
+        for first in range(0, self.size, NODES_PER_WORKER):
+            count = min(NODES_PER_WORKER, self.size - first)
+            arguments = [__file__, self.url, str(first), str(count)]
+            self.workers.append(self.spawn(arguments))
+        self.collect()
+        return self
+
+    def __exit__(self, *failure):
+        """End all processes that were started here."""
+        for process in self.processes:
+            process.terminate()
+        for process in self.processes:
+            process.wait(10)
+
+    def spawn(self, arguments):
+        """Start a Python process."""
+        process = subprocess.Popen(
+            [sys.executable, *arguments],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+        )
+        self.processes.append(process)
+        return process
+
+    def put_document(self, value):
+        """Create or replace the document."""
+        path = "/v1/objects/document/current"
+        for _ in range(100):
+            try:
+                held = self.http.get(path)
+                break
+            except httpx.TransportError:
+                anyio.run(anyio.sleep, 0.1)
+        if held.status_code == 404:
+            headers = {"If-None-Match": "*"}
+        else:
+            headers = {"If-Match": f'"{held.json()["version"]}"'}
+        self.http.put(path, json=value, headers=headers).raise_for_status()
+
+    def ask(self, command):
+        """Send a command to all workers and return their answers."""
+        for worker in self.workers:
+            worker.stdin.write(f"{command}\n")
+            worker.stdin.flush()
+        return self.collect()
+
+    def collect(self):
+        """Return one answer of each worker."""
+        return [json.loads(worker.stdout.readline()) for worker in self.workers]
+
     def count_calls(self):
         """Return the platform's calls by kind of call."""
         calls = {}
-        for by_call in self.gate.counts.values():
+        for by_call in self.http.get("/counts").json()["callers"].values():
             for call, amount in by_call.items():
                 kind = call.split()[0]
                 calls[kind] = calls.get(kind, 0) + amount
         return calls
 
 
+def find_port():
+    """Return a port that is free now."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return listener.getsockname()[1]
+
+
 def read_cpu():
     """Return the CPU seconds of this process."""
     usage = resource.getrusage(resource.RUSAGE_SELF)
@@ -124,3 +208,7 @@
     """Return the resident bytes of this process."""
     with open("/proc/self/statm", encoding="ascii") as file:
         return int(file.read().split()[1]) * resource.getpagesize()
+
+
+if __name__ == "__main__":
+    anyio.run(Worker(sys.argv[1], int(sys.argv[2]), int(sys.argv[3])).run)
--- a/bench/propagation.py
+++ b/bench/propagation.py
@@ -1,36 +1,32 @@
 """Measures how long a document takes to be in force on all nodes.
 
-All nodes share one process, see ``fleets.py``; there is no latency but that
-of the process itself. Run it from the root:
-``PYTHONPATH=src:tests:bench python bench/propagation.py``.
+See ``fleets.py`` for what runs; there is no latency but that of one machine.
+Run it from the root: ``PYTHONPATH=src:tests:bench python bench/propagation.py``.
 """
 
 import argparse
 import json
 import statistics
 import sys
-
-import anyio
+import time
 
 import builders_fleet
 import fleets
 
-PAUSE = 0.15
+PAUSE = 0.2
 """Seconds between two documents."""
 
 
-async def measure(size, documents):
-    """Return the seconds that each document took."""
-    fleet = fleets.Fleet(size, builders_fleet.make_document_value())
+def measure(size, documents):
+    """Return the seconds that each document took, from before it was sent."""
     taken = []
-    async with anyio.create_task_group() as tasks:
-        await fleet.start(tasks)
-        await anyio.sleep(2.0)
+    with fleets.Fleet(size) as fleet:
+        time.sleep(2.0)
         for version in range(2, documents + 2):
-            value = builders_fleet.make_document_value(version)
-            taken.append(await fleet.change_document(value))
-            await anyio.sleep(PAUSE)
-        tasks.cancel_scope.cancel()
+            began = time.monotonic()
+            fleet.put_document(builders_fleet.make_document_value(version))
+            taken.append(max(a["last"] for a in fleet.ask(version)) - began)
+            time.sleep(PAUSE)
     return taken
 
 
@@ -43,7 +39,7 @@
     rows = []
     print("nodes  documents  median ms  max ms")
     for size in arguments.sizes:
-        taken = anyio.run(measure, size, arguments.documents)
+        taken = measure(size, arguments.documents)
         row = {
             "nodes": size,
             "documents": len(taken),
