--- a/src/sardinehold/core/agent.py
+++ b/src/sardinehold/core/agent.py
@@ -116,7 +116,10 @@
     def _poll(self, now: float) -> float:
         node = self.node
         self.feed.wanted = (
-            self.following.is_relay() or node.view is None or node.is_stale(now)
+            self.following.is_relay()
+            or node.view is None
+            or node.is_stale(now)
+            or not (node.is_member or self.following.parent)
         )
         due = [
             self.feed.poll(now),
