--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -18,6 +18,8 @@
 ENDPOINTS = ("db-1", "db-2", "db-3")
 PROBE_INTERVAL = 0.25
 CALL_TIMEOUT = 4.0
+RECENT = 200
+"""Entries of a log among which one that was just written is looked for."""
 PROMISE_DRIFT = 0.01
 
 
@@ -373,13 +375,13 @@
             for other in self.endpoints.values():
                 follows = other.role == "replica" and other.term == primary.term
                 if follows and not other.dead and not other.cut:
-                    other.log = list(primary.log)
+                    other.log.extend(primary.log[len(other.log) :])
 
     def is_confirmed(self, entry):
         """Return whether a replica holds the entry, as routes ask by default."""
         self.replicate()
         return any(
-            entry in item.log
+            entry in item.log[-RECENT:]
             for item in self.endpoints.values()
             if item.role == "replica"
         )
