--- a/src/sardinehold_bench/cli.py
+++ b/src/sardinehold_bench/cli.py
@@ -90,7 +90,7 @@
         for run in range(parsed.runs)
     ]
     for result in found:
-        _print_result(result)
+        print_result(result)
     if parsed.out:
         report.save_experiment(_build_experiment(parsed, scenario, found), parsed.out)
     return 1 if any(result.stale_reads for result in found) else 0
@@ -110,7 +110,8 @@
     )
 
 
-def _print_result(result: results.RunResult) -> None:
+def print_result(result: results.RunResult) -> None:
+    """Print a table of the teams and a line with the measures."""
     print(
         f"{'team':16}{'sent':>8}{'share':>8}{'refused':>9}{'unknown':>9}{'p99 ms':>9}"
     )
--- a/src/sardinehold_bench/fleet.py
+++ b/src/sardinehold_bench/fleet.py
@@ -12,10 +12,11 @@
     :param proxies: addresses for callers, ``host:port``.
     :param keys: key by team.
     :param routes: route by team.
-    :param controls: control address of each endpoint stand-in, by endpoint.
+    :param controls: control URL of each endpoint stand-in, by endpoint.
+    :param platform: URL of the platform.
     """
 
-    __slots__ = ("proxies", "keys", "routes", "controls")
+    __slots__ = ("proxies", "keys", "routes", "controls", "platform")
 
     def __init__(
         self,
@@ -23,12 +24,14 @@
         keys: dict[str, str],
         routes: dict[str, str],
         controls: dict[str, str],
+        platform: str,
     ) -> None:
         """Keep the parts of the fleet."""
         self.proxies = proxies
         self.keys = keys
         self.routes = routes
         self.controls = controls
+        self.platform = platform
 
 
 def load_fleet(path: pathlib.Path) -> Fleet:
@@ -38,8 +41,8 @@
     """
     try:
         data = json.loads(path.read_text(encoding="utf-8"))
-        return Fleet(data["proxies"], data["keys"], data["routes"], data["controls"])
-    except (OSError, ValueError, KeyError) as error:
+        return Fleet(**data)
+    except (OSError, ValueError, TypeError) as error:
         raise errors.SettingsError(
             f"Fleet file {path} cannot be used: {error!r}.",
             "Name the fleet.json that the launcher of the fleet wrote.",
--- a/src/sardinehold_bench/load.py
+++ b/src/sardinehold_bench/load.py
@@ -246,14 +246,15 @@
             return
         await anyio.sleep(self.scenario.cut_at * self.scenario.seconds)
         self.result.cut_group = self.scenario.deployment.groups[0]
-        async with httpx.AsyncClient() as client:
+        async with httpx.AsyncClient(trust_env=False) as client:
             await self._cut_in_group(client)
         self.result.cut_at = anyio.current_time() - self.started
 
     async def _cut_in_group(self, client: httpx.AsyncClient) -> None:
-        for endpoint, control in self.fleet.controls.items():
-            if not endpoint.startswith(self.result.cut_group):
-                continue
-            state = (await client.get(f"{control}/state")).json()
-            if state["role"] == "primary":
-                await client.post(f"{control}/faults", json={"isolated": True})
+        group = self.result.cut_group
+        url = f"{self.fleet.platform}/v1/objects/group-state/{group}"
+        answer = await client.get(url, headers={"X-Caller": "bench"})
+        primary = answer.json()["value"]["primary"]
+        control = self.fleet.controls[primary]
+        answer = await client.put(f"{control}/faults", json={"cut_off": True})
+        answer.raise_for_status()
