--- a/src/sardinehold_standins/server.py
+++ b/src/sardinehold_standins/server.py
@@ -17,6 +17,9 @@
 SILENT_SESSION_SECONDS = 5.0
 """After which the endpoint gives up a session whose connection went silent."""
 
+SILENT_CONNECTION_SECONDS = 300.0
+"""After which the operating system is given a silent connection back."""
+
 PLAN_CACHE = 4096
 """Plans of statements that are kept."""
 
@@ -205,6 +208,7 @@
         self._kept.append(session.link.transport)
         loop = asyncio.get_running_loop()
         loop.call_later(SILENT_SESSION_SECONDS, session.end)
+        loop.call_later(SILENT_CONNECTION_SECONDS, self._drop_silent)
 
     async def set_dead(self, dead: bool) -> None:
         """Stop to answer and refuse connections, or come back with all data."""
@@ -222,6 +226,11 @@
         if self.replication:
             self.replication.restart()
 
+    def _drop_silent(self) -> None:
+        """Close the connection that has been silent for longest."""
+        if self._kept:
+            self._kept.pop(0).abort()
+
     def now(self) -> float:
         """Return the wall time, in seconds."""
         return time.time()
