--- a/src/sardinehold_standins/cli.py
+++ b/src/sardinehold_standins/cli.py
@@ -6,6 +6,7 @@
 import ssl
 import sys
 
+import sardinehold
 from sardinehold_standins import control
 from sardinehold_standins import engine
 from sardinehold_standins import faults as switches
@@ -21,6 +22,9 @@
 def build_parser() -> argparse.ArgumentParser:
     """Return the parser with both subcommands."""
     parser = argparse.ArgumentParser(prog="sardinehold-standin", description=__doc__)
+    parser.add_argument(
+        "--version", action="version", version=f"%(prog)s {sardinehold.__version__}"
+    )
     commands = parser.add_subparsers(dest="command", required=True)
     _add_platform(commands)
     _add_database(commands)
@@ -34,7 +38,9 @@
         help="serve the platform's object API",
         epilog="example: sardinehold-standin platform --listen 127.0.0.1:6490",
     )
-    command.add_argument("--listen", required=True, metavar="HOST:PORT")
+    command.add_argument(
+        "--listen", required=True, type=check_address, metavar="HOST:PORT"
+    )
     command.add_argument("--reads", type=float, default=gates.READS_PER_SECOND)
     command.add_argument("--writes", type=float, default=gates.WRITES_PER_SECOND)
     command.add_argument("--history", type=int, default=stores.HISTORY_CHANGES)
@@ -68,11 +74,13 @@
     add = command.add_argument
     add("--name", required=True)
     add("--group", required=True)
-    add("--listen", required=True, metavar="HOST:PORT")
-    add("--control", required=True, metavar="HOST:PORT")
+    add("--listen", required=True, type=check_address, metavar="HOST:PORT")
+    add("--control", required=True, type=check_address, metavar="HOST:PORT")
     role = command.add_mutually_exclusive_group(required=True)
     role.add_argument("--primary", action="store_true", help="start as primary")
-    role.add_argument("--follow", metavar="HOST:PORT", help="start as its replica")
+    role.add_argument(
+        "--follow", type=check_address, metavar="HOST:PORT", help="start as its replica"
+    )
     add("--term", type=int, default=1, help="term of the primary")
     add("--schema", metavar="FILE", help="SQL that the primary runs at its start")
     add("--slots", type=int, default=3)
@@ -88,6 +96,14 @@
     command.set_defaults(run=run_database)
 
 
+def check_address(text: str) -> str:
+    """Return ``HOST:PORT`` if it is one."""
+    host, port = service.parse_address(text)
+    if not host or not 0 <= port <= 65535:
+        raise ValueError(text)
+    return text
+
+
 def parse_range(text: str) -> tuple[float, float]:
     """Return the two seconds of ``LEAST:MOST``, or one for both."""
     least, _, most = text.partition(":")
@@ -145,7 +161,7 @@
     try:
         asyncio.run(parsed.run(parsed))
     except OSError as error:
-        print(f"cannot listen: {error}; choose a free port.", file=sys.stderr)
+        print(f"cannot start: {error}; correct the option.", file=sys.stderr)
         return 2
     return 0
 
