--- a/examples/local/chaos.py
+++ b/examples/local/chaos.py
@@ -16,6 +16,7 @@
 import time
 
 import fleet as fleets
+import previews
 import traffic
 import verdict as verdicts
 
@@ -65,7 +66,8 @@
         """Run traffic and faults."""
         deadline = self.faults_until + SETTLE_SECONDS
         callers = traffic.build_callers(self.fleet, self.record, self.seed, LOAD)
-        running = [caller.run(deadline) for caller in callers]
+        readers = previews.build_previewers(self.fleet, self.record, callers, self.seed)
+        running = [caller.run(deadline) for caller in (*callers, *readers)]
         await asyncio.gather(*running, self._inject(), self._report(deadline))
 
     async def hold(self) -> None:
@@ -263,6 +265,8 @@
         "doubled_writes": len(verdict.doubled),
         "untrue_refusals": len(verdict.untrue),
         "read_your_writes_violations": len(verdict.stale),
+        "aged_reads": chaos.record.aged_reads,
+        "aged_reads_too_old": len(verdict.old),
         "wrongful_refusals": sum(tally.wrongful for tally in tallies),
         "replica_read_share": round(verdicts.read_replica_share(chaos.fleet), 4),
         "keys_seen_by_endpoints": verdicts.count_keys_seen(chaos.fleet),
@@ -283,7 +287,7 @@
             asyncio.run(chaos.run())
             verdict = verdicts.judge(fleet, chaos.record)
             totals = summarize(chaos, verdict)
-            for name in ("lost", "doubled", "untrue", "stale"):
+            for name in ("lost", "doubled", "untrue", "stale", "old"):
                 for item in getattr(verdict, name)[:10]:
                     print(f"{name}: {item}")
             if arguments.logs:
--- a/examples/local/demo.py
+++ b/examples/local/demo.py
@@ -15,6 +15,7 @@
 import time
 
 import fleet as fleets
+import previews
 import psycopg
 import traffic
 import verdict as verdicts
@@ -65,7 +66,9 @@
         self.started = time.monotonic()
         deadline = self.started + SECONDS
         callers = traffic.build_callers(self.fleet, self.record, self.seed, LOAD)
+        readers = previews.build_previewers(self.fleet, self.record, callers, self.seed)
         tasks = [self._run_caller(caller, deadline) for caller in callers]
+        tasks += [reader.run(deadline) for reader in readers]
         await asyncio.gather(
             *tasks,
             self._withdraw(),
@@ -191,6 +194,8 @@
         ),
         "wrongful_refusals": sum(tally.wrongful for tally in steady.values()),
         "key_withdrawal_ms": round(min(demo.key_withdrawal_ms, SECONDS * 1000)),
+        "aged_reads": demo.record.aged_reads,
+        "aged_reads_too_old": len(verdict.old),
         "untrue_refusals": len(verdict.untrue),
         "unknown_writes": verdict.unknown,
         "keys_seen_by_endpoints": verdicts.count_keys_seen(demo.fleet),
@@ -227,7 +232,7 @@
             verdict = verdicts.judge(fleet, demo.record)
             print_table(demo.record)
             figures = summarize(demo, verdict)
-            for stale in verdict.stale[:5]:
+            for stale in (*verdict.stale[:5], *verdict.old[:5]):
                 print(f"stale: {stale}")
             if arguments.logs:
                 for process in fleet.running.values():
--- /dev/null
+++ b/examples/local/previews.py
@@ -0,0 +1,119 @@
+"""Readers on routes that accept data of a stated age, or are open to all."""
+
+import asyncio
+import bisect
+import contextlib
+import random
+import time
+
+import psycopg
+import traffic
+
+PREVIEW_ROUTE = "previews"
+OPEN_ROUTE = "public"
+
+MARGIN_SECONDS = 0.25
+"""Allowed on top of the stated age, for the way of an answer to its caller."""
+
+
+class Previewer:
+    """Reads what other sessions wrote, and checks its age.
+
+    :param team: whose key is used, ``""`` on the open route.
+    :param writers: sessions whose letters are read; none on the open route.
+    :param rate: statements a second.
+    """
+
+    def __init__(
+        self,
+        fleet,
+        record: traffic.Record,
+        team: str,
+        writers: list[traffic.Caller],
+        rate: float,
+        seed: str,
+    ) -> None:
+        """Prepare the reader."""
+        self.fleet = fleet
+        self.record = record
+        self.team = team
+        self.writers = writers
+        self.rate = rate
+        self.route = PREVIEW_ROUTE if team else OPEN_ROUTE
+        self.max_age = fleet.document["routes"][self.route].get("max_age")
+        self._chance = random.Random(seed)
+
+    async def run(self, deadline: float) -> None:
+        """Read until a time of the monotonic clock, on one proxy after another."""
+        while time.monotonic() < deadline:
+            proxy = self._chance.choice(list(self.fleet.proxies))
+            dsn = self.fleet.format_dsn(proxy, self.route, self.team)
+            try:
+                async with asyncio.timeout(traffic.ATTEMPT_SECONDS):
+                    connection = await psycopg.AsyncConnection.connect(
+                        dsn, autocommit=True
+                    )
+            except (psycopg.Error, TimeoutError):
+                await asyncio.sleep(traffic.RETRY_SECONDS)
+                continue
+            await self._read_on(connection, deadline)
+            with contextlib.suppress(psycopg.Error, TimeoutError):
+                await asyncio.wait_for(connection.close(), 1.0)
+
+    async def _read_on(
+        self, connection: psycopg.AsyncConnection, deadline: float
+    ) -> None:
+        """Read on one connection until it breaks, or for a random time."""
+        while time.monotonic() < deadline and not connection.closed:
+            await asyncio.sleep(self._chance.expovariate(self.rate))
+            await self._read(connection)
+            if self._chance.random() < traffic.ROAM_SHARE:
+                return
+
+    async def _read(self, connection: psycopg.AsyncConnection) -> None:
+        """Read once, count it, and check the age of what came."""
+        writer = self._chance.choice(self.writers) if self.writers else None
+        asked_at = time.monotonic()
+        try:
+            async with asyncio.timeout(traffic.ATTEMPT_SECONDS):
+                if writer is None:
+                    await connection.execute("SELECT title FROM page")
+                    self._count(None)
+                    return
+                cursor = await connection.execute(traffic.READ, (writer.name,))
+                row = await cursor.fetchone()
+        except TimeoutError:
+            self._count("timeout")
+            connection.pgconn.finish()
+            return
+        except psycopg.Error as error:
+            self._count(error.sqlstate or "lost")
+            return
+        self._count(None)
+        self._check(writer, row[0] if row else 0, asked_at)
+
+    def _count(self, sqlstate: str | None) -> None:
+        """Count a statement for the team; the open route counts as one too."""
+        self.record.count(self.team or f"({OPEN_ROUTE})", sqlstate)
+
+    def _check(self, writer: traffic.Caller, found: int, asked_at: float) -> None:
+        """Note a read that is older than the route states."""
+        limit = asked_at - self.max_age - MARGIN_SECONDS
+        count = bisect.bisect_left(writer.acknowledged_at, limit)
+        self.record.aged_reads += 1
+        if count and found < writer.acknowledged_numbers[count - 1]:
+            wanted = writer.acknowledged_numbers[count - 1]
+            self.record.too_old.append(f"{writer.name}: {found} before {wanted}")
+
+
+def build_previewers(
+    fleet, record: traffic.Record, callers: list[traffic.Caller], seed: int
+) -> list[Previewer]:
+    """Return readers of two teams on the aged route, and one on the open route."""
+    group = fleet.document["routes"][PREVIEW_ROUTE]["group"]
+    writers = [caller for caller in callers if caller.group == group]
+    return [
+        Previewer(fleet, record, "print", writers, 10.0, f"{seed}/preview/1"),
+        Previewer(fleet, record, "web", writers, 10.0, f"{seed}/preview/2"),
+        Previewer(fleet, record, "", [], 20.0, f"{seed}/open"),
+    ]
--- a/examples/local/traffic.py
+++ b/examples/local/traffic.py
@@ -76,6 +76,8 @@
         self.teams: dict[str, Tally] = {}
         self.stale: list[str] = []
         self.reads = 0
+        self.aged_reads = 0
+        self.too_old: list[str] = []
         self.bursting: set[str] = set()
         self.withdrawn: set[str] = set()
 
@@ -127,6 +129,8 @@
         self.group = group
         self.rate = rate
         self.write_share = write_share
+        self.acknowledged_at: list[float] = []
+        self.acknowledged_numbers: list[int] = []
         self.name = str(uuid.uuid5(uuid.NAMESPACE_OID, seed))
         self._chance = random.Random(seed)
         self._token = ""
@@ -196,6 +200,8 @@
         self.record.writes.append(Write(id, self.group, told, time.monotonic()))
         if told is Told.ACKNOWLEDGED:
             self._acknowledged = self._n
+            self.acknowledged_at.append(time.monotonic())
+            self.acknowledged_numbers.append(self._n)
         self.record.count(self.team, sqlstate)
 
     async def _read(self) -> None:
--- a/examples/local/verdict.py
+++ b/examples/local/verdict.py
@@ -18,9 +18,12 @@
     :param lost: acknowledged writes that no primary holds.
     :param doubled: writes that are there more than once.
     :param untrue: writes that are there although they were said not to run.
+    :param unknown: how many writes callers were told nothing sure of.
+    :param stale: reads that miss what their session wrote or saw.
+    :param old: reads that are older than their route states.
     """
 
-    __slots__ = ("acknowledged", "lost", "doubled", "untrue", "unknown", "stale")
+    __slots__ = ("acknowledged", "lost", "doubled", "untrue", "unknown", "stale", "old")
 
     def __init__(self) -> None:
         """Start with nothing found."""
@@ -30,17 +33,19 @@
         self.untrue: list[str] = []
         self.unknown = 0
         self.stale: list[str] = []
+        self.old: list[str] = []
 
     @property
     def is_clean(self) -> bool:
         """Whether nothing was lost, doubled, stale or untrue."""
-        return not (self.lost or self.doubled or self.untrue or self.stale)
+        return not any((self.lost, self.doubled, self.untrue, self.stale, self.old))
 
 
 def judge(fleet, record: traffic.Record) -> Verdict:
     """Return the verdict on all that callers were told."""
     verdict = Verdict()
     verdict.stale = list(record.stale)
+    verdict.old = list(record.too_old)
     held = {group: count_letters(fleet, group) for group in fleet.document["groups"]}
     for write in record.writes:
         count = held[write.group][write.id]
