--- a/examples/local/demo.py
+++ b/examples/local/demo.py
@@ -32,7 +32,7 @@
 BURST = 5.0
 """Times its rate that one team sends."""
 
-BURST_SESSIONS = 200
+BURST_SESSIONS = 500
 """Sessions of that team, so that those who wait do not slow it down."""
 
 KEY_WITHDRAWN = "28000"
