--- a/examples/local/traffic.py
+++ b/examples/local/traffic.py
@@ -178,6 +178,8 @@
 
     def _keep_token(self, connection: psycopg.AsyncConnection) -> None:
         """Keep the token of the last answer."""
+        if connection.closed:
+            return
         token = connection.info.parameter_status("sardinehold.session")
         self._token = token or self._token
 
