--- a/src/sardinehold_standins/engine.py
+++ b/src/sardinehold_standins/engine.py
@@ -9,6 +9,7 @@
 
 import collections
 import datetime
+import itertools
 import random
 import sqlite3
 
@@ -272,7 +273,8 @@
         oldest = self.log[0].offset if self.log else self.received + 1
         if offset + 1 < oldest:
             return None
-        return [entry for entry in self.log if entry.offset > offset]
+        newest = itertools.islice(reversed(self.log), self.received - offset)
+        return list(newest)[::-1]
 
     def take_snapshot(self) -> bytes:
         """Return the committed data as of ``applied``."""
