--- a/src/sardinehold_standins/running.py
+++ b/src/sardinehold_standins/running.py
@@ -1,6 +1,5 @@
 """Runs the statements of one session and keeps its transaction."""
 
-import re
 import sqlite3
 
 from sardinehold_standins import answers
@@ -16,12 +15,6 @@
 """How to run each kind of statement; filled by :func:`runs`."""
 
 _ENDING = {plans.Kind.COMMIT, plans.Kind.ROLLBACK, plans.Kind.ROLLBACK_TO}
-_STATUS_QUERY = re.compile(
-    r"select\s+endpoint\s*,\s*role\s*,\s*term\s*,\s*received\s*,\s*applied\s+"
-    r"from\s+cluster_log_status\s*$",
-    re.IGNORECASE,
-)
-_ARGUMENTS = re.compile(r"cluster_\w+\s*\((.*)\)", re.IGNORECASE | re.DOTALL)
 
 
 def runs(*kinds: plans.Kind):
@@ -352,45 +345,3 @@
     async def _do_nothing(self, plan: plans.Plan, parameters: list) -> answers.Result:
         """Accept a statement that has nothing to do here."""
         return answers.Result(plan.tag)
-
-    @runs(plans.Kind.LOG_STATUS)
-    async def _show_log(self, plan: plans.Plan, parameters: list) -> answers.Result:
-        """Show the log positions."""
-        rows = self.server.read_status()
-        if _STATUS_QUERY.match(plan.text):
-            columns = list(plans.STATUS_COLUMNS)
-            return answers.Result(plan.tag, columns, rows, len(rows))
-        scratch = sqlite3.connect(":memory:")
-        names = ", ".join(name for name, _ in plans.STATUS_COLUMNS)
-        scratch.execute(f"CREATE TABLE cluster_log_status ({names})")
-        scratch.executemany(
-            "INSERT INTO cluster_log_status VALUES (?, ?, ?, ?, ?)", rows
-        )
-        cursor = scratch.execute(plan.sql, parameters)
-        rows = cursor.fetchall()
-        columns = answers.complete_columns(plan.columns, cursor.description, rows)
-        return answers.Result(plan.tag, columns, rows, len(rows))
-
-    @runs(plans.Kind.PROMOTE)
-    async def _promote(self, plan: plans.Plan, parameters: list) -> answers.Result:
-        """Become primary of a term."""
-        (term,) = _evaluate(plan, parameters, 1)
-        point = self.server.promote(int(term))
-        return answers.Result(plan.tag, plan.columns, [(point,)], 1)
-
-    @runs(plans.Kind.FOLLOW)
-    async def _follow(self, plan: plans.Plan, parameters: list) -> answers.Result:
-        """Become replica of another endpoint."""
-        term, host, port = _evaluate(plan, parameters, 3)
-        self.server.follow(int(term), str(host), int(port))
-        return answers.Result(plan.tag, plan.columns, [("",)], 1)
-
-
-def _evaluate(plan: plans.Plan, parameters: list, count: int) -> tuple:
-    """Return the arguments of a cluster function."""
-    match = _ARGUMENTS.search(plan.sql)
-    scratch = sqlite3.connect(":memory:")
-    values = scratch.execute(f"SELECT {match.group(1)}", parameters).fetchone()
-    if len(values) != count:
-        raise wire.Failure("42883", f"the function takes {count} arguments")
-    return values
--- a/src/sardinehold_standins/session.py
+++ b/src/sardinehold_standins/session.py
@@ -5,6 +5,7 @@
 import secrets
 import struct
 
+from sardinehold_standins import cluster  # noqa: F401  registers its statements
 from sardinehold_standins import extended
 from sardinehold_standins import link as links
 from sardinehold_standins import running
