Keep one chain of probes for waiting reads and for held writes

A chain was started anew each time that the first read or write began to wait, beside the one that still ran.

--- a/bench/worlds.py
+++ b/bench/worlds.py
@@ -81,6 +81,7 @@
         self.next_session = 0
         self.offset = 1
         self.spent = 0
+        self.wake_at = 0.0
         self.dispatched: dict[int, actions.Dispatch] = {}
         self.send(events.ViewChanged(view))
         self.send(events.LeaseRenewed(FAR, FAR))
@@ -109,7 +110,9 @@
     def follow(self, out: list[actions.Action]) -> None:
         """Open connections, grant tokens and answer probes at once."""
         for action in out:
-            if isinstance(action, actions.Dispatch):
+            if isinstance(action, actions.WakeAt):
+                self.wake_at = action.time
+            elif isinstance(action, actions.Dispatch):
                 self.dispatched[action.request_id] = action
             elif isinstance(action, actions.OpenConnection):
                 self.send(events.ConnectionOpened(action.connection_id))
@@ -129,7 +132,7 @@
     def find_answer(self, request_id: int) -> events.RequestAnswered:
         """Return the answer to a request, once it is dispatched."""
         while request_id not in self.dispatched:
-            self.now += 0.001
+            self.now = max(self.now, self.wake_at)
             self.send(events.Tick())
         action = self.dispatched.pop(request_id)
         position = None
--- a/src/sardinehold/core/engine.py
+++ b/src/sardinehold/core/engine.py
@@ -4,6 +4,7 @@
 it events with the time, and gets the same actions for the same events.
 """
 
+from sardinehold import errors
 from sardinehold.core import actions
 from sardinehold.core import admission
 from sardinehold.core import answers
@@ -74,9 +75,13 @@
         """
         node = self.node
         node.now = now
-        if now >= node.timers.next_time:
-            node.timers.run_due(node, now)
-        handlers.REGISTRY[type(event)](node, event)
+        try:
+            if now >= node.timers.next_time:
+                node.timers.run_due(node, now)
+            handlers.REGISTRY[type(event)](node, event)
+        except errors.InvariantViolation:
+            node.actions = []
+            raise
         if node.draining:
             quiescence.announce(node)
         if node.drain_deadline is not None:
--- a/src/sardinehold/core/groups.py
+++ b/src/sardinehold/core/groups.py
@@ -29,6 +29,8 @@
     :param waiting_reads: requests that wait for a replica to catch up.
     :param waiting_writes: requests that wait for a primary.
     :param is_active: whether its endpoints are probed regularly.
+    :param is_hastened: whether a replica is probed for waiting reads.
+    :param is_confirming: whether the primary is probed for held writes.
     :param unconfirmed_since: when the primary had ``unconfirmed_offset``,
         which no replica has confirmed yet, or None.
     :param held: writes whose acknowledgement waits for durability.
@@ -47,6 +49,8 @@
         "last_used",
         "turn",
         "is_active",
+        "is_hastened",
+        "is_confirming",
         "unconfirmed_since",
         "unconfirmed_offset",
     )
@@ -65,6 +69,8 @@
         self.last_used = -1.0
         self.turn = 0
         self.is_active = False
+        self.is_hastened = False
+        self.is_confirming = False
         self.unconfirmed_since: float | None = None
         self.unconfirmed_offset = 0
 
