--- a/src/sardinehold/control_actions.py
+++ b/src/sardinehold/control_actions.py
@@ -21,6 +21,7 @@
     actions.RequestConnections,
     actions.ReportEndpoint,
     actions.DrainFinished,
+    actions.GroupQuiesced,
 )
 def hand_over(path: "datapath.DataPath", action: actions.Action) -> None:
     """Leave an action to the fleet's part of the process."""
--- a/src/sardinehold/proxy.py
+++ b/src/sardinehold/proxy.py
@@ -37,6 +37,9 @@
 FAREWELL_SECONDS = 1.0
 """Seconds that callers may take to read why the proxy stopped."""
 
+LEAVE_SECONDS = 2.0
+"""Seconds that leaving the fleet may take once nothing runs any more."""
+
 SEED_BITS = 63
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -109,6 +112,7 @@
         self.path: datapath.DataPath | None = None
         self.port = 0
         self.drained = anyio.Event()
+        self.left = anyio.Event()
         self.cut = 0
 
     async def serve(self) -> int:
@@ -132,7 +136,7 @@
                     metrics_page.serve, self.registry, self.settings.metrics_listen
                 )
                 await group.start(serve_page)
-            group.start_soon(self.fleet.run, self.path.deliver)
+            group.start_soon(self._run_fleet)
             group.start_soon(self._watch_certificates)
             self.recorder.record("proxy_started", port=self.port)
             log.notice("serving callers on port {}", self.port)
@@ -140,6 +144,8 @@
                 await self._wait_for_stop(listener, received)
                 self.path.close()
                 await self.path.startups.wait_for_callers(FAREWELL_SECONDS)
+                with anyio.move_on_after(LEAVE_SECONDS):
+                    await self.left.wait()
             group.cancel_scope.cancel()
         self.recorder.record("proxy_stopped", cut=self.cut)
         log.notice("stopped; requests and transactions cut: {}", self.cut)
@@ -152,6 +158,11 @@
             self.drained.set()
         self.fleet.handle(action)
 
+    async def _run_fleet(self) -> None:
+        """Run the fleet's part; it ends by itself once this node has left."""
+        await self.fleet.run(self.path.deliver)
+        self.left.set()
+
     async def _listen(self) -> asyncio.Server:
         host, port = settings.split_address(self.settings.listen)
         loop = asyncio.get_running_loop()
@@ -196,6 +207,7 @@
         deadline = self.path.loop.time() + self.settings.drain_deadline
         self.recorder.record("drain_started", sessions=len(self.path.callers))
         log.notice("stopping within {} s", self.settings.drain_deadline)
+        self.fleet.begin_stop()
         self.path.deliver(events.DrainStarted(deadline))
         async with anyio.create_task_group() as group:
             group.start_soon(self._wait_for_drain, group, deadline)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,6 +8,7 @@
 
 import builders_wire as builders
 from sardinehold import callers
+from sardinehold import performers
 from sardinehold import startups
 from sardinehold import wire
 from sardinehold.core import actions
@@ -22,6 +23,17 @@
     return "asyncio"
 
 
+def list_kinds(kind):
+    for other in kind.__subclasses__():
+        yield other
+        yield from list_kinds(other)
+
+
+def test_every_action_of_the_engine_has_a_performer():
+    named = {k for k in list_kinds(actions.Action) if k.__module__ == actions.__name__}
+    assert named == set(performers.REGISTRY)
+
+
 async def wait_until(condition):
     while not condition():
         await anyio.sleep(0.001)
