--- a/src/sardinehold/proxy.py
+++ b/src/sardinehold/proxy.py
@@ -152,10 +152,16 @@
         return 1 if self.cut else 0
 
     def handle(self, action: actions.Action) -> None:
-        """Take an action of the engine that concerns the fleet."""
+        """Take an action of the engine that concerns the fleet.
+
+        The node gives up its shared roles only when nothing runs here any
+        more: transactions that finish during a stop still need tokens, and
+        this node may be the one that grants them.
+        """
         if isinstance(action, actions.DrainFinished):
             self.cut += action.cut
             self.drained.set()
+            self.fleet.begin_stop()
         self.fleet.handle(action)
 
     async def _run_fleet(self) -> None:
@@ -207,7 +213,6 @@
         deadline = self.path.loop.time() + self.settings.drain_deadline
         self.recorder.record("drain_started", sessions=len(self.path.callers))
         log.notice("stopping within {} s", self.settings.drain_deadline)
-        self.fleet.begin_stop()
         self.path.deliver(events.DrainStarted(deadline))
         async with anyio.create_task_group() as group:
             group.start_soon(self._wait_for_drain, group, deadline)
