--- a/src/sardinehold/core/admission.py
+++ b/src/sardinehold/core/admission.py
@@ -61,7 +61,17 @@
     if not request.is_read:
         _mark_idempotent(session, request)
     node.timers.set_shared(request.deadline, expire, request.request_id)
-    admit(node, request)
+    balance = session.balance
+    balance.note_arrival()
+    if not balance.is_reviewed:
+        start_review(node, balance)
+    if balance.waiting or not balance.take(node.now):
+        _wait(node, request, balance)
+        return
+    request.has_token = True
+    if balance.tokens < balance.low_mark:
+        request_tokens(node, balance)
+    routing.route(node, request)
 
 
 def _mark_idempotent(session: object, request: requests.Request) -> None:
@@ -75,21 +85,6 @@
         session.idempotency_key = ""
 
 
-def admit(node: nodes.Node, request: requests.Request) -> None:
-    """Spend a token on a request, or let it wait for one."""
-    balance = request.session.balance
-    balance.note_arrival()
-    if not balance.is_reviewed:
-        start_review(node, balance)
-    if not balance.waiting and balance.take(node.now):
-        request.has_token = True
-        if balance.tokens < balance.low_mark:
-            request_tokens(node, balance)
-        routing.route(node, request)
-        return
-    _wait(node, request, balance)
-
-
 def _wait(
     node: nodes.Node, request: requests.Request, balance: balances.Balance
 ) -> None:
@@ -163,7 +158,9 @@
     target = balance.find_target()
     if balance.tokens < target:
         request_tokens(node, balance)
-    elif node.now - balance.quiet_since >= balances.QUIET:
+    elif balance.spent_total != balance.spent_told:
+        tell_left(node, balance, 0)
+    elif balance.is_quiet(node.now):
         return_tokens(node, balance, balance.tokens)
     elif balance.tokens > 2 * target + balances.FIRST_REQUEST:
         return_tokens(node, balance, balance.tokens - 2 * target)
@@ -188,9 +185,13 @@
     wanted = max(balance.find_target(), balances.FIRST_REQUEST) - balance.tokens
     if wanted > 0:
         balance.asked_at = node.now
-        node.actions.append(
-            actions.RequestTokens(balance.owner, wanted, balance.tokens)
-        )
+        tell_left(node, balance, wanted)
+
+
+def tell_left(node: nodes.Node, balance: balances.Balance, wanted: int) -> None:
+    """Tell the allocator what is left, and how much is wanted on top."""
+    balance.spent_told = balance.spent_total
+    node.actions.append(actions.RequestTokens(balance.owner, wanted, balance.tokens))
 
 
 def _ask_again(node: nodes.Node, balance: balances.Balance) -> None:
