--- a/src/sardinehold/connection_actions.py
+++ b/src/sardinehold/connection_actions.py
@@ -4,6 +4,7 @@
 
 from sardinehold import endpoints
 from sardinehold import errors
+from sardinehold import greeting
 from sardinehold import performers
 from sardinehold.core import actions
 from sardinehold.core import events
@@ -37,7 +38,7 @@
     except errors.EndpointUnavailable as error:
         path.registry.count("connections_failed")
         if path.connections.pop(identifier, path) is None:
-            full = isinstance(error, endpoints.EndpointFull)
+            full = isinstance(error, greeting.EndpointFull)
             path.deliver(events.ConnectionFailed(identifier, full))
         return
     path.take_connection(identifier, connection)
--- a/src/sardinehold/endpoints.py
+++ b/src/sardinehold/endpoints.py
@@ -14,23 +14,16 @@
 
 from sardinehold import answers
 from sardinehold import errors
+from sardinehold import greeting
 from sardinehold import prepared
 from sardinehold import wire
 
 RECEIVE_BYTES = 256 * 1024
 """Size of the one buffer that all connections of a process read into."""
 
-MAX_CONTROL_BYTES = 1024 * 1024
-"""Bytes of the longest message that the proxy reads itself."""
-
 APPLICATION_NAME = "sardinehold"
 
 _IDLE = frozenset(b"NSA")
-_NO_ROOM = "53300"
-
-
-class EndpointFull(errors.EndpointUnavailable):
-    """An endpoint has no room for another connection."""
 
 
 class Address(typing.NamedTuple):
@@ -56,73 +49,6 @@
     finish: typing.Callable
 
 
-class SignIn:
-    """Reads what an endpoint says until it is ready.
-
-    :param outcome: resolved when it is ready, or refuses.
-    """
-
-    __slots__ = ("connection", "outcome", "done", "finish")
-
-    def __init__(
-        self, connection: "EndpointConnection", outcome: asyncio.Future
-    ) -> None:
-        """Start before the first message."""
-        self.connection = connection
-        self.outcome = outcome
-        self.done = False
-        self.finish = self._finish
-
-    def feed(self, data: wire.Buffer, start: int, end: int) -> int:
-        """Read from ``start`` and return where reading stopped."""
-        while not self.done:
-            stop = wire.find_end(data, start, end, MAX_CONTROL_BYTES)
-            if not stop:
-                break
-            self._read(data[start], bytes(data[start + wire.HEADER : stop]))
-            start = stop
-        return start
-
-    def _read(self, kind: int, payload: bytes) -> None:
-        if kind == ord("R") and payload != b"\0\0\0\0":
-            self._fail(
-                errors.EndpointUnavailable(
-                    "An endpoint asks the proxy for a password.",
-                    "Let the group's user in by trust or by client certificate.",
-                )
-            )
-        elif kind == ord("E"):
-            fields = wire.parse_error(payload)
-            kind_of_error = errors.EndpointUnavailable
-            if fields.sqlstate == _NO_ROOM:
-                kind_of_error = EndpointFull
-            self._fail(
-                kind_of_error(
-                    f"An endpoint refused a connection: {fields.message}.",
-                    "Check the group's user, database and connections.",
-                )
-            )
-        elif kind == ord("S"):
-            name, _, value = payload.partition(b"\0")
-            text = value.rstrip(b"\0").decode(errors="replace")
-            self.connection.parameters[name.decode(errors="replace")] = text
-        elif kind == ord("K") and len(payload) >= 8:
-            self.connection.key_data = payload[:8]
-        elif kind == ord("Z"):
-            self.done = True
-
-    def _fail(self, error: errors.EndpointUnavailable) -> None:
-        if not self.outcome.done():
-            self.outcome.set_exception(error)
-
-    def _finish(self, reader: "SignIn") -> None:
-        if not self.outcome.done():
-            self.outcome.set_result(None)
-
-    def release(self) -> None:
-        """Pass nothing on."""
-
-
 class EndpointConnection(asyncio.BufferedProtocol):
     """One connection to an endpoint.
 
@@ -222,12 +148,12 @@
             self.carry = b""
             return
         self.carry = bytes(data[position:end])
-        if len(self.carry) > MAX_CONTROL_BYTES:
+        if len(self.carry) > wire.MAX_CONTROL_BYTES:
             self._lose()
 
     def _skip_idle(self, data: wire.Buffer, position: int, end: int) -> int:
         """Skip a message that needs no request; anything else is a fault."""
-        stop = wire.find_end(data, position, end, MAX_CONTROL_BYTES)
+        stop = wire.find_end(data, position, end, wire.MAX_CONTROL_BYTES)
         if stop and data[position] not in _IDLE:
             self._lose()
             return 0
@@ -294,7 +220,7 @@
                 "client_encoding": "UTF8",
             }
         )
-        self.send(startup, SignIn(self, self.signing_in))
+        self.send(startup, greeting.Greeting(self, self.signing_in))
         await self.signing_in
 
     async def fetch(self, sql: str) -> list[tuple[str | None, ...]]:
@@ -352,7 +278,7 @@
     """Open a connection and sign in.
 
     :param deadline: on the loop's clock.
-    :raises EndpointFull: the endpoint has no room.
+    :raises sardinehold.greeting.EndpointFull: the endpoint has no room.
     :raises sardinehold.errors.EndpointUnavailable: no connection in time.
     """
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/src/sardinehold/greeting.py
@@ -0,0 +1,85 @@
+"""What an endpoint says before it is ready."""
+
+import asyncio
+import typing
+
+from sardinehold import errors
+from sardinehold import wire
+
+_NO_ROOM = "53300"
+
+
+class EndpointFull(errors.EndpointUnavailable):
+    """An endpoint has no room for another connection."""
+
+
+class Greeted(typing.Protocol):
+    """The connection that an endpoint greets."""
+
+    parameters: dict[str, str]
+    key_data: bytes
+
+
+class Greeting:
+    """Reads what an endpoint says until it is ready.
+
+    :param outcome: resolved when it is ready, or refuses.
+    """
+
+    __slots__ = ("connection", "outcome", "done", "finish")
+
+    def __init__(self, connection: Greeted, outcome: asyncio.Future) -> None:
+        """Start before the first message."""
+        self.connection = connection
+        self.outcome = outcome
+        self.done = False
+        self.finish = self._finish
+
+    def feed(self, data: wire.Buffer, start: int, end: int) -> int:
+        """Read from ``start`` and return where reading stopped."""
+        while not self.done:
+            stop = wire.find_end(data, start, end, wire.MAX_CONTROL_BYTES)
+            if not stop:
+                break
+            self._read(data[start], bytes(data[start + wire.HEADER : stop]))
+            start = stop
+        return start
+
+    def _read(self, kind: int, payload: bytes) -> None:
+        if kind == ord("R") and payload != b"\0\0\0\0":
+            self._fail(
+                errors.EndpointUnavailable(
+                    "An endpoint asks the proxy for a password.",
+                    "Let the group's user in by trust or by client certificate.",
+                )
+            )
+        elif kind == ord("E"):
+            fields = wire.parse_error(payload)
+            kind_of_error = errors.EndpointUnavailable
+            if fields.sqlstate == _NO_ROOM:
+                kind_of_error = EndpointFull
+            self._fail(
+                kind_of_error(
+                    f"An endpoint refused a connection: {fields.message}.",
+                    "Check the group's user, database and connections.",
+                )
+            )
+        elif kind == ord("S"):
+            name, _, value = payload.partition(b"\0")
+            text = value.rstrip(b"\0").decode(errors="replace")
+            self.connection.parameters[name.decode(errors="replace")] = text
+        elif kind == ord("K") and len(payload) >= 8:
+            self.connection.key_data = payload[:8]
+        elif kind == ord("Z"):
+            self.done = True
+
+    def _fail(self, error: errors.EndpointUnavailable) -> None:
+        if not self.outcome.done():
+            self.outcome.set_exception(error)
+
+    def _finish(self, reader: "Greeting") -> None:
+        if not self.outcome.done():
+            self.outcome.set_result(None)
+
+    def release(self) -> None:
+        """Pass nothing on."""
--- a/src/sardinehold/proxy.py
+++ b/src/sardinehold/proxy.py
@@ -9,6 +9,7 @@
 import functools
 import secrets
 import signal
+import socket
 import ssl
 import typing
 
@@ -37,6 +38,12 @@
 FAREWELL_SECONDS = 1.0
 """Seconds that callers may take to read why the proxy stopped."""
 
+KEEPALIVE_SECONDS = 60
+"""Seconds of silence before the system asks whether a caller is still there."""
+
+KEEPALIVE_INTERVAL_SECONDS = 10
+"""Seconds between two such questions."""
+
 LEAVE_SECONDS = 2.0
 """Seconds that leaving the fleet may take once nothing runs any more."""
 
@@ -64,6 +71,18 @@
     return code
 
 
+def _keep_alive(listener: asyncio.trsock.TransportSocket) -> None:
+    """Have the system find callers that went silent.
+
+    Accepted connections inherit the options of the listening socket.
+    """
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
+    listener.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS
+    )
+
+
 def _find_cause(group: ExceptionGroup) -> Exception:
     """Return the error of ours in a group, or the group if there is none."""
     ours = group.subgroup(errors.SardineholdError)
@@ -179,6 +198,8 @@
                 f"[proxy] listen = {self.settings.listen} cannot be used: {error}.",
                 "Free the port, or state another.",
             ) from error
+        for listener in server.sockets:
+            _keep_alive(listener)
         self.port = server.sockets[0].getsockname()[1]
         return server
 
--- a/src/sardinehold/requests.py
+++ b/src/sardinehold/requests.py
@@ -4,8 +4,8 @@
 
 from sardinehold import answers
 from sardinehold import endpoints
+from sardinehold import parts
 from sardinehold import prepared
-from sardinehold import sequences
 from sardinehold import wire
 
 
@@ -14,7 +14,7 @@
 
     size: int
 
-    def compose(self, known: prepared.ConnectionStatements) -> sequences.Outgoing:
+    def compose(self, known: prepared.ConnectionStatements) -> parts.Outgoing:
         """Return what to send to a connection."""
 
     def undo(self, confirmed: int) -> None:
--- a/src/sardinehold/sequences.py
+++ b/src/sardinehold/sequences.py
@@ -6,20 +6,15 @@
 """
 
 import functools
-import typing
 
+from sardinehold import composition
 from sardinehold import errors
+from sardinehold import parts
 from sardinehold import prepared
 from sardinehold import wire
 from sardinehold.core import classify
 from sardinehold.core import statements
 
-PARSE = ord("P")
-BIND = ord("B")
-DESCRIBE = ord("D")
-EXECUTE = ord("E")
-CLOSE = ord("C")
-
 CACHE_ENTRIES = 4096
 """Query messages whose traits are kept."""
 
@@ -32,99 +27,6 @@
 _WRITE = statements.Traits(statements.Kind.WRITE)
 
 
-class Step:
-    """One expected answer of an endpoint, and what becomes of it.
-
-    :param injected: an answer to give in its place, for a message that was
-        not sent; the endpoint answers nothing then.
-    :param swallowed: whether the caller must not see it.
-    :param added: statement that the connection has once this is confirmed.
-    :param dropped: statement that the connection then no longer has.
-    :param confirms: whether it confirms a change to the session's statements.
-    """
-
-    __slots__ = ("injected", "swallowed", "added", "dropped", "confirms")
-
-    def __init__(
-        self,
-        injected: bytes = b"",
-        swallowed: bool = False,
-        added: bytes = b"",
-        dropped: bytes = b"",
-        confirms: bool = False,
-    ) -> None:
-        """Keep the parts of the step."""
-        self.injected = injected
-        self.swallowed = swallowed
-        self.added = added
-        self.dropped = dropped
-        self.confirms = confirms
-
-
-_FORWARD = Step()
-
-
-class Outgoing(typing.NamedTuple):
-    """What is sent to an endpoint.
-
-    :param steps: None when all answers pass through as they are.
-    """
-
-    payload: bytes
-    steps: list[Step] | None = None
-
-
-class Part:
-    """One message of an extended sequence.
-
-    :param name: the statement that it names, as the caller knows it.
-    :param prefix: of a Bind, the portal with its terminator.
-    :param rest: of a Bind, what follows the statement's name.
-    """
-
-    __slots__ = ("kind", "raw", "name", "statement", "prefix", "rest", "on_portal")
-
-    def __init__(self, kind: int, raw: bytes) -> None:
-        """Read the names in a message.
-
-        :raises sardinehold.errors.ProtocolViolation: it is malformed.
-        """
-        self.kind = kind
-        self.raw = raw
-        self.name = b""
-        self.statement: prepared.Statement | None = None
-        self.prefix = b""
-        self.rest = b""
-        self.on_portal = False
-        payload = raw[wire.HEADER :]
-        if kind == BIND:
-            portal, self.name, self.rest = _split(payload, 2)
-            self.prefix = portal + b"\0"
-        elif kind == PARSE:
-            self.name, self.rest = _split(payload, 1)
-        elif kind in (DESCRIBE, CLOSE):
-            self.on_portal = payload[:1] != b"S"
-            self.name = _split(payload[1:], 1)[0]
-        elif kind == EXECUTE:
-            self.name = _split(payload, 1)[0]
-            self.on_portal = True
-
-    def rename(self, name: bytes) -> bytes:
-        """Return the message with another statement name."""
-        if self.kind == BIND:
-            return wire.build_frame(b"B", self.prefix + name + b"\0" + self.rest)
-        return wire.build_frame(bytes((self.kind,)), b"S" + name + b"\0")
-
-
-def _split(payload: bytes, strings: int) -> list[bytes]:
-    parts = payload.split(b"\0", strings)
-    if len(parts) <= strings:
-        raise errors.ProtocolViolation(
-            "A name in a message is not terminated.", "Use a PostgreSQL driver."
-        )
-    return parts
-
-
 class SimpleQuery:
     """A Query message.
 
@@ -148,11 +50,11 @@
         else:
             self.traits = _read_cached_traits(raw)
 
-    def compose(self, known: prepared.ConnectionStatements) -> Outgoing:
+    def compose(self, known: prepared.ConnectionStatements) -> parts.Outgoing:
         """Return what to send to a connection that has parsed ``known``."""
         if self.traits.kind is _DISCARD:
             known.clear()
-        return Outgoing(self.raw, None)
+        return parts.Outgoing(self.raw, None)
 
     def undo(self, confirmed: int) -> None:
         """Take back what the request did to the session; nothing."""
@@ -202,7 +104,7 @@
     def __init__(self, session: prepared.SessionStatements) -> None:
         """Start with no message."""
         self.session = session
-        self.parts: list[Part] = []
+        self.parts: list[parts.Part] = []
         self.size = 0
         self.binds = 0
         self.replaced: list[tuple[bytes, prepared.Statement | None]] = []
@@ -217,19 +119,19 @@
         :raises sardinehold.errors.Unsupported: too many statements.
         :raises sardinehold.errors.UnknownStatement: it names none.
         """
-        part = Part(kind, raw)
+        part = parts.Part(kind, raw)
         self.size += len(raw)
-        if kind == PARSE:
+        if kind == parts.PARSE:
             self._add_parse(part)
-        elif kind == BIND:
+        elif kind == parts.BIND:
             self._add_bind(part)
         elif not part.on_portal:
             self._add_name(part)
-        elif kind == EXECUTE and not self.binds:
+        elif kind == parts.EXECUTE and not self.binds:
             self._traits.append(_WRITE)
         self.parts.append(part)
 
-    def _add_parse(self, part: Part) -> None:
+    def _add_parse(self, part: parts.Part) -> None:
         part.statement = prepared.find_statement(part.rest)
         before = self.session.get(part.name)
         self.session.put(part.name, part.statement)
@@ -237,14 +139,14 @@
         self.renames = self.renames or bool(part.name)
         self._has_unnamed = self._has_unnamed or not part.name
 
-    def _add_bind(self, part: Part) -> None:
+    def _add_bind(self, part: parts.Part) -> None:
         self.binds += 1
         self._add_name(part)
         self._traits.append(part.statement.traits)
 
-    def _add_name(self, part: Part) -> None:
+    def _add_name(self, part: parts.Part) -> None:
         part.statement = self.session.get(part.name)
-        if part.kind == CLOSE:
+        if part.kind == parts.CLOSE:
             self.session.drop(part.name)
             self.replaced.append((part.name, part.statement))
             self.renames = True
@@ -274,19 +176,19 @@
         """Whether it holds nothing that an endpoint must see."""
         return all(self._is_local(part) for part in self.parts)
 
-    def _is_local(self, part: Part) -> bool:
-        if part.kind == CLOSE:
+    def _is_local(self, part: parts.Part) -> bool:
+        if part.kind == parts.CLOSE:
             return not part.on_portal
         if self.binds or part.statement is None:
             return False
         return part.statement.traits.setting.startswith("sardinehold.")
 
-    def compose(self, known: prepared.ConnectionStatements) -> Outgoing:
+    def compose(self, known: prepared.ConnectionStatements) -> parts.Outgoing:
         """Return what to send to a connection that has parsed ``known``."""
         if not self.renames:
             raw = b"".join([part.raw for part in self.parts])
-            return Outgoing(raw + wire.SYNC)
-        return _Composer(self, known).compose()
+            return parts.Outgoing(raw + wire.SYNC)
+        return composition.Composer(self.parts, known).compose()
 
     def undo(self, confirmed: int) -> None:
         """Take back the changes to the session behind the first ``confirmed``.
@@ -304,17 +206,17 @@
         description = wire.build_row_description([column]) if column else wire.NO_DATA
         answers = []
         for part in self.parts:
-            if part.kind == PARSE:
+            if part.kind == parts.PARSE:
                 answers.append(wire.PARSE_COMPLETE)
-            elif part.kind == BIND:
+            elif part.kind == parts.BIND:
                 answers.append(wire.BIND_COMPLETE)
-            elif part.kind == CLOSE:
+            elif part.kind == parts.CLOSE:
                 answers.append(wire.CLOSE_COMPLETE)
-            elif part.kind == DESCRIBE:
+            elif part.kind == parts.DESCRIBE:
                 if not part.on_portal:
                     answers.append(wire.build_frame(b"t", b"\0\0"))
                 answers.append(description)
-            elif part.kind == EXECUTE:
+            elif part.kind == parts.EXECUTE:
                 answers.append(wire.build_row([value]) if column else b"")
                 answers.append(_complete(tag))
         return b"".join(answers)
@@ -328,95 +230,14 @@
         return self.answer_locally("", column, "")
 
 
-class _Composer:
-    """Renames the statements of a sequence for one connection."""
-
-    __slots__ = ("sequence", "known", "has", "messages", "steps")
-
-    def __init__(
-        self, sequence: Sequence, known: prepared.ConnectionStatements
-    ) -> None:
-        self.sequence = sequence
-        self.known = known
-        self.has: set[bytes] = set()
-        self.messages: list[bytes] = []
-        self.steps: list[Step] = []
-
-    def compose(self) -> Outgoing:
-        self._close_surplus()
-        for part in self.sequence.parts:
-            if part.kind == PARSE and part.name:
-                self._parse(part.statement, True)
-            elif part.kind == CLOSE and not part.on_portal:
-                step = Step(injected=wire.CLOSE_COMPLETE, confirms=True)
-                self.steps.append(step)
-            elif part.statement is None or part.on_portal or part.kind == PARSE:
-                self._pass(part)
-            else:
-                self._use(part)
-        self.messages.append(wire.SYNC)
-        plain = all(step is _FORWARD for step in self.steps)
-        return Outgoing(b"".join(self.messages), None if plain else self.steps)
-
-    def _close_surplus(self) -> None:
-        used = {
-            part.statement.name
-            for part in self.sequence.parts
-            if part.statement and part.name and part.kind != CLOSE
-        }
-        missing = [name for name in used if not self.known.touch(name)]
-        self.has = used.difference(missing)
-        for name in self.known.find_surplus(len(missing), used):
-            self.messages.append(wire.build_frame(b"C", b"S" + name + b"\0"))
-            self.steps.append(Step(swallowed=True, dropped=name))
-
-    def _parse(self, statement: prepared.Statement, visible: bool) -> None:
-        """Send a Parse unless the connection has the statement."""
-        name = statement.name
-        if name in self.has:
-            if visible:
-                step = Step(injected=wire.PARSE_COMPLETE, confirms=True)
-                self.steps.append(step)
-            return
-        self.has.add(name)
-        self.messages.append(statement.build_parse(name))
-        step = Step(swallowed=not visible, added=name, confirms=visible)
-        self.steps.append(step)
-
-    def _pass(self, part: Part) -> None:
-        self.messages.append(part.raw)
-        if part.kind == PARSE:
-            self.has.add(b"")
-            self.steps.append(Step(confirms=True))
-        else:
-            self.steps.append(_FORWARD)
-
-    def _use(self, part: Part) -> None:
-        """Send a Bind or Describe of a statement under its new name."""
-        if part.name:
-            self._parse(part.statement, False)
-            self.messages.append(part.rename(part.statement.name))
-        else:
-            self._parse_unnamed(part.statement)
-            self.messages.append(part.raw)
-        self.steps.append(_FORWARD)
-
-    def _parse_unnamed(self, statement: prepared.Statement) -> None:
-        if b"" in self.has:
-            return
-        self.has.add(b"")
-        self.messages.append(statement.build_parse(b""))
-        self.steps.append(Step(swallowed=True))
-
-
-def merge_traits(parts: list[statements.Traits]) -> statements.Traits:
+def merge_traits(found: list[statements.Traits]) -> statements.Traits:
     """Return the traits of several statements sent as one request."""
-    if len(parts) == 1:
-        return parts[0]
+    if len(found) == 1:
+        return found[0]
     kind = statements.Kind.READ
     is_open = ends = pins = False
     refusal = ""
-    for traits in parts:
+    for traits in found:
         if traits.kind is not statements.Kind.READ:
             kind = statements.Kind.WRITE
         if traits.ends:
--- a/src/sardinehold/wire.py
+++ b/src/sardinehold/wire.py
@@ -21,6 +21,9 @@
 MAX_STARTUP = 10_000
 """Bytes of the largest start-up packet, as in PostgreSQL."""
 
+MAX_CONTROL_BYTES = 1024 * 1024
+"""Bytes of the longest message of an endpoint that the proxy reads itself."""
+
 PROTOCOL_VERSION = 196608
 CANCEL_CODE = 80877102
 TLS_CODE = 80877103
--- a/tests/test_fuzz_wire.py
+++ b/tests/test_fuzz_wire.py
@@ -8,6 +8,7 @@
 import builders_wire as builders
 from sardinehold import answers
 from sardinehold import errors
+from sardinehold import parts
 from sardinehold import prepared
 from sardinehold import sequences
 from sardinehold import startup
@@ -145,10 +146,10 @@
     for number, kind in enumerate(plan):
         frame = wire.build_complete(f"step {number}")
         if kind == "inject":
-            steps.append(sequences.Step(injected=frame))
+            steps.append(parts.Step(injected=frame))
         else:
             sent += frame
-            steps.append(sequences.Step(swallowed=kind == "swallow"))
+            steps.append(parts.Step(swallowed=kind == "swallow"))
         if kind != "swallow":
             expected += frame
     ready = wire.build_ready("I")
