--- /dev/null
+++ b/src/sardinehold/arrivals.py
@@ -0,0 +1,179 @@
+"""The start-up of a caller: TLS, key, settings, greeting."""
+
+import asyncio
+import re
+import secrets
+import ssl
+import typing
+
+from sardinehold import errors
+from sardinehold import sequences
+from sardinehold import startup
+from sardinehold import wire
+from sardinehold.core import actions
+from sardinehold.core import events
+
+if typing.TYPE_CHECKING:
+    from sardinehold import callers
+
+_SECRET_BITS = 31
+_SETTING_NAME = re.compile(r"[a-z_][a-z0-9_]*(\.[a-z_][a-z0-9_]*)?", re.IGNORECASE)
+_TLS_ACCEPTED = b"S"
+_REFUSED = b"N"
+_LOCAL_SETTINGS = {"application_name"}
+_ENCODINGS = {"utf8", "utf-8", "unicode"}
+
+
+class Arrival:
+    """A caller that has not been let in yet.
+
+    :param caller: whose bytes these are.
+    :param tls: the context to offer, None for no TLS.
+    """
+
+    __slots__ = ("caller", "tls", "secured", "packet", "settings", "token")
+
+    def __init__(self, caller: "callers.Caller", tls: ssl.SSLContext | None) -> None:
+        """Start before the first packet."""
+        self.caller = caller
+        self.tls = tls
+        self.secured = False
+        self.packet: startup.Startup | None = None
+        self.settings: list[tuple[str, str]] = []
+        self.token = ""
+
+    def read_packet(self, data: wire.Buffer, size: int) -> int:
+        """Read one of the first packets; return how many bytes it took."""
+        stop = startup.find_packet_end(data, size)
+        if not stop:
+            return 0
+        packet = startup.parse_packet(bytes(data[:stop]))
+        if isinstance(packet, startup.Startup):
+            self._start(packet)
+        elif isinstance(packet, startup.CancelRequest):
+            self.caller.path.cancel(packet)
+            self.caller.close()
+        elif isinstance(packet, startup.TlsRequest) and self.tls and not self.secured:
+            self._accept_tls(size - stop)
+        else:
+            self.caller.transport.write(_REFUSED)
+        return stop
+
+    def _accept_tls(self, surplus: int) -> None:
+        """Start TLS; bytes behind the request were sent in clear."""
+        if surplus:
+            raise errors.ProtocolViolation(
+                "Data followed the TLS request in clear.", "Use a PostgreSQL driver."
+            )
+        self.secured = True
+        self.caller.stage = self.caller.wait
+        self.caller.transport.pause_reading()
+        self.caller.transport.write(_TLS_ACCEPTED)
+        self.caller.path.spawn(self._secure)
+
+    async def _secure(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            transport = await loop.start_tls(
+                self.caller.transport, self.caller, self.tls, server_side=True
+            )
+        except (OSError, ssl.SSLError):
+            self.caller.close()
+            return
+        if transport is None or self.caller.closed:
+            self.caller.close()
+            return
+        self.caller.transport = transport
+        self.caller.stage = self.read_packet
+        self.caller.resume()
+
+    def _start(self, packet: startup.Startup) -> None:
+        if self.tls and not self.secured:
+            raise errors.AuthenticationError(
+                "The proxy takes keys over TLS only.", "Connect with sslmode=require."
+            )
+        self._keep_settings(packet.settings)
+        self.packet = packet
+        if self.caller.path.is_open(packet.route):
+            self._sign_in("")
+            return
+        self.caller.stage = self.read_password
+        self.caller.transport.write(wire.build_authentication(wire.CLEARTEXT_PASSWORD))
+
+    def _keep_settings(self, settings: dict[str, str]) -> None:
+        """Keep the settings that must be set before the caller goes on."""
+        encoding = settings.pop("client_encoding", "utf8")
+        if encoding.strip("'\" ").lower() not in _ENCODINGS:
+            raise errors.Unsupported(
+                f"The client encoding {encoding[:20]} is not supported.",
+                "Set client_encoding to UTF8.",
+            )
+        for name, value in settings.items():
+            if name.startswith("_pq_.") or name in _LOCAL_SETTINGS:
+                continue
+            if not _SETTING_NAME.fullmatch(name):
+                raise errors.ProtocolViolation(
+                    f"{name[:40]!r} is not the name of a setting.",
+                    "Leave it out of the connection's options.",
+                )
+            if self.caller.path.parameters.get(name) != value:
+                self.settings.append((name, value))
+
+    def read_password(self, data: wire.Buffer, size: int) -> int:
+        """Read the message that brings the key; return how many bytes it took."""
+        if data[0] != ord("p"):
+            raise errors.ProtocolViolation(
+                "A password was expected.", "Use a PostgreSQL driver."
+            )
+        stop = wire.find_end(data, 0, size, wire.MAX_STARTUP)
+        if stop:
+            key, _ = wire.read_string(data, wire.HEADER, stop)
+            self._sign_in(key)
+        return stop
+
+    def _sign_in(self, key: str) -> None:
+        self.caller.stage = self.caller.wait
+        packet = self.packet
+        self.caller.path.deliver(
+            events.SessionOpened(
+                self.caller.session_id,
+                packet.route,
+                key,
+                packet.token,
+                packet.max_age,
+                self._find_source(),
+            )
+        )
+
+    def _find_source(self) -> str:
+        peer = self.caller.transport.get_extra_info("peername")
+        return peer[0] if peer else ""
+
+    def accept(self, action: actions.SessionAccepted) -> None:
+        """Let the caller in, after the settings that it asked for."""
+        self.token = action.token
+        self.set_next()
+
+    def set_next(self) -> None:
+        """Run the next setting of the start-up message, or welcome the caller."""
+        if not self.settings:
+            self._welcome()
+            return
+        name, value = self.settings.pop()
+        quoted = value.replace("'", "''")
+        sql = f"SET {name} = '{quoted}'"
+        content = sequences.SimpleQuery(wire.build_query(sql))
+        self.caller.path.begin(self.caller, content, hidden=True)
+
+    def _welcome(self) -> None:
+        secret = secrets.randbits(_SECRET_BITS)
+        parts = [wire.build_authentication(wire.AUTHENTICATION_OK)]
+        for name, value in self.caller.path.parameters.items():
+            parts.append(wire.build_parameter(name, value))
+        if self.token:
+            parts.append(wire.build_parameter(startup.TOKEN_SETTING, self.token))
+        parts.append(wire.build_key_data(self.caller.session_id, secret))
+        parts.append(wire.build_ready(self.caller.status))
+        self.caller.transport.write(b"".join(parts))
+        self.caller.path.note_signed_in(self.caller)
+        self.caller.enter(secret)
--- a/src/sardinehold/callers.py
+++ b/src/sardinehold/callers.py
@@ -1,19 +1,16 @@
 """Callers: their start-up, their messages, and what they are answered."""
 
 import asyncio
-import re
-import secrets
 import ssl
 import typing
 
+from sardinehold import arrivals
 from sardinehold import errors
 from sardinehold import prepared
 from sardinehold import requests
 from sardinehold import sequences
-from sardinehold import startup
 from sardinehold import wire
 from sardinehold.core import actions
-from sardinehold.core import events
 from sardinehold.core import statements
 
 if typing.TYPE_CHECKING:
@@ -25,8 +22,6 @@
 MAX_WAITING = 256 * 1024
 """Bytes that are read behind a request that is not answered yet."""
 
-_SECRET_BITS = 31
-_SETTING_NAME = re.compile(r"[a-z_][a-z0-9_]*(\.[a-z_][a-z0-9_]*)?", re.IGNORECASE)
 _DEALLOCATE = statements.Kind.DEALLOCATE
 _DISCARD = statements.Kind.DISCARD
 _QUERY = ord("Q")
@@ -36,10 +31,6 @@
 _FUNCTION_CALL = ord("F")
 _EXTENDED = frozenset(b"PBDEC")
 _IGNORED = frozenset(b"dcf")
-_TLS_ACCEPTED = b"S"
-_REFUSED = b"N"
-_LOCAL_SETTINGS = {"application_name"}
-_ENCODINGS = {"utf8", "utf-8", "unicode"}
 
 
 class Caller(asyncio.BufferedProtocol):
@@ -51,13 +42,12 @@
 
     __slots__ = (
         "path",
-        "tls",
         "transport",
         "session_id",
         "secret",
         "stage",
+        "arrival",
         "backlog",
-        "route",
         "status",
         "request",
         "statements",
@@ -66,36 +56,30 @@
         "processing",
         "paused",
         "closed",
-        "secured",
         "held_back",
         "ready",
-        "settings",
-        "token",
     )
 
     def __init__(self, path: "datapath.DataPath", tls: ssl.SSLContext | None) -> None:
         """Start before the first packet."""
         self.path = path
-        self.tls = tls
         self.transport: asyncio.Transport | None = None
         self.session_id = path.number_session(self)
         self.secret = 0
-        self.stage: typing.Callable[[wire.Buffer, int], int] = self._read_packet
+        self.arrival: arrivals.Arrival | None = arrivals.Arrival(self, tls)
+        self.stage: typing.Callable[[wire.Buffer, int], int]
+        self.stage = self.arrival.read_packet
         self.backlog: bytearray | None = None
-        self.route: startup.Startup | None = None
         self.status = "I"
         self.request: requests.Request | None = None
-        self.statements: prepared.SessionStatements | None = None
+        self.statements = prepared.SessionStatements()
         self.sequence: sequences.Sequence | None = None
         self.skipping = False
         self.processing = False
         self.paused = False
         self.closed = False
-        self.secured = False
         self.held_back = False
         self.ready = False
-        self.settings: list[tuple[str, str]] = []
-        self.token = ""
 
     # Bytes in
 
@@ -128,7 +112,7 @@
                 self._limit()
             return
         self.backlog += data
-        self._resume()
+        self.resume()
         self._limit()
 
     def _take_query(self, data: memoryview, size: int) -> bool:
@@ -145,7 +129,7 @@
             self.fail_session(error)
         return True
 
-    def _resume(self) -> None:
+    def resume(self) -> None:
         """Go on with what arrived while a request was under way."""
         if self.backlog is None or self.processing or self.closed:
             return
@@ -186,149 +170,23 @@
 
     # Start-up
 
-    def _read_packet(self, data: wire.Buffer, size: int) -> int:
-        stop = startup.find_packet_end(data, size)
-        if not stop:
-            return 0
-        packet = startup.parse_packet(bytes(data[:stop]))
-        if isinstance(packet, startup.Startup):
-            self._start(packet)
-        elif isinstance(packet, startup.CancelRequest):
-            self.path.cancel(packet)
-            self.close()
-        elif isinstance(packet, startup.TlsRequest) and self.tls and not self.secured:
-            self._accept_tls(size - stop)
-        else:
-            self.transport.write(_REFUSED)
-        return stop
-
-    def _accept_tls(self, surplus: int) -> None:
-        """Start TLS; bytes behind the request were sent in clear."""
-        if surplus:
-            raise errors.ProtocolViolation(
-                "Data followed the TLS request in clear.", "Use a PostgreSQL driver."
-            )
-        self.secured = True
-        self.stage = self._wait
-        self.transport.pause_reading()
-        self.transport.write(_TLS_ACCEPTED)
-        self.path.spawn(self._secure)
-
-    async def _secure(self) -> None:
-        loop = asyncio.get_running_loop()
-        try:
-            transport = await loop.start_tls(
-                self.transport, self, self.tls, server_side=True
-            )
-        except (OSError, ssl.SSLError):
-            self.close()
-            return
-        if transport is None or self.closed:
-            self.close()
-            return
-        self.transport = transport
-        self.stage = self._read_packet
-        self._resume()
-
-    def _start(self, packet: startup.Startup) -> None:
-        if self.tls and not self.secured:
-            raise errors.AuthenticationError(
-                "The proxy takes keys over TLS only.", "Connect with sslmode=require."
-            )
-        self._keep_settings(packet.settings)
-        self.route = packet
-        if self.path.is_open(packet.route):
-            self._sign_in("")
-            return
-        self.stage = self._read_password
-        self.transport.write(wire.build_authentication(wire.CLEARTEXT_PASSWORD))
-
-    def _keep_settings(self, settings: dict[str, str]) -> None:
-        """Keep the settings that must be set before the caller goes on."""
-        encoding = settings.pop("client_encoding", "utf8")
-        if encoding.strip("'\" ").lower() not in _ENCODINGS:
-            raise errors.Unsupported(
-                f"The client encoding {encoding[:20]} is not supported.",
-                "Set client_encoding to UTF8.",
-            )
-        for name, value in settings.items():
-            if name.startswith("_pq_.") or name in _LOCAL_SETTINGS:
-                continue
-            if not _SETTING_NAME.fullmatch(name):
-                raise errors.ProtocolViolation(
-                    f"{name[:40]!r} is not the name of a setting.",
-                    "Leave it out of the connection's options.",
-                )
-            if self.path.parameters.get(name) != value:
-                self.settings.append((name, value))
-
-    def _read_password(self, data: wire.Buffer, size: int) -> int:
-        if data[0] != ord("p"):
-            raise errors.ProtocolViolation(
-                "A password was expected.", "Use a PostgreSQL driver."
-            )
-        stop = wire.find_end(data, 0, size, wire.MAX_STARTUP)
-        if stop:
-            key, _ = wire.read_string(data, wire.HEADER, stop)
-            self._sign_in(key)
-        return stop
-
-    def _sign_in(self, key: str) -> None:
-        self.stage = self._wait
-        packet = self.route
-        self.path.deliver(
-            events.SessionOpened(
-                self.session_id,
-                packet.route,
-                key,
-                packet.token,
-                packet.max_age,
-                self._find_source(),
-            )
-        )
-
-    def _find_source(self) -> str:
-        peer = self.transport.get_extra_info("peername")
-        return peer[0] if peer else ""
-
     def accept(self, action: actions.SessionAccepted) -> None:
         """Let the caller in, after the settings that it asked for."""
-        if self.closed:
-            return
-        self.route = None
-        self.token = action.token
-        self.statements = prepared.SessionStatements()
-        self._set_next()
+        if not self.closed:
+            self.arrival.accept(action)
 
-    def _set_next(self) -> None:
-        """Run the next setting of the start-up message, or welcome the caller."""
-        if not self.settings:
-            self._welcome()
-            return
-        name, value = self.settings.pop()
-        quoted = value.replace("'", "''")
-        sql = f"SET {name} = '{quoted}'"
-        content = sequences.SimpleQuery(wire.build_query(sql))
-        self.path.begin(self, content, hidden=True)
-
-    def _welcome(self) -> None:
-        self.settings = ()
-        self.secret = secrets.randbits(_SECRET_BITS)
-        parts = [wire.build_authentication(wire.AUTHENTICATION_OK)]
-        for name, value in self.path.parameters.items():
-            parts.append(wire.build_parameter(name, value))
-        if self.token:
-            parts.append(wire.build_parameter(startup.TOKEN_SETTING, self.token))
-            self.token = ""
-        parts.append(wire.build_key_data(self.session_id, self.secret))
-        parts.append(wire.build_ready(self.status))
-        self.transport.write(b"".join(parts))
-        self.path.note_signed_in(self)
-        self.stage = self._read_messages
+    def enter(self, secret: int) -> None:
+        """Go on to messages once the caller has been greeted.
+
+        :param secret: what a cancel request must state.
+        """
+        self.secret = secret
+        self.arrival = None
         self.ready = True
-        self._resume()
+        self.stage = self._read_messages
+        self.resume()
 
-    def _wait(self, data: wire.Buffer, size: int) -> int:
+    def wait(self, data: wire.Buffer, size: int) -> int:
         """Read nothing until a decision has been made."""
         return 0
 
@@ -469,14 +327,14 @@
         if self.closed:
             return
         if request.hidden:
-            self._set_next()
+            self.arrival.set_next()
             return
         self.transport.write(answer)
         self._go_on()
 
     def _go_on(self) -> None:
         if self.backlog is not None:
-            self._resume()
+            self.resume()
             self._limit()
 
     def fail(
