--- a/src/sardinehold/proxy.py
+++ b/src/sardinehold/proxy.py
@@ -9,6 +9,7 @@
 import functools
 import secrets
 import signal
+import socket
 import ssl
 import typing
 
@@ -37,6 +38,15 @@
 FAREWELL_SECONDS = 1.0
 """Seconds that callers may take to read why the proxy stopped."""
 
+KEEPALIVE_SECONDS = 60
+"""Seconds of silence before the system asks whether a caller is still there."""
+
+KEEPALIVE_INTERVAL_SECONDS = 10
+"""Seconds between two such questions."""
+
+LEAVE_SECONDS = 2.0
+"""Seconds that leaving the fleet may take once nothing runs any more."""
+
 SEED_BITS = 63
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -61,6 +71,18 @@
     return code
 
 
+def _keep_alive(listener: asyncio.trsock.TransportSocket) -> None:
+    """Have the system find callers that went silent.
+
+    Accepted connections inherit the options of the listening socket.
+    """
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
+    listener.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS
+    )
+
+
 def _find_cause(group: ExceptionGroup) -> Exception:
     """Return the error of ours in a group, or the group if there is none."""
     ours = group.subgroup(errors.SardineholdError)
@@ -109,6 +131,7 @@
         self.path: datapath.DataPath | None = None
         self.port = 0
         self.drained = anyio.Event()
+        self.left = anyio.Event()
         self.cut = 0
 
     async def serve(self) -> int:
@@ -132,7 +155,7 @@
                     metrics_page.serve, self.registry, self.settings.metrics_listen
                 )
                 await group.start(serve_page)
-            group.start_soon(self.fleet.run, self.path.deliver)
+            group.start_soon(self._run_fleet)
             group.start_soon(self._watch_certificates)
             self.recorder.record("proxy_started", port=self.port)
             log.notice("serving callers on port {}", self.port)
@@ -140,18 +163,31 @@
                 await self._wait_for_stop(listener, received)
                 self.path.close()
                 await self.path.startups.wait_for_callers(FAREWELL_SECONDS)
+                with anyio.move_on_after(LEAVE_SECONDS):
+                    await self.left.wait()
             group.cancel_scope.cancel()
         self.recorder.record("proxy_stopped", cut=self.cut)
         log.notice("stopped; requests and transactions cut: {}", self.cut)
         return 1 if self.cut else 0
 
     def handle(self, action: actions.Action) -> None:
-        """Take an action of the engine that concerns the fleet."""
+        """Take an action of the engine that concerns the fleet.
+
+        The node gives up its shared roles only when nothing runs here any
+        more: transactions that finish during a stop still need tokens, and
+        this node may be the one that grants them.
+        """
         if isinstance(action, actions.DrainFinished):
             self.cut += action.cut
             self.drained.set()
+            self.fleet.begin_stop()
         self.fleet.handle(action)
 
+    async def _run_fleet(self) -> None:
+        """Run the fleet's part; it ends by itself once this node has left."""
+        await self.fleet.run(self.path.deliver)
+        self.left.set()
+
     async def _listen(self) -> asyncio.Server:
         host, port = settings.split_address(self.settings.listen)
         loop = asyncio.get_running_loop()
@@ -162,6 +198,8 @@
                 f"[proxy] listen = {self.settings.listen} cannot be used: {error}.",
                 "Free the port, or state another.",
             ) from error
+        for listener in server.sockets:
+            _keep_alive(listener)
         self.port = server.sockets[0].getsockname()[1]
         return server
 
