--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -1,8 +1,8 @@
 """Latency that the proxy adds to a statement at a steady rate.
 
 ``python bench/added_latency.py --rate 1000 --seconds 5 --rounds 3`` sends the
-same statements at the same pace straight to a canned endpoint and through the
-proxy, in turn, and compares medians and 99th percentiles with the targets of
+same statements at the same pace straight to a canned endpoint, through a bare
+byte relay, and through the proxy, in turn, and compares medians and 99th percentiles with the targets of
 issue 4: at most 0.3 ms and 2 ms more. A statement that finds all callers busy
 waits, and its wait counts. Exits with 1 when a target is missed.
 """
@@ -101,12 +101,17 @@
     parser.add_argument("--rounds", type=int, default=3)
     options = parser.parse_args()
     key = keys.generate_key().text
-    figures = {"direct": [], "proxy": []}
+    figures = {"direct": [], "relay": [], "proxy": []}
     with (
         relay.Child(relay.serve_endpoint) as endpoint,
+        relay.Child(relay.serve_protocols, endpoint.address) as bare,
         relay.Child(static_fleet.serve_proxy, endpoint.address, key) as proxy,
     ):
-        targets = {"direct": endpoint.address, "proxy": proxy.address}
+        targets = {
+            "direct": endpoint.address,
+            "relay": bare.address,
+            "proxy": proxy.address,
+        }
         for _ in range(options.rounds):
             for name, address in targets.items():
                 found = anyio.run(
--- /dev/null
+++ b/bench/half_open.py
@@ -0,0 +1,86 @@
+"""What callers that never finish their start-up cost the proxy.
+
+``python bench/half_open.py --connections 50000`` opens that many connections
+without a word, a thousand at a time, closes none itself, and signs one caller in
+after each thousand. Prints the proxy's memory and how long signing in and one
+statement took. Exits with 1 if a caller was not served or memory grew by more
+than the bound.
+"""
+
+import argparse
+import asyncio
+import json
+import sys
+import time
+
+import anyio
+
+import canned
+import idle_memory
+import relay
+import static_fleet
+from sardinehold import keys
+from sardinehold import startups
+
+BOUND = 16 * 1024 * startups.MAX_STARTUPS
+"""Bytes: the target of an idle connection, for each start-up that is held."""
+
+STEP = 1_000
+
+PATIENCE = 5.0
+"""Seconds that a caller may take to sign in and run one statement."""
+
+
+async def _open(address: tuple[str, int]) -> asyncio.BaseTransport:
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_connection(asyncio.Protocol, *address)
+    return transport
+
+
+async def _serve_one(address: tuple[str, int], key: str) -> float:
+    start = time.perf_counter()
+    tally = canned.Tally()
+    with anyio.fail_after(PATIENCE):
+        (caller,) = await canned.sign_in(address, 1, tally, canned.PacedCaller, key=key)
+        caller.running = True
+        caller.send()
+        while not tally.statements:
+            await anyio.sleep(0.001)
+    caller.transport.abort()
+    return time.perf_counter() - start
+
+
+async def _measure(child: relay.Child, count: int, key: str) -> tuple[int, float]:
+    """Return the growth of memory and the longest time of a caller."""
+    await _serve_one(child.address, key)
+    before = idle_memory.read_resident(child.process.pid)
+    longest = 0.0
+    opened = []
+    for _ in range(count // STEP):
+        for _ in range(STEP):
+            opened.append(await _open(child.address))
+        opened = [transport for transport in opened if not transport.is_closing()]
+        longest = max(longest, await _serve_one(child.address, key))
+    return idle_memory.read_resident(child.process.pid) - before, longest
+
+
+def main() -> int:
+    """Measure, print and judge."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--connections", type=int, default=50_000)
+    options = parser.parse_args()
+    key = keys.generate_key().text
+    with (
+        relay.Child(relay.serve_endpoint) as endpoint,
+        relay.Child(static_fleet.serve_proxy, endpoint.address, key) as proxy,
+    ):
+        grown, longest = anyio.run(_measure, proxy, options.connections, key)
+    print(f"memory grew by {grown / 1024:.0f} KiB (bound {BOUND // 1024} KiB)")
+    print(f"slowest caller: {longest * 1e3:.1f} ms")
+    met = grown <= BOUND
+    print(json.dumps({"grown_bytes": grown, "slowest_s": longest, "met": met}))
+    return 0 if met else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/sardinehold/endpoints.py
+++ b/src/sardinehold/endpoints.py
@@ -293,7 +293,7 @@
                 await connection.secure(tls)
             await connection.sign_in()
         established = True
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, UnicodeError) as error:
         raise errors.EndpointUnavailable(
             f"No connection to {address.host}:{address.port}: {error or 'timeout'}.",
             "Check that the endpoint is up and can be reached.",
--- a/src/sardinehold/proxy.py
+++ b/src/sardinehold/proxy.py
@@ -144,7 +144,7 @@
             self.path = datapath.DataPath(
                 decisions,
                 self,
-                group.start_soon,
+                functools.partial(group.start_soon, self._guard),
                 self.registry,
                 self.recorder,
                 self.endpoint_tls.context,
@@ -183,6 +183,16 @@
             self.fleet.begin_stop()
         self.fleet.handle(action)
 
+    async def _guard(
+        self, function: typing.Callable[..., typing.Awaitable[None]], *arguments: object
+    ) -> None:
+        """Run a task of one connection; its failure must not end the process."""
+        try:
+            await function(*arguments)
+        except Exception as error:
+            self.registry.count("tasks_failed")
+            log.error("{} failed: {!r}", function.__name__, error)
+
     async def _run_fleet(self) -> None:
         """Run the fleet's part; it ends by itself once this node has left."""
         await self.fleet.run(self.path.deliver)
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -96,6 +96,14 @@
         await run_query(port)
 
 
+@pytest.mark.parametrize("host", ["", "." * 70, "x" * 70, "no host"])
+async def test_host_that_cannot_be_is_unavailable(host):
+    address = endpoints.Address(host, 1, "main", "me")
+    deadline = asyncio.get_running_loop().time() + 5
+    with pytest.raises(errors.EndpointUnavailable):
+        await endpoints.connect(address, deadline)
+
+
 async def test_full_endpoint_is_reported_as_full():
     async with builders.run_path() as fleet:
         fleet.server.full = True
