--- a/src/sardinehold/core/probing.py
+++ b/src/sardinehold/core/probing.py
@@ -153,14 +153,16 @@
 
 def hasten(node: nodes.Node, group: groups.Group) -> None:
     """Probe the replicas soon because a read waits for one."""
-    if len(group.waiting_reads) > 1:
+    if group.is_hastened:
         return
+    group.is_hastened = True
     node.timers.set(node.now + URGENT_INTERVAL, _probe_for_reads, group)
 
 
 def _probe_for_reads(node: nodes.Node, group: groups.Group) -> None:
     """Probe what waiting reads need, until none waits."""
     if not group.waiting_reads:
+        group.is_hastened = False
         return
     if group.replicas:
         send(node, min(group.replicas, key=_find_lag))
@@ -173,10 +175,9 @@
 
 def confirm(node: nodes.Node, group: groups.Group) -> None:
     """Ask the primary what replicas have received, until no write is held."""
-    if group.unconfirmed_since is None:
-        group.unconfirmed_since = node.now
-    if len(group.held) > 1:
+    if group.is_confirming:
         return
+    group.is_confirming = True
     delay = CONFIRM_INTERVAL
     node.timers.set(node.now + delay, _probe_for_writes, (group, delay))
 
@@ -185,6 +186,7 @@
     """Probe the primary of a group with held writes, less and less often."""
     group, delay = subject
     if not group.held:
+        group.is_confirming = False
         return
     if group.primary is not None:
         send(node, group.primary)
@@ -217,13 +219,23 @@
 def _note_isolation(
     node: nodes.Node, group: groups.Group, event: events.StatusObserved
 ) -> None:
-    """Report a primary whose log no replica confirms any more."""
+    """Report a primary whose log no replica confirms any more.
+
+    What it had at some moment must be confirmed within a second.
+    """
     primary = group.primary
-    best = max((position for _, position in event.confirmed), default=None)
-    if best is not None and best >= event.applied:
-        group.unconfirmed_since = None
-    if not group.held:
+    if len(group.endpoints) < 2:
+        return
+    term = group.state.term
+    confirmed = [
+        position.offset for _, position in event.confirmed if position.term == term
+    ]
+    best = max(confirmed, default=-1)
+    if best >= group.unconfirmed_offset:
         group.unconfirmed_since = None
+    if group.unconfirmed_since is None and best < event.applied.offset:
+        group.unconfirmed_since = node.now
+        group.unconfirmed_offset = event.applied.offset
     since = group.unconfirmed_since
     is_isolated = since is not None and node.now - since > ISOLATED_AFTER
     if is_isolated != primary.is_isolated:
