Keep a sequence open when a Flush comes behind a write

A pipeline of psycopg in autocommit mode fetches behind a write, and was refused. A Sync in the place of the Flush would have committed early, so that the sequence now stays open on its connection until its Sync. The test of the refusal is replaced by ones that see one transaction, the skip after an error, the rollback when the caller leaves, and the refusal of transaction control inside.

--- a/src/sardinehold/answers.py
+++ b/src/sardinehold/answers.py
@@ -125,6 +125,9 @@
     :param sink: where it goes.
     :param keeps: whether all of it is kept while it is small, as for a write.
     :param plan: what becomes of its parts, None when all pass through.
+
+    While it ``is_open`` its sequence has no Sync yet, and the caller waits for
+    each part of the answer.
     """
 
     __slots__ = (
@@ -138,6 +141,7 @@
         "status",
         "done",
         "cut_frame",
+        "is_open",
     )
 
     def __init__(self, sink: Sink, keeps: bool = False, plan: Plan | None = None):
@@ -152,6 +156,7 @@
         self.status = ""
         self.done = False
         self.cut_frame = False
+        self.is_open = False
 
     @property
     def confirmed(self) -> int:
@@ -248,12 +253,20 @@
                 self.held += plan.inject()
         return start
 
+    def advance(self) -> None:
+        """Put in answers to messages that were not sent, and pass them on."""
+        if not self.rest and not self.sqlstate:
+            self.held += self.plan.inject()
+            self.release()
+
     def release(self) -> None:
         """Pass on what need not be kept while the answer is not complete."""
         held = self.held
         if self.keeps and len(held) <= MAX_HELD:
             return
         cut = self.guard if self.guard >= 0 else len(held)
+        if self.is_open:
+            cut = len(held)
         if not cut:
             return
         self.cut_frame = self.rest > 0 and cut == len(held)
--- a/src/sardinehold/callers.py
+++ b/src/sardinehold/callers.py
@@ -194,7 +194,7 @@
 
     def _read_messages(self, data: wire.Buffer, size: int) -> int:
         start = 0
-        while start < size and self.request is None and not self.closed:
+        while start < size and self._takes_more():
             stop = wire.find_end(data, start, size)
             if not stop:
                 break
@@ -202,6 +202,12 @@
             start = stop
         return start
 
+    def _takes_more(self) -> bool:
+        """Return whether the next message may be read now."""
+        if self.closed:
+            return False
+        return self.request is None or self.request.is_open
+
     def _read_message(
         self, kind: int, data: wire.Buffer, start: int, stop: int
     ) -> None:
@@ -237,6 +243,11 @@
             self.transport.write(wire.build_ready(self.status))
 
     def _read_query(self, raw: bytes) -> None:
+        if self.request is not None:
+            raise errors.ProtocolViolation(
+                "A query came before the Sync of an extended sequence.",
+                "Send Sync first.",
+            )
         content = sequences.SimpleQuery(raw)
         kind = content.traits.kind
         if kind is _DEALLOCATE:
@@ -257,6 +268,9 @@
         return True
 
     def _read_part(self, kind: int, raw: bytes) -> None:
+        if self.request is not None:
+            self._read_open_part(self.request.content, kind, raw)
+            return
         if self.sequence is None:
             self.sequence = sequences.Sequence(self.statements)
         try:
@@ -269,6 +283,25 @@
                 f"A request is larger than {MAX_REQUEST} bytes.", "Send Sync earlier."
             )
 
+    def _read_open_part(
+        self, sequence: sequences.Sequence, kind: int, raw: bytes
+    ) -> None:
+        """Read a message of a sequence of which a part runs already."""
+        sequence.add(kind, raw)
+        traits = sequence.last_traits
+        if traits.begins or traits.ends or traits.refusal or traits.setting:
+            raise errors.Unsupported(
+                "Only reads and writes may follow a Flush behind a write.",
+                "Send Sync first.",
+                errors.Outcome.UNKNOWN,
+            )
+        if sequence.size > MAX_REQUEST:
+            raise errors.ProtocolViolation(
+                f"A request is larger than {MAX_REQUEST} bytes.",
+                "Send Sync earlier.",
+                errors.Outcome.UNKNOWN,
+            )
+
     def _abandon(self, error: errors.RequestError) -> None:
         """Refuse a sequence of which nothing was sent."""
         self.sequence.undo(0)
@@ -281,6 +314,10 @@
         return sequence or sequences.Sequence(self.statements)
 
     def _read_sync(self) -> None:
+        if self.request is not None:
+            self.request.is_open = False
+            self.request.send_more()
+            return
         sequence = self._take_sequence()
         if sequence.is_local:
             answer = sequence.describe_locally()
@@ -289,25 +326,24 @@
         self.path.begin(self, sequence)
 
     def _read_flush(self) -> None:
-        """Run what came so far where a Sync in its place changes nothing.
+        """Run what came so far.
 
-        That is so for messages that run nothing, for reads, and inside a
-        transaction block.
+        Where a Sync in its place changes nothing, the request ends here: behind
+        messages that run nothing, behind reads, and in a transaction block.
+        Else it stays open until its Sync.
         """
+        if self.request is not None:
+            self.request.send_more()
+            return
         sequence = self.sequence
         if sequence is None:
             return
         traits = sequence.traits
         splits = traits.kind is statements.Kind.READ or traits.begins
+        self.sequence = None
         if self.status == "I" and not splits:
-            self._abandon(
-                errors.Unsupported(
-                    "Flush behind a write outside of a transaction is not supported.",
-                    "Send Sync before the answer is read, or BEGIN first.",
-                )
-            )
+            self.path.begin(self, sequence, is_open=True)
             return
-        self.sequence = None
         if sequence.is_local:
             self.transport.write(sequence.describe_locally())
             return
@@ -350,7 +386,7 @@
         if fatal or request.hidden:
             self.fail_session(error)
             return
-        if request.hides_ready:
+        if request.hides_ready or request.is_open:
             self.skipping = True
             self.transport.write(wire.build_error(error))
         else:
@@ -414,6 +450,8 @@
     def _end(self) -> None:
         self.closed = True
         self.backlog = None
+        if self.request is not None and self.request.is_open:
+            self.request.abandon()
         self.sequence = None
         if self.paused:
             self.resume_writing()
--- a/src/sardinehold/composition.py
+++ b/src/sardinehold/composition.py
@@ -8,26 +8,26 @@
 class Composer:
     """Renames the statements of a sequence for one connection.
 
-    :param messages: the sequence, without its Sync.
+    One composer serves a sequence that is sent in several pieces.
+
     :param known: the statements that the connection has parsed.
     """
 
-    __slots__ = ("parts", "known", "has", "messages", "steps")
+    __slots__ = ("known", "has", "messages", "steps")
 
-    def __init__(
-        self, messages: list[parts.Part], known: prepared.ConnectionStatements
-    ) -> None:
+    def __init__(self, known: prepared.ConnectionStatements) -> None:
         """Start with nothing composed."""
-        self.parts = messages
         self.known = known
         self.has: set[bytes] = set()
         self.messages: list[bytes] = []
         self.steps: list[parts.Step] = []
 
-    def compose(self) -> parts.Outgoing:
-        """Return what to send, and what becomes of each answer."""
-        self._close_surplus()
-        for part in self.parts:
+    def compose(self, piece: list[parts.Part]) -> parts.Outgoing:
+        """Return what to send of a piece, and what becomes of each answer."""
+        self.messages = []
+        self.steps = []
+        self._close_surplus(piece)
+        for part in piece:
             if part.kind == parts.PARSE and part.name:
                 self._parse(part.statement, True)
             elif part.kind == parts.CLOSE and not part.on_portal:
@@ -37,19 +37,18 @@
                 self._pass(part)
             else:
                 self._use(part)
-        self.messages.append(wire.SYNC)
-        plain = all(step is parts.FORWARD for step in self.steps)
-        return parts.Outgoing(b"".join(self.messages), None if plain else self.steps)
+        return parts.Outgoing(b"".join(self.messages), self.steps)
 
-    def _close_surplus(self) -> None:
+    def _close_surplus(self, piece: list[parts.Part]) -> None:
         used = {
             part.statement.name
-            for part in self.parts
+            for part in piece
             if part.statement and part.name and part.kind != parts.CLOSE
         }
+        used -= self.has
         missing = [name for name in used if not self.known.touch(name)]
-        self.has = used.difference(missing)
-        for name in self.known.find_surplus(len(missing), used):
+        self.has |= used.difference(missing)
+        for name in self.known.find_surplus(len(missing), self.has):
             self.messages.append(wire.build_frame(b"C", b"S" + name + b"\0"))
             self.steps.append(parts.Step(swallowed=True, dropped=name))
 
--- a/src/sardinehold/datapath.py
+++ b/src/sardinehold/datapath.py
@@ -224,6 +224,7 @@
         content: typing.Any,
         hides_ready: bool = False,
         hidden: bool = False,
+        is_open: bool = False,
     ) -> None:
         """Take up a request."""
         self._last_request += 1
@@ -235,6 +236,7 @@
             _read_clock(),
             hides_ready,
             hidden,
+            is_open,
         )
         caller.request = request
         self.requests[request.request_id] = request
--- a/src/sardinehold/endpoints.py
+++ b/src/sardinehold/endpoints.py
@@ -180,6 +180,10 @@
         if lost is not None:
             lost()
 
+    def break_off(self) -> None:
+        """Close the connection as if it had broken."""
+        self._lose()
+
     def close(self) -> None:
         """Close the connection; nothing that arrives later is read."""
         self.closed = True
--- a/src/sardinehold/request_actions.py
+++ b/src/sardinehold/request_actions.py
@@ -129,7 +129,7 @@
         return
     answer = request.content.answer_locally(action.tag, action.column, action.value)
     owner = request.owner
-    if not request.hides_ready:
+    if not request.hides_ready and not request.is_open:
         answer += wire.build_ready(owner.status)
     owner.finish(request, answer, owner.status)
 
--- a/src/sardinehold/requests.py
+++ b/src/sardinehold/requests.py
@@ -3,6 +3,7 @@
 import typing
 
 from sardinehold import answers
+from sardinehold import composition
 from sardinehold import endpoints
 from sardinehold import parts
 from sardinehold import prepared
@@ -60,6 +61,7 @@
     :param hides_ready: whether the proxy added its Sync, so that the caller
         must not see the ReadyForQuery.
     :param hidden: whether the caller must see none of its answer.
+    :param is_open: whether its Sync has still to come.
     """
 
     __slots__ = (
@@ -76,6 +78,11 @@
         "status",
         "started",
         "finished",
+        "is_open",
+        "was_open",
+        "wants_position",
+        "composer",
+        "sent",
     )
 
     def __init__(
@@ -87,6 +94,7 @@
         arrived: float,
         hides_ready: bool = False,
         hidden: bool = False,
+        is_open: bool = False,
     ) -> None:
         """Keep the parts of the request."""
         self.request_id = request_id
@@ -102,6 +110,13 @@
         self.status: answers.Collector | None = None
         self.started = False
         self.finished = False
+        self.is_open = is_open
+        if is_open:
+            self.was_open = True
+            self.composer: composition.Composer | None = None
+            self.sent = 0
+        else:
+            self.was_open = False
 
     @property
     def is_cut(self) -> bool:
@@ -113,6 +128,9 @@
 
         :param want_position: whether the log status is read behind it.
         """
+        if self.was_open:
+            self._send_open(want_position)
+            return
         connection = self.connection
         payload, steps = self.content.compose(connection.statements)
         plan = answers.Plan(steps, connection.statements) if steps else None
@@ -125,6 +143,42 @@
         self.status = answers.Collector(self._note_status)
         connection.send(payload + _STATUS_MESSAGE, self.answer, self.status)
 
+    def _send_open(self, want_position: bool) -> None:
+        """Send a sequence as far as it has come."""
+        connection = self.connection
+        self.wants_position = want_position
+        self.composer = composition.Composer(connection.statements)
+        self.sent = 0
+        self.status = None
+        self.answer = answers.Answer(self, False, answers.Plan([], self.composer.known))
+        connection.readers.append(self.answer)
+        self.send_more()
+
+    def send_more(self) -> None:
+        """Send what has come of the sequence since; all of it before dispatch."""
+        answer = self.answer
+        if answer is None or self.connection.closed:
+            return
+        piece = self.content.parts[self.sent :]
+        self.sent = len(self.content.parts)
+        payload, steps = self.composer.compose(piece)
+        answer.plan.steps.extend(steps)
+        answer.is_open = self.is_open
+        if not self.is_open:
+            payload += wire.SYNC
+            if self.wants_position:
+                self.status = answers.Collector(self._note_status)
+                self.connection.readers.append(self.status)
+                payload += _STATUS_MESSAGE
+        self.connection.transport.write(payload)
+        answer.advance()
+
+    def abandon(self) -> None:
+        """Roll back a sequence whose Sync will not come, by its connection."""
+        self.is_open = False
+        if self.connection is not None:
+            self.connection.break_off()
+
     def pass_on(self, data: bytes) -> None:
         """Pass a part of the answer on to the caller."""
         if self.hidden or self.finished:
--- a/src/sardinehold/sequences.py
+++ b/src/sardinehold/sequences.py
@@ -166,6 +166,11 @@
             return merge_traits(self._traits)
         return _READ if self.parts else _LOCAL
 
+    @property
+    def last_traits(self) -> statements.Traits:
+        """How the last statement that it runs may be routed."""
+        return self._traits[-1] if self._traits else _READ
+
     @property
     def in_pipeline(self) -> bool:
         """Whether it holds more than one statement."""
@@ -188,7 +193,9 @@
         if not self.renames:
             raw = b"".join([part.raw for part in self.parts])
             return parts.Outgoing(raw + wire.SYNC)
-        return composition.Composer(self.parts, known).compose()
+        payload, steps = composition.Composer(known).compose(self.parts)
+        plain = all(step is parts.FORWARD for step in steps)
+        return parts.Outgoing(payload + wire.SYNC, None if plain else steps)
 
     def undo(self, confirmed: int) -> None:
         """Take back the changes to the session behind the first ``confirmed``.
