Pass the Flush on when a sequence stays open

The endpoint kept its answers until the Sync: the pipeline's fetch waited up to its deadline. The fake endpoint of the tests answered extended messages at once, which hid it; it now answers at a Flush or Sync only, as endpoints do.

--- a/src/sardinehold/requests.py
+++ b/src/sardinehold/requests.py
@@ -164,7 +164,9 @@
         payload, steps = self.composer.compose(piece)
         answer.plan.steps.extend(steps)
         answer.is_open = self.is_open
-        if not self.is_open:
+        if self.is_open:
+            payload += wire.FLUSH
+        else:
             payload += wire.SYNC
             if self.wants_position:
                 self.status = answers.Collector(self._note_status)
--- a/src/sardinehold/wire.py
+++ b/src/sardinehold/wire.py
@@ -39,6 +39,7 @@
 """Object identifier of the type ``text``."""
 
 SYNC = b"S\0\0\0\4"
+FLUSH = b"H\0\0\0\4"
 PARSE_COMPLETE = b"1\0\0\0\4"
 BIND_COMPLETE = b"2\0\0\0\4"
 CLOSE_COMPLETE = b"3\0\0\0\4"
--- a/tests/builders_wire.py
+++ b/tests/builders_wire.py
@@ -170,6 +170,7 @@
         self.buffer = b""
         self.started = False
         self.securing = False
+        self.out = []
         self.status = b"I"
         self.prepared = {}
         self.portal = ""
@@ -231,44 +232,54 @@
         self.data_received(b"")
 
     def answer(self, kind, payload):
+        """Answer a message; extended ones only at a Flush or Sync."""
+        self.build(kind, payload)
+        if kind in (b"S", b"H", b"Q"):
+            self.flush()
+
+    def flush(self):
+        self.transport.write(b"".join(self.out))
+        self.out.clear()
+
+    def build(self, kind, payload):
         if kind == b"S":
             self.failed = False
-            self.transport.write(wire.build_ready(self.status.decode()))
+            self.out.append(wire.build_ready(self.status.decode()))
         elif self.failed:
             return
         elif kind == b"Q":
             self.run(payload[:-1].decode(), True)
             self.failed = False
             if self.status != b"?":
-                self.transport.write(wire.build_ready(self.status.decode()))
+                self.out.append(wire.build_ready(self.status.decode()))
         elif kind == b"P":
             name, text, _ = payload.split(b"\0", 2)
             if name and name in self.prepared:
                 self.fail("42P05")
                 return
             self.prepared[name] = text.decode()
-            self.transport.write(wire.PARSE_COMPLETE)
+            self.out.append(wire.PARSE_COMPLETE)
         elif kind == b"B":
             name = payload.split(b"\0", 2)[1]
             self.portal = self.prepared.get(name)
             if self.portal is None:
                 self.fail("26000")
                 return
-            self.transport.write(wire.BIND_COMPLETE)
+            self.out.append(wire.BIND_COMPLETE)
         elif kind == b"D":
             if payload[:1] == b"S":
-                self.transport.write(wire.build_frame(b"t", b"\0\0"))
-            self.transport.write(wire.build_row_description(["text"]))
+                self.out.append(wire.build_frame(b"t", b"\0\0"))
+            self.out.append(wire.build_row_description(["text"]))
         elif kind == b"C":
             self.prepared.pop(payload[1:-1], None)
-            self.transport.write(wire.CLOSE_COMPLETE)
+            self.out.append(wire.CLOSE_COMPLETE)
         elif kind == b"E":
             self.run(self.portal, False)
 
     def fail(self, sqlstate):
         self.failed = True
         fields = b"SERROR\0C" + sqlstate.encode() + b"\0Mfailed\0\0"
-        self.transport.write(wire.build_frame(b"E", fields))
+        self.out.append(wire.build_frame(b"E", fields))
 
     def run(self, sql, describe):
         self.server.ran.append(sql)
@@ -298,10 +309,10 @@
         elif words[0] in ("COMMIT", "ROLLBACK"):
             self.status = b"I"
         if describe:
-            self.transport.write(wire.build_row_description(columns))
+            self.out.append(wire.build_row_description(columns))
         for row in rows:
-            self.transport.write(wire.build_row(row))
-        self.transport.write(wire.build_complete(f"SELECT {len(rows)}"))
+            self.out.append(wire.build_row(row))
+        self.out.append(wire.build_complete(f"SELECT {len(rows)}"))
 
 
 class FakeServer:
@@ -328,7 +339,8 @@
             connection.status = self.resumed.encode()
             connection.fail("57014")
             connection.failed = False
-            connection.transport.write(wire.build_ready(self.resumed))
+            connection.out.append(wire.build_ready(self.resumed))
+            connection.flush()
             connection.data_received(b"")
 
 
@@ -428,7 +440,7 @@
 
 
 EXECUTE = wire.build_frame(b"E", b"\0\0\0\0\0")
-FLUSH = wire.build_frame(b"H")
+FLUSH = wire.FLUSH
 
 
 @contextlib.asynccontextmanager
