--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -80,26 +80,3 @@
     code, output = processes.stop(proxy)
     assert code == 1
     assert "a second signal came: cutting 0 requests and 1 transactions" in output
-
-
-def run_to_the_end(fleet, path):
-    process = processes.start("sardinehold.cli", "proxy", "--settings", str(path))
-    _, output = process.communicate(timeout=processes.PATIENCE)
-    return process.returncode, output.strip().splitlines()
-
-
-def test_port_in_use_is_one_clear_line_and_code_2(fleet):
-    with socket.create_server((processes.HOST, 0)) as taken:
-        address = f"{processes.HOST}:{taken.getsockname()[1]}"
-        code, lines = run_to_the_end(fleet, fleet.write_settings(address))
-    assert code == 2
-    assert len(lines) == 1
-    assert address in lines[0]
-
-
-def test_unreadable_certificate_is_one_clear_line_and_code_2(fleet):
-    extra = "[caller_tls]\ncertificate = none.pem\nkey = none.pem\n"
-    code, lines = run_to_the_end(fleet, fleet.write_settings(extra=extra))
-    assert code == 2
-    assert [line for line in lines if "[caller_tls] certificate" in line]
-    assert not [line for line in lines if "Traceback" in line]
