--- a/tests/builders_engine_world.py
+++ b/tests/builders_engine_world.py
@@ -33,10 +33,11 @@
 class Link:
     """A connection of a node to an endpoint, with its open transaction."""
 
-    def __init__(self, node, endpoint):
-        self.node = node
+    def __init__(self, number, endpoint):
+        self.number = number
         self.endpoint = endpoint
         self.open = True
+        self.lost = False
         self.silent = False
         self.writes = None
         self.session = None
@@ -187,6 +188,14 @@
         self.publish()
         self.at(0.01, self.try_promote, self.version)
 
+    def drain(self):
+        """Begin a planned hand-over."""
+        if self.sealed or self.state.phase is not views.Phase.SERVING:
+            return
+        self.state = self.replace_state(phase=views.Phase.DRAINING)
+        self.publish()
+        self.at(0.2, self.seal)
+
     def replace_state(self, **parts):
         old = self.state
         values = {
@@ -296,7 +305,7 @@
         if not endpoint.alive:
             self.send(proxy, events.ConnectionFailed(number))
             return
-        proxy.links.setdefault(number, Link(proxy, endpoint))
+        proxy.links.setdefault(number, Link(number, endpoint))
         self.send(proxy, events.ConnectionOpened(number))
 
     def on_CloseConnection(self, proxy, action):  # noqa: N802
@@ -345,6 +354,10 @@
     def on_Dispatch(self, proxy, action):  # noqa: N802
         link = proxy.links[action.connection_id]
         assert link.open, "a closed connection was used"
+        if link.lost:
+            failed = events.DispatchFailed(action.request_id, action.connection_id)
+            self.at(0.0, self.send, proxy, failed)
+            return
         if link.writes is not None:
             assert link.session == action.session_id, "transactions mixed"
         self.at(0.002 * self.jitter(), self.execute, proxy, link, action)
@@ -352,7 +365,7 @@
     def execute(self, proxy, link, action):
         """Run a statement that has arrived, unless its connection was closed."""
         endpoint = link.endpoint
-        if not link.open or link.silent or not endpoint.alive:
+        if not link.open or link.lost or link.silent or not endpoint.alive:
             return
         kind, client, write = self.requests[action.request_id]
         sqlstate = ""
@@ -399,15 +412,26 @@
             endpoint.log.append(write)
 
     def answer(self, proxy, link, event, shown):
-        if not link.open or link.silent:
+        if not link.open or link.lost or link.silent:
             return
         if shown is not None:
             kind, client, write = self.requests[event.request_id]
             self.requests[event.request_id] = (kind, client, shown)
         self.send(proxy, event)
 
+    def lose(self, proxy, link):
+        """Break a connection; the node hears of it a little later."""
+        link.lost = True
+        link.writes = None
+        lost = events.ConnectionLost(link.number)
+        self.at(0.02 * self.jitter(), self.send, proxy, lost)
+
     # What callers are told.
 
+    def on_GroupQuiesced(self, proxy, action):  # noqa: N802
+        self.count("quiesced")
+        assert proxy.engine.is_quiesced(action.group)
+
     def on_SessionAccepted(self, proxy, action):  # noqa: N802
         self.count("sessions")
 
@@ -529,6 +553,18 @@
         event = events.RequestArrived(number, client.session_id, traits)
         self.send(client.proxy, event)
 
+    def cancel(self, client):
+        """Cancel what the session waits for."""
+        if client.proxy is not None and client.request is not None:
+            self.send(client.proxy, events.RequestCancelled(client.request))
+
+    def hang_up(self, client):
+        """Leave without an answer."""
+        if client.proxy is not None:
+            proxy, number = client.proxy, client.session_id
+            self.end_session(client)
+            self.send(proxy, events.SessionClosed(number))
+
     def check_end(self):
         """Check that no acknowledged write is lost and all requests ended."""
         log = self.endpoints[self.state.primary].log
--- a/tests/test_engine_random.py
+++ b/tests/test_engine_random.py
@@ -89,18 +89,62 @@
 
     @stateful.rule(number=strategies.integers(0, 50))
     def silence_connection(self, number):
+        found = self.pick_link(number)
+        if found:
+            found[1].silent = True
+
+    def ask_all(self):
+        for client in self.world.clients:
+            TOTALS["statements"] += 1
+            self.world.ask(client, "read")
+        self.world.advance(0.01)
+
+    def pick_link(self, number):
         links = [
-            link
+            (proxy, link)
             for proxy in self.world.proxies
             for link in proxy.links.values()
-            if link.open
+            if link.open and not link.lost
         ]
-        if links:
-            links[number % len(links)].silent = True
+        return links[number % len(links)] if links else None
+
+    @stateful.rule(number=strategies.integers(0, 50))
+    def lose_connection(self, number):
+        found = self.pick_link(number)
+        if found:
+            self.world.lose(*found)
+
+    @stateful.rule(number=strategies.integers(0, 9))
+    def lose_busy_connection(self, number):
+        self.world.ask(self.pick(number), "write")
+        for proxy in self.world.proxies:
+            for connection in list(proxy.engine.node.connections.values()):
+                if connection.request is not None:
+                    self.world.lose(proxy, proxy.links[connection.connection_id])
+
+    @stateful.rule(number=strategies.integers(0, 9), leaves=strategies.booleans())
+    def interrupt(self, number, leaves):
+        client = self.pick(number)
+        self.world.ask(client, "write")
+        if leaves:
+            self.world.hang_up(client)
+        else:
+            self.world.cancel(client)
 
-    @stateful.rule(place=strategies.integers(0, 1), reachable=strategies.booleans())
-    def cut_off(self, place, reachable):
+    @stateful.rule()
+    def hand_over(self):
+        self.world.drain()
+
+    @stateful.rule(
+        place=strategies.integers(0, 1),
+        reachable=strategies.booleans(),
+        seconds=strategies.sampled_from([0.0, 2.5, 9.0]),
+    )
+    def cut_off(self, place, reachable, seconds):
         self.world.proxies[place].reachable = reachable
+        if not reachable:
+            self.world.advance(seconds)
+            self.ask_all()
 
     @stateful.rule()
     def cut_primary_from_replicas(self):
@@ -125,13 +169,19 @@
     def leave(self, name):
         self.world.leaving = frozenset([name] if name else [])
         self.world.publish()
+        self.world.advance(2.2)
+        for number in range(3):
+            self.world.ask(self.pick(number), "write")
+        self.world.advance(0.05)
 
     @stateful.precondition(lambda self: not self.world.withdrawn)
-    @stateful.rule(rare=strategies.integers(0, 5))
+    @stateful.rule(rare=strategies.integers(0, 3))
     def withdraw_key(self, rare):
         if not rare:
             self.world.withdrawn.add("print")
             self.world.publish()
+            self.world.advance(0.03)
+            self.ask_all()
 
     @stateful.rule(seconds=strategies.sampled_from([0.01, 0.1, 0.5, 2.5]))
     def wait(self, seconds):
@@ -161,7 +211,8 @@
     totals = run(150)
     for kind in ("read", "write", "begin", "commit"):
         assert totals[f"acknowledged_{kind}"] > 30, totals
-    for name in ("promotions", "refused_OutcomeUnknown", "refused_LeaseLapsed"):
+    faults = ("promotions", "quiesced", "refused_OutcomeUnknown", "refused_LeaseLapsed")
+    for name in faults:
         assert totals[name] > 0, totals
     after = invariants.count_checks()
     for name in ("read_not_behind_floor", "write_acknowledged_under_current_term"):
