--- a/tests/test_engine_random.py
+++ b/tests/test_engine_random.py
@@ -114,6 +114,14 @@
         if found:
             self.world.lose(*found)
 
+    @stateful.rule(first=strategies.integers(0, 9), count=strategies.integers(1, 3))
+    def transact(self, first, count):
+        for kind in ("begin", "write", "read", "commit"):
+            for number in range(first, first + count):
+                TOTALS["statements"] += 1
+                self.world.ask(self.pick(number), kind)
+            self.world.advance(0.02)
+
     @stateful.rule(number=strategies.integers(0, 9))
     def lose_busy_connection(self, number):
         self.world.ask(self.pick(number), "write")
