Send no read that waited once the node may not serve any more

A read that waited for a replica was sent when its wait ended, or the replica caught up, without another look at the lease.

--- a/src/sardinehold/core/routing.py
+++ b/src/sardinehold/core/routing.py
@@ -220,6 +220,8 @@
         return
     waiting_reads.remove(request)
     node.count("reads_gave_up_waiting")
+    if not leases.may_send(node, request):
+        return
     if groups.serves_primary_reads(request.group) and _is_current(request):
         send_to_primary(node, request)
     else:
@@ -237,7 +239,7 @@
     still_waiting = []
     parked, group.waiting_reads = group.waiting_reads, still_waiting
     for request in parked:
-        if not request.is_waiting():
+        if not request.is_waiting() or not leases.may_send(node, request):
             continue
         endpoint = find_replica(node, request) if _is_current(request) else None
         if endpoint is None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -87,6 +87,22 @@
     assert driver.engine.counters["reads_gave_up_waiting"] == 1
 
 
+@pytest.mark.parametrize("catches_up", [True, False])
+def test_read_that_waits_is_not_sent_past_the_serve_deadline(catches_up):
+    driver = make_driver()
+    session = driver.open()
+    write(driver, session, 7)
+    request = driver.ask(session, "select 1")
+    driver.node.serve_deadline = driver.now + 0.001
+    driver.now += 0.002
+    if catches_up:
+        driver.observe("letters-2", 7)
+    else:
+        driver.advance(0.4)
+    assert place(driver, request) is None
+    assert isinstance(driver.error(request), errors.LeaseLapsed)
+
+
 def test_read_your_writes_holds_on_another_proxy():
     first, second = make_driver(), make_driver()
     request = write(first, first.open(), 7)
