--- a/src/sardinehold/endpoints.py
+++ b/src/sardinehold/endpoints.py
@@ -180,6 +180,10 @@
         if lost is not None:
             lost()
 
+    def break_off(self) -> None:
+        """Close the connection as if it had broken."""
+        self._lose()
+
     def close(self) -> None:
         """Close the connection; nothing that arrives later is read."""
         self.closed = True
@@ -293,7 +297,7 @@
                 await connection.secure(tls)
             await connection.sign_in()
         established = True
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, UnicodeError) as error:
         raise errors.EndpointUnavailable(
             f"No connection to {address.host}:{address.port}: {error or 'timeout'}.",
             "Check that the endpoint is up and can be reached.",
