Hold only the base of connections before a grant; feed status and time line

Cause: before any grant a node opened limit // members connections while the allocator counted one for each member, so the sum could exceed an endpoint's limit while proxies came.

--- a/bench/worlds.py
+++ b/bench/worlds.py
@@ -118,6 +118,9 @@
                 self.send(events.ConnectionOpened(action.connection_id))
             elif isinstance(action, actions.ProbeEndpoint):
                 self._answer_probe(action.endpoint)
+            elif isinstance(action, actions.RequestConnections):
+                name, count = action.endpoint, action.connections
+                self.send(events.ConnectionsGranted(name, count, FAR))
             elif isinstance(action, actions.RequestTokens):
                 grant = events.TokensGranted(action.team, action.tokens, self.now + 5)
                 self.send(grant)
--- a/src/sardinehold/control.py
+++ b/src/sardinehold/control.py
@@ -288,6 +288,8 @@
 def record_event(control: Control, action: agent_actions.Record) -> None:
     """Write an event to the time line and count it."""
     control.metrics.count(f"fleet_{action.kind}")
+    if "gap" in action.fields:
+        control.metrics.observe("failover_gap", action.fields["gap"])
     control.recorder.record(action.kind, **action.fields)
 
 
--- a/src/sardinehold/core/agent.py
+++ b/src/sardinehold/core/agent.py
@@ -69,6 +69,7 @@
         "status",
         "vantage",
         "_answered",
+        "_had_lease",
         "_leave_by",
         "_stopped",
     )
@@ -95,6 +96,7 @@
         self.status = status.StatusBoard(self.node, self.desk)
         self.vantage = vantage.Vantage(self.node, self.desk, self.following)
         self._answered = False
+        self._had_lease = False
         self._leave_by: float | None = None
         self._stopped = False
 
@@ -113,8 +115,19 @@
         self.node.actions = []
         return done
 
+    def _note_lease(self, now: float) -> None:
+        """Record when the node gets or loses the right to acknowledge writes."""
+        lease = self.node.lease
+        has_lease = lease.as_of is not None and now <= lease.write_deadline
+        if has_lease == self._had_lease:
+            return
+        self._had_lease = has_lease
+        kind = "lease_renewed" if has_lease else "lease_lapsed"
+        self.node.emit(agent_actions.Record(kind, version=self.node.snapshot.version))
+
     def _poll(self, now: float) -> float:
         node = self.node
+        self._note_lease(now)
         self.feed.wanted = (
             self.following.is_relay()
             or node.view is None
--- a/src/sardinehold/core/engine.py
+++ b/src/sardinehold/core/engine.py
@@ -49,6 +49,8 @@
     :param now: the node's monotonic clock in seconds.
     :param zone: the node's availability zone, preferred on a tie.
     :param policies: names of the policies in force.
+    :param counters: where to count, such as those of the process; its own by
+        default.
 
     .. versionadded:: 0.1
     """
@@ -61,9 +63,12 @@
         now: float,
         zone: str = "",
         policies: nodes.Policies | None = None,
+        counters: dict[str, int] | None = None,
     ) -> None:
         """Start without a view and without a lease."""
         self.node = nodes.Node(seed, now, zone, policies or nodes.Policies())
+        if counters is not None:
+            self.node.counters = counters
         self.node.choose_replica = routing.CHOICES[self.node.policies.replica]
 
     def handle(self, now: float, event: events.Event) -> list[actions.Action]:
--- a/src/sardinehold/core/failover.py
+++ b/src/sardinehold/core/failover.py
@@ -77,6 +77,7 @@
         "_failures",
         "_draining_since",
         "_offset",
+        "_stopped_at",
     )
 
     def __init__(self, node: nodes.Node, desk: desks.Desk, name: str) -> None:
@@ -99,6 +100,7 @@
         self._failures = 0
         self._draining_since = 0.0
         self._offset = 0
+        self._stopped_at: float | None = None
 
     def poll(self, now: float, suspected: bool) -> float:
         """Take the next step if it is due and return when to be polled."""
@@ -126,6 +128,7 @@
         self._round += 1
         self._failures = 0
         phase = self.group.phase
+        self._note_phase(now, phase)
         if phase is core_view.Phase.SEALED:
             if self._fence is None:
                 self._fence = fence.Fence(version)
@@ -136,6 +139,24 @@
         if phase is core_view.Phase.DRAINING:
             self._draining_since = now
 
+    def _note_phase(self, now: float, phase: core_view.Phase) -> None:
+        """Record when a group stops to take writes and when it goes on."""
+        fields = {"group": self.name, "term": self.group.term}
+        if phase is core_view.Phase.SEALED and self._stopped_at is None:
+            self._stopped_at = now
+            self.node.emit(agent_actions.Record("failover_sealed", **fields))
+        elif phase is core_view.Phase.SERVING and self._stopped_at is not None:
+            gap = now - self._stopped_at
+            self._stopped_at = None
+            self.node.emit(
+                agent_actions.Record(
+                    "failover_published",
+                    primary=self.group.primary,
+                    gap=round(gap, 4),
+                    **fields,
+                )
+            )
+
     def _move(self, event: str, **fields: str | int | float | bool) -> None:
         self.state = self._chart.follow(self.state, event)
         self.node.emit(
--- a/src/sardinehold/core/pool.py
+++ b/src/sardinehold/core/pool.py
@@ -200,17 +200,14 @@
 
 @share("granted")
 def find_granted_share(node: nodes.Node, endpoint: Endpoint) -> int:
-    """Return what the allocator granted, an equal part before any grant.
+    """Return what the allocator granted, else the base.
 
-    A grant past its deadline may have been given to another node, so only
-    the base is left that every member may always hold.
+    Before a grant and past its deadline others may hold all the rest; the
+    base is what every member may always hold.
     """
-    even = find_even_share(node, endpoint)
-    if endpoint.grant is None:
-        return even
-    if node.now <= endpoint.grant_deadline:
+    if endpoint.grant is not None and node.now <= endpoint.grant_deadline:
         return endpoint.grant
-    return min(even, shares.BASE_CONNECTIONS)
+    return min(find_even_share(node, endpoint), shares.BASE_CONNECTIONS)
 
 
 def update_share(node: nodes.Node, endpoint: Endpoint) -> None:
@@ -231,7 +228,11 @@
         return
     if node.now < endpoint.retry_at:
         return
-    room = min(endpoint.share - len(endpoint.connections), needed)
+    spare = endpoint.share - len(endpoint.connections)
+    if needed > spare:
+        endpoint.wanted = max(endpoint.wanted, len(endpoint.connections) + needed)
+        review_demand(node, endpoint)
+    room = min(spare, needed)
     for _ in range(min(room, MAX_OPENING - endpoint.opening)):
         _open(node, endpoint)
 
--- a/src/sardinehold/core/request.py
+++ b/src/sardinehold/core/request.py
@@ -1,5 +1,6 @@
 """Requests: accepted with a fixed deadline, and ended exactly once."""
 
+import functools
 import typing
 
 from sardinehold import errors
@@ -127,6 +128,12 @@
         return self.state == "queued" or self.state == "accepted"
 
 
+@functools.cache
+def _label(name: str, owner: str) -> str:
+    """Return a counter's name with the team as its label."""
+    return f'{name}{{team="{owner}"}}'
+
+
 def remove(node: nodes.Node, request: Request) -> None:
     """Forget a request that has ended."""
     node.requests.pop(request.request_id, None)
@@ -149,6 +156,9 @@
     request.advance("lose" if request.state in ("sent", "held") else "refuse")
     remove(node, request)
     node.count(f"refused_{error.code}")
+    node.count(_label("requests_refused", request.session.owner))
+    if request.has_token and error.outcome is errors.Outcome.NOT_RUN:
+        node.count("requests_refused_in_rate")
     node.actions.append(
         actions.Refuse(request.request_id, request.session.session_id, error, fatal)
     )
@@ -169,6 +179,7 @@
         return
     answer_belongs_to_session(session, request)
     request.advance("answer")
+    node.count(_label("requests_served", session.owner))
     del node.requests[request.request_id]
     session.request = None
     node.actions.append(
--- a/src/sardinehold/options.py
+++ b/src/sardinehold/options.py
@@ -86,6 +86,11 @@
     return convert_address(text) if text else ""
 
 
+def convert_addresses(text: str) -> tuple[str, ...]:
+    """Return the addresses that stand in a list separated by spaces."""
+    return tuple(convert_address(part) for part in text.split())
+
+
 def convert_seconds(text: str) -> float:
     """Return a time in seconds."""
     try:
--- a/src/sardinehold/proxy.py
+++ b/src/sardinehold/proxy.py
@@ -126,7 +126,9 @@
         self.caller_tls = certificates.Certificates(loaded.caller_tls, client_auth)
         server_auth = ssl.Purpose.SERVER_AUTH
         self.endpoint_tls = certificates.Certificates(loaded.endpoint_tls, server_auth)
-        self.fleet = fleet or control.Control(loaded, self.recorder, self.registry)
+        self.fleet = fleet or control.Control(
+            loaded, self.recorder, self.registry, seeds=loaded.seeds
+        )
         self.decisions = decisions
         self.path: datapath.DataPath | None = None
         self.port = 0
@@ -138,7 +140,10 @@
         """Serve until told to stop, and return the exit code."""
         loop = asyncio.get_running_loop()
         decisions = self.decisions or engine.Engine(
-            secrets.randbits(SEED_BITS), loop.time(), self.settings.zone
+            secrets.randbits(SEED_BITS),
+            loop.time(),
+            self.settings.zone,
+            counters=self.registry.counters,
         )
         async with anyio.create_task_group() as group:
             self.path = datapath.DataPath(
--- a/src/sardinehold/settings.py
+++ b/src/sardinehold/settings.py
@@ -42,6 +42,8 @@
     :param platform_url: base URL of the platform's object API.
     :param timeline: path of the events file, ``""`` for none.
     :param drain_deadline: seconds that a planned stop may take.
+    :param seeds: ``host:port`` of peer services to ask for the view while
+        the platform cannot be reached.
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         "platform_url",
         "timeline",
         "drain_deadline",
+        "seeds",
         "caller_tls",
         "endpoint_tls",
         "peer_tls",
@@ -69,6 +72,7 @@
         metrics_listen: str = "",
         timeline: str = "",
         drain_deadline: float = 30.0,
+        seeds: tuple[str, ...] = (),
         caller_tls: Tls | None = None,
         endpoint_tls: Tls | None = None,
         peer_tls: Tls | None = None,
@@ -83,6 +87,7 @@
         self.metrics_listen = metrics_listen
         self.timeline = timeline
         self.drain_deadline = drain_deadline
+        self.seeds = seeds
         self.caller_tls = caller_tls or Tls()
         self.endpoint_tls = endpoint_tls or Tls()
         self.peer_tls = peer_tls or Tls()
@@ -209,6 +214,13 @@
             "seconds that a planned stop may take",
             "30",
         ),
+        options.Option(
+            "seeds",
+            options.convert_addresses,
+            "IP:PORT of other proxies' peer services, separated by spaces, that a"
+            " proxy started during an outage of the platform asks for the view",
+            "",
+        ),
     ),
     "platform": _PLATFORM,
     "timeline": _TIMELINE,
