Grant tokens for 0.1 to 1 s in the random run, so that lapses happen again

Cause: tokens now go back before they lapse, and the mutation that spends lapsed ones was no longer found with grants of 2 s. With shorter and varied grants it is; no bound or count of examples changed.

--- a/tests/builders_engine_world.py
+++ b/tests/builders_engine_world.py
@@ -348,7 +348,9 @@
         )
 
     def on_RequestTokens(self, proxy, action):  # noqa: N802
-        grant = events.TokensGranted(action.team, action.tokens, self.now + 2.0)
+        lifetime = 0.1 * (1 + int(self.now * 1000) % 10)
+        deadline = self.now + lifetime
+        grant = events.TokensGranted(action.team, action.tokens, deadline)
         self.at(0.004, self.send, proxy, grant)
 
     def on_Dispatch(self, proxy, action):  # noqa: N802
