--- a/src/sardinehold/core/status.py
+++ b/src/sardinehold/core/status.py
@@ -11,6 +11,9 @@
 INTERVAL = 2.0
 """Seconds between statuses of one node and writes of one zone."""
 
+FULL_INTERVAL = 60.0
+"""Seconds between statuses of one node that hold its histograms."""
+
 KIND = "status"
 
 
@@ -24,6 +27,7 @@
         "_bodies",
         "_heard",
         "_due",
+        "_full_due",
         "_written",
         "_version",
         "_busy",
@@ -40,6 +44,7 @@
         self._bodies: dict[str, dict] = {}
         self._heard: dict[str, float] = {}
         self._due = 0.0
+        self._full_due = 0.0
         self._written: dict = {}
         self._version: int | None = None
         self._busy = False
@@ -51,15 +56,24 @@
         self._due = now + INTERVAL
         parent = self.desk.following.parent
         if parent:
-            text = json.dumps(self._describe(now))
-            status = messages.NodeStatus(self.node.vm, self.node.incarnation, text)
-            self.node.send(parent, status)
+            self._tell(now, parent)
             return self._due
         self._bodies[self.node.vm] = self._describe(now)
         self._heard[self.node.vm] = now
         self._write_zone(now)
         return self._due
 
+    def _tell(self, now: float, parent: str) -> None:
+        """Send this node's status, its histograms now and then only."""
+        body = self._describe(now)
+        if now >= self._full_due:
+            self._full_due = now + FULL_INTERVAL
+        else:
+            body.pop("histograms", None)
+        text = json.dumps(body)
+        status = messages.NodeStatus(self.node.vm, self.node.incarnation, text)
+        self.node.send(parent, status)
+
     def take(self, now: float, message: messages.NodeStatus) -> None:
         """Keep the status of a follower."""
         try:
@@ -68,6 +82,8 @@
             self.node.emit(agent_actions.Count("statuses_refused"))
             return
         if isinstance(body, dict):
+            before = self._bodies.get(message.vm, {})
+            body.setdefault("histograms", before.get("histograms", {}))
             self._bodies[message.vm] = body
             self._heard[message.vm] = now
 
