--- a/src/sardinehold/core/classify.py
+++ b/src/sardinehold/core/classify.py
@@ -34,14 +34,6 @@
 _NO_IDENTITY = "The proxy signs in for every team; the role cannot be changed"
 _NO_SEQUENCE_STATE = "The last sequence value is not kept; use RETURNING"
 _NO_LOAD = "Loading a library is not supported"
-_ALONE = "Settings of sardinehold must be sent in a statement of their own"
-
-
-class _Part(typing.NamedTuple):
-    """One statement of a text, and what it does to the transaction."""
-
-    traits: statements.Traits
-    chains: bool = False
 
 
 def classify(text: str) -> statements.Traits:
@@ -79,8 +71,8 @@
         return statements.Traits(statements.Kind.EMPTY)
     found = [_classify_part(text, part) for part in parts]
     if len(found) == 1:
-        return found[0].traits
-    return _merge(found)
+        return found[0]
+    return statements.merge_traits(found)
 
 
 def _split(words: list[tokens.Token]) -> list[list[tokens.Token]]:
@@ -94,35 +86,7 @@
     return [part for part in parts if part]
 
 
-def _merge(parts: list[_Part]) -> statements.Traits:
-    """Return the traits of several statements sent as one text."""
-    kind = statements.Kind.READ
-    is_open = ends = pins = False
-    refusal = ""
-    for part in parts:
-        traits = part.traits
-        if traits.kind is not statements.Kind.READ:
-            kind = statements.Kind.WRITE
-        if traits.ends:
-            ends = ends or not is_open
-            is_open = part.chains
-        is_open = is_open or traits.begins
-        pins = pins or traits.pins or _leaves_state(traits)
-        refusal = refusal or traits.refusal
-        if traits.setting.startswith("sardinehold."):
-            refusal = refusal or _ALONE
-    return statements.Traits(
-        kind, begins=is_open, ends=ends, pins=pins, refusal=refusal
-    )
-
-
-def _leaves_state(traits: statements.Traits) -> bool:
-    """Return whether a part sets what the pool would track if it came alone."""
-    kinds = (statements.Kind.SET, statements.Kind.RESET, statements.Kind.DISCARD)
-    return traits.kind in kinds and not traits.local
-
-
-def _classify_part(text: str, words: list[tokens.Token]) -> _Part:
+def _classify_part(text: str, words: list[tokens.Token]) -> statements.Traits:
     """Return the traits of one statement by its first word."""
     first = words[0].text.upper()
     if first == "SET":
@@ -132,8 +96,8 @@
         return reader(words)
     if first in ("SELECT", "WITH", "VALUES", "TABLE", "("):
         source = text[words[0].start : words[-1].end + 1]
-        return _Part(_classify_query(source))
-    return _Part(statements.Traits(statements.Kind.WRITE))
+        return _classify_query(source)
+    return statements.Traits(statements.Kind.WRITE)
 
 
 def _classify_query(source: str) -> statements.Traits:
@@ -168,61 +132,61 @@
     return [part for word in words for part in word.text.upper().split()]
 
 
-def _read_begin(words: list[tokens.Token]) -> _Part:
-    return _Part(statements.Traits(statements.Kind.BEGIN, begins=True))
+def _read_begin(words: list[tokens.Token]) -> statements.Traits:
+    return statements.Traits(statements.Kind.BEGIN, begins=True)
 
 
-def _read_end(words: list[tokens.Token]) -> _Part:
+def _read_end(words: list[tokens.Token]) -> statements.Traits:
     """Return the traits of COMMIT, END, ROLLBACK and ABORT."""
     upper = _upper(words)
     if "PREPARED" in upper:
         return _refuse(_NO_TWO_PHASE)
     if "TO" in upper:
-        return _Part(statements.Traits(statements.Kind.WRITE))
+        return statements.Traits(statements.Kind.WRITE)
     chains = "CHAIN" in upper and "NO" not in upper
     kind = statements.Kind.COMMIT
     if upper[0] in ("ROLLBACK", "ABORT"):
         kind = statements.Kind.ROLLBACK
-    return _Part(statements.Traits(kind, begins=chains, ends=True), chains)
+    return statements.Traits(kind, begins=chains, ends=True)
 
 
-def _read_prepare(words: list[tokens.Token]) -> _Part:
+def _read_prepare(words: list[tokens.Token]) -> statements.Traits:
     if _upper(words)[1:2] == ["TRANSACTION"]:
         return _refuse(_NO_TWO_PHASE)
-    return _Part(statements.Traits(statements.Kind.WRITE, pins=True))
+    return statements.Traits(statements.Kind.WRITE, pins=True)
 
 
-def _read_pinning(words: list[tokens.Token]) -> _Part:
-    return _Part(statements.Traits(statements.Kind.WRITE, pins=True))
+def _read_pinning(words: list[tokens.Token]) -> statements.Traits:
+    return statements.Traits(statements.Kind.WRITE, pins=True)
 
 
-def _read_declare(words: list[tokens.Token]) -> _Part:
+def _read_declare(words: list[tokens.Token]) -> statements.Traits:
     """Return the traits of a cursor; it outlives the transaction WITH HOLD."""
     pins = "HOLD" in _upper(words)
-    return _Part(statements.Traits(statements.Kind.WRITE, pins=pins))
+    return statements.Traits(statements.Kind.WRITE, pins=pins)
 
 
-def _read_create(words: list[tokens.Token]) -> _Part:
+def _read_create(words: list[tokens.Token]) -> statements.Traits:
     temporary = {"TEMP", "TEMPORARY"} & set(_upper(words[:5]))
-    return _Part(statements.Traits(statements.Kind.WRITE, pins=bool(temporary)))
+    return statements.Traits(statements.Kind.WRITE, pins=bool(temporary))
 
 
-def _read_copy(words: list[tokens.Token]) -> _Part:
+def _read_copy(words: list[tokens.Token]) -> statements.Traits:
     return _refuse(_NO_COPY)
 
 
-def _read_load(words: list[tokens.Token]) -> _Part:
+def _read_load(words: list[tokens.Token]) -> statements.Traits:
     return _refuse(_NO_LOAD)
 
 
-def _read_explain(words: list[tokens.Token]) -> _Part:
+def _read_explain(words: list[tokens.Token]) -> statements.Traits:
     kind = statements.Kind.READ
     if {"ANALYZE", "ANALYSE"} & set(_upper(words)):
         kind = statements.Kind.WRITE
-    return _Part(statements.Traits(kind))
+    return statements.Traits(kind)
 
 
-def _read_set(text: str, words: list[tokens.Token]) -> _Part:
+def _read_set(text: str, words: list[tokens.Token]) -> statements.Traits:
     """Return the traits of SET in its several forms."""
     rest = words[1:]
     upper = [word.text.upper() for word in rest]
@@ -232,10 +196,10 @@
     if upper[:1] in (["ROLE"], ["AUTHORIZATION"]):
         return _refuse(_NO_IDENTITY)
     if upper[:1] == ["TRANSACTION"]:
-        return _Part(statements.Traits(statements.Kind.WRITE))
+        return statements.Traits(statements.Kind.WRITE)
     if upper[:1] in (["CHARACTERISTICS"], ["CONSTRAINTS"]):
         pins = upper[0] == "CHARACTERISTICS"
-        return _Part(statements.Traits(statements.Kind.WRITE, pins=pins))
+        return statements.Traits(statements.Kind.WRITE, pins=pins)
     if upper[:2] == ["TIME", "ZONE"]:
         name, values = "timezone", rest[2:]
     elif upper[:1] == ["NAMES"]:
@@ -243,12 +207,12 @@
     else:
         name, values = _read_name(rest)
     if not name or not values:
-        return _Part(statements.Traits(statements.Kind.WRITE, pins=True))
+        return statements.Traits(statements.Kind.WRITE, pins=True)
     value = text[values[0].start : values[-1].end + 1]
     if name.startswith("sardinehold."):
         value = value.strip("'")
-    return _Part(
-        statements.Traits(statements.Kind.SET, setting=name, value=value, local=local)
+    return statements.Traits(
+        statements.Kind.SET, setting=name, value=value, local=local
     )
 
 
@@ -261,15 +225,15 @@
     return "", []
 
 
-def _read_setting(words: list[tokens.Token]) -> _Part:
+def _read_setting(words: list[tokens.Token]) -> statements.Traits:
     """Return the traits of RESET, SHOW, DISCARD and DEALLOCATE."""
     kind = statements.Kind[words[0].text.upper()]
     name = "".join(word.text for word in words[1:]).lower().replace(" ", "")
-    return _Part(statements.Traits(kind, setting=name))
+    return statements.Traits(kind, setting=name)
 
 
-def _refuse(reason: str) -> _Part:
-    return _Part(statements.Traits(statements.Kind.WRITE, refusal=reason))
+def _refuse(reason: str) -> statements.Traits:
+    return statements.Traits(statements.Kind.WRITE, refusal=reason)
 
 
 def _add_key(traits: statements.Traits, key: str) -> statements.Traits:
@@ -287,7 +251,7 @@
     )
 
 
-_READERS: dict[str, typing.Callable[[list[tokens.Token]], _Part]] = {
+_READERS: dict[str, typing.Callable[[list[tokens.Token]], statements.Traits]] = {
     "BEGIN": _read_begin,
     "START": _read_begin,
     "COMMIT": _read_end,
--- a/src/sardinehold/core/statements.py
+++ b/src/sardinehold/core/statements.py
@@ -69,3 +69,34 @@
         self.local = local
         self.idempotency_key = idempotency_key
         self.refusal = refusal
+
+
+_ALONE = "Settings of sardinehold must be sent in a statement of their own"
+
+
+def merge_traits(found: list[Traits]) -> Traits:
+    """Return the traits of several statements sent as one request."""
+    if len(found) == 1:
+        return found[0]
+    kind = Kind.READ
+    is_open = ends = pins = False
+    refusal = ""
+    for traits in found:
+        if traits.kind is not Kind.READ:
+            kind = Kind.WRITE
+        if traits.ends:
+            ends = ends or not is_open
+            is_open = traits.begins
+        is_open = is_open or traits.begins
+        pins = pins or traits.pins or _leaves_state(traits)
+        refusal = refusal or traits.refusal or _find_misplaced(traits)
+    return Traits(kind, begins=is_open, ends=ends, pins=pins, refusal=refusal)
+
+
+def _leaves_state(traits: Traits) -> bool:
+    kinds = (Kind.SET, Kind.RESET, Kind.DISCARD)
+    return traits.kind in kinds and not traits.local
+
+
+def _find_misplaced(traits: Traits) -> str:
+    return _ALONE if traits.setting.startswith("sardinehold.") else ""
--- a/src/sardinehold/sequences.py
+++ b/src/sardinehold/sequences.py
@@ -163,7 +163,7 @@
     def traits(self) -> statements.Traits:
         """How the sequence may be routed: the strongest of its parts."""
         if self._traits:
-            return merge_traits(self._traits)
+            return statements.merge_traits(self._traits)
         return _READ if self.parts else _LOCAL
 
     @property
@@ -235,35 +235,3 @@
             if part.statement and part.statement.traits.kind is statements.Kind.SHOW:
                 column = part.statement.traits.setting
         return self.answer_locally("", column, "")
-
-
-def merge_traits(found: list[statements.Traits]) -> statements.Traits:
-    """Return the traits of several statements sent as one request."""
-    if len(found) == 1:
-        return found[0]
-    kind = statements.Kind.READ
-    is_open = ends = pins = False
-    refusal = ""
-    for traits in found:
-        if traits.kind is not statements.Kind.READ:
-            kind = statements.Kind.WRITE
-        if traits.ends:
-            ends = ends or not is_open
-            is_open = traits.begins
-        is_open = is_open or traits.begins
-        pins = pins or traits.pins or _leaves_state(traits)
-        refusal = refusal or traits.refusal or _find_misplaced(traits)
-    return statements.Traits(
-        kind, begins=is_open, ends=ends, pins=pins, refusal=refusal
-    )
-
-
-def _leaves_state(traits: statements.Traits) -> bool:
-    kinds = (statements.Kind.SET, statements.Kind.RESET, statements.Kind.DISCARD)
-    return traits.kind in kinds and not traits.local
-
-
-def _find_misplaced(traits: statements.Traits) -> str:
-    if traits.setting.startswith("sardinehold."):
-        return "Settings of sardinehold must be sent in a statement of their own"
-    return ""
