--- a/src/sardinehold/core/admission.py
+++ b/src/sardinehold/core/admission.py
@@ -19,6 +19,8 @@
 WAIT_SHARE = 0.5
 """Share of the time to the deadline that a request waits for a token."""
 
+_REWRITE = "Write it with other statements, such as INSERT in place of COPY."
+
 INCOME_EVIDENCE = 0.5
 """Seconds of waiting after which the income of tokens predicts the wait."""
 
@@ -46,7 +48,7 @@
     session.request = request
     traits = event.traits
     if traits.refusal:
-        error = errors.Unsupported(f"{traits.refusal}.", "Nothing was sent.")
+        error = errors.Unsupported(f"{traits.refusal}.", _REWRITE)
         requests.refuse(node, request, error)
         return
     try:
