--- a/src/sardinehold_standins/faults.py
+++ b/src/sardinehold_standins/faults.py
@@ -1,7 +1,9 @@
 """Fault switches of one endpoint."""
 
+from sardinehold_standins import switches
 
-class Faults:
+
+class Faults(switches.Switches):
     """What goes wrong at an endpoint; all off by default.
 
     :param cut_off: no replication to or from other endpoints.
@@ -40,18 +42,3 @@
         self.lose_answers = 0
         self.lose_how = "close"
         self.latency = latency
-
-    def change(self, value: dict) -> None:
-        """Set the switches that ``value`` names.
-
-        :raises KeyError: it names a switch that does not exist.
-        """
-        for name in value:
-            if name not in self.__slots__:
-                raise KeyError(name)
-        for name, setting in value.items():
-            setattr(self, name, setting)
-
-    def dump(self) -> dict:
-        """Return all switches."""
-        return {name: getattr(self, name) for name in self.__slots__}
--- a/src/sardinehold_standins/gate.py
+++ b/src/sardinehold_standins/gate.py
@@ -3,6 +3,8 @@
 No I/O; the time is passed in.
 """
 
+from sardinehold_standins import switches
+
 READS_PER_SECOND = 2000.0
 """Reads that the platform serves a second; a waiting watch counts as one."""
 
@@ -51,7 +53,7 @@
         return True
 
 
-class Faults:
+class Faults(switches.Switches):
     """Fault switches of the platform.
 
     :param down: answer 503 to every call.
@@ -80,21 +82,6 @@
         self.unreachable: list[str] = []
         self.list_lag: float | None = None
 
-    def change(self, value: dict) -> None:
-        """Set the switches that ``value`` names.
-
-        :raises KeyError: it names a switch that does not exist.
-        """
-        for name in value:
-            if name not in self.__slots__:
-                raise KeyError(name)
-        for name, setting in value.items():
-            setattr(self, name, setting)
-
-    def dump(self) -> dict:
-        """Return all switches."""
-        return {name: getattr(self, name) for name in self.__slots__}
-
 
 class Gate:
     """Admits or refuses calls and counts them by kind and caller.
