Do not condemn an endpoint that is full; count probes in the shares

A probe without room is now counted and condemns nothing, the allocator keeps a connection a member for probes, and a gap without a later write lasts to the end of the run. tests/test_endpoints.py, test_shares.py, test_bench.py.

--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -196,6 +196,7 @@
         parser["vm"] = {"name": name, "zone": self._find_zone(number)}
         parser["proxy"] = {"listen": listen, "peer_listen": self._choose()}
         parser["platform"] = {"url": f"http://{self.platform}"}
+        parser["timeline"] = {"path": str(self.folder / f"{name}.events")}
         path = self.folder / f"{name}.ini"
         with path.open("w", encoding="utf-8") as file:
             parser.write(file)
--- a/src/sardinehold/core/shares.py
+++ b/src/sardinehold/core/shares.py
@@ -9,6 +9,9 @@
 BASE_CONNECTIONS = 1
 """Connections to an endpoint that each member may hold without asking."""
 
+PROBE_CONNECTIONS = 1
+"""Connections to an endpoint that each member keeps for probes."""
+
 NEWCOMERS = 2
 """Members for which the base is kept free before they are known."""
 
@@ -92,9 +95,10 @@
         return Share(endpoint, BASE_CONNECTIONS + extra, SHARE_LIFETIME)
 
     def measure_spare(self, endpoint: str) -> int:
-        """Return what is left of the limit above all bases."""
+        """Return what is left of the limit above all bases and probes."""
         limit = self._limits.get(endpoint, 0)
-        return limit - BASE_CONNECTIONS * (self._members + NEWCOMERS)
+        kept = BASE_CONNECTIONS + PROBE_CONNECTIONS
+        return limit - kept * (self._members + NEWCOMERS)
 
     def count_lent(self, now: float, endpoint: str) -> int:
         """Return what nodes may hold above their bases."""
--- a/src/sardinehold/probes.py
+++ b/src/sardinehold/probes.py
@@ -11,6 +11,7 @@
 from sardinehold import answers
 from sardinehold import endpoints
 from sardinehold import errors
+from sardinehold import greeting
 from sardinehold.core import actions
 from sardinehold.core import events
 
@@ -39,6 +40,10 @@
         try:
             with anyio.fail_after(max(action.deadline - asked, 0)):
                 status = await self._read_status(action)
+        except greeting.EndpointFull:
+            # It answered: an endpoint without room is not a dead one.
+            path.registry.count("probes_without_room")
+            return
         except (TimeoutError, errors.EndpointUnavailable):
             path.registry.count("probes_failed")
             path.deliver(events.ProbeFailed(action.endpoint, action.fresh))
--- a/src/sardinehold_bench/load.py
+++ b/src/sardinehold_bench/load.py
@@ -158,6 +158,7 @@
                 tasks.start_soon(self._cut_primary)
                 for team in self.scenario.teams:
                     tasks.start_soon(self._drive_team, team)
+        self.result.ended_at = anyio.current_time() - self.started
         await self._count_reads()
         for team in self.scenario.teams:
             allowed = team.burst + team.rate * self.scenario.seconds
--- a/src/sardinehold_bench/results.py
+++ b/src/sardinehold_bench/results.py
@@ -56,6 +56,7 @@
 
     :param write_times: when writes were acknowledged, in seconds of the run,
         by group.
+    :param ended_at: when the run ended, in its own seconds.
     :param stale_reads: reads that missed a write of their own session, or
         went backwards.
     """
@@ -68,6 +69,7 @@
         "stale_reads",
         "cut_at",
         "cut_group",
+        "ended_at",
     )
 
     def __init__(self, teams: list[str]) -> None:
@@ -79,19 +81,25 @@
         self.stale_reads = 0
         self.cut_at = 0.0
         self.cut_group = ""
+        self.ended_at = 0.0
 
     def measure_replica_share(self) -> float:
         """Return the share of reads that a replica served."""
         return self.replica_reads / self.reads if self.reads else 0.0
 
     def measure_failover_gap(self) -> float:
-        """Return seconds without an acknowledged write after the cut."""
+        """Return seconds without an acknowledged write after the cut.
+
+        Without any write after it, the gap lasts to the end of the run.
+        """
         if not self.cut_at:
             return 0.0
         times = sorted(self.write_times.get(self.cut_group, []))
         before = [time for time in times if time <= self.cut_at]
         after = [time for time in times if time > self.cut_at]
-        return _find_widest([*before[-1:], *after])
+        if not after:
+            after = [max(self.ended_at, self.cut_at)]
+        return _find_widest([*(before[-1:] or [self.cut_at]), *after])
 
     def find_worst_team(self) -> TeamResult:
         """Return the team with the smallest share."""
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -27,12 +27,13 @@
 
 @pytest.mark.parametrize(
     ("times", "gap"),
-    [([1.0, 9.9, 12.5, 12.6], 2.6), ([9.0, 10.1, 10.2], 1.1), ([], 0.0)],
+    [([1.0, 9.9, 12.5, 12.6], 2.6), ([9.0, 10.1, 10.2], 1.1), ([9.5], 20.5)],
 )
 def test_gap_is_the_longest_wait_for_a_write_after_the_cut(times, gap):
     result = results.RunResult(["desk"])
     result.cut_at = 10.0
     result.cut_group = "g"
+    result.ended_at = 30.0
     result.write_times["g"] = times
     assert result.measure_failover_gap() == pytest.approx(gap)
 
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -169,6 +169,15 @@
         assert [event.fresh for event in failed] == [fresh]
 
 
+@pytest.mark.parametrize("fresh", [False, True])
+async def test_probe_of_a_full_endpoint_does_not_condemn_it(fresh):
+    async with builders.run_path() as fleet:
+        fleet.server.full = True
+        await probe(fleet, fresh)
+        assert fleet.path.registry.counters["probes_without_room"] == 1
+        assert not fleet.engine.seen(events.ProbeFailed)
+
+
 async def test_probe_of_an_unknown_endpoint_fails():
     async with builders.run_path() as fleet:
         await probe(fleet, endpoint="gone")
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -6,7 +6,7 @@
 
 from sardinehold.core import shares
 
-LIMIT = 20
+LIMIT = 45
 MEMBERS = 9
 
 
@@ -18,11 +18,19 @@
 
 def test_lone_demand_gets_all_that_is_spare():
     book = build_book()
-    spare = LIMIT - shares.BASE_CONNECTIONS * (MEMBERS + shares.NEWCOMERS)
+    kept = shares.BASE_CONNECTIONS + shares.PROBE_CONNECTIONS
+    spare = LIMIT - kept * (MEMBERS + shares.NEWCOMERS)
     share = book.take(0.0, "a", "db-1", 100)
     assert share.connections == shares.BASE_CONNECTIONS + spare
 
 
+@pytest.mark.parametrize("limit", [20, 22])
+def test_probes_count_against_a_small_limit(limit):
+    book = shares.ShareBook(1, 0.0, 0.0)
+    book.configure(0.0, {"db-1": limit}, MEMBERS)
+    assert book.take(0.0, "a", "db-1", 9).connections == shares.BASE_CONNECTIONS
+
+
 def test_base_is_granted_when_nothing_is_spare():
     book = build_book(members=LIMIT)
     assert book.take(0.0, "a", "db-1", 5).connections == shares.BASE_CONNECTIONS
@@ -60,14 +68,14 @@
     for _ in range(400):
         now += draw.random()
         vm = f"vm-{draw.randrange(MEMBERS)}"
-        share = book.take(now, vm, "db-1", draw.randrange(12))
+        share = book.take(now, vm, "db-1", draw.randrange(30))
         held.setdefault(vm, []).append((share.connections, now + share.lifetime))
         total = 0
         for grants in held.values():
             alive = [count for count, deadline in grants if deadline > now]
             total += max([*alive, shares.BASE_CONNECTIONS])
         highest = max(highest, total + MEMBERS - len(held))
-    return highest
+    return highest + MEMBERS * shares.PROBE_CONNECTIONS
 
 
 @pytest.mark.parametrize("seed", range(10))
