--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -3,7 +3,6 @@
 import pytest
 
 from sardinehold import errors
-from sardinehold import sequences
 from sardinehold import startup
 from sardinehold import wire
 from sardinehold.core import statements
@@ -123,10 +122,10 @@
     ],
 )
 def test_merged_traits_are_the_strongest(parts, kind, begins, ends, pins, refused):
-    merged = sequences.merge_traits(parts)
+    merged = statements.merge_traits(parts)
     assert (merged.kind, merged.begins, merged.ends) == (kind, begins, ends)
     assert (merged.pins, bool(merged.refusal)) == (pins, refused)
 
 
 def test_traits_of_one_statement_stay_as_they_are():
-    assert sequences.merge_traits([OWN]) is OWN
+    assert statements.merge_traits([OWN]) is OWN
