--- /dev/null
+++ b/deploy/node.py
@@ -0,0 +1,10 @@
+"""Starts a node from a checkout: the platform runs it at the repository's root."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
+
+from sardinehold.platform import daemon  # noqa: E402
+
+sys.exit(daemon.main())
--- /dev/null
+++ b/src/sardinehold/node/admission.py
@@ -0,0 +1,76 @@
+"""Which waiting statement goes next, and which cannot be served in time.
+
+Answers the load at which more statements arrive than connections and slots can
+take: what is worth more and still in time goes first, and what would only wait
+until its deadline is refused at once, while its caller can still go elsewhere.
+"""
+
+import typing
+
+from sardinehold.node import catalog
+
+_Waiter = typing.TypeVar("_Waiter", bound="Waiter")
+
+MIN_RETRY_AFTER = 0.05
+"""Seconds after which a refused caller is asked to come back at the earliest."""
+
+
+class Waiter:
+    """A statement that waits for a connection.
+
+    :param began: when it arrived.
+    :param deadline: when its wait ends.
+    :param holds_work: whether an operation that has run in part depends on it.
+    """
+
+    __slots__ = ("team", "route", "began", "deadline", "holds_work")
+
+    def __init__(
+        self,
+        team: str,
+        route: catalog.Route,
+        began: float,
+        deadline: float,
+        holds_work: bool = False,
+    ) -> None:
+        """Keep the parts of the waiter."""
+        self.team = team
+        self.route = route
+        self.began = began
+        self.deadline = deadline
+        self.holds_work = holds_work
+
+
+def rank(waiter: Waiter, now: float) -> tuple[int, int, float]:
+    """Return the order of a waiter; the lowest goes first.
+
+    Statements that can still meet their route's target go before those that
+    are late already, then by the route's priority, then by the time left.
+    """
+    target = waiter.began + waiter.route.target_latency
+    return (int(target <= now), waiter.route.priority, target)
+
+
+def order(waiters: list[_Waiter], now: float) -> list[_Waiter]:
+    """Return the waiters in the order in which they are served."""
+    return sorted(waiters, key=lambda waiter: rank(waiter, now))
+
+
+def expect_wait(ahead: int, service: float, parallel: int) -> float:
+    """Return the seconds until a new waiter is served.
+
+    :param ahead: statements that are served before it.
+    :param service: seconds that one takes.
+    :param parallel: statements that run at once.
+    """
+    return ahead * service / max(1, parallel)
+
+
+def find_retry_after(expected: float, spread: float) -> float:
+    """Return the seconds after which a refused caller should come back.
+
+    :param expected: when there should be room.
+    :param spread: a number from 0 to 1 that differs between callers, so that
+        they do not come back together.
+    """
+    return max(MIN_RETRY_AFTER, expected) * (0.75 + 0.5 * spread)
--- /dev/null
+++ b/src/sardinehold/node/budget.py
@@ -0,0 +1,204 @@
+"""Operations that a team may run here, of its rate over the whole fleet.
+
+A part of each rate is divided evenly and needs nobody; the rest is moved to the
+nodes by demand, by the allocator on the leader (:mod:`sardinehold.core.quota`).
+A node that reaches no leader goes on with its even part.
+"""
+
+import asyncio
+import math
+import typing
+
+from sardinehold.core import balance as balances
+from sardinehold.core import quota
+from sardinehold.node import catalog
+from sardinehold.node import clock
+
+EVEN_PART = 0.3
+"""Part of each rate and burst that is divided evenly. The teams' usual demand is
+below two thirds of their rates, which the rest still covers."""
+
+MAX_WAIT = 0.25
+"""Seconds that an operation waits for the allocator: several exchanges with it."""
+
+MAX_WAITING = 64
+"""Operations of one team that wait at once."""
+
+
+class OverRate(Exception):
+    """A team has used its rate.
+
+    :param retry_after: seconds until there should be room.
+    """
+
+    def __init__(self, team: str, retry_after: float) -> None:
+        """Keep the team's name."""
+        super().__init__(f"team {team} has used its rate")
+        self.retry_after = retry_after
+
+
+class EvenPart:
+    """This node's part of a rate, as a bucket that starts empty.
+
+    A process that starts anew may follow one that has just spent its part.
+    """
+
+    __slots__ = ("rate", "burst", "tokens", "filled_at")
+
+    def __init__(self, now: float) -> None:
+        """Start empty."""
+        self.rate = 0.0
+        self.burst = 0.0
+        self.tokens = 0.0
+        self.filled_at = now
+
+    def configure(self, now: float, rate: float, burst: float) -> None:
+        """Put another rate in force."""
+        self.refill(now)
+        self.rate = rate
+        self.burst = burst
+        self.tokens = min(self.tokens, burst)
+
+    def refill(self, now: float) -> None:
+        """Add what the rate gave since the last call."""
+        elapsed = max(0.0, now - self.filled_at)
+        self.tokens = min(self.burst, self.tokens + elapsed * self.rate)
+        self.filled_at = now
+
+    def take(self, now: float) -> bool:
+        """Spend one token; return whether there was one."""
+        self.refill(now)
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class Account:
+    """What one team may spend on this node."""
+
+    __slots__ = ("balance", "even", "received", "lapses_at")
+
+    def __init__(self, team: str, now: float) -> None:
+        """Start with nothing."""
+        self.balance = balances.Balance(team, now)
+        self.even = EvenPart(now)
+        self.received = 0
+        self.lapses_at = now
+
+
+class Budget:
+    """The accounts of all teams on this node.
+
+    :param ask_soon: called when the allocator should be asked without delay.
+    """
+
+    def __init__(self, ask_soon: typing.Callable[[], None]) -> None:
+        """Start without accounts."""
+        self.accounts: dict[str, Account] = {}
+        self.members = 1
+        self._ask_soon = ask_soon
+        self._catalog: catalog.Catalog | None = None
+
+    def configure(self, found: catalog.Catalog, members: int) -> None:
+        """Put the rates of a configuration in force for a number of nodes."""
+        now = clock.read()
+        self._catalog = found
+        self.members = max(1, members)
+        for name in self.accounts.keys() - found.teams.keys():
+            del self.accounts[name]
+        for team in found.teams.values():
+            account = self.accounts.get(team.name)
+            if account is None:
+                account = self.accounts[team.name] = Account(team.name, now)
+            part = EVEN_PART / self.members
+            account.even.configure(now, team.rate * part, max(1.0, team.burst * part))
+
+    async def spend(self, team: str, deadline: float) -> None:
+        """Spend one operation of a team; an open route has no rate.
+
+        :raises OverRate: there is none before the deadline.
+        """
+        account = self.accounts.get(team)
+        if account is None:
+            return
+        now = clock.read()
+        balance = account.balance
+        balance.note_arrival()
+        if not balance.waiting and (balance.take(now) or account.even.take(now)):
+            if balance.tokens < balance.low_mark:
+                self._ask_soon()
+            return
+        if len(balance.waiting) >= MAX_WAITING:
+            raise OverRate(team, self._predict(account))
+        future = asyncio.get_running_loop().create_future()
+        balance.waiting.append(future)
+        self._ask_soon()
+        try:
+            limit = min(deadline, now + MAX_WAIT)
+            async with asyncio.timeout(max(0.0, limit - now)):
+                await future
+        except TimeoutError:
+            if not account.even.take(clock.read()):
+                raise OverRate(team, self._predict(account)) from None
+        finally:
+            if future in balance.waiting:
+                balance.waiting.remove(future)
+
+    def _predict(self, account: Account) -> float:
+        """Return the seconds until the team has room here, at its whole rate."""
+        team = self._catalog.teams.get(account.balance.owner)
+        if team is None or team.rate <= 0:
+            return 1.0
+        return min(1.0, (1 + len(account.balance.waiting)) * self.members / team.rate)
+
+    def collect_usages(self, now: float) -> list[quota.Usage]:
+        """Return what the allocator is told and asked for."""
+        usages = []
+        for name, account in self.accounts.items():
+            balance = account.balance
+            balance.review(now)
+            wanted = max(0, balance.find_target() - balance.tokens)
+            returned = 0
+            if balance.is_quiet(now):
+                wanted = 0
+                returned = balance.withdraw(balance.tokens)
+            if wanted or returned or account.lapses_at > now:
+                usages.append(
+                    quota.Usage(
+                        name, balance.tokens, returned, wanted, account.received
+                    )
+                )
+        return usages
+
+    def take_grant(self, team: str, grant_id: int, tokens: int, deadline: float) -> None:
+        """Add tokens that the allocator moved here."""
+        account = self.accounts.get(team)
+        if account is None:
+            return
+        account.received = grant_id
+        if tokens and deadline > clock.read():
+            account.balance.grant(tokens, deadline)
+            account.lapses_at = max(account.lapses_at, deadline)
+        self._serve_waiting(account)
+
+    def is_waiting(self) -> bool:
+        """Return whether operations wait for the allocator."""
+        return any(account.balance.waiting for account in self.accounts.values())
+
+    def _serve_waiting(self, account: Account) -> None:
+        now = clock.read()
+        waiting = account.balance.waiting
+        while waiting and account.balance.take(now):
+            future = waiting.popleft()
+            if not future.done():
+                future.set_result(None)
+
+
+def collect_rates(found: catalog.Catalog) -> dict[str, quota.Rate]:
+    """Return the parts of the teams' rates that the allocator moves."""
+    part = 1.0 - EVEN_PART
+    return {
+        team.name: quota.Rate(team.rate * part, math.floor(team.burst * part))
+        for team in found.teams.values()
+    }
--- /dev/null
+++ b/src/sardinehold/node/catalog.py
@@ -0,0 +1,220 @@
+"""What a node knows of its configuration and of the endpoints.
+
+A catalog is immutable; a newer version replaces it as a whole.
+"""
+
+import enum
+
+
+class Consistency(enum.Enum):
+    """What the reads of a route promise."""
+
+    LATEST = "latest"
+    """Every commit that was acknowledged before the read began."""
+
+    BOUNDED = "bounded"
+    """Every commit acknowledged longer ago than the route's bound."""
+
+    SESSION = "session"
+    """As ``BOUNDED``, and every commit of the same session."""
+
+
+class Route:
+    """A database name that callers connect to.
+
+    :param name: what callers give as database name.
+    :param group: name of the group that answers.
+    :param consistency: what its reads promise.
+    :param max_staleness: seconds that a read may be behind, 0 for none.
+    :param statement_timeout: seconds that one statement may take.
+    :param target_latency: seconds within which a whole operation should end.
+    :param priority: 0 is served first when capacity is short.
+    :param is_open: whether it serves callers without a key.
+    """
+
+    __slots__ = (
+        "name",
+        "group",
+        "consistency",
+        "max_staleness",
+        "statement_timeout",
+        "target_latency",
+        "priority",
+        "is_open",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        group: str,
+        consistency: Consistency = Consistency.LATEST,
+        max_staleness: float = 0.0,
+        statement_timeout: float = 1.0,
+        target_latency: float = 0.5,
+        priority: int = 0,
+        is_open: bool = False,
+    ) -> None:
+        """Keep the parts of the route."""
+        self.name = name
+        self.group = group
+        self.consistency = consistency
+        self.max_staleness = max_staleness
+        self.statement_timeout = statement_timeout
+        self.target_latency = target_latency
+        self.priority = priority
+        self.is_open = is_open
+
+
+class Team:
+    """A team with its rate over the whole fleet.
+
+    :param rate: operations a second.
+    :param burst: operations at once after a quiet time.
+    """
+
+    __slots__ = ("name", "rate", "burst", "priority")
+
+    def __init__(self, name: str, rate: float, burst: float, priority: int = 0) -> None:
+        """Keep the parts of the team."""
+        self.name = name
+        self.rate = rate
+        self.burst = burst
+        self.priority = priority
+
+
+class Group:
+    """What the configuration says of a group of databases.
+
+    :param connections: connections that one endpoint accepts from all.
+    :param sync_replicas: replicas that hold a commit before it is acknowledged.
+    """
+
+    __slots__ = ("name", "connections", "sync_replicas")
+
+    def __init__(self, name: str, connections: int, sync_replicas: int = 0) -> None:
+        """Keep the parts of the group."""
+        self.name = name
+        self.connections = connections
+        self.sync_replicas = sync_replicas
+
+
+class Catalog:
+    """One version of the configuration.
+
+    :param version: grows with each change.
+    :param routes: by name.
+    :param teams: by name.
+    :param owners: names of the teams by key.
+    :param groups: by name.
+    :param transaction_idle: seconds that a transaction may rest.
+    """
+
+    __slots__ = ("version", "routes", "teams", "owners", "groups", "transaction_idle")
+
+    def __init__(
+        self,
+        version: int,
+        routes: dict[str, Route],
+        teams: dict[str, Team],
+        owners: dict[str, str],
+        groups: dict[str, Group],
+        transaction_idle: float,
+    ) -> None:
+        """Keep the parts of the catalog."""
+        self.version = version
+        self.routes = routes
+        self.teams = teams
+        self.owners = owners
+        self.groups = groups
+        self.transaction_idle = transaction_idle
+
+
+class EndpointRecord:
+    """What an endpoint says of itself.
+
+    :param name: unique over all endpoints.
+    :param zone: its availability zone.
+    :param slots: statements that it runs at once.
+    :param is_draining: whether it is about to leave.
+    :param says_primary: whether it takes itself for the primary.
+    :param born: identifies this start of its process; after another start it
+        knows nothing of before.
+    """
+
+    __slots__ = (
+        "name",
+        "group",
+        "host",
+        "port",
+        "zone",
+        "slots",
+        "is_draining",
+        "says_primary",
+        "born",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        group: str,
+        host: str,
+        port: int,
+        zone: str,
+        slots: int = 1,
+        is_draining: bool = False,
+        says_primary: bool = False,
+        born: int = 0,
+    ) -> None:
+        """Keep the parts of the record."""
+        self.name = name
+        self.group = group
+        self.host = host
+        self.port = port
+        self.zone = zone
+        self.slots = slots
+        self.is_draining = is_draining
+        self.says_primary = says_primary
+        self.born = born
+
+
+class Phase(enum.Enum):
+    """Whether a group has a primary that takes work."""
+
+    SERVING = "serving"
+    SEALED = "sealed"
+
+
+class GroupState:
+    """Who leads a group, as agreed on in the store.
+
+    :param term: of the primary; grows with each change.
+    :param primary: the endpoint's name, ``""`` while none is known.
+    :param phase: ``SEALED`` while the primary is being replaced.
+    :param version: the store's version of this state, 0 if it is not stored.
+    """
+
+    __slots__ = ("group", "term", "primary", "phase", "version")
+
+    def __init__(
+        self, group: str, term: int, primary: str, phase: Phase, version: int = 0
+    ) -> None:
+        """Keep the parts of the state."""
+        self.group = group
+        self.term = term
+        self.primary = primary
+        self.phase = phase
+        self.version = version
+
+    def dump(self) -> dict:
+        """Return the value that is stored."""
+        return {"term": self.term, "primary": self.primary, "phase": self.phase.value}
+
+
+def parse_group_state(group: str, value: dict, version: int) -> GroupState:
+    """Return the state that a stored value holds.
+
+    :raises KeyError, ValueError, TypeError: the value is not one of ours.
+    """
+    return GroupState(
+        group, int(value["term"]), str(value["primary"]), Phase(value["phase"]), version
+    )
--- /dev/null
+++ b/src/sardinehold/node/evidence.py
@@ -0,0 +1,122 @@
+"""What a node knows for sure of a group's log and of its primary.
+
+Two things rest on evidence. A read on the primary needs that no other primary
+can have acknowledged a commit before the read began: the node holds a lease,
+dated from an instant at which the group's state was known to be in force, and
+whoever replaces the primary waits until all such leases have lapsed. A read on a
+replica needs a position that covers every commit up to some instant: what the
+primary answered to a question that was asked after that instant.
+"""
+
+import collections
+
+from sardinehold.core import positions
+from sardinehold.node import catalog
+from sardinehold.node import clock
+
+LEASE = 1.5
+"""Seconds for which an instant of evidence lets a node use the primary. Bounds the
+wait of a change of primary when a node cannot be asked."""
+
+HISTORY = 4.0
+"""Seconds of positions that are kept; longer than any route's staleness needs."""
+
+SPACING = 0.02
+"""Seconds between two kept positions at least."""
+
+
+class Sample:
+    """The primary's position, as answered to a question.
+
+    :param asked: when the question was sent.
+    """
+
+    __slots__ = ("asked", "position")
+
+    def __init__(self, asked: float, position: positions.Position) -> None:
+        """Keep the parts of the sample."""
+        self.asked = asked
+        self.position = position
+
+
+class Evidence:
+    """What is known of one group.
+
+    :param as_of: the latest instant at which the state was known to be in force.
+    """
+
+    __slots__ = ("term", "as_of", "samples")
+
+    def __init__(self) -> None:
+        """Start with nothing known."""
+        self.term = 0
+        self.as_of = float("-inf")
+        self.samples: collections.deque[Sample] = collections.deque()
+
+    def begin_term(self, term: int) -> None:
+        """Forget what was known of an earlier term."""
+        if term != self.term:
+            self.term = term
+            self.samples.clear()
+
+    def confirm(self, asked: float) -> None:
+        """Note that the group's state was in force at an instant."""
+        self.as_of = max(self.as_of, asked)
+
+    def revoke(self) -> None:
+        """Forget the lease: the group is being sealed."""
+        self.as_of = float("-inf")
+
+    def holds_lease(self, now: float) -> bool:
+        """Return whether the primary cannot have been replaced yet."""
+        return now < self.as_of + LEASE * (1 - clock.RATE_MARGIN)
+
+    def note_position(self, asked: float, position: positions.Position) -> None:
+        """Take the primary's answer to a question sent under the lease."""
+        if position.term != self.term:
+            return
+        samples = self.samples
+        if samples and asked <= samples[-1].asked:
+            return
+        if len(samples) > 1 and asked - samples[-2].asked < SPACING:
+            samples.pop()
+        samples.append(Sample(asked, position))
+        while samples[0].asked < asked - HISTORY:
+            samples.popleft()
+
+    def find_position(self, since: float) -> positions.Position | None:
+        """Return the lowest known position that covers all commits up to ``since``."""
+        for sample in self.samples:
+            if sample.asked >= since:
+                return sample.position
+        return None
+
+    @property
+    def latest(self) -> Sample | None:
+        """The newest sample, None if there is none."""
+        return self.samples[-1] if self.samples else None
+
+
+def find_floor(
+    evidence: Evidence,
+    route: catalog.Route,
+    began: float,
+    own: positions.Position | None,
+) -> positions.Position | None:
+    """Return the position that a replica must have for a read.
+
+    :param began: when the read, or its transaction, reached this node.
+    :param own: position of the session's last commit, None if it made none.
+    :returns: None if no known position is sure to be enough.
+    """
+    since = began - route.max_staleness
+    if route.consistency is catalog.Consistency.LATEST:
+        since = began
+    floor = evidence.find_position(since)
+    if floor is None or own is None or own <= floor:
+        return floor
+    if own.term == floor.term:
+        return own
+    # A commit of an earlier term is part of the new primary's log, and so of
+    # any position of the new term.
+    return floor
--- /dev/null
+++ b/src/sardinehold/node/failover.py
@@ -0,0 +1,398 @@
+"""Replaces the primary of one group.
+
+The steps: seal the group in the store, so that nodes hold work back; freeze the
+logs, by PAUSE at the replicas and STEPDOWN at the primary, so that nothing more can
+be acknowledged; wait until no node holds a lease on the old primary; order the
+most advanced of the frozen logs to lead; publish it once it does. Any leader can go
+on from what the store holds: a sealed group is simply worked on from its start.
+"""
+
+import typing
+
+import anyio
+import logbook
+
+from sardinehold import errors
+from sardinehold.core import positions
+from sardinehold.node import catalog
+from sardinehold.node import clock
+from sardinehold.node import evidence
+from sardinehold.node import ports
+
+ASK_TIMEOUT = 0.6
+"""Seconds that an endpoint may take to answer a question about its log; several
+handshakes and waits for a slot."""
+
+RETRY_DELAY = 0.1
+"""Seconds between attempts while too few logs can be read."""
+
+POLL_INTERVAL = 0.05
+"""Seconds between looks at an endpoint that is to become primary."""
+
+PROMOTE_LIMIT = 3.0
+"""Seconds after an order in which it must have taken effect; the sheets' longest
+takes one second. Another order is given only after it."""
+
+SETTLE = 0.3
+"""Seconds between a planned seal and the freeze, in which running statements end."""
+
+SUSPECT_NODES = 2
+"""Nodes that must find a primary unreachable, where there are as many."""
+
+SUSPECT_SHARE = 0.25
+"""Share of the nodes heard that must find a primary unreachable: fewer lose less by
+the cut than all lose by a change of primary."""
+
+UNDO_AFTER = 1.5
+"""Seconds after which an old primary that stepped down may lead again, if too few
+replicas can be read to replace it."""
+
+log = logbook.Logger("failover")
+
+
+class Plan:
+    """What a freeze found.
+
+    :param leader: an endpoint that leads a later term already, or ``""``.
+    :param target: the endpoint to promote, ``""`` while too few logs were read.
+    """
+
+    __slots__ = ("leader", "target")
+
+    def __init__(self, leader: str = "", target: str = "") -> None:
+        """Keep what was found."""
+        self.leader = leader
+        self.target = target
+
+
+def count_needed(copies: int, sync_replicas: int) -> int:
+    """Return how many frozen logs hold every acknowledged commit among them.
+
+    A commit is in the logs of ``sync_replicas`` replicas at least: it can be missed
+    only while as many have not been read.
+    """
+    return max(1, copies - sync_replicas)
+
+
+def choose_target(
+    statuses: dict[str, ports.LogStatus],
+    state: catalog.GroupState,
+    copies: int,
+    sync_replicas: int,
+    leaving: frozenset[str] = frozenset(),
+    avoided: frozenset[str] = frozenset(),
+    may_undo: bool = False,
+) -> Plan:
+    """Return whom to promote, from the frozen logs that were read.
+
+    :param statuses: of endpoints that cannot acknowledge a commit any more, or
+        that lead a later term.
+    :param state: of the group, with the primary that is replaced.
+    :param leaving: endpoints about to leave, taken only if no other will do.
+    :param avoided: endpoints that failed to take over, likewise.
+    :param may_undo: whether the old primary may lead again for want of others.
+    """
+    for name, status in statuses.items():
+        if status.is_primary and status.term > state.term:
+            return Plan(leader=name)
+    old = statuses.get(state.primary)
+    replicas = {name: item for name, item in statuses.items() if item is not old}
+
+    def rate(name: str) -> tuple[positions.Position, bool, bool]:
+        return replicas[name].received, name not in leaving, name not in avoided
+
+    best = max(sorted(replicas), key=rate, default="")
+    if best and len(replicas) >= count_needed(copies, sync_replicas):
+        return Plan(target=best)
+    if old is None:
+        return Plan()
+    if best and replicas[best].received >= old.received:
+        return Plan(target=best)
+    return Plan(target=state.primary if may_undo else "")
+
+
+def is_suspect(failing: int, heard: int) -> bool:
+    """Return whether enough nodes find a primary unreachable.
+
+    :param failing: nodes that do.
+    :param heard: nodes that reported of late.
+    """
+    return failing >= max(min(SUSPECT_NODES, heard), SUSPECT_SHARE * heard, 1)
+
+
+class Fleet(typing.Protocol):
+    """What the procedure needs of the leader's node."""
+
+    def leads(self) -> bool:
+        """Return whether this node may still act."""
+
+    def list_records(self, group: str) -> list[catalog.EndpointRecord]:
+        """Return the endpoints of a group that may hold a log."""
+
+    def find_state(self, group: str) -> catalog.GroupState | None:
+        """Return the group's state as the store has it."""
+
+    async def write_state(self, state: catalog.GroupState) -> catalog.GroupState:
+        """Store a state if the one it came from is still there."""
+
+    def is_seal_known(self, group: str, version: int) -> bool:
+        """Return whether every node has given up the old primary."""
+
+    def tell_soon(self) -> None:
+        """Tell all nodes of the state without delay."""
+
+    async def open_control(self, record: catalog.EndpointRecord) -> ports.Connection:
+        """Open a connection for questions about the log."""
+
+    async def order_promotion(self, group: str, endpoint: str, token: int) -> None:
+        """Order an endpoint to lead; see :class:`ports.Duty`."""
+
+    def note(self, event: str, **fields: object) -> None:
+        """Write a line about a step."""
+
+
+class Procedure:
+    """The change of primary of one group.
+
+    :param planned: whether the primary still works and is to leave.
+    """
+
+    def __init__(
+        self, fleet: Fleet, group: str, sync_replicas: int, planned: bool
+    ) -> None:
+        """Start from whatever the store holds."""
+        self.fleet = fleet
+        self.group = group
+        self.sync_replicas = sync_replicas
+        self.planned = planned
+        self._frozen_at = 0.0
+        self._undo_at = clock.read() + UNDO_AFTER
+        self._avoided: set[str] = set()
+
+    async def run(self) -> None:
+        """Replace the primary, or stop when this node no longer leads."""
+        fleet = self.fleet
+        state = fleet.find_state(self.group)
+        began = clock.read()
+        if state.phase is not catalog.Phase.SEALED:
+            fleet.note("seal", group=self.group, term=state.term, old=state.primary)
+            state = await self._write(state, state.term, state.primary, sealed=True)
+            fleet.tell_soon()
+            if self.planned:
+                await anyio.sleep(SETTLE)
+        sealed_version = state.version
+        while fleet.leads():
+            plan = await self._freeze(state)
+            if plan.leader:
+                await self._publish(state, plan.leader, began)
+                return
+            if not plan.target:
+                await anyio.sleep(RETRY_DELAY)
+                continue
+            await self._wait_for_leases(sealed_version)
+            state = await self._promote(state, plan.target)
+            if await self._wait_for_lead(state, plan.target):
+                await self._publish(state, plan.target, began)
+                return
+            self._avoided.add(plan.target)
+
+    async def _write(
+        self, state: catalog.GroupState, term: int, primary: str, sealed: bool
+    ) -> catalog.GroupState:
+        phase = catalog.Phase.SEALED if sealed else catalog.Phase.SERVING
+        new = catalog.GroupState(self.group, term, primary, phase, state.version)
+        return await self.fleet.write_state(new)
+
+    # Freezing
+
+    async def _freeze(self, state: catalog.GroupState) -> Plan:
+        """Stop all logs that can be reached and return what they allow."""
+        records = self.fleet.list_records(self.group)
+        statuses: dict[str, ports.LogStatus] = {}
+        enough = count_needed(len(records), self.sync_replicas)
+        async with anyio.create_task_group() as tasks:
+            for record in records:
+                tasks.start_soon(
+                    self._freeze_one, record, state, statuses, tasks, enough
+                )
+        self._frozen_at = clock.read()
+        leaving = frozenset(item.name for item in records if item.is_draining)
+        plan = choose_target(
+            statuses,
+            state,
+            len(records),
+            self.sync_replicas,
+            leaving,
+            frozenset(self._avoided),
+            self._frozen_at > self._undo_at,
+        )
+        self.fleet.note(
+            "frozen",
+            group=self.group,
+            logs={name: list(item.received) for name, item in statuses.items()},
+            copies=len(records),
+            target=plan.target,
+            leader=plan.leader,
+        )
+        return plan
+
+    async def _freeze_one(
+        self,
+        record: catalog.EndpointRecord,
+        state: catalog.GroupState,
+        statuses: dict[str, ports.LogStatus],
+        tasks: anyio.abc.TaskGroup,
+        enough: int,
+    ) -> None:
+        deadline = clock.read() + ASK_TIMEOUT
+        try:
+            with anyio.fail_after(ASK_TIMEOUT):
+                connection = await self.fleet.open_control(record)
+                try:
+                    status = await self._stop_log(connection, state, deadline)
+                finally:
+                    connection.close()
+        except (ports.ConnectionLost, ports.OpeningFailed, TimeoutError) as error:
+            log.debug("{}: log not read: {!r}", record.name, error)
+            return
+        if status is None:
+            return
+        statuses[record.name] = status
+        replicas = len(statuses.keys() - {state.primary})
+        if replicas >= enough and not self.planned:
+            tasks.cancel_scope.cancel()
+
+    async def _stop_log(
+        self,
+        connection: ports.Connection,
+        state: catalog.GroupState,
+        deadline: float,
+    ) -> ports.LogStatus | None:
+        """Return the state of a log that grows no more, None if it may."""
+        status = await connection.read_status(deadline)
+        while status is None and clock.read() < deadline:
+            await anyio.sleep(RETRY_DELAY / 4)
+            status = await connection.read_status(deadline)
+        if status is None:
+            return None
+        if status.is_primary:
+            if status.term > state.term:
+                return status
+            return await connection.step_down(state.term + 1, deadline)
+        if status.paused_term > state.term:
+            return status
+        return await connection.pause(max(state.term, status.term) + 1, deadline)
+
+    # Promoting
+
+    async def _wait_for_leases(self, sealed_version: int) -> None:
+        """Wait until no node reads from the old primary any more."""
+        lapse = self._frozen_at + evidence.LEASE * (1 + 2 * clock.RATE_MARGIN)
+        while clock.read() < lapse:
+            if self.fleet.is_seal_known(self.group, sealed_version):
+                return
+            await anyio.sleep(RETRY_DELAY / 5)
+
+    async def _promote(
+        self, state: catalog.GroupState, target: str
+    ) -> catalog.GroupState:
+        """Order a promotion under a token of its own: the state's new version."""
+        state = await self._write(state, state.term, state.primary, sealed=True)
+        if not self.fleet.leads():
+            raise errors.PlatformUnavailable(
+                "This node no longer leads.", "The next leader goes on."
+            )
+        self.fleet.note(
+            "promote", group=self.group, target=target, token=state.version
+        )
+        try:
+            await self.fleet.order_promotion(self.group, target, state.version)
+        except errors.PlatformError as error:
+            self.fleet.note("promote_unanswered", group=self.group, reason=str(error))
+        return state
+
+    async def _wait_for_lead(self, state: catalog.GroupState, target: str) -> bool:
+        """Return whether an endpoint came to lead a later term in time."""
+        deadline = clock.read() + PROMOTE_LIMIT
+        while clock.read() < deadline and self.fleet.leads():
+            record = self._find_record(target)
+            if record is None:
+                return False
+            status = await self._ask(record)
+            if status is not None and status.is_primary and status.term > state.term:
+                return True
+            await anyio.sleep(POLL_INTERVAL)
+        return False
+
+    async def _ask(self, record: catalog.EndpointRecord) -> ports.LogStatus | None:
+        try:
+            with anyio.fail_after(ASK_TIMEOUT):
+                connection = await self.fleet.open_control(record)
+                try:
+                    return await connection.read_status(clock.read() + ASK_TIMEOUT)
+                finally:
+                    connection.close()
+        except (ports.ConnectionLost, ports.OpeningFailed, TimeoutError):
+            return None
+
+    def _find_record(self, name: str) -> catalog.EndpointRecord | None:
+        for record in self.fleet.list_records(self.group):
+            if record.name == name:
+                return record
+        return None
+
+    async def _publish(
+        self, state: catalog.GroupState, primary: str, began: float
+    ) -> None:
+        """Put the new primary in force, and bring the others behind it."""
+        record = self._find_record(primary)
+        status = await self._ask(record) if record is not None else None
+        if status is None or not status.is_primary:
+            raise errors.PlatformUnavailable(
+                f"{primary} does not lead any more.", "The change starts anew."
+            )
+        published = await self._write(state, status.term, primary, sealed=False)
+        self.fleet.tell_soon()
+        self.fleet.note(
+            "published",
+            group=self.group,
+            term=published.term,
+            primary=primary,
+            gap_ms=round((clock.read() - began) * 1000),
+        )
+        await align(self.fleet, self.group, published)
+
+
+async def align(fleet: Fleet, group: str, state: catalog.GroupState) -> bool:
+    """Let paused replicas go on, and an old primary step down.
+
+    :returns: whether every endpoint was reached and follows.
+    """
+    done = True
+    for record in fleet.list_records(group):
+        if record.name == state.primary:
+            continue
+        try:
+            with anyio.fail_after(ASK_TIMEOUT):
+                connection = await fleet.open_control(record)
+                try:
+                    done = await _align_one(connection, state) and done
+                finally:
+                    connection.close()
+        except (ports.ConnectionLost, ports.OpeningFailed, TimeoutError):
+            done = False
+    return done
+
+
+async def _align_one(connection: ports.Connection, state: catalog.GroupState) -> bool:
+    deadline = clock.read() + ASK_TIMEOUT
+    status = await connection.read_status(deadline)
+    if status is None:
+        return False
+    if status.is_primary and status.term < state.term:
+        status = await connection.step_down(state.term, deadline)
+        return status is not None
+    if status.paused_term:
+        return await connection.resume(deadline) is not None
+    return True
+
--- /dev/null
+++ b/src/sardinehold/node/groups.py
@@ -0,0 +1,385 @@
+"""A group of databases as a node uses it: endpoints, evidence and who waits."""
+
+import asyncio
+import random
+import typing
+
+import logbook
+
+from sardinehold.core import positions
+from sardinehold.node import admission
+from sardinehold.node import catalog
+from sardinehold.node import clock
+from sardinehold.node import evidence
+from sardinehold.node import placement
+from sardinehold.node import pool
+from sardinehold.node import ports
+from sardinehold.node import statements
+
+OPEN_TIMEOUT = 1.0
+"""Seconds that opening a connection may take; past it an endpoint counts as dark."""
+
+CLEAN_TIMEOUT = 0.5
+"""Seconds that ending an abandoned transaction may take before its connection is
+closed instead."""
+
+log = logbook.Logger("groups")
+
+
+class Refused(Exception):
+    """A statement got no connection; nothing of it ran.
+
+    :param retry_after: seconds after which trying again makes sense.
+    """
+
+    def __init__(self, reason: str, retry_after: float) -> None:
+        """Keep the reason."""
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after = retry_after
+
+
+class Waiter(admission.Waiter):
+    """A statement that waits for a connection of a group.
+
+    :param own: position of the session's last commit.
+    :param needs_primary: whether only the primary may run it.
+    :param avoided: endpoints that failed it already.
+    """
+
+    __slots__ = ("own", "values", "needs_primary", "avoided", "future", "opening")
+
+    def __init__(
+        self,
+        team: str,
+        route: catalog.Route,
+        began: float,
+        deadline: float,
+        own: positions.Position | None,
+        values: dict[str, str],
+        needs_primary: bool,
+        avoided: frozenset[str] = frozenset(),
+    ) -> None:
+        """Start waiting."""
+        super().__init__(team, route, began, deadline)
+        self.own = own
+        self.values = values
+        self.needs_primary = needs_primary
+        self.avoided = avoided
+        self.future: asyncio.Future = asyncio.get_running_loop().create_future()
+        self.opening: pool.Endpoint | None = None
+
+
+class Placed:
+    """A connection to run a statement on.
+
+    :param after: position that the endpoint's log must have, or None.
+    """
+
+    __slots__ = ("pooled", "after")
+
+    def __init__(
+        self, pooled: pool.Pooled, after: positions.Position | None = None
+    ) -> None:
+        """Keep the parts of the placement."""
+        self.pooled = pooled
+        self.after = after
+
+
+class Group:
+    """One group of databases.
+
+    :param state: who leads it, as the store said last; None while unknown.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        connector: ports.Connector,
+        spawn: typing.Callable[..., None],
+        measure_distance: typing.Callable[[str], int],
+    ) -> None:
+        """Start without endpoints."""
+        self.name = name
+        self.config: catalog.Group | None = None
+        self.state: catalog.GroupState | None = None
+        self.evidence = evidence.Evidence()
+        self.endpoints: dict[str, pool.Endpoint] = {}
+        self.waiters: list[Waiter] = []
+        self._connector = connector
+        self._spawn = spawn
+        self._measure_distance = measure_distance
+
+    # What the store says
+
+    def take_state(self, state: catalog.GroupState) -> None:
+        """Take a newer state of the group."""
+        if self.state is not None and state.version <= self.state.version:
+            return
+        before, self.state = self.state, state
+        if state.phase is catalog.Phase.SEALED:
+            self.evidence.revoke()
+        if before is None or before.term != state.term:
+            self.evidence.begin_term(state.term)
+        self.pump()
+
+    def take_record(self, record: catalog.EndpointRecord, now: float) -> None:
+        """Take what an endpoint says of itself."""
+        endpoint = self.endpoints.get(record.name)
+        if endpoint is None or endpoint.record.born != record.born:
+            if endpoint is not None:
+                self._close_idle(endpoint)
+            endpoint = pool.Endpoint(record, self._measure_distance(record.zone))
+            self.endpoints[record.name] = endpoint
+        endpoint.record = record
+        endpoint.gone_since = None
+        if not record.is_draining:
+            endpoint.leaving_since = None
+        elif endpoint.leaving_since is None:
+            endpoint.leaving_since = now
+            self._leave(endpoint)
+        self.pump()
+
+    def drop_record(self, name: str, now: float) -> None:
+        """Note that the store has no entry of an endpoint any more."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is not None and endpoint.gone_since is None:
+            endpoint.gone_since = now
+
+    def forget(self, name: str) -> None:
+        """Drop an endpoint for good."""
+        endpoint = self.endpoints.pop(name, None)
+        if endpoint is not None:
+            self._close_idle(endpoint)
+
+    def set_share(self, connections: int) -> None:
+        """Set how many connections this node may hold to each endpoint."""
+        for endpoint in self.endpoints.values():
+            endpoint.share = connections
+
+    def _leave(self, endpoint: pool.Endpoint) -> None:
+        if endpoint is not self.primary:
+            self._close_idle(endpoint)
+
+    def _close_idle(self, endpoint: pool.Endpoint) -> None:
+        for pooled in endpoint.idle:
+            endpoint.connections.discard(pooled)
+            pooled.connection.close()
+        endpoint.idle = []
+
+    # Who leads
+
+    @property
+    def primary(self) -> pool.Endpoint | None:
+        """The endpoint that leads, None while none is known or it is replaced."""
+        if self.state is None:
+            return None
+        return self.endpoints.get(self.state.primary)
+
+    def is_serving(self) -> bool:
+        """Return whether a primary takes work."""
+        return (
+            self.state is not None
+            and self.state.phase is catalog.Phase.SERVING
+            and self.primary is not None
+        )
+
+    # Waiting for a connection
+
+    async def acquire(self, waiter: Waiter) -> Placed:
+        """Return a connection for a statement.
+
+        :raises Refused: none can be had before the deadline.
+        """
+        self.waiters.append(waiter)
+        self.pump()
+        try:
+            remaining = max(0.0, waiter.deadline - clock.read())
+            async with asyncio.timeout(remaining):
+                return await waiter.future
+        except TimeoutError:
+            raise Refused(self.explain(waiter), 0.2) from None
+        except asyncio.CancelledError:
+            if waiter.future.done() and not waiter.future.cancelled():
+                self.release(waiter.future.result().pooled)
+            raise
+        finally:
+            if waiter in self.waiters:
+                self.waiters.remove(waiter)
+
+    def explain(self, waiter: Waiter) -> str:
+        """Return why a statement got no connection."""
+        if waiter.needs_primary and not self.is_serving():
+            return f"group {self.name} has no primary that takes work"
+        return f"all connections to group {self.name} are in use"
+
+    def pump(self) -> None:
+        """Give free connections to those that wait."""
+        if not self.waiters:
+            return
+        now = clock.read()
+        for waiter in admission.order(self.waiters, now):
+            if waiter.future.done():
+                continue
+            placed = self._place(waiter, now)
+            if placed is not None:
+                self.waiters.remove(waiter)
+                waiter.future.set_result(placed)
+
+    def _place(self, waiter: Waiter, now: float) -> Placed | None:
+        """Return a connection, or open one for the statement to wait for."""
+        floor = None
+        if waiter.needs_primary:
+            endpoint = self._find_primary_for(waiter, now)
+        else:
+            floor = evidence.find_floor(
+                self.evidence, waiter.route, waiter.began, waiter.own
+            )
+            endpoint = self._choose_for_read(waiter, floor, now)
+        if endpoint is None:
+            return None
+        pooled = endpoint.take_idle(waiter.team, waiter.values)
+        if pooled is not None:
+            after = None if endpoint is self.primary else floor
+            return Placed(pooled, after)
+        if waiter.opening is None and endpoint.may_open(now):
+            waiter.opening = endpoint
+            self._open(endpoint, waiter.team, waiter)
+        return None
+
+    def _find_primary_for(self, waiter: Waiter, now: float) -> pool.Endpoint | None:
+        if not self.is_serving() or not self.evidence.holds_lease(now):
+            return None
+        return self.primary
+
+    def _choose_for_read(
+        self, waiter: Waiter, floor: positions.Position | None, now: float
+    ) -> pool.Endpoint | None:
+        holds_lease = self.is_serving() and self.evidence.holds_lease(now)
+        candidates = [
+            endpoint.describe(now, waiter.team, endpoint is self.primary)
+            for endpoint in self.endpoints.values()
+            if endpoint.name not in waiter.avoided
+            and (endpoint.takes_new_work() or endpoint is self.primary)
+        ]
+        chosen = placement.choose_for_read(candidates, floor, holds_lease)
+        return self.endpoints[chosen.name] if chosen else None
+
+    # Connections
+
+    def _open(self, endpoint: pool.Endpoint, team: str, waiter: Waiter) -> None:
+        evicted = endpoint.make_room()
+        if evicted is not None:
+            evicted.connection.close()
+        endpoint.opening += 1
+        self._spawn(self._finish_opening, endpoint, team, waiter)
+
+    async def _finish_opening(
+        self, endpoint: pool.Endpoint, team: str, waiter: Waiter
+    ) -> None:
+        now = clock.read()
+        try:
+            connection = await self._connector.open(
+                endpoint.record, team, now + OPEN_TIMEOUT
+            )
+        except ports.OpeningFailed as error:
+            self._note_failed_opening(endpoint, error)
+        else:
+            pooled = pool.Pooled(connection, endpoint, team)
+            connection.on_lost = lambda: self._lose(pooled)
+            endpoint.connections.add(pooled)
+            endpoint.note_answer(clock.read())
+            pooled.idle_since = clock.read()
+            endpoint.idle.append(pooled)
+        finally:
+            endpoint.opening -= 1
+            waiter.opening = None
+        self.pump()
+
+    def _note_failed_opening(
+        self, endpoint: pool.Endpoint, error: ports.OpeningFailed
+    ) -> None:
+        now = clock.read()
+        if error.failure is statements.Failure.CONNECTION_LIMIT:
+            endpoint.retry_at = now + pool.RETRY_FIRST * (1 + random.random())
+        else:
+            endpoint.note_failure(now, random.random())
+        log.debug("{}: opening failed: {}", endpoint.name, error)
+        asyncio.get_running_loop().call_later(
+            max(0.0, endpoint.retry_at - now), self.pump
+        )
+
+    def _lose(self, pooled: pool.Pooled) -> None:
+        pooled.is_lost = True
+        endpoint = pooled.endpoint
+        endpoint.connections.discard(pooled)
+        if pooled in endpoint.idle:
+            endpoint.idle.remove(pooled)
+
+    def release(self, pooled: pool.Pooled) -> None:
+        """Take back a connection on which nothing is open."""
+        endpoint = pooled.endpoint
+        if not pooled.is_lost:
+            if self.endpoints.get(endpoint.name) is not endpoint or (
+                not endpoint.takes_new_work() and endpoint is not self.primary
+            ):
+                self.discard(pooled)
+            else:
+                pooled.idle_since = clock.read()
+                endpoint.idle.append(pooled)
+        self.pump()
+
+    def discard(self, pooled: pool.Pooled) -> None:
+        """Close a connection."""
+        pooled.is_lost = True
+        pooled.endpoint.connections.discard(pooled)
+        pooled.connection.close()
+        self.pump()
+
+    def clean(self, pooled: pool.Pooled) -> None:
+        """Take back a connection whose transaction nobody needs."""
+        if not pooled.is_lost:
+            self._spawn(self._roll_back, pooled)
+
+    async def _roll_back(self, pooled: pool.Pooled) -> None:
+        try:
+            deadline = clock.read() + CLEAN_TIMEOUT
+            answer = await pooled.connection.roll_back(deadline)
+        except ports.ConnectionLost:
+            self.pump()
+            return
+        if answer.error is None and answer.status == "I":
+            self.release(pooled)
+        else:
+            self.discard(pooled)
+
+    # What answers tell
+
+    def note_answer(
+        self,
+        endpoint: pool.Endpoint,
+        asked: float,
+        answer: statements.Answer,
+        committed: bool = False,
+    ) -> None:
+        """Learn from an answer to a statement sent at ``asked``."""
+        now = clock.read()
+        endpoint.note_answer(now)
+        position = answer.position
+        if position is None:
+            return
+        endpoint.applied = position
+        state = self.state
+        if (
+            endpoint is not self.primary
+            or state is None
+            or position.term != state.term
+            or state.phase is not catalog.Phase.SERVING
+        ):
+            return
+        if committed and self.config is not None and self.config.sync_replicas:
+            # Before a primary is replaced its replicas are paused, or it has
+            # stepped down: a commit proves that neither had happened.
+            self.evidence.confirm(asked)
+        if self.evidence.holds_lease(asked):
+            self.evidence.note_position(asked, position)
--- /dev/null
+++ b/src/sardinehold/node/journal.py
@@ -0,0 +1,103 @@
+"""Structured log lines: one JSON object a decision, bounded and never blocking.
+
+Lines go to standard output through logbook. Past the bound of a second, lines of
+ordinary successes are dropped first; what was dropped is counted and said.
+"""
+
+import json
+import os
+import sys
+import time
+import typing
+
+import logbook
+
+from sardinehold import metrics
+
+MAX_BYTES_PER_SECOND = 64 * 1024
+"""Bytes of lines that a process writes a second at most."""
+
+ORDINARY_SHARE = 0.5
+"""Part of the bytes that lines of ordinary successes may use."""
+
+MAX_FIELD = 200
+"""Characters of a field that are kept."""
+
+log = logbook.Logger("journal")
+
+
+class Handler(logbook.Handler):
+    """Writes records to a descriptor that is never waited for."""
+
+    def __init__(self, descriptor: int | None = None) -> None:
+        """Write to standard output by default."""
+        super().__init__(level=logbook.INFO)
+        self._descriptor = sys.stdout.fileno() if descriptor is None else descriptor
+        os.set_blocking(self._descriptor, False)
+        self.dropped = 0
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write a record, or count it as dropped if nobody reads."""
+        try:
+            os.write(self._descriptor, record.message.encode() + b"\n")
+        except OSError:
+            self.dropped += 1
+
+
+class Journal:
+    """Writes a process's decisions.
+
+    :param vm: name of this VM, on each line.
+    """
+
+    def __init__(self, vm: str, registry: metrics.Registry) -> None:
+        """Start with nothing written."""
+        self.vm = vm
+        self.registry = registry
+        self.dropped = 0
+        self._second = 0
+        self._written = 0
+        self._dropped_before = 0
+
+    def note(self, event: str, **fields: typing.Any) -> None:
+        """Write a line about a decision that is kept as long as there is room."""
+        self._write(event, fields, 1.0)
+
+    def note_ordinary(self, event: str, **fields: typing.Any) -> None:
+        """Write a line that gives way first when there are too many."""
+        self._write(event, fields, ORDINARY_SHARE)
+
+    def _write(self, event: str, fields: dict[str, typing.Any], share: float) -> None:
+        self.registry.count(metrics.label_name("events", event=event))
+        now = time.time()
+        if int(now) != self._second:
+            self._second = int(now)
+            self._written = 0
+            self._tell_dropped(now)
+        line = self._format(event, now, fields)
+        if self._written + len(line) > MAX_BYTES_PER_SECOND * share:
+            self.dropped += 1
+            self.registry.count("log_lines_dropped")
+            return
+        self._written += len(line)
+        log.info("{}", line)
+
+    def _tell_dropped(self, now: float) -> None:
+        lost = self.dropped - self._dropped_before
+        if lost:
+            self._dropped_before = self.dropped
+            log.info("{}", self._format("lines_dropped", now, {"count": lost}))
+
+    def _format(self, event: str, now: float, fields: dict[str, typing.Any]) -> str:
+        line: dict[str, typing.Any] = {
+            "at": round(now, 3),
+            "vm": self.vm,
+            "event": event,
+        }
+        for name, value in fields.items():
+            if isinstance(value, float):
+                value = round(value, 4)
+            elif isinstance(value, str):
+                value = value[:MAX_FIELD]
+            line[name] = value
+        return json.dumps(line, separators=(",", ":"), default=str)
--- /dev/null
+++ b/src/sardinehold/node/leader.py
@@ -0,0 +1,285 @@
+"""What the leader does for the fleet: changes of primary, and moving tokens."""
+
+import typing
+
+import anyio
+import logbook
+
+from sardinehold import errors
+from sardinehold.core import quota
+from sardinehold.node import budget
+from sardinehold.node import catalog
+from sardinehold.node import clock
+from sardinehold.node import failover
+from sardinehold.node import ports
+from sardinehold.node import reports
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import node as nodes
+
+HEARD_WITHIN = 1.0
+"""Seconds for which a report counts: four of them may be lost."""
+
+SUSPECT_AFTER = 0.5
+"""Seconds for which a primary must be out of reach before it counts as failing:
+longer than a queue in front of its slots."""
+
+LOOK_INTERVAL = 0.1
+"""Seconds between looks at the groups."""
+
+CREATE_DELAY = 0.3
+"""Seconds between attempts to find out who leads a group that has no state."""
+
+FAILURE_DELAY = 0.5
+"""Seconds before a change of primary that failed starts anew."""
+
+CONTROL_TEAM = "sardinehold"
+"""The name in which connections for questions about logs are opened."""
+
+log = logbook.Logger("leader")
+
+
+class Heard:
+    """The last report of a node."""
+
+    __slots__ = ("report", "at")
+
+    def __init__(self, report: reports.Report, at: float) -> None:
+        """Keep the report and when it came."""
+        self.report = report
+        self.at = at
+
+
+class Leader:
+    """Acts for the fleet while its node leads.
+
+    :param node: the node that leads.
+    """
+
+    def __init__(self, node: "nodes.Node") -> None:
+        """Start with nothing heard."""
+        self.node = node
+        self.heard: dict[str, Heard] = {}
+        self.allocator: quota.Allocator | None = None
+        self._working: set[str] = set()
+        self._retry_at: dict[str, float] = {}
+        self._aligned: dict[str, int] = {}
+
+    # Reports and advice
+
+    def begin(self) -> None:
+        """Start to lead; tokens of the leader before must lapse first."""
+        now = clock.read()
+        margin = 1 + 2 * clock.RATE_MARGIN
+        self.allocator = quota.Allocator(
+            self.node.leadership.version, now, now + quota.GRANT_LIFETIME * margin
+        )
+        self.configure()
+
+    def configure(self) -> None:
+        """Put the rates of the configuration in force."""
+        if self.allocator is not None and self.node.catalog is not None:
+            rates = budget.collect_rates(self.node.catalog)
+            self.allocator.configure(clock.read(), rates)
+
+    def end(self) -> None:
+        """Stop to lead."""
+        self.allocator = None
+
+    def answer(self, report: reports.Report) -> reports.Advice:
+        """Take a report and return the advice for its node."""
+        now = clock.read()
+        self.heard[report.node] = Heard(report, now)
+        self._take_evidence(report)
+        grants: list[quota.Grant] | None = None
+        if self.allocator is not None:
+            identity = f"{report.node}/{report.incarnation}"
+            grants = self.allocator.exchange(
+                now, identity, report.sequence, report.usages
+            )
+        return reports.Advice(
+            self.node.settings.name,
+            report.sent_at,
+            [group.state for group in self.node.groups.values() if group.state],
+            self.node.collect_samples(now),
+            grants or [],
+            self.node.catalog.version if self.node.catalog else 0,
+            report.sequence,
+            clock.read(),
+        )
+
+    def _take_evidence(self, report: reports.Report) -> None:
+        """Take what another node knows of the primaries' logs."""
+        for name, (age, position) in report.samples.items():
+            group = self.node.groups.get(name)
+            asked = report.date(age)
+            if group is None or group.state is None or asked is None:
+                continue
+            if report.states.get(name) == group.state.version:
+                group.evidence.note_position(asked, position)
+
+    def count_heard(self, now: float) -> int:
+        """Return how many nodes reported of late, this one included."""
+        return len(self._list_heard(now))
+
+    def _list_heard(self, now: float) -> list[reports.Report]:
+        return [
+            heard.report
+            for heard in self.heard.values()
+            if now - heard.at < HEARD_WITHIN
+        ]
+
+    # Looking after the groups
+
+    async def run(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Look after all groups until cancelled."""
+        while True:
+            if self.leads() and self.node.catalog is not None:
+                for name, group in list(self.node.groups.items()):
+                    if name not in self._working:
+                        self._look(tasks, name, group.state)
+            await anyio.sleep(LOOK_INTERVAL)
+
+    def _look(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        name: str,
+        state: catalog.GroupState | None,
+    ) -> None:
+        now = clock.read()
+        if now < self._retry_at.get(name, 0.0):
+            return
+        work: typing.Callable[..., typing.Awaitable[None]]
+        if state is None:
+            work = self._create
+        elif state.phase is catalog.Phase.SEALED or self._is_lost(state, now):
+            work = self._replace
+        elif self._is_leaving(state):
+            work = self._hand_over
+        elif self._aligned.get(name) != state.version:
+            work = self._align
+        else:
+            return
+        self._working.add(name)
+        tasks.start_soon(self._guard, work, name)
+
+    async def _guard(
+        self, work: typing.Callable[[str], typing.Awaitable[None]], name: str
+    ) -> None:
+        try:
+            await work(name)
+        except (errors.SardineholdError, ports.ConnectionLost) as error:
+            self.note("work_failed", group=name, work=work.__name__, reason=str(error))
+            self._retry_at[name] = clock.read() + FAILURE_DELAY
+        finally:
+            self._working.discard(name)
+
+    def _is_lost(self, state: catalog.GroupState, now: float) -> bool:
+        """Return whether enough nodes cannot reach a primary."""
+        group = self.node.groups[state.group]
+        primary = group.primary
+        if primary is None or primary.gone_since is not None:
+            return True
+        heard = self._list_heard(now)
+        failing = sum(
+            report.failing.get(state.primary, 0.0) >= SUSPECT_AFTER for report in heard
+        )
+        return failover.is_suspect(failing, len(heard))
+
+    def _is_leaving(self, state: catalog.GroupState) -> bool:
+        primary = self.node.groups[state.group].primary
+        if primary is None or primary.leaving_since is None:
+            return False
+        others = self.node.groups[state.group].endpoints.values()
+        return any(other.takes_new_work() for other in others if other is not primary)
+
+    async def _create(self, name: str) -> None:
+        """Find out who leads a group that the store knows nothing of."""
+        for record in self.list_records(name):
+            try:
+                with anyio.fail_after(failover.ASK_TIMEOUT):
+                    connection = await self.open_control(record)
+                    try:
+                        status = await connection.read_status(
+                            clock.read() + failover.ASK_TIMEOUT
+                        )
+                    finally:
+                        connection.close()
+            except (ports.ConnectionLost, ports.OpeningFailed, TimeoutError):
+                continue
+            if status is not None and status.is_primary:
+                state = catalog.GroupState(
+                    name, status.term, record.name, catalog.Phase.SERVING
+                )
+                await self.write_state(state)
+                self.note("created", group=name, term=status.term, primary=record.name)
+                return
+        self._retry_at[name] = clock.read() + CREATE_DELAY
+
+    async def _replace(self, name: str) -> None:
+        await self._run_procedure(name, planned=False)
+
+    async def _hand_over(self, name: str) -> None:
+        await self._run_procedure(name, planned=True)
+
+    async def _run_procedure(self, name: str, planned: bool) -> None:
+        config = self.node.catalog.groups.get(name)
+        sync = config.sync_replicas if config is not None else 1
+        await failover.Procedure(self, name, sync, planned).run()
+
+    async def _align(self, name: str) -> None:
+        """Bring the others behind a primary that this leader did not put in force."""
+        state = self.find_state(name)
+        if state is not None and await failover.align(self, name, state):
+            self._aligned[name] = state.version
+        else:
+            self._retry_at[name] = clock.read() + FAILURE_DELAY
+
+    # What the procedure needs
+
+    def leads(self) -> bool:
+        """Return whether this node may still act."""
+        return self.node.leadership.leads(clock.read())
+
+    def list_records(self, group: str) -> list[catalog.EndpointRecord]:
+        """Return the endpoints of a group that may hold a log."""
+        found = self.node.groups.get(group)
+        return [item.record for item in found.endpoints.values()] if found else []
+
+    def find_state(self, group: str) -> catalog.GroupState | None:
+        """Return the group's state as the store has it."""
+        return self.node.groups[group].state
+
+    async def write_state(self, state: catalog.GroupState) -> catalog.GroupState:
+        """Store a state if the one it came from is still there."""
+        return await self.node.write_state(state)
+
+    def is_seal_known(self, group: str, version: int) -> bool:
+        """Return whether every node has given up the old primary."""
+        now = clock.read()
+        for name in self.node.members:
+            heard = self.heard.get(name)
+            if heard is None or now - heard.at > HEARD_WITHIN:
+                return False
+            if heard.report.states.get(group, 0) < version:
+                return False
+        return bool(self.node.members)
+
+    def tell_soon(self) -> None:
+        """Tell all nodes of the state without delay."""
+        self.node.announce()
+
+    async def open_control(self, record: catalog.EndpointRecord) -> ports.Connection:
+        """Open a connection for questions about the log."""
+        return await self.node.connector.open(
+            record, CONTROL_TEAM, clock.read() + failover.ASK_TIMEOUT
+        )
+
+    async def order_promotion(self, group: str, endpoint: str, token: int) -> None:
+        """Order an endpoint to lead."""
+        holder = self.node.settings.name
+        await self.node.duty.promote(group, endpoint, holder, token)
+
+    def note(self, event: str, **fields: object) -> None:
+        """Write a line about a step."""
+        self.node.journal.note(f"failover_{event}", **fields)
--- /dev/null
+++ b/src/sardinehold/node/leadership.py
@@ -0,0 +1,125 @@
+"""Which node acts for the fleet: one at a time, by conditional writes.
+
+The leader orders changes of primary and moves the teams' tokens. It renews its
+object in the store; it acts only while its last renewal is younger than
+``LEASE``, and another node takes over only when the object has not changed for
+longer. A leader that stops says so, and is followed at once.
+"""
+
+from sardinehold import objects
+
+NAME = "leader"
+"""Name of the leader's object."""
+
+RENEW_INTERVAL = 0.7
+"""Seconds between renewals: two may fail before the lease lapses."""
+
+LEASE = 2.0
+"""Seconds from the sending of a renewal during which the leader may act."""
+
+TAKEOVER_AFTER = 2.6
+"""Seconds without a change after which another node takes over; longer than
+``LEASE`` by more than a suspended call can hide."""
+
+TAKEOVER_SPREAD = 0.5
+"""Seconds over which candidates spread, so that not all write at once."""
+
+RETRY_DELAY = 0.2
+"""Seconds before another attempt to write."""
+
+
+class Leadership:
+    """Decides when this node takes, renews or leaves the lead.
+
+    :param node: name of this node.
+    :param incarnation: identity of this start of its process.
+    :param spread: number from 0 to 1 that differs between nodes.
+    """
+
+    __slots__ = (
+        "node",
+        "incarnation",
+        "spread",
+        "version",
+        "holder",
+        "holder_incarnation",
+        "leads_until",
+        "is_known",
+        "_changed_at",
+        "_next_write",
+    )
+
+    def __init__(self, node: str, incarnation: str, spread: float) -> None:
+        """Start without knowing who leads."""
+        self.node = node
+        self.incarnation = incarnation
+        self.spread = spread
+        self.version = 0
+        self.holder = ""
+        self.holder_incarnation = ""
+        self.leads_until = float("-inf")
+        self.is_known = False
+        self._changed_at = 0.0
+        self._next_write = 0.0
+
+    def observe(self, stored: objects.StoredObject | None, now: float) -> None:
+        """Take the leader's object as the store has it; None if there is none."""
+        if not self.is_known:
+            self.is_known = True
+            self._changed_at = now
+        if stored is None:
+            self.version, self.holder, self.holder_incarnation = 0, "", ""
+            return
+        if stored.version <= self.version:
+            return
+        value = stored.value or {}
+        self.version = stored.version
+        self.holder = str(value.get("node", ""))
+        self.holder_incarnation = str(value.get("incarnation", ""))
+        self._changed_at = now
+        if not self._is_own():
+            self.leads_until = float("-inf")
+
+    def leads(self, now: float) -> bool:
+        """Return whether this node may act for the fleet."""
+        return now < self.leads_until
+
+    def find_next_write(self, now: float) -> float:
+        """Return when to write the object, a time in the past for at once."""
+        if not self.is_known:
+            return float("inf")
+        if self._is_own() or not self.holder:
+            return self._next_write
+        due = self._changed_at + TAKEOVER_AFTER + self.spread * TAKEOVER_SPREAD
+        if self.holder == self.node:
+            # An earlier start of this process led; it is gone.
+            due = self._changed_at
+        return max(due, self._next_write)
+
+    def note_written(self, asked: float, version: int) -> None:
+        """Note that a write sent at ``asked`` made this node the leader."""
+        self.version = version
+        self.holder, self.holder_incarnation = self.node, self.incarnation
+        self.leads_until = asked + LEASE
+        self._next_write = asked + RENEW_INTERVAL
+
+    def note_failed(self, now: float) -> None:
+        """Note that a write failed or met another version."""
+        self._next_write = now + RETRY_DELAY * (1.0 + self.spread)
+
+    def resign(self) -> None:
+        """Stop acting at once."""
+        self.leads_until = float("-inf")
+
+    def make_value(self) -> dict:
+        """Return the object's value that makes this node the leader."""
+        return {"node": self.node, "incarnation": self.incarnation}
+
+    def make_farewell(self) -> dict:
+        """Return the object's value that leaves the lead to anyone."""
+        return {"node": "", "incarnation": ""}
+
+    def _is_own(self) -> bool:
+        return (
+            self.holder == self.node and self.holder_incarnation == self.incarnation
+        )
--- /dev/null
+++ b/src/sardinehold/node/placement.py
@@ -0,0 +1,109 @@
+"""Where a statement runs.
+
+Answers the load of a few slots shared by all nodes, some endpoints slow, far or
+behind: a read goes where its row is expected soonest, counting the way, what is
+in front of it, and a connection that would have to be opened first.
+"""
+
+from sardinehold.core import positions
+
+OPENING_SECONDS = 0.03
+"""Expected cost of opening a connection: its handshake's slot and two ways."""
+
+LAG_MEMORY = 0.15
+"""Seconds for which an endpoint that was behind is not asked for the position
+that it lacked; about the time in which a replica applies a commit."""
+
+
+class Candidate:
+    """An endpoint as a placement sees it.
+
+    :param round_trip: seconds to it and back.
+    :param service: seconds that a statement takes there of late.
+    :param in_flight: this node's statements that run there.
+    :param has_idle: whether a connection of the team is free.
+    :param may_open: whether another connection may be opened.
+    :param is_primary: whether it leads the group.
+    :param applied: the position that it answered last, None if unknown.
+    :param lacked: a position that it lacked, None if it lacked none of late.
+    """
+
+    __slots__ = (
+        "name",
+        "round_trip",
+        "service",
+        "in_flight",
+        "has_idle",
+        "may_open",
+        "is_primary",
+        "applied",
+        "lacked",
+        "slots",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        round_trip: float,
+        service: float,
+        in_flight: int = 0,
+        has_idle: bool = True,
+        may_open: bool = True,
+        is_primary: bool = False,
+        applied: positions.Position | None = None,
+        lacked: positions.Position | None = None,
+        slots: int = 1,
+    ) -> None:
+        """Keep the parts of the candidate."""
+        self.name = name
+        self.round_trip = round_trip
+        self.service = service
+        self.in_flight = in_flight
+        self.has_idle = has_idle
+        self.may_open = may_open
+        self.is_primary = is_primary
+        self.applied = applied
+        self.lacked = lacked
+        self.slots = slots
+
+
+def expect_seconds(candidate: Candidate) -> float:
+    """Return the seconds until an answer is expected from an endpoint."""
+    queued = candidate.in_flight / candidate.slots
+    expected = candidate.round_trip + candidate.service * (1.0 + queued)
+    if not candidate.has_idle:
+        expected += OPENING_SECONDS + candidate.round_trip
+    return expected
+
+
+def may_have(candidate: Candidate, floor: positions.Position) -> bool:
+    """Return whether an endpoint may be asked for a read at a position."""
+    if candidate.applied is not None and candidate.applied >= floor:
+        return True
+    return candidate.lacked is None or candidate.lacked > floor
+
+
+def choose_for_read(
+    candidates: list[Candidate],
+    floor: positions.Position | None,
+    holds_lease: bool,
+) -> Candidate | None:
+    """Return the endpoint for a read, None if it has to wait.
+
+    :param floor: position that a replica must have, None if none is known.
+    :param holds_lease: whether the primary may be read without a position.
+    """
+    fitting = [
+        candidate
+        for candidate in candidates
+        if (candidate.has_idle or candidate.may_open)
+        and (
+            (candidate.is_primary and holds_lease)
+            or (
+                not candidate.is_primary
+                and floor is not None
+                and may_have(candidate, floor)
+            )
+        )
+    ]
+    return min(fitting, key=expect_seconds, default=None)
--- /dev/null
+++ b/src/sardinehold/node/pool.py
@@ -0,0 +1,229 @@
+"""Connections of one node to one endpoint: a bounded share, kept warm.
+
+A connection belongs to one team, because the endpoint is told the team when it
+is opened. When the share is used up, the connection that has been idle longest
+gives way to another team's.
+"""
+
+import typing
+
+from sardinehold.core import positions
+from sardinehold.node import catalog
+from sardinehold.node import placement
+from sardinehold.node import ports
+from sardinehold.node import statements
+
+SERVICE_SMOOTHING = 0.15
+"""Weight of the newest answer in the moving average of the service time."""
+
+INITIAL_SERVICE = 0.03
+"""Seconds that a statement is taken to need before one was measured."""
+
+RETRY_FIRST = 0.05
+"""Seconds before opening is tried again after the first failure."""
+
+RETRY_LIMIT = 1.0
+"""Seconds that the growing wait between attempts ends at; a small part of the time
+in which a crashed endpoint is back."""
+
+ROUND_TRIPS = (0.002, 0.004, 0.02)
+"""Seconds to an endpoint in the own zone, region, or elsewhere, until measured."""
+
+
+class Pooled:
+    """One open connection and what is set on it.
+
+    :param team: the team in whose name it was opened.
+    :param values: variables that are set on it.
+    :param prepared: shared names of the statements that it holds.
+    :param idle_since: when it was given back.
+    """
+
+    __slots__ = (
+        "connection",
+        "endpoint",
+        "team",
+        "values",
+        "prepared",
+        "idle_since",
+        "is_lost",
+    )
+
+    def __init__(
+        self, connection: ports.Connection, endpoint: "Endpoint", team: str
+    ) -> None:
+        """Start with nothing set."""
+        self.connection = connection
+        self.endpoint = endpoint
+        self.team = team
+        self.values: dict[str, str] = {}
+        self.prepared: set[str] = set()
+        self.idle_since = 0.0
+        self.is_lost = False
+
+
+class Endpoint:
+    """One endpoint as this node sees it.
+
+    :param share: connections that this node may hold.
+    :param in_flight: statements that run there for this node.
+    :param service: seconds a statement takes, a moving average.
+    :param failures: attempts to connect in a row that failed.
+    :param retry_at: before when no connection is opened.
+    :param failing_since: when it was first found unreachable, None if it is not.
+    :param answered_at: when it last answered anything.
+    :param leaving_since: when it was first seen draining or gone, or None.
+    """
+
+    __slots__ = (
+        "record",
+        "share",
+        "connections",
+        "idle",
+        "opening",
+        "in_flight",
+        "service",
+        "applied",
+        "lacked",
+        "lacked_until",
+        "failures",
+        "retry_at",
+        "failing_since",
+        "answered_at",
+        "leaving_since",
+        "gone_since",
+        "distance",
+    )
+
+    def __init__(self, record: catalog.EndpointRecord, distance: int) -> None:
+        """Start with no connection."""
+        self.record = record
+        self.distance = distance
+        self.share = 1
+        self.connections: set[Pooled] = set()
+        self.idle: list[Pooled] = []
+        self.opening = 0
+        self.in_flight = 0
+        self.service = INITIAL_SERVICE
+        self.applied: positions.Position | None = None
+        self.lacked: positions.Position | None = None
+        self.lacked_until = 0.0
+        self.failures = 0
+        self.retry_at = 0.0
+        self.failing_since: float | None = None
+        self.answered_at = float("-inf")
+        self.leaving_since: float | None = None
+        self.gone_since: float | None = None
+
+    @property
+    def name(self) -> str:
+        """The endpoint's name."""
+        return self.record.name
+
+    @property
+    def round_trip(self) -> float:
+        """Seconds to the endpoint and back."""
+        return ROUND_TRIPS[self.distance]
+
+    def takes_new_work(self) -> bool:
+        """Return whether it is neither leaving nor gone."""
+        return self.leaving_since is None and self.gone_since is None
+
+    def has_idle(self, team: str) -> bool:
+        """Return whether a connection of the team is free."""
+        return any(pooled.team == team for pooled in self.idle)
+
+    def may_open(self, now: float) -> bool:
+        """Return whether another connection may be opened, one giving way if need be."""
+        if now < self.retry_at:
+            return False
+        count = len(self.connections) + self.opening
+        return count < self.share or bool(self.idle)
+
+    def take_idle(self, team: str, values: dict[str, str]) -> Pooled | None:
+        """Take a free connection of the team, one with equal variables if possible."""
+        found = None
+        for pooled in reversed(self.idle):
+            if pooled.team != team:
+                continue
+            if pooled.values == values:
+                found = pooled
+                break
+            found = found or pooled
+        if found is not None:
+            self.idle.remove(found)
+        return found
+
+    def make_room(self) -> Pooled | None:
+        """Take out the connection that has been idle longest if the share is used up."""
+        if len(self.connections) + self.opening < self.share or not self.idle:
+            return None
+        oldest = self.idle.pop(0)
+        self.connections.discard(oldest)
+        return oldest
+
+    def note_failure(self, now: float, jitter: float) -> None:
+        """Wait longer after each failed attempt."""
+        wait = min(RETRY_LIMIT, RETRY_FIRST * 2 ** min(self.failures, 10))
+        self.failures += 1
+        self.retry_at = now + wait * (0.5 + jitter)
+        if self.failing_since is None:
+            self.failing_since = now
+
+    def note_answer(self, now: float) -> None:
+        """Take an answer as proof that the endpoint is reachable."""
+        self.answered_at = now
+        self.failures = 0
+        self.retry_at = 0.0
+        self.failing_since = None
+
+    def note_service(self, seconds: float) -> None:
+        """Take the time of a statement into the average, the way excluded."""
+        seconds = max(0.001, seconds - self.round_trip)
+        self.service += SERVICE_SMOOTHING * (seconds - self.service)
+
+    def note_lack(self, floor: positions.Position, now: float) -> None:
+        """Remember a position that the endpoint did not have."""
+        self.lacked = floor
+        self.lacked_until = now + placement.LAG_MEMORY
+
+    def describe(
+        self, now: float, team: str, is_primary: bool
+    ) -> placement.Candidate:
+        """Return the endpoint as a placement sees it."""
+        return placement.Candidate(
+            self.name,
+            self.round_trip,
+            self.service,
+            self.in_flight,
+            self.has_idle(team),
+            self.may_open(now),
+            is_primary,
+            self.applied,
+            self.lacked if now < self.lacked_until else None,
+            self.record.slots,
+        )
+
+
+def find_missing(
+    pooled: Pooled,
+    values: dict[str, str],
+    definitions: typing.Iterable[statements.Definition],
+) -> tuple[bool, dict[str, str], list[statements.Definition]]:
+    """Return what a connection lacks for a session.
+
+    :returns: whether it must be reset, the variables to set, and the statements
+        to prepare, both counted from after the reset.
+    """
+    needs_reset = any(name not in values for name in pooled.values)
+    held_values = {} if needs_reset else pooled.values
+    held_prepared: set[str] = set() if needs_reset else pooled.prepared
+    missing = {
+        name: value for name, value in values.items() if held_values.get(name) != value
+    }
+    to_prepare = [
+        definition
+        for definition in definitions
+        if definition.shared_name not in held_prepared
+    ]
+    return needs_reset, missing, to_prepare
--- /dev/null
+++ b/src/sardinehold/node/reports.py
@@ -0,0 +1,233 @@
+"""What nodes report to the leader, and what it answers.
+
+Every moment travels as an age, and is dated by the receiver from a reading of its
+own clock that was taken before the message was made: the answer carries the
+reading that the report brought. So no delay on the way makes anything look newer.
+"""
+
+import typing
+
+from sardinehold.core import positions
+from sardinehold.core import quota
+from sardinehold.node import catalog
+from sardinehold.node import clock
+
+
+class Report:
+    """What a node tells the leader.
+
+    :param sent_at: the node's clock, to be echoed.
+    :param states: version of each group's state that the node acts on.
+    :param samples: newest position of each primary, with its age.
+    :param commits: age of the newest evidence that a primary still leads.
+    :param failing: endpoints that it cannot reach, with the seconds since when.
+    :param sequence: number of the exchange with the allocator.
+    :param echo: the leader's clock as its last advice told it, None before one.
+    :param held: seconds since that advice came.
+    """
+
+    __slots__ = (
+        "node",
+        "incarnation",
+        "sent_at",
+        "states",
+        "samples",
+        "commits",
+        "failing",
+        "sequence",
+        "usages",
+        "catalog_version",
+        "echo",
+        "held",
+    )
+
+    def __init__(
+        self,
+        node: str,
+        incarnation: str,
+        sent_at: float,
+        states: dict[str, int],
+        samples: dict[str, tuple[float, positions.Position]],
+        commits: dict[str, float],
+        failing: dict[str, float],
+        sequence: int,
+        usages: list[quota.Usage],
+        catalog_version: int,
+        echo: float | None = None,
+        held: float = 0.0,
+    ) -> None:
+        """Keep the parts of the report."""
+        self.node = node
+        self.incarnation = incarnation
+        self.sent_at = sent_at
+        self.states = states
+        self.samples = samples
+        self.commits = commits
+        self.failing = failing
+        self.sequence = sequence
+        self.usages = usages
+        self.catalog_version = catalog_version
+        self.echo = echo
+        self.held = held
+
+    def date(self, age: float) -> float | None:
+        """Return an instant of the leader's clock, no later than ``age`` ago.
+
+        None if the report came before any advice: nothing can be dated then.
+        """
+        if self.echo is None:
+            return None
+        margin = clock.RATE_MARGIN
+        return self.echo + self.held * (1 - margin) - age * (1 + margin)
+
+    def dump(self) -> dict:
+        """Return the message."""
+        return {
+            "kind": "report",
+            "node": self.node,
+            "inc": self.incarnation,
+            "at": self.sent_at,
+            "states": self.states,
+            "samples": _dump_samples(self.samples),
+            "commits": {name: round(age, 4) for name, age in self.commits.items()},
+            "failing": {name: round(age, 3) for name, age in self.failing.items()},
+            "seq": self.sequence,
+            "usages": [
+                [usage.team, usage.left, usage.returned, usage.wanted, usage.received]
+                for usage in self.usages
+            ],
+            "catalog": self.catalog_version,
+            "echo": self.echo,
+            "held": self.held,
+        }
+
+
+class Advice:
+    """What the leader answers.
+
+    :param echo: the ``sent_at`` of the report.
+    :param states: the groups' states.
+    :param samples: newest positions of the primaries, with their ages.
+    :param grants: tokens moved to the node.
+    :param sent_at: the leader's clock, to be echoed.
+    """
+
+    __slots__ = (
+        "node",
+        "echo",
+        "states",
+        "samples",
+        "grants",
+        "catalog_version",
+        "sequence",
+        "sent_at",
+    )
+
+    def __init__(
+        self,
+        node: str,
+        echo: float,
+        states: list[catalog.GroupState],
+        samples: dict[str, tuple[float, positions.Position]],
+        grants: list[quota.Grant],
+        catalog_version: int,
+        sequence: int,
+        sent_at: float,
+    ) -> None:
+        """Keep the parts of the advice."""
+        self.node = node
+        self.echo = echo
+        self.states = states
+        self.samples = samples
+        self.grants = grants
+        self.catalog_version = catalog_version
+        self.sequence = sequence
+        self.sent_at = sent_at
+
+    def date(self, age: float) -> float:
+        """Return an instant of the node's clock, no later than ``age`` ago."""
+        return self.echo - age * (1 + clock.RATE_MARGIN)
+
+    def dump(self) -> dict:
+        """Return the message."""
+        return {
+            "kind": "advice",
+            "node": self.node,
+            "echo": self.echo,
+            "states": [
+                [item.group, item.version, item.term, item.primary, item.phase.value]
+                for item in self.states
+            ],
+            "samples": _dump_samples(self.samples),
+            "grants": [
+                [grant.grant_id, grant.team, grant.tokens, grant.lifetime]
+                for grant in self.grants
+            ],
+            "catalog": self.catalog_version,
+            "seq": self.sequence,
+            "at": self.sent_at,
+        }
+
+
+def _dump_samples(samples: dict[str, tuple[float, positions.Position]]) -> dict:
+    return {
+        name: [round(age, 4), position.term, position.offset]
+        for name, (age, position) in samples.items()
+    }
+
+
+def _parse_samples(value: dict) -> dict[str, tuple[float, positions.Position]]:
+    return {
+        name: (float(age), positions.Position(int(term), int(offset)))
+        for name, (age, term, offset) in value.items()
+    }
+
+
+def parse(message: dict) -> Report | Advice | None:
+    """Return what a message holds, None if it is of another kind.
+
+    :raises KeyError, TypeError, ValueError: it cannot be read.
+    """
+    parser = _PARSERS.get(message.get("kind", ""))
+    return parser(message) if parser is not None else None
+
+
+def _parse_report(message: dict) -> Report:
+    return Report(
+        message["node"],
+        message["inc"],
+        float(message["at"]),
+        {name: int(version) for name, version in message["states"].items()},
+        _parse_samples(message["samples"]),
+        {name: float(age) for name, age in message["commits"].items()},
+        {name: float(age) for name, age in message["failing"].items()},
+        int(message["seq"]),
+        [quota.Usage(*usage) for usage in message["usages"]],
+        int(message["catalog"]),
+        None if message["echo"] is None else float(message["echo"]),
+        float(message["held"]),
+    )
+
+
+def _parse_advice(message: dict) -> Advice:
+    return Advice(
+        message["node"],
+        float(message["echo"]),
+        [
+            catalog.GroupState(
+                group, int(term), primary, catalog.Phase(phase), int(version)
+            )
+            for group, version, term, primary, phase in message["states"]
+        ],
+        _parse_samples(message["samples"]),
+        [quota.Grant(*grant) for grant in message["grants"]],
+        int(message["catalog"]),
+        int(message["seq"]),
+        float(message["at"]),
+    )
+
+
+_PARSERS: dict[str, typing.Callable[[dict], Report | Advice]] = {
+    "report": _parse_report,
+    "advice": _parse_advice,
+}
--- /dev/null
+++ b/src/sardinehold/node/settings.py
@@ -0,0 +1,91 @@
+"""Settings of a node, whatever file they come from."""
+
+
+class Settings:
+    """What a node is told at its start.
+
+    :param name: name of the VM, unique in the fleet.
+    :param zone: its availability zone.
+    :param zones: region of each zone.
+    :param listen: host and port for callers.
+    :param ready_listen: host and port of the readiness probe.
+    :param peer_listen: host and port for datagrams of other nodes.
+    :param metrics_port: port of the metrics page.
+    :param store: host and port of the platform's store.
+    :param duty: host and port where changes of primary are ordered.
+    :param grace: seconds from the stop signal to the kill.
+    :param endpoint_drain: seconds in which a leaving endpoint may get new work.
+    :param quota_window: seconds that rates are judged over.
+    :param quota_overage: fraction that a team may exceed its rate by.
+    :param quota_slack: operations that it may exceed it by on top.
+    :param heartbeat: seconds between reports of an endpoint to the store.
+    """
+
+    __slots__ = (
+        "name",
+        "zone",
+        "zones",
+        "listen",
+        "ready_listen",
+        "peer_listen",
+        "metrics_port",
+        "store",
+        "duty",
+        "grace",
+        "endpoint_drain",
+        "quota_window",
+        "quota_overage",
+        "quota_slack",
+        "heartbeat",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        zones: dict[str, str],
+        listen: tuple[str, int],
+        ready_listen: tuple[str, int],
+        peer_listen: tuple[str, int],
+        metrics_port: int,
+        store: tuple[str, int],
+        duty: tuple[str, int],
+        grace: float = 6.0,
+        endpoint_drain: float = 7.0,
+        quota_window: float = 5.0,
+        quota_overage: float = 0.1,
+        quota_slack: float = 20.0,
+        heartbeat: float = 1.2,
+    ) -> None:
+        """Keep the settings."""
+        self.name = name
+        self.zone = zone
+        self.zones = zones
+        self.listen = listen
+        self.ready_listen = ready_listen
+        self.peer_listen = peer_listen
+        self.metrics_port = metrics_port
+        self.store = store
+        self.duty = duty
+        self.grace = grace
+        self.endpoint_drain = endpoint_drain
+        self.quota_window = quota_window
+        self.quota_overage = quota_overage
+        self.quota_slack = quota_slack
+        self.heartbeat = heartbeat
+
+    def take_bounds(self, newer: "Settings") -> None:
+        """Take over what may change while the process runs: bounds, not addresses."""
+        self.grace = newer.grace
+        self.endpoint_drain = newer.endpoint_drain
+        self.quota_window = newer.quota_window
+        self.quota_overage = newer.quota_overage
+        self.quota_slack = newer.quota_slack
+        self.heartbeat = newer.heartbeat
+
+    def measure_distance(self, zone: str) -> int:
+        """Return 0 for the own zone, 1 for the own region, 2 for others."""
+        if zone == self.zone:
+            return 0
+        region = self.zones.get(self.zone)
+        return 1 if region is not None and self.zones.get(zone) == region else 2
--- /dev/null
+++ b/src/sardinehold/platform/callers.py
@@ -0,0 +1,293 @@
+"""The callers' side of the line protocol."""
+
+import asyncio
+import typing
+
+from sardinehold.node import session as sessions
+from sardinehold.node import statements
+from sardinehold.platform import endpoints
+from sardinehold.platform import lines
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import node as nodes
+
+START_TIMEOUT = 10.0
+"""Seconds that a caller may take to greet; it frees descriptors of callers that
+never do."""
+
+MAX_PENDING = 64
+"""Lines that a caller may send ahead of its answers before it is not read."""
+
+_CODES = {
+    statements.Failure.BUSY: "BUSY",
+    statements.Failure.LAGGING: "LAGGING",
+    statements.Failure.READ_ONLY: "READONLY",
+    statements.Failure.WRONG_ENDPOINT: "WRONGNODE",
+    statements.Failure.CONNECTION_LIMIT: "CONNLIMIT",
+    statements.Failure.ABORTED: "ABORTED",
+    statements.Failure.UNKNOWN_STATEMENT: "NOSTMT",
+    statements.Failure.FAILED: "FAILED",
+    statements.Failure.TIMEOUT: "TIMEOUT",
+    statements.Failure.IN_DOUBT: "INDOUBT",
+    statements.Failure.DENIED: "DENIED",
+    statements.Failure.UNKNOWN_ROUTE: "NODB",
+    statements.Failure.TOO_LARGE: "TOOLARGE",
+    statements.Failure.MALFORMED: "MALFORMED",
+}
+
+_ENDING = frozenset({statements.Failure.DENIED, statements.Failure.UNKNOWN_ROUTE})
+"""Failures behind which a session is of no use any more."""
+
+
+def parse_statement(request_id: str, text: str) -> statements.Statement:
+    """Return the statement that a query text holds.
+
+    :raises sardinehold.platform.lines.MalformedLine: it is none that callers
+        may send; what endpoints take beside must not be passed on.
+    """
+    word, _, rest = text.partition(" ")
+    parse = _PARSERS.get(word)
+    if parse is None:
+        raise lines.MalformedLine
+    statement = parse(request_id, text, rest)
+    if statement is None:
+        raise lines.MalformedLine
+    return statement
+
+
+def _parse_bare(kind: statements.Kind) -> typing.Callable:
+    def parse(request_id: str, text: str, rest: str) -> statements.Statement | None:
+        if rest or text.endswith(" "):
+            return None
+        return statements.Statement(request_id, text, kind)
+
+    return parse
+
+
+def _parse_begin(
+    request_id: str, text: str, rest: str
+) -> statements.Statement | None:
+    if text == "BEGIN":
+        return statements.Statement(request_id, text, statements.Kind.BEGIN)
+    if text == "BEGIN READ":
+        return statements.Statement(request_id, text, statements.Kind.BEGIN_READ)
+    return None
+
+
+def _parse_read(request_id: str, text: str, rest: str) -> statements.Statement | None:
+    if not rest or " " in rest:
+        return None
+    return statements.Statement(request_id, text, statements.Kind.READ)
+
+
+def _parse_write(request_id: str, text: str, rest: str) -> statements.Statement | None:
+    item, blank, _ = rest.partition(" ")
+    if not item or not blank:
+        return None
+    return statements.Statement(request_id, text, statements.Kind.WRITE)
+
+
+def _parse_set(request_id: str, text: str, rest: str) -> statements.Statement | None:
+    name, blank, value = rest.partition(" ")
+    if not name or not blank:
+        return None
+    return statements.Statement(request_id, text, statements.Kind.SET, name, value)
+
+
+def _parse_prepare(
+    request_id: str, text: str, rest: str
+) -> statements.Statement | None:
+    parts = rest.split(" ", 2)
+    if len(parts) < 3 or parts[1] not in ("READ", "WRITE") or not all(parts):
+        return None
+    definition = statements.Definition(parts[1] == "WRITE", parts[2])
+    return statements.Statement(
+        request_id, text, statements.Kind.PREPARE, parts[0], definition=definition
+    )
+
+
+def _parse_execute(
+    request_id: str, text: str, rest: str
+) -> statements.Statement | None:
+    name, blank, arguments = rest.partition(" ")
+    if not name or not blank or not arguments:
+        return None
+    return statements.Statement(
+        request_id, text, statements.Kind.EXECUTE, name, arguments=arguments
+    )
+
+
+def _parse_deallocate(
+    request_id: str, text: str, rest: str
+) -> statements.Statement | None:
+    if not rest or " " in rest:
+        return None
+    return statements.Statement(request_id, text, statements.Kind.DEALLOCATE, rest)
+
+
+_PARSERS = {
+    "BEGIN": _parse_begin,
+    "COMMIT": _parse_bare(statements.Kind.COMMIT),
+    "ROLLBACK": _parse_bare(statements.Kind.ROLLBACK),
+    "READ": _parse_read,
+    "WRITE": _parse_write,
+    "SET": _parse_set,
+    "PREPARE": _parse_prepare,
+    "EXECUTE": _parse_execute,
+    "DEALLOC": _parse_deallocate,
+}
+
+
+def format_answer(answer: statements.Answer) -> bytes:
+    """Return the lines of an answer."""
+    parts = [lines.format_line("ROW", row) for row in answer.rows]
+    if answer.error is None:
+        parts.append(lines.format_line("COMPLETE", answer.signature))
+    else:
+        detail = answer.detail or answer.error.value
+        parts.append(lines.format_line("ERROR", _CODES[answer.error], detail))
+    position = endpoints.format_position(answer.position)
+    parts.append(lines.format_line("READY", answer.status, position))
+    return b"".join(parts)
+
+
+class Caller(asyncio.Protocol):
+    """One caller's connection."""
+
+    def __init__(self, node: "nodes.Node") -> None:
+        """Start unconnected."""
+        self.session: sessions.Session | None = None
+        self.is_idle = True
+        self._node = node
+        self._reader = lines.LineReader()
+        self._transport: asyncio.Transport | None = None
+        self._pending: list[str] = []
+        self._is_running = False
+        self._is_ended = False
+        self._is_paused = False
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._greeting: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take up the transport."""
+        self._transport = transport
+        endpoints.tune_socket(transport.get_extra_info("socket"))
+        loop = asyncio.get_running_loop()
+        self._greeting = loop.call_later(START_TIMEOUT, self._end)
+        self._node.callers.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Give up what the session holds."""
+        self._is_ended = True
+        self._writable.set()
+        self._greeting.cancel()
+        self._node.callers.discard(self)
+        if self.session is not None:
+            self.session.leave()
+
+    def pause_writing(self) -> None:
+        """Wait before the next answer: the caller does not read."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Go on answering."""
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of statements."""
+        if self._is_ended:
+            return
+        try:
+            found = self._reader.feed(data)
+        except lines.LineTooLong:
+            self._refuse(statements.Failure.TOO_LARGE)
+            return
+        except lines.MalformedLine:
+            self._refuse(statements.Failure.MALFORMED)
+            return
+        self._pending.extend(found)
+        if len(self._pending) > MAX_PENDING and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+        if self._pending and not self._is_running:
+            self._is_running = True
+            self._node.spawn(self._run)
+
+    async def _run(self) -> None:
+        try:
+            while self._pending and not self._is_ended:
+                await self._take_line(self._pending.pop(0))
+                await self._writable.wait()
+                if self._is_paused and len(self._pending) < MAX_PENDING // 2:
+                    self._is_paused = False
+                    self._transport.resume_reading()
+        finally:
+            self._is_running = False
+            self._node.note_rest(self)
+
+    async def _take_line(self, line: str) -> None:
+        try:
+            word, *fields = lines.split_fields(line, 2)
+            if word == "CLOSE":
+                self._end()
+            elif word == "START" and self.session is None and len(fields) == 2:
+                self._start(*fields)
+            elif word == "QUERY" and self.session is not None and len(fields) == 2:
+                await self._query(*fields)
+            else:
+                raise lines.MalformedLine
+        except lines.MalformedLine:
+            self._refuse(statements.Failure.MALFORMED)
+
+    def _start(self, route: str, key: str) -> None:
+        self._greeting.cancel()
+        session = sessions.Session(self._node, route, key)
+        try:
+            session.admit()
+        except sessions.Failed as error:
+            self._node.note_refused_start(route, error)
+            self._refuse(error.failure, error.detail)
+            return
+        self.session = session
+        self._write(lines.format_line("READY", "I", "-"))
+
+    async def _query(self, request_id: str, text: str) -> None:
+        if request_id == endpoints.OWN_ID:
+            raise lines.MalformedLine
+        try:
+            statement = parse_statement(request_id, text)
+        except lines.MalformedLine:
+            answer = statements.Answer(
+                [], error=statements.Failure.MALFORMED, status=self.session.status
+            )
+        else:
+            answer = await self._node.serve(self.session, statement)
+        self._write(format_answer(answer))
+        if answer.error in _ENDING and answer.status == "I":
+            self._end()
+
+    def is_resting(self) -> bool:
+        """Return whether nothing of the session is open or outstanding."""
+        if self._is_running or self._pending:
+            return False
+        return self.session is None or self.session.status == "I"
+
+    def close(self) -> None:
+        """Close a session at rest."""
+        self._end()
+
+    def _write(self, data: bytes) -> None:
+        if not self._is_ended:
+            self._transport.write(data)
+
+    def _refuse(self, failure: statements.Failure, detail: str = "") -> None:
+        """Tell why and close: what follows on the connection cannot be trusted."""
+        code = _CODES[failure]
+        self._write(lines.format_line("ERROR", code, detail or failure.value))
+        self._end()
+
+    def _end(self) -> None:
+        if not self._is_ended:
+            self._is_ended = True
+            self._transport.close()
--- /dev/null
+++ b/src/sardinehold/platform/daemon.py
@@ -0,0 +1,140 @@
+"""The node's process on the platform."""
+
+import asyncio
+import functools
+import os
+import pathlib
+import signal
+import sys
+
+import anyio
+import anyio.abc
+import logbook
+
+from sardinehold import errors
+from sardinehold import metrics
+from sardinehold.node import clock
+from sardinehold.node import journal
+from sardinehold.node import node as nodes
+from sardinehold.node import peers
+from sardinehold.node import settings
+from sardinehold.platform import callers
+from sardinehold.platform import duty
+from sardinehold.platform import endpoints
+from sardinehold.platform import local
+from sardinehold.platform import pages
+from sardinehold.platform import records
+from sardinehold.platform import store
+
+READY_PATH = "/api/readiness"
+METRICS_PATH = "/metrics"
+
+BACKLOG = 512
+"""Connections that the system keeps until they are accepted: every session of a zone
+may come at once after a restart."""
+
+UNROUTED_AFTER = 2.4
+"""Seconds after the stop signal when the balancer sends no new connections any more:
+it asks every second and leaves a node out after two misses."""
+
+FINISH_SHARE = 0.92
+"""Part of the time to the kill after which the process ends by itself."""
+
+
+def main() -> int:
+    """Run a node with the settings that the environment names."""
+    path = pathlib.Path(os.environ.get(local.VARIABLE, ""))
+    try:
+        loaded = local.load(path)
+    except errors.SettingsError as error:
+        error.show()
+        return error.exit_code
+    handler = journal.Handler()
+    with logbook.NullHandler().applicationbound(), handler.applicationbound():
+        anyio.run(serve, loaded, path)
+    return 0
+
+
+async def serve(loaded: settings.Settings, path: pathlib.Path) -> None:
+    """Serve until told to stop."""
+    registry = metrics.Registry()
+    store_client = store.StoreClient(loaded.store)
+    duty_client = duty.DutyClient(loaded.duty)
+    async with anyio.create_task_group() as tasks:
+        node = nodes.Node(
+            loaded,
+            store_client,
+            endpoints.Connector(),
+            duty_client,
+            records.Sources(),
+            tasks,
+            registry,
+        )
+        node.journal.note(
+            "started",
+            zone=loaded.zone,
+            incarnation=node.incarnation,
+            processor_seconds=sum(os.times()[:2]),
+        )
+        await _listen(node, loaded, registry)
+        tasks.start_soon(node.run)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as received:
+            async for number in received:
+                if number == signal.SIGTERM:
+                    break
+                _reload(node, path)
+            await _stop(node, clock.read() + loaded.grace * FINISH_SHARE)
+        node.journal.note("stopped", sessions=len(node.callers))
+        tasks.cancel_scope.cancel()
+
+
+async def _listen(
+    node: nodes.Node, loaded: settings.Settings, registry: metrics.Registry
+) -> None:
+    loop = asyncio.get_running_loop()
+    await loop.create_datagram_endpoint(lambda: node.peers, loaded.peer_listen)
+    await loop.create_server(
+        functools.partial(callers.Caller, node), *loaded.listen, backlog=BACKLOG
+    )
+
+    def show_ready() -> tuple[int, bytes]:
+        return (200 if node.is_ready() else 503), b""
+
+    def show_metrics() -> tuple[int, bytes]:
+        return 200, registry.format_page()
+
+    ready = functools.partial(pages.PageServer, {READY_PATH: show_ready})
+    await loop.create_server(ready, *loaded.ready_listen)
+    shown = functools.partial(pages.PageServer, {METRICS_PATH: show_metrics})
+    await loop.create_server(shown, loaded.ready_listen[0], loaded.metrics_port)
+
+
+def _reload(node: nodes.Node, path: pathlib.Path) -> None:
+    """Read the settings file again; what binds at the start stays as it is."""
+    try:
+        loaded = local.load(path)
+    except errors.SettingsError as error:
+        node.journal.note("settings_refused", reason=error.message)
+        return
+    node.settings.take_bounds(loaded)
+    node.journal.note("settings_reloaded")
+
+
+async def _stop(node: nodes.Node, deadline: float) -> None:
+    """Stop without cutting a request: not ready, then sessions as they rest."""
+    grace = node.settings.grace
+    began = clock.read()
+    node.journal.note("stopping", sessions=len(node.callers))
+    node.begin_stop()
+    await anyio.sleep(UNROUTED_AFTER)
+    node.close_resting()
+    while node.callers and clock.read() < began + grace / 2:
+        await anyio.sleep(nodes.TEND_INTERVAL)
+    while node.callers and clock.read() < deadline:
+        node.abandon_transactions()
+        node.close_resting()
+        await anyio.sleep(nodes.TEND_INTERVAL)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/sardinehold/platform/endpoints.py
@@ -0,0 +1,315 @@
+"""The endpoint's side of the line protocol."""
+
+import asyncio
+import socket
+
+from sardinehold.core import positions
+from sardinehold.node import catalog
+from sardinehold.node import clock
+from sardinehold.node import ports
+from sardinehold.node import statements
+from sardinehold.platform import lines
+
+OWN_ID = "-"
+"""Identifier of statements that sardinehold issues itself."""
+
+KEEPALIVE_IDLE = 2
+KEEPALIVE_INTERVAL = 1
+KEEPALIVE_COUNT = 2
+"""Seconds of silence before the system probes a connection, seconds between probes,
+and probes without an answer after which it is broken: a dark endpoint drops its side
+after 3 s."""
+
+USER_TIMEOUT_MS = 3000
+"""Milliseconds for which sent bytes may stay unacknowledged; a dark endpoint drops
+its side after the same time."""
+
+_FAILURES = {
+    "BUSY": statements.Failure.BUSY,
+    "LAGGING": statements.Failure.LAGGING,
+    "READONLY": statements.Failure.READ_ONLY,
+    "WRONGNODE": statements.Failure.WRONG_ENDPOINT,
+    "CONNLIMIT": statements.Failure.CONNECTION_LIMIT,
+    "ABORTED": statements.Failure.ABORTED,
+    "NOSTMT": statements.Failure.UNKNOWN_STATEMENT,
+    "FAILED": statements.Failure.FAILED,
+    "TIMEOUT": statements.Failure.TIMEOUT,
+    "INDOUBT": statements.Failure.IN_DOUBT,
+    "DENIED": statements.Failure.DENIED,
+    "NODB": statements.Failure.UNKNOWN_ROUTE,
+    "TOOLARGE": statements.Failure.TOO_LARGE,
+    "MALFORMED": statements.Failure.MALFORMED,
+}
+
+
+def parse_position(text: str) -> positions.Position | None:
+    """Return the position ``TERM.NUMBER``, None for ``-``.
+
+    :raises ValueError: the text is neither.
+    """
+    if text == "-":
+        return None
+    term, _, number = text.partition(".")
+    return positions.Position(int(term), int(number))
+
+
+def format_position(position: positions.Position | None) -> str:
+    """Return the text of a position."""
+    return "-" if position is None else f"{position.term}.{position.offset}"
+
+
+def parse_status_row(row: str) -> ports.LogStatus:
+    """Return what the row of STATUS and its kin says.
+
+    :raises ValueError: the row is none of these.
+    """
+    role, term, received, held, lag_ms, *_ = row.split(" ")
+    position = parse_position(received) or positions.START
+    # "term held" is the term of the pause in force, 0 while there is none.
+    return ports.LogStatus(
+        role == "primary", int(term), position, int(held), float(lag_ms) * 0.001
+    )
+
+
+class Connection(asyncio.Protocol):
+    """One connection to an endpoint; implements the node's connection port."""
+
+    def __init__(self) -> None:
+        """Start unconnected."""
+        self.on_lost = None
+        self._transport: asyncio.Transport | None = None
+        self._reader = lines.LineReader()
+        self._loop = asyncio.get_running_loop()
+        self._closed = False
+        self._waiting: list[asyncio.Future] = []
+        self._rows: list[str] = []
+        self._ending: tuple[str, statements.Failure | None, str] = ("", None, "")
+
+    # The transport's side
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take up the transport."""
+        self._transport = transport
+        tune_socket(transport.get_extra_info("socket"))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail what waits for an answer."""
+        self._fail()
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of answers."""
+        try:
+            for line in self._reader.feed(data):
+                self._take_line(line)
+        except (lines.LineTooLong, lines.MalformedLine, ValueError, IndexError):
+            self._fail()
+
+    def _take_line(self, line: str) -> None:
+        word, _, rest = line.partition(" ")
+        if word == "ROW":
+            self._rows.append(rest)
+        elif word == "COMPLETE":
+            self._ending = (rest, None, "")
+        elif word == "ERROR":
+            code, _, text = rest.partition(" ")
+            failure = _FAILURES.get(code, statements.Failure.FAILED)
+            self._ending = ("", failure, text)
+        elif word == "READY":
+            status, position = rest.split(" ", 1)
+            self._finish(status, parse_position(position))
+        else:
+            raise ValueError(f"word {word!r}")
+
+    def _finish(self, status: str, position: positions.Position | None) -> None:
+        signature, failure, detail = self._ending
+        answer = statements.Answer(
+            self._rows, signature, failure, detail, status, position
+        )
+        self._rows = []
+        self._ending = ("", None, "")
+        if not self._waiting:
+            raise ValueError("an answer that nobody asked for")
+        future = self._waiting.pop(0)
+        if not future.done():
+            future.set_result(answer)
+
+    def _fail(self) -> None:
+        if self._closed:
+            return
+        self._closed = True
+        self._transport.abort()
+        waiting, self._waiting = self._waiting, []
+        for future in waiting:
+            if not future.done():
+                future.set_exception(ports.ConnectionLost(True))
+        if self.on_lost is not None:
+            self.on_lost()
+
+    def close(self) -> None:
+        """Close the connection; an open transaction is rolled back."""
+        if self._closed:
+            return
+        self._closed = True
+        self.on_lost = None
+        self._transport.write(lines.format_line("CLOSE"))
+        self._transport.close()
+        for future in self._waiting:
+            if not future.done():
+                future.set_exception(ports.ConnectionLost(True))
+        self._waiting = []
+
+    # Statements
+
+    async def start(self, group: str, team: str, name: str, deadline: float) -> None:
+        """Greet the endpoint.
+
+        :raises sardinehold.node.ports.OpeningFailed: it refused or is silent.
+        """
+        future = self._expect()
+        self._transport.write(lines.format_line("START", group, team, name))
+        try:
+            answer = await self._wait([future], deadline)
+        except ports.ConnectionLost as error:
+            # A refusal is an ERROR line and the end of the connection.
+            _, failure, detail = self._ending
+            raise ports.OpeningFailed(failure, detail) from error
+        if answer[0].error is not None:
+            self.close()
+            raise ports.OpeningFailed(answer[0].error, answer[0].detail)
+
+    async def run(
+        self,
+        statement: statements.Statement,
+        deadline: float,
+        after: positions.Position | None = None,
+    ) -> statements.Answer:
+        """Pass a caller's statement on."""
+        text = statement.text
+        if statement.kind is statements.Kind.EXECUTE:
+            text = f"EXECUTE {statement.definition.shared_name} {statement.arguments}"
+        if after is not None:
+            text = f"AFTER {format_position(after)} {text}"
+        answers = await self._ask([(statement.request_id, text)], deadline)
+        return answers[0]
+
+    async def roll_back(self, deadline: float) -> statements.Answer:
+        """End a transaction that nobody asks to be committed."""
+        return (await self._ask([(OWN_ID, "ROLLBACK")], deadline))[0]
+
+    async def reset(self, deadline: float) -> statements.Answer:
+        """Drop all variables and prepared statements."""
+        return (await self._ask([(OWN_ID, "RESET")], deadline))[0]
+
+    async def set_values(
+        self, values: dict[str, str], deadline: float
+    ) -> list[statements.Answer]:
+        """Set variables."""
+        texts = [f"SET {name} {value}" for name, value in values.items()]
+        return await self._ask([(OWN_ID, text) for text in texts], deadline)
+
+    async def prepare(
+        self, definitions: list[statements.Definition], deadline: float
+    ) -> list[statements.Answer]:
+        """Prepare statements under their shared names."""
+        texts = [
+            f"PREPARE {item.shared_name} {'WRITE' if item.writes else 'READ'}"
+            f" {item.shape}"
+            for item in definitions
+        ]
+        return await self._ask([(OWN_ID, text) for text in texts], deadline)
+
+    async def read_status(self, deadline: float) -> ports.LogStatus | None:
+        """Ask for the state of the log."""
+        return await self._ask_status("STATUS", deadline)
+
+    async def pause(self, term: int, deadline: float) -> ports.LogStatus | None:
+        """Stop a replica from receiving."""
+        return await self._ask_status(f"PAUSE {term}", deadline)
+
+    async def resume(self, deadline: float) -> ports.LogStatus | None:
+        """End a pause."""
+        return await self._ask_status("RESUME", deadline)
+
+    async def step_down(self, term: int, deadline: float) -> ports.LogStatus | None:
+        """Make a primary of a lower term a replica."""
+        return await self._ask_status(f"STEPDOWN {term}", deadline)
+
+    async def _ask_status(self, text: str, deadline: float) -> ports.LogStatus | None:
+        answer = (await self._ask([(OWN_ID, text)], deadline))[0]
+        if answer.error is not None or not answer.rows:
+            return None
+        try:
+            return parse_status_row(answer.rows[0])
+        except ValueError:
+            return None
+
+    def _expect(self) -> asyncio.Future:
+        future = self._loop.create_future()
+        self._waiting.append(future)
+        return future
+
+    async def _ask(
+        self, queries: list[tuple[str, str]], deadline: float
+    ) -> list[statements.Answer]:
+        if self._closed:
+            raise ports.ConnectionLost(False)
+        futures = [self._expect() for _ in queries]
+        self._transport.write(
+            b"".join(
+                lines.format_line("QUERY", request_id, text)
+                for request_id, text in queries
+            )
+        )
+        return await self._wait(futures, deadline)
+
+    async def _wait(
+        self, futures: list[asyncio.Future], deadline: float
+    ) -> list[statements.Answer]:
+        """Wait for all answers; past the deadline the connection is of no use."""
+        timeout = max(0.0, deadline - clock.read())
+        try:
+            _, pending = await asyncio.wait(futures, timeout=timeout)
+        except asyncio.CancelledError:
+            self._fail()
+            raise
+        if pending:
+            self._fail()
+            for future in futures:
+                if future.done():
+                    future.exception()
+            raise ports.ConnectionLost(True, is_timeout=True)
+        return [future.result() for future in futures]
+
+
+class Connector:
+    """Opens connections; implements the node's connector port."""
+
+    async def open(
+        self, record: catalog.EndpointRecord, team: str, deadline: float
+    ) -> Connection:
+        """Open a connection in a team's name.
+
+        :raises sardinehold.node.ports.OpeningFailed: the endpoint refused, or
+            gave no answer before the deadline.
+        """
+        loop = asyncio.get_running_loop()
+        timeout = max(0.0, deadline - clock.read())
+        try:
+            async with asyncio.timeout(timeout):
+                _, connection = await loop.create_connection(
+                    Connection, record.host, record.port
+                )
+        except (OSError, TimeoutError) as error:
+            raise ports.OpeningFailed(None, repr(error)) from error
+        await connection.start(record.group, team, record.name, deadline)
+        return connection
+
+
+def tune_socket(endpoint: socket.socket) -> None:
+    """Send at once, and notice a far end that went silent."""
+    endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
+    endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
+    endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
+    endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- /dev/null
+++ b/src/sardinehold/platform/local.py
@@ -0,0 +1,95 @@
+"""The platform's settings file of a process, read and checked."""
+
+import pathlib
+import tomllib
+import typing
+
+from sardinehold import errors
+from sardinehold.node import settings
+from sardinehold.platform import records
+
+VARIABLE = "SARDINEHOLD_SETTINGS"
+"""Environment variable that holds the path of the settings file."""
+
+METRICS_PORT = 9464
+"""Port of the metrics page; ``deploy/system.toml`` names the same."""
+
+_MS = 0.001
+
+
+class _Reader:
+    """Takes fields out of a table and collects what is wrong with them."""
+
+    def __init__(self, table: dict) -> None:
+        self.table = table
+        self.faults: list[str] = []
+
+    def take(self, path: str, kind: type | tuple[type, ...], default: object) -> object:
+        """Return a field by its dotted path; ``...`` as default requires it."""
+        found: typing.Any = self.table
+        for part in path.split("."):
+            found = found.get(part) if isinstance(found, dict) else None
+        if found is None and default is not ...:
+            return default
+        if not isinstance(found, kind) or isinstance(found, bool):
+            self.faults.append(f"{path} = {found!r}")
+            return default if default is not ... else kind()
+        return found
+
+    def take_address(self, path: str) -> tuple[str, int]:
+        """Return a required ``host:port``."""
+        text = self.take(path, str, ...)
+        try:
+            return records.split_address(text)
+        except ValueError:
+            self.faults.append(f"{path} = {text!r}")
+            return "", 0
+
+
+def load(path: pathlib.Path) -> settings.Settings:
+    """Read and check the settings file.
+
+    :raises sardinehold.errors.SettingsError: naming every field that cannot
+        be used.
+    """
+    try:
+        table = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise errors.SettingsError(
+            f"{path} cannot be read: {error}.",
+            f"Name a readable TOML file in {VARIABLE}.",
+        ) from error
+    return parse(table, str(path))
+
+
+def parse(table: dict, path: str) -> settings.Settings:
+    """Return the settings that a table holds; see :func:`load`."""
+    reader = _Reader(table)
+    ports = reader.take("InternalPorts", list, ...)
+    if not ports or not all(isinstance(port, int) for port in ports):
+        reader.faults.append(f"InternalPorts = {ports!r}")
+        ports = [0]
+    number = (int, float)
+    loaded = settings.Settings(
+        reader.take("NodeName", str, ...),
+        reader.take("Zone", str, ...),
+        reader.take("Zones", dict, {}),
+        reader.take_address("BindAddresses.Frontend"),
+        reader.take_address("BindAddresses.Readiness"),
+        (reader.take("Ip", str, ...), ports[0]),
+        METRICS_PORT,
+        reader.take_address("platform.Address"),
+        reader.take_address("CloudApi.Address"),
+        float(reader.take("Bounds.GracePeriodS", number, 6)),
+        reader.take("Bounds.DrainMs", number, 7000) * _MS,
+        float(reader.take("Bounds.QuotaWindowS", number, 5)),
+        float(reader.take("Bounds.QuotaOverage", number, 0.1)),
+        float(reader.take("Bounds.QuotaSlack", number, 20)),
+        reader.take("HeartbeatMs", number, 1200) * _MS,
+    )
+    if reader.faults:
+        raise errors.SettingsError(
+            f"{path}: these fields cannot be used: {'; '.join(reader.faults)}.",
+            "Compare them with the platform's page on settings.",
+        )
+    return loaded
--- /dev/null
+++ b/src/sardinehold/platform/pages.py
@@ -0,0 +1,70 @@
+"""HTTP pages of a node: the readiness probe and the metrics."""
+
+import asyncio
+import typing
+
+import h11
+
+READ_BYTES = 4096
+"""Bytes of a request that are read at once."""
+
+METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+
+Page = typing.Callable[[], tuple[int, bytes]]
+"""Returns the status and the body of a page."""
+
+
+class PageServer(asyncio.Protocol):
+    """Answers GET requests to a few paths, over connections that may be kept.
+
+    :param pages: what to answer by path.
+    """
+
+    def __init__(self, pages: dict[str, Page]) -> None:
+        """Start unconnected."""
+        self._pages = pages
+        self._http = h11.Connection(h11.SERVER)
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take up the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answer the requests that are complete."""
+        self._http.receive_data(data)
+        try:
+            self._answer_all()
+        except h11.RemoteProtocolError:
+            self._transport.close()
+
+    def _answer_all(self) -> None:
+        while True:
+            event = self._http.next_event()
+            if event in (h11.NEED_DATA, h11.PAUSED):
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                self._transport.close()
+                return
+            if isinstance(event, h11.Request):
+                self._target = event.target.decode("latin-1").partition("?")[0]
+            elif isinstance(event, h11.EndOfMessage):
+                self._answer()
+
+    def _answer(self) -> None:
+        page = self._pages.get(self._target)
+        status, body = page() if page is not None else (404, b"")
+        headers = [
+            (b"content-length", str(len(body)).encode()),
+            (b"content-type", METRICS_TYPE),
+        ]
+        for event in (
+            h11.Response(status_code=status, headers=headers),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        ):
+            self._transport.write(self._http.send(event) or b"")
+        if self._http.our_state is h11.MUST_CLOSE:
+            self._transport.close()
+        else:
+            self._http.start_next_cycle()
--- /dev/null
+++ b/src/sardinehold/platform/records.py
@@ -0,0 +1,153 @@
+"""Configuration and endpoint records as the platform's store holds them.
+
+The names of the wire are decoded here and nowhere else.
+"""
+
+import typing
+
+import logbook
+
+from sardinehold import errors
+from sardinehold.node import catalog
+
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+ENDPOINT_KIND = "servers"
+
+log = logbook.Logger("records")
+
+_CONSISTENCIES = {
+    "primary": catalog.Consistency.LATEST,
+    "bounded": catalog.Consistency.BOUNDED,
+    "read_your_writes": catalog.Consistency.SESSION,
+}
+
+_MS = 0.001
+"""Seconds in a millisecond."""
+
+_DEFAULT_TRANSACTION_IDLE_MS = 3000
+"""Where the configuration states no limit; the protocol page's example."""
+
+_STATES = frozenset({"ready", "draining"})
+_ROLES = {"primary": True, "replica": False}
+
+
+def parse_catalog(value: typing.Any) -> catalog.Catalog:
+    """Return the configuration that the store holds under ``config/main``.
+
+    :raises sardinehold.errors.DocumentError: it cannot be read.
+    """
+    try:
+        return _parse_catalog(value)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise errors.DocumentError(
+            f"The stored configuration cannot be read: {error!r}.",
+            "Write a newer version; the one before stays in force.",
+        ) from error
+
+
+def _parse_catalog(value: dict) -> catalog.Catalog:
+    teams: dict[str, catalog.Team] = {}
+    owners: dict[str, str] = {}
+    for entry in value.get("Tenants", ()):
+        team = catalog.Team(
+            entry["Name"],
+            float(entry["RatePerS"]),
+            float(entry["Burst"]),
+            int(entry.get("Priority", 0)),
+        )
+        teams[team.name] = team
+        for key in entry["ApiKeys"]:
+            owners[key] = team.name
+    idle = value.get("Limits", {}).get("TxIdleMs", _DEFAULT_TRANSACTION_IDLE_MS)
+    return catalog.Catalog(
+        int(value["Version"]),
+        # "Host" is the database name that callers give; "Name" only labels.
+        {entry["Host"]: _parse_route(entry) for entry in value["Routes"]},
+        teams,
+        owners,
+        {entry["Name"]: _parse_group(entry) for entry in value["Services"]},
+        float(idle) * _MS,
+    )
+
+
+def _parse_route(entry: dict) -> catalog.Route:
+    return catalog.Route(
+        entry["Host"],
+        entry["Service"],
+        _CONSISTENCIES[entry["Kind"]],
+        float(entry.get("MaxStalenessMs", 0)) * _MS,
+        float(entry["TimeoutMs"]) * _MS,
+        float(entry["TargetLatencyMs"]) * _MS,
+        int(entry.get("Priority", 0)),
+        bool(entry.get("Public", False)),
+    )
+
+
+def _parse_group(entry: dict) -> catalog.Group:
+    return catalog.Group(
+        entry["Name"],
+        int(entry["MaxConnections"]),
+        int(entry.get("SyncReplicas", 0)),
+    )
+
+
+def parse_endpoint(name: str, value: typing.Any) -> catalog.EndpointRecord | None:
+    """Return what an endpoint says of itself, None if the entry is not one.
+
+    Entries may come from other writers: one with a missing or odd field names
+    no endpoint to use.
+    """
+    try:
+        return _parse_endpoint(name, value)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        log.debug("entry {} names no endpoint: {!r}", name, error)
+        return None
+
+
+def _parse_endpoint(name: str, value: dict) -> catalog.EndpointRecord:
+    if value["State"] not in _STATES:
+        raise ValueError(f"state {value['State']!r}")
+    host, port = split_address(_require(value, "Address", str))
+    return catalog.EndpointRecord(
+        name,
+        _require(value, "Service", str),
+        host,
+        port,
+        _require(value, "Zone", str),
+        # "Capacity" is the number of statements that it runs at once.
+        max(1, _require(value, "Capacity", int)),
+        value["State"] == "draining",
+        _ROLES[value["DatabaseRole"]],
+        int(value.get("born", 0)),
+    )
+
+
+def _require(value: dict, name: str, kind: type) -> typing.Any:
+    found = value[name]
+    if not isinstance(found, kind) or isinstance(found, bool):
+        raise TypeError(f"{name} is {found!r}")
+    return found
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``.
+
+    :raises ValueError: the text is no address.
+    """
+    host, colon, port = text.rpartition(":")
+    number = int(port)
+    if not colon or not host or not 0 < number < 65536:
+        raise ValueError(f"address {text!r}")
+    return host, number
+
+
+class Sources:
+    """Where the store keeps configuration and endpoints; a port of the node."""
+
+    configuration_kind = CONFIGURATION_KIND
+    configuration_name = CONFIGURATION_NAME
+    endpoint_kind = ENDPOINT_KIND
+
+    parse_catalog = staticmethod(parse_catalog)
+    parse_endpoint = staticmethod(parse_endpoint)
--- /dev/null
+++ b/src/sardinehold/platform/store.py
@@ -0,0 +1,175 @@
+"""Client of the platform's metadata store: objects, lists and watches.
+
+It is the one client of the store that a node has. Every call has a deadline;
+a call without an answer may have been executed all the same.
+"""
+
+import typing
+
+import httpx
+
+from sardinehold import errors
+from sardinehold import objects
+
+CALL_TIMEOUT = 1.5
+"""Seconds after which a call counts as unanswered: a store that is well answers
+in milliseconds, and a silent connection must be noticed within the bound for
+configurations."""
+
+KEEPALIVE = 5.0
+"""Seconds that an idle connection is kept."""
+
+_REMEDY = "Check that the platform's store is up and that this VM can reach it."
+_JSON = {"Content-Type": "application/json"}
+
+
+class StoreClient:
+    """Reads and writes objects; implements the node's store port.
+
+    :param address: host and port of the store.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
+        """Prepare the client; it connects on the first call."""
+        self._http = httpx.AsyncClient(
+            base_url=f"http://{address[0]}:{address[1]}",
+            verify=False,  # noqa: S501 - plain HTTP, no context needed
+            trust_env=False,
+            transport=transport,
+            limits=httpx.Limits(keepalive_expiry=KEEPALIVE),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._http.aclose()
+
+    async def get(self, kind: str, name: str) -> objects.StoredObject:
+        """Read one object; raises ObjectMissing."""
+        answer = await self._call("GET", f"/api/objects/{kind}/{name}")
+        return _parse_object(kind, answer)
+
+    async def list(self, kind: str) -> objects.Changes:
+        """Read all objects of a kind, page by page.
+
+        The revision is that of the first page, so that a watch from there
+        repeats rather than misses what changed meanwhile.
+        """
+        found: list[objects.StoredObject] = []
+        revision = 0
+        params: dict[str, typing.Any] = {}
+        while True:
+            answer = await self._call("GET", f"/api/objects/{kind}", params=params)
+            items = answer.get("items") or []
+            found.extend(_parse_items(kind, items))
+            revision = revision or int(answer["StoreRevision"])
+            if not answer.get("HasMore") or not items:
+                return objects.Changes(found, revision)
+            params = {"after": items[-1]["meta"]["Name"]}
+
+    async def watch(self, kind: str, revision: int, wait: float) -> objects.Changes:
+        """Return what changed after ``revision``, after ``wait`` s at the latest.
+
+        An object that is gone has None as value. Raises WatchExpired when the
+        store no longer keeps the revision.
+        """
+        answer = await self._call(
+            "GET",
+            f"/api/objects/{kind}",
+            params={"Watch": revision, "WaitMs": int(wait * 1000)},
+            timeout=wait + CALL_TIMEOUT,
+        )
+        found = []
+        for event in answer.get("events") or []:
+            stored = _parse_items(kind, [event.get("Object")])
+            if event.get("IsGone"):
+                for item in stored:
+                    item.value = None
+            found.extend(stored)
+        return objects.Changes(found, int(answer["StoreRevision"]))
+
+    async def create(self, kind: str, name: str, value: dict) -> objects.StoredObject:
+        """Create an object; raises VersionConflict if it exists."""
+        body = {"meta": {"Name": name}, "spec": value}
+        answer = await self._call("POST", f"/api/objects/{kind}", json=body)
+        return _parse_object(kind, answer)
+
+    async def update(
+        self, kind: str, name: str, value: dict, version: int
+    ) -> objects.StoredObject:
+        """Replace an object of that version; raises VersionConflict."""
+        body = {"meta": {"Name": name, "Revision": version}, "spec": value}
+        answer = await self._call("PUT", f"/api/objects/{kind}/{name}", json=body)
+        return _parse_object(kind, answer)
+
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Delete an object of that version; raises VersionConflict."""
+        path = f"/api/objects/{kind}/{name}"
+        await self._call("DELETE", path, params={"Revision": version})
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        timeout: float = CALL_TIMEOUT,
+        **arguments: typing.Any,
+    ) -> dict:
+        try:
+            answer = await self._http.request(
+                method, path, timeout=timeout, headers=_JSON, **arguments
+            )
+        except httpx.HTTPError as error:
+            raise errors.PlatformUnavailable(
+                f"The store did not answer {method} {path}: {type(error).__name__}.",
+                _REMEDY,
+            ) from error
+        if answer.status_code >= 400:
+            raise _build_error(answer.status_code, f"{method} {path}")
+        try:
+            return answer.json() if answer.content else {}
+        except ValueError as error:
+            raise errors.PlatformUnavailable(
+                f"The store's answer to {method} {path} is not JSON.", _REMEDY
+            ) from error
+
+
+def _build_error(status: int, call: str) -> errors.PlatformError:
+    if status == 404:
+        return errors.ObjectMissing(f"{call} found no object.", "Create it first.")
+    if status == 409:
+        return errors.VersionConflict(
+            f"{call} met another version.", "Read the object and try again."
+        )
+    if status == 410:
+        return errors.WatchExpired(
+            f"{call} asked for a version that is gone.", "List the objects again."
+        )
+    if status == 429 or status >= 500:
+        return errors.PlatformUnavailable(
+            f"The store answered {call} with status {status}.", _REMEDY
+        )
+    return errors.PlatformError(
+        f"The store refused {call} with status {status}.",
+        "Compare the versions of sardinehold and of the platform.",
+    )
+
+
+def _parse_object(kind: str, value: dict) -> objects.StoredObject:
+    meta = value["meta"]
+    return objects.StoredObject(
+        kind, meta["Name"], int(meta["Revision"]), value.get("spec")
+    )
+
+
+def _parse_items(kind: str, items: list) -> list[objects.StoredObject]:
+    """Return the objects of a list; what cannot be read is left out."""
+    found = []
+    for item in items:
+        try:
+            found.append(_parse_object(kind, item))
+        except (KeyError, TypeError, ValueError):
+            continue
+    return found
