--- a/src/sardinehold/node/budget.py
+++ b/src/sardinehold/node/budget.py
@@ -126,8 +126,6 @@
         balance = account.balance
         balance.note_arrival()
         if not balance.waiting and (balance.take(now) or account.even.take(now)):
-            if balance.tokens < balance.low_mark:
-                self._ask_soon()
             return
         if len(balance.waiting) >= MAX_WAITING:
             raise OverRate(team, self._predict(account))
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -19,6 +19,17 @@
 OPEN_TIMEOUT = 1.0
 """Seconds that opening a connection may take; past it an endpoint counts as dark."""
 
+SPARE_CONNECTIONS = 2
+"""Connections to each endpoint that are left for questions about its log."""
+
+LIMIT_PART = 3
+"""Part of an endpoint's connections that one node may hold, as a divisor: several
+nodes may be busy at once, and one must not take all."""
+
+KEPT_PART = 1.7
+"""Divisor of an even part by which a node's kept connections are found: the rest is
+left for nodes that need more at the moment."""
+
 CLEAN_TIMEOUT = 0.5
 """Seconds that ending an abandoned transaction may take before its connection is
 closed instead."""
@@ -152,10 +163,23 @@
         if endpoint is not None:
             self._close_idle(endpoint)
 
-    def set_share(self, connections: int) -> None:
-        """Set how many connections this node may hold to each endpoint."""
+    def divide(self, nodes: int, neighbours: int) -> None:
+        """Set how many connections this node keeps and may hold.
+
+        :param nodes: nodes that share the endpoints.
+        :param neighbours: those of them in this node's zone.
+        """
+        if self.config is None:
+            return
+        usable = max(1, self.config.connections - SPARE_CONNECTIONS)
         for endpoint in self.endpoints.values():
-            endpoint.share = connections
+            endpoint.limit = max(1, usable // LIMIT_PART)
+            if endpoint is self.primary:
+                endpoint.kept = max(1, int(usable / (KEPT_PART * nodes)))
+            elif endpoint.distance == 0:
+                endpoint.kept = max(1, int(usable / (KEPT_PART * neighbours)))
+            else:
+                endpoint.kept = 0
 
     def _leave(self, endpoint: pool.Endpoint) -> None:
         if endpoint is not self.primary:
@@ -268,7 +292,7 @@
     # Connections
 
     def _open(self, endpoint: pool.Endpoint, team: str, waiter: Waiter) -> None:
-        evicted = endpoint.make_room()
+        evicted = endpoint.make_room(clock.read())
         if evicted is not None:
             evicted.connection.close()
         endpoint.opening += 1
@@ -301,7 +325,9 @@
     ) -> None:
         now = clock.read()
         if error.failure is statements.Failure.CONNECTION_LIMIT:
-            endpoint.retry_at = now + pool.RETRY_FIRST * (1 + random.random())
+            endpoint.note_answer(now)
+            endpoint.full_until = now + pool.FULL_PAUSE * (1 + random.random())
+            endpoint.retry_at = endpoint.full_until
         else:
             endpoint.note_failure(now, random.random())
         log.debug("{}: opening failed: {}", endpoint.name, error)
@@ -309,6 +335,12 @@
             max(0.0, endpoint.retry_at - now), self.pump
         )
 
+    def trim(self, now: float) -> None:
+        """Close free connections that others may need more."""
+        for endpoint in self.endpoints.values():
+            for pooled in endpoint.take_surplus(now):
+                pooled.connection.close()
+
     def _lose(self, pooled: pool.Pooled) -> None:
         pooled.is_lost = True
         endpoint = pooled.endpoint
@@ -360,13 +392,19 @@
         endpoint: pool.Endpoint,
         asked: float,
         answer: statements.Answer,
+        was_alone: bool,
         committed: bool = False,
     ) -> None:
-        """Learn from an answer to a statement sent at ``asked``."""
+        """Learn from an answer to a statement sent at ``asked``.
+
+        :param was_alone: whether the statement ran outside a transaction; inside
+            one the position is that of the transaction's beginning.
+        :param committed: whether it committed something.
+        """
         now = clock.read()
         endpoint.note_answer(now)
         position = answer.position
-        if position is None:
+        if position is None or not (was_alone or committed):
             return
         endpoint.applied = position
         state = self.state
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -99,6 +99,7 @@
             )
         return reports.Advice(
             self.node.settings.name,
+            self.node.incarnation,
             report.sent_at,
             [group.state for group in self.node.groups.values() if group.state],
             self.node.collect_samples(now),
@@ -112,7 +113,7 @@
         """Take what another node knows of the primaries' logs."""
         for name, (age, position) in report.samples.items():
             group = self.node.groups.get(name)
-            asked = report.date(age)
+            asked = report.date(age, self.node.incarnation)
             if group is None or group.state is None or asked is None:
                 continue
             if report.states.get(name) == group.state.version:
--- a/src/sardinehold/node/leadership.py
+++ b/src/sardinehold/node/leadership.py
@@ -47,6 +47,7 @@
         "is_known",
         "_changed_at",
         "_next_write",
+        "_beats",
     )
 
     def __init__(self, node: str, incarnation: str, spread: float) -> None:
@@ -61,6 +62,7 @@
         self.is_known = False
         self._changed_at = 0.0
         self._next_write = 0.0
+        self._beats = 0
 
     def observe(self, stored: objects.StoredObject | None, now: float) -> None:
         """Take the leader's object as the store has it; None if there is none."""
@@ -113,7 +115,13 @@
 
     def make_value(self) -> dict:
         """Return the object's value that makes this node the leader."""
-        return {"node": self.node, "incarnation": self.incarnation}
+        # The store takes no notice of a write that changes nothing.
+        self._beats += 1
+        return {
+            "node": self.node,
+            "incarnation": self.incarnation,
+            "beat": self._beats,
+        }
 
     def make_farewell(self) -> dict:
         """Return the object's value that leaves the lead to anyone."""
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -40,7 +40,7 @@
 REPORT_INTERVAL = 0.25
 """Seconds between reports to the leader; six of them fit into a lease."""
 
-REPORT_LEAST = 0.005
+REPORT_LEAST = 0.02
 """Seconds between two reports at least, so that urgent ones are sent together."""
 
 EXCHANGE_LIMIT = 0.3
@@ -56,9 +56,6 @@
 """Seconds after which an endpoint without an entry is forgotten: entries that were
 lost with the store are back within two."""
 
-SPARE_CONNECTIONS = 2
-"""Connections to each endpoint that are left for questions about its log."""
-
 SECRET_BYTES = 32
 
 STORE_RETRY = 0.3
@@ -136,7 +133,8 @@
         self._exchange = 0
         self._exchange_until = float("-inf")
         self._report_now = anyio.Event()
-        self._advice_echo: tuple[float, float] | None = None
+        self._last_advice: reports.Advice | None = None
+        self._last_advice_at = 0.0
         self._is_leading = False
         self._store_state: dict[str, bool] = {}
         self._watchers = [
@@ -209,13 +207,16 @@
                 reason=answer.detail,
                 seconds=seconds,
                 catalog=self.catalog.version if self.catalog else 0,
+                **session.trace.describe(),
             )
         elif answer.signature != sessions.LOCAL_SIGNATURE:
             self.journal.note_ordinary(
                 "served",
                 request=statement.request_id,
                 kind=statement.kind.value,
+                route=session.route_name,
                 seconds=seconds,
+                **session.trace.describe(),
             )
         return answer
 
@@ -425,15 +426,16 @@
             version=state.version,
         )
         group.take_state(state)
+        self._update_shares()
         if state.phase is catalog.Phase.SEALED:
             self.report_soon()
 
     def _update_shares(self) -> None:
         count = max(1, len(self.members))
+        zone = self.settings.zone
+        neighbours = [m for m in self.members.values() if m.get("zone") == zone]
         for group in self.groups.values():
-            if group.config is not None:
-                spare = group.config.connections - SPARE_CONNECTIONS
-                group.set_share(max(1, spare // count))
+            group.divide(count, max(1, len(neighbours)))
         if self.catalog is not None:
             self.budget.configure(self.catalog, count)
 
@@ -563,7 +565,7 @@
             return
         now = clock.read()
         sequence, usages = self._begin_exchange(now)
-        echo, received = self._advice_echo or (None, now)
+        advice = self._last_advice
         report = reports.Report(
             self.settings.name,
             self.incarnation,
@@ -575,8 +577,9 @@
             sequence,
             usages,
             self.catalog.version,
-            echo,
-            now - received,
+            advice.sent_at if advice else None,
+            advice.incarnation if advice else "",
+            now - self._last_advice_at,
         )
         if holder == self.settings.name:
             if self.leadership.leads(now):
@@ -623,8 +626,8 @@
         if advice.echo > now or now - advice.echo > ADVISED_WITHIN:
             return
         self.advised_at = now
-        if advice.node != self.settings.name:
-            self._advice_echo = (advice.sent_at, now)
+        self._last_advice = advice
+        self._last_advice_at = now
         for state in advice.states:
             self.take_state(state)
             group = self.groups[state.group]
@@ -682,6 +685,7 @@
                 self._tend_group(group, now)
 
     def _tend_group(self, group: groups.Group, now: float) -> None:
+        group.trim(now)
         for endpoint in list(group.endpoints.values()):
             gone = endpoint.gone_since
             if gone is not None and now - gone > GONE_GRACE:
--- a/src/sardinehold/node/placement.py
+++ b/src/sardinehold/node/placement.py
@@ -10,6 +10,10 @@
 OPENING_SECONDS = 0.03
 """Expected cost of opening a connection: its handshake's slot and two ways."""
 
+FAR_SECONDS = 0.06
+"""Seconds that an endpoint in another region must be faster by: its bytes cross
+between regions, which costs the users more than a short wait."""
+
 LAG_MEMORY = 0.15
 """Seconds for which an endpoint that was behind is not asked for the position
 that it lacked; about the time in which a replica applies a commit."""
@@ -26,6 +30,8 @@
     :param is_primary: whether it leads the group.
     :param applied: the position that it answered last, None if unknown.
     :param lacked: a position that it lacked, None if it lacked none of late.
+    :param slots: statements that it runs at once.
+    :param is_far: whether it is in another region.
     """
 
     __slots__ = (
@@ -39,6 +45,7 @@
         "applied",
         "lacked",
         "slots",
+        "is_far",
     )
 
     def __init__(
@@ -53,6 +60,7 @@
         applied: positions.Position | None = None,
         lacked: positions.Position | None = None,
         slots: int = 1,
+        is_far: bool = False,
     ) -> None:
         """Keep the parts of the candidate."""
         self.name = name
@@ -65,12 +73,15 @@
         self.applied = applied
         self.lacked = lacked
         self.slots = slots
+        self.is_far = is_far
 
 
 def expect_seconds(candidate: Candidate) -> float:
-    """Return the seconds until an answer is expected from an endpoint."""
+    """Return the seconds until an answer is expected, with the price of distance."""
     queued = candidate.in_flight / candidate.slots
     expected = candidate.round_trip + candidate.service * (1.0 + queued)
+    if candidate.is_far:
+        expected += FAR_SECONDS
     if not candidate.has_idle:
         expected += OPENING_SECONDS + candidate.round_trip
     return expected
--- a/src/sardinehold/node/pool.py
+++ b/src/sardinehold/node/pool.py
@@ -1,8 +1,9 @@
-"""Connections of one node to one endpoint: a bounded share, kept warm.
+"""Connections of one node to one endpoint: few, kept warm, shared by turns.
 
 A connection belongs to one team, because the endpoint is told the team when it
-is opened. When the share is used up, the connection that has been idle longest
-gives way to another team's.
+is opened. A node keeps a few free ones and opens more as statements need them;
+the endpoint itself says when all nodes together hold too many. Where there is no
+room, the connection that has been idle longest gives way to another team's.
 """
 
 import typing
@@ -26,6 +27,14 @@
 """Seconds that the growing wait between attempts ends at; a small part of the time
 in which a crashed endpoint is back."""
 
+EXTRA_IDLE = 1.0
+"""Seconds for which a free connection beyond the kept ones stays open: long enough
+for the next statement of a busy team, short enough that other nodes get it."""
+
+FULL_PAUSE = 0.06
+"""Seconds before an endpoint that takes no more connections is asked again; about the
+time in which one is given back."""
+
 ROUND_TRIPS = (0.002, 0.004, 0.02)
 """Seconds to an endpoint in the own zone, region, or elsewhere, until measured."""
 
@@ -65,7 +74,9 @@
 class Endpoint:
     """One endpoint as this node sees it.
 
-    :param share: connections that this node may hold.
+    :param kept: free connections that stay open however long they are idle.
+    :param limit: connections that this node may hold.
+    :param full_until: until when the endpoint is taken to be at its limit.
     :param in_flight: statements that run there for this node.
     :param service: seconds a statement takes, a moving average.
     :param failures: attempts to connect in a row that failed.
@@ -77,7 +88,9 @@
 
     __slots__ = (
         "record",
-        "share",
+        "kept",
+        "limit",
+        "full_until",
         "connections",
         "idle",
         "opening",
@@ -99,7 +112,9 @@
         """Start with no connection."""
         self.record = record
         self.distance = distance
-        self.share = 1
+        self.kept = 1
+        self.limit = 1
+        self.full_until = 0.0
         self.connections: set[Pooled] = set()
         self.idle: list[Pooled] = []
         self.opening = 0
@@ -137,8 +152,12 @@
         """Return whether another connection may be opened, one giving way if need be."""
         if now < self.retry_at:
             return False
+        return bool(self.idle) or not self.is_full(now)
+
+    def is_full(self, now: float) -> bool:
+        """Return whether a connection can only be opened if another gives way."""
         count = len(self.connections) + self.opening
-        return count < self.share or bool(self.idle)
+        return count >= self.limit or now < self.full_until
 
     def take_idle(self, team: str, values: dict[str, str]) -> Pooled | None:
         """Take a free connection of the team, one with equal variables if possible."""
@@ -154,14 +173,27 @@
             self.idle.remove(found)
         return found
 
-    def make_room(self) -> Pooled | None:
-        """Take out the connection that has been idle longest if the share is used up."""
-        if len(self.connections) + self.opening < self.share or not self.idle:
+    def make_room(self, now: float) -> Pooled | None:
+        """Take out the connection that has been idle longest if there is no room."""
+        if not self.is_full(now) or not self.idle:
             return None
         oldest = self.idle.pop(0)
         self.connections.discard(oldest)
         return oldest
 
+    def take_surplus(self, now: float) -> list[Pooled]:
+        """Take out the free connections that others may need more."""
+        surplus = len(self.idle) - self.kept
+        found = [
+            pooled
+            for pooled in self.idle[: max(0, surplus)]
+            if now - pooled.idle_since > EXTRA_IDLE
+        ]
+        for pooled in found:
+            self.idle.remove(pooled)
+            self.connections.discard(pooled)
+        return found
+
     def note_failure(self, now: float, jitter: float) -> None:
         """Wait longer after each failed attempt."""
         wait = min(RETRY_LIMIT, RETRY_FIRST * 2 ** min(self.failures, 10))
@@ -202,6 +234,7 @@
             self.applied,
             self.lacked if now < self.lacked_until else None,
             self.record.slots,
+            self.distance > 1,
         )
 
 
--- a/src/sardinehold/node/reports.py
+++ b/src/sardinehold/node/reports.py
@@ -22,7 +22,8 @@
     :param commits: age of the newest evidence that a primary still leads.
     :param failing: endpoints that it cannot reach, with the seconds since when.
     :param sequence: number of the exchange with the allocator.
-    :param echo: the leader's clock as its last advice told it, None before one.
+    :param echo: reading of a leader's clock out of its last advice, None before one.
+    :param echo_of: incarnation of that leader; clocks of others cannot be compared.
     :param held: seconds since that advice came.
     """
 
@@ -38,6 +39,7 @@
         "usages",
         "catalog_version",
         "echo",
+        "echo_of",
         "held",
     )
 
@@ -54,6 +56,7 @@
         usages: list[quota.Usage],
         catalog_version: int,
         echo: float | None = None,
+        echo_of: str = "",
         held: float = 0.0,
     ) -> None:
         """Keep the parts of the report."""
@@ -68,14 +71,16 @@
         self.usages = usages
         self.catalog_version = catalog_version
         self.echo = echo
+        self.echo_of = echo_of
         self.held = held
 
-    def date(self, age: float) -> float | None:
+    def date(self, age: float, incarnation: str) -> float | None:
         """Return an instant of the leader's clock, no later than ``age`` ago.
 
-        None if the report came before any advice: nothing can be dated then.
+        :param incarnation: of the leader whose clock is meant; None is returned
+            if the node has no reading of that clock.
         """
-        if self.echo is None:
+        if self.echo is None or self.echo_of != incarnation:
             return None
         margin = clock.RATE_MARGIN
         return self.echo + self.held * (1 - margin) - age * (1 + margin)
@@ -98,6 +103,7 @@
             ],
             "catalog": self.catalog_version,
             "echo": self.echo,
+            "echo_of": self.echo_of,
             "held": self.held,
         }
 
@@ -105,6 +111,7 @@
 class Advice:
     """What the leader answers.
 
+    :param incarnation: of the leader's process.
     :param echo: the ``sent_at`` of the report.
     :param states: the groups' states.
     :param samples: newest positions of the primaries, with their ages.
@@ -114,6 +121,7 @@
 
     __slots__ = (
         "node",
+        "incarnation",
         "echo",
         "states",
         "samples",
@@ -126,6 +134,7 @@
     def __init__(
         self,
         node: str,
+        incarnation: str,
         echo: float,
         states: list[catalog.GroupState],
         samples: dict[str, tuple[float, positions.Position]],
@@ -136,6 +145,7 @@
     ) -> None:
         """Keep the parts of the advice."""
         self.node = node
+        self.incarnation = incarnation
         self.echo = echo
         self.states = states
         self.samples = samples
@@ -153,6 +163,7 @@
         return {
             "kind": "advice",
             "node": self.node,
+            "inc": self.incarnation,
             "echo": self.echo,
             "states": [
                 [item.group, item.version, item.term, item.primary, item.phase.value]
@@ -205,6 +216,7 @@
         [quota.Usage(*usage) for usage in message["usages"]],
         int(message["catalog"]),
         None if message["echo"] is None else float(message["echo"]),
+        str(message["echo_of"]),
         float(message["held"]),
     )
 
@@ -212,6 +224,7 @@
 def _parse_advice(message: dict) -> Advice:
     return Advice(
         message["node"],
+        message["inc"],
         float(message["echo"]),
         [
             catalog.GroupState(
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -63,6 +63,39 @@
         self.detail = detail
 
 
+class Trace:
+    """How one statement was decided, for the log.
+
+    :param endpoint: where it ran last.
+    :param after: position that the endpoint was asked to have.
+    :param position: position that it answered with.
+    :param waited: seconds that it waited for connections.
+    :param tries: how often it was sent.
+    """
+
+    __slots__ = ("endpoint", "after", "position", "waited", "tries", "lease_age")
+
+    def __init__(self) -> None:
+        """Start with nothing decided."""
+        self.endpoint = ""
+        self.after: positions.Position | None = None
+        self.position: positions.Position | None = None
+        self.waited = 0.0
+        self.tries = 0
+        self.lease_age = 0.0
+
+    def describe(self) -> dict[str, object]:
+        """Return the fields of a log line."""
+        return {
+            "endpoint": self.endpoint,
+            "after": None if self.after is None else list(self.after),
+            "position": None if self.position is None else list(self.position),
+            "waited": self.waited,
+            "tries": self.tries,
+            "lease_age": self.lease_age,
+        }
+
+
 class Transaction:
     """An open transaction.
 
@@ -129,6 +162,7 @@
         self.prepared: dict[str, statements.Definition] = {}
         self.own: positions.Position | None = None
         self.transaction: Transaction | None = None
+        self.trace = Trace()
         self.is_busy = False
         self.is_closed = False
 
@@ -155,6 +189,7 @@
     async def handle(self, statement: statements.Statement) -> statements.Answer:
         """Run a statement and return what the caller is told."""
         self.is_busy = True
+        self.trace = Trace()
         try:
             if self.transaction is not None and self.transaction.is_expired:
                 self.transaction.is_expired = False
@@ -236,6 +271,7 @@
             team, route, began, deadline, self.own, self.values, needs_primary, avoided
         )
         group = self.find_group(route)
+        asked = clock.read()
         try:
             return await group.acquire(waiter)
         except groups.Refused as error:
@@ -243,6 +279,8 @@
                 statements.Failure.BUSY,
                 f"{error.reason}; come back after {int(error.retry_after * 1000)} ms",
             ) from error
+        finally:
+            self.trace.waited += clock.read() - asked
 
     async def tune(
         self, pooled: pool.Pooled, deadline: float, statement: statements.Statement
@@ -284,6 +322,11 @@
         pooled = placed.pooled
         endpoint = pooled.endpoint
         group = self.node.find_group(endpoint.record.group)
+        trace = self.trace
+        trace.endpoint = endpoint.name
+        trace.after = placed.after
+        trace.tries += 1
+        trace.lease_age = clock.read() - group.evidence.as_of
         endpoint.in_flight += 1
         try:
             await self.tune(pooled, deadline, statement)
@@ -291,14 +334,21 @@
             answer = await pooled.connection.run(statement, deadline, placed.after)
         finally:
             endpoint.in_flight -= 1
+        trace.position = answer.position
         endpoint.note_service(clock.read() - asked)
         if answer.error is statements.Failure.LAGGING and placed.after is not None:
             endpoint.note_lack(placed.after, clock.read())
         committed = answer.error is None and (
             statement.kind is Kind.COMMIT or is_write(statement)
         )
-        in_transaction = answer.status != "I"
-        group.note_answer(endpoint, asked, answer, committed and not in_transaction)
+        is_open = answer.status != "I"
+        group.note_answer(
+            endpoint,
+            asked,
+            answer,
+            self.transaction is None,
+            committed and not is_open,
+        )
         return answer
 
     # Single statements
