--- a/src/sardinehold/node/budget.py
+++ b/src/sardinehold/node/budget.py
@@ -18,8 +18,10 @@
 """Part of each rate and burst that is divided evenly. The teams' usual demand is
 below two thirds of their rates, which the rest still covers."""
 
-MAX_WAIT = 0.25
-"""Seconds that an operation waits for the allocator: several exchanges with it."""
+MAX_WAIT = 0.1
+"""Seconds that an operation waits for the allocator: an exchange across regions, with
+one lost. Below a quarter of the shortest target latency, so that a refusal still
+leaves time to go elsewhere."""
 
 MAX_WAITING = 64
 """Operations of one team that wait at once."""
--- a/src/sardinehold/node/catalog.py
+++ b/src/sardinehold/node/catalog.py
@@ -129,6 +129,19 @@
         self.transaction_idle = transaction_idle
 
 
+def find_new_rates(
+    before: Catalog | None, after: Catalog
+) -> dict[str, tuple[float, float]]:
+    """Return rate and burst of the teams for which a configuration changes them."""
+    old = before.teams if before is not None else {}
+    return {
+        team.name: (team.rate, team.burst)
+        for team in after.teams.values()
+        if team.name not in old
+        or (old[team.name].rate, old[team.name].burst) != (team.rate, team.burst)
+    }
+
+
 class EndpointRecord:
     """What an endpoint says of itself.
 
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -31,23 +31,31 @@
 from sardinehold.node import watching
 
 FLEET_KIND = "sardinehold"
-"""Kind of the fleet's own objects in the store."""
+"""Kind of the fleet's own objects in the store: groups, members, the secret."""
+
+LEADER_KIND = "sardinehold-leader"
+"""Kind of the leader's object, apart because it changes all the time: nodes that
+hear the leader need not follow it."""
 
 GROUP_PREFIX = "group."
 MEMBER_PREFIX = "member."
 SECRET_NAME = "secret"
 
-REPORT_INTERVAL = 0.25
-"""Seconds between reports to the leader; six of them fit into a lease."""
+REPORT_INTERVAL = 0.4
+"""Seconds between reports to the leader; three of them fit into a lease."""
 
-REPORT_LEAST = 0.02
+REPORT_LEAST = 0.03
 """Seconds between two reports at least, so that urgent ones are sent together."""
 
+EMPTY_PAUSE = 0.15
+"""Seconds before the allocator is asked again that had no tokens left."""
+
 EXCHANGE_LIMIT = 0.3
 """Seconds after which an exchange with the allocator counts as lost."""
 
-ADVISED_WITHIN = 0.8
-"""Seconds after which a node without advice dates its lease by the store."""
+ADVISED_WITHIN = 0.9
+"""Seconds after which a node without advice dates its lease by the store: two
+reports were lost, or there is no leader."""
 
 TEND_INTERVAL = 0.05
 """Seconds between looks at resting transactions and silent endpoints."""
@@ -132,6 +140,7 @@
         self._versions: dict[str, int] = {}
         self._exchange = 0
         self._exchange_until = float("-inf")
+        self._empty_until = float("-inf")
         self._report_now = anyio.Event()
         self._last_advice: reports.Advice | None = None
         self._last_advice_at = 0.0
@@ -146,6 +155,9 @@
             ),
             self._watch(FLEET_KIND, self._list_fleet, self._change_fleet),
         ]
+        self._leader_watcher = self._watch(
+            LEADER_KIND, self._list_leader, self._change_leader
+        )
 
     def _watch(
         self, kind: str, take_all: typing.Callable, take_changes: typing.Callable
@@ -172,6 +184,7 @@
         async with anyio.create_task_group() as tasks:
             for watcher in self._watchers:
                 tasks.start_soon(watcher.run)
+            tasks.start_soon(self._follow_leader)
             tasks.start_soon(self._keep_member)
             tasks.start_soon(self._keep_lead)
             tasks.start_soon(self._keep_reporting)
@@ -275,7 +288,7 @@
     async def _write_farewell(self) -> None:
         lead = self.leadership
         await self.store.update(
-            FLEET_KIND, leadership.NAME, lead.make_farewell(), lead.version
+            LEADER_KIND, leadership.NAME, lead.make_farewell(), lead.version
         )
 
     def close_resting(self) -> None:
@@ -295,8 +308,7 @@
     # What the store says
 
     def _find_wait(self) -> float:
-        advised = clock.read() - self.advised_at < ADVISED_WITHIN
-        return watching.LONG_WAIT if advised else watching.SHORT_WAIT
+        return watching.LONG_WAIT if self._is_advised() else watching.SHORT_WAIT
 
     def _note_store(self, kind: str, is_up: bool, reason: str) -> None:
         if self._store_state.get(kind) is is_up:
@@ -322,9 +334,13 @@
         """Put a newer configuration in force."""
         if self.catalog is not None and found.version <= self.catalog.version:
             return
-        self.catalog = found
+        before, self.catalog = self.catalog, found
         self.journal.note(
-            "configuration", version=found.version, routes=len(found.routes)
+            "configuration",
+            version=found.version,
+            routes=len(found.routes),
+            keys=len(found.owners),
+            rates=catalog.find_new_rates(before, found),
         )
         for name, config in found.groups.items():
             self.find_group(name).config = config
@@ -373,8 +389,6 @@
 
     def _list_fleet(self, changes: objects.Changes, asked: float) -> None:
         names = {stored.name for stored in changes.objects}
-        if leadership.NAME not in names:
-            self.leadership.observe(None, clock.read())
         listed = {f"{MEMBER_PREFIX}{name}" for name in self.members} - names
         for name in listed:
             self.members.pop(name.removeprefix(MEMBER_PREFIX), None)
@@ -382,11 +396,7 @@
 
     def _change_fleet(self, changes: objects.Changes, asked: float) -> None:
         for stored in changes.objects:
-            if stored.name == leadership.NAME:
-                self.leadership.observe(
-                    None if stored.value is None else stored, clock.read()
-                )
-            elif stored.name == SECRET_NAME and stored.value:
+            if stored.name == SECRET_NAME and stored.value:
                 self.peers.key = bytes.fromhex(stored.value["key"])
             elif stored.name.startswith(MEMBER_PREFIX):
                 self._take_member(stored)
@@ -398,6 +408,27 @@
                 group.evidence.confirm(asked)
                 group.pump()
 
+    async def _follow_leader(self) -> None:
+        """Follow the leader's object while nothing is heard of the leader."""
+        while True:
+            if self._is_advised() and self.leadership.is_known:
+                await anyio.sleep(TEND_INTERVAL)
+            else:
+                await self._leader_watcher.step()
+
+    def _list_leader(self, changes: objects.Changes, asked: float) -> None:
+        found = [item for item in changes.objects if item.name == leadership.NAME]
+        self.leadership.observe(found[0] if found else None, clock.read())
+
+    def _change_leader(self, changes: objects.Changes, asked: float) -> None:
+        for stored in changes.objects:
+            if stored.name == leadership.NAME:
+                gone = stored.value is None
+                self.leadership.observe(None if gone else stored, clock.read())
+
+    def _is_advised(self) -> bool:
+        return clock.read() - self.advised_at < ADVISED_WITHIN
+
     def _take_member(self, stored: objects.StoredObject) -> None:
         name = stored.name.removeprefix(MEMBER_PREFIX)
         if stored.value is None:
@@ -428,7 +459,7 @@
         group.take_state(state)
         self._update_shares()
         if state.phase is catalog.Phase.SEALED:
-            self.report_soon()
+            self._report_now.set()
 
     def _update_shares(self) -> None:
         count = max(1, len(self.members))
@@ -517,10 +548,10 @@
         try:
             if lead.version:
                 stored = await self.store.update(
-                    FLEET_KIND, leadership.NAME, value, lead.version
+                    LEADER_KIND, leadership.NAME, value, lead.version
                 )
             else:
-                stored = await self.store.create(FLEET_KIND, leadership.NAME, value)
+                stored = await self.store.create(LEADER_KIND, leadership.NAME, value)
             if not was_leading:
                 # What the leader before wrote last must be known before acting.
                 changes = await self.store.list(FLEET_KIND)
@@ -529,7 +560,7 @@
             lead.note_failed(clock.read())
             self.journal.note("lead_not_written", reason=str(error))
             if isinstance(error, errors.VersionConflict):
-                self._watchers[2].hurry()
+                await self._leader_watcher.step(relist=True)
             return
         lead.note_written(asked, stored.version)
 
@@ -549,7 +580,8 @@
 
     def report_soon(self) -> None:
         """Report to the leader without delay."""
-        self._report_now.set()
+        if clock.read() >= self._empty_until:
+            self._report_now.set()
 
     async def _keep_reporting(self) -> None:
         while True:
@@ -612,11 +644,11 @@
         elif isinstance(parsed, reports.Advice):
             self._take_advice(parsed)
         elif message.get("kind") == "hurry":
-            self.report_soon()
+            self._report_now.set()
 
     def announce(self) -> None:
         """Have all nodes report, and so hear of what changed, at once."""
-        self.report_soon()
+        self._report_now.set()
         for name, member in self.members.items():
             if name != self.settings.name:
                 self.peers.send({"kind": "hurry"}, (member["host"], member["port"]))
@@ -650,6 +682,8 @@
             deadline = advice.echo + grant.lifetime * (1 - clock.RATE_MARGIN)
             self.budget.take_grant(grant.team, grant.grant_id, grant.tokens, deadline)
         if self.budget.is_waiting():
+            if not all(grant.tokens for grant in advice.grants):
+                self._empty_until = clock.read() + EMPTY_PAUSE
             self.report_soon()
 
     def collect_samples(
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -92,6 +92,7 @@
             "position": None if self.position is None else list(self.position),
             "waited": self.waited,
             "tries": self.tries,
+            "team": self.team,
             "lease_age": self.lease_age,
         }
 
@@ -160,9 +161,9 @@
         self.status = "I"
         self.values: dict[str, str] = {}
         self.prepared: dict[str, statements.Definition] = {}
+        self.trace = Trace()
         self.own: positions.Position | None = None
         self.transaction: Transaction | None = None
-        self.trace = Trace()
         self.is_busy = False
         self.is_closed = False
 
@@ -184,6 +185,7 @@
         team = found.owners.get(self.key, "")
         if not team and not route.is_open:
             raise Failed(statements.Failure.DENIED, "the key is not in force")
+        self.trace.team = team
         return route, team
 
     async def handle(self, statement: statements.Statement) -> statements.Answer:
@@ -427,6 +429,7 @@
     async def run_inside(self, statement: statements.Statement) -> statements.Answer:
         """Run a statement of the open transaction."""
         transaction = self.transaction
+        self.trace.team = transaction.team
         now = clock.read()
         deadline = now + transaction.route.statement_timeout
         if transaction.pooled is None:
--- a/src/sardinehold/node/watching.py
+++ b/src/sardinehold/node/watching.py
@@ -11,7 +11,7 @@
 from sardinehold.node import clock
 from sardinehold.node import ports
 
-LONG_WAIT = 4.0
+LONG_WAIT = 6.0
 """Seconds that a watch waits while the leader tells of changes too."""
 
 SHORT_WAIT = 0.5
@@ -63,7 +63,7 @@
         """Follow the kind until cancelled."""
         while True:
             with anyio.CancelScope() as self._scope:
-                await self._step()
+                await self.step()
 
     def hurry(self) -> None:
         """Read the kind again now: a newer change is known to exist."""
@@ -71,7 +71,12 @@
         if self._scope is not None:
             self._scope.cancel()
 
-    async def _step(self) -> None:
+    async def step(self, relist: bool = False) -> None:
+        """Read the kind once, or wait for a change of it.
+
+        :param relist: whether to read it anew whatever is known.
+        """
+        self._relist = self._relist or relist
         asked = clock.read()
         try:
             if self._relist or not self.revision:
