--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -71,12 +71,22 @@
     :param position: position that it answered with.
     :param waited: seconds that it waited for connections.
     :param tries: how often it was sent.
+    :param lease_age: seconds since the group's state was known to be in force.
     """
 
-    __slots__ = ("endpoint", "after", "position", "waited", "tries", "lease_age")
+    __slots__ = (
+        "team",
+        "endpoint",
+        "after",
+        "position",
+        "waited",
+        "tries",
+        "lease_age",
+    )
 
     def __init__(self) -> None:
         """Start with nothing decided."""
+        self.team = ""
         self.endpoint = ""
         self.after: positions.Position | None = None
         self.position: positions.Position | None = None
