--- a/src/sardinehold/node/budget.py
+++ b/src/sardinehold/node/budget.py
@@ -171,7 +171,9 @@
                 )
         return usages
 
-    def take_grant(self, team: str, grant_id: int, tokens: int, deadline: float) -> None:
+    def take_grant(
+        self, team: str, grant_id: int, tokens: int, deadline: float
+    ) -> None:
         """Add tokens that the allocator moved here."""
         account = self.accounts.get(team)
         if account is None:
--- a/src/sardinehold/node/catalog.py
+++ b/src/sardinehold/node/catalog.py
@@ -204,14 +204,23 @@
     :param primary: the endpoint's name, ``""`` while none is known.
     :param phase: ``SEALED`` while the primary is being replaced.
     :param version: the store's version of this state, 0 if it is not stored.
+    :param attempt: counts the orders to promote under this seal; each order's
+        fencing token is the version that the changed count gives the state.
     """
 
-    __slots__ = ("group", "term", "primary", "phase", "version")
+    __slots__ = ("group", "term", "primary", "phase", "version", "attempt")
 
     def __init__(
-        self, group: str, term: int, primary: str, phase: Phase, version: int = 0
+        self,
+        group: str,
+        term: int,
+        primary: str,
+        phase: Phase,
+        version: int = 0,
+        attempt: int = 0,
     ) -> None:
         """Keep the parts of the state."""
+        self.attempt = attempt
         self.group = group
         self.term = term
         self.primary = primary
@@ -220,7 +229,12 @@
 
     def dump(self) -> dict:
         """Return the value that is stored."""
-        return {"term": self.term, "primary": self.primary, "phase": self.phase.value}
+        return {
+            "term": self.term,
+            "primary": self.primary,
+            "phase": self.phase.value,
+            "attempt": self.attempt,
+        }
 
 
 def parse_group_state(group: str, value: dict, version: int) -> GroupState:
@@ -229,5 +243,10 @@
     :raises KeyError, ValueError, TypeError: the value is not one of ours.
     """
     return GroupState(
-        group, int(value["term"]), str(value["primary"]), Phase(value["phase"]), version
+        group,
+        int(value["term"]),
+        str(value["primary"]),
+        Phase(value["phase"]),
+        version,
+        int(value["attempt"]),
     )
--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -200,7 +200,10 @@
         self, state: catalog.GroupState, term: int, primary: str, sealed: bool
     ) -> catalog.GroupState:
         phase = catalog.Phase.SEALED if sealed else catalog.Phase.SERVING
-        new = catalog.GroupState(self.group, term, primary, phase, state.version)
+        attempt = state.attempt + 1 if sealed else 0
+        new = catalog.GroupState(
+            self.group, term, primary, phase, state.version, attempt
+        )
         return await self.fleet.write_state(new)
 
     # Freezing
@@ -302,9 +305,7 @@
             raise errors.PlatformUnavailable(
                 "This node no longer leads.", "The next leader goes on."
             )
-        self.fleet.note(
-            "promote", group=self.group, target=target, token=state.version
-        )
+        self.fleet.note("promote", group=self.group, target=target, token=state.version)
         try:
             await self.fleet.order_promotion(self.group, target, state.version)
         except errors.PlatformError as error:
@@ -395,4 +396,3 @@
     if status.paused_term:
         return await connection.resume(deadline) is not None
     return True
-
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -30,6 +30,13 @@
 """Divisor of an even part by which a node's kept connections are found: the rest is
 left for nodes that need more at the moment."""
 
+PROBE_TIMEOUT = 0.4
+"""Seconds in which an endpoint that is well answers a new connection and a question,
+across regions and behind a queue."""
+
+PROBE_TEAM = "sardinehold"
+"""The name in which connections for questions about logs are opened."""
+
 CLEAN_TIMEOUT = 0.5
 """Seconds that ending an abandoned transaction may take before its connection is
 closed instead."""
@@ -284,6 +291,7 @@
             endpoint.describe(now, waiter.team, endpoint is self.primary)
             for endpoint in self.endpoints.values()
             if endpoint.name not in waiter.avoided
+            and endpoint.failing_since is None
             and (endpoint.takes_new_work() or endpoint is self.primary)
         ]
         chosen = placement.choose_for_read(candidates, floor, holds_lease)
@@ -341,12 +349,46 @@
             for pooled in endpoint.take_surplus(now):
                 pooled.connection.close()
 
+    def probe(self, endpoint: pool.Endpoint) -> None:
+        """Ask an endpoint for its log over a new connection."""
+        now = clock.read()
+        if now - endpoint.probed_at < PROBE_TIMEOUT:
+            return
+        endpoint.probed_at = now
+        self._spawn(self._finish_probe, endpoint, now)
+
+    async def _finish_probe(self, endpoint: pool.Endpoint, now: float) -> None:
+        deadline = now + PROBE_TIMEOUT
+        failed = ""
+        try:
+            connection = await self._connector.open(
+                endpoint.record, PROBE_TEAM, deadline
+            )
+            try:
+                await connection.read_status(deadline)
+            finally:
+                connection.close()
+        except ports.OpeningFailed as error:
+            if error.failure is not statements.Failure.CONNECTION_LIMIT:
+                failed = str(error)
+        except ports.ConnectionLost as error:
+            failed = str(error)
+        if failed:
+            endpoint.note_failure(now, random.random())
+            self._close_idle(endpoint)
+            log.debug("{}: probe failed: {}", endpoint.name, failed)
+        else:
+            endpoint.probe_answered_at = clock.read()
+            endpoint.note_answer(clock.read())
+        self.pump()
+
     def _lose(self, pooled: pool.Pooled) -> None:
         pooled.is_lost = True
         endpoint = pooled.endpoint
         endpoint.connections.discard(pooled)
         if pooled in endpoint.idle:
             endpoint.idle.remove(pooled)
+        self.probe(endpoint)
 
     def release(self, pooled: pool.Pooled) -> None:
         """Take back a connection on which nothing is open."""
@@ -403,6 +445,8 @@
         """
         now = clock.read()
         endpoint.note_answer(now)
+        if committed:
+            endpoint.committed_at = now
         position = answer.position
         if position is None or not (was_alone or committed):
             return
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -11,6 +11,7 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import failover
+from sardinehold.node import groups
 from sardinehold.node import ports
 from sardinehold.node import reports
 
@@ -27,15 +28,15 @@
 LOOK_INTERVAL = 0.1
 """Seconds between looks at the groups."""
 
+CALL_INTERVAL = 0.5
+"""Seconds between calls to members that do not report."""
+
 CREATE_DELAY = 0.3
 """Seconds between attempts to find out who leads a group that has no state."""
 
 FAILURE_DELAY = 0.5
 """Seconds before a change of primary that failed starts anew."""
 
-CONTROL_TEAM = "sardinehold"
-"""The name in which connections for questions about logs are opened."""
-
 log = logbook.Logger("leader")
 
 
@@ -64,6 +65,7 @@
         self._working: set[str] = set()
         self._retry_at: dict[str, float] = {}
         self._aligned: dict[str, int] = {}
+        self._call_at = 0.0
 
     # Reports and advice
 
@@ -107,6 +109,7 @@
             self.node.catalog.version if self.node.catalog else 0,
             report.sequence,
             clock.read(),
+            self._list_suspects(now),
         )
 
     def _take_evidence(self, report: reports.Report) -> None:
@@ -119,6 +122,19 @@
             if report.states.get(name) == group.state.version:
                 group.evidence.note_position(asked, position)
 
+    def _list_suspects(self, now: float) -> list[str]:
+        """Return the primaries that some node cannot reach."""
+        failing = {name for item in self._list_heard(now) for name in item.failing}
+        primaries = {
+            group.state.primary for group in self.node.groups.values() if group.state
+        }
+        return sorted(failing & primaries)
+
+    def list_unheard(self, now: float) -> list[str]:
+        """Return the members that have not reported of late."""
+        heard = {report.node for report in self._list_heard(now)}
+        return sorted(self.node.members.keys() - heard - {self.node.settings.name})
+
     def count_heard(self, now: float) -> int:
         """Return how many nodes reported of late, this one included."""
         return len(self._list_heard(now))
@@ -136,11 +152,20 @@
         """Look after all groups until cancelled."""
         while True:
             if self.leads() and self.node.catalog is not None:
+                self._call_unheard()
                 for name, group in list(self.node.groups.items()):
                     if name not in self._working:
                         self._look(tasks, name, group.state)
             await anyio.sleep(LOOK_INTERVAL)
 
+    def _call_unheard(self) -> None:
+        """Call members that do not report: they may not know who leads."""
+        now = clock.read()
+        if now < self._call_at:
+            return
+        self._call_at = now + CALL_INTERVAL
+        self.node.call(self.list_unheard(now))
+
     def _look(
         self,
         tasks: anyio.abc.TaskGroup,
@@ -268,12 +293,12 @@
 
     def tell_soon(self) -> None:
         """Tell all nodes of the state without delay."""
-        self.node.announce()
+        self.node.call(list(self.node.members))
 
     async def open_control(self, record: catalog.EndpointRecord) -> ports.Connection:
         """Open a connection for questions about the log."""
         return await self.node.connector.open(
-            record, CONTROL_TEAM, clock.read() + failover.ASK_TIMEOUT
+            record, groups.PROBE_TEAM, clock.read() + failover.ASK_TIMEOUT
         )
 
     async def order_promotion(self, group: str, endpoint: str, token: int) -> None:
--- a/src/sardinehold/node/leadership.py
+++ b/src/sardinehold/node/leadership.py
@@ -41,6 +41,7 @@
         "incarnation",
         "spread",
         "version",
+        "taken_version",
         "holder",
         "holder_incarnation",
         "leads_until",
@@ -56,6 +57,7 @@
         self.incarnation = incarnation
         self.spread = spread
         self.version = 0
+        self.taken_version = 0
         self.holder = ""
         self.holder_incarnation = ""
         self.leads_until = float("-inf")
@@ -82,6 +84,22 @@
         if not self._is_own():
             self.leads_until = float("-inf")
 
+    def hear(self, node: str, incarnation: str, version: int, now: float) -> None:
+        """Take a leader's own word: the store may not answer this node.
+
+        :param version: of the leader's object when it took the lead.
+        """
+        if version <= self.version or self.leads(now):
+            return
+        self.version = version
+        self.holder, self.holder_incarnation = node, incarnation
+        self._changed_at = now
+
+    def note_alive(self, incarnation: str, now: float) -> None:
+        """Take a leader's advice as a sign that it renews its object."""
+        if incarnation == self.holder_incarnation:
+            self._changed_at = now
+
     def leads(self, now: float) -> bool:
         """Return whether this node may act for the fleet."""
         return now < self.leads_until
@@ -100,6 +118,8 @@
 
     def note_written(self, asked: float, version: int) -> None:
         """Note that a write sent at ``asked`` made this node the leader."""
+        if not self.leads(asked):
+            self.taken_version = version
         self.version = version
         self.holder, self.holder_incarnation = self.node, self.incarnation
         self.leads_until = asked + LEASE
@@ -128,6 +148,4 @@
         return {"node": "", "incarnation": ""}
 
     def _is_own(self) -> bool:
-        return (
-            self.holder == self.node and self.holder_incarnation == self.incarnation
-        )
+        return self.holder == self.node and self.holder_incarnation == self.incarnation
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -60,6 +60,13 @@
 TEND_INTERVAL = 0.05
 """Seconds between looks at resting transactions and silent endpoints."""
 
+PROBE_AFTER = 0.5
+"""Seconds without an answer after which an endpoint is asked by a new connection;
+longer than a queue in front of its slots."""
+
+PROBE_AGAIN = 0.4
+"""Seconds between such questions to an endpoint that is out of reach."""
+
 GONE_GRACE = 2.5
 """Seconds after which an endpoint without an entry is forgotten: entries that were
 lost with the store are back within two."""
@@ -92,9 +99,7 @@
     def parse_catalog(self, value: object) -> catalog.Catalog:
         """Return a configuration; raises DocumentError."""
 
-    def parse_endpoint(
-        self, name: str, value: object
-    ) -> catalog.EndpointRecord | None:
+    def parse_endpoint(self, name: str, value: object) -> catalog.EndpointRecord | None:
         """Return an endpoint's record, None if the entry is not one."""
 
 
@@ -439,9 +444,7 @@
 
     def _take_state(self, stored: objects.StoredObject) -> None:
         name = stored.name.removeprefix(GROUP_PREFIX)
-        self.take_state(
-            catalog.parse_group_state(name, stored.value, stored.version)
-        )
+        self.take_state(catalog.parse_group_state(name, stored.value, stored.version))
 
     def take_state(self, state: catalog.GroupState) -> None:
         """Take a group's state if it is newer."""
@@ -486,7 +489,12 @@
         else:
             stored = await self.store.create(FLEET_KIND, name, state.dump())
         written = catalog.GroupState(
-            state.group, state.term, state.primary, state.phase, stored.version
+            state.group,
+            state.term,
+            state.primary,
+            state.phase,
+            stored.version,
+            state.attempt,
         )
         self.take_state(written)
         return written
@@ -643,21 +651,31 @@
                 self.peers.send(self.leader.answer(parsed).dump(), address)
         elif isinstance(parsed, reports.Advice):
             self._take_advice(parsed)
-        elif message.get("kind") == "hurry":
+        elif isinstance(parsed, reports.Call):
+            self.leadership.hear(
+                parsed.node, parsed.incarnation, parsed.version, clock.read()
+            )
             self._report_now.set()
 
-    def announce(self) -> None:
-        """Have all nodes report, and so hear of what changed, at once."""
-        self._report_now.set()
-        for name, member in self.members.items():
-            if name != self.settings.name:
-                self.peers.send({"kind": "hurry"}, (member["host"], member["port"]))
+    def call(self, names: list[str]) -> None:
+        """Have nodes report, and so hear of what changed, at once."""
+        lead = self.leadership
+        message = reports.Call(
+            self.settings.name, self.incarnation, lead.taken_version
+        ).dump()
+        for name in names:
+            member = self.members.get(name)
+            if name == self.settings.name:
+                self._report_now.set()
+            elif member is not None:
+                self.peers.send(message, (member["host"], member["port"]))
 
     def _take_advice(self, advice: reports.Advice) -> None:
         now = clock.read()
         if advice.echo > now or now - advice.echo > ADVISED_WITHIN:
             return
         self.advised_at = now
+        self.leadership.note_alive(advice.incarnation, now)
         self._last_advice = advice
         self._last_advice_at = now
         for state in advice.states:
@@ -671,11 +689,20 @@
                 age, position = advice.samples[state.group]
                 group.evidence.note_position(advice.date(age), position)
             group.pump()
+        for name in advice.suspects:
+            self._look_at(name, now)
         if advice.sequence == self._exchange:
             self._take_grants(advice)
         if self.catalog is None or advice.catalog_version > self.catalog.version:
             self._watchers[0].hurry()
 
+    def _look_at(self, name: str, now: float) -> None:
+        """Find out about an endpoint that another node cannot reach."""
+        for group in self.groups.values():
+            endpoint = group.endpoints.get(name)
+            if endpoint is not None and now - endpoint.answered_at > PROBE_AFTER:
+                group.probe(endpoint)
+
     def _take_grants(self, advice: reports.Advice) -> None:
         self._exchange_until = float("-inf")
         for grant in advice.grants:
@@ -698,10 +725,10 @@
 
     def _collect_failing(self, now: float) -> dict[str, float]:
         return {
-            endpoint.name: now - endpoint.failing_since
+            endpoint.name: now - since
             for group in self.groups.values()
             for endpoint in group.endpoints.values()
-            if endpoint.failing_since is not None
+            if (since := endpoint.find_failing_since(now)) is not None
         }
 
     # Housekeeping
@@ -721,6 +748,8 @@
     def _tend_group(self, group: groups.Group, now: float) -> None:
         group.trim(now)
         for endpoint in list(group.endpoints.values()):
+            if endpoint.is_silent(now, PROBE_AFTER, PROBE_AGAIN):
+                group.probe(endpoint)
             gone = endpoint.gone_since
             if gone is not None and now - gone > GONE_GRACE:
                 self._note_endpoint("endpoint_gone", endpoint.name, group.name)
@@ -735,4 +764,3 @@
         new.host,
         new.port,
     )
-
--- a/src/sardinehold/node/pool.py
+++ b/src/sardinehold/node/pool.py
@@ -27,6 +27,10 @@
 """Seconds that the growing wait between attempts ends at; a small part of the time
 in which a crashed endpoint is back."""
 
+ISOLATED_AFTER = 0.7
+"""Seconds after which a commit that does not return makes a primary suspect that
+answers other questions; longer than a full queue in front of its slots."""
+
 EXTRA_IDLE = 1.0
 """Seconds for which a free connection beyond the kept ones stays open: long enough
 for the next statement of a busy team, short enough that other nodes get it."""
@@ -83,7 +87,11 @@
     :param retry_at: before when no connection is opened.
     :param failing_since: when it was first found unreachable, None if it is not.
     :param answered_at: when it last answered anything.
-    :param leaving_since: when it was first seen draining or gone, or None.
+    :param leaving_since: when it was first seen draining, or None.
+    :param gone_since: when its entry was first missed, or None.
+    :param sent: when the statements were sent that it has not answered.
+    :param writes: the same of those that commit something.
+    :param committed_at: when it last answered to one of these with success.
     """
 
     __slots__ = (
@@ -106,6 +114,11 @@
         "leaving_since",
         "gone_since",
         "distance",
+        "sent",
+        "writes",
+        "committed_at",
+        "probed_at",
+        "probe_answered_at",
     )
 
     def __init__(self, record: catalog.EndpointRecord, distance: int) -> None:
@@ -129,6 +142,11 @@
         self.answered_at = float("-inf")
         self.leaving_since: float | None = None
         self.gone_since: float | None = None
+        self.sent: dict[Pooled, float] = {}
+        self.writes: dict[Pooled, float] = {}
+        self.committed_at = float("-inf")
+        self.probed_at = float("-inf")
+        self.probe_answered_at = float("-inf")
 
     @property
     def name(self) -> str:
@@ -140,6 +158,36 @@
         """Seconds to the endpoint and back."""
         return ROUND_TRIPS[self.distance]
 
+    def is_silent(self, now: float, after: float, again: float) -> bool:
+        """Return whether it should be asked over a new connection.
+
+        :param after: seconds without an answer to something that was sent.
+        :param again: seconds between two questions.
+        """
+        if now - self.probed_at < again:
+            return False
+        if self.failing_since is not None:
+            return True
+        return any(
+            now - asked > after and self.probed_at < asked
+            for asked in self.sent.values()
+        )
+
+    def find_failing_since(self, now: float) -> float | None:
+        """Return since when it has been out of reach, or commits nothing.
+
+        A primary that answers questions while its commits do not return has lost
+        its replicas.
+        """
+        if self.failing_since is not None:
+            return self.failing_since
+        oldest = min(self.writes.values(), default=now)
+        if now - oldest < ISOLATED_AFTER or self.committed_at > oldest:
+            return None
+        if self.probe_answered_at < oldest + ISOLATED_AFTER / 2:
+            return None
+        return oldest
+
     def takes_new_work(self) -> bool:
         """Return whether it is neither leaving nor gone."""
         return self.leaving_since is None and self.gone_since is None
@@ -219,9 +267,7 @@
         self.lacked = floor
         self.lacked_until = now + placement.LAG_MEMORY
 
-    def describe(
-        self, now: float, team: str, is_primary: bool
-    ) -> placement.Candidate:
+    def describe(self, now: float, team: str, is_primary: bool) -> placement.Candidate:
         """Return the endpoint as a placement sees it."""
         return placement.Candidate(
             self.name,
--- a/src/sardinehold/node/reports.py
+++ b/src/sardinehold/node/reports.py
@@ -116,6 +116,7 @@
     :param states: the groups' states.
     :param samples: newest positions of the primaries, with their ages.
     :param grants: tokens moved to the node.
+    :param suspects: primaries that some node cannot reach; the others look too.
     :param sent_at: the leader's clock, to be echoed.
     """
 
@@ -129,6 +130,7 @@
         "catalog_version",
         "sequence",
         "sent_at",
+        "suspects",
     )
 
     def __init__(
@@ -142,6 +144,7 @@
         catalog_version: int,
         sequence: int,
         sent_at: float,
+        suspects: list[str],
     ) -> None:
         """Keep the parts of the advice."""
         self.node = node
@@ -153,6 +156,7 @@
         self.catalog_version = catalog_version
         self.sequence = sequence
         self.sent_at = sent_at
+        self.suspects = suspects
 
     def date(self, age: float) -> float:
         """Return an instant of the node's clock, no later than ``age`` ago."""
@@ -166,7 +170,14 @@
             "inc": self.incarnation,
             "echo": self.echo,
             "states": [
-                [item.group, item.version, item.term, item.primary, item.phase.value]
+                [
+                    item.group,
+                    item.term,
+                    item.primary,
+                    item.phase.value,
+                    item.version,
+                    item.attempt,
+                ]
                 for item in self.states
             ],
             "samples": _dump_samples(self.samples),
@@ -177,6 +188,31 @@
             "catalog": self.catalog_version,
             "seq": self.sequence,
             "at": self.sent_at,
+            "suspects": self.suspects,
+        }
+
+
+class Call:
+    """A leader's call to report at once.
+
+    :param version: of the leader's object when it took the lead.
+    """
+
+    __slots__ = ("node", "incarnation", "version")
+
+    def __init__(self, node: str, incarnation: str, version: int) -> None:
+        """Keep who calls."""
+        self.node = node
+        self.incarnation = incarnation
+        self.version = version
+
+    def dump(self) -> dict:
+        """Return the message."""
+        return {
+            "kind": "call",
+            "node": self.node,
+            "inc": self.incarnation,
+            "version": self.version,
         }
 
 
@@ -194,7 +230,7 @@
     }
 
 
-def parse(message: dict) -> Report | Advice | None:
+def parse(message: dict) -> Report | Advice | Call | None:
     """Return what a message holds, None if it is of another kind.
 
     :raises KeyError, TypeError, ValueError: it cannot be read.
@@ -228,19 +264,30 @@
         float(message["echo"]),
         [
             catalog.GroupState(
-                group, int(term), primary, catalog.Phase(phase), int(version)
+                group,
+                int(term),
+                primary,
+                catalog.Phase(phase),
+                int(version),
+                int(attempt),
             )
-            for group, version, term, primary, phase in message["states"]
+            for group, term, primary, phase, version, attempt in message["states"]
         ],
         _parse_samples(message["samples"]),
         [quota.Grant(*grant) for grant in message["grants"]],
         int(message["catalog"]),
         int(message["seq"]),
         float(message["at"]),
+        [str(name) for name in message["suspects"]],
     )
 
 
-_PARSERS: dict[str, typing.Callable[[dict], Report | Advice]] = {
+def _parse_call(message: dict) -> Call:
+    return Call(message["node"], message["inc"], int(message["version"]))
+
+
+_PARSERS: dict[str, typing.Callable[[dict], Report | Advice | Call]] = {
     "report": _parse_report,
     "advice": _parse_advice,
+    "call": _parse_call,
 }
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -343,9 +343,14 @@
         try:
             await self.tune(pooled, deadline, statement)
             asked = clock.read()
+            endpoint.sent[pooled] = asked
+            if self._may_commit(statement):
+                endpoint.writes[pooled] = asked
             answer = await pooled.connection.run(statement, deadline, placed.after)
         finally:
             endpoint.in_flight -= 1
+            endpoint.sent.pop(pooled, None)
+            endpoint.writes.pop(pooled, None)
         trace.position = answer.position
         endpoint.note_service(clock.read() - asked)
         if answer.error is statements.Failure.LAGGING and placed.after is not None:
@@ -363,6 +368,12 @@
         )
         return answer
 
+    def _may_commit(self, statement: statements.Statement) -> bool:
+        """Return whether a statement waits for replicas if it succeeds."""
+        if self.transaction is None:
+            return is_write(statement)
+        return statement.kind is Kind.COMMIT and self.transaction.wrote
+
     # Single statements
 
     async def run_read(self, statement: statements.Statement) -> statements.Answer:
@@ -567,17 +578,13 @@
     return route.consistency is catalog.Consistency.LATEST
 
 
-def _avoid(
-    route: catalog.Route, avoided: frozenset[str], name: str
-) -> frozenset[str]:
+def _avoid(route: catalog.Route, avoided: frozenset[str], name: str) -> frozenset[str]:
     """Return the endpoints to avoid for the next try of a read."""
     return avoided if _reads_primary(route) else avoided | {name}
 
 
 @handles(Kind.BEGIN, Kind.BEGIN_READ)
-async def begin(
-    session: Session, statement: statements.Statement
-) -> statements.Answer:
+async def begin(session: Session, statement: statements.Statement) -> statements.Answer:
     """Open a transaction; it reaches an endpoint with its first statement."""
     if session.transaction is not None:
         raise Failed(statements.Failure.MALFORMED, "a transaction is open already")
--- a/src/sardinehold/platform/callers.py
+++ b/src/sardinehold/platform/callers.py
@@ -64,9 +64,7 @@
     return parse
 
 
-def _parse_begin(
-    request_id: str, text: str, rest: str
-) -> statements.Statement | None:
+def _parse_begin(request_id: str, text: str, rest: str) -> statements.Statement | None:
     if text == "BEGIN":
         return statements.Statement(request_id, text, statements.Kind.BEGIN)
     if text == "BEGIN READ":
--- a/src/sardinehold/platform/daemon.py
+++ b/src/sardinehold/platform/daemon.py
@@ -16,7 +16,6 @@
 from sardinehold.node import clock
 from sardinehold.node import journal
 from sardinehold.node import node as nodes
-from sardinehold.node import peers
 from sardinehold.node import settings
 from sardinehold.platform import callers
 from sardinehold.platform import duty
--- a/src/sardinehold/platform/duty.py
+++ b/src/sardinehold/platform/duty.py
@@ -32,9 +32,7 @@
         """Close all connections."""
         await self._http.aclose()
 
-    async def promote(
-        self, group: str, endpoint: str, holder: str, token: int
-    ) -> None:
+    async def promote(self, group: str, endpoint: str, holder: str, token: int) -> None:
         """Make an endpoint primary.
 
         :raises sardinehold.errors.PlatformUnavailable: no answer came; the
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,326 @@
+"""One node and a fleet of them, in virtual time."""
+
+import asyncio
+
+import pytest
+
+import builders_node
+from sardinehold.node import catalog
+from sardinehold.node import clock
+from sardinehold.node import statements
+
+Kind = statements.Kind
+Failure = statements.Failure
+
+
+@pytest.mark.parametrize("route", ["latest", "bounded", "session"])
+def test_write_and_read_are_served_on_each_kind_of_route(monkeypatch, route):
+    async def story(world):
+        client = world.open("n1", route)
+        wrote = await client.write()
+        assert wrote.error is None
+        assert wrote.signature.startswith("signed g-0")
+        assert (await client.read()).error is None
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_session_reads_its_own_write_on_a_replica_that_lags(monkeypatch):
+    async def story(world):
+        for database in world.clusters["g"].databases.values():
+            database.lag = 0.3
+        client = world.open("n1")
+        for _ in range(5):
+            wrote = await client.write()
+            read = await client.read()
+            assert read.error is None
+            run = world.clusters["g"].ran[-1]
+            assert run.log >= wrote.position.offset
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_reads_run_on_the_replica_of_the_own_zone(monkeypatch):
+    async def story(world):
+        client = world.open("n1", "bounded")
+        await world.open("n1", "latest").write()
+        await asyncio.sleep(0.5)
+        for _ in range(5):
+            await client.read()
+        assert {run.database for run in world.clusters["g"].ran[-4:]} == {"g-1"}
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_transaction_stays_on_one_connection_and_commits_once(monkeypatch):
+    async def story(world):
+        client = world.open("n2", "latest")
+        assert (await client.send(Kind.BEGIN)).status == "T"
+        assert (await client.write()).status == "T"
+        assert (await client.read()).status == "T"
+        done = await client.send(Kind.COMMIT)
+        assert (done.error, done.status) == (None, "I")
+        assert len(world.clusters["g"].acknowledged) == 1
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_transaction_that_lost_its_connection_is_aborted(monkeypatch):
+    async def story(world):
+        client = world.open("n2", "latest")
+        await client.send(Kind.BEGIN)
+        await client.write()
+        world.clusters["g"].primary.crash()
+        failed = await client.read()
+        assert (failed.error, failed.status) == (Failure.ABORTED, "E")
+        assert (await client.write()).error is Failure.MALFORMED
+        ended = await client.send(Kind.COMMIT)
+        assert (ended.error, ended.status) == (Failure.ABORTED, "I")
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_commit_without_an_answer_is_in_doubt(monkeypatch):
+    async def story(world):
+        client = world.open("n1", "latest")
+        await client.send(Kind.BEGIN)
+        await client.write()
+        world.clusters["g"].primary.swallows.add(f"r{world._requests + 1}")
+        ended = await client.send(Kind.COMMIT)
+        assert (ended.error, ended.status) == (Failure.IN_DOUBT, "I")
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_write_without_an_answer_is_in_doubt_and_not_repeated(monkeypatch):
+    async def story(world):
+        client = world.open("n1", "latest")
+        lost = f"r{world._requests + 1}"
+        world.clusters["g"].primary.swallows.add(lost)
+        assert (await client.write()).error is Failure.IN_DOUBT
+        runs = [run for run in world.clusters["g"].ran if run.request_id == lost]
+        assert len(runs) == 1
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_read_without_an_answer_is_repeated_elsewhere(monkeypatch):
+    async def story(world):
+        client = world.open("n1", "bounded")
+        await world.open("n1", "latest").write()
+        await asyncio.sleep(0.5)
+        world.clusters["g"].databases["g-1"].swallows.add(f"r{world._requests + 1}")
+        assert (await client.read()).error is None
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_transaction_that_rests_too_long_is_rolled_back_and_told(monkeypatch):
+    async def story(world):
+        client = world.open("n1", "latest")
+        await client.send(Kind.BEGIN)
+        await client.write()
+        await asyncio.sleep(3.5)
+        assert (await client.read()).error is Failure.ABORTED
+        assert (await client.send(Kind.ROLLBACK)).status == "I"
+        assert not world.clusters["g"].acknowledged
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_prepared_statements_and_variables_follow_the_session(monkeypatch):
+    async def story(world):
+        first, second = world.open("n1", "latest"), world.open("n1", "latest")
+        for client, value in ((first, "a"), (second, "b")):
+            await client.send(Kind.SET, name="mode", value=value)
+            definition = statements.Definition(False, f"shape-{value}")
+            await client.send(Kind.PREPARE, name="s1", definition=definition)
+        for client, value in ((first, "a"), (second, "b"), (first, "a")):
+            answer = await client.send(Kind.EXECUTE, name="s1", arguments="1")
+            assert answer.error is None
+            held = [
+                connection
+                for connection in world.clusters["g"].primary.connections
+                if connection.values == {"mode": value}
+                and f"r_shape-{value}" in connection.prepared
+            ]
+            assert held
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_unknown_prepared_name_is_refused(monkeypatch):
+    async def story(world):
+        client = world.open("n1")
+        answer = await client.send(Kind.EXECUTE, name="nothing", arguments="1")
+        assert answer.error is Failure.UNKNOWN_STATEMENT
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_withdrawn_key_stops_an_open_session(monkeypatch):
+    async def story(world):
+        client = world.open("n1")
+        assert (await client.read()).error is None
+        world.publish(builders_node.make_catalog(2, keys={"blue-key": "blue"}))
+        await asyncio.sleep(0.5)
+        assert (await client.read()).error is Failure.DENIED
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_older_configuration_never_comes_back(monkeypatch):
+    async def story(world):
+        world.publish(builders_node.make_catalog(5, timeout=0.5))
+        await asyncio.sleep(0.5)
+        world.publish(builders_node.make_catalog(4, timeout=2.0))
+        await asyncio.sleep(0.5)
+        for node in world.nodes.values():
+            assert node.catalog.version == 5
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_configuration_arrives_after_the_store_forgot_its_history(monkeypatch):
+    async def story(world):
+        world.store.forget_history()
+        world.publish(builders_node.make_catalog(7))
+        await asyncio.sleep(3.0)
+        assert {node.catalog.version for node in world.nodes.values()} == {7}
+
+    builders_node.play(monkeypatch, story)
+
+
+@pytest.mark.parametrize("dies", ["g-0", "g-1", "g-2"])
+def test_writes_go_on_after_any_database_died(monkeypatch, dies):
+    async def story(world):
+        client = world.open("n1", "latest")
+        assert (await client.write()).error is None
+        world.clusters["g"].databases[dies].crash()
+        began = clock.read()
+        while (await client.write()).error is not None:
+            await asyncio.sleep(0.05)
+            assert clock.read() - began < 5.0
+        log = [request for _, request in world.clusters["g"].primary.log]
+        assert set(world.clusters["g"].acknowledged) <= set(log)
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_primary_that_only_some_nodes_reach_never_serves_stale_reads(monkeypatch):
+    async def story(world):
+        cluster = world.clusters["g"]
+        old = cluster.primary
+        old.unreachable |= {"n0", "n1"}
+        clients = {name: world.open(name, "latest") for name in world.nodes}
+        latest = 0
+        began = clock.read()
+        while clock.read() - began < 6.0:
+            for client in clients.values():
+                answer = await client.write()
+                if answer.error is None:
+                    latest = answer.position.offset
+                    read = await client.read()
+                    if read.error is None:
+                        assert cluster.ran[-1].log >= latest
+                stale = await clients["n2"].read()
+                if stale.error is None:
+                    assert cluster.ran[-1].log >= latest
+                await asyncio.sleep(0.02)
+        assert cluster.primary is not old
+        assert latest
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_primary_that_leaves_is_replaced_and_nothing_is_lost(monkeypatch):
+    async def story(world):
+        client = world.open("n1", "latest")
+        await client.write()
+        world.publish_endpoint("g-0", is_draining=True)
+        await asyncio.sleep(3.0)
+        assert world.clusters["g"].primary.name != "g-0"
+        assert (await client.write()).error is None
+        log = [request for _, request in world.clusters["g"].primary.log]
+        assert set(world.clusters["g"].acknowledged) <= set(log)
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_leader_that_dies_is_followed_and_tokens_differ(monkeypatch):
+    async def story(world):
+        first = world.find_leader()
+        for name in world.nodes:
+            await world.open(name, "latest").write()
+        world.kill_node(first)
+        world.clusters["g"].primary.crash()
+        await asyncio.sleep(8.0)
+        second = world.find_leader()
+        assert second
+        assert second != first
+        promotions = world.clusters["g"].promotions
+        tokens = [token for _, token, _ in promotions]
+        assert tokens == sorted(set(tokens))
+        client = world.open(second, "latest")
+        assert (await client.write()).error is None
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_leader_cut_off_from_the_store_stops_to_act(monkeypatch):
+    async def story(world):
+        first = world.find_leader()
+        world.store.cut.add(first)
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            world.find_leader()
+        assert world.find_leader() not in ("", first)
+        assert world.nodes[first].catalog is not None
+        assert (await world.open(first, "latest").read()).error is None
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_all_nodes_killed_at_once_serve_again(monkeypatch):
+    async def story(world):
+        names = list(world.nodes)
+        for name in names:
+            world.kill_node(name)
+        await asyncio.sleep(1.0)
+        for name in names:
+            world.start_node(name, "north")
+        await asyncio.sleep(5.0)
+        for name in names:
+            assert (await world.open(name, "latest").write()).error is None
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_team_gets_its_rate_over_all_nodes_and_no_more(monkeypatch):
+    async def story(world):
+        served = []
+
+        async def press(client):
+            while True:
+                if (await client.read()).error is None:
+                    served.append(clock.read())
+                else:
+                    await asyncio.sleep(0.05)
+
+        for name in world.nodes:
+            for _ in range(4):
+                world.tasks.start_soon(press, world.open(name, "bounded"))
+        await asyncio.sleep(20.0)
+        first = served[0]
+        for start in range(int(first) + 1, int(served[-1]) - 5):
+            count = sum(start <= at < start + 5 for at in served)
+            assert count <= (20 * 5 + 20) * 1.1 + 20
+        assert len(served) >= 0.8 * 20 * 20
+
+    builders_node.play(monkeypatch, story, rate=20.0, burst=20.0)
+
+
+def test_group_state_of_the_store_is_read_back():
+    state = catalog.GroupState("g", 3, "g-1", catalog.Phase.SEALED, 9)
+    again = catalog.parse_group_state("g", state.dump(), 9)
+    assert (again.term, again.primary, again.phase) == (3, "g-1", catalog.Phase.SEALED)
