Hedge late reads, keep replicas readable while a primary is replaced

Causes seen in the log lines: reads waited for their timeout where an answer was lost; bounded reads stopped when no position of the primary was young enough during a change of it; processes that start anew had no tokens for a second. A node that the store refuses now gets the configuration from the leader. Each has a test in tests/test_node.py.

--- a/src/sardinehold/node/budget.py
+++ b/src/sardinehold/node/budget.py
@@ -13,11 +13,16 @@
 from sardinehold.core import quota
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import settings
 
 EVEN_PART = 0.3
 """Part of each rate and burst that is divided evenly. The teams' usual demand is
 below two thirds of their rates, which the rest still covers."""
 
+START_SHARE = 0.5
+"""Part of what a rate may be exceeded by that all nodes together start with; the rest
+covers what arrives late and unlike clocks."""
+
 MAX_WAIT = 0.1
 """Seconds that an operation waits for the allocator: an exchange across regions, with
 one lost. Below a quarter of the shortest target latency, so that a refusal still
@@ -40,9 +45,10 @@
 
 
 class EvenPart:
-    """This node's part of a rate, as a bucket that starts empty.
+    """The node's part of a rate, as a bucket that starts nearly empty.
 
-    A process that starts anew may follow one that has just spent its part.
+    A process that starts anew may follow one that has just spent its part: it
+    starts with no more than its part of what a rate may be exceeded by.
     """
 
     __slots__ = ("rate", "burst", "tokens", "filled_at")
@@ -54,17 +60,22 @@
         self.tokens = 0.0
         self.filled_at = now
 
+    def start(self, tokens: float) -> None:
+        """Begin with a few tokens."""
+        self.tokens = tokens
+
     def configure(self, now: float, rate: float, burst: float) -> None:
         """Put another rate in force."""
         self.refill(now)
         self.rate = rate
         self.burst = burst
-        self.tokens = min(self.tokens, burst)
+        self.tokens = min(self.tokens, max(burst, self.tokens))
 
     def refill(self, now: float) -> None:
         """Add what the rate gave since the last call."""
         elapsed = max(0.0, now - self.filled_at)
-        self.tokens = min(self.burst, self.tokens + elapsed * self.rate)
+        cap = max(self.burst, self.tokens)
+        self.tokens = min(cap, self.tokens + elapsed * self.rate)
         self.filled_at = now
 
     def take(self, now: float) -> bool:
@@ -92,11 +103,15 @@
 class Budget:
     """The accounts of all teams on this node.
 
+    :param loaded: settings, for what a rate may be exceeded by.
     :param ask_soon: called when the allocator should be asked without delay.
     """
 
-    def __init__(self, ask_soon: typing.Callable[[], None]) -> None:
+    def __init__(
+        self, loaded: settings.Settings, ask_soon: typing.Callable[[], None]
+    ) -> None:
         """Start without accounts."""
+        self._settings = loaded
         self.accounts: dict[str, Account] = {}
         self.members = 1
         self._ask_soon = ask_soon
@@ -113,9 +128,17 @@
             account = self.accounts.get(team.name)
             if account is None:
                 account = self.accounts[team.name] = Account(team.name, now)
+                account.even.start(self._find_start(team))
             part = EVEN_PART / self.members
             account.even.configure(now, team.rate * part, max(1.0, team.burst * part))
 
+    def _find_start(self, team: catalog.Team) -> float:
+        """Return the tokens that a new process begins with."""
+        loaded = self._settings
+        allowed = loaded.quota_window * team.rate + team.burst
+        excess = loaded.quota_overage * allowed + loaded.quota_slack
+        return START_SHARE * excess / self.members
+
     async def spend(self, team: str, deadline: float) -> None:
         """Spend one operation of a team; an open route has no rate.
 
--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -65,19 +65,22 @@
         self.target = target
 
 
-def count_needed(copies: int, sync_replicas: int) -> int:
-    """Return how many frozen logs hold every acknowledged commit among them.
+def count_needed(replicas: int, sync_replicas: int) -> int:
+    """Return how many frozen replicas hold every acknowledged commit among them.
 
     A commit is in the logs of ``sync_replicas`` replicas at least: it can be missed
     only while as many have not been read.
+
+    :param replicas: endpoints beside the primary that is replaced, whether or not
+        that is still there.
     """
-    return max(1, copies - sync_replicas)
+    return max(1, replicas - sync_replicas + 1)
 
 
 def choose_target(
     statuses: dict[str, ports.LogStatus],
     state: catalog.GroupState,
-    copies: int,
+    replica_count: int,
     sync_replicas: int,
     leaving: frozenset[str] = frozenset(),
     avoided: frozenset[str] = frozenset(),
@@ -88,6 +91,7 @@
     :param statuses: of endpoints that cannot acknowledge a commit any more, or
         that lead a later term.
     :param state: of the group, with the primary that is replaced.
+    :param replica_count: endpoints beside that primary.
     :param leaving: endpoints about to leave, taken only if no other will do.
     :param avoided: endpoints that failed to take over, likewise.
     :param may_undo: whether the old primary may lead again for want of others.
@@ -102,7 +106,7 @@
         return replicas[name].received, name not in leaving, name not in avoided
 
     best = max(sorted(replicas), key=rate, default="")
-    if best and len(replicas) >= count_needed(copies, sync_replicas):
+    if best and len(replicas) >= count_needed(replica_count, sync_replicas):
         return Plan(target=best)
     if old is None:
         return Plan()
@@ -138,6 +142,9 @@
     def is_seal_known(self, group: str, version: int) -> bool:
         """Return whether every node has given up the old primary."""
 
+    def note_frozen(self, group: str, position: positions.Position) -> None:
+        """Let reads go on at replicas: nothing beyond a position is acknowledged."""
+
     def tell_soon(self) -> None:
         """Tell all nodes of the state without delay."""
 
@@ -166,6 +173,7 @@
         self.sync_replicas = sync_replicas
         self.planned = planned
         self._frozen_at = 0.0
+        self._end = positions.START
         self._undo_at = clock.read() + UNDO_AFTER
         self._avoided: set[str] = set()
 
@@ -189,6 +197,7 @@
             if not plan.target:
                 await anyio.sleep(RETRY_DELAY)
                 continue
+            fleet.note_frozen(self.group, self._end)
             await self._wait_for_leases(sealed_version)
             state = await self._promote(state, plan.target)
             if await self._wait_for_lead(state, plan.target):
@@ -212,18 +221,22 @@
         """Stop all logs that can be reached and return what they allow."""
         records = self.fleet.list_records(self.group)
         statuses: dict[str, ports.LogStatus] = {}
-        enough = count_needed(len(records), self.sync_replicas)
+        replica_count = sum(record.name != state.primary for record in records)
+        enough = count_needed(replica_count, self.sync_replicas)
         async with anyio.create_task_group() as tasks:
             for record in records:
                 tasks.start_soon(
                     self._freeze_one, record, state, statuses, tasks, enough
                 )
         self._frozen_at = clock.read()
+        self._end = max(
+            (status.received for status in statuses.values()), default=positions.START
+        )
         leaving = frozenset(item.name for item in records if item.is_draining)
         plan = choose_target(
             statuses,
             state,
-            len(records),
+            replica_count,
             self.sync_replicas,
             leaving,
             frozenset(self._avoided),
@@ -233,7 +246,7 @@
             "frozen",
             group=self.group,
             logs={name: list(item.received) for name, item in statuses.items()},
-            copies=len(records),
+            replicas=replica_count,
             target=plan.target,
             leader=plan.leader,
         )
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -16,6 +16,10 @@
 from sardinehold.node import ports
 from sardinehold.node import statements
 
+DRAIN_PART = 0.85
+"""Part of the time that a leaving endpoint may get new work in which a leaving primary
+gets it; the rest covers the way from the store to this node."""
+
 OPEN_TIMEOUT = 1.0
 """Seconds that opening a connection may take; past it an endpoint counts as dark."""
 
@@ -107,7 +111,10 @@
 class Group:
     """One group of databases.
 
+    :param endpoint_drain: seconds in which a leaving endpoint may get new work.
     :param state: who leads it, as the store said last; None while unknown.
+    :param frozen: on the leader, while the primary is being replaced: the end of
+        the frozen logs, beyond which nothing is acknowledged.
     """
 
     def __init__(
@@ -116,14 +123,17 @@
         connector: ports.Connector,
         spawn: typing.Callable[..., None],
         measure_distance: typing.Callable[[str], int],
+        endpoint_drain: float,
     ) -> None:
         """Start without endpoints."""
+        self.endpoint_drain = endpoint_drain
         self.name = name
         self.config: catalog.Group | None = None
         self.state: catalog.GroupState | None = None
         self.evidence = evidence.Evidence()
         self.endpoints: dict[str, pool.Endpoint] = {}
         self.waiters: list[Waiter] = []
+        self.frozen: positions.Position | None = None
         self._connector = connector
         self._spawn = spawn
         self._measure_distance = measure_distance
@@ -135,6 +145,8 @@
         if self.state is not None and state.version <= self.state.version:
             return
         before, self.state = self.state, state
+        if state.phase is catalog.Phase.SERVING:
+            self.frozen = None
         if state.phase is catalog.Phase.SEALED:
             self.evidence.revoke()
         if before is None or before.term != state.term:
@@ -209,11 +221,13 @@
 
     def is_serving(self) -> bool:
         """Return whether a primary takes work."""
-        return (
-            self.state is not None
-            and self.state.phase is catalog.Phase.SERVING
-            and self.primary is not None
-        )
+        if self.state is None or self.state.phase is not catalog.Phase.SERVING:
+            return False
+        primary = self.primary
+        if primary is None:
+            return False
+        since = primary.leaving_since or primary.gone_since
+        return since is None or clock.read() < since + DRAIN_PART * self.endpoint_drain
 
     # Waiting for a connection
 
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -6,6 +6,7 @@
 import logbook
 
 from sardinehold import errors
+from sardinehold.core import positions
 from sardinehold.core import quota
 from sardinehold.node import budget
 from sardinehold.node import catalog
@@ -21,13 +22,17 @@
 HEARD_WITHIN = 1.0
 """Seconds for which a report counts: four of them may be lost."""
 
-SUSPECT_AFTER = 0.5
-"""Seconds for which a primary must be out of reach before it counts as failing:
-longer than a queue in front of its slots."""
+SUSPECT_AFTER = 0.3
+"""Seconds for which a primary must be out of reach before it counts as failing: a
+new connection that failed and another attempt."""
 
 LOOK_INTERVAL = 0.1
 """Seconds between looks at the groups."""
 
+MISSING_GRACE = 2.5
+"""Seconds for which a primary without an entry is waited for: entries that were lost
+with the store are back within two."""
+
 CALL_INTERVAL = 0.5
 """Seconds between calls to members that do not report."""
 
@@ -66,6 +71,7 @@
         self._retry_at: dict[str, float] = {}
         self._aligned: dict[str, int] = {}
         self._call_at = 0.0
+        self._missing_since: dict[str, float] = {}
 
     # Reports and advice
 
@@ -203,9 +209,11 @@
     def _is_lost(self, state: catalog.GroupState, now: float) -> bool:
         """Return whether enough nodes cannot reach a primary."""
         group = self.node.groups[state.group]
-        primary = group.primary
-        if primary is None or primary.gone_since is not None:
-            return True
+        if group.primary is None:
+            # Entries that lapsed while the store was away come back soon.
+            since = self._missing_since.setdefault(state.group, now)
+            return now - since > MISSING_GRACE
+        self._missing_since.pop(state.group, None)
         heard = self._list_heard(now)
         failing = sum(
             report.failing.get(state.primary, 0.0) >= SUSPECT_AFTER for report in heard
@@ -291,6 +299,10 @@
                 return False
         return bool(self.node.members)
 
+    def note_frozen(self, group: str, position: positions.Position) -> None:
+        """Let reads go on at replicas: nothing beyond a position is acknowledged."""
+        self.node.groups[group].frozen = position
+
     def tell_soon(self) -> None:
         """Tell all nodes of the state without delay."""
         self.node.call(list(self.node.members))
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -6,6 +6,7 @@
 import random
 import secrets
 import typing
+import zlib
 
 import anyio
 import anyio.abc
@@ -19,6 +20,7 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import groups
+from sardinehold.node import hedging
 from sardinehold.node import journal
 from sardinehold.node import leader
 from sardinehold.node import leadership
@@ -130,14 +132,16 @@
         self.journal = journal.Journal(loaded.name, registry)
         self.incarnation = secrets.token_hex(4)
         self.catalog: catalog.Catalog | None = None
+        self._stored_catalog: object = None
         self.groups: dict[str, groups.Group] = {}
         self.members: dict[str, dict] = {}
         self.callers: set[Caller] = set()
-        self.budget = budget.Budget(self.report_soon)
+        self.budget = budget.Budget(loaded, self.report_soon)
         self.leadership = leadership.Leadership(
             loaded.name, self.incarnation, random.random()
         )
         self.leader = leader.Leader(self)
+        self.hedges = hedging.Allowance()
         self.peers = peers.Peers(self._hear)
         self.is_stopping = False
         self.advised_at = float("-inf")
@@ -146,6 +150,7 @@
         self._exchange = 0
         self._exchange_until = float("-inf")
         self._empty_until = float("-inf")
+        self._failing: set[str] = set()
         self._report_now = anyio.Event()
         self._last_advice: reports.Advice | None = None
         self._last_advice_at = 0.0
@@ -270,7 +275,11 @@
         group = self.groups.get(name)
         if group is None:
             group = groups.Group(
-                name, self.connector, self.spawn, self.settings.measure_distance
+                name,
+                self.connector,
+                self.spawn,
+                self.settings.measure_distance,
+                self.settings.endpoint_drain,
             )
             self.groups[name] = group
         return group
@@ -328,21 +337,28 @@
     def _change_config(self, changes: objects.Changes, asked: float) -> None:
         for stored in changes.objects:
             if stored.name == self.sources.configuration_name and stored.value:
-                try:
-                    found = self.sources.parse_catalog(stored.value)
-                except errors.DocumentError as error:
-                    self.journal.note("configuration_refused", reason=str(error))
-                    continue
-                self.take_catalog(found)
-
-    def take_catalog(self, found: catalog.Catalog) -> None:
-        """Put a newer configuration in force."""
-        if self.catalog is not None and found.version <= self.catalog.version:
+                self._read_catalog(stored.value, "store")
+
+    def _read_catalog(self, value: object, source: str) -> None:
+        try:
+            found = self.sources.parse_catalog(value)
+        except errors.DocumentError as error:
+            self.journal.note("configuration_refused", reason=str(error), source=source)
             return
+        if self.catalog is None or found.version > self.catalog.version:
+            self._stored_catalog = value
+            self.take_catalog(found, source)
+
+    def take_catalog(self, found: catalog.Catalog, source: str) -> None:
+        """Put a newer configuration in force.
+
+        :param source: where it came from, ``store`` or ``leader``.
+        """
         before, self.catalog = self.catalog, found
         self.journal.note(
             "configuration",
             version=found.version,
+            source=source,
             routes=len(found.routes),
             keys=len(found.owners),
             rates=catalog.find_new_rates(before, found),
@@ -643,7 +659,7 @@
     def _hear(self, message: dict, address: tuple[str, int]) -> None:
         try:
             parsed = reports.parse(message)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, zlib.error) as error:
             self.journal.note("message_refused", reason=repr(error))
             return
         if isinstance(parsed, reports.Report):
@@ -651,6 +667,12 @@
                 self.peers.send(self.leader.answer(parsed).dump(), address)
         elif isinstance(parsed, reports.Advice):
             self._take_advice(parsed)
+        elif isinstance(parsed, reports.Request):
+            if self._stored_catalog is not None:
+                answer = reports.Configuration(self._stored_catalog)
+                self.peers.send(answer.dump(), address)
+        elif isinstance(parsed, reports.Configuration):
+            self._read_catalog(parsed.value, "leader")
         elif isinstance(parsed, reports.Call):
             self.leadership.hear(
                 parsed.node, parsed.incarnation, parsed.version, clock.read()
@@ -693,8 +715,20 @@
             self._look_at(name, now)
         if advice.sequence == self._exchange:
             self._take_grants(advice)
-        if self.catalog is None or advice.catalog_version > self.catalog.version:
-            self._watchers[0].hurry()
+        known = self.catalog.version if self.catalog is not None else 0
+        if advice.catalog_version > known:
+            self._fetch_catalog(advice, known)
+
+    def _fetch_catalog(self, advice: reports.Advice, known: int) -> None:
+        """Get a configuration that the leader has and this node has not."""
+        watcher = self._watchers[0]
+        if watcher.is_failing():
+            member = self.members.get(advice.node)
+            if member is not None:
+                address = (member["host"], member["port"])
+                self.peers.send(reports.Request(known).dump(), address)
+        else:
+            watcher.hurry()
 
     def _look_at(self, name: str, now: float) -> None:
         """Find out about an endpoint that another node cannot reach."""
@@ -717,6 +751,9 @@
         self, now: float
     ) -> dict[str, tuple[float, positions.Position]]:
         """Return the newest known position of each primary, with its age."""
+        for group in self.groups.values():
+            if group.frozen is not None and self.leadership.leads(now):
+                group.evidence.note_position(now, group.frozen)
         return {
             name: (now - group.evidence.latest.asked, group.evidence.latest.position)
             for name, group in self.groups.items()
@@ -744,6 +781,17 @@
                     )
             for group in self.groups.values():
                 self._tend_group(group, now)
+            failing = self._collect_failing(now).keys()
+            if failing != self._failing:
+                self._note_failing(failing - self._failing, self._failing - failing)
+                self._failing = set(failing)
+                self._report_now.set()
+
+    def _note_failing(self, lost: set[str], regained: set[str]) -> None:
+        for name in sorted(lost):
+            self.journal.note("endpoint_lost", endpoint=name)
+        for name in sorted(regained):
+            self.journal.note("endpoint_regained", endpoint=name)
 
     def _tend_group(self, group: groups.Group, now: float) -> None:
         group.trim(now)
--- a/src/sardinehold/node/pool.py
+++ b/src/sardinehold/node/pool.py
@@ -197,7 +197,7 @@
         return any(pooled.team == team for pooled in self.idle)
 
     def may_open(self, now: float) -> bool:
-        """Return whether another connection may be opened, one giving way if need be."""
+        """Return whether another connection may be opened in place of an idle one."""
         if now < self.retry_at:
             return False
         return bool(self.idle) or not self.is_full(now)
@@ -248,7 +248,7 @@
         self.failures += 1
         self.retry_at = now + wait * (0.5 + jitter)
         if self.failing_since is None:
-            self.failing_since = now
+            self.failing_since = min(self.sent.values(), default=now)
 
     def note_answer(self, now: float) -> None:
         """Take an answer as proof that the endpoint is reachable."""
--- a/src/sardinehold/node/reports.py
+++ b/src/sardinehold/node/reports.py
@@ -5,7 +5,10 @@
 reading that the report brought. So no delay on the way makes anything look newer.
 """
 
+import base64
+import json
 import typing
+import zlib
 
 from sardinehold.core import positions
 from sardinehold.core import quota
@@ -216,6 +219,38 @@
         }
 
 
+class Request:
+    """Asks the leader for its configuration: the store does not answer the node.
+
+    :param version: that the node has, 0 for none.
+    """
+
+    __slots__ = ("version",)
+
+    def __init__(self, version: int) -> None:
+        """Keep the version."""
+        self.version = version
+
+    def dump(self) -> dict:
+        """Return the message."""
+        return {"kind": "request", "version": self.version}
+
+
+class Configuration:
+    """The configuration as the store holds it, compressed for a datagram."""
+
+    __slots__ = ("value",)
+
+    def __init__(self, value: object) -> None:
+        """Keep the value."""
+        self.value = value
+
+    def dump(self) -> dict:
+        """Return the message."""
+        packed = zlib.compress(json.dumps(self.value).encode())
+        return {"kind": "configuration", "value": base64.b64encode(packed).decode()}
+
+
 def _dump_samples(samples: dict[str, tuple[float, positions.Position]]) -> dict:
     return {
         name: [round(age, 4), position.term, position.offset]
@@ -230,7 +265,11 @@
     }
 
 
-def parse(message: dict) -> Report | Advice | Call | None:
+Message = Report | Advice | Call | Request | Configuration
+"""All messages between nodes."""
+
+
+def parse(message: dict) -> Message | None:
     """Return what a message holds, None if it is of another kind.
 
     :raises KeyError, TypeError, ValueError: it cannot be read.
@@ -286,8 +325,19 @@
     return Call(message["node"], message["inc"], int(message["version"]))
 
 
-_PARSERS: dict[str, typing.Callable[[dict], Report | Advice | Call]] = {
+def _parse_request(message: dict) -> Request:
+    return Request(int(message["version"]))
+
+
+def _parse_configuration(message: dict) -> Configuration:
+    packed = base64.b64decode(message["value"])
+    return Configuration(json.loads(zlib.decompress(packed)))
+
+
+_PARSERS: dict[str, typing.Callable[[dict], Message]] = {
     "report": _parse_report,
     "advice": _parse_advice,
     "call": _parse_call,
+    "request": _parse_request,
+    "configuration": _parse_configuration,
 }
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -11,6 +11,7 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import groups
+from sardinehold.node import hedging
 from sardinehold.node import pool
 from sardinehold.node import ports
 from sardinehold.node import statements
@@ -22,13 +23,6 @@
 """Seconds before a statement that an endpoint had no room for is sent again; about
 the time in which a slot becomes free."""
 
-HEDGE_FACTOR = 6.0
-"""Times its expected duration after which a read is sent to another endpoint too."""
-
-HEDGE_LEAST = 0.12
-"""Seconds after which a read is hedged at the earliest; above the tail of ordinary
-reads, so that only lost answers and slow endpoints are."""
-
 LOCAL_SIGNATURE = "-"
 """What a statement ends with that no endpoint saw."""
 
@@ -377,44 +371,23 @@
     # Single statements
 
     async def run_read(self, statement: statements.Statement) -> statements.Answer:
-        """Run a read outside a transaction, on another endpoint if one fails it."""
+        """Run a read outside a transaction, a second time if the first is late."""
         route, team = self.admit()
         began = clock.read()
         deadline = began + route.statement_timeout
         await self.node.spend(team, deadline)
-        avoided: frozenset[str] = frozenset()
-        last = statements.Failure.BUSY
-        while clock.read() < deadline:
-            placed = await self.acquire(
-                route, team, began, deadline, _reads_primary(route), avoided
-            )
-            group = self.find_group(route)
-            endpoint = placed.pooled.endpoint
-            try:
-                answer = await self.run_on(placed, statement, deadline)
-            except ports.ConnectionLost as error:
-                group.pump()
-                last = statements.Failure.TIMEOUT
-                if error.is_timeout:
-                    break
-                avoided = _avoid(route, avoided, endpoint.name)
-                continue
-            group.release(placed.pooled)
-            if answer.error is None:
-                return answer
-            last = answer.error
-            if answer.error is statements.Failure.LAGGING:
-                continue
-            if answer.error is statements.Failure.FAILED:
-                if avoided or _reads_primary(route):
-                    return answer
-                avoided = _avoid(route, avoided, endpoint.name)
-                continue
-            if answer.error is statements.Failure.BUSY:
-                await asyncio.sleep(BUSY_PAUSE)
-                continue
-            return answer
-        raise Failed(last, "the read was not answered in time")
+        self.node.hedges.note_read()
+        attempt = ReadAttempt(self, statement, route, team, began, deadline)
+        race = hedging.Race(self.node.spawn)
+        race.add(attempt.run)
+        await asyncio.wait([attempt.placed], timeout=deadline - began)
+        answer = await race.wait(attempt.find_patience())
+        if answer is None and self.node.hedges.take():
+            self.node.registry.count("reads_hedged")
+            second = ReadAttempt(self, statement, route, team, began, deadline)
+            second.avoided = attempt.avoided | _avoid(route, attempt.endpoint)
+            race.add(second.run)
+        return answer or await race.wait()
 
     async def run_write(self, statement: statements.Statement) -> statements.Answer:
         """Run a write outside a transaction, at most once."""
@@ -500,7 +473,7 @@
                 answer = await self.run_on(placed, transaction.begin, deadline)
             except ports.ConnectionLost:
                 group.pump()
-                avoided = _avoid(route, avoided, placed.pooled.endpoint.name)
+                avoided |= _avoid(route, placed.pooled.endpoint)
                 continue
             if answer.error is None and answer.status == "T":
                 transaction.pooled = placed.pooled
@@ -564,6 +537,114 @@
         self.status = "I"
 
 
+class ReadAttempt:
+    """One attempt at a read, on one endpoint after the other while they refuse.
+
+    :param placed: done once the read has a connection, or none can be had.
+    :param endpoint: where it was sent last.
+    :param avoided: endpoints that it is not sent to.
+    """
+
+    __slots__ = (
+        "session",
+        "statement",
+        "route",
+        "team",
+        "began",
+        "deadline",
+        "placed",
+        "endpoint",
+        "avoided",
+    )
+
+    def __init__(
+        self,
+        session: Session,
+        statement: statements.Statement,
+        route: catalog.Route,
+        team: str,
+        began: float,
+        deadline: float,
+    ) -> None:
+        """Start unplaced."""
+        self.session = session
+        self.statement = statement
+        self.route = route
+        self.team = team
+        self.began = began
+        self.deadline = deadline
+        self.placed: asyncio.Future = asyncio.get_running_loop().create_future()
+        self.endpoint: pool.Endpoint | None = None
+        self.avoided: frozenset[str] = frozenset()
+
+    def find_patience(self) -> float:
+        """Return the seconds after which the read is late."""
+        if self.endpoint is None:
+            return hedging.LEAST
+        return hedging.find_patience(self.endpoint.service + self.endpoint.round_trip)
+
+    async def run(self) -> statements.Answer:
+        """Return the answer of the first endpoint that gives one.
+
+        :raises Failed: none did in time.
+        """
+        try:
+            return await self._try_all()
+        finally:
+            self._note_placed()
+
+    async def _try_all(self) -> statements.Answer:
+        last = statements.Failure.BUSY
+        while clock.read() < self.deadline:
+            placed = await self.session.acquire(
+                self.route,
+                self.team,
+                self.began,
+                self.deadline,
+                _reads_primary(self.route),
+                self.avoided,
+            )
+            self.endpoint = placed.pooled.endpoint
+            self._note_placed()
+            answer = await self._try_one(placed)
+            if answer is None:
+                last = statements.Failure.TIMEOUT
+                continue
+            last = answer.error
+            if answer.error is None or not await self._may_go_on(answer.error):
+                return answer
+        raise Failed(last, "the read was not answered in time")
+
+    async def _try_one(self, placed: groups.Placed) -> statements.Answer | None:
+        """Return an endpoint's answer, None if its connection broke."""
+        group = self.session.find_group(self.route)
+        try:
+            answer = await self.session.run_on(placed, self.statement, self.deadline)
+        except ports.ConnectionLost:
+            group.pump()
+            self.avoided |= _avoid(self.route, self.endpoint)
+            return None
+        group.release(placed.pooled)
+        return answer
+
+    async def _may_go_on(self, failure: statements.Failure) -> bool:
+        """Return whether another try makes sense, after a pause if need be."""
+        if failure is statements.Failure.LAGGING:
+            return True
+        if failure is statements.Failure.BUSY:
+            await asyncio.sleep(BUSY_PAUSE)
+            return True
+        if failure is statements.Failure.FAILED:
+            known = bool(self.avoided)
+            self.avoided |= _avoid(self.route, self.endpoint)
+            return not known and bool(self.avoided)
+        return False
+
+    def _note_placed(self) -> None:
+        if not self.placed.done():
+            self.placed.set_result(None)
+
+
 _ENDINGS = frozenset({Kind.COMMIT, Kind.ROLLBACK})
 
 
@@ -578,9 +659,11 @@
     return route.consistency is catalog.Consistency.LATEST
 
 
-def _avoid(route: catalog.Route, avoided: frozenset[str], name: str) -> frozenset[str]:
-    """Return the endpoints to avoid for the next try of a read."""
-    return avoided if _reads_primary(route) else avoided | {name}
+def _avoid(route: catalog.Route, endpoint: pool.Endpoint | None) -> frozenset[str]:
+    """Return what to avoid after an endpoint failed a read: nothing on the primary."""
+    if endpoint is None or _reads_primary(route):
+        return frozenset()
+    return frozenset({endpoint.name})
 
 
 @handles(Kind.BEGIN, Kind.BEGIN_READ)
--- a/src/sardinehold/node/watching.py
+++ b/src/sardinehold/node/watching.py
@@ -65,6 +65,10 @@
             with anyio.CancelScope() as self._scope:
                 await self.step()
 
+    def is_failing(self) -> bool:
+        """Return whether the last call got no answer."""
+        return self._failures > 0
+
     def hurry(self) -> None:
         """Read the kind again now: a newer change is known to exist."""
         self._relist = True
--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -501,7 +501,7 @@
 
     @staticmethod
     def parse_catalog(value):
-        return value
+        return make_catalog(**value)
 
     @staticmethod
     def parse_endpoint(name, value):
@@ -555,8 +555,8 @@
                 return cluster.databases[name]
         return None
 
-    def publish(self, found: catalog.Catalog) -> None:
-        self.store.put(CONFIG_KIND, "main", found)
+    def publish(self, **configuration: object) -> None:
+        self.store.put(CONFIG_KIND, "main", {"version": 1, **configuration})
 
     def publish_endpoint(self, name: str, **changes: object) -> None:
         database = self.find_database(name)
@@ -601,7 +601,7 @@
 
     async def start(self, count: int = 3, **configuration: object) -> None:
         """Start a fleet and wait until it serves."""
-        self.publish(make_catalog(**configuration))
+        self.publish(**configuration)
         for cluster in self.clusters.values():
             for name in cluster.databases:
                 self.publish_endpoint(name)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -115,6 +115,36 @@
     builders_node.play(monkeypatch, story)
 
 
+def test_read_that_an_endpoint_keeps_is_sent_to_another(monkeypatch):
+    async def story(world):
+        client = world.open("n1", "bounded")
+        await world.open("n1", "latest").write()
+        await asyncio.sleep(0.5)
+        await client.read()
+        world.clusters["g"].databases["g-1"].work = 0.9
+        began = clock.read()
+        assert (await client.read()).error is None
+        assert clock.read() - began < 0.5
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_reads_go_on_while_the_primary_is_replaced(monkeypatch):
+    async def story(world):
+        world.clusters["g"].promote_delay = 2.5
+        for name in world.nodes:
+            await world.open(name, "latest").write()
+        world.clusters["g"].primary.crash()
+        client = world.open("n1", "bounded")
+        began = clock.read()
+        while clock.read() - began < 2.5:
+            answer = await client.read()
+            assert answer.error is None
+            await asyncio.sleep(0.1)
+
+    builders_node.play(monkeypatch, story)
+
+
 def test_transaction_that_rests_too_long_is_rolled_back_and_told(monkeypatch):
     async def story(world):
         client = world.open("n1", "latest")
@@ -162,7 +192,7 @@
     async def story(world):
         client = world.open("n1")
         assert (await client.read()).error is None
-        world.publish(builders_node.make_catalog(2, keys={"blue-key": "blue"}))
+        world.publish(version=2, keys={"blue-key": "blue"})
         await asyncio.sleep(0.5)
         assert (await client.read()).error is Failure.DENIED
 
@@ -171,9 +201,9 @@
 
 def test_older_configuration_never_comes_back(monkeypatch):
     async def story(world):
-        world.publish(builders_node.make_catalog(5, timeout=0.5))
+        world.publish(version=5, timeout=0.5)
         await asyncio.sleep(0.5)
-        world.publish(builders_node.make_catalog(4, timeout=2.0))
+        world.publish(version=4, timeout=2.0)
         await asyncio.sleep(0.5)
         for node in world.nodes.values():
             assert node.catalog.version == 5
@@ -184,13 +214,38 @@
 def test_configuration_arrives_after_the_store_forgot_its_history(monkeypatch):
     async def story(world):
         world.store.forget_history()
-        world.publish(builders_node.make_catalog(7))
+        world.publish(version=7)
         await asyncio.sleep(3.0)
         assert {node.catalog.version for node in world.nodes.values()} == {7}
 
     builders_node.play(monkeypatch, story)
 
 
+def test_node_that_the_store_refuses_gets_the_configuration_of_the_leader(monkeypatch):
+    async def story(world):
+        leader = world.find_leader()
+        other = next(name for name in world.nodes if name != leader)
+        world.store.cut.add(other)
+        await asyncio.sleep(7.0)
+        world.publish(version=3, keys={"blue-key": "blue"})
+        await asyncio.sleep(3.0)
+        assert world.nodes[other].catalog.version == 3
+        assert (await world.open(other).read()).error is Failure.DENIED
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_leaving_primary_gets_no_new_work_past_its_drain(monkeypatch):
+    async def story(world):
+        for name in ("g-1", "g-2"):
+            world.publish_endpoint(name, is_draining=True)
+        world.publish_endpoint("g-0", is_draining=True)
+        await asyncio.sleep(7.0)
+        assert (await world.open("n1", "latest").write()).error is Failure.BUSY
+
+    builders_node.play(monkeypatch, story)
+
+
 @pytest.mark.parametrize("dies", ["g-0", "g-1", "g-2"])
 def test_writes_go_on_after_any_database_died(monkeypatch, dies):
     async def story(world):
