Let a leader without the store make way, or go on while nobody reaches it

Ruled out: the endpoints (statements that had a token took 41 ms as before). Tests in tests/test_node.py.

--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -79,8 +79,13 @@
         """Start to lead; tokens of the leader before must lapse first."""
         now = clock.read()
         margin = 1 + 2 * clock.RATE_MARGIN
+        wait = (quota.GRANT_LIFETIME + HEARD_WITHIN) * margin
+        expected = frozenset(
+            f"{name}/{member.get('incarnation', '')}"
+            for name, member in self.node.members.items()
+        )
         self.allocator = quota.Allocator(
-            self.node.leadership.version, now, now + quota.GRANT_LIFETIME * margin
+            self.node.leadership.version, now, now + wait, expected
         )
         self.configure()
 
@@ -94,10 +99,16 @@
         """Stop to lead."""
         self.allocator = None
 
-    def answer(self, report: reports.Report) -> reports.Advice:
-        """Take a report and return the advice for its node."""
+    def answer(self, report: reports.Report) -> reports.Advice | None:
+        """Take a report and return the advice for its node.
+
+        :returns: None while another node may lead.
+        """
         now = clock.read()
         self.heard[report.node] = Heard(report, now)
+        certain = self.find_certainty(now)
+        if certain is None:
+            return None
         self._take_evidence(report)
         grants: list[quota.Grant] | None = None
         if self.allocator is not None:
@@ -116,8 +127,38 @@
             report.sequence,
             clock.read(),
             self._list_suspects(now),
+            now - certain,
+            self.node.leadership.is_late(now),
         )
 
+    def find_certainty(self, now: float) -> float | None:
+        """Return the instant up to which no other node can have taken over."""
+        lead = self.node.leadership
+        if lead.leads(now):
+            return now
+        contacts = self._list_contacts(now)
+        if len(contacts) < len(self.node.members):
+            return None
+        certain = lead.find_certainty(now, contacts)
+        if certain is None or now - certain > HEARD_WITHIN:
+            return None
+        return certain
+
+    def _list_contacts(self, now: float) -> list[tuple[float, float]]:
+        """Return the contacts with the store that members reported of late."""
+        contacts = [(self.node.find_store_contact(), now)]
+        for name in self.node.members:
+            heard = self.heard.get(name)
+            if name == self.node.settings.name or heard is None:
+                continue
+            said = heard.report.date(0.0, self.node.incarnation)
+            if said is None or now - heard.at > HEARD_WITHIN:
+                continue
+            # The contact was no later than the report's arrival less its age.
+            margin = 1 - clock.RATE_MARGIN
+            contacts.append((heard.at - heard.report.contact_age * margin, said))
+        return contacts
+
     def _take_evidence(self, report: reports.Report) -> None:
         """Take what another node knows of the primaries' logs."""
         for name, (age, position) in report.samples.items():
@@ -157,6 +198,7 @@
     async def run(self, tasks: anyio.abc.TaskGroup) -> None:
         """Look after all groups until cancelled."""
         while True:
+            self._resign_if_cut_off()
             if self.leads() and self.node.catalog is not None:
                 self._call_unheard()
                 for name, group in list(self.node.groups.items()):
@@ -164,6 +206,14 @@
                         self._look(tasks, name, group.state)
             await anyio.sleep(LOOK_INTERVAL)
 
+    def _resign_if_cut_off(self) -> None:
+        """Make way when the store refuses this node and answers others."""
+        now = clock.read()
+        if self.node.leadership.should_resign(now, self._list_contacts(now)):
+            self.note("resigned", version=self.node.leadership.version)
+            self.node.call(list(self.node.members), resigns=True)
+            self.node.leadership.resign()
+
     def _call_unheard(self) -> None:
         """Call members that do not report: they may not know who leads."""
         now = clock.read()
--- a/src/sardinehold/node/leadership.py
+++ b/src/sardinehold/node/leadership.py
@@ -21,6 +21,14 @@
 """Seconds without a change after which another node takes over; longer than
 ``LEASE`` by more than a suspended call can hide."""
 
+OUTAGE_MARGIN = 0.2
+"""Seconds before ``TAKEOVER_AFTER`` from which a node that reached the store may have
+taken over, for all that a leader without the store can know."""
+
+RESIGN_AFTER = 1.2
+"""Seconds without a renewal after which a leader makes way for nodes that reach the
+store: one renewal and its repetition have failed."""
+
 TAKEOVER_SPREAD = 0.5
 """Seconds over which candidates spread, so that not all write at once."""
 
@@ -45,6 +53,7 @@
         "holder",
         "holder_incarnation",
         "leads_until",
+        "renewed_at",
         "is_known",
         "_changed_at",
         "_next_write",
@@ -61,6 +70,7 @@
         self.holder = ""
         self.holder_incarnation = ""
         self.leads_until = float("-inf")
+        self.renewed_at = float("-inf")
         self.is_known = False
         self._changed_at = 0.0
         self._next_write = 0.0
@@ -81,9 +91,53 @@
         self.holder = str(value.get("node", ""))
         self.holder_incarnation = str(value.get("incarnation", ""))
         self._changed_at = now
-        if not self._is_own():
+        if not self.is_own():
             self.leads_until = float("-inf")
 
+    def find_certainty(
+        self, now: float, contacts: list[tuple[float, float]] | None
+    ) -> float | None:
+        """Return the instant up to which no other node can have taken over.
+
+        While the store is out of reach for every member, nobody can: the leader
+        goes on by what they report, and orders nothing.
+
+        :param contacts: of each member, its latest contact with the store and an
+            instant before its report of that, on this clock; None if a member
+            has not reported of late.
+        :returns: None if another may lead by now.
+        """
+        if self.leads(now):
+            return now
+        if not contacts or not self.is_own():
+            return None
+        limit = self.renewed_at + TAKEOVER_AFTER - OUTAGE_MARGIN
+        if any(contact >= limit for contact, _ in contacts):
+            return None
+        return min(said for _, said in contacts)
+
+    def should_resign(self, now: float, contacts: list[tuple[float, float]]) -> bool:
+        """Return whether to make way for members that reach the store."""
+        if not self.leads(now) or now - self.renewed_at < RESIGN_AFTER:
+            return False
+        return any(
+            contact > self.renewed_at + RENEW_INTERVAL for contact, _ in contacts
+        )
+
+    def is_late(self, now: float) -> bool:
+        """Return whether this leader's renewal is overdue."""
+        return self.leads(now) and now - self.renewed_at > RENEW_INTERVAL + RETRY_DELAY
+
+    def hear_resignation(self, incarnation: str, version: int, now: float) -> None:
+        """Note that the leader makes way at once.
+
+        :param version: of its object, as far as it knows.
+        """
+        if incarnation == self.holder_incarnation:
+            self.version = max(self.version, version)
+            self.holder = self.holder_incarnation = ""
+            self._next_write = now + self.spread * TAKEOVER_SPREAD / 2
+
     def hear(self, node: str, incarnation: str, version: int, now: float) -> None:
         """Take a leader's own word: the store may not answer this node.
 
@@ -108,7 +162,7 @@
         """Return when to write the object, a time in the past for at once."""
         if not self.is_known:
             return float("inf")
-        if self._is_own() or not self.holder:
+        if self.is_own() or not self.holder:
             return self._next_write
         due = self._changed_at + TAKEOVER_AFTER + self.spread * TAKEOVER_SPREAD
         if self.holder == self.node:
@@ -122,6 +176,7 @@
             self.taken_version = version
         self.version = version
         self.holder, self.holder_incarnation = self.node, self.incarnation
+        self.renewed_at = asked
         self.leads_until = asked + LEASE
         self._next_write = asked + RENEW_INTERVAL
 
@@ -132,6 +187,8 @@
     def resign(self) -> None:
         """Stop acting at once."""
         self.leads_until = float("-inf")
+        self.holder = self.holder_incarnation = ""
+        self._next_write = self.renewed_at + TAKEOVER_AFTER
 
     def make_value(self) -> dict:
         """Return the object's value that makes this node the leader."""
@@ -147,5 +204,6 @@
         """Return the object's value that leaves the lead to anyone."""
         return {"node": "", "incarnation": ""}
 
-    def _is_own(self) -> bool:
+    def is_own(self) -> bool:
+        """Return whether the object names this start of this process."""
         return self.holder == self.node and self.holder_incarnation == self.incarnation
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -75,6 +75,9 @@
 
 SECRET_BYTES = 32
 
+STORE_ASK_INTERVAL = 0.8
+"""Seconds between two questions to the store for a leader that it does not answer."""
+
 STORE_RETRY = 0.3
 """Seconds between attempts to write an object of this node."""
 
@@ -148,6 +151,8 @@
         self._tasks = tasks
         self._versions: dict[str, int] = {}
         self._exchange = 0
+        self._wrote_at = float("-inf")
+        self._asked_store_at = float("-inf")
         self._exchange_until = float("-inf")
         self._empty_until = float("-inf")
         self._failing: set[str] = set()
@@ -436,6 +441,7 @@
                 await anyio.sleep(TEND_INTERVAL)
             else:
                 await self._leader_watcher.step()
+                await anyio.sleep(0)
 
     def _list_leader(self, changes: objects.Changes, asked: float) -> None:
         found = [item for item in changes.objects if item.name == leadership.NAME]
@@ -447,6 +453,12 @@
                 gone = stored.value is None
                 self.leadership.observe(None if gone else stored, clock.read())
 
+    def find_store_contact(self) -> float:
+        """Return when the store last answered this node."""
+        watchers = [*self._watchers, self._leader_watcher]
+        contact = max(watcher.answered_at for watcher in watchers)
+        return max(contact, self._wrote_at)
+
     def _is_advised(self) -> bool:
         return clock.read() - self.advised_at < ADVISED_WITHIN
 
@@ -586,9 +598,13 @@
             if isinstance(error, errors.VersionConflict):
                 await self._leader_watcher.step(relist=True)
             return
+        self._wrote_at = clock.read()
         lead.note_written(asked, stored.version)
 
     def _note_lead(self, leads: bool) -> None:
+        if not leads and self.leader.find_certainty(clock.read()) is not None:
+            # The store is out of reach for all: nobody else can have taken over.
+            return
         if leads is self._is_leading:
             return
         self._is_leading = leads
@@ -636,10 +652,12 @@
             advice.sent_at if advice else None,
             advice.incarnation if advice else "",
             now - self._last_advice_at,
+            now - self.find_store_contact(),
         )
         if holder == self.settings.name:
-            if self.leadership.leads(now):
-                self._take_advice(self.leader.answer(report))
+            advice = self.leader.answer(report)
+            if advice is not None:
+                self._take_advice(advice)
             return
         member = self.members.get(holder)
         if member is not None:
@@ -663,27 +681,37 @@
             self.journal.note("message_refused", reason=repr(error))
             return
         if isinstance(parsed, reports.Report):
-            if self.leadership.leads(clock.read()):
-                self.peers.send(self.leader.answer(parsed).dump(), address)
+            answer = self.leader.answer(parsed)
+            if answer is not None:
+                self.peers.send(answer.dump(), address)
         elif isinstance(parsed, reports.Advice):
             self._take_advice(parsed)
         elif isinstance(parsed, reports.Request):
             if self._stored_catalog is not None:
-                answer = reports.Configuration(self._stored_catalog)
-                self.peers.send(answer.dump(), address)
+                stored = reports.Configuration(self._stored_catalog)
+                self.peers.send(stored.dump(), address)
         elif isinstance(parsed, reports.Configuration):
             self._read_catalog(parsed.value, "leader")
         elif isinstance(parsed, reports.Call):
-            self.leadership.hear(
-                parsed.node, parsed.incarnation, parsed.version, clock.read()
-            )
-            self._report_now.set()
+            self._take_call(parsed, clock.read())
+
+    def _take_call(self, call: reports.Call, now: float) -> None:
+        if call.resigns:
+            self.leadership.hear_resignation(call.incarnation, call.version, now)
+            self.advised_at = float("-inf")
+            return
+        self.leadership.hear(call.node, call.incarnation, call.version, now)
+        self._report_now.set()
 
-    def call(self, names: list[str]) -> None:
-        """Have nodes report, and so hear of what changed, at once."""
+    def call(self, names: list[str], resigns: bool = False) -> None:
+        """Have nodes report, and so hear of what changed, at once.
+
+        :param resigns: whether this leader makes way.
+        """
         lead = self.leadership
+        version = lead.version if resigns else lead.taken_version
         message = reports.Call(
-            self.settings.name, self.incarnation, lead.taken_version
+            self.settings.name, self.incarnation, version, resigns
         ).dump()
         for name in names:
             member = self.members.get(name)
@@ -706,11 +734,14 @@
             if group.state.version != state.version:
                 continue
             if state.phase is catalog.Phase.SERVING:
-                group.evidence.confirm(advice.echo)
+                group.evidence.confirm(advice.date(advice.certain_age))
             if state.group in advice.samples:
                 age, position = advice.samples[state.group]
                 group.evidence.note_position(advice.date(age), position)
             group.pump()
+        if advice.asks_store and now > self._asked_store_at + STORE_ASK_INTERVAL:
+            self._asked_store_at = now
+            self.spawn(self._leader_watcher.step, True)
         for name in advice.suspects:
             self._look_at(name, now)
         if advice.sequence == self._exchange:
--- a/src/sardinehold/node/reports.py
+++ b/src/sardinehold/node/reports.py
@@ -28,6 +28,7 @@
     :param echo: reading of a leader's clock out of its last advice, None before one.
     :param echo_of: incarnation of that leader; clocks of others cannot be compared.
     :param held: seconds since that advice came.
+    :param contact_age: seconds since the store last answered the node.
     """
 
     __slots__ = (
@@ -44,6 +45,7 @@
         "echo",
         "echo_of",
         "held",
+        "contact_age",
     )
 
     def __init__(
@@ -61,6 +63,7 @@
         echo: float | None = None,
         echo_of: str = "",
         held: float = 0.0,
+        contact_age: float = 0.0,
     ) -> None:
         """Keep the parts of the report."""
         self.node = node
@@ -76,6 +79,7 @@
         self.echo = echo
         self.echo_of = echo_of
         self.held = held
+        self.contact_age = contact_age
 
     def date(self, age: float, incarnation: str) -> float | None:
         """Return an instant of the leader's clock, no later than ``age`` ago.
@@ -108,6 +112,7 @@
             "echo": self.echo,
             "echo_of": self.echo_of,
             "held": self.held,
+            "contact": round(self.contact_age, 4),
         }
 
 
@@ -121,6 +126,8 @@
     :param grants: tokens moved to the node.
     :param suspects: primaries that some node cannot reach; the others look too.
     :param sent_at: the leader's clock, to be echoed.
+    :param certain_age: seconds since the leader was last sure to lead.
+    :param asks_store: whether the leader wants to know if the store answers others.
     """
 
     __slots__ = (
@@ -134,6 +141,8 @@
         "sequence",
         "sent_at",
         "suspects",
+        "certain_age",
+        "asks_store",
     )
 
     def __init__(
@@ -148,6 +157,8 @@
         sequence: int,
         sent_at: float,
         suspects: list[str],
+        certain_age: float = 0.0,
+        asks_store: bool = False,
     ) -> None:
         """Keep the parts of the advice."""
         self.node = node
@@ -160,6 +171,8 @@
         self.sequence = sequence
         self.sent_at = sent_at
         self.suspects = suspects
+        self.certain_age = certain_age
+        self.asks_store = asks_store
 
     def date(self, age: float) -> float:
         """Return an instant of the node's clock, no later than ``age`` ago."""
@@ -192,6 +205,8 @@
             "seq": self.sequence,
             "at": self.sent_at,
             "suspects": self.suspects,
+            "certain": round(self.certain_age, 4),
+            "asks_store": self.asks_store,
         }
 
 
@@ -199,15 +214,19 @@
     """A leader's call to report at once.
 
     :param version: of the leader's object when it took the lead.
+    :param resigns: whether it makes way for another leader.
     """
 
-    __slots__ = ("node", "incarnation", "version")
+    __slots__ = ("node", "incarnation", "version", "resigns")
 
-    def __init__(self, node: str, incarnation: str, version: int) -> None:
+    def __init__(
+        self, node: str, incarnation: str, version: int, resigns: bool = False
+    ) -> None:
         """Keep who calls."""
         self.node = node
         self.incarnation = incarnation
         self.version = version
+        self.resigns = resigns
 
     def dump(self) -> dict:
         """Return the message."""
@@ -216,6 +235,7 @@
             "node": self.node,
             "inc": self.incarnation,
             "version": self.version,
+            "resigns": self.resigns,
         }
 
 
@@ -293,6 +313,7 @@
         None if message["echo"] is None else float(message["echo"]),
         str(message["echo_of"]),
         float(message["held"]),
+        float(message["contact"]),
     )
 
 
@@ -318,11 +339,18 @@
         int(message["seq"]),
         float(message["at"]),
         [str(name) for name in message["suspects"]],
+        float(message["certain"]),
+        bool(message["asks_store"]),
     )
 
 
 def _parse_call(message: dict) -> Call:
-    return Call(message["node"], message["inc"], int(message["version"]))
+    return Call(
+        message["node"],
+        message["inc"],
+        int(message["version"]),
+        bool(message["resigns"]),
+    )
 
 
 def _parse_request(message: dict) -> Request:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -336,6 +336,43 @@
     builders_node.play(monkeypatch, story)
 
 
+def test_leader_that_the_store_refuses_makes_way_soon(monkeypatch):
+    async def story(world):
+        first = world.find_leader()
+        world.store.cut.add(first)
+        began = clock.read()
+        while world.find_leader() in ("", first):
+            await asyncio.sleep(0.05)
+            assert clock.read() - began < 2.6
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_tokens_and_leases_go_on_while_the_store_is_down_for_all(monkeypatch):
+    async def story(world):
+        world.store.cut |= set(world.nodes)
+        clients = [world.open(name, "latest", "blue-key") for name in world.nodes]
+        for _ in range(60):
+            await asyncio.sleep(0.1)
+            for client in clients:
+                assert (await client.read()).error is None
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_leader_without_the_store_stops_when_one_member_reaches_it(monkeypatch):
+    async def story(world):
+        first = world.find_leader()
+        others = [name for name in world.nodes if name != first]
+        world.store.cut |= {first, others[0]}
+        world.cuts.add(frozenset((first, others[1])))
+        await asyncio.sleep(6.0)
+        assert world.find_leader() == others[1]
+        assert world.nodes[first].leader.find_certainty(clock.read()) is None
+
+    builders_node.play(monkeypatch, story)
+
+
 def test_all_nodes_killed_at_once_serve_again(monkeypatch):
     async def story(world):
         names = list(world.nodes)
