--- a/src/sardinehold/node/budget.py
+++ b/src/sardinehold/node/budget.py
@@ -2,7 +2,8 @@
 
 A part of each rate is divided evenly and needs nobody; the rest is moved to the
 nodes by demand, by the allocator on the leader (:mod:`sardinehold.core.quota`).
-A node that reaches no leader goes on with its even part.
+A node out of touch with the leader takes an even part of the whole rate, which
+the leader has stopped to move by then.
 """
 
 import asyncio
@@ -115,8 +116,16 @@
         self.accounts: dict[str, Account] = {}
         self.members = 1
         self._ask_soon = ask_soon
+        self.is_alone = False
         self._catalog: catalog.Catalog | None = None
 
+    def set_alone(self, is_alone: bool) -> None:
+        """Note whether this node has lost touch with the leader."""
+        if is_alone != self.is_alone:
+            self.is_alone = is_alone
+            if self._catalog is not None:
+                self.configure(self._catalog, self.members)
+
     def configure(self, found: catalog.Catalog, members: int) -> None:
         """Put the rates of a configuration in force for a number of nodes."""
         now = clock.read()
@@ -129,7 +138,7 @@
             if account is None:
                 account = self.accounts[team.name] = Account(team.name, now)
                 account.even.start(self._find_start(team))
-            part = EVEN_PART / self.members
+            part = (1.0 if self.is_alone else EVEN_PART) / self.members
             account.even.configure(now, team.rate * part, max(1.0, team.burst * part))
 
     def _find_start(self, team: catalog.Team) -> float:
@@ -220,9 +229,13 @@
                 future.set_result(None)
 
 
-def collect_rates(found: catalog.Catalog) -> dict[str, quota.Rate]:
-    """Return the parts of the teams' rates that the allocator moves."""
-    part = 1.0 - EVEN_PART
+def collect_rates(found: catalog.Catalog, in_touch: float) -> dict[str, quota.Rate]:
+    """Return the parts of the teams' rates that the allocator moves.
+
+    :param in_touch: share of the nodes that it moves them to; the others go on
+        with an even part of the whole rate.
+    """
+    part = (1.0 - EVEN_PART) * in_touch
     return {
         team.name: quota.Rate(team.rate * part, math.floor(team.burst * part))
         for team in found.teams.values()
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -71,6 +71,7 @@
         self._retry_at: dict[str, float] = {}
         self._aligned: dict[str, int] = {}
         self._call_at = 0.0
+        self._share_in_touch = 1.0
         self._missing_since: dict[str, float] = {}
 
     # Reports and advice
@@ -79,22 +80,48 @@
         """Start to lead; tokens of the leader before must lapse first."""
         now = clock.read()
         margin = 1 + 2 * clock.RATE_MARGIN
-        wait = (quota.GRANT_LIFETIME + HEARD_WITHIN) * margin
+        lead = self.node.leadership
+        acted_until = lead.acted_until
+        if not lead.has_left:
+            # The leader before may have gone on by what this node reported.
+            acted_until = max(acted_until, self.node.vouched_at + HEARD_WITHIN)
+        starts_at = acted_until + quota.GRANT_LIFETIME * margin
         expected = frozenset(
             f"{name}/{member.get('incarnation', '')}"
             for name, member in self.node.members.items()
         )
-        self.allocator = quota.Allocator(
-            self.node.leadership.version, now, now + wait, expected
-        )
+        self.allocator = quota.Allocator(lead.version, now, starts_at, expected)
         self.configure()
 
     def configure(self) -> None:
-        """Put the rates of the configuration in force."""
+        """Put the rates of the configuration in force.
+
+        The part of members that are not in touch is left to them.
+        """
         if self.allocator is not None and self.node.catalog is not None:
-            rates = budget.collect_rates(self.node.catalog)
+            rates = budget.collect_rates(self.node.catalog, self._share_in_touch)
             self.allocator.configure(clock.read(), rates)
 
+    def _review_touch(self, now: float) -> None:
+        """Divide the rates anew when members come in touch or lose it."""
+        count = len(self.node.members)
+        in_touch = sum(self._is_in_touch(name, now) for name in self.node.members)
+        share = in_touch / count if count else 1.0
+        if share != self._share_in_touch:
+            self._share_in_touch = share
+            self.configure()
+
+    def _is_in_touch(self, name: str, now: float) -> bool:
+        """Return whether a member reports, and had advice from this leader."""
+        if name == self.node.settings.name:
+            return True
+        heard = self.heard.get(name)
+        if heard is None or now - heard.at > HEARD_WITHIN:
+            return False
+        report = heard.report
+        is_advised = report.echo_of == self.node.incarnation
+        return is_advised and report.held < HEARD_WITHIN
+
     def end(self) -> None:
         """Stop to lead."""
         self.allocator = None
@@ -198,6 +225,7 @@
     async def run(self, tasks: anyio.abc.TaskGroup) -> None:
         """Look after all groups until cancelled."""
         while True:
+            self._review_touch(clock.read())
             self._resign_if_cut_off()
             if self.leads() and self.node.catalog is not None:
                 self._call_unheard()
--- a/src/sardinehold/node/leadership.py
+++ b/src/sardinehold/node/leadership.py
@@ -11,13 +11,13 @@
 NAME = "leader"
 """Name of the leader's object."""
 
-RENEW_INTERVAL = 0.7
+RENEW_INTERVAL = 0.6
 """Seconds between renewals: two may fail before the lease lapses."""
 
-LEASE = 2.0
+LEASE = 1.6
 """Seconds from the sending of a renewal during which the leader may act."""
 
-TAKEOVER_AFTER = 2.6
+TAKEOVER_AFTER = 2.1
 """Seconds without a change after which another node takes over; longer than
 ``LEASE`` by more than a suspended call can hide."""
 
@@ -25,7 +25,7 @@
 """Seconds before ``TAKEOVER_AFTER`` from which a node that reached the store may have
 taken over, for all that a leader without the store can know."""
 
-RESIGN_AFTER = 1.2
+RESIGN_AFTER = 1.0
 """Seconds without a renewal after which a leader makes way for nodes that reach the
 store: one renewal and its repetition have failed."""
 
@@ -42,6 +42,8 @@
     :param node: name of this node.
     :param incarnation: identity of this start of its process.
     :param spread: number from 0 to 1 that differs between nodes.
+    :param acted_until: when the leader before had stopped at the latest.
+    :param has_left: whether the leader before said itself that it stopped.
     """
 
     __slots__ = (
@@ -55,6 +57,8 @@
         "leads_until",
         "renewed_at",
         "is_known",
+        "acted_until",
+        "has_left",
         "_changed_at",
         "_next_write",
         "_beats",
@@ -72,6 +76,8 @@
         self.leads_until = float("-inf")
         self.renewed_at = float("-inf")
         self.is_known = False
+        self.acted_until = 0.0
+        self.has_left = False
         self._changed_at = 0.0
         self._next_write = 0.0
         self._beats = 0
@@ -88,9 +94,13 @@
             return
         value = stored.value or {}
         self.version = stored.version
+        self.acted_until = now + LEASE
         self.holder = str(value.get("node", ""))
         self.holder_incarnation = str(value.get("incarnation", ""))
         self._changed_at = now
+        self.has_left = not self.holder
+        if not self.holder:
+            self.acted_until = now
         if not self.is_own():
             self.leads_until = float("-inf")
 
@@ -135,6 +145,8 @@
         """
         if incarnation == self.holder_incarnation:
             self.version = max(self.version, version)
+            self.acted_until = now
+            self.has_left = True
             self.holder = self.holder_incarnation = ""
             self._next_write = now + self.spread * TAKEOVER_SPREAD / 2
 
@@ -153,6 +165,7 @@
         """Take a leader's advice as a sign that it renews its object."""
         if incarnation == self.holder_incarnation:
             self._changed_at = now
+            self.acted_until = now + LEASE
 
     def leads(self, now: float) -> bool:
         """Return whether this node may act for the fleet."""
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -59,6 +59,10 @@
 """Seconds after which a node without advice dates its lease by the store: two
 reports were lost, or there is no leader."""
 
+ALONE_AFTER = 1.5
+"""Seconds without advice after which a node takes an even part of the whole rates;
+longer than the leader takes to leave that part to it."""
+
 TEND_INTERVAL = 0.05
 """Seconds between looks at resting transactions and silent endpoints."""
 
@@ -75,6 +79,10 @@
 
 SECRET_BYTES = 32
 
+VOUCH_AGE = 0.8
+"""Seconds since the last answer of the store from which a report may let a leader
+without the store go on; longer than a short watch."""
+
 STORE_ASK_INTERVAL = 0.8
 """Seconds between two questions to the store for a leader that it does not answer."""
 
@@ -152,6 +160,8 @@
         self._versions: dict[str, int] = {}
         self._exchange = 0
         self._wrote_at = float("-inf")
+        self._started_at = clock.read()
+        self.vouched_at = float("-inf")
         self._asked_store_at = float("-inf")
         self._exchange_until = float("-inf")
         self._empty_until = float("-inf")
@@ -638,6 +648,8 @@
         now = clock.read()
         sequence, usages = self._begin_exchange(now)
         advice = self._last_advice
+        if now - self.find_store_contact() > VOUCH_AGE:
+            self.vouched_at = now
         report = reports.Report(
             self.settings.name,
             self.incarnation,
@@ -724,7 +736,7 @@
         now = clock.read()
         if advice.echo > now or now - advice.echo > ADVISED_WITHIN:
             return
-        self.advised_at = now
+        self.advised_at = advice.echo
         self.leadership.note_alive(advice.incarnation, now)
         self._last_advice = advice
         self._last_advice_at = now
@@ -810,6 +822,7 @@
                     self.journal.note(
                         "transaction_expired", route=caller.session.route_name
                     )
+            self.budget.set_alone(now - self._touched_at() > ALONE_AFTER)
             for group in self.groups.values():
                 self._tend_group(group, now)
             failing = self._collect_failing(now).keys()
@@ -818,6 +831,10 @@
                 self._failing = set(failing)
                 self._report_now.set()
 
+    def _touched_at(self) -> float:
+        """Return when the leader's last advice was asked for, or the start."""
+        return max(self.advised_at, self._started_at)
+
     def _note_failing(self, lost: set[str], regained: set[str]) -> None:
         for name in sorted(lost):
             self.journal.note("endpoint_lost", endpoint=name)
