--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -33,6 +33,10 @@
 """Seconds after an order in which it must have taken effect; the sheets' longest
 takes one second. Another order is given only after it."""
 
+KEEP_FROZEN = 2.0
+"""Seconds for which logs that were stopped are not asked again: a replica that
+restarts receives again."""
+
 SETTLE = 0.3
 """Seconds between a planned seal and the freeze, in which running statements end."""
 
@@ -173,6 +177,8 @@
         self.sync_replicas = sync_replicas
         self.planned = planned
         self._frozen_at = 0.0
+        self._frozen: dict[str, ports.LogStatus] = {}
+        self._kept_since = clock.read()
         self._end = positions.START
         self._undo_at = clock.read() + UNDO_AFTER
         self._avoided: set[str] = set()
@@ -220,14 +226,16 @@
     async def _freeze(self, state: catalog.GroupState) -> Plan:
         """Stop all logs that can be reached and return what they allow."""
         records = self.fleet.list_records(self.group)
-        statuses: dict[str, ports.LogStatus] = {}
+        statuses = self._keep_frozen(records)
         replica_count = sum(record.name != state.primary for record in records)
         enough = count_needed(replica_count, self.sync_replicas)
         async with anyio.create_task_group() as tasks:
             for record in records:
-                tasks.start_soon(
-                    self._freeze_one, record, state, statuses, tasks, enough
-                )
+                if record.name not in statuses:
+                    tasks.start_soon(
+                        self._freeze_one, record, state, statuses, tasks, enough
+                    )
+        self._frozen = statuses
         self._frozen_at = clock.read()
         self._end = max(
             (status.received for status in statuses.values()), default=positions.START
@@ -252,6 +260,21 @@
         )
         return plan
 
+    def _keep_frozen(
+        self, records: list[catalog.EndpointRecord]
+    ) -> dict[str, ports.LogStatus]:
+        """Return the logs that an earlier round has stopped, unless long ago."""
+        now = clock.read()
+        if now - self._kept_since > KEEP_FROZEN:
+            self._kept_since = now
+            return {}
+        names = {record.name for record in records}
+        return {
+            name: status
+            for name, status in self._frozen.items()
+            if name in names and not status.is_primary
+        }
+
     async def _freeze_one(
         self,
         record: catalog.EndpointRecord,
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -156,6 +156,7 @@
             self._list_suspects(now),
             now - certain,
             self.node.leadership.is_late(now),
+            self.node.leadership.version,
         )
 
     def find_certainty(self, now: float) -> float | None:
--- a/src/sardinehold/node/leadership.py
+++ b/src/sardinehold/node/leadership.py
@@ -161,9 +161,13 @@
         self.holder, self.holder_incarnation = node, incarnation
         self._changed_at = now
 
-    def note_alive(self, incarnation: str, now: float) -> None:
-        """Take a leader's advice as a sign that it renews its object."""
+    def note_alive(self, incarnation: str, version: int, now: float) -> None:
+        """Take a leader's advice as a sign that it renews its object.
+
+        :param version: of its object, so that reading it later is no fresh sign.
+        """
         if incarnation == self.holder_incarnation:
+            self.version = max(self.version, version)
             self._changed_at = now
             self.acted_until = now + LEASE
 
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -83,6 +83,10 @@
 """Seconds since the last answer of the store from which a report may let a leader
 without the store go on; longer than a short watch."""
 
+LEAD_TIMEOUT = 0.6
+"""Seconds that a renewal may take before it is tried over another connection: a store
+that is slow answers within a quarter of a second."""
+
 STORE_ASK_INTERVAL = 0.8
 """Seconds between two questions to the store for a leader that it does not answer."""
 
@@ -592,25 +596,27 @@
         was_leading = lead.leads(asked)
         value = lead.make_value()
         try:
-            if lead.version:
-                stored = await self.store.update(
-                    LEADER_KIND, leadership.NAME, value, lead.version
-                )
-            else:
-                stored = await self.store.create(LEADER_KIND, leadership.NAME, value)
+            with anyio.fail_after(LEAD_TIMEOUT):
+                stored = await self._put_lead(value)
             if not was_leading:
                 # What the leader before wrote last must be known before acting.
                 changes = await self.store.list(FLEET_KIND)
                 self._change_fleet(changes, asked)
-        except errors.PlatformError as error:
+        except (errors.PlatformError, TimeoutError) as error:
             lead.note_failed(clock.read())
-            self.journal.note("lead_not_written", reason=str(error))
+            self.journal.note("lead_not_written", reason=str(error) or "no answer")
             if isinstance(error, errors.VersionConflict):
                 await self._leader_watcher.step(relist=True)
             return
         self._wrote_at = clock.read()
         lead.note_written(asked, stored.version)
 
+    async def _put_lead(self, value: dict) -> objects.StoredObject:
+        version = self.leadership.version
+        if not version:
+            return await self.store.create(LEADER_KIND, leadership.NAME, value)
+        return await self.store.update(LEADER_KIND, leadership.NAME, value, version)
+
     def _note_lead(self, leads: bool) -> None:
         if not leads and self.leader.find_certainty(clock.read()) is not None:
             # The store is out of reach for all: nobody else can have taken over.
@@ -737,7 +743,7 @@
         if advice.echo > now or now - advice.echo > ADVISED_WITHIN:
             return
         self.advised_at = advice.echo
-        self.leadership.note_alive(advice.incarnation, now)
+        self.leadership.note_alive(advice.incarnation, advice.lead_version, now)
         self._last_advice = advice
         self._last_advice_at = now
         for state in advice.states:
--- a/src/sardinehold/node/reports.py
+++ b/src/sardinehold/node/reports.py
@@ -127,6 +127,7 @@
     :param suspects: primaries that some node cannot reach; the others look too.
     :param sent_at: the leader's clock, to be echoed.
     :param certain_age: seconds since the leader was last sure to lead.
+    :param lead_version: of the leader's object, as it wrote it last.
     :param asks_store: whether the leader wants to know if the store answers others.
     """
 
@@ -143,6 +144,7 @@
         "suspects",
         "certain_age",
         "asks_store",
+        "lead_version",
     )
 
     def __init__(
@@ -159,6 +161,7 @@
         suspects: list[str],
         certain_age: float = 0.0,
         asks_store: bool = False,
+        lead_version: int = 0,
     ) -> None:
         """Keep the parts of the advice."""
         self.node = node
@@ -173,6 +176,7 @@
         self.suspects = suspects
         self.certain_age = certain_age
         self.asks_store = asks_store
+        self.lead_version = lead_version
 
     def date(self, age: float) -> float:
         """Return an instant of the node's clock, no later than ``age`` ago."""
@@ -207,6 +211,7 @@
             "suspects": self.suspects,
             "certain": round(self.certain_age, 4),
             "asks_store": self.asks_store,
+            "lead": self.lead_version,
         }
 
 
@@ -341,6 +346,7 @@
         [str(name) for name in message["suspects"]],
         float(message["certain"]),
         bool(message["asks_store"]),
+        int(message["lead"]),
     )
 
 
--- a/src/sardinehold/node/watching.py
+++ b/src/sardinehold/node/watching.py
@@ -17,7 +17,7 @@
 SHORT_WAIT = 0.5
 """Seconds that a watch waits without a leader: it must date the lease itself."""
 
-CALL_MARGIN = 2.0
+CALL_MARGIN = 1.2
 """Seconds past the wait after which a watch counts as silent."""
 
 BACKOFF_FIRST = 0.1
