--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -1,8 +1,8 @@
 """Replaces the primary of one group.
 
 The steps: seal the group in the store, so that nodes hold work back; freeze the
-logs, by PAUSE at the replicas and STEPDOWN at the primary, so that nothing more can
-be acknowledged; wait until no node holds a lease on the old primary; order the
+logs, by pausing the replicas and having the primary step down, so that nothing more
+can be acknowledged; wait until no node holds a lease on the old primary; order the
 most advanced of the frozen logs to lead; publish it once it does. Any leader can go
 on from what the store holds: a sealed group is simply worked on from its start.
 """
--- /dev/null
+++ b/tests/builders_platform.py
@@ -0,0 +1,117 @@
+"""What the platform stores and sends, as the adapter meets it."""
+
+import asyncio
+import json
+
+import httpx
+
+
+def make_route(**changes: object) -> dict:
+    return {
+        "Name": "r-1",
+        "Host": "letters",
+        "PathPrefix": "/",
+        "Kind": "read_your_writes",
+        "TimeoutMs": 1000,
+        "TargetLatencyMs": 800,
+        "Priority": 2,
+        "Service": "db",
+        "MaxAttempts": 2,
+        "MaxStalenessMs": 2500,
+        "Public": False,
+        **changes,
+    }
+
+
+def make_configuration(**changes: object) -> dict:
+    return {
+        "Version": 7,
+        "Routes": [make_route()],
+        "Services": [{"Name": "db", "MaxConnections": 21, "SyncReplicas": 1}],
+        "Limits": {"TxIdleMs": 2000},
+        "Tenants": [{"Name": "desk", "ApiKeys": ["k1"], "RatePerS": 66, "Burst": 33}],
+        **changes,
+    }
+
+
+def make_entry(**changes: object) -> dict:
+    return {
+        "Service": "db",
+        "Address": "10.0.0.9:8080",
+        "Zone": "north",
+        "Version": "v1",
+        "Capacity": 3,
+        "State": "ready",
+        "ColdMs": 0,
+        "DatabaseRole": "replica",
+        "Sequence": 4,
+        "born": 1700000000000,
+        **changes,
+    }
+
+
+def make_settings() -> dict:
+    return {
+        "NodeName": "frontend-1",
+        "Ip": "10.1.0.26",
+        "Zone": "north",
+        "Zones": {"north": "n", "south": "s"},
+        "InternalPorts": [7560, 7575],
+        "BindAddresses": {
+            "Frontend": "10.1.0.26:8465",
+            "Readiness": "10.1.0.26:8460",
+        },
+        "Bounds": {"GracePeriodS": 6, "DrainMs": 7000, "QuotaWindowS": 5},
+        "platform": {"Address": "10.200.1.7:8466"},
+        "CloudApi": {"Address": "10.200.0.2:8466"},
+    }
+
+
+def make_object(name: str, revision: int, spec: object) -> dict:
+    return {"meta": {"Name": name, "Revision": revision}, "spec": spec}
+
+
+class Recorder:
+    """Answers HTTP calls from a list and keeps what was asked."""
+
+    def __init__(self, *answers: tuple[int, object]) -> None:
+        self.answers = list(answers)
+        self.asked: list[httpx.Request] = []
+
+    def __call__(self, request: httpx.Request) -> httpx.Response:
+        self.asked.append(request)
+        status, body = self.answers.pop(0)
+        return httpx.Response(status, json=body)
+
+    def read_body(self, index: int) -> dict:
+        return json.loads(self.asked[index].content)
+
+    @property
+    def transport(self) -> httpx.MockTransport:
+        return httpx.MockTransport(self)
+
+
+class LineServer:
+    """Answers each line by a script; keeps what it got."""
+
+    def __init__(self, *script: bytes | None) -> None:
+        self.script = list(script)
+        self.lines: list[bytes] = []
+        self.port = 0
+
+    async def start(self) -> asyncio.Server:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        return server
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while line := await reader.readline():
+            self.lines.append(line)
+            answer = self.script.pop(0) if self.script else b""
+            if answer is None:
+                writer.close()
+                return
+            writer.write(answer)
+        writer.close()
--- /dev/null
+++ b/tests/test_node_decisions.py
@@ -0,0 +1,336 @@
+"""Decisions of a node that need no fleet: what is known, placed, waited for."""
+
+import asyncio
+
+import anyio
+import pytest
+
+from sardinehold import objects
+from sardinehold.core import positions
+from sardinehold.node import admission
+from sardinehold.node import catalog
+from sardinehold.node import evidence
+from sardinehold.node import failover
+from sardinehold.node import hedging
+from sardinehold.node import leadership
+from sardinehold.node import placement
+from sardinehold.node import pool
+from sardinehold.node import ports
+from sardinehold.node import reports
+from sardinehold.node import statements
+
+P = positions.Position
+
+
+def make_evidence(*samples: tuple[float, int], term: int = 1) -> evidence.Evidence:
+    known = evidence.Evidence()
+    known.begin_term(term)
+    for asked, offset in samples:
+        known.note_position(asked, P(term, offset))
+    return known
+
+
+BOUNDED = catalog.Route("b", "g", catalog.Consistency.BOUNDED, 1.5)
+LATEST = catalog.Route("l", "g", catalog.Consistency.LATEST)
+SESSION = catalog.Route("s", "g", catalog.Consistency.SESSION, 2.5)
+
+
+def test_bounded_read_takes_the_oldest_position_that_covers_its_bound():
+    known = make_evidence((8.0, 3), (9.0, 5), (9.9, 8))
+    assert evidence.find_floor(known, BOUNDED, 10.0, None) == P(1, 5)
+
+
+def test_read_of_the_latest_needs_a_position_asked_for_after_it_began():
+    known = make_evidence((9.0, 5), (9.9, 8))
+    assert evidence.find_floor(known, LATEST, 10.0, None) is None
+    known.note_position(10.1, P(1, 9))
+    assert evidence.find_floor(known, LATEST, 10.0, None) == P(1, 9)
+
+
+def test_session_read_is_not_behind_the_sessions_own_commit():
+    known = make_evidence((9.0, 5))
+    assert evidence.find_floor(known, SESSION, 10.0, P(1, 7)) == P(1, 7)
+    assert evidence.find_floor(known, SESSION, 10.0, P(1, 2)) == P(1, 5)
+
+
+def test_own_commit_of_an_earlier_term_is_part_of_any_later_position():
+    known = make_evidence((9.0, 5), term=2)
+    assert evidence.find_floor(known, SESSION, 10.0, P(1, 9)) == P(2, 5)
+
+
+def test_positions_of_another_term_are_forgotten():
+    known = make_evidence((9.0, 5))
+    known.begin_term(2)
+    known.note_position(9.5, P(1, 6))
+    assert evidence.find_floor(known, BOUNDED, 10.0, None) is None
+
+
+def test_answer_to_an_older_question_does_not_replace_a_newer_one():
+    known = make_evidence((9.5, 8), (9.0, 5))
+    assert known.latest.position == P(1, 8)
+
+
+def test_lease_lapses_and_is_revoked_by_a_seal():
+    known = make_evidence()
+    known.confirm(10.0)
+    assert known.holds_lease(11.4)
+    assert not known.holds_lease(11.6)
+    known.revoke()
+    assert not known.holds_lease(10.1)
+
+
+def make_report(**changes: object) -> reports.Report:
+    fields = {
+        "node": "n1",
+        "incarnation": "a",
+        "sent_at": 50.0,
+        "states": {"g": 4},
+        "samples": {"g": (0.2, P(1, 7))},
+        "commits": {},
+        "failing": {},
+        "sequence": 1,
+        "usages": [],
+        "catalog_version": 2,
+        "echo": 1000.0,
+        "echo_of": "leader-1",
+        "held": 0.5,
+        "contact_age": 0.1,
+    }
+    return reports.Report(**{**fields, **changes})
+
+
+def test_age_in_a_report_is_dated_by_the_leaders_own_reading():
+    assert make_report().date(0.2, "leader-1") == pytest.approx(1000.293)
+
+
+def test_reading_of_another_leaders_clock_dates_nothing():
+    assert make_report().date(0.2, "leader-2") is None
+    assert make_report(echo=None).date(0.2, "leader-1") is None
+
+
+def test_messages_are_read_back_as_they_were():
+    report = make_report(failing={"e": 0.4})
+    again = reports.parse(report.dump())
+    assert again.dump() == report.dump()
+    state = catalog.GroupState("g", 2, "e", catalog.Phase.SEALED, 9, 3)
+    advice = reports.Advice(
+        "n0", "a", 50.0, [state], {"g": (0.1, P(2, 3))}, [], 5, 1, 77.0, ["e"], 0.2
+    )
+    assert reports.parse(advice.dump()).dump() == advice.dump()
+    stored = reports.Configuration({"Version": 3, "Routes": ["x"] * 500})
+    assert reports.parse(stored.dump()).value == stored.value
+    assert len(stored.dump()["value"]) < 500
+
+
+def test_unknown_message_is_left_out():
+    assert reports.parse({"kind": "other"}) is None
+
+
+def make_status(offset, primary=False, term=1, paused=2) -> ports.LogStatus:
+    return ports.LogStatus(primary, term, P(term, offset), paused)
+
+
+STATE = catalog.GroupState("g", 1, "p", catalog.Phase.SEALED, 5)
+
+
+def test_most_advanced_replica_is_promoted_once_enough_are_read():
+    logs = {"r1": make_status(7), "r2": make_status(9)}
+    assert failover.choose_target(logs, STATE, 2, 1).target == "r2"
+
+
+def test_one_replica_of_two_may_lack_an_acknowledged_commit():
+    logs = {"r1": make_status(7)}
+    assert failover.choose_target(logs, STATE, 2, 1).target == ""
+
+
+def test_replica_that_is_not_behind_the_old_primary_suffices():
+    logs = {"r1": make_status(7), "p": make_status(7)}
+    assert failover.choose_target(logs, STATE, 2, 1).target == "r1"
+
+
+def test_replica_behind_the_old_primary_waits_for_the_other_one():
+    logs = {"r1": make_status(6), "p": make_status(7)}
+    assert failover.choose_target(logs, STATE, 2, 1).target == ""
+    undone = failover.choose_target(logs, STATE, 2, 1, may_undo=True)
+    assert undone.target == "p"
+
+
+def test_endpoint_that_leads_a_later_term_is_put_in_force():
+    logs = {"r1": make_status(7, primary=True, term=2)}
+    assert failover.choose_target(logs, STATE, 2, 1).leader == "r1"
+
+
+def test_endpoint_that_stays_is_preferred_among_equals():
+    logs = {"r1": make_status(7), "r2": make_status(7)}
+    plan = failover.choose_target(logs, STATE, 2, 1, leaving=frozenset({"r1"}))
+    assert plan.target == "r2"
+    plan = failover.choose_target(logs, STATE, 2, 1, avoided=frozenset({"r2"}))
+    assert plan.target == "r1"
+
+
+def test_primary_whose_entry_is_gone_does_not_make_one_replica_enough():
+    assert failover.count_needed(2, 1) == 2
+    assert failover.count_needed(1, 1) == 1
+
+
+@pytest.mark.parametrize(
+    ("failing", "heard", "suspect"),
+    [(0, 8, False), (1, 8, False), (2, 8, True), (1, 1, True), (2, 12, False)],
+)
+def test_primary_is_suspected_by_enough_nodes(failing, heard, suspect):
+    assert failover.is_suspect(failing, heard) is suspect
+
+
+def make_candidate(name: str, **changes: object) -> placement.Candidate:
+    return placement.Candidate(name, 0.002, 0.03, **changes)
+
+
+def test_read_goes_where_its_row_is_expected_soonest():
+    slow = placement.Candidate("slow", 0.002, 0.2)
+    near = make_candidate("near")
+    far = make_candidate("far", is_far=True)
+    chosen = placement.choose_for_read([slow, near, far], P(1, 1), False)
+    assert chosen.name == "near"
+    near.in_flight = 6
+    assert placement.choose_for_read([slow, near, far], P(1, 1), False).name == "far"
+
+
+def test_replica_that_lacked_the_position_is_not_asked_for_it_again():
+    behind = make_candidate("behind", lacked=P(1, 5))
+    primary = make_candidate("primary", is_primary=True, is_far=True)
+    both = [behind, primary]
+    assert placement.choose_for_read(both, P(1, 5), True).name == "primary"
+    assert placement.choose_for_read(both, P(1, 4), True).name == "behind"
+    assert placement.choose_for_read(both, P(1, 5), False) is None
+
+
+def test_primary_is_read_only_under_the_lease():
+    primary = make_candidate("primary", is_primary=True)
+    assert placement.choose_for_read([primary], P(1, 1), False) is None
+
+
+def test_statement_that_can_be_in_time_goes_before_one_that_is_late():
+    now = 10.0
+    fast = catalog.Route("f", "g", target_latency=0.4, priority=1)
+    slow = catalog.Route("s", "g", target_latency=0.8, priority=2)
+    late = admission.Waiter("t", fast, 9.0, 11.0)
+    urgent = admission.Waiter("t", fast, 9.8, 11.0)
+    patient = admission.Waiter("t", slow, 9.5, 11.0)
+    assert admission.order([late, patient, urgent], now) == [urgent, patient, late]
+
+
+def test_refused_callers_come_back_spread_around_the_expected_time():
+    assert admission.find_retry_after(1.0, 0.0) < admission.find_retry_after(1.0, 1.0)
+    assert admission.find_retry_after(0.0, 0.0) > 0
+
+
+def make_leadership(spread: float = 0.0) -> leadership.Leadership:
+    lead = leadership.Leadership("n1", "a", spread)
+    lead.observe(None, 0.0)
+    return lead
+
+
+def store_leader(version: int, node: str = "n2") -> objects.StoredObject:
+    value = {"node": node, "incarnation": "b", "beat": version}
+    return objects.StoredObject("k", "leader", version, value)
+
+
+def test_lead_is_taken_only_when_its_object_rests():
+    lead = make_leadership()
+    lead.observe(store_leader(5), 10.0)
+    assert lead.find_next_write(10.0) >= 10.0 + leadership.TAKEOVER_AFTER
+    lead.observe(store_leader(6), 11.0)
+    assert lead.find_next_write(11.0) >= 11.0 + leadership.TAKEOVER_AFTER
+
+
+def test_reading_an_old_renewal_is_no_sign_of_life():
+    lead = make_leadership()
+    lead.observe(store_leader(5), 10.0)
+    lead.note_alive("b", 9, 11.0)
+    lead.observe(store_leader(9), 13.0)
+    assert lead.find_next_write(13.0) <= 11.0 + leadership.TAKEOVER_AFTER
+
+
+def test_leader_acts_no_longer_than_its_lease_from_the_sending():
+    lead = make_leadership()
+    lead.note_written(10.0, 5)
+    assert lead.leads(10.0 + leadership.LEASE - 0.01)
+    assert not lead.leads(10.0 + leadership.LEASE)
+    assert leadership.LEASE < leadership.TAKEOVER_AFTER
+
+
+def test_leader_without_the_store_goes_on_while_nobody_reaches_it():
+    lead = make_leadership()
+    lead.note_written(10.0, 5)
+    contacts = [(10.1, 13.0), (10.2, 13.4)]
+    assert lead.find_certainty(13.5, contacts) == 13.0
+    assert lead.find_certainty(13.5, [*contacts, (12.5, 13.4)]) is None
+    assert lead.find_certainty(13.5, None) is None
+
+
+def test_leader_makes_way_only_for_nodes_that_reach_the_store():
+    lead = make_leadership()
+    lead.note_written(10.0, 5)
+    assert not lead.should_resign(11.2, [(10.1, 11.1)])
+    assert lead.should_resign(11.2, [(11.0, 11.1)])
+
+
+def test_connection_is_reset_only_to_drop_what_the_session_has_not():
+    pooled = pool.Pooled(None, None, "t")
+    pooled.values = {"a": "1"}
+    pooled.prepared = {"r_x"}
+    wanted = [statements.Definition(False, "x"), statements.Definition(True, "x")]
+    assert pool.find_missing(pooled, {"a": "1", "b": "2"}, wanted) == (
+        False,
+        {"b": "2"},
+        wanted[1:],
+    )
+    assert pool.find_missing(pooled, {"b": "2"}, wanted) == (True, {"b": "2"}, wanted)
+
+
+def race(*attempts):
+    """Run attempts in a race and return what counts."""
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            found = hedging.Race(tasks.start_soon)
+            for attempt in attempts:
+                found.add(attempt)
+            return await found.wait()
+
+    return anyio.run(main)
+
+
+def test_first_success_counts_and_the_other_attempt_runs_on():
+    ended = []
+
+    async def slow():
+        await asyncio.sleep(0.02)
+        ended.append("slow")
+        return statements.Answer([], "slow")
+
+    async def fast():
+        return statements.Answer([], "fast")
+
+    assert race(slow, fast).signature == "fast"
+    assert ended == ["slow"]
+
+
+def test_failure_counts_only_when_no_attempt_is_left():
+    async def fails():
+        raise RuntimeError("no")
+
+    async def succeeds():
+        await asyncio.sleep(0.01)
+        return statements.Answer([], "late")
+
+    assert race(fails, succeeds).signature == "late"
+
+
+def test_second_sendings_stay_a_small_part():
+    allowance = hedging.Allowance()
+    taken = 0
+    for _ in range(1000):
+        allowance.note_read()
+        taken += allowance.take()
+    assert taken <= hedging.SAVED + 1000 * hedging.SHARE
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,448 @@
+"""The adapter: settings, records, store, duty, endpoints, callers, pages."""
+
+import asyncio
+import pathlib
+import tomllib
+
+import anyio
+import pytest
+
+import builders_node
+import builders_platform
+from sardinehold import errors
+from sardinehold.core import positions
+from sardinehold.node import catalog
+from sardinehold.node import clock
+from sardinehold.node import ports
+from sardinehold.node import statements
+from sardinehold.platform import callers
+from sardinehold.platform import duty
+from sardinehold.platform import endpoints
+from sardinehold.platform import local
+from sardinehold.platform import pages
+from sardinehold.platform import records
+from sardinehold.platform import store
+
+ROOT = pathlib.Path(__file__).parent.parent
+READY = b"READY I -\r\n"
+
+
+def test_settings_are_read_with_their_units():
+    loaded = local.parse(builders_platform.make_settings(), "local.toml")
+    assert loaded.listen == ("10.1.0.26", 8465)
+    assert loaded.peer_listen == ("10.1.0.26", 7560)
+    assert loaded.endpoint_drain == 7.0
+
+
+def test_all_faults_of_settings_are_named_at_once():
+    table = builders_platform.make_settings()
+    table["BindAddresses"]["Frontend"] = "nowhere"
+    del table["NodeName"]
+    with pytest.raises(errors.SettingsError) as caught:
+        local.parse(table, "local.toml")
+    assert "BindAddresses.Frontend" in caught.value.message
+    assert "NodeName" in caught.value.message
+
+
+def test_unreadable_settings_file_is_one_error(tmp_path):
+    with pytest.raises(errors.SettingsError):
+        local.load(tmp_path / "missing.toml")
+
+
+def test_deploy_file_names_the_metrics_port():
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    assert deploy["roles"]["node"]["metrics"] == f"{local.METRICS_PORT}/metrics"
+
+
+def test_configuration_is_read_by_database_name():
+    found = records.parse_catalog(builders_platform.make_configuration())
+    route = found.routes["letters"]
+    assert route.consistency is catalog.Consistency.SESSION
+    assert (route.max_staleness, route.statement_timeout) == (2.5, 1.0)
+    assert found.owners == {"k1": "desk"}
+    assert found.groups["db"].sync_replicas == 1
+    assert found.transaction_idle == 2.0
+
+
+@pytest.mark.parametrize("value", [None, {}, {"Version": 3}, "text", {"Routes": [{}]}])
+def test_unreadable_configuration_is_refused(value):
+    with pytest.raises(errors.DocumentError):
+        records.parse_catalog(value)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"State": "resting"},
+        {"Address": "nowhere"},
+        {"Address": 7},
+        {"Capacity": "3"},
+        {"Capacity": True},
+        {"DatabaseRole": "witness"},
+        {"Service": None},
+        {"born": "today"},
+    ],
+)
+def test_entry_of_another_writer_names_no_endpoint(changes):
+    entry = builders_platform.make_entry(**changes)
+    assert records.parse_endpoint("i-1", entry) is None
+
+
+@pytest.mark.parametrize("entry", [None, "text", 7, [], {}])
+def test_entry_that_is_no_table_names_no_endpoint(entry):
+    assert records.parse_endpoint("i-1", entry) is None
+
+
+def test_entry_of_an_endpoint_is_read():
+    record = records.parse_endpoint(
+        "i-1", builders_platform.make_entry(State="draining", DatabaseRole="primary")
+    )
+    assert (record.host, record.port, record.slots) == ("10.0.0.9", 8080, 3)
+    assert record.is_draining
+    assert record.says_primary
+
+
+def run_store(recorder, call):
+    async def main():
+        client = store.StoreClient(("127.0.0.1", 1), recorder.transport)
+        try:
+            return await call(client)
+        finally:
+            await client.close()
+
+    return anyio.run(main)
+
+
+def test_list_reads_all_pages_and_keeps_the_first_revision():
+    first = builders_platform.make_object("a", 3, {})
+    second = builders_platform.make_object("b", 9, {})
+    recorder = builders_platform.Recorder(
+        (200, {"items": [first], "HasMore": True, "StoreRevision": 8}),
+        (200, {"items": [second], "HasMore": False, "StoreRevision": 9}),
+    )
+    changes = run_store(recorder, lambda client: client.list("servers"))
+    assert [item.name for item in changes.objects] == ["a", "b"]
+    assert changes.revision == 8
+    assert recorder.asked[1].url.params["after"] == "a"
+
+
+def test_watch_tells_changes_and_what_is_gone():
+    kept = builders_platform.make_object("a", 3, {"x": 1})
+    gone = builders_platform.make_object("b", 2, {"x": 2})
+    recorder = builders_platform.Recorder(
+        (
+            200,
+            {
+                "events": [
+                    {"Object": kept, "IsGone": False},
+                    {"Object": gone, "IsGone": True},
+                    {"Object": "unreadable"},
+                ],
+                "StoreRevision": 5,
+            },
+        )
+    )
+    changes = run_store(recorder, lambda client: client.watch("servers", 2, 1.5))
+    assert [(item.name, item.value) for item in changes.objects] == [
+        ("a", {"x": 1}),
+        ("b", None),
+    ]
+    params = recorder.asked[0].url.params
+    assert (params["Watch"], params["WaitMs"]) == ("2", "1500")
+
+
+@pytest.mark.parametrize(
+    ("status", "kind"),
+    [
+        (404, errors.ObjectMissing),
+        (409, errors.VersionConflict),
+        (410, errors.WatchExpired),
+        (429, errors.PlatformUnavailable),
+        (503, errors.PlatformUnavailable),
+        (400, errors.PlatformError),
+    ],
+)
+def test_status_of_the_store_becomes_a_kind_of_error(status, kind):
+    recorder = builders_platform.Recorder((status, {}))
+    with pytest.raises(kind):
+        run_store(recorder, lambda client: client.list("servers"))
+
+
+def test_update_is_conditional_on_the_version():
+    recorder = builders_platform.Recorder(
+        (200, builders_platform.make_object("leader", 9, {"a": 1}))
+    )
+    stored = run_store(recorder, lambda c: c.update("own", "leader", {"a": 1}, 8))
+    assert stored.version == 9
+    assert recorder.read_body(0)["meta"]["Revision"] == 8
+
+
+def test_order_to_promote_carries_holder_and_token():
+    recorder = builders_platform.Recorder((200, {}))
+
+    async def main():
+        client = duty.DutyClient(("127.0.0.1", 1), recorder.transport)
+        await client.promote("db", "i-2", "frontend-1", 41)
+        await client.close()
+
+    anyio.run(main)
+    headers = recorder.asked[0].headers
+    assert headers["X-Duty-Holder"] == "frontend-1"
+    assert headers["X-Fencing-Token"] == "41"
+    assert recorder.read_body(0) == {"Service": "db", "Id": "i-2"}
+
+
+def test_refused_order_is_an_error():
+    async def main():
+        recorder = builders_platform.Recorder((409, {}))
+        client = duty.DutyClient(("127.0.0.1", 1), recorder.transport)
+        try:
+            await client.promote("db", "i-2", "frontend-1", 41)
+        finally:
+            await client.close()
+
+    with pytest.raises(errors.PlatformError):
+        anyio.run(main)
+
+
+def talk(story, *script):
+    """Run ``story(connection)`` against an endpoint that answers by a script."""
+    server = builders_platform.LineServer(READY, *script)
+
+    async def main():
+        listening = await server.start()
+        async with listening:
+            record = catalog.EndpointRecord(
+                "i-1", "db", "127.0.0.1", server.port, "north"
+            )
+            connector = endpoints.Connector()
+            connection = await connector.open(record, "desk", clock.read() + 5)
+            try:
+                return await story(connection)
+            finally:
+                connection.close()
+
+    return anyio.run(main), server
+
+
+def make_statement(text):
+    return callers.parse_statement("id7", text)
+
+
+def test_statement_is_passed_on_with_id_and_text_unchanged():
+    answer, server = talk(
+        lambda c: c.run(make_statement("WRITE 1a4 a  b"), clock.read() + 5),
+        b"COMPLETE 7.1f3\r\nREADY I 3.1209\r\n",
+    )
+    assert server.lines[:2] == [
+        b"START db desk i-1\r\n",
+        b"QUERY id7 WRITE 1a4 a  b\r\n",
+    ]
+    assert answer.signature == "7.1f3"
+    assert answer.position == positions.Position(3, 1209)
+
+
+def test_position_is_asked_for_in_front_of_a_read():
+    answer, server = talk(
+        lambda c: c.run(
+            make_statement("READ 1a4"), clock.read() + 5, positions.Position(3, 12)
+        ),
+        b"ERROR LAGGING behind\r\nREADY I 3.11\r\n",
+    )
+    assert server.lines[1] == b"QUERY id7 AFTER 3.12 READ 1a4\r\n"
+    assert answer.error is statements.Failure.LAGGING
+
+
+def test_prepared_statement_runs_under_its_shared_name():
+    async def story(connection):
+        statement = make_statement("EXECUTE s1 1a4 data")
+        statement.definition = statements.Definition(True, "q2c")
+        await connection.prepare([statement.definition], clock.read() + 5)
+        return await connection.run(statement, clock.read() + 5)
+
+    answer, server = talk(
+        story,
+        b"COMPLETE -\r\nREADY I -\r\n",
+        b"ROW a\r\nROW b\r\nCOMPLETE s\r\nREADY I 1.1\r\n",
+    )
+    assert server.lines[1:3] == [
+        b"QUERY - PREPARE w_q2c WRITE q2c\r\n",
+        b"QUERY id7 EXECUTE w_q2c 1a4 data\r\n",
+    ]
+    assert answer.rows == ["a", "b"]
+
+
+def test_status_row_is_decoded():
+    status, _ = talk(
+        lambda c: c.read_status(clock.read() + 5),
+        b"ROW replica 3 3.1209 4 12 2 17\r\nCOMPLETE -\r\nREADY I 3.1204\r\n",
+    )
+    assert not status.is_primary
+    assert (status.term, status.paused_term, status.lag) == (3, 4, 0.012)
+    assert status.received == positions.Position(3, 1209)
+
+
+def test_broken_connection_tells_that_the_statement_was_sent():
+    async def story(connection):
+        with pytest.raises(ports.ConnectionLost) as caught:
+            await connection.run(make_statement("READ a"), clock.read() + 5)
+        return caught.value
+
+    lost, _ = talk(story, None)
+    assert lost.was_sent
+    assert not lost.is_timeout
+
+
+def test_answer_cut_off_before_its_end_is_no_answer():
+    async def story(connection):
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.05, connection._transport.abort)
+        with pytest.raises(ports.ConnectionLost):
+            await connection.run(make_statement("READ a"), clock.read() + 5)
+
+    talk(story, b"ROW half\r\nCOMPL")
+
+
+def test_refused_start_tells_why():
+    server = builders_platform.LineServer(b"ERROR WRONGNODE another\r\n")
+
+    async def main():
+        async with await server.start():
+            record = catalog.EndpointRecord("i-1", "db", "127.0.0.1", server.port, "z")
+            with pytest.raises(ports.OpeningFailed) as caught:
+                await endpoints.Connector().open(record, "desk", clock.read() + 0.3)
+            return caught.value
+
+    assert anyio.run(main).failure is statements.Failure.WRONG_ENDPOINT
+
+
+def serve_callers(monkeypatch, lines_sent):
+    """Send lines to a node in memory and return what a caller gets."""
+    found = []
+
+    async def story(world):
+        node = world.nodes["n1"]
+
+        class Transport:
+            closed = False
+
+            def write(self, data):
+                found.append(data)
+
+            def close(self):
+                self.closed = True
+
+            def pause_reading(self):
+                raise AssertionError("few lines are not too many")
+
+            def get_extra_info(self, name):
+                return None
+
+        monkeypatch.setattr(endpoints, "tune_socket", lambda _: None)
+        transport = Transport()
+        caller = callers.Caller(node)
+        caller.connection_made(transport)
+        for line in lines_sent:
+            caller.data_received(line + b"\r\n")
+            await asyncio.sleep(0.5)
+        found.append(transport.closed)
+
+    builders_node.play(monkeypatch, story)
+    return found
+
+
+def test_caller_is_let_in_and_served(monkeypatch):
+    found = serve_callers(
+        monkeypatch,
+        [b"START session red-key", b"QUERY 5c WRITE a b", b"QUERY 6 READ a"],
+    )
+    assert found[0] == b"READY I -\r\n"
+    assert found[1].startswith(b"ROW row\r\nCOMPLETE signed g-0 5c\r\nREADY I 1.1\r\n")
+    assert found[-1] is False
+
+
+@pytest.mark.parametrize(
+    ("start", "code"),
+    [
+        (b"START session wrong", b"ERROR DENIED"),
+        (b"START nowhere red-key", b"ERROR NODB"),
+        (b"QUERY 1 READ a", b"ERROR MALFORMED"),
+        (b"START session", b"ERROR MALFORMED"),
+        (b"HELLO", b"ERROR MALFORMED"),
+    ],
+)
+def test_wrong_start_is_refused_and_closed(monkeypatch, start, code):
+    found = serve_callers(monkeypatch, [start])
+    assert found[0].startswith(code)
+    assert found[-1] is True
+
+
+def test_statement_of_the_system_is_not_taken_from_a_caller(monkeypatch):
+    found = serve_callers(monkeypatch, [b"START session red-key", b"QUERY - READ a"])
+    assert found[1].startswith(b"ERROR MALFORMED")
+
+
+def test_unknown_statement_costs_only_itself(monkeypatch):
+    found = serve_callers(
+        monkeypatch, [b"START session red-key", b"QUERY 1 PAUSE 9", b"QUERY 2 READ a"]
+    )
+    assert found[1].startswith(b"ERROR MALFORMED malformed\r\nREADY I -\r\n")
+    assert b"COMPLETE signed" in found[2]
+
+
+def test_pages_are_served_over_a_kept_connection():
+    async def main():
+        loop = asyncio.get_running_loop()
+        shown = {"/api/readiness": lambda: (503, b"")}
+        server = await loop.create_server(
+            lambda: pages.PageServer(shown), "127.0.0.1", 0
+        )
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            codes = []
+            for path in ("/api/readiness", "/other"):
+                writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+                head = await reader.readuntil(b"\r\n\r\n")
+                codes.append(head.split()[1])
+            writer.close()
+            return codes
+
+    assert anyio.run(main) == [b"503", b"404"]
+
+
+WIRE_NAMES = (
+    "X-Duty-Holder",
+    "X-Fencing-Token",
+    "StoreRevision",
+    "DatabaseRole",
+    "MaxStalenessMs",
+    "ApiKeys",
+    "CONNLIMIT",
+    "STEPDOWN",
+    "WRONGNODE",
+    "NODB",
+    "/failover",
+    "/api/objects",
+    "SARDINEHOLD_SETTINGS",
+    "BindAddresses",
+)
+
+
+@pytest.mark.parametrize("name", WIRE_NAMES)
+def test_names_of_the_platform_stay_in_the_adapter(name):
+    outside = [
+        path
+        for path in (ROOT / "src").rglob("*.py")
+        if path.parent.name != "platform" and name in path.read_text(encoding="utf-8")
+    ]
+    assert outside == []
+
+
+def test_adapter_stays_below_a_tenth_of_the_product():
+    def count(folder):
+        paths = folder.rglob("*.py")
+        return sum(len(path.read_text(encoding="utf-8").splitlines()) for path in paths)
+
+    product = ROOT / "src" / "sardinehold"
+    assert count(product / "platform") < count(product) / 10
--- /dev/null
+++ b/tests/test_platform_lines.py
@@ -0,0 +1,105 @@
+"""Framing and statements of the line protocol."""
+
+import pytest
+
+from sardinehold.node import statements
+from sardinehold.platform import callers
+from sardinehold.platform import lines
+
+Kind = statements.Kind
+
+
+def test_lines_are_cut_wherever_the_bytes_arrive():
+    data = b"START db key\r\nQUERY 1 READ a\r\n"
+    for size in range(1, len(data)):
+        reader = lines.LineReader()
+        found = []
+        for start in range(0, len(data), size):
+            found += reader.feed(data[start : start + size])
+        assert found == ["START db key", "QUERY 1 READ a"]
+
+
+@pytest.mark.parametrize("data", [b"a\nb\r\n", b"a\rb\r\n", b"\nQUERY 1 READ a\r\n"])
+def test_stray_line_ends_are_refused(data):
+    with pytest.raises(lines.MalformedLine):
+        lines.LineReader().feed(data)
+
+
+def test_line_of_the_limit_is_taken_and_a_longer_one_refused():
+    longest = b"x" * (lines.MAX_LINE - 2) + b"\r\n"
+    assert len(lines.LineReader().feed(longest)[0]) == lines.MAX_LINE - 2
+    with pytest.raises(lines.LineTooLong):
+        lines.LineReader().feed(b"x" * (lines.MAX_LINE + 1))
+
+
+def test_all_bytes_come_through_unchanged():
+    data = bytes(value for value in range(256) if value not in b"\r\n")
+    (line,) = lines.LineReader().feed(data + b"\r\n")
+    assert lines.format_line(line) == data + b"\r\n"
+
+
+def test_last_field_extends_to_the_end_of_the_line():
+    assert lines.split_fields("QUERY 1 WRITE a b  c", 2) == [
+        "QUERY",
+        "1",
+        "WRITE a b  c",
+    ]
+
+
+def test_empty_field_in_front_is_refused():
+    with pytest.raises(lines.MalformedLine):
+        lines.split_fields("QUERY  READ a", 2)
+
+
+@pytest.mark.parametrize(
+    ("text", "kind", "name"),
+    [
+        ("BEGIN", Kind.BEGIN, ""),
+        ("BEGIN READ", Kind.BEGIN_READ, ""),
+        ("COMMIT", Kind.COMMIT, ""),
+        ("ROLLBACK", Kind.ROLLBACK, ""),
+        ("READ 1a4", Kind.READ, ""),
+        ("WRITE 1a4 some data", Kind.WRITE, ""),
+        ("SET mode fast", Kind.SET, "mode"),
+        ("PREPARE s1 WRITE q2c", Kind.PREPARE, "s1"),
+        ("EXECUTE s1 1a4 data", Kind.EXECUTE, "s1"),
+        ("DEALLOC s1", Kind.DEALLOCATE, "s1"),
+    ],
+)
+def test_statement_is_recognised_and_kept_as_sent(text, kind, name):
+    statement = callers.parse_statement("id", text)
+    assert (statement.kind, statement.name, statement.text) == (kind, name, text)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "STATUS",
+        "RESET",
+        "PAUSE 4",
+        "STEPDOWN 4",
+        "RESUME",
+        "AFTER 1.2 READ a",
+        "begin",
+        "BEGIN WRITE",
+        "COMMIT ",
+        "COMMIT now",
+        "READ",
+        "READ a b",
+        "WRITE a",
+        "SET mode",
+        "PREPARE s1 q2c",
+        "PREPARE s1 DROP q2c",
+        "EXECUTE s1",
+        "DEALLOC",
+    ],
+)
+def test_other_texts_are_never_passed_on(text):
+    with pytest.raises(lines.MalformedLine):
+        callers.parse_statement("id", text)
+
+
+def test_failure_is_told_with_its_code_and_the_state():
+    answer = statements.Answer([], error=statements.Failure.ABORTED, status="E")
+    assert callers.format_answer(answer) == b"ERROR ABORTED aborted\r\nREADY E -\r\n"
