--- a/docs/generate.py
+++ b/docs/generate.py
@@ -14,6 +14,7 @@
 from sardinehold import options
 from sardinehold import schema
 from sardinehold import settings
+from sardinehold.node import occurrences
 
 DOCS = pathlib.Path(__file__).parent
 
@@ -36,6 +37,15 @@
 without a default is required, and unknown fields are refused.
 """
 
+EVENTS = """\
+# Log lines of a node
+
+Generated from the code by `docs/generate.py`; do not edit.
+
+One JSON object a line on standard output. Each has `at` (wall time in seconds), `vm`
+and `event`. [OPERATIONS.md](OPERATIONS.md) shows how to read them.
+"""
+
 ERRORS = """\
 # Error codes
 
@@ -152,11 +162,34 @@
     return kind if isinstance(kind, str) else " or ".join(kind)
 
 
+def format_events() -> str:
+    """Return the page on the log lines of a node."""
+    rows = [f"| `{name}` | {text} |" for name, text in occurrences.EVENTS.items()]
+    fields = [
+        f"| `{name}` | {text} |" for name, text in occurrences.STATEMENT_FIELDS.items()
+    ]
+    return "\n".join(
+        [
+            EVENTS,
+            "| event | meaning |",
+            "|---|---|",
+            *rows,
+            "",
+            "## Fields of `served` and `failed`",
+            "",
+            "| field | meaning |",
+            "|---|---|",
+            *fields,
+        ]
+    )
+
+
 def build_pages() -> dict[str, str]:
     """Return the text of each generated page by its file name."""
     return {
         "configuration.md": format_configuration().rstrip() + "\n",
         "errors.md": format_errors().rstrip() + "\n",
+        "events.md": format_events().rstrip() + "\n",
         "schema.json": json.dumps(schema.build_schema(), indent=2) + "\n",
     }
 
--- a/src/sardinehold/cli.py
+++ b/src/sardinehold/cli.py
@@ -17,6 +17,7 @@
 from sardinehold import errors
 from sardinehold import keys
 from sardinehold import settings
+from sardinehold import stories
 from sardinehold import timeline
 
 _Run = typing.Callable[[argparse.Namespace], int]
@@ -172,6 +173,26 @@
     return 0
 
 
+def _add_explain(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("request", metavar="ID", help="the caller's request id")
+    _add_files(parser)
+
+
+@command(
+    "explain",
+    _add_explain,
+    "sardinehold explain 5c0e7a21d94b36f8 logs/*.log",
+)
+def run_explain(arguments: argparse.Namespace) -> int:
+    """Print the story of one request out of the log lines of all nodes."""
+    lines = stories.read_lines(arguments.files)
+    story = stories.tell(lines, arguments.request)
+    since = next(line["at"] for line in story if "request" in line)
+    for line in story:
+        print(stories.format_line(line, since))
+    return 0
+
+
 def _add_keys(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         "action",
--- /dev/null
+++ b/src/sardinehold/node/exchange.py
@@ -0,0 +1,259 @@
+"""A node's talk with the leader, and the leader's with the nodes."""
+
+import typing
+import zlib
+
+import anyio
+
+from sardinehold.core import positions
+from sardinehold.core import quota
+from sardinehold.node import catalog
+from sardinehold.node import clock
+from sardinehold.node import reports
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import node as nodes
+
+REPORT_INTERVAL = 0.4
+"""Seconds between reports to the leader; three of them fit into a lease."""
+
+REPORT_LEAST = 0.03
+"""Seconds between two reports at least, so that urgent ones are sent together."""
+
+EMPTY_PAUSE = 0.15
+"""Seconds before the allocator is asked again that had no tokens left."""
+
+EXCHANGE_LIMIT = 0.3
+"""Seconds after which an exchange with the allocator counts as lost."""
+
+ADVISED_WITHIN = 0.9
+"""Seconds after which a node without advice dates its lease by the store: two
+reports were lost, or there is no leader."""
+
+PROBE_AFTER = 0.5
+"""Seconds without an answer after which an endpoint is asked by a new connection;
+longer than a queue in front of its slots."""
+
+ALONE_AFTER = 1.5
+"""Seconds without advice after which a node takes an even part of the whole rates;
+longer than the leader takes to leave that part to it."""
+
+VOUCH_AGE = 0.8
+"""Seconds since the last answer of the store from which a report may let a leader
+without the store go on; longer than a short watch."""
+
+STORE_ASK_INTERVAL = 0.8
+"""Seconds between two questions to the store for a leader that it does not answer."""
+
+
+class Exchange:
+    """Reports of one node, and the advice that it got.
+
+    :param advised_at: when the last advice was asked for.
+    :param vouched_at: when a report last said that the store is out of reach.
+    """
+
+    def __init__(self, node: "nodes.Node") -> None:
+        """Start with nothing heard."""
+        self.node = node
+        self.advised_at = float("-inf")
+        self.vouched_at = float("-inf")
+        self._started_at = clock.read()
+        self._number = 0
+        self._number_until = float("-inf")
+        self._empty_until = float("-inf")
+        self._asked_store_at = float("-inf")
+        self._wanted = anyio.Event()
+        self._last_advice: reports.Advice | None = None
+        self._last_advice_at = 0.0
+
+    def report_soon(self) -> None:
+        """Report to the leader without delay."""
+        if clock.read() >= self._empty_until:
+            self.report_now()
+
+    def report_now(self) -> None:
+        """Report to the leader at once, whatever it answered last."""
+        self._wanted.set()
+
+    def is_advised(self) -> bool:
+        """Return whether the leader has been heard of late."""
+        return clock.read() - self.advised_at < ADVISED_WITHIN
+
+    def is_alone(self, now: float) -> bool:
+        """Return whether this node has been out of touch with the leader for long."""
+        return now - max(self.advised_at, self._started_at) > ALONE_AFTER
+
+    async def run(self) -> None:
+        """Report to the leader until cancelled."""
+        while True:
+            with anyio.move_on_after(REPORT_INTERVAL):
+                await self._wanted.wait()
+            self._wanted = anyio.Event()
+            self._report()
+            await anyio.sleep(REPORT_LEAST)
+
+    def _report(self) -> None:
+        holder = self.node.leadership.holder
+        if not holder or self.node.catalog is None:
+            return
+        now = clock.read()
+        sequence, usages = self._begin_exchange(now)
+        advice = self._last_advice
+        if now - self.node.following.find_store_contact() > VOUCH_AGE:
+            self.vouched_at = now
+        report = reports.Report(
+            self.node.settings.name,
+            self.node.incarnation,
+            now,
+            {name: g.state.version for name, g in self.node.groups.items() if g.state},
+            self.collect_samples(now),
+            {},
+            self.node.collect_failing(now),
+            sequence,
+            usages,
+            self.node.catalog.version,
+            advice.sent_at if advice else None,
+            advice.incarnation if advice else "",
+            now - self._last_advice_at,
+            now - self.node.following.find_store_contact(),
+        )
+        if holder == self.node.settings.name:
+            advice = self.node.leader.answer(report)
+            if advice is not None:
+                self._take_advice(advice)
+            return
+        member = self.node.members.get(holder)
+        if member is not None:
+            self.node.peers.send(report.dump(), (member["host"], member["port"]))
+
+    def _begin_exchange(self, now: float) -> tuple[int, list[quota.Usage]]:
+        """Return number and contents of an exchange with the allocator.
+
+        Exchanges never overlap: 0 and nothing while one is not answered.
+        """
+        if now < self._number_until:
+            return 0, []
+        self._number += 1
+        self._number_until = now + EXCHANGE_LIMIT
+        return self._number, self.node.budget.collect_usages(now)
+
+    def hear(self, message: dict, address: tuple[str, int]) -> None:
+        """Take a message of another node."""
+        try:
+            parsed = reports.parse(message)
+        except (KeyError, TypeError, ValueError, zlib.error) as error:
+            self.node.journal.note("message_refused", reason=repr(error))
+            return
+        if isinstance(parsed, reports.Report):
+            answer = self.node.leader.answer(parsed)
+            if answer is not None:
+                self.node.peers.send(answer.dump(), address)
+        elif isinstance(parsed, reports.Advice):
+            self._take_advice(parsed)
+        elif isinstance(parsed, reports.Request):
+            if self.node.following.stored_catalog is not None:
+                stored = reports.Configuration(self.node.following.stored_catalog)
+                self.node.peers.send(stored.dump(), address)
+        elif isinstance(parsed, reports.Configuration):
+            self.node.following.read_catalog(parsed.value, "leader")
+        elif isinstance(parsed, reports.Call):
+            self._take_call(parsed, clock.read())
+
+    def _take_call(self, call: reports.Call, now: float) -> None:
+        if call.resigns:
+            self.node.leadership.hear_resignation(call.incarnation, call.version, now)
+            self.advised_at = float("-inf")
+            return
+        self.node.leadership.hear(call.node, call.incarnation, call.version, now)
+        self.report_now()
+
+    def call(self, names: list[str], resigns: bool = False) -> None:
+        """Have nodes report, and so hear of what changed, at once.
+
+        :param resigns: whether this leader makes way.
+        """
+        lead = self.node.leadership
+        version = lead.version if resigns else lead.taken_version
+        message = reports.Call(
+            self.node.settings.name, self.node.incarnation, version, resigns
+        ).dump()
+        for name in names:
+            member = self.node.members.get(name)
+            if name == self.node.settings.name:
+                self.report_now()
+            elif member is not None:
+                self.node.peers.send(message, (member["host"], member["port"]))
+
+    def _take_advice(self, advice: reports.Advice) -> None:
+        now = clock.read()
+        if advice.echo > now or now - advice.echo > ADVISED_WITHIN:
+            return
+        self.advised_at = advice.echo
+        self.node.leadership.note_alive(advice.incarnation, advice.lead_version, now)
+        self._last_advice = advice
+        self._last_advice_at = now
+        for state in advice.states:
+            self.node.following.take_state(state)
+            group = self.node.groups[state.group]
+            if group.state.version != state.version:
+                continue
+            if state.phase is catalog.Phase.SERVING:
+                group.evidence.confirm(advice.date(advice.certain_age))
+            if state.group in advice.samples:
+                age, position = advice.samples[state.group]
+                group.evidence.note_position(advice.date(age), position)
+            group.pump()
+        if advice.asks_store and now > self._asked_store_at + STORE_ASK_INTERVAL:
+            self._asked_store_at = now
+            self.node.spawn(self.node.following.leader_watcher.step, True)
+        for name in advice.suspects:
+            self._look_at(name, now)
+        if advice.sequence == self._number:
+            self._take_grants(advice)
+        known = self.node.catalog.version if self.node.catalog is not None else 0
+        if advice.catalog_version > known:
+            self._fetch_catalog(advice, known)
+
+    def _fetch_catalog(self, advice: reports.Advice, known: int) -> None:
+        """Get a configuration that the leader has and this node has not."""
+        watcher = self.node.following.configuration
+        if watcher.is_failing():
+            member = self.node.members.get(advice.node)
+            if member is not None:
+                address = (member["host"], member["port"])
+                self.node.peers.send(reports.Request(known).dump(), address)
+        else:
+            watcher.hurry()
+
+    def _look_at(self, name: str, now: float) -> None:
+        """Find out about an endpoint that another node cannot reach."""
+        for group in self.node.groups.values():
+            endpoint = group.endpoints.get(name)
+            if endpoint is not None and now - endpoint.answered_at > PROBE_AFTER:
+                group.probe(endpoint)
+
+    def _take_grants(self, advice: reports.Advice) -> None:
+        self._number_until = float("-inf")
+        for grant in advice.grants:
+            deadline = advice.echo + grant.lifetime * (1 - clock.RATE_MARGIN)
+            self.node.budget.take_grant(
+                grant.team, grant.grant_id, grant.tokens, deadline
+            )
+        if self.node.budget.is_waiting():
+            if not all(grant.tokens for grant in advice.grants):
+                self._empty_until = clock.read() + EMPTY_PAUSE
+            self.report_soon()
+
+    def collect_samples(
+        self, now: float
+    ) -> dict[str, tuple[float, positions.Position]]:
+        """Return the newest known position of each primary, with its age."""
+        for group in self.node.groups.values():
+            if group.frozen is not None and self.node.leadership.leads(now):
+                group.evidence.note_position(now, group.frozen)
+        return {
+            name: (now - group.evidence.latest.asked, group.evidence.latest.position)
+            for name, group in self.node.groups.items()
+            if group.evidence.latest is not None
+        }
--- /dev/null
+++ b/src/sardinehold/node/following.py
@@ -0,0 +1,254 @@
+"""What the store says: configuration, endpoints, members, groups and the leader."""
+
+import typing
+
+import anyio
+
+from sardinehold import errors
+from sardinehold import objects
+from sardinehold.node import catalog
+from sardinehold.node import clock
+from sardinehold.node import leadership
+from sardinehold.node import watching
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import node as nodes
+
+FLEET_KIND = "sardinehold"
+"""Kind of the fleet's own objects in the store: groups, members, the secret."""
+
+LEADER_KIND = "sardinehold-leader"
+"""Kind of the leader's object, apart because it changes all the time: nodes that
+hear the leader need not follow it."""
+
+GROUP_PREFIX = "group."
+MEMBER_PREFIX = "member."
+SECRET_NAME = "secret"
+
+FOLLOW_INTERVAL = 0.05
+"""Seconds between looks at whether the leader is still heard."""
+
+
+class Following:
+    """Keeps a node in step with the store.
+
+    :param stored_catalog: the configuration in force, as it is stored.
+    """
+
+    def __init__(self, node: "nodes.Node") -> None:
+        """Start with nothing read."""
+        self.node = node
+        self.stored_catalog: object = None
+        self._store_state: dict[str, bool] = {}
+        sources = node.sources
+        self.configuration = self._watch(
+            sources.configuration_kind, self._change_config, self._change_config
+        )
+        self.endpoints = self._watch(
+            sources.endpoint_kind, self._list_endpoints, self._change_endpoints
+        )
+        self.fleet = self._watch(FLEET_KIND, self._list_fleet, self.take_fleet)
+        self.leader_watcher = self._watch(
+            LEADER_KIND, self._list_leader, self._change_leader
+        )
+        self.watchers = [self.configuration, self.endpoints, self.fleet]
+
+    def _watch(
+        self, kind: str, take_all: typing.Callable, take_changes: typing.Callable
+    ) -> watching.Watcher:
+        return watching.Watcher(
+            self.node.store,
+            kind,
+            take_all,
+            take_changes,
+            self._find_wait,
+            self._note_store,
+        )
+
+    def _find_wait(self) -> float:
+        return (
+            watching.LONG_WAIT
+            if self.node.exchange.is_advised()
+            else watching.SHORT_WAIT
+        )
+
+    def _note_store(self, kind: str, is_up: bool, reason: str) -> None:
+        if self._store_state.get(kind) is is_up:
+            return
+        self._store_state[kind] = is_up
+        event = "store_regained" if is_up else "store_lost"
+        self.node.journal.note(event, kind=kind, reason=reason)
+
+    def _change_config(self, changes: objects.Changes, asked: float) -> None:
+        for stored in changes.objects:
+            if stored.name == self.node.sources.configuration_name and stored.value:
+                self.read_catalog(stored.value, "store")
+
+    def read_catalog(self, value: object, source: str) -> None:
+        """Put a stored configuration in force if it is newer.
+
+        :param source: where it came from, ``store`` or ``leader``.
+        """
+        try:
+            found = self.node.sources.parse_catalog(value)
+        except errors.DocumentError as error:
+            self.node.journal.note(
+                "configuration_refused", reason=str(error), source=source
+            )
+            return
+        if self.node.catalog is None or found.version > self.node.catalog.version:
+            self.stored_catalog = value
+            self._take_catalog(found, source)
+
+    def _take_catalog(self, found: catalog.Catalog, source: str) -> None:
+        before, self.node.catalog = self.node.catalog, found
+        self.node.journal.note(
+            "configuration",
+            version=found.version,
+            source=source,
+            routes=len(found.routes),
+            keys=len(found.owners),
+            rates=catalog.find_new_rates(before, found),
+        )
+        for name, config in found.groups.items():
+            self.node.find_group(name).config = config
+        self.update_shares()
+        self.node.leader.configure()
+
+    def _list_endpoints(self, changes: objects.Changes, asked: float) -> None:
+        now = clock.read()
+        names = {stored.name for stored in changes.objects}
+        for group in self.node.groups.values():
+            for name in group.endpoints.keys() - names:
+                self.note_endpoint("endpoint_missing", name, group.name)
+                group.drop_record(name, now)
+        self._change_endpoints(changes, asked)
+
+    def _change_endpoints(self, changes: objects.Changes, asked: float) -> None:
+        now = clock.read()
+        for stored in changes.objects:
+            if stored.value is None:
+                for group in self.node.groups.values():
+                    if stored.name in group.endpoints:
+                        self.note_endpoint("endpoint_missing", stored.name, group.name)
+                    group.drop_record(stored.name, now)
+                continue
+            record = self.node.sources.parse_endpoint(stored.name, stored.value)
+            if record is None:
+                continue
+            group = self.node.find_group(record.group)
+            known = group.endpoints.get(record.name)
+            if known is None or _has_changed(known.record, record):
+                self.note_endpoint(
+                    "endpoint",
+                    record.name,
+                    record.group,
+                    draining=record.is_draining,
+                    primary=record.says_primary,
+                    born=record.born,
+                )
+            group.take_record(record, now)
+        self.update_shares()
+
+    def note_endpoint(
+        self, event: str, name: str, group: str, **fields: object
+    ) -> None:
+        """Write a line about an endpoint."""
+        self.node.journal.note(event, endpoint=name, group=group, **fields)
+
+    def _list_fleet(self, changes: objects.Changes, asked: float) -> None:
+        names = {stored.name for stored in changes.objects}
+        listed = {f"{MEMBER_PREFIX}{name}" for name in self.node.members} - names
+        for name in listed:
+            self.node.members.pop(name.removeprefix(MEMBER_PREFIX), None)
+        self.take_fleet(changes, asked)
+
+    def take_fleet(self, changes: objects.Changes, asked: float) -> None:
+        """Take the fleet's own objects, as read by a call sent at ``asked``."""
+        for stored in changes.objects:
+            if stored.name == SECRET_NAME and stored.value:
+                self.node.peers.key = bytes.fromhex(stored.value["key"])
+            elif stored.name.startswith(MEMBER_PREFIX):
+                self._take_member(stored)
+            elif stored.name.startswith(GROUP_PREFIX) and stored.value:
+                self._take_state(stored)
+        for group in self.node.groups.values():
+            state = group.state
+            if state is not None and state.phase is catalog.Phase.SERVING:
+                group.evidence.confirm(asked)
+                group.pump()
+
+    async def follow_leader(self) -> None:
+        """Follow the leader's object while nothing is heard of the leader."""
+        while True:
+            if self.node.exchange.is_advised() and self.node.leadership.is_known:
+                await anyio.sleep(FOLLOW_INTERVAL)
+            else:
+                await self.leader_watcher.step()
+                await anyio.sleep(0)
+
+    def _list_leader(self, changes: objects.Changes, asked: float) -> None:
+        found = [item for item in changes.objects if item.name == leadership.NAME]
+        self.node.leadership.observe(found[0] if found else None, clock.read())
+
+    def _change_leader(self, changes: objects.Changes, asked: float) -> None:
+        for stored in changes.objects:
+            if stored.name == leadership.NAME:
+                gone = stored.value is None
+                self.node.leadership.observe(None if gone else stored, clock.read())
+
+    def find_store_contact(self) -> float:
+        """Return when the store last answered this node."""
+        watchers = [*self.watchers, self.leader_watcher]
+        contact = max(watcher.answered_at for watcher in watchers)
+        return max(contact, self.node.keeping.wrote_at)
+
+    def _take_member(self, stored: objects.StoredObject) -> None:
+        name = stored.name.removeprefix(MEMBER_PREFIX)
+        if stored.value is None:
+            self.node.members.pop(name, None)
+        else:
+            self.node.members[name] = stored.value
+        self.update_shares()
+
+    def _take_state(self, stored: objects.StoredObject) -> None:
+        name = stored.name.removeprefix(GROUP_PREFIX)
+        self.take_state(catalog.parse_group_state(name, stored.value, stored.version))
+
+    def take_state(self, state: catalog.GroupState) -> None:
+        """Take a group's state if it is newer."""
+        group = self.node.find_group(state.group)
+        if group.state is not None and state.version <= group.state.version:
+            return
+        self.node.journal.note(
+            "group_state",
+            group=state.group,
+            term=state.term,
+            primary=state.primary,
+            phase=state.phase.value,
+            version=state.version,
+        )
+        group.take_state(state)
+        self.update_shares()
+        if state.phase is catalog.Phase.SEALED:
+            self.node.exchange.report_now()
+
+    def update_shares(self) -> None:
+        """Divide connections and rates by the members."""
+        count = max(1, len(self.node.members))
+        zone = self.node.settings.zone
+        neighbours = [m for m in self.node.members.values() if m.get("zone") == zone]
+        for group in self.node.groups.values():
+            group.divide(count, max(1, len(neighbours)))
+        if self.node.catalog is not None:
+            self.node.budget.configure(self.node.catalog, count)
+
+
+def _has_changed(old: catalog.EndpointRecord, new: catalog.EndpointRecord) -> bool:
+    return (old.is_draining, old.says_primary, old.born, old.host, old.port) != (
+        new.is_draining,
+        new.says_primary,
+        new.born,
+        new.host,
+        new.port,
+    )
--- a/src/sardinehold/node/journal.py
+++ b/src/sardinehold/node/journal.py
@@ -12,7 +12,9 @@
 
 import logbook
 
+from sardinehold import errors
 from sardinehold import metrics
+from sardinehold.node import occurrences
 
 MAX_BYTES_PER_SECOND = 64 * 1024
 """Bytes of lines that a process writes a second at most."""
@@ -68,6 +70,11 @@
         self._write(event, fields, ORDINARY_SHARE)
 
     def _write(self, event: str, fields: dict[str, typing.Any], share: float) -> None:
+        if event not in occurrences.EVENTS:
+            raise errors.InvariantViolation(
+                f"The log line {event} is not described.",
+                "Describe it in sardinehold.node.occurrences.",
+            )
         self.registry.count(metrics.label_name("events", event=event))
         now = time.time()
         if int(now) != self._second:
--- /dev/null
+++ b/src/sardinehold/node/keeping.py
@@ -0,0 +1,171 @@
+"""What a node writes to the store: its entry, the lead, and states of groups."""
+
+import random
+import secrets
+import typing
+
+import anyio
+
+from sardinehold import errors
+from sardinehold import objects
+from sardinehold.node import catalog
+from sardinehold.node import clock
+from sardinehold.node import following
+from sardinehold.node import leadership
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import node as nodes
+
+LEAD_TIMEOUT = 0.6
+"""Seconds that a renewal may take before it is tried over another connection: a store
+that is slow answers within a quarter of a second."""
+
+STORE_RETRY = 0.3
+"""Seconds between attempts to write an object of this node."""
+
+SECRET_BYTES = 32
+
+
+class Keeping:
+    """Writes a node's objects.
+
+    :param wrote_at: when the store last answered a renewal of the lead.
+    """
+
+    def __init__(self, node: "nodes.Node") -> None:
+        """Start with nothing written."""
+        self.node = node
+        self.wrote_at = float("-inf")
+        self._is_leading = False
+
+    async def write_state(self, state: catalog.GroupState) -> catalog.GroupState:
+        """Store a group's state if the one it came from is still there.
+
+        :raises sardinehold.errors.PlatformError: another state is stored, or
+            no answer came.
+        """
+        name = f"{following.GROUP_PREFIX}{state.group}"
+        if state.version:
+            stored = await self.node.store.update(
+                following.FLEET_KIND, name, state.dump(), state.version
+            )
+        else:
+            stored = await self.node.store.create(
+                following.FLEET_KIND, name, state.dump()
+            )
+        written = catalog.GroupState(
+            state.group,
+            state.term,
+            state.primary,
+            state.phase,
+            stored.version,
+            state.attempt,
+        )
+        self.node.following.take_state(written)
+        return written
+
+    async def keep_member(self) -> None:
+        """Enter this node among the members, and see that there is a secret."""
+        value = {
+            "zone": self.node.settings.zone,
+            "host": self.node.settings.peer_listen[0],
+            "port": self.node.settings.peer_listen[1],
+            "incarnation": self.node.incarnation,
+        }
+        name = f"{following.MEMBER_PREFIX}{self.node.settings.name}"
+        while True:
+            try:
+                await self._write_always(name, value)
+                await self._create_secret()
+                return
+            except errors.PlatformError as error:
+                self.node.journal.note("member_not_written", reason=str(error))
+                await anyio.sleep(STORE_RETRY * (0.5 + random.random()))
+
+    async def _write_always(self, name: str, value: dict) -> None:
+        """Write an object that only this node writes, whatever is there."""
+        try:
+            await self.node.store.create(following.FLEET_KIND, name, value)
+        except errors.VersionConflict:
+            found = await self.node.store.list(following.FLEET_KIND)
+            for stored in found.objects:
+                if stored.name == name:
+                    await self.node.store.update(
+                        following.FLEET_KIND, name, value, stored.version
+                    )
+
+    async def _create_secret(self) -> None:
+        if self.node.peers.key:
+            return
+        try:
+            value = {"key": secrets.token_hex(SECRET_BYTES)}
+            await self.node.store.create(
+                following.FLEET_KIND, following.SECRET_NAME, value
+            )
+        except errors.VersionConflict:
+            # Another node made it; the watch brings it.
+            return
+
+    async def keep_lead(self) -> None:
+        """Take, renew or leave the lead as is due."""
+        while True:
+            now = clock.read()
+            self._note_lead(self.node.leadership.leads(now))
+            due = self.node.leadership.find_next_write(now)
+            if self.node.is_stopping or due > now:
+                await anyio.sleep(min(0.1, max(0.01, due - now)))
+                continue
+            await self._write_lead()
+
+    async def _write_lead(self) -> None:
+        lead = self.node.leadership
+        asked = clock.read()
+        was_leading = lead.leads(asked)
+        value = lead.make_value()
+        try:
+            with anyio.fail_after(LEAD_TIMEOUT):
+                stored = await self._put_lead(value)
+            if not was_leading:
+                # What the leader before wrote last must be known before acting.
+                changes = await self.node.store.list(following.FLEET_KIND)
+                self.node.following.take_fleet(changes, asked)
+        except (errors.PlatformError, TimeoutError) as error:
+            lead.note_failed(clock.read())
+            self.node.journal.note("lead_not_written", reason=str(error) or "no answer")
+            if isinstance(error, errors.VersionConflict):
+                await self.node.following.leader_watcher.step(relist=True)
+            return
+        self.wrote_at = clock.read()
+        lead.note_written(asked, stored.version)
+
+    async def _put_lead(self, value: dict) -> objects.StoredObject:
+        version = self.node.leadership.version
+        if not version:
+            return await self.node.store.create(
+                following.LEADER_KIND, leadership.NAME, value
+            )
+        return await self.node.store.update(
+            following.LEADER_KIND, leadership.NAME, value, version
+        )
+
+    def _note_lead(self, leads: bool) -> None:
+        if not leads and self.node.leader.find_certainty(clock.read()) is not None:
+            # The store is out of reach for all: nobody else can have taken over.
+            return
+        if leads is self._is_leading:
+            return
+        self._is_leading = leads
+        if leads:
+            self.node.leader.begin()
+        else:
+            self.node.leader.end()
+        self.node.journal.note(
+            "lead_taken" if leads else "lead_lost", version=self.node.leadership.version
+        )
+
+    async def write_farewell(self) -> None:
+        """Leave the lead to any other node."""
+        lead = self.node.leadership
+        await self.node.store.update(
+            following.LEADER_KIND, leadership.NAME, lead.make_farewell(), lead.version
+        )
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -84,7 +84,7 @@
         acted_until = lead.acted_until
         if not lead.has_left:
             # The leader before may have gone on by what this node reported.
-            acted_until = max(acted_until, self.node.vouched_at + HEARD_WITHIN)
+            acted_until = max(acted_until, self.node.exchange.vouched_at + HEARD_WITHIN)
         starts_at = acted_until + quota.GRANT_LIFETIME * margin
         expected = frozenset(
             f"{name}/{member.get('incarnation', '')}"
@@ -148,7 +148,7 @@
             self.node.incarnation,
             report.sent_at,
             [group.state for group in self.node.groups.values() if group.state],
-            self.node.collect_samples(now),
+            self.node.exchange.collect_samples(now),
             grants or [],
             self.node.catalog.version if self.node.catalog else 0,
             report.sequence,
@@ -174,7 +174,7 @@
 
     def _list_contacts(self, now: float) -> list[tuple[float, float]]:
         """Return the contacts with the store that members reported of late."""
-        contacts = [(self.node.find_store_contact(), now)]
+        contacts = [(self.node.following.find_store_contact(), now)]
         for name in self.node.members:
             heard = self.heard.get(name)
             if name == self.node.settings.name or heard is None:
@@ -240,7 +240,7 @@
         now = clock.read()
         if self.node.leadership.should_resign(now, self._list_contacts(now)):
             self.note("resigned", version=self.node.leadership.version)
-            self.node.call(list(self.node.members), resigns=True)
+            self.node.exchange.call(list(self.node.members), resigns=True)
             self.node.leadership.resign()
 
     def _call_unheard(self) -> None:
@@ -249,7 +249,7 @@
         if now < self._call_at:
             return
         self._call_at = now + CALL_INTERVAL
-        self.node.call(self.list_unheard(now))
+        self.node.exchange.call(self.list_unheard(now))
 
     def _look(
         self,
@@ -365,7 +365,7 @@
 
     async def write_state(self, state: catalog.GroupState) -> catalog.GroupState:
         """Store a state if the one it came from is still there."""
-        return await self.node.write_state(state)
+        return await self.node.keeping.write_state(state)
 
     def is_seal_known(self, group: str, version: int) -> bool:
         """Return whether every node has given up the old primary."""
@@ -384,7 +384,7 @@
 
     def tell_soon(self) -> None:
         """Tell all nodes of the state without delay."""
-        self.node.call(list(self.node.members))
+        self.node.exchange.call(list(self.node.members))
 
     async def open_control(self, record: catalog.EndpointRecord) -> ports.Connection:
         """Open a connection for questions about the log."""
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -70,6 +70,7 @@
 
     __slots__ = (
         "team",
+        "group",
         "endpoint",
         "after",
         "position",
@@ -81,6 +82,7 @@
     def __init__(self) -> None:
         """Start with nothing decided."""
         self.team = ""
+        self.group = ""
         self.endpoint = ""
         self.after: positions.Position | None = None
         self.position: positions.Position | None = None
@@ -97,6 +99,7 @@
             "waited": self.waited,
             "tries": self.tries,
             "team": self.team,
+            "group": self.group,
             "lease_age": self.lease_age,
         }
 
@@ -190,6 +193,7 @@
         if not team and not route.is_open:
             raise Failed(statements.Failure.DENIED, "the key is not in force")
         self.trace.team = team
+        self.trace.group = route.group
         return route, team
 
     async def handle(self, statement: statements.Statement) -> statements.Answer:
@@ -424,6 +428,7 @@
         """Run a statement of the open transaction."""
         transaction = self.transaction
         self.trace.team = transaction.team
+        self.trace.group = transaction.route.group
         now = clock.read()
         deadline = now + transaction.route.statement_timeout
         if transaction.pooled is None:
@@ -491,6 +496,8 @@
     async def commit(self, statement: statements.Statement) -> statements.Answer:
         """Commit the open transaction; past its sending the outcome may be unknown."""
         transaction = self.transaction
+        self.trace.team = transaction.team
+        self.trace.group = transaction.route.group
         deadline = clock.read() + transaction.route.statement_timeout
         if transaction.pooled is None:
             await self._begin(transaction, clock.read(), deadline)
--- /dev/null
+++ b/src/sardinehold/stories.py
@@ -0,0 +1,115 @@
+"""The story of one request out of the log lines of all nodes.
+
+A story has the lines of the request and, in front of its first line, what its node
+believed then: the last line of each kind that decided it.
+"""
+
+import json
+import pathlib
+import typing
+
+from sardinehold import errors
+
+BELIEFS = ("configuration", "store_lost", "store_regained")
+"""Lines about the whole node of which the last one counts."""
+
+AROUND = 5.0
+"""Seconds around the request in which a change of its group's primary is shown; a
+change is over within them."""
+
+Line = dict[str, typing.Any]
+
+
+def read_lines(paths: list[pathlib.Path]) -> list[Line]:
+    """Return the log lines in files, in the order of their time.
+
+    What stands in front of a line's JSON object, such as another log's time, and
+    lines of other programs are left out.
+
+    :raises sardinehold.errors.SettingsError: a file cannot be read.
+    """
+    found = []
+    for path in paths:
+        try:
+            text = path.read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            raise errors.SettingsError(
+                f"{path} cannot be read ({error.strerror}).", "Name a log file."
+            ) from error
+        for row in text.splitlines():
+            line = _parse(row)
+            if line is not None:
+                found.append(line)
+    return sorted(found, key=lambda line: line["at"])
+
+
+def _parse(row: str) -> Line | None:
+    start = row.find('{"at":')
+    if start < 0:
+        return None
+    try:
+        line = json.loads(row[start:])
+    except ValueError:
+        return None
+    return line if "event" in line and "vm" in line else None
+
+
+def tell(lines: list[Line], request: str) -> list[Line]:
+    """Return the lines that explain a request, in the order of their time.
+
+    :raises sardinehold.errors.SettingsError: no line names the request.
+    """
+    own = [line for line in lines if line.get("request") == request]
+    if not own:
+        raise errors.SettingsError(
+            f"No line names the request {request}.",
+            "Give the logs of all nodes; lines of successes may have been dropped.",
+        )
+    first, last = own[0], own[-1]
+    began = first["at"] - first.get("seconds", 0.0)
+    vms = {line["vm"] for line in own}
+    story = {id(line): line for line in own}
+    latest: dict[tuple, Line] = {}
+    for line in lines:
+        if line["at"] > last["at"] + AROUND:
+            break
+        is_early = line["at"] <= last["at"]
+        if line["vm"] in vms and is_early:
+            topic = _find_topic(line, first)
+            if topic is not None:
+                latest[line["vm"], *topic] = line
+        near = began - AROUND <= line["at"]
+        if near and _is_about_primary(line, first):
+            story[id(line)] = line
+    for line in latest.values():
+        story[id(line)] = line
+    return sorted(story.values(), key=lambda line: line["at"])
+
+
+def _find_topic(line: Line, request: Line) -> tuple | None:
+    """Return what a line is about if it may have decided the request."""
+    event = line["event"]
+    if event in BELIEFS:
+        return ("store", line.get("kind")) if "store" in event else (event,)
+    if event == "group_state" and line.get("group") == request.get("group"):
+        return (event,)
+    if event.startswith("endpoint") and line.get("endpoint") == request.get("endpoint"):
+        return ("endpoint",)
+    return None
+
+
+def _is_about_primary(line: Line, request: Line) -> bool:
+    event = line["event"]
+    if event.startswith("lead_") and event != "lead_not_written":
+        return True
+    return event.startswith("failover_") and line.get("group") == request.get("group")
+
+
+def format_line(line: Line, since: float) -> str:
+    """Return a line for a person, with the seconds since ``since``."""
+    fields = " ".join(
+        f"{name}={json.dumps(value) if not isinstance(value, str) else value}"
+        for name, value in line.items()
+        if name not in ("at", "vm", "event") and value not in ("", None)
+    )
+    return f"{line['at'] - since:+9.3f} {line['vm']:<24} {line['event']:<20} {fields}"
--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -579,7 +579,7 @@
             self.tasks,
             metrics.Registry(),
         )
-        node.peers = Datagrams(self, name, node._hear)
+        node.peers = Datagrams(self, name, node.exchange.hear)
         self.nodes[name] = node
         scope = self.scopes[name] = anyio.CancelScope()
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -19,7 +19,9 @@
 GENERATOR = load_generator()
 
 
-@pytest.mark.parametrize("name", ["configuration.md", "errors.md", "schema.json"])
+@pytest.mark.parametrize(
+    "name", ["configuration.md", "errors.md", "events.md", "schema.json"]
+)
 def test_generated_page_is_current(name):
     text = (DOCS / name).read_text(encoding="utf-8")
     assert text == GENERATOR.build_pages()[name], "run docs/generate.py"
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,131 @@
+"""The story of a request out of log lines, and the lines themselves."""
+
+import ast
+import json
+import os
+import pathlib
+
+import logbook
+import pytest
+
+from sardinehold import cli
+from sardinehold import errors
+from sardinehold import metrics
+from sardinehold import stories
+from sardinehold.node import journal
+from sardinehold.node import occurrences
+
+NODE = pathlib.Path(__file__).parent.parent / "src" / "sardinehold"
+
+
+def make_line(at: float, event: str, vm: str = "n1", **fields: object) -> str:
+    return json.dumps({"at": at, "vm": vm, "event": event, **fields})
+
+
+LINES = [
+    make_line(1.0, "configuration", version=3),
+    make_line(1.1, "group_state", group="g", term=1, primary="e1"),
+    make_line(1.1, "group_state", group="other", term=1, primary="x"),
+    make_line(2.0, "configuration", version=4),
+    make_line(4.0, "failover_seal", vm="n2", group="g", term=1),
+    make_line(5.0, "failed", request="r7", group="g", endpoint="e1", seconds=0.5),
+    make_line(5.2, "failover_published", vm="n2", group="g", term=2),
+    make_line(5.3, "failover_published", vm="n2", group="other", term=2),
+]
+
+
+def write_log(tmp_path, rows):
+    path = tmp_path / "a.log"
+    path.write_text("noise\n" + "\n".join(f"  1.2 n1 {row}" for row in rows))
+    return path
+
+
+def test_story_has_the_beliefs_in_force_and_the_change_of_primary(tmp_path):
+    lines = stories.read_lines([write_log(tmp_path, LINES)])
+    story = stories.tell(lines, "r7")
+    assert [(line["event"], line.get("version")) for line in story] == [
+        ("group_state", None),
+        ("configuration", 4),
+        ("failover_seal", None),
+        ("failed", None),
+        ("failover_published", None),
+    ]
+
+
+def test_unknown_request_is_an_error_with_a_remedy(tmp_path):
+    with pytest.raises(errors.SettingsError):
+        stories.tell(stories.read_lines([write_log(tmp_path, LINES)]), "r8")
+
+
+def test_command_prints_the_story(tmp_path, capsys):
+    assert cli.main(["explain", "r7", str(write_log(tmp_path, LINES))]) == 0
+    printed = capsys.readouterr().out.splitlines()
+    assert len(printed) == 5
+    assert "request=r7" in printed[3]
+
+
+def collect_events():
+    """Return the names of all lines that the code writes."""
+    found = set()
+    for path in [*(NODE / "node").glob("*.py"), *(NODE / "platform").glob("*.py")]:
+        for call in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if not isinstance(call, ast.Call) or not call.args:
+                continue
+            name = getattr(call.func, "attr", "")
+            first = call.args[0]
+            if name in ("note", "note_ordinary", "_note_endpoint") and isinstance(
+                first, ast.Constant
+            ):
+                owner = ast.unparse(call.func.value)
+                is_leader = path.name in ("leader.py", "failover.py")
+                prefix = "failover_" if is_leader and "journal" not in owner else ""
+                found.add(prefix + first.value)
+    return found
+
+
+def test_every_line_that_the_code_writes_is_described():
+    assert collect_events() - occurrences.EVENTS.keys() == set()
+
+
+def write_many(vm: str, count: int, ordinary: bool):
+    registry = metrics.Registry()
+    made = journal.Journal(vm, registry)
+    with logbook.TestHandler() as handler:
+        for _ in range(count):
+            if ordinary:
+                made.note_ordinary("served", reason="x" * 150)
+            else:
+                made.note("failed", reason="x" * 150)
+    return made, handler.formatted_records
+
+
+def test_lines_of_a_second_are_bounded_and_drops_are_counted(monkeypatch):
+    monkeypatch.setattr(journal.time, "time", lambda: 100.0)
+    made, records = write_many("n1", 2000, ordinary=False)
+    size = sum(len(record) for record in records)
+    assert size <= journal.MAX_BYTES_PER_SECOND * 1.2
+    assert made.dropped == made.registry.counters["log_lines_dropped"] > 0
+
+
+def test_ordinary_successes_give_way_first(monkeypatch):
+    monkeypatch.setattr(journal.time, "time", lambda: 100.0)
+    _, ordinary = write_many("n1", 2000, ordinary=True)
+    _, others = write_many("n1", 2000, ordinary=False)
+    assert len(ordinary) < 0.6 * len(others)
+
+
+def test_line_without_a_description_is_a_fault():
+    with pytest.raises(errors.InvariantViolation):
+        journal.Journal("n1", metrics.Registry()).note("something")
+
+
+def test_reader_that_stops_does_not_hold_the_process_up():
+    read, write = os.pipe()
+    handler = journal.Handler(write)
+    record = logbook.LogRecord("x", logbook.INFO, "line " + "x" * 1000)
+    record.pull_information()
+    for _ in range(200):
+        handler.emit(record)
+    assert handler.dropped > 0
+    os.close(read)
+    os.close(write)
