Try a statement of a transaction again while its endpoint has no room

A BUSY inside a transaction was passed on as a promise while the transaction stayed open; it is sent again, or the transaction is rolled back and called aborted. A write whose connection could not be tuned has not left and is not in doubt. Statements for a primary that is long missing are refused at once.

--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -20,6 +20,10 @@
 """Part of the time that a leaving endpoint may get new work in which a leaving primary
 gets it; the rest covers the way from the store to this node."""
 
+HOPELESS_AFTER = 4.0
+"""Seconds without a primary after which statements that need one are refused at once:
+a change of primary that goes well is over by then."""
+
 OPEN_TIMEOUT = 1.0
 """Seconds that opening a connection may take; past it an endpoint counts as dark."""
 
@@ -134,6 +138,7 @@
         self.endpoints: dict[str, pool.Endpoint] = {}
         self.waiters: list[Waiter] = []
         self.frozen: positions.Position | None = None
+        self._unserved_since: float | None = None
         self._connector = connector
         self._spawn = spawn
         self._measure_distance = measure_distance
@@ -147,6 +152,7 @@
         before, self.state = self.state, state
         if state.phase is catalog.Phase.SERVING:
             self.frozen = None
+            self._unserved_since = None
         if state.phase is catalog.Phase.SEALED:
             self.evidence.revoke()
         if before is None or before.term != state.term:
@@ -236,6 +242,9 @@
 
         :raises Refused: none can be had before the deadline.
         """
+        expected = self._expect_wait()
+        if clock.read() + expected > waiter.deadline or self._is_hopeless(waiter):
+            raise self._refuse(waiter, expected)
         self.waiters.append(waiter)
         self.pump()
         try:
@@ -243,7 +252,7 @@
             async with asyncio.timeout(remaining):
                 return await waiter.future
         except TimeoutError:
-            raise Refused(self.explain(waiter), 0.2) from None
+            raise self._refuse(waiter, self._expect_wait()) from None
         except asyncio.CancelledError:
             if waiter.future.done() and not waiter.future.cancelled():
                 self.release(waiter.future.result().pooled)
@@ -252,6 +261,29 @@
             if waiter in self.waiters:
                 self.waiters.remove(waiter)
 
+    def _expect_wait(self) -> float:
+        """Return the seconds until those that wait already have been served."""
+        endpoints = self.endpoints.values()
+        service = max((item.service for item in endpoints), default=0.0)
+        parallel = sum(item.limit for item in endpoints)
+        return admission.expect_wait(len(self.waiters), service, parallel)
+
+    def _is_hopeless(self, waiter: Waiter) -> bool:
+        """Return whether a statement needs a primary that has long been missing."""
+        if not waiter.needs_primary:
+            return False
+        now = clock.read()
+        if self.is_serving():
+            self._unserved_since = None
+            return False
+        if self._unserved_since is None:
+            self._unserved_since = now
+        return now - self._unserved_since > HOPELESS_AFTER
+
+    def _refuse(self, waiter: Waiter, expected: float) -> Refused:
+        retry_after = admission.find_retry_after(expected, random.random())
+        return Refused(self.explain(waiter), retry_after)
+
     def explain(self, waiter: Waiter) -> str:
         """Return why a statement got no connection."""
         if waiter.needs_primary and not self.is_serving():
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -23,6 +23,7 @@
 from sardinehold.node import keeping
 from sardinehold.node import leader
 from sardinehold.node import leadership
+from sardinehold.node import outcomes
 from sardinehold.node import peers
 from sardinehold.node import ports
 from sardinehold.node import session as sessions
@@ -32,6 +33,9 @@
 RESTART_DELAY = 0.2
 """Seconds before a part of the node that failed runs anew."""
 
+REFRESH_INTERVAL = 0.3
+"""Seconds between two questions to the store for who leads a group."""
+
 TEND_INTERVAL = 0.05
 """Seconds between looks at resting transactions and silent endpoints."""
 
@@ -113,6 +117,7 @@
         self._tasks = tasks
         self._closes_sessions = False
         self._failing: set[str] = set()
+        self._refreshed_at = float("-inf")
         self.following = following.Following(self)
         self.keeping = keeping.Keeping(self)
         self.exchange = exchange.Exchange(self)
@@ -210,12 +215,12 @@
         try:
             await self.budget.spend(team, deadline)
         except budget.OverRate as error:
-            raise sessions.Failed(
+            raise outcomes.Failed(
                 statements.Failure.BUSY,
                 f"{error}; come back after {int(error.retry_after * 1000)} ms",
             ) from error
 
-    def note_refused_start(self, route: str, error: sessions.Failed) -> None:
+    def note_refused_start(self, route: str, error: outcomes.Failed) -> None:
         """Write a line about a caller that was not let in."""
         self.journal.note(
             "start_refused",
@@ -245,7 +250,10 @@
 
     async def refresh(self, group: groups.Group) -> None:
         """Ask the store who leads: an endpoint said that it does not."""
-        self.following.fleet.hurry()
+        now = clock.read()
+        if now > self._refreshed_at + REFRESH_INTERVAL:
+            self._refreshed_at = now
+            self.following.fleet.hurry()
 
     # Stopping
 
--- /dev/null
+++ b/src/sardinehold/node/outcomes.py
@@ -0,0 +1,61 @@
+"""How a statement was decided, and how it ends when it fails."""
+
+from sardinehold.core import positions
+from sardinehold.node import statements
+
+
+class Failed(Exception):
+    """A statement ends with a failure."""
+
+    def __init__(self, failure: statements.Failure, detail: str) -> None:
+        """Keep what the caller is told."""
+        super().__init__(detail)
+        self.failure = failure
+        self.detail = detail
+
+
+class Trace:
+    """How one statement was decided, for the log.
+
+    :param endpoint: where it ran last.
+    :param after: position that the endpoint was asked to have.
+    :param position: position that it answered with.
+    :param waited: seconds that it waited for connections.
+    :param tries: how often it was sent.
+    :param lease_age: seconds since the group's state was known to be in force.
+    """
+
+    __slots__ = (
+        "team",
+        "group",
+        "endpoint",
+        "after",
+        "position",
+        "waited",
+        "tries",
+        "lease_age",
+    )
+
+    def __init__(self) -> None:
+        """Start with nothing decided."""
+        self.team = ""
+        self.group = ""
+        self.endpoint = ""
+        self.after: positions.Position | None = None
+        self.position: positions.Position | None = None
+        self.waited = 0.0
+        self.tries = 0
+        self.lease_age = 0.0
+
+    def describe(self) -> dict[str, object]:
+        """Return the fields of a log line."""
+        return {
+            "endpoint": self.endpoint,
+            "after": None if self.after is None else list(self.after),
+            "position": None if self.position is None else list(self.position),
+            "waited": self.waited,
+            "tries": self.tries,
+            "team": self.team,
+            "group": self.group,
+            "lease_age": self.lease_age,
+        }
--- /dev/null
+++ b/src/sardinehold/node/reading.py
@@ -0,0 +1,142 @@
+"""Reads outside a transaction: where they are tried, and in which order."""
+
+import asyncio
+import typing
+
+from sardinehold.node import catalog
+from sardinehold.node import clock
+from sardinehold.node import groups
+from sardinehold.node import hedging
+from sardinehold.node import outcomes
+from sardinehold.node import pool
+from sardinehold.node import ports
+from sardinehold.node import statements
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import session as sessions
+
+BUSY_PAUSE = 0.03
+"""Seconds before a statement that an endpoint had no room for is sent again; about
+the time in which a slot becomes free."""
+
+
+def routes_reads_to_primary(route: catalog.Route) -> bool:
+    """Return whether only the primary serves a route's reads."""
+    return route.consistency is catalog.Consistency.LATEST
+
+
+def find_avoided(
+    route: catalog.Route, endpoint: pool.Endpoint | None
+) -> frozenset[str]:
+    """Return what to avoid after an endpoint failed a read: nothing on the primary."""
+    if endpoint is None or routes_reads_to_primary(route):
+        return frozenset()
+    return frozenset({endpoint.name})
+
+
+class ReadAttempt:
+    """One attempt at a read, on one endpoint after the other while they refuse.
+
+    :param placed: done once the read has a connection, or none can be had.
+    :param endpoint: where it was sent last.
+    :param avoided: endpoints that it is not sent to.
+    """
+
+    __slots__ = (
+        "session",
+        "statement",
+        "route",
+        "team",
+        "began",
+        "deadline",
+        "placed",
+        "endpoint",
+        "avoided",
+    )
+
+    def __init__(
+        self,
+        session: "sessions.Session",
+        statement: statements.Statement,
+        route: catalog.Route,
+        team: str,
+        began: float,
+        deadline: float,
+    ) -> None:
+        """Start unplaced."""
+        self.session = session
+        self.statement = statement
+        self.route = route
+        self.team = team
+        self.began = began
+        self.deadline = deadline
+        self.placed: asyncio.Future = asyncio.get_running_loop().create_future()
+        self.endpoint: pool.Endpoint | None = None
+        self.avoided: frozenset[str] = frozenset()
+
+    def find_patience(self) -> float:
+        """Return the seconds after which the read is late."""
+        if self.endpoint is None:
+            return hedging.LEAST
+        return hedging.find_patience(self.endpoint.service + self.endpoint.round_trip)
+
+    async def run(self) -> statements.Answer:
+        """Return the answer of the first endpoint that gives one.
+
+        :raises Failed: none did in time.
+        """
+        try:
+            return await self._try_all()
+        finally:
+            self._note_placed()
+
+    async def _try_all(self) -> statements.Answer:
+        last = statements.Failure.BUSY
+        while clock.read() < self.deadline:
+            placed = await self.session.acquire(
+                self.route,
+                self.team,
+                self.began,
+                self.deadline,
+                routes_reads_to_primary(self.route),
+                self.avoided,
+            )
+            self.endpoint = placed.pooled.endpoint
+            self._note_placed()
+            answer = await self._try_one(placed)
+            if answer is None:
+                last = statements.Failure.TIMEOUT
+                continue
+            last = answer.error
+            if answer.error is None or not await self._may_go_on(answer.error):
+                return answer
+        raise outcomes.Failed(last, "the read was not answered in time")
+
+    async def _try_one(self, placed: groups.Placed) -> statements.Answer | None:
+        """Return an endpoint's answer, None if its connection broke."""
+        group = self.session.find_group(self.route)
+        try:
+            answer = await self.session.run_on(placed, self.statement, self.deadline)
+        except ports.ConnectionLost:
+            group.pump()
+            self.avoided |= find_avoided(self.route, self.endpoint)
+            return None
+        group.release(placed.pooled)
+        return answer
+
+    async def _may_go_on(self, failure: statements.Failure) -> bool:
+        """Return whether another try makes sense, after a pause if need be."""
+        if failure is statements.Failure.LAGGING:
+            return True
+        if failure is statements.Failure.BUSY:
+            await asyncio.sleep(BUSY_PAUSE)
+            return True
+        if failure is statements.Failure.FAILED:
+            known = bool(self.avoided)
+            self.avoided |= find_avoided(self.route, self.endpoint)
+            return not known and bool(self.avoided)
+        return False
+
+    def _note_placed(self) -> None:
+        if not self.placed.done():
+            self.placed.set_result(None)
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -12,17 +12,15 @@
 from sardinehold.node import clock
 from sardinehold.node import groups
 from sardinehold.node import hedging
+from sardinehold.node import outcomes
 from sardinehold.node import pool
 from sardinehold.node import ports
+from sardinehold.node import reading
 from sardinehold.node import statements
 
 if typing.TYPE_CHECKING:
     from sardinehold.node import node as nodes
 
-BUSY_PAUSE = 0.03
-"""Seconds before a statement that an endpoint had no room for is sent again; about
-the time in which a slot becomes free."""
-
 LOCAL_SIGNATURE = "-"
 """What a statement ends with that no endpoint saw."""
 
@@ -47,63 +45,6 @@
     return register
 
 
-class Failed(Exception):
-    """A statement ends with a failure."""
-
-    def __init__(self, failure: statements.Failure, detail: str) -> None:
-        """Keep what the caller is told."""
-        super().__init__(detail)
-        self.failure = failure
-        self.detail = detail
-
-
-class Trace:
-    """How one statement was decided, for the log.
-
-    :param endpoint: where it ran last.
-    :param after: position that the endpoint was asked to have.
-    :param position: position that it answered with.
-    :param waited: seconds that it waited for connections.
-    :param tries: how often it was sent.
-    :param lease_age: seconds since the group's state was known to be in force.
-    """
-
-    __slots__ = (
-        "team",
-        "group",
-        "endpoint",
-        "after",
-        "position",
-        "waited",
-        "tries",
-        "lease_age",
-    )
-
-    def __init__(self) -> None:
-        """Start with nothing decided."""
-        self.team = ""
-        self.group = ""
-        self.endpoint = ""
-        self.after: positions.Position | None = None
-        self.position: positions.Position | None = None
-        self.waited = 0.0
-        self.tries = 0
-        self.lease_age = 0.0
-
-    def describe(self) -> dict[str, object]:
-        """Return the fields of a log line."""
-        return {
-            "endpoint": self.endpoint,
-            "after": None if self.after is None else list(self.after),
-            "position": None if self.position is None else list(self.position),
-            "waited": self.waited,
-            "tries": self.tries,
-            "team": self.team,
-            "group": self.group,
-            "lease_age": self.lease_age,
-        }
-
-
 class Transaction:
     """An open transaction.
 
@@ -168,7 +109,7 @@
         self.status = "I"
         self.values: dict[str, str] = {}
         self.prepared: dict[str, statements.Definition] = {}
-        self.trace = Trace()
+        self.trace = outcomes.Trace()
         self.own: positions.Position | None = None
         self.transaction: Transaction | None = None
         self.is_busy = False
@@ -179,19 +120,21 @@
     def admit(self) -> tuple[catalog.Route, str]:
         """Return the session's route and team as the configuration has them now.
 
-        :raises Failed: the route or the key is not in force.
+        :raises outcomes.Failed: the route or the key is not in force.
         """
         found = self.node.catalog
         if found is None:
-            raise Failed(statements.Failure.BUSY, "this node has no configuration yet")
+            raise outcomes.Failed(
+                statements.Failure.BUSY, "this node has no configuration yet"
+            )
         route = found.routes.get(self.route_name)
         if route is None:
-            raise Failed(
+            raise outcomes.Failed(
                 statements.Failure.UNKNOWN_ROUTE, "no route has this database name"
             )
         team = found.owners.get(self.key, "")
         if not team and not route.is_open:
-            raise Failed(statements.Failure.DENIED, "the key is not in force")
+            raise outcomes.Failed(statements.Failure.DENIED, "the key is not in force")
         self.trace.team = team
         self.trace.group = route.group
         return route, team
@@ -199,21 +142,21 @@
     async def handle(self, statement: statements.Statement) -> statements.Answer:
         """Run a statement and return what the caller is told."""
         self.is_busy = True
-        self.trace = Trace()
+        self.trace = outcomes.Trace()
         try:
             if self.transaction is not None and self.transaction.is_expired:
                 self.transaction.is_expired = False
                 if statement.kind is not Kind.ROLLBACK:
-                    raise Failed(
+                    raise outcomes.Failed(
                         statements.Failure.ABORTED, "the transaction rested too long"
                     )
             if self.status == "E" and statement.kind not in _ENDINGS:
-                raise Failed(
+                raise outcomes.Failed(
                     statements.Failure.MALFORMED,
                     "the transaction failed; end it with ROLLBACK",
                 )
             return await HANDLERS[statement.kind](self, statement)
-        except Failed as error:
+        except outcomes.Failed as error:
             if self.transaction is not None:
                 self.status = "E"
             return statements.Answer(
@@ -275,7 +218,7 @@
     ) -> groups.Placed:
         """Return a connection that carries the session's variables.
 
-        :raises Failed: none can be had in time.
+        :raises outcomes.Failed: none can be had in time.
         """
         waiter = groups.Waiter(
             team, route, began, deadline, self.own, self.values, needs_primary, avoided
@@ -285,7 +228,7 @@
         try:
             return await group.acquire(waiter)
         except groups.Refused as error:
-            raise Failed(
+            raise outcomes.Failed(
                 statements.Failure.BUSY,
                 f"{error.reason}; come back after {int(error.retry_after * 1000)} ms",
             ) from error
@@ -319,6 +262,15 @@
             self.node.find_group(pooled.endpoint.record.group).discard(pooled)
             raise ports.ConnectionLost(False)
 
+    async def _prepare(
+        self, pooled: pool.Pooled, deadline: float, statement: statements.Statement
+    ) -> None:
+        """Tune a connection; the statement has not left if that fails."""
+        try:
+            await self.tune(pooled, deadline, statement)
+        except ports.ConnectionLost as error:
+            raise ports.ConnectionLost(False, error.is_timeout) from error
+
     async def run_on(
         self,
         placed: groups.Placed,
@@ -339,7 +291,7 @@
         trace.lease_age = clock.read() - group.evidence.as_of
         endpoint.in_flight += 1
         try:
-            await self.tune(pooled, deadline, statement)
+            await self._prepare(pooled, deadline, statement)
             asked = clock.read()
             endpoint.sent[pooled] = asked
             if self._may_commit(statement):
@@ -354,7 +306,7 @@
         if answer.error is statements.Failure.LAGGING and placed.after is not None:
             endpoint.note_lack(placed.after, clock.read())
         committed = answer.error is None and (
-            statement.kind is Kind.COMMIT or is_write(statement)
+            statement.kind is Kind.COMMIT or statements.is_write(statement)
         )
         is_open = answer.status != "I"
         group.note_answer(
@@ -369,7 +321,7 @@
     def _may_commit(self, statement: statements.Statement) -> bool:
         """Return whether a statement waits for replicas if it succeeds."""
         if self.transaction is None:
-            return is_write(statement)
+            return statements.is_write(statement)
         return statement.kind is Kind.COMMIT and self.transaction.wrote
 
     # Single statements
@@ -381,15 +333,17 @@
         deadline = began + route.statement_timeout
         await self.node.spend(team, deadline)
         self.node.hedges.note_read()
-        attempt = ReadAttempt(self, statement, route, team, began, deadline)
+        attempt = reading.ReadAttempt(self, statement, route, team, began, deadline)
         race = hedging.Race(self.node.spawn)
         race.add(attempt.run)
         await asyncio.wait([attempt.placed], timeout=deadline - began)
         answer = await race.wait(attempt.find_patience())
         if answer is None and self.node.hedges.take():
             self.node.registry.count("reads_hedged")
-            second = ReadAttempt(self, statement, route, team, began, deadline)
-            second.avoided = attempt.avoided | _avoid(route, attempt.endpoint)
+            second = reading.ReadAttempt(self, statement, route, team, began, deadline)
+            second.avoided = attempt.avoided | reading.find_avoided(
+                route, attempt.endpoint
+            )
             race.add(second.run)
         return answer or await race.wait()
 
@@ -407,8 +361,9 @@
             except ports.ConnectionLost as error:
                 group.pump()
                 if not error.was_sent:
+                    await asyncio.sleep(reading.BUSY_PAUSE)
                     continue
-                raise Failed(
+                raise outcomes.Failed(
                     statements.Failure.IN_DOUBT, "the write was sent and not answered"
                 ) from error
             group.release(placed.pooled)
@@ -419,8 +374,10 @@
                 await self.node.refresh(group)
             elif answer.error is not statements.Failure.BUSY:
                 return answer
-            await asyncio.sleep(BUSY_PAUSE)
-        raise Failed(statements.Failure.BUSY, "the primary had no room in time")
+            await asyncio.sleep(reading.BUSY_PAUSE)
+        raise outcomes.Failed(
+            statements.Failure.BUSY, "the primary had no room in time"
+        )
 
     # Transactions
 
@@ -434,19 +391,39 @@
         if transaction.pooled is None:
             await self._begin(transaction, now, deadline)
         placed = groups.Placed(transaction.pooled)
-        if is_write(statement):
+        if statements.is_write(statement):
             transaction.wrote = True
         try:
-            answer = await self.run_on(placed, statement, deadline)
+            answer = await self._run_while_busy(placed, statement, deadline)
         except ports.ConnectionLost as error:
             self._lose(transaction)
-            raise Failed(
+            raise outcomes.Failed(
                 statements.Failure.ABORTED, "the connection to the endpoint was lost"
             ) from error
+        if answer.error is statements.Failure.BUSY:
+            self._lose(transaction)
+            raise outcomes.Failed(
+                statements.Failure.ABORTED, "the endpoint had no room in time"
+            )
         self.status = answer.status
         transaction.idle_deadline = clock.read() + self.node.catalog.transaction_idle
         return answer
 
+    async def _run_while_busy(
+        self,
+        placed: groups.Placed,
+        statement: statements.Statement,
+        deadline: float,
+    ) -> statements.Answer:
+        """Run a statement of a transaction, again while its endpoint has no room."""
+        while True:
+            answer = await self.run_on(placed, statement, deadline)
+            if answer.error is not statements.Failure.BUSY:
+                return answer
+            if clock.read() + reading.BUSY_PAUSE > deadline:
+                return answer
+            await asyncio.sleep(reading.BUSY_PAUSE)
+
     def _lose(self, transaction: Transaction) -> None:
         """Note that a transaction was rolled back with its connection."""
         pooled, transaction.pooled = transaction.pooled, None
@@ -459,11 +436,13 @@
     ) -> None:
         """Open the transaction on an endpoint.
 
-        :raises Failed: none takes it; nothing of it ran.
+        :raises outcomes.Failed: none takes it; nothing of it ran.
         """
         route = transaction.route
         group = self.find_group(route)
-        needs_primary = not transaction.is_read_only or _reads_primary(route)
+        needs_primary = not transaction.is_read_only or reading.routes_reads_to_primary(
+            route
+        )
         avoided: frozenset[str] = frozenset()
         while clock.read() < deadline:
             placed = await self.acquire(
@@ -478,7 +457,8 @@
                 answer = await self.run_on(placed, transaction.begin, deadline)
             except ports.ConnectionLost:
                 group.pump()
-                avoided |= _avoid(route, placed.pooled.endpoint)
+                avoided |= reading.find_avoided(route, placed.pooled.endpoint)
+                await asyncio.sleep(reading.BUSY_PAUSE)
                 continue
             if answer.error is None and answer.status == "T":
                 transaction.pooled = placed.pooled
@@ -486,12 +466,14 @@
             group.clean(placed.pooled)
             if answer.error is statements.Failure.READ_ONLY:
                 await self.node.refresh(group)
-                await asyncio.sleep(BUSY_PAUSE)
+                await asyncio.sleep(reading.BUSY_PAUSE)
             elif answer.error is statements.Failure.BUSY:
-                await asyncio.sleep(BUSY_PAUSE)
+                await asyncio.sleep(reading.BUSY_PAUSE)
             elif answer.error is not statements.Failure.LAGGING:
                 break
-        raise Failed(statements.Failure.ABORTED, "no endpoint took the transaction")
+        raise outcomes.Failed(
+            statements.Failure.ABORTED, "no endpoint took the transaction"
+        )
 
     async def commit(self, statement: statements.Statement) -> statements.Answer:
         """Commit the open transaction; past its sending the outcome may be unknown."""
@@ -499,28 +481,26 @@
         self.trace.team = transaction.team
         self.trace.group = transaction.route.group
         deadline = clock.read() + transaction.route.statement_timeout
-        if transaction.pooled is None:
-            await self._begin(transaction, clock.read(), deadline)
-        pooled = transaction.pooled
-        group = self.find_group(transaction.route)
-        while True:
-            try:
-                answer = await self.run_on(groups.Placed(pooled), statement, deadline)
-            except ports.ConnectionLost as error:
-                self._lose(transaction)
-                self._end()
-                if error.was_sent and transaction.wrote:
-                    raise Failed(
-                        statements.Failure.IN_DOUBT,
-                        "the COMMIT was sent and not answered",
-                    ) from error
-                raise Failed(
-                    statements.Failure.ABORTED, "the transaction was rolled back"
+        try:
+            if transaction.pooled is None:
+                await self._begin(transaction, clock.read(), deadline)
+            pooled = transaction.pooled
+            placed = groups.Placed(pooled)
+            answer = await self._run_while_busy(placed, statement, deadline)
+        except outcomes.Failed:
+            self._end()
+            raise
+        except ports.ConnectionLost as error:
+            self._lose(transaction)
+            self._end()
+            if error.was_sent and transaction.wrote:
+                raise outcomes.Failed(
+                    statements.Failure.IN_DOUBT, "the COMMIT was sent and not answered"
                 ) from error
-            has_room = answer.error is not statements.Failure.BUSY
-            if has_room or clock.read() + BUSY_PAUSE > deadline:
-                break
-            await asyncio.sleep(BUSY_PAUSE)
+            raise outcomes.Failed(
+                statements.Failure.ABORTED, "the transaction was rolled back"
+            ) from error
+        group = self.find_group(transaction.route)
         self._end()
         if answer.status == "I":
             group.release(pooled)
@@ -544,140 +524,16 @@
         self.status = "I"
 
 
-class ReadAttempt:
-    """One attempt at a read, on one endpoint after the other while they refuse.
-
-    :param placed: done once the read has a connection, or none can be had.
-    :param endpoint: where it was sent last.
-    :param avoided: endpoints that it is not sent to.
-    """
-
-    __slots__ = (
-        "session",
-        "statement",
-        "route",
-        "team",
-        "began",
-        "deadline",
-        "placed",
-        "endpoint",
-        "avoided",
-    )
-
-    def __init__(
-        self,
-        session: Session,
-        statement: statements.Statement,
-        route: catalog.Route,
-        team: str,
-        began: float,
-        deadline: float,
-    ) -> None:
-        """Start unplaced."""
-        self.session = session
-        self.statement = statement
-        self.route = route
-        self.team = team
-        self.began = began
-        self.deadline = deadline
-        self.placed: asyncio.Future = asyncio.get_running_loop().create_future()
-        self.endpoint: pool.Endpoint | None = None
-        self.avoided: frozenset[str] = frozenset()
-
-    def find_patience(self) -> float:
-        """Return the seconds after which the read is late."""
-        if self.endpoint is None:
-            return hedging.LEAST
-        return hedging.find_patience(self.endpoint.service + self.endpoint.round_trip)
-
-    async def run(self) -> statements.Answer:
-        """Return the answer of the first endpoint that gives one.
-
-        :raises Failed: none did in time.
-        """
-        try:
-            return await self._try_all()
-        finally:
-            self._note_placed()
-
-    async def _try_all(self) -> statements.Answer:
-        last = statements.Failure.BUSY
-        while clock.read() < self.deadline:
-            placed = await self.session.acquire(
-                self.route,
-                self.team,
-                self.began,
-                self.deadline,
-                _reads_primary(self.route),
-                self.avoided,
-            )
-            self.endpoint = placed.pooled.endpoint
-            self._note_placed()
-            answer = await self._try_one(placed)
-            if answer is None:
-                last = statements.Failure.TIMEOUT
-                continue
-            last = answer.error
-            if answer.error is None or not await self._may_go_on(answer.error):
-                return answer
-        raise Failed(last, "the read was not answered in time")
-
-    async def _try_one(self, placed: groups.Placed) -> statements.Answer | None:
-        """Return an endpoint's answer, None if its connection broke."""
-        group = self.session.find_group(self.route)
-        try:
-            answer = await self.session.run_on(placed, self.statement, self.deadline)
-        except ports.ConnectionLost:
-            group.pump()
-            self.avoided |= _avoid(self.route, self.endpoint)
-            return None
-        group.release(placed.pooled)
-        return answer
-
-    async def _may_go_on(self, failure: statements.Failure) -> bool:
-        """Return whether another try makes sense, after a pause if need be."""
-        if failure is statements.Failure.LAGGING:
-            return True
-        if failure is statements.Failure.BUSY:
-            await asyncio.sleep(BUSY_PAUSE)
-            return True
-        if failure is statements.Failure.FAILED:
-            known = bool(self.avoided)
-            self.avoided |= _avoid(self.route, self.endpoint)
-            return not known and bool(self.avoided)
-        return False
-
-    def _note_placed(self) -> None:
-        if not self.placed.done():
-            self.placed.set_result(None)
-
-
 _ENDINGS = frozenset({Kind.COMMIT, Kind.ROLLBACK})
 
 
-def is_write(statement: statements.Statement) -> bool:
-    """Return whether a statement changes data."""
-    if statement.kind is Kind.EXECUTE:
-        return statement.definition is not None and statement.definition.writes
-    return statement.kind is Kind.WRITE
-
-
-def _reads_primary(route: catalog.Route) -> bool:
-    return route.consistency is catalog.Consistency.LATEST
-
-
-def _avoid(route: catalog.Route, endpoint: pool.Endpoint | None) -> frozenset[str]:
-    """Return what to avoid after an endpoint failed a read: nothing on the primary."""
-    if endpoint is None or _reads_primary(route):
-        return frozenset()
-    return frozenset({endpoint.name})
-
-
 @handles(Kind.BEGIN, Kind.BEGIN_READ)
 async def begin(session: Session, statement: statements.Statement) -> statements.Answer:
     """Open a transaction; it reaches an endpoint with its first statement."""
     if session.transaction is not None:
-        raise Failed(statements.Failure.MALFORMED, "a transaction is open already")
+        raise outcomes.Failed(
+            statements.Failure.MALFORMED, "a transaction is open already"
+        )
     route, team = session.admit()
     now = clock.read()
     await session.node.spend(team, now + route.statement_timeout)
@@ -694,12 +550,12 @@
         session.status = "I"
         if statement.kind is Kind.ROLLBACK:
             return session.answer_locally()
-        raise Failed(statements.Failure.ABORTED, "no transaction is open")
+        raise outcomes.Failed(statements.Failure.ABORTED, "no transaction is open")
     if statement.kind is Kind.ROLLBACK:
         return session.roll_back()
     if session.status == "E":
         session.roll_back()
-        raise Failed(statements.Failure.ABORTED, "the transaction had failed")
+        raise outcomes.Failed(statements.Failure.ABORTED, "the transaction had failed")
     return await session.commit(statement)
 
 
@@ -709,13 +565,13 @@
     if statement.kind is Kind.EXECUTE:
         definition = session.prepared.get(statement.name)
         if definition is None:
-            raise Failed(
+            raise outcomes.Failed(
                 statements.Failure.UNKNOWN_STATEMENT, "no statement has this name"
             )
         statement.definition = definition
     if session.transaction is not None:
         return await session.run_inside(statement)
-    if is_write(statement):
+    if statements.is_write(statement):
         return await session.run_write(statement)
     return await session.run_read(statement)
 
@@ -744,5 +600,7 @@
 ) -> statements.Answer:
     """Forget a prepared statement."""
     if session.prepared.pop(statement.name, None) is None:
-        raise Failed(statements.Failure.UNKNOWN_STATEMENT, "no statement has this name")
+        raise outcomes.Failed(
+            statements.Failure.UNKNOWN_STATEMENT, "no statement has this name"
+        )
     return session.answer_locally()
--- a/src/sardinehold/node/statements.py
+++ b/src/sardinehold/node/statements.py
@@ -167,3 +167,10 @@
     }
 )
 """Failures that promise the caller that nothing of its attempt is kept."""
+
+
+def is_write(statement: Statement) -> bool:
+    """Return whether a statement changes data."""
+    if statement.kind is Kind.EXECUTE:
+        return statement.definition is not None and statement.definition.writes
+    return statement.kind is Kind.WRITE
--- a/src/sardinehold/platform/callers.py
+++ b/src/sardinehold/platform/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+from sardinehold.node import outcomes
 from sardinehold.node import session as sessions
 from sardinehold.node import statements
 from sardinehold.platform import endpoints
@@ -243,7 +244,7 @@
         session = sessions.Session(self._node, route, key)
         try:
             session.admit()
-        except sessions.Failed as error:
+        except outcomes.Failed as error:
             self._node.note_refused_start(route, error)
             self._refuse(error.failure, error.detail)
             return
--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -368,7 +368,7 @@
         )
         if kind is Kind.COMMIT:
             return await self._commit(statement.request_id, deadline)
-        if not sessions.is_write(statement):
+        if not statements.is_write(statement):
             return self._succeed(statement.request_id)
         if not database.is_primary:
             return self._fail(statements.Failure.READ_ONLY)
