Count a replica that left as one that may have had the only copy of a commit

A leaving replica went on receiving, confirmed commits that the replicas cut off from the primary lacked, and was gone before the primary was replaced; both replicas left were read and taken for enough. Ruled out: a log read before it was paused (both were read at 142 twice). Now such a replica counts as unread, and what callers were told of decides: nodes report the newest commit that they passed on.

--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -108,7 +108,7 @@
             now,
             {name: g.state.version for name, g in self.node.groups.items() if g.state},
             self.collect_samples(now),
-            {},
+            {name: g.acknowledged for name, g in self.node.groups.items()},
             self.node.collect_failing(now),
             sequence,
             usages,
--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -33,6 +33,14 @@
 """Seconds after an order in which it must have taken effect; the sheets' longest
 takes one second. Another order is given only after it."""
 
+IN_FLIGHT = 0.25
+"""Seconds after the logs were stopped in which answers that are on their way reach the
+nodes; what nodes say of acknowledged commits counts from then on."""
+
+GIVE_UP_AFTER = 20.0
+"""Seconds after which a group whose primary has left the store, with logs that nobody
+can read, goes on with the best log that is left: crashed endpoints are back sooner."""
+
 KEEP_FROZEN = 2.0
 """Seconds for which logs that were stopped are not asked again: a replica that
 restarts receives again."""
@@ -89,16 +97,23 @@
     leaving: frozenset[str] = frozenset(),
     avoided: frozenset[str] = frozenset(),
     may_undo: bool = False,
+    acknowledged: positions.Position | None = None,
+    may_lose: bool = False,
 ) -> Plan:
     """Return whom to promote, from the frozen logs that were read.
 
     :param statuses: of endpoints that cannot acknowledge a commit any more, or
         that lead a later term.
     :param state: of the group, with the primary that is replaced.
-    :param replica_count: endpoints beside that primary.
+    :param replica_count: endpoints beside that primary, with those that left of
+        late: one of them may have had the only copy of a commit.
     :param leaving: endpoints about to leave, taken only if no other will do.
     :param avoided: endpoints that failed to take over, likewise.
     :param may_undo: whether the old primary may lead again for want of others.
+    :param acknowledged: newest commit that any caller was told of, None if that
+        is not known of all.
+    :param may_lose: whether to go on although the logs that could prove it are
+        lost for good.
     """
     for name, status in statuses.items():
         if status.is_primary and status.term > state.term:
@@ -112,8 +127,10 @@
     best = max(sorted(replicas), key=rate, default="")
     if best and len(replicas) >= count_needed(replica_count, sync_replicas):
         return Plan(target=best)
+    if best and acknowledged is not None and replicas[best].received >= acknowledged:
+        return Plan(target=best)
     if old is None:
-        return Plan()
+        return Plan(target=best if may_lose else "")
     if best and replicas[best].received >= old.received:
         return Plan(target=best)
     return Plan(target=state.primary if may_undo else "")
@@ -146,6 +163,12 @@
     def is_seal_known(self, group: str, version: int) -> bool:
         """Return whether every node has given up the old primary."""
 
+    def count_gone(self, group: str, primary: str) -> int:
+        """Return how many replicas left of late, perhaps with the one copy."""
+
+    def find_acknowledged(self, group: str, since: float) -> positions.Position | None:
+        """Return the newest commit that callers were told of, None if unsure."""
+
     def note_frozen(self, group: str, position: positions.Position) -> None:
         """Let reads go on at replicas: nothing beyond a position is acknowledged."""
 
@@ -178,9 +201,11 @@
         self.planned = planned
         self._frozen_at = 0.0
         self._frozen: dict[str, ports.LogStatus] = {}
+        self._stopped_at = float("inf")
         self._kept_since = clock.read()
         self._end = positions.START
         self._undo_at = clock.read() + UNDO_AFTER
+        self._give_up_at = clock.read() + GIVE_UP_AFTER
         self._avoided: set[str] = set()
 
     async def run(self) -> None:
@@ -228,6 +253,7 @@
         records = self.fleet.list_records(self.group)
         statuses = self._keep_frozen(records)
         replica_count = sum(record.name != state.primary for record in records)
+        replica_count += self.fleet.count_gone(self.group, state.primary)
         enough = count_needed(replica_count, self.sync_replicas)
         async with anyio.create_task_group() as tasks:
             for record in records:
@@ -235,11 +261,15 @@
                     tasks.start_soon(
                         self._freeze_one, record, state, statuses, tasks, enough
                     )
+        if statuses.keys() != self._frozen.keys():
+            self._stopped_at = clock.read()
+            self.fleet.tell_soon()
         self._frozen = statuses
         self._frozen_at = clock.read()
         self._end = max(
             (status.received for status in statuses.values()), default=positions.START
         )
+        old = state.primary
         leaving = frozenset(item.name for item in records if item.is_draining)
         plan = choose_target(
             statuses,
@@ -249,6 +279,8 @@
             leaving,
             frozenset(self._avoided),
             self._frozen_at > self._undo_at,
+            self.fleet.find_acknowledged(self.group, self._stopped_at + IN_FLIGHT),
+            self._frozen_at > self._give_up_at and self._find_record(old) is None,
         )
         self.fleet.note(
             "frozen",
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -117,6 +117,8 @@
 
     :param endpoint_drain: seconds in which a leaving endpoint may get new work.
     :param state: who leads it, as the store said last; None while unknown.
+    :param acknowledged: position of the newest commit that callers were told of.
+    :param gone: endpoints that were forgotten, and when.
     :param frozen: on the leader, while the primary is being replaced: the end of
         the frozen logs, beyond which nothing is acknowledged.
     """
@@ -138,6 +140,8 @@
         self.endpoints: dict[str, pool.Endpoint] = {}
         self.waiters: list[Waiter] = []
         self.frozen: positions.Position | None = None
+        self.acknowledged = positions.START
+        self.gone: dict[str, float] = {}
         self._unserved_since: float | None = None
         self._connector = connector
         self._spawn = spawn
@@ -169,6 +173,7 @@
             self.endpoints[record.name] = endpoint
         endpoint.record = record
         endpoint.gone_since = None
+        self.gone.pop(record.name, None)
         if not record.is_draining:
             endpoint.leaving_since = None
         elif endpoint.leaving_since is None:
@@ -186,6 +191,7 @@
         """Drop an endpoint for good."""
         endpoint = self.endpoints.pop(name, None)
         if endpoint is not None:
+            self.gone[name] = clock.read()
             self._close_idle(endpoint)
 
     def divide(self, nodes: int, neighbours: int) -> None:
@@ -475,6 +481,11 @@
 
     # What answers tell
 
+    def note_acknowledged(self, position: positions.Position | None) -> None:
+        """Remember the newest commit that was acknowledged to a caller."""
+        if position is not None:
+            self.acknowledged = max(self.acknowledged, position)
+
     def note_answer(
         self,
         endpoint: pool.Endpoint,
@@ -493,6 +504,7 @@
         endpoint.note_answer(now)
         if committed:
             endpoint.committed_at = now
+            self.note_acknowledged(answer.position)
         position = answer.position
         if position is None or not (was_alone or committed):
             return
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -33,6 +33,10 @@
 """Seconds for which a primary without an entry is waited for: entries that were lost
 with the store are back within two."""
 
+GONE_COUNTS = 60.0
+"""Seconds for which an endpoint that left counts as one that may have had the only
+copy of a commit: longer than any replica was seen to be behind."""
+
 CALL_INTERVAL = 0.5
 """Seconds between calls to members that do not report."""
 
@@ -382,6 +386,34 @@
         """Let reads go on at replicas: nothing beyond a position is acknowledged."""
         self.node.groups[group].frozen = position
 
+    def count_gone(self, group: str, primary: str) -> int:
+        """Return how many replicas left of late, perhaps with the one copy."""
+        now = clock.read()
+        gone = self.node.groups[group].gone
+        return sum(
+            now - at < GONE_COUNTS for name, at in gone.items() if name != primary
+        )
+
+    def find_acknowledged(self, group: str, since: float) -> positions.Position | None:
+        """Return the newest commit that any caller was told of.
+
+        :returns: None unless every member has said so in a report sent after
+            ``since``.
+        """
+        newest = self.node.groups[group].acknowledged
+        for name in self.node.members:
+            if name == self.node.settings.name:
+                continue
+            heard = self.heard.get(name)
+            if heard is None:
+                return None
+            sent_at = heard.report.date(0.0, self.node.incarnation)
+            if sent_at is None or sent_at < since:
+                return None
+            told = heard.report.acknowledged.get(group, positions.START)
+            newest = max(newest, told)
+        return newest
+
     def tell_soon(self) -> None:
         """Tell all nodes of the state without delay."""
         self.node.exchange.call(list(self.node.members))
--- a/src/sardinehold/node/reports.py
+++ b/src/sardinehold/node/reports.py
@@ -22,7 +22,7 @@
     :param sent_at: the node's clock, to be echoed.
     :param states: version of each group's state that the node acts on.
     :param samples: newest position of each primary, with its age.
-    :param commits: age of the newest evidence that a primary still leads.
+    :param acknowledged: newest commit of each group that callers were told of.
     :param failing: endpoints that it cannot reach, with the seconds since when.
     :param sequence: number of the exchange with the allocator.
     :param echo: reading of a leader's clock out of its last advice, None before one.
@@ -37,7 +37,7 @@
         "sent_at",
         "states",
         "samples",
-        "commits",
+        "acknowledged",
         "failing",
         "sequence",
         "usages",
@@ -55,7 +55,7 @@
         sent_at: float,
         states: dict[str, int],
         samples: dict[str, tuple[float, positions.Position]],
-        commits: dict[str, float],
+        acknowledged: dict[str, positions.Position],
         failing: dict[str, float],
         sequence: int,
         usages: list[quota.Usage],
@@ -71,7 +71,7 @@
         self.sent_at = sent_at
         self.states = states
         self.samples = samples
-        self.commits = commits
+        self.acknowledged = acknowledged
         self.failing = failing
         self.sequence = sequence
         self.usages = usages
@@ -101,7 +101,7 @@
             "at": self.sent_at,
             "states": self.states,
             "samples": _dump_samples(self.samples),
-            "commits": {name: round(age, 4) for name, age in self.commits.items()},
+            "acknowledged": self.acknowledged,
             "failing": {name: round(age, 3) for name, age in self.failing.items()},
             "seq": self.sequence,
             "usages": [
@@ -310,7 +310,10 @@
         float(message["at"]),
         {name: int(version) for name, version in message["states"].items()},
         _parse_samples(message["samples"]),
-        {name: float(age) for name, age in message["commits"].items()},
+        {
+            name: positions.Position(int(term), int(offset))
+            for name, (term, offset) in message["acknowledged"].items()
+        },
         {name: float(age) for name, age in message["failing"].items()},
         int(message["seq"]),
         [quota.Usage(*usage) for usage in message["usages"]],
--- a/src/sardinehold/platform/endpoints.py
+++ b/src/sardinehold/platform/endpoints.py
@@ -245,6 +245,8 @@
 
     def _expect(self) -> asyncio.Future:
         future = self._loop.create_future()
+        # Whoever waits may have gone on without it.
+        future.add_done_callback(_note_error)
         self._waiting.append(future)
         return future
 
@@ -305,6 +307,12 @@
         return connection
 
 
+def _note_error(future: asyncio.Future) -> None:
+    """Mark a future's error as seen."""
+    if not future.cancelled():
+        future.exception()
+
+
 def tune_socket(endpoint: socket.socket) -> None:
     """Send at once, and notice a far end that went silent."""
     endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -86,7 +86,7 @@
         "sent_at": 50.0,
         "states": {"g": 4},
         "samples": {"g": (0.2, P(1, 7))},
-        "commits": {},
+        "acknowledged": {"g": P(1, 6)},
         "failing": {},
         "sequence": 1,
         "usages": [],
@@ -155,6 +155,21 @@
     assert undone.target == "p"
 
 
+def test_replica_that_left_may_have_had_the_only_copy_of_a_commit():
+    # deploy/days/lag.toml on ciel-noir: a leaving replica confirmed 143 to 147 and
+    # was gone before the primary was replaced; both others ended at 142.
+    logs = {"r1": make_status(142), "r2": make_status(142), "p": make_status(174)}
+    assert failover.choose_target(logs, STATE, 3, 1).target == ""
+    plan = failover.choose_target(logs, STATE, 3, 1, acknowledged=P(1, 147))
+    assert plan.target == ""
+    plan = failover.choose_target(
+        logs, STATE, 3, 1, acknowledged=P(1, 147), may_undo=True
+    )
+    assert plan.target == "p"
+    plan = failover.choose_target(logs, STATE, 3, 1, acknowledged=P(1, 142))
+    assert plan.target == "r1"
+
+
 def test_endpoint_that_leads_a_later_term_is_put_in_force():
     logs = {"r1": make_status(7, primary=True, term=2)}
     assert failover.choose_target(logs, STATE, 2, 1).leader == "r1"
