--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -9,6 +9,7 @@
 from sardinehold.core import quota
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import pool
 from sardinehold.node import reports
 
 if typing.TYPE_CHECKING:
@@ -117,6 +118,7 @@
             advice.incarnation if advice else "",
             now - self._last_advice_at,
             now - self.node.following.find_store_contact(),
+            self._list_full(now),
         )
         if holder == self.node.settings.name:
             advice = self.node.leader.answer(report)
@@ -127,6 +129,22 @@
         if member is not None:
             self.node.peers.send(report.dump(), (member["host"], member["port"]))
 
+    def _list_full(self, now: float) -> tuple[str, ...]:
+        """Return the endpoints that refused this node a connection of late."""
+        return tuple(
+            endpoint.name
+            for group in self.node.groups.values()
+            for endpoint in group.endpoints.values()
+            if now - endpoint.refused_at < pool.PRESSED_FOR
+        )
+
+    def _press(self, names: tuple[str, ...], now: float) -> None:
+        """Give back free connections to endpoints at their limits."""
+        for group in self.node.groups.values():
+            for name in names:
+                if name in group.endpoints:
+                    group.endpoints[name].pressed_until = now + pool.PRESSED_FOR
+
     def _begin_exchange(self, now: float) -> tuple[int, list[quota.Usage]]:
         """Return number and contents of an exchange with the allocator.
 
@@ -209,6 +227,7 @@
             self.node.spawn(self.node.following.leader_watcher.step, True)
         for name in advice.suspects:
             self._look_at(name, now)
+        self._press(advice.full, now)
         if advice.sequence == self._number:
             self._take_grants(advice)
         known = self.node.catalog.version if self.node.catalog is not None else 0
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -386,8 +386,7 @@
         now = clock.read()
         if error.failure is statements.Failure.CONNECTION_LIMIT:
             endpoint.note_answer(now)
-            endpoint.full_until = now + pool.FULL_PAUSE * (1 + random.random())
-            endpoint.retry_at = endpoint.full_until
+            endpoint.note_full(now, pool.FULL_PAUSE * (0.5 + random.random()))
         else:
             endpoint.note_failure(now, random.random())
         log.debug("{}: opening failed: {}", endpoint.name, error)
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -161,6 +161,9 @@
             now - certain,
             self.node.leadership.is_late(now),
             self.node.leadership.version,
+            tuple(
+                sorted({name for item in self._list_heard(now) for name in item.full})
+            ),
         )
 
     def find_certainty(self, now: float) -> float | None:
--- a/src/sardinehold/node/pool.py
+++ b/src/sardinehold/node/pool.py
@@ -35,6 +35,14 @@
 """Seconds for which a free connection beyond the kept ones stays open: long enough
 for the next statement of a busy team, short enough that other nodes get it."""
 
+PRESSED_IDLE = 0.04
+"""The same while some node found the endpoint at its limit: the next statement of a
+transaction that goes on at once still finds it."""
+
+PRESSED_FOR = 1.0
+"""Seconds for which an endpoint counts as pressed after a node found it at its limit;
+two reports carry it to the others."""
+
 FULL_PAUSE = 0.06
 """Seconds before an endpoint that takes no more connections is asked again; about the
 time in which one is given back."""
@@ -81,6 +89,8 @@
     :param kept: free connections that stay open however long they are idle.
     :param limit: connections that this node may hold.
     :param full_until: until when the endpoint is taken to be at its limit.
+    :param refused_at: when it last refused a connection of this node for that.
+    :param pressed_until: until when all nodes give free connections back soon.
     :param in_flight: statements that run there for this node.
     :param service: seconds a statement takes, a moving average.
     :param failures: attempts to connect in a row that failed.
@@ -99,6 +109,8 @@
         "kept",
         "limit",
         "full_until",
+        "refused_at",
+        "pressed_until",
         "connections",
         "idle",
         "opening",
@@ -128,6 +140,8 @@
         self.kept = 1
         self.limit = 1
         self.full_until = 0.0
+        self.refused_at = float("-inf")
+        self.pressed_until = float("-inf")
         self.connections: set[Pooled] = set()
         self.idle: list[Pooled] = []
         self.opening = 0
@@ -229,13 +243,23 @@
         self.connections.discard(oldest)
         return oldest
 
+    def note_full(self, now: float, pause: float) -> None:
+        """Note that the endpoint takes no more connections for now."""
+        self.refused_at = now
+        self.pressed_until = now + PRESSED_FOR
+        self.full_until = now + pause
+        self.retry_at = self.full_until
+
     def take_surplus(self, now: float) -> list[Pooled]:
         """Take out the free connections that others may need more."""
-        surplus = len(self.idle) - self.kept
+        is_pressed = now < self.pressed_until
+        kept = 0 if is_pressed else self.kept
+        patience = PRESSED_IDLE if is_pressed else EXTRA_IDLE
+        surplus = len(self.idle) - kept
         found = [
             pooled
             for pooled in self.idle[: max(0, surplus)]
-            if now - pooled.idle_since > EXTRA_IDLE
+            if now - pooled.idle_since > patience
         ]
         for pooled in found:
             self.idle.remove(pooled)
--- a/src/sardinehold/node/reports.py
+++ b/src/sardinehold/node/reports.py
@@ -29,6 +29,7 @@
     :param echo_of: incarnation of that leader; clocks of others cannot be compared.
     :param held: seconds since that advice came.
     :param contact_age: seconds since the store last answered the node.
+    :param full: endpoints that took no more connections of late.
     """
 
     __slots__ = (
@@ -46,6 +47,7 @@
         "echo_of",
         "held",
         "contact_age",
+        "full",
     )
 
     def __init__(
@@ -64,6 +66,7 @@
         echo_of: str = "",
         held: float = 0.0,
         contact_age: float = 0.0,
+        full: tuple[str, ...] = (),
     ) -> None:
         """Keep the parts of the report."""
         self.node = node
@@ -80,6 +83,7 @@
         self.echo_of = echo_of
         self.held = held
         self.contact_age = contact_age
+        self.full = full
 
     def date(self, age: float, incarnation: str) -> float | None:
         """Return an instant of the leader's clock, no later than ``age`` ago.
@@ -113,6 +117,7 @@
             "echo_of": self.echo_of,
             "held": self.held,
             "contact": round(self.contact_age, 4),
+            "full": self.full,
         }
 
 
@@ -127,6 +132,7 @@
     :param suspects: primaries that some node cannot reach; the others look too.
     :param sent_at: the leader's clock, to be echoed.
     :param certain_age: seconds since the leader was last sure to lead.
+    :param full: endpoints that took no more connections of some node of late.
     :param lead_version: of the leader's object, as it wrote it last.
     :param asks_store: whether the leader wants to know if the store answers others.
     """
@@ -145,6 +151,7 @@
         "certain_age",
         "asks_store",
         "lead_version",
+        "full",
     )
 
     def __init__(
@@ -162,6 +169,7 @@
         certain_age: float = 0.0,
         asks_store: bool = False,
         lead_version: int = 0,
+        full: tuple[str, ...] = (),
     ) -> None:
         """Keep the parts of the advice."""
         self.node = node
@@ -177,6 +185,7 @@
         self.certain_age = certain_age
         self.asks_store = asks_store
         self.lead_version = lead_version
+        self.full = full
 
     def date(self, age: float) -> float:
         """Return an instant of the node's clock, no later than ``age`` ago."""
@@ -212,6 +221,7 @@
             "certain": round(self.certain_age, 4),
             "asks_store": self.asks_store,
             "lead": self.lead_version,
+            "full": self.full,
         }
 
 
@@ -322,6 +332,7 @@
         str(message["echo_of"]),
         float(message["held"]),
         float(message["contact"]),
+        tuple(str(name) for name in message["full"]),
     )
 
 
@@ -350,6 +361,7 @@
         float(message["certain"]),
         bool(message["asks_store"]),
         int(message["lead"]),
+        tuple(str(name) for name in message["full"]),
     )
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -412,6 +412,23 @@
     builders_node.play(monkeypatch, story, rate=20.0, burst=20.0)
 
 
+def test_node_gives_free_connections_back_when_others_find_none(monkeypatch):
+    async def story(world):
+        world.connection_limit = 4
+        holder = world.open("n0", "latest")
+        for _ in range(3):
+            await holder.send(Kind.BEGIN)
+            await holder.write()
+            await holder.send(Kind.COMMIT)
+        others = [world.open("n1", "latest"), world.open("n2", "latest")]
+        others += [world.open(name, "latest", "blue-key") for name in ("n1", "n2")]
+        for client in others:
+            await client.send(Kind.BEGIN)
+            assert (await client.write()).error is None
+
+    builders_node.play(monkeypatch, story)
+
+
 def test_group_state_of_the_store_is_read_back():
     state = catalog.GroupState("g", 3, "g-1", catalog.Phase.SEALED, 9)
     again = catalog.parse_group_state("g", state.dump(), 9)
