--- /dev/null
+++ b/bench/fault_soak.py
@@ -0,0 +1,458 @@
+"""Runs real nodes as processes on loopback, injects faults from outside, checks.
+
+``python bench/fault_soak.py --seeds 50`` plays fifty seeds of some seconds each;
+``--seed N`` plays one. Nodes are killed, stopped, paused and restarted by signals;
+links to databases and store are delayed, reset and silenced; databases crash, lag and
+receive nothing; the store turns calls away, keeps silent and loses answers. Clients
+keep using open connections until they break.
+
+Checked from what callers and databases see: no acknowledged write is lost or applied
+twice, no refusal that says "not run" is untrue, no read misses a commit that it had to
+see, no statement runs in another team's name, fencing tokens only rise, and everything
+serves again once the faults are over. Exit code 1 names what was broken.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import os
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+from sardinehold.platform import local
+from sardinehold_standins import group_in_memory
+from sardinehold_standins import line_world
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+NODES = 3
+CLIENTS = 12
+FAULT_SECONDS = 14.0
+"""Seconds in which faults are injected."""
+
+CALM_SECONDS = 8.0
+"""Seconds behind them in which everything must serve again."""
+
+SHOWN = 5
+"""Broken promises of a seed that are printed."""
+
+PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
+TEAMS = {"k-red": "red", "k-blue": "blue"}
+STALENESS = {"latest": 0.0, "bounded": 1.5, "session": 2.5}
+KINDS = {"latest": "primary", "bounded": "bounded", "session": "read_your_writes"}
+
+
+def make_configuration() -> dict:
+    """Return a configuration with a route of each kind."""
+    routes = [
+        {
+            "Name": f"r-{name}",
+            "Host": name,
+            "Kind": KINDS[name],
+            "TimeoutMs": 1000,
+            "TargetLatencyMs": 500,
+            "Priority": 1,
+            "Service": "g",
+            "MaxStalenessMs": round(seconds * 1000),
+        }
+        for name, seconds in STALENESS.items()
+    ]
+    tenants = [
+        {"Name": team, "ApiKeys": [key], "RatePerS": 500, "Burst": 500}
+        for key, team in TEAMS.items()
+    ]
+    return {
+        "Version": 1,
+        "Routes": routes,
+        "Services": [{"Name": "g", "MaxConnections": 21, "SyncReplicas": 1}],
+        "Limits": {"TxIdleMs": 3000},
+        "Tenants": tenants,
+    }
+
+
+class World:
+    """Stand-ins, links and node processes of one seed."""
+
+    def __init__(self, seed: int, folder: pathlib.Path, lane: int) -> None:
+        """Prepare; nothing runs yet."""
+        self.lane = lane
+        self.random = random.Random(seed)
+        self.folder = folder
+        self.cluster = group_in_memory.Cluster("g")
+        self.store = line_world.StoreServer({"g": self.cluster})
+        self.links: dict[str, line_world.Link] = {}
+        self.store_links: list[line_world.Link] = []
+        self.processes: dict[int, asyncio.subprocess.Process] = {}
+        self.is_over = False
+        self.broken: list[str] = []
+
+    async def start(self) -> None:
+        """Start everything and wait until the nodes are up."""
+        await self.store.start()
+        for name, database in self.cluster.databases.items():
+            server = line_world.DatabaseServer(database)
+            await server.start()
+            link = self.links[name] = line_world.Link(server.port)
+            await link.start()
+            self.publish(name)
+        self.store.store.put("config", "main", make_configuration())
+        for index in range(NODES):
+            link = line_world.Link(self.store.port)
+            await link.start()
+            self.store_links.append(link)
+            await self.start_node(index)
+        await asyncio.sleep(3.0)
+
+    def publish(self, name: str) -> None:
+        """Write a database's entry, as its heartbeat would."""
+        database = self.cluster.databases[name]
+        entry = {
+            "Service": "g",
+            "Address": f"127.0.0.1:{self.links[name].port}",
+            "Zone": database.zone,
+            "Capacity": 3,
+            "State": "ready",
+            "DatabaseRole": "primary" if database.is_primary else "replica",
+            "born": 1,
+        }
+        held = self.store.store.objects.get(("servers", name))
+        if held is None or held.value != entry:
+            self.store.store.put("servers", name, entry)
+
+    def find_address(self, index: int) -> str:
+        """Return the loopback address of a node."""
+        return f"127.0.{self.lane}.{index + 2}"
+
+    async def start_node(self, index: int) -> None:
+        """Start a node's process."""
+        host = self.find_address(index)
+        store = f"127.0.0.1:{self.store_links[index].port}"
+        path = self.folder / f"node-{index}.toml"
+        zone = list(self.cluster.databases.values())[index].zone
+        path.write_text(
+            f'NodeName = "n{index}"\nIp = "{host}"\nZone = "{zone}"\n'
+            "InternalPorts = [7560, 7575]\n"
+            '[Zones]\nnorth = "n"\nmiddle = "m"\nsouth = "s"\n'
+            f'[BindAddresses]\nFrontend = "{host}:6432"\nReadiness = "{host}:8460"\n'
+            f'[platform]\nAddress = "{store}"\n[CloudApi]\nAddress = "{store}"\n'
+        )
+        with (self.folder / f"node-{index}.log").open("ab") as log:
+            self.processes[index] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "deploy" / "node.py"),
+                env={**os.environ, local.VARIABLE: str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def stop(self) -> None:
+        """End the processes that were started here, by their ids."""
+        for process in self.processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            await process.wait()
+
+
+class Client:
+    """A caller that works on one session after another, and what it was told."""
+
+    def __init__(self, world: World, number: int) -> None:
+        """Start unconnected."""
+        self.world = world
+        self.random = random.Random(world.random.random())
+        self.number = number
+        self.count = 0
+        self.acked: set[str] = set()
+        self.promised: set[str] = set()
+        self.served = 0
+        self.team = ""
+
+    async def run(self) -> None:
+        """Work until the world is over."""
+        while not self.world.is_over:
+            with contextlib.suppress(
+                OSError, asyncio.IncompleteReadError, TimeoutError
+            ):
+                await self._work()
+            await asyncio.sleep(0.1)
+
+    async def _work(self) -> None:
+        route = self.random.choice(list(STALENESS))
+        key = self.random.choice(list(TEAMS))
+        self.team = TEAMS[key]
+        host = self.world.find_address(self.random.randrange(NODES))
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(host, 6432), 2)
+        try:
+            writer.write(f"START {route} {key}\r\n".encode())
+            line = await asyncio.wait_for(reader.readuntil(b"\r\n"), 2)
+            if not line.startswith(b"READY"):
+                return
+            for _ in range(self.random.randrange(5, 60)):
+                if self.world.is_over:
+                    return
+                await self._operate(reader, writer, route)
+                await asyncio.sleep(self.random.random() * 0.05)
+        finally:
+            writer.transport.abort()
+
+    async def _operate(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, route: str
+    ) -> None:
+        if self.random.random() < 0.3:
+            await self._transact(reader, writer)
+            return
+        is_write = self.random.random() < 0.4
+        request = self._make_id()
+        floor = self._find_floor(route)
+        text = f"WRITE item {request}" if is_write else "READ item"
+        code, _ = await self._ask(reader, writer, request, text)
+        if code == "COMPLETE":
+            self.served += 1
+            if is_write:
+                self.acked.add(request)
+            elif route == "latest":
+                self._check_read(request, floor)
+        elif is_write and code in PROMISES:
+            self.promised.add(request)
+
+    async def _transact(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        code, state = await self._ask(reader, writer, self._make_id(), "BEGIN")
+        for _ in range(self.random.randrange(1, 4)):
+            if code != "COMPLETE":
+                break
+            request = self._make_id()
+            code, state = await self._ask(
+                reader, writer, request, f"WRITE item {request}"
+            )
+        if state == "I":
+            return
+        # The stand-in's log names a transaction by its COMMIT.
+        request = self._make_id()
+        if code != "COMPLETE":
+            await self._ask(reader, writer, request, "ROLLBACK")
+            return
+        code, state = await self._ask(reader, writer, request, "COMMIT")
+        if code == "COMPLETE":
+            self.acked.add(request)
+        elif code in PROMISES:
+            self.promised.add(request)
+
+    async def _ask(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request: str,
+        text: str,
+    ) -> tuple[str, str]:
+        writer.write(f"QUERY {request} {text}\r\n".encode())
+        code = ""
+        while True:
+            line = await asyncio.wait_for(reader.readuntil(b"\r\n"), 6)
+            word, *rest = line.decode().split()
+            if word == "READY":
+                return code, rest[0]
+            if word != "ROW":
+                code = rest[0] if word == "ERROR" else word
+
+    def _make_id(self) -> str:
+        self.count += 1
+        return f"c{self.number}x{self.count}"
+
+    def _find_floor(self, route: str) -> int:
+        """Return how much of the log was acknowledged to callers so far."""
+        log = [request for _, request in self.world.cluster.primary.log]
+        acked = set().union(*(client.acked for client in self.world.clients))
+        return max((n + 1 for n, item in enumerate(log) if item in acked), default=0)
+
+    def _check_read(self, request: str, floor: int) -> None:
+        runs = [run for run in self.world.cluster.ran if run.request_id == request]
+        if runs and runs[-1].log < floor:
+            self.world.broken.append(
+                f"stale read {request}: log {runs[-1].log}, acknowledged {floor}"
+            )
+
+
+async def kill_node(world: World) -> None:
+    """Kill a node and start it again."""
+    index = world.random.randrange(NODES)
+    process = world.processes[index]
+    with contextlib.suppress(ProcessLookupError):
+        process.kill()
+    await process.wait()
+    await asyncio.sleep(world.random.random())
+    await world.start_node(index)
+
+
+async def stop_node(world: World) -> None:
+    """Ask a node to stop, and start it again when it is gone."""
+    index = world.random.randrange(NODES)
+    process = world.processes[index]
+    with contextlib.suppress(ProcessLookupError):
+        process.terminate()
+    await process.wait()
+    await world.start_node(index)
+
+
+async def pause_node(world: World) -> None:
+    """Suspend a node for a while."""
+    process = world.processes[world.random.randrange(NODES)]
+    with contextlib.suppress(ProcessLookupError):
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(0.5 + 2.5 * world.random.random())
+        process.send_signal(signal.SIGCONT)
+
+
+async def crash_database(world: World) -> None:
+    """Crash a database; it comes back with its log."""
+    database = world.random.choice(list(world.cluster.databases.values()))
+    others = [item for item in world.cluster.databases.values() if item is not database]
+    if not all(item.is_up for item in others):
+        return
+    database.crash()
+    await asyncio.sleep(1.0 + 4.0 * world.random.random())
+    leader = max(others, key=lambda item: (item.is_primary, item.term))
+    if leader.is_primary and leader.term > database.term:
+        database.is_primary = False
+        database.log = list(leader.log)
+        database.applied = len(database.log)
+        database.term = leader.term
+    database.paused_term = 0
+    database.is_up = True
+
+
+async def lag_replica(world: World) -> None:
+    """Let a replica apply late for a while."""
+    database = world.random.choice(list(world.cluster.databases.values()))
+    database.lag = 0.2 + world.random.random()
+    await asyncio.sleep(2.0)
+    database.lag = 0.0
+
+
+async def break_link(world: World) -> None:
+    """Silence, delay or reset the way to a database or to the store."""
+    link = world.random.choice([*world.links.values(), *world.store_links])
+    how = world.random.randrange(3)
+    if how == 0:
+        link.reset()
+        return
+    link.is_silent = how == 1
+    link.delay = 0.15 if how == 2 else 0.0
+    await asyncio.sleep(0.5 + 2.5 * world.random.random())
+    link.is_silent = False
+    link.delay = 0.0
+    if how == 1:
+        link.reset()
+
+
+async def break_store(world: World) -> None:
+    """Let the store misbehave for all."""
+    world.store.fault = world.random.choice(["busy", "silent", "losing"])
+    await asyncio.sleep(0.5 + 2.5 * world.random.random())
+    world.store.fault = ""
+
+
+FAULTS = (
+    kill_node,
+    stop_node,
+    pause_node,
+    crash_database,
+    lag_replica,
+    break_link,
+    break_store,
+)
+
+
+async def inject(world: World) -> None:
+    """Inject faults that overlap, until their time is over."""
+    ends = time.monotonic() + FAULT_SECONDS
+    async with asyncio.TaskGroup() as tasks:
+        while time.monotonic() < ends:
+            fault = world.random.choice(FAULTS)
+            tasks.create_task(fault(world))
+            await asyncio.sleep(0.3 + 1.5 * world.random.random())
+
+
+async def beat(world: World) -> None:
+    """Keep the databases' entries up to date."""
+    while True:
+        for name, database in world.cluster.databases.items():
+            if database.is_up:
+                world.publish(name)
+        await asyncio.sleep(0.2)
+
+
+def check(world: World) -> list[str]:
+    """Return what was broken."""
+    broken = list(world.broken)
+    log = [request for _, request in world.cluster.primary.log]
+    for client in world.clients:
+        broken += [f"lost write {item}" for item in client.acked - set(log)]
+        broken += [f"refused write {item} kept" for item in client.promised & set(log)]
+    broken += [f"write {item} twice" for item in set(log) if log.count(item) > 1]
+    tokens = [token for _, token in world.store.promotions]
+    if tokens != sorted(set(tokens)):
+        broken.append(f"fencing tokens {tokens}")
+    for database in world.cluster.databases.values():
+        if len(database.connections) > line_world.DatabaseServer(database).limit:
+            broken.append(f"{database.name} holds too many connections")
+    return broken
+
+
+async def play(seed: int, folder: pathlib.Path, lane: int) -> tuple[list[str], str]:
+    """Play one seed; return what was broken, and a summary."""
+    world = World(seed, folder, lane)
+    world.clients = [Client(world, number) for number in range(CLIENTS)]
+    await world.start()
+    work = [asyncio.create_task(client.run()) for client in world.clients]
+    work.append(asyncio.create_task(beat(world)))
+    try:
+        await inject(world)
+        before = sum(client.served for client in world.clients)
+        await asyncio.sleep(CALM_SECONDS)
+        calm = sum(client.served for client in world.clients) - before
+        world.is_over = True
+        await asyncio.wait(work[:-1], timeout=8)
+    finally:
+        for task in work:
+            task.cancel()
+        await world.stop()
+    broken = check(world)
+    if calm < CLIENTS:
+        broken.append(f"only {calm} operations served once the faults were over")
+    acked = sum(len(client.acked) for client in world.clients)
+    changes = len(world.store.promotions)
+    return broken, f"{acked} writes, {changes} promotions, {calm} served when calm"
+
+
+def main() -> int:
+    """Play the seeds and return 1 if one was broken."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seeds", type=int, default=5, help="how many to play")
+    parser.add_argument("--seed", type=int, default=1, help="the first one")
+    parser.add_argument(
+        "--keep", type=pathlib.Path, help="folder for failed seeds' logs"
+    )
+    arguments = parser.parse_args()
+    failed = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            broken, summary = asyncio.run(play(seed, folder, arguments.lane))
+            shown = "; ".join(broken[:SHOWN]) or "ok"
+            print(f"seed {seed}: {shown} ({len(broken)} broken, {summary})", flush=True)
+            if broken and arguments.keep:
+                shutil.copytree(folder, arguments.keep / f"seed-{seed}")
+        failed += bool(broken)
+    print(f"{arguments.seeds - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/sardinehold/platform/callers.py
+++ b/src/sardinehold/platform/callers.py
@@ -19,22 +19,7 @@
 MAX_PENDING = 64
 """Lines that a caller may send ahead of its answers before it is not read."""
 
-_CODES = {
-    statements.Failure.BUSY: "BUSY",
-    statements.Failure.LAGGING: "LAGGING",
-    statements.Failure.READ_ONLY: "READONLY",
-    statements.Failure.WRONG_ENDPOINT: "WRONGNODE",
-    statements.Failure.CONNECTION_LIMIT: "CONNLIMIT",
-    statements.Failure.ABORTED: "ABORTED",
-    statements.Failure.UNKNOWN_STATEMENT: "NOSTMT",
-    statements.Failure.FAILED: "FAILED",
-    statements.Failure.TIMEOUT: "TIMEOUT",
-    statements.Failure.IN_DOUBT: "INDOUBT",
-    statements.Failure.DENIED: "DENIED",
-    statements.Failure.UNKNOWN_ROUTE: "NODB",
-    statements.Failure.TOO_LARGE: "TOOLARGE",
-    statements.Failure.MALFORMED: "MALFORMED",
-}
+_CODES = {failure: code for code, failure in endpoints.FAILURES.items()}
 
 _ENDING = frozenset({statements.Failure.DENIED, statements.Failure.UNKNOWN_ROUTE})
 """Failures behind which a session is of no use any more."""
--- a/src/sardinehold/platform/endpoints.py
+++ b/src/sardinehold/platform/endpoints.py
@@ -24,7 +24,7 @@
 """Milliseconds for which sent bytes may stay unacknowledged; a dark endpoint drops
 its side after the same time."""
 
-_FAILURES = {
+FAILURES = {
     "BUSY": statements.Failure.BUSY,
     "LAGGING": statements.Failure.LAGGING,
     "READONLY": statements.Failure.READ_ONLY,
@@ -40,6 +40,7 @@
     "TOOLARGE": statements.Failure.TOO_LARGE,
     "MALFORMED": statements.Failure.MALFORMED,
 }
+"""What the codes of errors mean, on both sides of the protocol."""
 
 
 def parse_position(text: str) -> positions.Position | None:
@@ -112,7 +113,7 @@
             self._ending = (rest, None, "")
         elif word == "ERROR":
             code, _, text = rest.partition(" ")
-            failure = _FAILURES.get(code, statements.Failure.FAILED)
+            failure = FAILURES.get(code, statements.Failure.FAILED)
             self._ending = ("", failure, text)
         elif word == "READY":
             status, position = rest.split(" ", 1)
--- /dev/null
+++ b/src/sardinehold_standins/group_in_memory.py
@@ -0,0 +1,297 @@
+"""A group of databases in memory that check positions and can be paused.
+
+Connections implement the node's connection port; :mod:`.line_world` serves them over
+TCP. Each database can crash, lag, stop to receive, or be out of reach of some nodes.
+"""
+
+import asyncio
+
+from sardinehold.core import positions
+from sardinehold.node import clock
+from sardinehold.node import ports
+from sardinehold.node import statements
+
+Kind = statements.Kind
+
+
+class Run:
+    """A statement as a database ran it."""
+
+    def __init__(self, database: str, request_id: str, log: int, at: float) -> None:
+        """Keep the parts of the run."""
+        self.database = database
+        self.request_id = request_id
+        self.log = log
+        self.at = at
+
+
+class Database:
+    """One database of a cluster."""
+
+    def __init__(self, cluster: "Cluster", name: str, zone: str) -> None:
+        """Start as a replica with an empty log."""
+        self.cluster = cluster
+        self.name = name
+        self.zone = zone
+        self.is_primary = False
+        self.term = 1
+        self.log: list[tuple[int, str]] = []
+        self.applied = 0
+        self.paused_term = 0
+        self.is_up = True
+        self.is_deaf = False
+        self.lag = 0.0
+        self.work = 0.005
+        self.unreachable: set[str] = set()
+        self.swallows: set[str] = set()
+        self.connections: set[DatabaseConnection] = set()
+
+    @property
+    def position(self) -> positions.Position:
+        """The end of its log."""
+        term = self.log[-1][0] if self.log else 1
+        return positions.Position(max(term, 1), len(self.log))
+
+    def crash(self) -> None:
+        """Go down; all connections break."""
+        self.is_up = False
+        for connection in list(self.connections):
+            connection.break_off()
+
+    def status(self) -> ports.LogStatus:
+        """Return what it says of its log."""
+        return ports.LogStatus(
+            self.is_primary, self.term, self.position, self.paused_term, self.lag
+        )
+
+
+class Cluster:
+    """The databases of one group, and who leads."""
+
+    def __init__(
+        self, group: str, zones: tuple[str, ...] = ("north", "middle", "south")
+    ) -> None:
+        """Start with the first database as primary."""
+        self.group = group
+        self.databases = {
+            f"{group}-{index}": Database(self, f"{group}-{index}", zone)
+            for index, zone in enumerate(zones)
+        }
+        next(iter(self.databases.values())).is_primary = True
+        self.acknowledged: list[str] = []
+        self.ran: list[Run] = []
+        self.promotions: list[tuple[str, int, str]] = []
+        self.promote_delay = 0.6
+
+    @property
+    def primary(self) -> Database:
+        """The leader of the newest term."""
+        leaders = [item for item in self.databases.values() if item.is_primary]
+        return max(leaders, key=lambda item: item.term)
+
+    async def replicate(self, primary: Database, request_id: str) -> bool:
+        """Commit on the primary; return whether a replica has received it."""
+        primary.log.append((primary.term, request_id))
+        primary.applied = len(primary.log)
+        while primary.is_up and primary.is_primary:
+            reached = False
+            for replica in self.databases.values():
+                if replica is primary or not replica.is_up or replica.is_deaf:
+                    continue
+                if replica.paused_term or replica.term > primary.term:
+                    continue
+                replica.is_primary = False
+                replica.log = list(primary.log)
+                replica.term = primary.term
+                asyncio.get_running_loop().call_later(
+                    replica.lag, self._apply, replica, len(replica.log)
+                )
+                reached = True
+            if reached:
+                return True
+            await asyncio.sleep(0.02)
+        return False
+
+    @staticmethod
+    def _apply(replica: Database, length: int) -> None:
+        replica.applied = max(replica.applied, length)
+
+    async def promote(self, name: str) -> None:
+        """Make a database lead the next term, after a while."""
+        await asyncio.sleep(self.promote_delay)
+        target = self.databases[name]
+        target.term = max(item.term for item in self.databases.values()) + 1
+        target.is_primary = True
+        target.paused_term = 0
+        target.applied = len(target.log)
+        for other in self.databases.values():
+            if other is not target and other.is_up and not other.paused_term:
+                other.log = other.log[: len(target.log)]
+
+
+class DatabaseConnection:
+    """A node's connection to a database."""
+
+    def __init__(self, database: Database, node: str, team: str) -> None:
+        """Connect."""
+        self.database = database
+        self.node = node
+        self.team = team
+        self.on_lost = None
+        self.is_closed = False
+        self.values: dict[str, str] = {}
+        self.prepared: set[str] = set()
+        self.writes: list[str] | None = None
+        self._broken = asyncio.Event()
+        database.connections.add(self)
+
+    def break_off(self) -> None:
+        """Break, as seen by the node."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        self.database.connections.discard(self)
+        self._broken.set()
+        if self.on_lost is not None:
+            self.on_lost()
+
+    def close(self) -> None:
+        """Close, as asked for by the node."""
+        self.is_closed = True
+        self.on_lost = None
+        self.database.connections.discard(self)
+
+    async def _work(self, seconds: float, deadline: float) -> None:
+        if self.is_closed:
+            raise ports.ConnectionLost(False)
+        if self.node in self.database.unreachable:
+            seconds = 1e6
+        try:
+            async with asyncio.timeout(max(0.0, min(seconds, deadline - clock.read()))):
+                await self._broken.wait()
+        except TimeoutError:
+            if seconds > deadline - clock.read() + seconds:
+                self.break_off()
+                raise ports.ConnectionLost(True, is_timeout=True) from None
+            if clock.read() >= deadline:
+                self.break_off()
+                raise ports.ConnectionLost(True, is_timeout=True) from None
+            return
+        raise ports.ConnectionLost(True)
+
+    def _fail(self, failure: statements.Failure) -> statements.Answer:
+        status = "I" if self.writes is None else "E"
+        return statements.Answer(
+            [], error=failure, status=status, position=self.database.position
+        )
+
+    def _succeed(self, request_id: str) -> statements.Answer:
+        database = self.database
+        if request_id in database.swallows:
+            raise ports.ConnectionLost(True)
+        applied = positions.Position(database.position.term, database.applied)
+        return statements.Answer(
+            ["row"],
+            f"signed {database.name} {request_id}",
+            status="I" if self.writes is None else "T",
+            position=applied,
+        )
+
+    async def run(self, statement, deadline, after=None):
+        """Run a statement."""
+        database = self.database
+        await self._work(database.work, deadline)
+        kind = statement.kind
+        if after is not None and (
+            database.applied < after.offset or database.position.term < after.term
+        ):
+            return self._fail(statements.Failure.LAGGING)
+        if kind is Kind.BEGIN and not database.is_primary:
+            return self._fail(statements.Failure.READ_ONLY)
+        if kind in (Kind.BEGIN, Kind.BEGIN_READ):
+            self.writes = []
+            return self._succeed(statement.request_id)
+        if kind is Kind.EXECUTE and (
+            statement.definition.shared_name not in self.prepared
+        ):
+            return self._fail(statements.Failure.UNKNOWN_STATEMENT)
+        database.cluster.ran.append(
+            Run(database.name, statement.request_id, database.applied, clock.read())
+        )
+        if kind is Kind.COMMIT:
+            return await self._commit(statement.request_id, deadline)
+        if not statements.is_write(statement):
+            return self._succeed(statement.request_id)
+        if not database.is_primary:
+            return self._fail(statements.Failure.READ_ONLY)
+        if self.writes is not None:
+            self.writes.append(statement.request_id)
+            return self._succeed(statement.request_id)
+        self.writes = [statement.request_id]
+        return await self._commit(statement.request_id, deadline)
+
+    async def _commit(self, request_id: str, deadline: float) -> statements.Answer:
+        writes, self.writes = self.writes, None
+        database = self.database
+        if not writes:
+            return self._succeed(request_id)
+        if not database.is_primary:
+            return self._fail(statements.Failure.READ_ONLY)
+        try:
+            async with asyncio.timeout(max(0.0, deadline - clock.read())):
+                done = await database.cluster.replicate(database, request_id)
+        except TimeoutError:
+            self.break_off()
+            raise ports.ConnectionLost(True, is_timeout=True) from None
+        if not done:
+            raise ports.ConnectionLost(True)
+        answer = self._succeed(request_id)
+        database.cluster.acknowledged.append(request_id)
+        return answer
+
+    async def roll_back(self, deadline):
+        """End a transaction."""
+        await self._work(0.001, deadline)
+        self.writes = None
+        return self._succeed("-")
+
+    async def reset(self, deadline):
+        """Drop variables and prepared statements."""
+        self.values, self.prepared = {}, set()
+        return self._succeed("-")
+
+    async def set_values(self, values, deadline):
+        """Set variables."""
+        self.values.update(values)
+        return [self._succeed("-")]
+
+    async def prepare(self, definitions, deadline):
+        """Prepare statements."""
+        self.prepared.update(item.shared_name for item in definitions)
+        return [self._succeed("-")]
+
+    async def read_status(self, deadline):
+        """Return the state of the log."""
+        await self._work(0.001, deadline)
+        return self.database.status()
+
+    async def pause(self, term, deadline):
+        """Stop receiving."""
+        await self._work(0.001, deadline)
+        self.database.paused_term = term
+        return self.database.status()
+
+    async def resume(self, deadline):
+        """Receive again."""
+        await self._work(0.001, deadline)
+        self.database.paused_term = 0
+        self.database.log = list(self.database.cluster.primary.log)
+        self.database.applied = len(self.database.log)
+        self.database.term = self.database.cluster.primary.term
+        return self.database.status()
+
+    async def step_down(self, term, deadline):
+        """Stop to lead."""
+        await self._work(0.001, deadline)
+        self.database.is_primary = False
+        return self.database.status()
--- /dev/null
+++ b/src/sardinehold_standins/line_world.py
@@ -0,0 +1,310 @@
+"""Stand-ins of the users' platform on loopback: databases, store, and faulty links.
+
+Written from the published protocol; used by ``bench/fault_soak.py``, which runs the
+real nodes against it.
+"""
+
+import asyncio
+import contextlib
+import json
+import socket
+import typing
+
+import uvicorn
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from sardinehold import errors
+from sardinehold.core import positions
+from sardinehold.node import clock
+from sardinehold.node import ports
+from sardinehold.node import statements
+from sardinehold.platform import callers
+from sardinehold.platform import endpoints
+from sardinehold.platform import lines
+from sardinehold_standins import group_in_memory
+from sardinehold_standins import objects_in_memory
+
+HANDSHAKE_SECONDS = 0.012
+"""Seconds that a new connection takes, as on the sheets."""
+
+STATEMENT_SECONDS = 5.0
+"""Seconds that a database works on a statement at most."""
+
+READ_BYTES = 65536
+
+
+class DatabaseServer:
+    """Serves one database over the line protocol.
+
+    :param limit: connections that it accepts.
+    """
+
+    def __init__(self, database: group_in_memory.Database, limit: int = 21) -> None:
+        """Start without a port."""
+        self.database = database
+        self.limit = limit
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection: group_in_memory.DatabaseConnection | None = None
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            connection = await self._greet(reader, writer)
+            while connection is not None and not connection.is_closed:
+                line = (await reader.readuntil(b"\r\n"))[:-2].decode(lines.ENCODING)
+                if line == "CLOSE":
+                    break
+                _, request_id, text = line.split(" ", 2)
+                try:
+                    answer = await self._run(connection, request_id, text)
+                except ports.ConnectionLost:
+                    break
+                writer.write(callers.format_answer(answer))
+        if connection is not None:
+            connection.close()
+        writer.transport.abort()
+
+    async def _greet(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> group_in_memory.DatabaseConnection | None:
+        database = self.database
+        line = (await reader.readuntil(b"\r\n"))[:-2].decode(lines.ENCODING)
+        _, group, team, name = line.split(" ")
+        if not database.is_up:
+            return None
+        if (group, name) != (database.cluster.group, database.name):
+            writer.write(lines.format_line("ERROR", "WRONGNODE", database.name))
+            return None
+        if len(database.connections) >= self.limit:
+            writer.write(lines.format_line("ERROR", "CONNLIMIT", "full"))
+            return None
+        connection = group_in_memory.DatabaseConnection(database, "", team)
+        connection.on_lost = writer.transport.abort
+        await asyncio.sleep(HANDSHAKE_SECONDS)
+        writer.write(lines.format_line("READY", "I", "-"))
+        return connection
+
+    async def _run(
+        self,
+        connection: group_in_memory.DatabaseConnection,
+        request_id: str,
+        text: str,
+    ) -> statements.Answer:
+        deadline = clock.read() + STATEMENT_SECONDS
+        after = None
+        if text.startswith("AFTER "):
+            _, place, text = text.split(" ", 2)
+            after = endpoints.parse_position(place)
+        word, _, rest = text.partition(" ")
+        if word in _CONTROL:
+            status = await _CONTROL[word](connection, rest, deadline)
+            answer = connection._succeed(request_id)
+            answer.rows = [_format_status(status, len(self.database.connections))]
+            return answer
+        if word == "RESET":
+            return await connection.reset(deadline)
+        statement = callers.parse_statement(request_id, text)
+        if statement.kind is statements.Kind.SET:
+            return (
+                await connection.set_values({statement.name: statement.value}, deadline)
+            )[0]
+        if statement.kind is statements.Kind.PREPARE:
+            return (await connection.prepare([statement.definition], deadline))[0]
+        if statement.kind is statements.Kind.ROLLBACK:
+            return await connection.roll_back(deadline)
+        if statement.kind is statements.Kind.EXECUTE:
+            writes = statement.name.startswith("w_")
+            statement.definition = statements.Definition(writes, statement.name[2:])
+        return await connection.run(statement, deadline, after)
+
+
+_CONTROL: dict[str, typing.Callable] = {
+    "STATUS": lambda connection, rest, deadline: connection.read_status(deadline),
+    "PAUSE": lambda connection, rest, deadline: connection.pause(int(rest), deadline),
+    "RESUME": lambda connection, rest, deadline: connection.resume(deadline),
+    "STEPDOWN": lambda connection, rest, deadline: connection.step_down(
+        int(rest), deadline
+    ),
+}
+
+
+def _format_status(status: ports.LogStatus, connections: int) -> str:
+    role = "primary" if status.is_primary else "replica"
+    place = endpoints.format_position(positions.Position(*status.received))
+    held = status.paused_term
+    lag = round(status.lag * 1000)
+    return f"{role} {status.term} {place} {held} {lag} 0 {connections}"
+
+
+class StoreServer:
+    """Serves the store, and takes orders to promote.
+
+    :param clusters: groups by name.
+    :param fault: ``""``, ``busy`` (503), ``silent`` or ``losing`` (answers lost).
+    """
+
+    def __init__(self, clusters: dict[str, group_in_memory.Cluster]) -> None:
+        """Start with an empty store."""
+        self.store = objects_in_memory.Store()
+        self.clusters = clusters
+        self.fault = ""
+        self.port = 0
+        self.promotions: list[tuple[str, int]] = []
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.port = listener.getsockname()[1]
+        path = "/api/objects/{kind}"
+        app = applications.Starlette(
+            routes=[
+                routing.Route(path, self._read, methods=["GET"]),
+                routing.Route(path, self._write, methods=["POST"]),
+                routing.Route(path + "/{name}", self._write, methods=["PUT"]),
+                routing.Route("/failover", self._promote, methods=["POST"]),
+            ]
+        )
+        config = uvicorn.Config(
+            app, log_level="critical", access_log=False, lifespan="off", ws="none"
+        )
+        server = uvicorn.Server(config)
+        server.capture_signals = contextlib.nullcontext
+        self._start_task(server.serve(sockets=[listener]))
+
+    def _start_task(self, work: typing.Coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _misbehave(self, is_write: bool) -> responses.Response | None:
+        if self.fault == "busy":
+            return responses.Response(status_code=503)
+        if self.fault == "silent" or (self.fault == "losing" and is_write):
+            await asyncio.sleep(STATEMENT_SECONDS)
+            return responses.Response(status_code=503)
+        return None
+
+    async def _read(self, request: requests.Request) -> responses.Response:
+        if (fault := await self._misbehave(False)) is not None:
+            return fault
+        client = self.store.connect("")
+        kind = request.path_params["kind"]
+        query = request.query_params
+        if "Watch" not in query:
+            changes = await client.list(kind)
+            items = [_dump(item) for item in changes.objects]
+            return responses.JSONResponse(
+                {"items": items, "HasMore": False, "StoreRevision": changes.revision}
+            )
+        try:
+            changes = await client.watch(
+                kind, int(query["Watch"]), int(query["WaitMs"]) / 1000
+            )
+        except errors.WatchExpired:
+            return responses.Response(status_code=410)
+        found = [
+            {"IsGone": item.value is None, "Object": _dump(item)}
+            for item in changes.objects
+        ]
+        return responses.JSONResponse(
+            {"events": found, "StoreRevision": changes.revision}
+        )
+
+    async def _write(self, request: requests.Request) -> responses.Response:
+        if self.fault == "busy":
+            return responses.Response(status_code=503)
+        body = json.loads(await request.body())
+        meta = body["meta"]
+        client = self.store.connect("")
+        kind = request.path_params["kind"]
+        try:
+            if request.method == "POST":
+                stored = await client.create(kind, meta["Name"], body["spec"])
+            else:
+                stored = await client.update(
+                    kind, meta["Name"], body["spec"], meta["Revision"]
+                )
+        except errors.VersionConflict:
+            return responses.Response(status_code=409)
+        if (fault := await self._misbehave(True)) is not None:
+            return fault
+        return responses.JSONResponse(_dump(stored))
+
+    async def _promote(self, request: requests.Request) -> responses.Response:
+        body = json.loads(await request.body())
+        cluster = self.clusters[body["Service"]]
+        self.promotions.append(
+            (body["Service"], int(request.headers["X-Fencing-Token"]))
+        )
+        if not cluster.databases[body["Id"]].is_up:
+            return responses.Response(status_code=409)
+        self._start_task(cluster.promote(body["Id"]))
+        return responses.JSONResponse({})
+
+
+def _dump(stored: typing.Any) -> dict:
+    meta = {"Name": stored.name, "Revision": stored.version}
+    return {"meta": meta, "spec": stored.value, "status": None}
+
+
+class Link:
+    """A loopback proxy in front of a port that can be made to fail.
+
+    :param delay: seconds that bytes take on top.
+    :param is_silent: whether bytes are swallowed, in both directions.
+    """
+
+    def __init__(self, target: int) -> None:
+        """Start without a port."""
+        self.target = target
+        self.port = 0
+        self.delay = 0.0
+        self.is_silent = False
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                "127.0.0.1", self.target
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, far_writer}
+        await asyncio.gather(
+            self._pass_on(reader, far_writer), self._pass_on(far_reader, writer)
+        )
+        self._writers -= {writer, far_writer}
+
+    async def _pass_on(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(READ_BYTES):
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                if not self.is_silent:
+                    writer.write(data)
+        writer.transport.abort()
--- /dev/null
+++ b/src/sardinehold_standins/objects_in_memory.py
@@ -0,0 +1,129 @@
+"""The platform's store in memory, with watches, conditions and faults."""
+
+import asyncio
+import contextlib
+import typing
+
+from sardinehold import errors
+from sardinehold import objects
+from sardinehold.node import clock
+
+
+class Store:
+    """Objects in memory, with watches and faults.
+
+    :param delay: seconds of an answer.
+    :param cut: names of nodes that it does not answer.
+    :param losing: names of nodes whose writes are done and not answered.
+    """
+
+    def __init__(self, delay: float = 0.004) -> None:
+        """Start empty."""
+        self.delay = delay
+        self.cut: set[str] = set()
+        self.losing: set[str] = set()
+        self.revision = 1
+        self.objects: dict[tuple[str, str], objects.StoredObject] = {}
+        self.history: list[objects.StoredObject] = []
+        self.oldest = 0
+        self.changed = asyncio.Event()
+        self.calls: dict[str, int] = {}
+
+    def put(self, kind: str, name: str, value: typing.Any) -> objects.StoredObject:
+        """Write an object whatever is there; None deletes it."""
+        self.revision += 1
+        stored = objects.StoredObject(kind, name, self.revision, value)
+        if value is None:
+            self.objects.pop((kind, name), None)
+        else:
+            self.objects[kind, name] = stored
+        self.history.append(stored)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return stored
+
+    def forget_history(self) -> None:
+        """Drop what watches would need."""
+        self.oldest = self.revision
+
+    def connect(self, node: str) -> "StoreClient":
+        """Return the store as a node reaches it."""
+        return StoreClient(self, node)
+
+
+class StoreClient:
+    """The store as one node reaches it."""
+
+    def __init__(self, store: Store, node: str) -> None:
+        """Reach a store in the name of a node."""
+        self.store = store
+        self.node = node
+
+    async def _call(self, name: str) -> None:
+        self.store.calls[name] = self.store.calls.get(name, 0) + 1
+        await asyncio.sleep(self.store.delay)
+        if self.node in self.store.cut:
+            await asyncio.sleep(1.0)
+            raise errors.PlatformUnavailable("The store is cut off.", "Wait.")
+
+    async def _answer(self) -> None:
+        if self.node in self.store.losing:
+            await asyncio.sleep(1.0)
+            raise errors.PlatformUnavailable("The answer was lost.", "Look again.")
+
+    async def list(self, kind: str) -> objects.Changes:
+        """Read all objects of a kind."""
+        await self._call("list")
+        found = [
+            item for (other, _), item in self.store.objects.items() if other == kind
+        ]
+        return objects.Changes(found, self.store.revision)
+
+    async def watch(self, kind: str, revision: int, wait: float) -> objects.Changes:
+        """Return what changed after a revision."""
+        await self._call("watch")
+        if revision < self.store.oldest:
+            raise errors.WatchExpired("The revision is gone.", "List again.")
+        deadline = clock.read() + wait
+        while True:
+            found = [
+                objects.StoredObject(kind, item.name, item.version, item.value)
+                for item in self.store.history
+                if item.kind == kind and item.version > revision
+            ]
+            remaining = deadline - clock.read()
+            if found or remaining <= 0:
+                if self.node in self.store.cut:
+                    raise errors.PlatformUnavailable("The watch was cut.", "Wait.")
+                return objects.Changes(found, self.store.revision)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(remaining):
+                    await self.store.changed.wait()
+
+    async def create(self, kind: str, name: str, value: dict) -> objects.StoredObject:
+        """Create an object."""
+        await self._call("create")
+        if (kind, name) in self.store.objects:
+            raise errors.VersionConflict("It exists.", "Read it.")
+        stored = self.store.put(kind, name, value)
+        await self._answer()
+        return stored
+
+    async def update(
+        self, kind: str, name: str, value: dict, version: int
+    ) -> objects.StoredObject:
+        """Replace an object of that version."""
+        await self._call("update")
+        held = self.store.objects.get((kind, name))
+        if held is None or held.version != version:
+            raise errors.VersionConflict("Another version.", "Read it.")
+        if held.value == value:
+            return held
+        stored = self.store.put(kind, name, value)
+        await self._answer()
+        return stored
+
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Delete an object."""
+        await self._call("delete")
+        self.store.put(kind, name, None)
