Take no lease from a COMMIT without a write; list anew after a cut watch

COMMITs of read-only transactions counted as proof that a replica had received something; they need none. Listed anew now. Each has a test that fails without the change.

--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -53,6 +53,7 @@
     :param route: as it was then; changes bind from the next transaction on.
     :param pooled: the connection that it runs on, None before its first statement.
     :param wrote: whether a write was sent.
+    :param has_written: whether a write was answered with success.
     :param idle_deadline: when it is ended if it rests until then.
     :param is_expired: whether it was ended and the caller has not been told.
     """
@@ -64,6 +65,7 @@
         "team",
         "pooled",
         "wrote",
+        "has_written",
         "idle_deadline",
         "is_expired",
     )
@@ -83,6 +85,7 @@
         self.team = team
         self.pooled: pool.Pooled | None = None
         self.wrote = False
+        self.has_written = False
         self.idle_deadline = idle_deadline
         self.is_expired = False
 
@@ -294,7 +297,8 @@
             await self._prepare(pooled, deadline, statement)
             asked = clock.read()
             endpoint.sent[pooled] = asked
-            if self._may_commit(statement):
+            needs_replica = self._needs_replica(statement)
+            if needs_replica:
                 endpoint.writes[pooled] = asked
             answer = await pooled.connection.run(statement, deadline, placed.after)
         finally:
@@ -305,9 +309,7 @@
         endpoint.note_service(clock.read() - asked)
         if answer.error is statements.Failure.LAGGING and placed.after is not None:
             endpoint.note_lack(placed.after, clock.read())
-        committed = answer.error is None and (
-            statement.kind is Kind.COMMIT or statements.is_write(statement)
-        )
+        committed = answer.error is None and needs_replica
         is_open = answer.status != "I"
         group.note_answer(
             endpoint,
@@ -318,11 +320,15 @@
         )
         return answer
 
-    def _may_commit(self, statement: statements.Statement) -> bool:
-        """Return whether a statement waits for replicas if it succeeds."""
+    def _needs_replica(self, statement: statements.Statement) -> bool:
+        """Return whether a success proves that a replica has received a commit.
+
+        The COMMIT of a transaction that wrote nothing proves nothing: a primary
+        that was replaced still answers it.
+        """
         if self.transaction is None:
             return statements.is_write(statement)
-        return statement.kind is Kind.COMMIT and self.transaction.wrote
+        return statement.kind is Kind.COMMIT and self.transaction.has_written
 
     # Single statements
 
@@ -405,6 +411,8 @@
             raise outcomes.Failed(
                 statements.Failure.ABORTED, "the endpoint had no room in time"
             )
+        if answer.error is None and statements.is_write(statement):
+            transaction.has_written = True
         self.status = answer.status
         transaction.idle_deadline = clock.read() + self.node.catalog.transaction_idle
         return answer
--- a/src/sardinehold/node/watching.py
+++ b/src/sardinehold/node/watching.py
@@ -97,6 +97,8 @@
             self.revision = 0
             return
         except (errors.PlatformError, TimeoutError) as error:
+            # What a watch missed before it was cut may never be told to another.
+            self._relist = True
             self._on_state(self.kind, False, str(error) or "no answer in time")
             await self._pause()
             return
--- a/src/sardinehold_standins/group_in_memory.py
+++ b/src/sardinehold_standins/group_in_memory.py
@@ -40,6 +40,7 @@
         self.paused_term = 0
         self.is_up = True
         self.is_deaf = False
+        self.is_cut_off = False
         self.lag = 0.0
         self.work = 0.005
         self.unreachable: set[str] = set()
@@ -98,6 +99,8 @@
             for replica in self.databases.values():
                 if replica is primary or not replica.is_up or replica.is_deaf:
                     continue
+                if replica.is_cut_off or primary.is_cut_off:
+                    continue
                 if replica.paused_term or replica.term > primary.term:
                     continue
                 replica.is_primary = False
--- a/src/sardinehold_standins/objects_in_memory.py
+++ b/src/sardinehold_standins/objects_in_memory.py
@@ -26,6 +26,7 @@
         self.objects: dict[tuple[str, str], objects.StoredObject] = {}
         self.history: list[objects.StoredObject] = []
         self.oldest = 0
+        self.generation = 0
         self.changed = asyncio.Event()
         self.calls: dict[str, int] = {}
 
@@ -46,6 +47,13 @@
         """Drop what watches would need."""
         self.oldest = self.revision
 
+    def cut_watches(self) -> None:
+        """Cut all watches, with the history that they have not seen."""
+        self.history.clear()
+        self.generation += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def connect(self, node: str) -> "StoreClient":
         """Return the store as a node reaches it."""
         return StoreClient(self, node)
@@ -85,7 +93,10 @@
         if revision < self.store.oldest:
             raise errors.WatchExpired("The revision is gone.", "List again.")
         deadline = clock.read() + wait
+        generation = self.store.generation
         while True:
+            if generation != self.store.generation:
+                raise errors.PlatformUnavailable("The watch was cut.", "Wait.")
             found = [
                 objects.StoredObject(kind, item.name, item.version, item.value)
                 for item in self.store.history
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -221,6 +221,18 @@
     builders_node.play(monkeypatch, story)
 
 
+def test_change_that_a_cut_watch_has_not_told_is_found(monkeypatch):
+    # letters-desk scale-1: a watch that was cut went on from its old revision, and
+    # the store never told it what it had missed.
+    async def story(world):
+        world.publish(version=3)
+        world.store.cut_watches()
+        await asyncio.sleep(2.0)
+        assert {node.catalog.version for node in world.nodes.values()} == {3}
+
+    builders_node.play(monkeypatch, story)
+
+
 def test_node_that_the_store_refuses_gets_the_configuration_of_the_leader(monkeypatch):
     async def story(world):
         leader = world.find_leader()
@@ -288,6 +300,35 @@
     builders_node.play(monkeypatch, story)
 
 
+def test_commit_without_a_write_does_not_prove_that_the_primary_leads(monkeypatch):
+    # letters-desk scale-2: a node that reached only the old primary went on reading
+    # there, since the COMMITs of its read-only transactions renewed its lease.
+    async def story(world):
+        cluster = world.clusters["g"]
+        for name in ("n0", "n1"):
+            await world.open(name, "latest").write()
+        world.store.cut.add("n2")
+        world.cuts |= {frozenset(("n2", "n0")), frozenset(("n2", "n1"))}
+        cluster.primary.unreachable |= {"n0", "n1"}
+        cluster.primary.is_cut_off = True
+        alone, other = world.open("n2", "latest"), world.open("n1", "latest")
+        began = clock.read()
+        newest = 0
+        while clock.read() - began < 7.0:
+            await alone.send(Kind.BEGIN)
+            await alone.read()
+            await alone.send(Kind.COMMIT)
+            wrote = await other.write()
+            if wrote.error is None:
+                newest = wrote.position.offset
+            read = await alone.read()
+            if read.error is None:
+                assert cluster.ran[-1].log >= newest
+        assert len(cluster.promotions) == 1
+
+    builders_node.play(monkeypatch, story)
+
+
 def test_primary_that_leaves_is_replaced_and_nothing_is_lost(monkeypatch):
     async def story(world):
         client = world.open("n1", "latest")
