--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -439,6 +439,12 @@
     parser.add_argument(
         "--keep", type=pathlib.Path, help="folder for failed seeds' logs"
     )
+    parser.add_argument(
+        "--lane",
+        type=int,
+        default=1 + os.getpid() % 250,
+        help="loopback net 127.0.LANE, for runs at once",
+    )
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
