--- /dev/null
+++ b/tests/test_fault_soak.py
@@ -0,0 +1,16 @@
+"""A short seeded run of the fault soak, with real node processes on loopback."""
+
+import pathlib
+import subprocess
+import sys
+
+SOAK = pathlib.Path(__file__).parent.parent / "bench" / "fault_soak.py"
+PATIENCE = 120.0
+"""Seconds that a run may take: half a minute of play, on a busy machine."""
+
+
+def test_promises_hold_for_a_seed_of_overlapping_faults():
+    command = [sys.executable, str(SOAK), "--seed", "1", "--seeds", "1"]
+    ended = subprocess.run(command, capture_output=True, text=True, timeout=PATIENCE)
+    assert ended.returncode == 0, ended.stdout[-2000:]
+    assert "1 passed, 0 failed" in ended.stdout
