--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -87,6 +87,7 @@
         self.links: dict[str, line_world.Link] = {}
         self.store_links: list[line_world.Link] = []
         self.processes: dict[int, asyncio.subprocess.Process] = {}
+        self.locks = [asyncio.Lock() for _ in range(NODES)]
         self.is_over = False
         self.broken: list[str] = []
 
@@ -282,22 +283,22 @@
 async def kill_node(world: World) -> None:
     """Kill a node and start it again."""
     index = world.random.randrange(NODES)
-    process = world.processes[index]
-    with contextlib.suppress(ProcessLookupError):
+    async with world.locks[index]:
+        process = world.processes[index]
         process.kill()
-    await process.wait()
-    await asyncio.sleep(world.random.random())
-    await world.start_node(index)
+        await process.wait()
+        await asyncio.sleep(world.random.random())
+        await world.start_node(index)
 
 
 async def stop_node(world: World) -> None:
     """Ask a node to stop, and start it again when it is gone."""
     index = world.random.randrange(NODES)
-    process = world.processes[index]
-    with contextlib.suppress(ProcessLookupError):
+    async with world.locks[index]:
+        process = world.processes[index]
         process.terminate()
-    await process.wait()
-    await world.start_node(index)
+        await process.wait()
+        await world.start_node(index)
 
 
 async def pause_node(world: World) -> None:
