--- a/src/sardinehold/node/admission.py
+++ b/src/sardinehold/node/admission.py
@@ -20,10 +20,9 @@
 
     :param began: when it arrived.
     :param deadline: when its wait ends.
-    :param holds_work: whether an operation that has run in part depends on it.
     """
 
-    __slots__ = ("team", "route", "began", "deadline", "holds_work")
+    __slots__ = ("team", "route", "began", "deadline")
 
     def __init__(
         self,
@@ -31,14 +30,12 @@
         route: catalog.Route,
         began: float,
         deadline: float,
-        holds_work: bool = False,
     ) -> None:
         """Keep the parts of the waiter."""
         self.team = team
         self.route = route
         self.began = began
         self.deadline = deadline
-        self.holds_work = holds_work
 
 
 def rank(waiter: Waiter, now: float) -> tuple[int, int, float]:
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -372,6 +372,7 @@
             pooled = pool.Pooled(connection, endpoint, team)
             connection.on_lost = lambda: self._lose(pooled)
             endpoint.connections.add(pooled)
+            endpoint.handshakes += 1
             endpoint.note_answer(clock.read())
             pooled.idle_since = clock.read()
             endpoint.idle.append(pooled)
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -217,10 +217,6 @@
         heard = {report.node for report in self._list_heard(now)}
         return sorted(self.node.members.keys() - heard - {self.node.settings.name})
 
-    def count_heard(self, now: float) -> int:
-        """Return how many nodes reported of late, this one included."""
-        return len(self._list_heard(now))
-
     def _list_heard(self, now: float) -> list[reports.Report]:
         return [
             heard.report
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -183,7 +183,7 @@
         answer = await session.handle(statement)
         seconds = clock.read() - began
         outcome = answer.error.value if answer.error is not None else "success"
-        self.registry.observe(metrics.label_name("statement", outcome=outcome), seconds)
+        self._measure(session, outcome, seconds)
         if answer.error is not None:
             self.journal.note(
                 "failed",
@@ -193,7 +193,7 @@
                 outcome=outcome,
                 reason=answer.detail,
                 seconds=seconds,
-                catalog=self.catalog.version if self.catalog else 0,
+                catalog=self.find_version(),
                 **session.trace.describe(),
             )
         elif answer.signature != sessions.LOCAL_SIGNATURE:
@@ -207,6 +207,43 @@
             )
         return answer
 
+    def _measure(self, session: sessions.Session, outcome: str, seconds: float) -> None:
+        trace = session.trace
+        registry = self.registry
+        registry.observe(metrics.label_name("statement", outcome=outcome), seconds)
+        if trace.tries:
+            registry.observe("connection_wait", trace.waited)
+        registry.count(
+            metrics.label_name(
+                "statements", outcome=outcome, team=trace.team, route=session.route_name
+            )
+        )
+
+    def update_gauges(self) -> None:
+        """Bring the values of the metrics page up to date that go up and down."""
+        now = clock.read()
+        registry = self.registry
+        registry.set_gauge("configuration_version", self.find_version())
+        registry.set_gauge("members", len(self.members))
+        registry.set_gauge("leads", float(self.leadership.leads(now)))
+        registry.set_gauge("callers", len(self.callers))
+        registry.set_gauge("datagrams_rejected", self.peers.rejected)
+        for name, group in self.groups.items():
+            age = metrics.label_name("lease_age_seconds", group=name)
+            registry.set_gauge(age, now - group.evidence.as_of)
+            for endpoint in group.endpoints.values():
+                held = metrics.label_name("connections", endpoint=endpoint.name)
+                registry.set_gauge(held, len(endpoint.connections))
+                opened = metrics.label_name("handshakes", endpoint=endpoint.name)
+                registry.set_gauge(opened, endpoint.handshakes)
+        for name, account in self.budget.accounts.items():
+            left = metrics.label_name("tokens", team=name)
+            registry.set_gauge(left, account.balance.tokens)
+
+    def find_version(self) -> int:
+        """Return the version of the configuration in force, 0 for none."""
+        return self.catalog.version if self.catalog is not None else 0
+
     async def spend(self, team: str, deadline: float) -> None:
         """Spend one operation of a team's rate.
 
@@ -226,7 +263,7 @@
             "start_refused",
             route=route,
             outcome=error.failure.value,
-            catalog=self.catalog.version if self.catalog else 0,
+            catalog=self.find_version(),
         )
 
     def note_rest(self, caller: Caller) -> None:
--- a/src/sardinehold/node/pool.py
+++ b/src/sardinehold/node/pool.py
@@ -101,6 +101,7 @@
     :param gone_since: when its entry was first missed, or None.
     :param sent: when the statements were sent that it has not answered.
     :param writes: the same of those that commit something.
+    :param handshakes: connections that were opened to it.
     :param committed_at: when it last answered to one of these with success.
     """
 
@@ -130,6 +131,7 @@
         "writes",
         "committed_at",
         "probed_at",
+        "handshakes",
         "probe_answered_at",
     )
 
@@ -160,6 +162,7 @@
         self.writes: dict[Pooled, float] = {}
         self.committed_at = float("-inf")
         self.probed_at = float("-inf")
+        self.handshakes = 0
         self.probe_answered_at = float("-inf")
 
     @property
--- a/src/sardinehold/node/settings.py
+++ b/src/sardinehold/node/settings.py
@@ -18,7 +18,6 @@
     :param quota_window: seconds that rates are judged over.
     :param quota_overage: fraction that a team may exceed its rate by.
     :param quota_slack: operations that it may exceed it by on top.
-    :param heartbeat: seconds between reports of an endpoint to the store.
     """
 
     __slots__ = (
@@ -36,7 +35,6 @@
         "quota_window",
         "quota_overage",
         "quota_slack",
-        "heartbeat",
     )
 
     def __init__(
@@ -55,7 +53,6 @@
         quota_window: float = 5.0,
         quota_overage: float = 0.1,
         quota_slack: float = 20.0,
-        heartbeat: float = 1.2,
     ) -> None:
         """Keep the settings."""
         self.name = name
@@ -72,7 +69,6 @@
         self.quota_window = quota_window
         self.quota_overage = quota_overage
         self.quota_slack = quota_slack
-        self.heartbeat = heartbeat
 
     def take_bounds(self, newer: "Settings") -> None:
         """Take over what may change while the process runs: bounds, not addresses."""
@@ -81,7 +77,6 @@
         self.quota_window = newer.quota_window
         self.quota_overage = newer.quota_overage
         self.quota_slack = newer.quota_slack
-        self.heartbeat = newer.heartbeat
 
     def measure_distance(self, zone: str) -> int:
         """Return 0 for the own zone, 1 for the own region, 2 for others."""
--- a/src/sardinehold/node/statements.py
+++ b/src/sardinehold/node/statements.py
@@ -156,19 +156,6 @@
     """A message does not follow the protocol."""
 
 
-NOT_RUN = frozenset(
-    {
-        Failure.BUSY,
-        Failure.LAGGING,
-        Failure.READ_ONLY,
-        Failure.WRONG_ENDPOINT,
-        Failure.CONNECTION_LIMIT,
-        Failure.ABORTED,
-    }
-)
-"""Failures that promise the caller that nothing of its attempt is kept."""
-
-
 def is_write(statement: Statement) -> bool:
     """Return whether a statement changes data."""
     if statement.kind is Kind.EXECUTE:
--- a/src/sardinehold/platform/daemon.py
+++ b/src/sardinehold/platform/daemon.py
@@ -57,7 +57,7 @@
 async def serve(loaded: settings.Settings, path: pathlib.Path) -> None:
     """Serve until told to stop."""
     registry = metrics.Registry()
-    store_client = store.StoreClient(loaded.store)
+    store_client = store.StoreClient(loaded.store, registry=registry)
     duty_client = duty.DutyClient(loaded.duty)
     async with anyio.create_task_group() as tasks:
         node = nodes.Node(
@@ -100,6 +100,7 @@
         return (200 if node.is_ready() else 503), b""
 
     def show_metrics() -> tuple[int, bytes]:
+        node.update_gauges()
         return 200, registry.format_page()
 
     ready = functools.partial(pages.PageServer, {READY_PATH: show_ready})
--- a/src/sardinehold/platform/duty.py
+++ b/src/sardinehold/platform/duty.py
@@ -3,6 +3,7 @@
 import httpx
 
 from sardinehold import errors
+from sardinehold.platform import store
 
 CALL_TIMEOUT = 1.0
 """Seconds that an order may take; it is not repeated under the same token."""
@@ -20,13 +21,7 @@
         transport: httpx.AsyncBaseTransport | None = None,
     ) -> None:
         """Prepare the client; it connects on the first call."""
-        self._http = httpx.AsyncClient(
-            base_url=f"http://{address[0]}:{address[1]}",
-            verify=False,  # noqa: S501 - plain HTTP, no context needed
-            trust_env=False,
-            transport=transport,
-            timeout=CALL_TIMEOUT,
-        )
+        self._http = store.make_client(address, transport)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -42,7 +37,9 @@
         headers = {"X-Duty-Holder": holder, "X-Fencing-Token": str(token)}
         body = {"Service": group, "Id": endpoint}
         try:
-            answer = await self._http.post("/failover", json=body, headers=headers)
+            answer = await self._http.post(
+                "/failover", json=body, headers=headers, timeout=CALL_TIMEOUT
+            )
         except httpx.HTTPError as error:
             raise errors.PlatformUnavailable(
                 f"The order to promote {endpoint} got no answer: {error!r}.",
--- a/src/sardinehold/platform/local.py
+++ b/src/sardinehold/platform/local.py
@@ -85,7 +85,6 @@
         float(reader.take("Bounds.QuotaWindowS", number, 5)),
         float(reader.take("Bounds.QuotaOverage", number, 0.1)),
         float(reader.take("Bounds.QuotaSlack", number, 20)),
-        reader.take("HeartbeatMs", number, 1200) * _MS,
     )
     if reader.faults:
         raise errors.SettingsError(
--- a/src/sardinehold/platform/store.py
+++ b/src/sardinehold/platform/store.py
@@ -9,6 +9,7 @@
 import httpx
 
 from sardinehold import errors
+from sardinehold import metrics
 from sardinehold import objects
 
 CALL_TIMEOUT = 1.5
@@ -23,25 +24,35 @@
 _JSON = {"Content-Type": "application/json"}
 
 
+def make_client(
+    address: tuple[str, int], transport: httpx.AsyncBaseTransport | None
+) -> httpx.AsyncClient:
+    """Return a client of one of the platform's plain HTTP addresses."""
+    return httpx.AsyncClient(
+        base_url=f"http://{address[0]}:{address[1]}",
+        verify=False,
+        trust_env=False,
+        transport=transport,
+        limits=httpx.Limits(keepalive_expiry=KEEPALIVE),
+    )
+
+
 class StoreClient:
     """Reads and writes objects; implements the node's store port.
 
     :param address: host and port of the store.
+    :param registry: where calls are counted by method and result.
     """
 
     def __init__(
         self,
         address: tuple[str, int],
         transport: httpx.AsyncBaseTransport | None = None,
+        registry: metrics.Registry | None = None,
     ) -> None:
         """Prepare the client; it connects on the first call."""
-        self._http = httpx.AsyncClient(
-            base_url=f"http://{address[0]}:{address[1]}",
-            verify=False,  # noqa: S501 - plain HTTP, no context needed
-            trust_env=False,
-            transport=transport,
-            limits=httpx.Limits(keepalive_expiry=KEEPALIVE),
-        )
+        self._registry = registry or metrics.Registry()
+        self._http = make_client(address, transport)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -122,10 +133,12 @@
                 method, path, timeout=timeout, headers=_JSON, **arguments
             )
         except httpx.HTTPError as error:
+            self._count(method, type(error).__name__)
             raise errors.PlatformUnavailable(
                 f"The store did not answer {method} {path}: {type(error).__name__}.",
                 _REMEDY,
             ) from error
+        self._count(method, str(answer.status_code))
         if answer.status_code >= 400:
             raise _build_error(answer.status_code, f"{method} {path}")
         try:
@@ -135,6 +148,10 @@
                 f"The store's answer to {method} {path} is not JSON.", _REMEDY
             ) from error
 
+    def _count(self, method: str, result: str) -> None:
+        name = metrics.label_name("store_calls", method=method, result=result)
+        self._registry.count(name)
+
 
 def _build_error(status: int, call: str) -> errors.PlatformError:
     if status == 404:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -470,6 +470,24 @@
     builders_node.play(monkeypatch, story)
 
 
+def test_metrics_show_what_the_node_does(monkeypatch):
+    async def story(world):
+        await world.open("n1", "latest").write()
+        node = world.nodes["n1"]
+        node.update_gauges()
+        page = node.registry.format_page().decode()
+        for name in (
+            'statements_total{outcome="success",route="latest",team="red"} 1.0',
+            "sardinehold_configuration_version 1.0",
+            'sardinehold_handshakes{endpoint="g-0"} 1.0',
+            'sardinehold_lease_age_seconds{group="g"}',
+            'sardinehold_tokens{team="red"}',
+        ):
+            assert name in page
+
+    builders_node.play(monkeypatch, story)
+
+
 def test_group_state_of_the_store_is_read_back():
     state = catalog.GroupState("g", 3, "g-1", catalog.Phase.SEALED, 9)
     again = catalog.parse_group_state("g", state.dump(), 9)
