--- a/src/sardinehold/core/losses.py
+++ b/src/sardinehold/core/losses.py
@@ -154,12 +154,17 @@
 
 
 def leave_endpoint(node: nodes.Node, endpoint: pool.Endpoint) -> None:
-    """Move what can be moved away from an endpoint that does not answer."""
+    """Move what can be moved away from an endpoint that does not answer.
+
+    A read whose answer has begun cannot be sent again; it goes on to its end.
+    """
     for connection in list(endpoint.idle):
         pool.close(node, connection)
     for connection in list(endpoint.connections.values()):
         request = connection.request
-        if request is not None and request.is_read and not request.in_transaction:
+        if request is None or not request.is_read or request.in_transaction:
+            continue
+        if not request.has_started:
             close_connection(node, connection)
     if endpoint is not endpoint.group.primary:
         routing.reroute(node, endpoint.group)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -155,3 +155,17 @@
     assert refused
     assert all(isinstance(error, errors.QueueFull) for error in refused)
     assert "expected wait is" in refused[0].message
+
+
+def test_read_whose_answer_has_begun_outlives_its_endpoints_condemnation():
+    driver = builders.Driver(builders.make_view())
+    session = driver.open()
+    request = driver.ask(session, "SELECT 1")
+    dispatch = driver.find(actions.Dispatch, request)
+    driver.send(events.AnswerStarted(request))
+    driver.auto = False
+    driver.send(events.ProbeFailed(dispatch.endpoint, fresh=True))
+    closed = [action.connection_id for action in driver.all(actions.CloseConnection)]
+    assert dispatch.connection_id not in closed
+    driver.answer(request)
+    assert driver.find(actions.Acknowledge, request) is not None
