--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -31,10 +31,6 @@
 """Seconds after which a node without advice dates its lease by the store: two
 reports were lost, or there is no leader."""
 
-PROBE_AFTER = 0.5
-"""Seconds without an answer after which an endpoint is asked by a new connection;
-longer than a queue in front of its slots."""
-
 ALONE_AFTER = 1.5
 """Seconds without advice after which a node takes an even part of the whole rates;
 longer than the leader takes to leave that part to it."""
@@ -69,7 +65,7 @@
         self._last_advice_at = 0.0
 
     def report_soon(self) -> None:
-        """Report to the leader without delay."""
+        """Report to the leader soon, unless its allocator had nothing left."""
         if clock.read() >= self._empty_until:
             self.report_now()
 
@@ -249,7 +245,7 @@
         """Find out about an endpoint that another node cannot reach."""
         for group in self.node.groups.values():
             endpoint = group.endpoints.get(name)
-            if endpoint is not None and now - endpoint.answered_at > PROBE_AFTER:
+            if endpoint is not None and now - endpoint.answered_at > pool.PROBE_AFTER:
                 group.probe(endpoint)
 
     def _take_grants(self, advice: reports.Advice) -> None:
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -20,7 +20,7 @@
     from sardinehold.node import node as nodes
 
 HEARD_WITHIN = 1.0
-"""Seconds for which a report counts: four of them may be lost."""
+"""Seconds for which a report counts: two of them may be lost."""
 
 SUSPECT_AFTER = 0.3
 """Seconds for which a primary must be out of reach before it counts as failing: a
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -25,6 +25,7 @@
 from sardinehold.node import leadership
 from sardinehold.node import outcomes
 from sardinehold.node import peers
+from sardinehold.node import pool
 from sardinehold.node import ports
 from sardinehold.node import session as sessions
 from sardinehold.node import settings
@@ -39,10 +40,6 @@
 TEND_INTERVAL = 0.05
 """Seconds between looks at resting transactions and silent endpoints."""
 
-PROBE_AFTER = 0.5
-"""Seconds without an answer after which an endpoint is asked by a new connection;
-longer than a queue in front of its slots."""
-
 PROBE_AGAIN = 0.4
 """Seconds between such questions to an endpoint that is out of reach."""
 
@@ -353,7 +350,7 @@
     def _tend_group(self, group: groups.Group, now: float) -> None:
         group.trim(now)
         for endpoint in list(group.endpoints.values()):
-            if endpoint.is_silent(now, PROBE_AFTER, PROBE_AGAIN):
+            if endpoint.is_silent(now, pool.PROBE_AFTER, PROBE_AGAIN):
                 group.probe(endpoint)
             gone = endpoint.gone_since
             if gone is not None and now - gone > GONE_GRACE:
--- a/src/sardinehold/node/pool.py
+++ b/src/sardinehold/node/pool.py
@@ -27,6 +27,10 @@
 """Seconds that the growing wait between attempts ends at; a small part of the time
 in which a crashed endpoint is back."""
 
+PROBE_AFTER = 0.5
+"""Seconds without an answer after which an endpoint is asked by a new connection;
+longer than a queue in front of its slots."""
+
 ISOLATED_AFTER = 0.7
 """Seconds after which a commit that does not return makes a primary suspect that
 answers other questions; longer than a full queue in front of its slots."""
