Date a lease only by a list of the fleet

Cause: a change heard on the watch renewed the proof that the primary leads. Ruled out: a longer lease; it would only move the window. Change: only a list of the fleet dates leases, asked for on its own interval. The stand-in can mute its watches.

--- a/src/sardinehold/node/following.py
+++ b/src/sardinehold/node/following.py
@@ -29,6 +29,10 @@
 """Seconds between looks at whether the leader is still heard."""
 
 
+LIST_INTERVAL = 0.4
+"""Seconds between lists that date the leases; three of them fit into a lease."""
+
+
 class Following:
     """Keeps a node in step with the store.
 
@@ -47,7 +51,7 @@
         self.endpoints = self._watch(
             sources.endpoint_kind, self._list_endpoints, self._change_endpoints
         )
-        self.fleet = self._watch(FLEET_KIND, self._list_fleet, self.take_fleet)
+        self.fleet = self._watch(FLEET_KIND, self._list_fleet, self._change_fleet)
         self.leader_watcher = self._watch(
             LEADER_KIND, self._list_leader, self._change_leader
         )
@@ -164,7 +168,19 @@
         self.take_fleet(changes, asked)
 
     def take_fleet(self, changes: objects.Changes, asked: float) -> None:
-        """Take the fleet's own objects, as read by a call sent at ``asked``."""
+        """Take a list of the fleet's own objects, asked for at ``asked``.
+
+        It dates the leases. A watch does not: one that the store tells nothing
+        looks like one that has nothing to tell.
+        """
+        self._change_fleet(changes, asked)
+        for group in self.node.groups.values():
+            state = group.state
+            if state is not None and state.phase is catalog.Phase.SERVING:
+                group.evidence.confirm(asked)
+                group.pump()
+
+    def _change_fleet(self, changes: objects.Changes, asked: float) -> None:
         for stored in changes.objects:
             if stored.name == SECRET_NAME and stored.value:
                 self.node.peers.key = bytes.fromhex(stored.value["key"])
@@ -172,11 +188,15 @@
                 self._take_member(stored)
             elif stored.name.startswith(GROUP_PREFIX) and stored.value:
                 self._take_state(stored)
-        for group in self.node.groups.values():
-            state = group.state
-            if state is not None and state.phase is catalog.Phase.SERVING:
-                group.evidence.confirm(asked)
-                group.pump()
+
+    async def date_leases(self) -> None:
+        """List the fleet's objects again and again while no leader is heard."""
+        while True:
+            if self.node.exchange.is_advised():
+                await anyio.sleep(FOLLOW_INTERVAL)
+            else:
+                await self.fleet.step(relist=True)
+                await anyio.sleep(LIST_INTERVAL)
 
     async def follow_leader(self) -> None:
         """Follow the leader's object while nothing is heard of the leader."""
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -139,6 +139,7 @@
             for keep in (
                 *(watcher.run for watcher in self.following.watchers),
                 self.following.follow_leader,
+                self.following.date_leases,
                 self.keeping.keep_member,
                 self.keeping.keep_lead,
                 self.exchange.run,
--- a/src/sardinehold_standins/objects_in_memory.py
+++ b/src/sardinehold_standins/objects_in_memory.py
@@ -27,6 +27,7 @@
         self.history: list[objects.StoredObject] = []
         self.oldest = 0
         self.generation = 0
+        self.is_mute = False
         self.changed = asyncio.Event()
         self.calls: dict[str, int] = {}
 
@@ -102,6 +103,8 @@
                 for item in self.store.history
                 if item.kind == kind and item.version > revision
             ]
+            if self.store.is_mute:
+                found = []
             remaining = deadline - clock.read()
             if found or remaining <= 0:
                 if self.node in self.store.cut:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -329,6 +329,30 @@
     builders_node.play(monkeypatch, story)
 
 
+def test_watch_that_hears_nothing_does_not_prove_that_the_primary_leads(monkeypatch):
+    async def story(world):
+        cluster = world.clusters["g"]
+        for name in ("n0", "n1"):
+            await world.open(name, "latest").write()
+        world.cuts |= {frozenset(("n2", "n0")), frozenset(("n2", "n1"))}
+        world.store.is_mute = True
+        cluster.primary.unreachable |= {"n0", "n1"}
+        cluster.primary.is_cut_off = True
+        alone, other = world.open("n2", "latest"), world.open("n1", "latest")
+        began = clock.read()
+        newest = 0
+        while clock.read() - began < 7.0:
+            wrote = await other.write()
+            if wrote.error is None:
+                newest = wrote.position.offset
+            read = await alone.read()
+            if read.error is None:
+                assert cluster.ran[-1].log >= newest
+        assert len(cluster.promotions) == 1
+
+    builders_node.play(monkeypatch, story)
+
+
 def test_primary_that_leaves_is_replaced_and_nothing_is_lost(monkeypatch):
     async def story(world):
         client = world.open("n1", "latest")
