Check bounded and session reads in the fault soak too

Cause: only reads on primary routes were compared with what callers had been told. A node that ends by itself is reported, not a traceback.

--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -168,7 +168,8 @@
         self.random = random.Random(world.random.random())
         self.number = number
         self.count = 0
-        self.acked: set[str] = set()
+        self.acked: dict[str, float] = {}
+        self.written: set[str] = set()
         self.promised: set[str] = set()
         self.served = 0
         self.team = ""
@@ -193,6 +194,7 @@
             line = await asyncio.wait_for(reader.readuntil(b"\r\n"), 2)
             if not line.startswith(b"READY"):
                 return
+            self.written = set()
             for _ in range(self.random.randrange(5, 60)):
                 if self.world.is_over:
                     return
@@ -215,8 +217,8 @@
         if code == "COMPLETE":
             self.served += 1
             if is_write:
-                self.acked.add(request)
-            elif route == "latest":
+                self._note_acked(request)
+            else:
                 self._check_read(request, floor)
         elif is_write and code in PROMISES:
             self.promised.add(request)
@@ -241,7 +243,7 @@
             return
         code, state = await self._ask(reader, writer, request, "COMMIT")
         if code == "COMPLETE":
-            self.acked.add(request)
+            self._note_acked(request)
         elif code in PROMISES:
             self.promised.add(request)
 
@@ -267,11 +269,18 @@
         return f"c{self.number}x{self.count}"
 
     def _find_floor(self, route: str) -> int:
-        """Return how much of the log was acknowledged to callers so far."""
+        """Return how much of the log a read on the route must have now."""
         log = [request for _, request in self.world.cluster.primary.log]
-        acked = set().union(*(client.acked for client in self.world.clients))
+        before = time.monotonic() - STALENESS[route]
+        acked = set(self.written) if route == "session" else set()
+        for client in self.world.clients:
+            acked |= {item for item, at in client.acked.items() if at <= before}
         return max((n + 1 for n, item in enumerate(log) if item in acked), default=0)
 
+    def _note_acked(self, request: str) -> None:
+        self.acked[request] = time.monotonic()
+        self.written.add(request)
+
     def _check_read(self, request: str, floor: int) -> None:
         runs = [run for run in self.world.cluster.ran if run.request_id == request]
         if runs and runs[-1].log < floor:
@@ -296,6 +305,9 @@
     index = world.random.randrange(NODES)
     async with world.locks[index]:
         process = world.processes[index]
+        if process.returncode is not None:
+            world.broken.append(f"node {index} ended by itself: {process.returncode}")
+            return
         process.terminate()
         await process.wait()
         await world.start_node(index)
@@ -394,7 +406,7 @@
     broken = list(world.broken)
     log = [request for _, request in world.cluster.primary.log]
     for client in world.clients:
-        broken += [f"lost write {item}" for item in client.acked - set(log)]
+        broken += [f"lost write {item}" for item in client.acked.keys() - set(log)]
         broken += [f"refused write {item} kept" for item in client.promised & set(log)]
     broken += [f"write {item} twice" for item in set(log) if log.count(item) > 1]
     tokens = [token for _, token in world.store.promotions]
