Let a restarted node say nothing of what it acknowledged before

Cause: a replica that lacks commits was promoted alone, since every member had said that no caller was told of more. Two of them had been restarted and had forgotten; a group that a node does not know counted as nothing acknowledged. Ruled out: a lost pause (no replica had been restarted between pause and promotion); the stand-in (its logs hold what the events say). Change: what was acknowledged is unknown until the node has heard the primary's position since its start, which covers it; unknown counts as unknown. The soak crashes the primary while a replica lacks commits, which showed it. The two tests of a node left with the old primary share their story.

--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -324,7 +324,23 @@
 
 async def crash_database(world: World) -> None:
     """Crash a database; it comes back with its log."""
-    database = world.random.choice(list(world.cluster.databases.values()))
+    await crash(world, world.random.choice(list(world.cluster.databases.values())))
+
+
+async def crash_primary(world: World) -> None:
+    """Crash the primary, while a replica lacks its last commits."""
+    replicas = [
+        item for item in world.cluster.databases.values() if not item.is_primary
+    ]
+    late = world.random.choice(replicas)
+    late.is_deaf = True
+    await asyncio.sleep(0.3)
+    await crash(world, world.cluster.primary)
+    late.is_deaf = False
+
+
+async def crash(world: World, database: group_in_memory.Database) -> None:
+    """Crash a database for some seconds, unless another is down."""
     others = [item for item in world.cluster.databases.values() if item is not database]
     if not all(item.is_up for item in others):
         return
@@ -376,6 +392,7 @@
     stop_node,
     pause_node,
     crash_database,
+    crash_primary,
     lag_replica,
     break_link,
     break_store,
--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -105,7 +105,11 @@
             now,
             {name: g.state.version for name, g in self.node.groups.items() if g.state},
             self.collect_samples(now),
-            {name: g.acknowledged for name, g in self.node.groups.items()},
+            {
+                name: group.acknowledged
+                for name, group in self.node.groups.items()
+                if group.acknowledged is not None
+            },
             self.node.collect_failing(now),
             sequence,
             usages,
@@ -216,7 +220,7 @@
                 group.evidence.confirm(advice.date(advice.certain_age))
             if state.group in advice.samples:
                 age, position = advice.samples[state.group]
-                group.evidence.note_position(advice.date(age), position)
+                group.note_position(advice.date(age), position)
             group.pump()
         if advice.asks_store and now > self._asked_store_at + STORE_ASK_INTERVAL:
             self._asked_store_at = now
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -140,7 +140,8 @@
         self.endpoints: dict[str, pool.Endpoint] = {}
         self.waiters: list[Waiter] = []
         self.frozen: positions.Position | None = None
-        self.acknowledged = positions.START
+        self.acknowledged: positions.Position | None = None
+        self._known_since = clock.read()
         self.gone: dict[str, float] = {}
         self._unserved_since: float | None = None
         self._connector = connector
@@ -484,7 +485,16 @@
     def note_acknowledged(self, position: positions.Position | None) -> None:
         """Remember the newest commit that was acknowledged to a caller."""
         if position is not None:
-            self.acknowledged = max(self.acknowledged, position)
+            self.acknowledged = max(self.acknowledged or position, position)
+
+    def note_position(self, asked: float, position: positions.Position) -> None:
+        """Take the primary's answer to a question sent under the lease.
+
+        The first one covers what this node acknowledged before it was restarted.
+        """
+        self.evidence.note_position(asked, position)
+        if self.acknowledged is None and asked >= self._known_since:
+            self.acknowledged = position
 
     def note_answer(
         self,
@@ -522,4 +532,4 @@
             # stepped down: a commit proves that neither had happened.
             self.evidence.confirm(asked)
         if self.evidence.holds_lease(asked):
-            self.evidence.note_position(asked, position)
+            self.note_position(asked, position)
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -202,7 +202,7 @@
             if group is None or group.state is None or asked is None:
                 continue
             if report.states.get(name) == group.state.version:
-                group.evidence.note_position(asked, position)
+                group.note_position(asked, position)
 
     def _list_suspects(self, now: float) -> list[str]:
         """Return the primaries that some node cannot reach."""
@@ -397,9 +397,11 @@
         """Return the newest commit that any caller was told of.
 
         :returns: None unless every member has said so in a report sent after
-            ``since``.
+            ``since``; one that was restarted cannot until it has heard the primary.
         """
         newest = self.node.groups[group].acknowledged
+        if newest is None:
+            return None
         for name in self.node.members:
             if name == self.node.settings.name:
                 continue
@@ -409,7 +411,9 @@
             sent_at = heard.report.date(0.0, self.node.incarnation)
             if sent_at is None or sent_at < since:
                 return None
-            told = heard.report.acknowledged.get(group, positions.START)
+            told = heard.report.acknowledged.get(group)
+            if told is None:
+                return None
             newest = max(newest, told)
         return newest
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -304,51 +304,49 @@
     # letters-desk scale-2: a node that reached only the old primary went on reading
     # there, since the COMMITs of its read-only transactions renewed its lease.
     async def story(world):
-        cluster = world.clusters["g"]
         for name in ("n0", "n1"):
             await world.open(name, "latest").write()
         world.store.cut.add("n2")
-        world.cuts |= {frozenset(("n2", "n0")), frozenset(("n2", "n1"))}
-        cluster.primary.unreachable |= {"n0", "n1"}
-        cluster.primary.is_cut_off = True
-        alone, other = world.open("n2", "latest"), world.open("n1", "latest")
-        began = clock.read()
-        newest = 0
-        while clock.read() - began < 7.0:
+        alone = world.open("n2", "latest")
+
+        async def renew():
             await alone.send(Kind.BEGIN)
             await alone.read()
             await alone.send(Kind.COMMIT)
-            wrote = await other.write()
-            if wrote.error is None:
-                newest = wrote.position.offset
-            read = await alone.read()
-            if read.error is None:
-                assert cluster.ran[-1].log >= newest
-        assert len(cluster.promotions) == 1
+
+        await read_alone_beside_a_change_of_primary(world, alone, renew)
 
     builders_node.play(monkeypatch, story)
 
 
+async def read_alone_beside_a_change_of_primary(world, alone, disturb=None):
+    """Cut n2 off with the old primary; its reads must not miss n1's commits."""
+    cluster = world.clusters["g"]
+    world.cuts |= {frozenset(("n2", "n0")), frozenset(("n2", "n1"))}
+    cluster.primary.unreachable |= {"n0", "n1"}
+    cluster.primary.is_cut_off = True
+    other = world.open("n1", "latest")
+    began = clock.read()
+    newest = 0
+    while clock.read() - began < 7.0:
+        if disturb is not None:
+            await disturb()
+        wrote = await other.write()
+        if wrote.error is None:
+            newest = wrote.position.offset
+        read = await alone.read()
+        if read.error is None:
+            assert cluster.ran[-1].log >= newest
+    assert len(cluster.promotions) == 1
+
+
 def test_watch_that_hears_nothing_does_not_prove_that_the_primary_leads(monkeypatch):
     async def story(world):
-        cluster = world.clusters["g"]
         for name in ("n0", "n1"):
             await world.open(name, "latest").write()
-        world.cuts |= {frozenset(("n2", "n0")), frozenset(("n2", "n1"))}
         world.store.is_mute = True
-        cluster.primary.unreachable |= {"n0", "n1"}
-        cluster.primary.is_cut_off = True
-        alone, other = world.open("n2", "latest"), world.open("n1", "latest")
-        began = clock.read()
-        newest = 0
-        while clock.read() - began < 7.0:
-            wrote = await other.write()
-            if wrote.error is None:
-                newest = wrote.position.offset
-            read = await alone.read()
-            if read.error is None:
-                assert cluster.ran[-1].log >= newest
-        assert len(cluster.promotions) == 1
+        alone = world.open("n2", "latest")
+        await read_alone_beside_a_change_of_primary(world, alone)
 
     builders_node.play(monkeypatch, story)
 
@@ -453,6 +451,34 @@
     builders_node.play(monkeypatch, story)
 
 
+def test_restarted_nodes_do_not_vouch_for_what_they_acknowledged_before(monkeypatch):
+    # Fault soak, seed 500: the nodes that had acknowledged the last commits were
+    # restarted, and the one replica that lacked these was promoted.
+    async def story(world):
+        cluster = world.clusters["g"]
+        cluster.databases["g-2"].is_deaf = True
+        for name in world.nodes:
+            assert (await world.open(name, "latest").write()).error is None
+        for name in ("g-0", "g-1"):
+            cluster.databases[name].crash()
+        for name in list(world.nodes):
+            world.kill_node(name)
+            world.start_node(name, "north")
+        cluster.databases["g-2"].is_deaf = False
+        for _ in range(5):
+            await asyncio.sleep(2.0)
+            for name in world.nodes:
+                world.tasks.start_soon(world.open(name, "latest").write)
+        assert not cluster.promotions
+        cluster.databases["g-1"].is_up = True
+        await asyncio.sleep(5.0)
+        assert [name for _, _, name in cluster.promotions] == ["g-1"]
+        log = [request for _, request in cluster.primary.log]
+        assert set(cluster.acknowledged) <= set(log)
+
+    builders_node.play(monkeypatch, story)
+
+
 def test_team_gets_its_rate_over_all_nodes_and_no_more(monkeypatch):
     async def story(world):
         served = []
