Look at stopped logs again before a promotion

Cause: a replica that is restarted forgets its pause. Between the freeze and the end of the leases it took what a node out of touch still wrote; another replica was promoted, and the acknowledged commit was lost. Ruled out: a shorter time for which logs are kept; the wait for leases alone is longer. Change: if the first log was stopped 0.3 s ago or longer, all are asked again behind the leases; those that run or have grown are stopped anew. Test: test_replica_that_forgets_its_pause_is_paused_anew (fails on the commit before).

--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -45,6 +45,10 @@
 """Seconds for which logs that were stopped are not asked again: a replica that
 restarts receives again."""
 
+RECHECK_AFTER = 0.3
+"""Seconds since the first log was stopped from which the logs are looked at again
+before the order: no endpoint restarts faster."""
+
 SETTLE = 0.3
 """Seconds between a planned seal and the freeze, in which running statements end."""
 
@@ -203,6 +207,7 @@
         self._frozen: dict[str, ports.LogStatus] = {}
         self._stopped_at = float("inf")
         self._kept_since = clock.read()
+        self._first_frozen_at = clock.read()
         self._end = positions.START
         self._undo_at = clock.read() + UNDO_AFTER
         self._give_up_at = clock.read() + GIVE_UP_AFTER
@@ -220,6 +225,7 @@
             if self.planned:
                 await anyio.sleep(SETTLE)
         sealed_version = state.version
+        self._first_frozen_at = clock.read()
         while fleet.leads():
             plan = await self._freeze(state)
             if plan.leader:
@@ -230,6 +236,8 @@
                 continue
             fleet.note_frozen(self.group, self._end)
             await self._wait_for_leases(sealed_version)
+            if not await self._check_frozen(state):
+                continue
             state = await self._promote(state, plan.target)
             if await self._wait_for_lead(state, plan.target):
                 await self._publish(state, plan.target, began)
@@ -364,6 +372,34 @@
                 return
             await anyio.sleep(RETRY_DELAY / 5)
 
+    async def _check_frozen(self, state: catalog.GroupState) -> bool:
+        """Return whether the logs are still stopped; forget those that are not.
+
+        A replica that restarts forgets its pause, and takes what nodes out of touch
+        still wrote under their leases.
+        """
+        if clock.read() < self._first_frozen_at + RECHECK_AFTER:
+            return True
+        running = []
+
+        async def check(record: catalog.EndpointRecord, frozen: ports.LogStatus):
+            status = await self._ask(record)
+            if status is None:
+                return
+            if status.paused_term <= state.term or status.received != frozen.received:
+                running.append(record.name)
+
+        async with anyio.create_task_group() as tasks:
+            for record in self.fleet.list_records(self.group):
+                frozen = self._frozen.get(record.name)
+                if frozen is not None and record.name != state.primary:
+                    tasks.start_soon(check, record, frozen)
+        for name in running:
+            del self._frozen[name]
+        if running:
+            self.fleet.note("not_frozen", group=self.group, endpoints=sorted(running))
+        return not running
+
     async def _promote(
         self, state: catalog.GroupState, target: str
     ) -> catalog.GroupState:
--- a/src/sardinehold/node/occurrences.py
+++ b/src/sardinehold/node/occurrences.py
@@ -35,6 +35,7 @@
     "failover_seal": "The leader begins to replace a primary.",
     "failover_frozen": "Logs were stopped and read; no target while too few were.",
     "failover_promote": "An endpoint was ordered to lead, under a fencing token.",
+    "failover_not_frozen": "Stopped logs were found running; they are read anew.",
     "failover_promote_unanswered": "The order got no answer, or was refused.",
     "failover_published": "The new primary is in force; gap_ms counts from the seal.",
     "failover_work_failed": "A step for a group failed and will start anew.",
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -351,6 +351,33 @@
     builders_node.play(monkeypatch, story)
 
 
+def test_replica_that_forgets_its_pause_is_paused_anew(monkeypatch):
+    # n2 alone reaches the old primary and may write until its lease lapses; a paused
+    # replica is restarted meanwhile and takes the commit.
+    async def story(world):
+        cluster = world.clusters["g"]
+        for name in ("n0", "n1"):
+            await world.open(name, "latest").write()
+        cluster.primary.unreachable |= {"n0", "n1"}
+        alone, other = world.open("n2", "latest"), world.open("n1", "latest")
+        world.tasks.start_soon(other.write)
+        while world.nodes["n1"].groups["g"].endpoints["g-0"].failing_since is None:
+            await asyncio.sleep(0.01)
+        world.store.cut.add("n2")
+        world.cuts |= {frozenset(("n2", "n0")), frozenset(("n2", "n1"))}
+        replica = cluster.databases["g-2"]
+        while not replica.paused_term:
+            await asyncio.sleep(0.01)
+        replica.paused_term = 0
+        assert (await alone.write()).error is None
+        await asyncio.sleep(5.0)
+        assert len(cluster.promotions) == 1
+        log = [request for _, request in cluster.primary.log]
+        assert set(cluster.acknowledged) <= set(log)
+
+    builders_node.play(monkeypatch, story)
+
+
 def test_primary_that_leaves_is_replaced_and_nothing_is_lost(monkeypatch):
     async def story(world):
         client = world.open("n1", "latest")
