--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 SEEDS ?= 5
 
 fault-soak: $(VENV)/installed
-	$(PY) bench/fault_soak.py --seeds $(SEEDS) --seed $(SEED)
+	$(PY) bench/fault_soak.py --failed --seeds $(SEEDS) --seed $(SEED)
 
 # The browser test needs Debian's packages chromium and chromium-driver.
 browser: $(VENV)/installed
--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -37,6 +37,14 @@
 CALM_SECONDS = 8.0
 """Seconds behind them in which everything must serve again."""
 
+FAILED_SEEDS = {
+    101: "two faults restarted one node at once (the soak's own fault)",
+    201: "two faults restarted one node at once (the soak's own fault)",
+    500: "restarted nodes vouched for commits that they had forgotten",
+}
+"""Seeds that were red once, with the cause; ``--failed`` plays them again. A seed fixes
+the faults, not the machine's timing: each cause has a test in virtual time too."""
+
 SHOWN = 5
 """Broken promises of a seed that are printed."""
 
@@ -465,6 +473,9 @@
     """Play the seeds and return 1 if one was broken."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seeds", type=int, default=5, help="how many to play")
+    parser.add_argument(
+        "--failed", action="store_true", help="play the seeds that failed once first"
+    )
     parser.add_argument("--seed", type=int, default=1, help="the first one")
     parser.add_argument(
         "--keep", type=pathlib.Path, help="folder for failed seeds' logs"
@@ -477,7 +488,9 @@
     )
     arguments = parser.parse_args()
     failed = 0
-    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
+    seeds = list(FAILED_SEEDS) if arguments.failed else []
+    seeds += range(arguments.seed, arguments.seed + arguments.seeds)
+    for seed in seeds:
         with tempfile.TemporaryDirectory() as name:
             folder = pathlib.Path(name)
             broken, summary = asyncio.run(play(seed, folder, arguments.lane))
@@ -486,7 +499,7 @@
             if broken and arguments.keep:
                 shutil.copytree(folder, arguments.keep / f"seed-{seed}")
         failed += bool(broken)
-    print(f"{arguments.seeds - failed} passed, {failed} failed")
+    print(f"{len(seeds) - failed} passed, {failed} failed")
     return 1 if failed else 0
 
 
