--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -158,6 +158,14 @@
                 stderr=log,
             )
 
+    def find_leader(self) -> group_in_memory.Database:
+        """Return the primary; between two, the database that has received most."""
+
+        def rate(database: group_in_memory.Database) -> tuple[bool, int, int]:
+            return database.is_primary, database.term, len(database.log)
+
+        return max(self.cluster.databases.values(), key=rate)
+
     async def stop(self) -> None:
         """End the processes that were started here, by their ids."""
         for process in self.processes.values():
@@ -278,7 +286,7 @@
 
     def _find_floor(self, route: str) -> int:
         """Return how much of the log a read on the route must have now."""
-        log = [request for _, request in self.world.cluster.primary.log]
+        log = [request for _, request in self.world.find_leader().log]
         before = time.monotonic() - STALENESS[route]
         acked = set(self.written) if route == "session" else set()
         for client in self.world.clients:
@@ -343,7 +351,7 @@
     late = world.random.choice(replicas)
     late.is_deaf = True
     await asyncio.sleep(0.3)
-    await crash(world, world.cluster.primary)
+    await crash(world, world.find_leader())
     late.is_deaf = False
 
 
