Let tokens beyond a smaller burst lapse

Cause: EvenPart.configure kept all tokens; its cap compared a number with itself. A node that came back in touch kept up to its part of the whole burst while the allocator moved the rest again, and a lowered rate kept the old burst.

--- a/src/sardinehold/node/budget.py
+++ b/src/sardinehold/node/budget.py
@@ -66,11 +66,12 @@
         self.tokens = tokens
 
     def configure(self, now: float, rate: float, burst: float) -> None:
-        """Put another rate in force."""
+        """Put another rate in force; tokens beyond a smaller burst lapse."""
         self.refill(now)
+        if burst < self.burst:
+            self.tokens = min(self.tokens, burst)
         self.rate = rate
         self.burst = burst
-        self.tokens = min(self.tokens, max(burst, self.tokens))
 
     def refill(self, now: float) -> None:
         """Add what the rate gave since the last call."""
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -8,6 +8,7 @@
 from sardinehold import objects
 from sardinehold.core import positions
 from sardinehold.node import admission
+from sardinehold.node import budget
 from sardinehold.node import catalog
 from sardinehold.node import evidence
 from sardinehold.node import failover
@@ -349,3 +350,21 @@
         allowance.note_read()
         taken += allowance.take()
     assert taken <= hedging.SAVED + 1000 * hedging.SHARE
+
+
+def test_part_of_a_rate_that_shrinks_keeps_no_more_than_its_new_burst():
+    # A node out of touch had an even part of the whole rate; back in touch, the rest
+    # of it is the allocator's to give.
+    part = budget.EvenPart(0.0)
+    part.configure(0.0, 10.0, 20.0)
+    part.refill(5.0)
+    assert part.tokens == 20.0
+    part.configure(5.0, 3.0, 6.0)
+    assert sum(part.take(5.0) for _ in range(30)) == 6
+
+
+def test_new_process_keeps_the_tokens_that_it_starts_with():
+    part = budget.EvenPart(0.0)
+    part.start(4.0)
+    part.configure(0.0, 1.0, 2.0)
+    assert sum(part.take(0.0) for _ in range(10)) == 4
