Give a process its first tokens once it knows the members

Cause: a node that read the configuration before the members took itself for the only one and started with the part of all nodes. Ruled out: tokens of the leader before; its grants lapse with the processes. Change: accounts spend nothing until the members are known; all members of a list are taken before anything is divided by their number. Test: test_node_spends_nothing_of_a_rate_before_it_knows_the_members.

--- a/src/sardinehold/node/budget.py
+++ b/src/sardinehold/node/budget.py
@@ -90,9 +90,14 @@
 
 
 class Account:
-    """What one team may spend on this node."""
+    """What one team may spend on this node.
 
-    __slots__ = ("balance", "even", "received", "lapses_at")
+    :param received: number of the last grant.
+    :param lapses_at: when the newest tokens that were moved here lapse.
+    :param is_started: whether it got the tokens that a process begins with.
+    """
+
+    __slots__ = ("balance", "even", "received", "lapses_at", "is_started")
 
     def __init__(self, team: str, now: float) -> None:
         """Start with nothing."""
@@ -100,6 +105,7 @@
         self.even = EvenPart(now)
         self.received = 0
         self.lapses_at = now
+        self.is_started = False
 
 
 class Budget:
@@ -115,7 +121,7 @@
         """Start without accounts."""
         self._settings = loaded
         self.accounts: dict[str, Account] = {}
-        self.members = 1
+        self.members = 0
         self._ask_soon = ask_soon
         self.is_alone = False
         self._catalog: catalog.Catalog | None = None
@@ -128,18 +134,25 @@
                 self.configure(self._catalog, self.members)
 
     def configure(self, found: catalog.Catalog, members: int) -> None:
-        """Put the rates of a configuration in force for a number of nodes."""
+        """Put the rates of a configuration in force for a number of nodes.
+
+        :param members: 0 while it is unknown; nothing may be run on the rates then.
+        """
         now = clock.read()
         self._catalog = found
-        self.members = max(1, members)
+        self.members = members
         for name in self.accounts.keys() - found.teams.keys():
             del self.accounts[name]
         for team in found.teams.values():
             account = self.accounts.get(team.name)
             if account is None:
                 account = self.accounts[team.name] = Account(team.name, now)
+            if not members:
+                continue
+            if not account.is_started:
+                account.is_started = True
                 account.even.start(self._find_start(team))
-            part = (1.0 if self.is_alone else EVEN_PART) / self.members
+            part = (1.0 if self.is_alone else EVEN_PART) / members
             account.even.configure(now, team.rate * part, max(1.0, team.burst * part))
 
     def _find_start(self, team: catalog.Team) -> float:
@@ -183,7 +196,8 @@
         team = self._catalog.teams.get(account.balance.owner)
         if team is None or team.rate <= 0:
             return 1.0
-        return min(1.0, (1 + len(account.balance.waiting)) * self.members / team.rate)
+        members = max(1, self.members)
+        return min(1.0, (1 + len(account.balance.waiting)) * members / team.rate)
 
     def collect_usages(self, now: float) -> list[quota.Usage]:
         """Return what the allocator is told and asked for."""
--- a/src/sardinehold/node/following.py
+++ b/src/sardinehold/node/following.py
@@ -28,7 +28,6 @@
 FOLLOW_INTERVAL = 0.05
 """Seconds between looks at whether the leader is still heard."""
 
-
 LIST_INTERVAL = 0.4
 """Seconds between lists that date the leases; three of them fit into a lease."""
 
@@ -181,11 +180,14 @@
                 group.pump()
 
     def _change_fleet(self, changes: objects.Changes, asked: float) -> None:
+        # All members before anything is divided by their number.
+        for stored in changes.objects:
+            if stored.name.startswith(MEMBER_PREFIX):
+                self._take_member(stored)
+        self.update_shares()
         for stored in changes.objects:
             if stored.name == SECRET_NAME and stored.value:
                 self.node.peers.key = bytes.fromhex(stored.value["key"])
-            elif stored.name.startswith(MEMBER_PREFIX):
-                self._take_member(stored)
             elif stored.name.startswith(GROUP_PREFIX) and stored.value:
                 self._take_state(stored)
 
@@ -229,7 +231,6 @@
             self.node.members.pop(name, None)
         else:
             self.node.members[name] = stored.value
-        self.update_shares()
 
     def _take_state(self, stored: objects.StoredObject) -> None:
         name = stored.name.removeprefix(GROUP_PREFIX)
@@ -254,12 +255,12 @@
             self.node.exchange.report_now()
 
     def update_shares(self) -> None:
-        """Divide connections and rates by the members."""
-        count = max(1, len(self.node.members))
+        """Divide connections and rates by the members, once these are known."""
+        count = len(self.node.members)
         zone = self.node.settings.zone
         neighbours = [m for m in self.node.members.values() if m.get("zone") == zone]
         for group in self.node.groups.values():
-            group.divide(count, max(1, len(neighbours)))
+            group.divide(max(1, count), max(1, len(neighbours)))
         if self.node.catalog is not None:
             self.node.budget.configure(self.node.catalog, count)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -530,6 +530,42 @@
     builders_node.play(monkeypatch, story, rate=20.0, burst=20.0)
 
 
+def test_team_gets_no_more_than_its_rate_when_all_nodes_are_restarted(monkeypatch):
+    async def story(world):
+        served = []
+
+        async def press(name):
+            node = world.nodes[name]
+            client = world.open(name, "bounded")
+            while world.nodes.get(name) is node:
+                if (await client.read()).error is None:
+                    served.append(clock.read())
+                else:
+                    await asyncio.sleep(0.02)
+
+        def press_all():
+            for name in world.nodes:
+                for _ in range(4):
+                    world.tasks.start_soon(press, name)
+
+        press_all()
+        await asyncio.sleep(6.0)
+        names = list(world.nodes)
+        for name in names:
+            world.kill_node(name)
+        for name in names:
+            world.start_node(name, "north")
+        while not all(node.is_ready() for node in world.nodes.values()):
+            await asyncio.sleep(0.01)
+        press_all()
+        await asyncio.sleep(8.0)
+        for start in served:
+            count = sum(start <= at < start + 5 for at in served)
+            assert count <= (20 * 5 + 20) * 1.1 + 20
+
+    builders_node.play(monkeypatch, story, count=9, rate=20.0, burst=20.0)
+
+
 def test_node_gives_free_connections_back_when_others_find_none(monkeypatch):
     async def story(world):
         world.connection_limit = 4
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+import builders_node
 from sardinehold import objects
 from sardinehold.core import positions
 from sardinehold.node import admission
@@ -18,6 +19,7 @@
 from sardinehold.node import pool
 from sardinehold.node import ports
 from sardinehold.node import reports
+from sardinehold.node import settings
 from sardinehold.node import statements
 
 P = positions.Position
@@ -368,3 +370,25 @@
     part.start(4.0)
     part.configure(0.0, 1.0, 2.0)
     assert sum(part.take(0.0) for _ in range(10)) == 4
+
+
+def make_budget(members: int) -> budget.Budget:
+    loaded = settings.Settings(
+        "n0", "z", {}, ("", 1), ("", 1), ("", 1), 0, ("", 1), ("", 1)
+    )
+    found = budget.Budget(loaded, lambda: None)
+    found.configure(builders_node.make_catalog(rate=20.0, burst=20.0), members)
+    return found
+
+
+def count_tokens(found: budget.Budget) -> float:
+    return found.accounts["red"].even.tokens
+
+
+def test_node_spends_nothing_of_a_rate_before_it_knows_the_members():
+    # Fault: a node that read the configuration before the members took itself for
+    # the only one, and started with the part of all nodes.
+    found = make_budget(0)
+    assert count_tokens(found) == 0
+    found.configure(builders_node.make_catalog(rate=20.0, burst=20.0), 9)
+    assert count_tokens(found) == count_tokens(make_budget(9)) > 0
