Say why an endpoint was lost, what was left out and which lines nobody read

Found on reading the whole change: errors ended at logbook's debug level, which the handler does not write, or nowhere. Now endpoint_lost has the reason, entries that name no endpoint are told once a version (endpoint_refused), objects that cannot be read are counted with a reason (objects_unread), and so are malformed lines (line_refused) and datagrams (message_unsent). Lines that a reader of standard output did not take are counted in lines_dropped; they were counted and never told. Removed: StoreClient.get and delete, and the port's delete; nothing called them. The clients' close is called at the end of the process.

--- a/src/sardinehold/node/following.py
+++ b/src/sardinehold/node/following.py
@@ -43,6 +43,7 @@
         self.node = node
         self.stored_catalog: object = None
         self._store_state: dict[str, bool] = {}
+        self._refused: dict[str, int] = {}
         sources = node.sources
         self.configuration = self._watch(
             sources.configuration_kind, self._change_config, self._change_config
@@ -66,6 +67,7 @@
             take_changes,
             self._find_wait,
             self._note_store,
+            self._note_unread,
         )
 
     def _find_wait(self) -> float:
@@ -75,6 +77,11 @@
             else watching.SHORT_WAIT
         )
 
+    def _note_unread(self, kind: str, reasons: list[str]) -> None:
+        self.node.journal.note(
+            "objects_unread", kind=kind, count=len(reasons), reason=reasons[0]
+        )
+
     def _note_store(self, kind: str, is_up: bool, reason: str) -> None:
         if self._store_state.get(kind) is is_up:
             return
@@ -131,13 +138,16 @@
         now = clock.read()
         for stored in changes.objects:
             if stored.value is None:
+                self._refused.pop(stored.name, None)
                 for group in self.node.groups.values():
                     if stored.name in group.endpoints:
                         self.note_endpoint("endpoint_missing", stored.name, group.name)
                     group.drop_record(stored.name, now)
                 continue
-            record = self.node.sources.parse_endpoint(stored.name, stored.value)
-            if record is None:
+            try:
+                record = self.node.sources.parse_endpoint(stored.name, stored.value)
+            except errors.DocumentError as error:
+                self._note_refused(stored, str(error))
                 continue
             group = self.node.find_group(record.group)
             known = group.endpoints.get(record.name)
@@ -153,6 +163,14 @@
             group.take_record(record, now)
         self.update_shares()
 
+    def _note_refused(self, stored: objects.StoredObject, reason: str) -> None:
+        """Write a line about an entry that names no endpoint, once a version."""
+        if self._refused.get(stored.name) != stored.version:
+            self._refused[stored.name] = stored.version
+            self.node.journal.note(
+                "endpoint_refused", endpoint=stored.name, reason=reason
+            )
+
     def note_endpoint(
         self, event: str, name: str, group: str, **fields: object
     ) -> None:
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -4,8 +4,6 @@
 import random
 import typing
 
-import logbook
-
 from sardinehold.core import positions
 from sardinehold.node import admission
 from sardinehold.node import catalog
@@ -49,8 +47,6 @@
 """Seconds that ending an abandoned transaction may take before its connection is
 closed instead."""
 
-log = logbook.Logger("groups")
-
 
 class Refused(Exception):
     """A statement got no connection; nothing of it ran.
@@ -390,8 +386,7 @@
             endpoint.note_answer(now)
             endpoint.note_full(now, pool.FULL_PAUSE * (0.5 + random.random()))
         else:
-            endpoint.note_failure(now, random.random())
-        log.debug("{}: opening failed: {}", endpoint.name, error)
+            endpoint.note_failure(now, random.random(), str(error))
         asyncio.get_running_loop().call_later(
             max(0.0, endpoint.retry_at - now), self.pump
         )
@@ -427,9 +422,8 @@
         except ports.ConnectionLost as error:
             failed = str(error)
         if failed:
-            endpoint.note_failure(now, random.random())
+            endpoint.note_failure(now, random.random(), failed)
             self._close_idle(endpoint)
-            log.debug("{}: probe failed: {}", endpoint.name, failed)
         else:
             endpoint.probe_answered_at = clock.read()
             endpoint.note_answer(clock.read())
--- a/src/sardinehold/node/journal.py
+++ b/src/sardinehold/node/journal.py
@@ -50,12 +50,14 @@
     """Writes a process's decisions.
 
     :param vm: name of this VM, on each line.
+    :param handler: what writes the lines, None if it drops none.
     """
 
     def __init__(self, vm: str, registry: metrics.Registry) -> None:
         """Start with nothing written."""
         self.vm = vm
         self.registry = registry
+        self.handler: Handler | None = None
         self.dropped = 0
         self._second = 0
         self._written = 0
@@ -90,9 +92,10 @@
         log.info("{}", line)
 
     def _tell_dropped(self, now: float) -> None:
-        lost = self.dropped - self._dropped_before
+        unwritten = self.handler.dropped if self.handler is not None else 0
+        lost = self.dropped + unwritten - self._dropped_before
         if lost:
-            self._dropped_before = self.dropped
+            self._dropped_before += lost
             log.info("{}", self._format("lines_dropped", now, {"count": lost}))
 
     def _format(self, event: str, now: float, fields: dict[str, typing.Any]) -> str:
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -3,7 +3,6 @@
 import typing
 
 import anyio
-import logbook
 
 from sardinehold import errors
 from sardinehold.core import positions
@@ -46,8 +45,6 @@
 FAILURE_DELAY = 0.5
 """Seconds before a change of primary that failed starts anew."""
 
-log = logbook.Logger("leader")
-
 
 class Heard:
     """The last report of a node."""
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -70,8 +70,8 @@
     def parse_catalog(self, value: object) -> catalog.Catalog:
         """Return a configuration; raises DocumentError."""
 
-    def parse_endpoint(self, name: str, value: object) -> catalog.EndpointRecord | None:
-        """Return an endpoint's record, None if the entry is not one."""
+    def parse_endpoint(self, name: str, value: object) -> catalog.EndpointRecord:
+        """Return an endpoint's record; raises DocumentError if the entry is none."""
 
 
 class Node:
@@ -118,7 +118,7 @@
         self.following = following.Following(self)
         self.keeping = keeping.Keeping(self)
         self.exchange = exchange.Exchange(self)
-        self.peers = peers.Peers(self.exchange.hear)
+        self.peers = peers.Peers(self.exchange.hear, self.journal.note)
 
     def spawn(self, function: typing.Callable, *arguments: object) -> None:
         """Run a task of the node; its failure ends no other."""
@@ -245,7 +245,7 @@
     async def spend(self, team: str, deadline: float) -> None:
         """Spend one operation of a team's rate.
 
-        :raises sardinehold.node.session.Failed: the team has used it.
+        :raises sardinehold.node.outcomes.Failed: the team has used it.
         """
         try:
             await self.budget.spend(team, deadline)
@@ -264,6 +264,10 @@
             catalog=self.find_version(),
         )
 
+    def note_refused_line(self, failure: statements.Failure, request: str = "") -> None:
+        """Write a line about something that a caller sent and that cannot be run."""
+        self.journal.note("line_refused", request=request, outcome=failure.value)
+
     def note_rest(self, caller: Caller) -> None:
         """Close a session that has come to rest while the node stops."""
         if self.is_stopping and self._closes_sessions and caller.is_resting():
@@ -329,7 +333,7 @@
                 self._tend_group(group, now)
             failing = self.collect_failing(now).keys()
             if failing != self._failing:
-                self._note_failing(failing - self._failing, self._failing - failing)
+                self._note_failing(failing)
                 self._failing = set(failing)
                 self.exchange.report_now()
 
@@ -342,10 +346,13 @@
             if (since := endpoint.find_failing_since(now)) is not None
         }
 
-    def _note_failing(self, lost: set[str], regained: set[str]) -> None:
-        for name in sorted(lost):
-            self.journal.note("endpoint_lost", endpoint=name)
-        for name in sorted(regained):
+    def _note_failing(self, failing: typing.Collection[str]) -> None:
+        """Write a line about each endpoint that was lost or regained."""
+        for group in self.groups.values():
+            for name in sorted(group.endpoints.keys() & failing - self._failing):
+                reason = group.endpoints[name].explain_failing()
+                self.journal.note("endpoint_lost", endpoint=name, reason=reason)
+        for name in sorted(self._failing - failing):
             self.journal.note("endpoint_regained", endpoint=name)
 
     def _tend_group(self, group: groups.Group, now: float) -> None:
--- a/src/sardinehold/node/peers.py
+++ b/src/sardinehold/node/peers.py
@@ -12,8 +12,6 @@
 import json
 import typing
 
-import logbook
-
 DIGEST_BYTES = 16
 """Bytes of the digest in front of a datagram."""
 
@@ -22,20 +20,20 @@
 
 Receive = typing.Callable[[dict, tuple[str, int]], None]
 
-log = logbook.Logger("peers")
-
 
 class Peers(asyncio.DatagramProtocol):
     """Sends and receives the fleet's datagrams.
 
     :param receive: takes each message and its sender's address.
+    :param note: writes a line; see :class:`sardinehold.node.journal.Journal`.
     """
 
-    def __init__(self, receive: Receive) -> None:
+    def __init__(self, receive: Receive, note: typing.Callable[..., None]) -> None:
         """Start without a key; nothing is heard before there is one."""
         self.key = b""
         self.rejected = 0
         self._receive = receive
+        self._note = note
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -57,7 +55,7 @@
 
     def error_received(self, error: Exception) -> None:
         """Note that a datagram could not be delivered; the next one may be."""
-        log.debug("datagram not delivered: {!r}", error)
+        self._note("message_unsent", reason=repr(error))
 
     def send(self, message: dict, address: tuple[str, int]) -> None:
         """Send a message; it may be lost."""
@@ -65,7 +63,7 @@
             return
         body = json.dumps(message, separators=(",", ":")).encode()
         if len(body) > MAX_DATAGRAM:
-            log.warning("a message of {} bytes is too large to be sent", len(body))
+            self._note("message_unsent", reason=f"{len(body)} bytes are too many")
             return
         self._transport.sendto(self._sign(body) + body, address)
 
--- a/src/sardinehold/node/pool.py
+++ b/src/sardinehold/node/pool.py
@@ -100,6 +100,7 @@
     :param failures: attempts to connect in a row that failed.
     :param retry_at: before when no connection is opened.
     :param failing_since: when it was first found unreachable, None if it is not.
+    :param failure: why the last attempt to reach it failed.
     :param answered_at: when it last answered anything.
     :param leaving_since: when it was first seen draining, or None.
     :param gone_since: when its entry was first missed, or None.
@@ -127,6 +128,7 @@
         "failures",
         "retry_at",
         "failing_since",
+        "failure",
         "answered_at",
         "leaving_since",
         "gone_since",
@@ -159,6 +161,7 @@
         self.failures = 0
         self.retry_at = 0.0
         self.failing_since: float | None = None
+        self.failure = ""
         self.answered_at = float("-inf")
         self.leaving_since: float | None = None
         self.gone_since: float | None = None
@@ -209,6 +212,12 @@
             return None
         return oldest
 
+    def explain_failing(self) -> str:
+        """Return why it counts as out of reach."""
+        if self.failing_since is None:
+            return "it answers questions, but its commits do not return"
+        return self.failure
+
     def takes_new_work(self) -> bool:
         """Return whether it is neither leaving nor gone."""
         return self.leaving_since is None and self.gone_since is None
@@ -273,8 +282,9 @@
             self.connections.discard(pooled)
         return found
 
-    def note_failure(self, now: float, jitter: float) -> None:
+    def note_failure(self, now: float, jitter: float, reason: str) -> None:
         """Wait longer after each failed attempt."""
+        self.failure = reason
         wait = min(RETRY_LIMIT, RETRY_FIRST * 2 ** min(self.failures, 10))
         self.failures += 1
         self.retry_at = now + wait * (0.5 + jitter)
--- a/src/sardinehold/node/ports.py
+++ b/src/sardinehold/node/ports.py
@@ -16,11 +16,15 @@
 
     :param was_sent: whether bytes of the statement may have left.
     :param is_timeout: whether the deadline passed, and not the connection broke.
+    :param reason: what broke it, for the log.
     """
 
-    def __init__(self, was_sent: bool, is_timeout: bool = False) -> None:
+    def __init__(
+        self, was_sent: bool, is_timeout: bool = False, reason: str = ""
+    ) -> None:
         """Keep what is known of the statement."""
-        super().__init__(f"was_sent={was_sent} is_timeout={is_timeout}")
+        kind = "no answer in time" if is_timeout else "the connection broke"
+        super().__init__(reason or kind)
         self.was_sent = was_sent
         self.is_timeout = is_timeout
 
@@ -143,17 +147,12 @@
     ) -> objects.StoredObject:
         """Replace an object of that version."""
 
-    async def delete(self, kind: str, name: str, version: int) -> None:
-        """Delete an object of that version."""
-
 
 class Duty(typing.Protocol):
     """Orders changes of primary."""
 
-    async def promote(
-        self, group: str, endpoint: str, holder: str, token: int
-    ) -> statements.Failure | None:
-        """Make an endpoint primary; returns None once it was ordered.
+    async def promote(self, group: str, endpoint: str, holder: str, token: int) -> None:
+        """Order an endpoint to become primary.
 
         :param token: fencing token, used for this order only.
         :raises sardinehold.errors.PlatformError: no answer came, or a refusal.
--- a/src/sardinehold/node/watching.py
+++ b/src/sardinehold/node/watching.py
@@ -4,7 +4,6 @@
 import typing
 
 import anyio
-import logbook
 
 from sardinehold import errors
 from sardinehold import objects
@@ -25,8 +24,6 @@
 """Seconds between attempts after the first and after many failures; well below the
 bound for configurations."""
 
-log = logbook.Logger("watching")
-
 
 class Watcher:
     """Lists a kind once and follows its changes.
@@ -35,6 +32,7 @@
     :param take_changes: takes changes, and when they were asked for.
     :param find_wait: returns the seconds that the next watch waits.
     :param on_state: told when the store answers again or stops to.
+    :param on_unread: told why objects were left out.
     """
 
     def __init__(
@@ -45,6 +43,7 @@
         take_changes: typing.Callable[[objects.Changes, float], None],
         find_wait: typing.Callable[[], float],
         on_state: typing.Callable[[str, bool, str], None],
+        on_unread: typing.Callable[[str, list[str]], None],
     ) -> None:
         """Start with nothing read."""
         self.kind = kind
@@ -55,6 +54,7 @@
         self._take_changes = take_changes
         self._find_wait = find_wait
         self._on_state = on_state
+        self._on_unread = on_unread
         self._failures = 0
         self._scope: anyio.CancelScope | None = None
         self._relist = False
@@ -102,6 +102,8 @@
             self._on_state(self.kind, False, str(error) or "no answer in time")
             await self._pause()
             return
+        if changes.unread:
+            self._on_unread(self.kind, changes.unread)
         self.revision = changes.revision
         self.answered_at = clock.read()
         self._failures = 0
--- a/src/sardinehold/objects.py
+++ b/src/sardinehold/objects.py
@@ -24,14 +24,21 @@
     """What a list or a watch returned.
 
     :param revision: the platform's revision as of which this holds.
+    :param unread: for each object that could not be read and is left out, why.
     """
 
-    __slots__ = ("objects", "revision")
+    __slots__ = ("objects", "revision", "unread")
 
-    def __init__(self, objects: list[StoredObject], revision: int) -> None:
+    def __init__(
+        self,
+        objects: list[StoredObject],
+        revision: int,
+        unread: typing.Sequence[str] = (),
+    ) -> None:
         """Keep the objects and the revision."""
         self.objects = objects
         self.revision = revision
+        self.unread = list(unread)
 
 
 class ObjectClient(typing.Protocol):
--- a/src/sardinehold/platform/callers.py
+++ b/src/sardinehold/platform/callers.py
@@ -242,6 +242,7 @@
         try:
             statement = parse_statement(request_id, text)
         except lines.MalformedLine:
+            self._node.note_refused_line(statements.Failure.MALFORMED, request_id)
             answer = statements.Answer(
                 [], error=statements.Failure.MALFORMED, status=self.session.status
             )
@@ -267,6 +268,7 @@
 
     def _refuse(self, failure: statements.Failure, detail: str = "") -> None:
         """Tell why and close: what follows on the connection cannot be trusted."""
+        self._node.note_refused_line(failure)
         code = _CODES[failure]
         self._write(lines.format_line("ERROR", code, detail or failure.value))
         self._end()
--- a/src/sardinehold/platform/daemon.py
+++ b/src/sardinehold/platform/daemon.py
@@ -50,11 +50,13 @@
         return error.exit_code
     handler = journal.Handler()
     with logbook.NullHandler().applicationbound(), handler.applicationbound():
-        anyio.run(serve, loaded, path)
+        anyio.run(serve, loaded, path, handler)
     return 0
 
 
-async def serve(loaded: settings.Settings, path: pathlib.Path) -> None:
+async def serve(
+    loaded: settings.Settings, path: pathlib.Path, handler: journal.Handler
+) -> None:
     """Serve until told to stop."""
     registry = metrics.Registry()
     store_client = store.StoreClient(loaded.store, registry=registry)
@@ -69,6 +71,7 @@
             tasks,
             registry,
         )
+        node.journal.handler = handler
         node.journal.note(
             "started",
             zone=loaded.zone,
@@ -85,6 +88,8 @@
             await _stop(node, clock.read() + loaded.grace * FINISH_SHARE)
         node.journal.note("stopped", sessions=len(node.callers))
         tasks.cancel_scope.cancel()
+    await store_client.close()
+    await duty_client.close()
 
 
 async def _listen(
--- a/src/sardinehold/platform/records.py
+++ b/src/sardinehold/platform/records.py
@@ -5,8 +5,6 @@
 
 import typing
 
-import logbook
-
 from sardinehold import errors
 from sardinehold.node import catalog
 
@@ -14,8 +12,6 @@
 CONFIGURATION_NAME = "main"
 ENDPOINT_KIND = "servers"
 
-log = logbook.Logger("records")
-
 _CONSISTENCIES = {
     "primary": catalog.Consistency.LATEST,
     "bounded": catalog.Consistency.BOUNDED,
@@ -92,17 +88,19 @@
     )
 
 
-def parse_endpoint(name: str, value: typing.Any) -> catalog.EndpointRecord | None:
-    """Return what an endpoint says of itself, None if the entry is not one.
+def parse_endpoint(name: str, value: typing.Any) -> catalog.EndpointRecord:
+    """Return what an endpoint says of itself.
 
-    Entries may come from other writers: one with a missing or odd field names
-    no endpoint to use.
+    :raises sardinehold.errors.DocumentError: the entry is none of an endpoint; it
+        may come from another writer, and names nothing to use.
     """
     try:
         return _parse_endpoint(name, value)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
-        log.debug("entry {} names no endpoint: {!r}", name, error)
-        return None
+        raise errors.DocumentError(
+            f"Entry {name} names no endpoint: {error!r}.",
+            "Look at who writes it; it is left out until it changes.",
+        ) from error
 
 
 def _parse_endpoint(name: str, value: dict) -> catalog.EndpointRecord:
--- a/src/sardinehold/platform/store.py
+++ b/src/sardinehold/platform/store.py
@@ -58,11 +58,6 @@
         """Close all connections."""
         await self._http.aclose()
 
-    async def get(self, kind: str, name: str) -> objects.StoredObject:
-        """Read one object; raises ObjectMissing."""
-        answer = await self._call("GET", f"/api/objects/{kind}/{name}")
-        return _parse_object(kind, answer)
-
     async def list(self, kind: str) -> objects.Changes:
         """Read all objects of a kind, page by page.
 
@@ -70,15 +65,16 @@
         repeats rather than misses what changed meanwhile.
         """
         found: list[objects.StoredObject] = []
+        unread: list[str] = []
         revision = 0
         params: dict[str, typing.Any] = {}
         while True:
             answer = await self._call("GET", f"/api/objects/{kind}", params=params)
             items = answer.get("items") or []
-            found.extend(_parse_items(kind, items))
+            found.extend(_parse_items(kind, items, unread))
             revision = revision or int(answer["StoreRevision"])
             if not answer.get("HasMore") or not items:
-                return objects.Changes(found, revision)
+                return objects.Changes(found, revision, unread)
             params = {"after": items[-1]["meta"]["Name"]}
 
     async def watch(self, kind: str, revision: int, wait: float) -> objects.Changes:
@@ -94,13 +90,14 @@
             timeout=wait + CALL_TIMEOUT,
         )
         found = []
+        unread: list[str] = []
         for event in answer.get("events") or []:
-            stored = _parse_items(kind, [event.get("Object")])
+            stored = _parse_items(kind, [event.get("Object")], unread)
             if event.get("IsGone"):
                 for item in stored:
                     item.value = None
             found.extend(stored)
-        return objects.Changes(found, int(answer["StoreRevision"]))
+        return objects.Changes(found, int(answer["StoreRevision"]), unread)
 
     async def create(self, kind: str, name: str, value: dict) -> objects.StoredObject:
         """Create an object; raises VersionConflict if it exists."""
@@ -116,11 +113,6 @@
         answer = await self._call("PUT", f"/api/objects/{kind}/{name}", json=body)
         return _parse_object(kind, answer)
 
-    async def delete(self, kind: str, name: str, version: int) -> None:
-        """Delete an object of that version; raises VersionConflict."""
-        path = f"/api/objects/{kind}/{name}"
-        await self._call("DELETE", path, params={"Revision": version})
-
     async def _call(
         self,
         method: str,
@@ -181,12 +173,14 @@
     )
 
 
-def _parse_items(kind: str, items: list) -> list[objects.StoredObject]:
-    """Return the objects of a list; what cannot be read is left out."""
+def _parse_items(
+    kind: str, items: list, unread: list[str]
+) -> list[objects.StoredObject]:
+    """Return the objects of a list; why others cannot be read goes to ``unread``."""
     found = []
     for item in items:
         try:
             found.append(_parse_object(kind, item))
-        except (KeyError, TypeError, ValueError):
-            continue
+        except (KeyError, TypeError, ValueError) as error:
+            unread.append(repr(error))
     return found
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -506,6 +506,47 @@
     builders_node.play(monkeypatch, story)
 
 
+def record_notes(node):
+    notes = []
+    write = node.journal.note
+
+    def note(event, **fields):
+        notes.append((event, fields))
+        write(event, **fields)
+
+    node.journal.note = note
+    return notes
+
+
+def test_lost_endpoint_is_told_with_the_reason(monkeypatch):
+    async def story(world):
+        notes = record_notes(world.nodes["n1"])
+        client = world.open("n1", "latest")
+        world.clusters["g"].primary.crash()
+        await client.write()
+        lost = [fields for event, fields in notes if event == "endpoint_lost"]
+        assert [fields["endpoint"] for fields in lost] == ["g-0"]
+        assert lost[0]["reason"] == "connection refused"
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_entry_that_names_no_endpoint_is_told_once_a_version(monkeypatch):
+    async def story(world):
+        notes = record_notes(world.nodes["n1"])
+        for _ in range(2):
+            world.store.put(builders_node.ENDPOINT_KIND, "foreign", "not a record")
+            await asyncio.sleep(0.5)
+            world.store.cut_watches()
+            await asyncio.sleep(2.0)
+        told = [fields for event, fields in notes if event == "endpoint_refused"]
+        assert [fields["endpoint"] for fields in told] == ["foreign", "foreign"]
+        assert "not a record" in told[0]["reason"]
+        assert (await world.open("n1", "latest").write()).error is None
+
+    builders_node.play(monkeypatch, story)
+
+
 def test_team_gets_its_rate_over_all_nodes_and_no_more(monkeypatch):
     async def story(world):
         served = []
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -129,3 +129,27 @@
     assert handler.dropped > 0
     os.close(read)
     os.close(write)
+
+
+def test_lines_that_nobody_read_are_told_when_somebody_reads_again(monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr(journal.time, "time", lambda: now[0])
+    read, write = os.pipe()
+    handler = journal.Handler(write)
+    made = journal.Journal("n1", metrics.Registry())
+    made.handler = handler
+    with handler.applicationbound():
+        while not handler.dropped:
+            now[0] += 1.0
+            for _ in range(50):
+                made.note("failed", reason="x" * 200)
+        while len(os.read(read, 65536)) == 65536:
+            pass
+        lost = handler.dropped
+        now[0] += 1.0
+        made.note("failed", reason="again")
+    lines = [json.loads(line) for line in os.read(read, 65536).splitlines()]
+    os.close(read)
+    os.close(write)
+    assert lost > 0
+    assert {"lines_dropped": lost} in [{x["event"]: x.get("count")} for x in lines]
