Put the choice of a new primary apart; ask endpoints in one place

Found on reading the whole change: the decisions of a change of primary stood in one file with the steps that carry them out; opening a connection, asking and closing it was written four times, and three of them said nothing of why it failed. promotion.py decides, failover.py carries out; failover.ask is the one copy. failover_frozen says which logs were not read and why, failover_not_ aligned which endpoints could not be told. No decision changed.

--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -10,7 +10,6 @@
 import typing
 
 import anyio
-import logbook
 
 from sardinehold import errors
 from sardinehold.core import positions
@@ -18,6 +17,7 @@
 from sardinehold.node import clock
 from sardinehold.node import evidence
 from sardinehold.node import ports
+from sardinehold.node import promotion
 
 ASK_TIMEOUT = 0.6
 """Seconds that an endpoint may take to answer a question about its log; several
@@ -47,107 +47,16 @@
 
 RECHECK_AFTER = 0.3
 """Seconds since the first log was stopped from which the logs are looked at again
-before the order: no endpoint restarts faster."""
+before the order: a replica that restarts within them, forgets its pause and receives
+a commit would not be noticed."""
 
 SETTLE = 0.3
 """Seconds between a planned seal and the freeze, in which running statements end."""
 
-SUSPECT_NODES = 2
-"""Nodes that must find a primary unreachable, where there are as many."""
-
-SUSPECT_SHARE = 0.25
-"""Share of the nodes heard that must find a primary unreachable: fewer lose less by
-the cut than all lose by a change of primary."""
-
 UNDO_AFTER = 1.5
 """Seconds after which an old primary that stepped down may lead again, if too few
 replicas can be read to replace it."""
 
-log = logbook.Logger("failover")
-
-
-class Plan:
-    """What a freeze found.
-
-    :param leader: an endpoint that leads a later term already, or ``""``.
-    :param target: the endpoint to promote, ``""`` while too few logs were read.
-    """
-
-    __slots__ = ("leader", "target")
-
-    def __init__(self, leader: str = "", target: str = "") -> None:
-        """Keep what was found."""
-        self.leader = leader
-        self.target = target
-
-
-def count_needed(replicas: int, sync_replicas: int) -> int:
-    """Return how many frozen replicas hold every acknowledged commit among them.
-
-    A commit is in the logs of ``sync_replicas`` replicas at least: it can be missed
-    only while as many have not been read.
-
-    :param replicas: endpoints beside the primary that is replaced, whether or not
-        that is still there.
-    """
-    return max(1, replicas - sync_replicas + 1)
-
-
-def choose_target(
-    statuses: dict[str, ports.LogStatus],
-    state: catalog.GroupState,
-    replica_count: int,
-    sync_replicas: int,
-    leaving: frozenset[str] = frozenset(),
-    avoided: frozenset[str] = frozenset(),
-    may_undo: bool = False,
-    acknowledged: positions.Position | None = None,
-    may_lose: bool = False,
-) -> Plan:
-    """Return whom to promote, from the frozen logs that were read.
-
-    :param statuses: of endpoints that cannot acknowledge a commit any more, or
-        that lead a later term.
-    :param state: of the group, with the primary that is replaced.
-    :param replica_count: endpoints beside that primary, with those that left of
-        late: one of them may have had the only copy of a commit.
-    :param leaving: endpoints about to leave, taken only if no other will do.
-    :param avoided: endpoints that failed to take over, likewise.
-    :param may_undo: whether the old primary may lead again for want of others.
-    :param acknowledged: newest commit that any caller was told of, None if that
-        is not known of all.
-    :param may_lose: whether to go on although the logs that could prove it are
-        lost for good.
-    """
-    for name, status in statuses.items():
-        if status.is_primary and status.term > state.term:
-            return Plan(leader=name)
-    old = statuses.get(state.primary)
-    replicas = {name: item for name, item in statuses.items() if item is not old}
-
-    def rate(name: str) -> tuple[positions.Position, bool, bool]:
-        return replicas[name].received, name not in leaving, name not in avoided
-
-    best = max(sorted(replicas), key=rate, default="")
-    if best and len(replicas) >= count_needed(replica_count, sync_replicas):
-        return Plan(target=best)
-    if best and acknowledged is not None and replicas[best].received >= acknowledged:
-        return Plan(target=best)
-    if old is None:
-        return Plan(target=best if may_lose else "")
-    if best and replicas[best].received >= old.received:
-        return Plan(target=best)
-    return Plan(target=state.primary if may_undo else "")
-
-
-def is_suspect(failing: int, heard: int) -> bool:
-    """Return whether enough nodes find a primary unreachable.
-
-    :param failing: nodes that do.
-    :param heard: nodes that reported of late.
-    """
-    return failing >= max(min(SUSPECT_NODES, heard), SUSPECT_SHARE * heard, 1)
-
 
 class Fleet(typing.Protocol):
     """What the procedure needs of the leader's node."""
@@ -189,6 +98,38 @@
         """Write a line about a step."""
 
 
+Question = typing.Callable[[ports.Connection, float], typing.Awaitable[typing.Any]]
+"""Asks an endpoint something over a connection, until a deadline."""
+
+
+async def ask(
+    fleet: Fleet, record: catalog.EndpointRecord, question: Question
+) -> tuple[str, typing.Any]:
+    """Return why an endpoint could not be asked, or ``""`` and its answer."""
+    deadline = clock.read() + ASK_TIMEOUT
+    try:
+        with anyio.fail_after(ASK_TIMEOUT):
+            connection = await fleet.open_control(record)
+            try:
+                return "", await question(connection, deadline)
+            finally:
+                connection.close()
+    except TimeoutError:
+        return "no answer in time", None
+    except (ports.ConnectionLost, ports.OpeningFailed) as error:
+        return str(error), None
+
+
+async def read_status(
+    fleet: Fleet, record: catalog.EndpointRecord
+) -> ports.LogStatus | None:
+    """Return the state of an endpoint's log, None if it gives none in time."""
+    _, status = await ask(
+        fleet, record, lambda connection, deadline: connection.read_status(deadline)
+    )
+    return status
+
+
 class Procedure:
     """The change of primary of one group.
 
@@ -205,6 +146,7 @@
         self.planned = planned
         self._frozen_at = 0.0
         self._frozen: dict[str, ports.LogStatus] = {}
+        self._unread: dict[str, str] = {}
         self._stopped_at = float("inf")
         self._kept_since = clock.read()
         self._first_frozen_at = clock.read()
@@ -256,13 +198,14 @@
 
     # Freezing
 
-    async def _freeze(self, state: catalog.GroupState) -> Plan:
+    async def _freeze(self, state: catalog.GroupState) -> promotion.Plan:
         """Stop all logs that can be reached and return what they allow."""
         records = self.fleet.list_records(self.group)
         statuses = self._keep_frozen(records)
         replica_count = sum(record.name != state.primary for record in records)
         replica_count += self.fleet.count_gone(self.group, state.primary)
-        enough = count_needed(replica_count, self.sync_replicas)
+        enough = promotion.count_needed(replica_count, self.sync_replicas)
+        self._unread = {}
         async with anyio.create_task_group() as tasks:
             for record in records:
                 if record.name not in statuses:
@@ -279,7 +222,7 @@
         )
         old = state.primary
         leaving = frozenset(item.name for item in records if item.is_draining)
-        plan = choose_target(
+        plan = promotion.choose_target(
             statuses,
             state,
             replica_count,
@@ -294,6 +237,7 @@
             "frozen",
             group=self.group,
             logs={name: list(item.received) for name, item in statuses.items()},
+            unread=self._unread,
             replicas=replica_count,
             target=plan.target,
             leader=plan.leader,
@@ -323,17 +267,13 @@
         tasks: anyio.abc.TaskGroup,
         enough: int,
     ) -> None:
-        deadline = clock.read() + ASK_TIMEOUT
-        try:
-            with anyio.fail_after(ASK_TIMEOUT):
-                connection = await self.fleet.open_control(record)
-                try:
-                    status = await self._stop_log(connection, state, deadline)
-                finally:
-                    connection.close()
-        except (ports.ConnectionLost, ports.OpeningFailed, TimeoutError) as error:
-            log.debug("{}: log not read: {!r}", record.name, error)
-            return
+        reason, status = await ask(
+            self.fleet,
+            record,
+            lambda connection, deadline: self._stop_log(connection, state, deadline),
+        )
+        if reason:
+            self._unread[record.name] = reason
         if status is None:
             return
         statuses[record.name] = status
@@ -383,7 +323,7 @@
         running = []
 
         async def check(record: catalog.EndpointRecord, frozen: ports.LogStatus):
-            status = await self._ask(record)
+            status = await read_status(self.fleet, record)
             if status is None:
                 return
             if status.paused_term <= state.term or status.received != frozen.received:
@@ -423,23 +363,12 @@
             record = self._find_record(target)
             if record is None:
                 return False
-            status = await self._ask(record)
+            status = await read_status(self.fleet, record)
             if status is not None and status.is_primary and status.term > state.term:
                 return True
             await anyio.sleep(POLL_INTERVAL)
         return False
 
-    async def _ask(self, record: catalog.EndpointRecord) -> ports.LogStatus | None:
-        try:
-            with anyio.fail_after(ASK_TIMEOUT):
-                connection = await self.fleet.open_control(record)
-                try:
-                    return await connection.read_status(clock.read() + ASK_TIMEOUT)
-                finally:
-                    connection.close()
-        except (ports.ConnectionLost, ports.OpeningFailed, TimeoutError):
-            return None
-
     def _find_record(self, name: str) -> catalog.EndpointRecord | None:
         for record in self.fleet.list_records(self.group):
             if record.name == name:
@@ -451,7 +380,7 @@
     ) -> None:
         """Put the new primary in force, and bring the others behind it."""
         record = self._find_record(primary)
-        status = await self._ask(record) if record is not None else None
+        status = await read_status(self.fleet, record) if record else None
         if status is None or not status.is_primary:
             raise errors.PlatformUnavailable(
                 f"{primary} does not lead any more.", "The change starts anew."
@@ -477,20 +406,20 @@
     for record in fleet.list_records(group):
         if record.name == state.primary:
             continue
-        try:
-            with anyio.fail_after(ASK_TIMEOUT):
-                connection = await fleet.open_control(record)
-                try:
-                    done = await _align_one(connection, state) and done
-                finally:
-                    connection.close()
-        except (ports.ConnectionLost, ports.OpeningFailed, TimeoutError):
-            done = False
+        reason, follows = await ask(
+            fleet,
+            record,
+            lambda connection, deadline: _align_one(connection, state, deadline),
+        )
+        if reason:
+            fleet.note("not_aligned", group=group, endpoint=record.name, reason=reason)
+        done = bool(follows) and done
     return done
 
 
-async def _align_one(connection: ports.Connection, state: catalog.GroupState) -> bool:
-    deadline = clock.read() + ASK_TIMEOUT
+async def _align_one(
+    connection: ports.Connection, state: catalog.GroupState, deadline: float
+) -> bool:
     status = await connection.read_status(deadline)
     if status is None:
         return False
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -13,6 +13,7 @@
 from sardinehold.node import failover
 from sardinehold.node import groups
 from sardinehold.node import ports
+from sardinehold.node import promotion
 from sardinehold.node import reports
 
 if typing.TYPE_CHECKING:
@@ -297,7 +298,7 @@
         failing = sum(
             report.failing.get(state.primary, 0.0) >= SUSPECT_AFTER for report in heard
         )
-        return failover.is_suspect(failing, len(heard))
+        return promotion.is_suspect(failing, len(heard))
 
     def _is_leaving(self, state: catalog.GroupState) -> bool:
         primary = self.node.groups[state.group].primary
@@ -309,17 +310,7 @@
     async def _create(self, name: str) -> None:
         """Find out who leads a group that the store knows nothing of."""
         for record in self.list_records(name):
-            try:
-                with anyio.fail_after(failover.ASK_TIMEOUT):
-                    connection = await self.open_control(record)
-                    try:
-                        status = await connection.read_status(
-                            clock.read() + failover.ASK_TIMEOUT
-                        )
-                    finally:
-                        connection.close()
-            except (ports.ConnectionLost, ports.OpeningFailed, TimeoutError):
-                continue
+            status = await failover.read_status(self, record)
             if status is not None and status.is_primary:
                 state = catalog.GroupState(
                     name, status.term, record.name, catalog.Phase.SERVING
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -12,12 +12,12 @@
 from sardinehold.node import budget
 from sardinehold.node import catalog
 from sardinehold.node import evidence
-from sardinehold.node import failover
 from sardinehold.node import hedging
 from sardinehold.node import leadership
 from sardinehold.node import placement
 from sardinehold.node import pool
 from sardinehold.node import ports
+from sardinehold.node import promotion
 from sardinehold.node import reports
 from sardinehold.node import settings
 from sardinehold.node import statements
@@ -138,23 +138,23 @@
 
 def test_most_advanced_replica_is_promoted_once_enough_are_read():
     logs = {"r1": make_status(7), "r2": make_status(9)}
-    assert failover.choose_target(logs, STATE, 2, 1).target == "r2"
+    assert promotion.choose_target(logs, STATE, 2, 1).target == "r2"
 
 
 def test_one_replica_of_two_may_lack_an_acknowledged_commit():
     logs = {"r1": make_status(7)}
-    assert failover.choose_target(logs, STATE, 2, 1).target == ""
+    assert promotion.choose_target(logs, STATE, 2, 1).target == ""
 
 
 def test_replica_that_is_not_behind_the_old_primary_suffices():
     logs = {"r1": make_status(7), "p": make_status(7)}
-    assert failover.choose_target(logs, STATE, 2, 1).target == "r1"
+    assert promotion.choose_target(logs, STATE, 2, 1).target == "r1"
 
 
 def test_replica_behind_the_old_primary_waits_for_the_other_one():
     logs = {"r1": make_status(6), "p": make_status(7)}
-    assert failover.choose_target(logs, STATE, 2, 1).target == ""
-    undone = failover.choose_target(logs, STATE, 2, 1, may_undo=True)
+    assert promotion.choose_target(logs, STATE, 2, 1).target == ""
+    undone = promotion.choose_target(logs, STATE, 2, 1, may_undo=True)
     assert undone.target == "p"
 
 
@@ -162,33 +162,33 @@
     # deploy/days/lag.toml on ciel-noir: a leaving replica confirmed 143 to 147 and
     # was gone before the primary was replaced; both others ended at 142.
     logs = {"r1": make_status(142), "r2": make_status(142), "p": make_status(174)}
-    assert failover.choose_target(logs, STATE, 3, 1).target == ""
-    plan = failover.choose_target(logs, STATE, 3, 1, acknowledged=P(1, 147))
+    assert promotion.choose_target(logs, STATE, 3, 1).target == ""
+    plan = promotion.choose_target(logs, STATE, 3, 1, acknowledged=P(1, 147))
     assert plan.target == ""
-    plan = failover.choose_target(
+    plan = promotion.choose_target(
         logs, STATE, 3, 1, acknowledged=P(1, 147), may_undo=True
     )
     assert plan.target == "p"
-    plan = failover.choose_target(logs, STATE, 3, 1, acknowledged=P(1, 142))
+    plan = promotion.choose_target(logs, STATE, 3, 1, acknowledged=P(1, 142))
     assert plan.target == "r1"
 
 
 def test_endpoint_that_leads_a_later_term_is_put_in_force():
     logs = {"r1": make_status(7, primary=True, term=2)}
-    assert failover.choose_target(logs, STATE, 2, 1).leader == "r1"
+    assert promotion.choose_target(logs, STATE, 2, 1).leader == "r1"
 
 
 def test_endpoint_that_stays_is_preferred_among_equals():
     logs = {"r1": make_status(7), "r2": make_status(7)}
-    plan = failover.choose_target(logs, STATE, 2, 1, leaving=frozenset({"r1"}))
+    plan = promotion.choose_target(logs, STATE, 2, 1, leaving=frozenset({"r1"}))
     assert plan.target == "r2"
-    plan = failover.choose_target(logs, STATE, 2, 1, avoided=frozenset({"r2"}))
+    plan = promotion.choose_target(logs, STATE, 2, 1, avoided=frozenset({"r2"}))
     assert plan.target == "r1"
 
 
 def test_primary_whose_entry_is_gone_does_not_make_one_replica_enough():
-    assert failover.count_needed(2, 1) == 2
-    assert failover.count_needed(1, 1) == 1
+    assert promotion.count_needed(2, 1) == 2
+    assert promotion.count_needed(1, 1) == 1
 
 
 @pytest.mark.parametrize(
@@ -196,7 +196,7 @@
     [(0, 8, False), (1, 8, False), (2, 8, True), (1, 1, True), (2, 12, False)],
 )
 def test_primary_is_suspected_by_enough_nodes(failing, heard, suspect):
-    assert failover.is_suspect(failing, heard) is suspect
+    assert promotion.is_suspect(failing, heard) is suspect
 
 
 def make_candidate(name: str, **changes: object) -> placement.Candidate:
