--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -124,12 +124,17 @@
     fleet: Fleet, record: catalog.EndpointRecord
 ) -> ports.LogStatus | None:
     """Return the state of an endpoint's log, None if it gives none in time."""
-    _, status = await ask(
-        fleet, record, lambda connection, deadline: connection.read_status(deadline)
-    )
+    _, status = await ask(fleet, record, read_log_status)
     return status
 
 
+async def read_log_status(
+    connection: ports.Connection, deadline: float
+) -> ports.LogStatus | None:
+    """Ask for the state of the log; a question for :func:`ask`."""
+    return await connection.read_status(deadline)
+
+
 class Procedure:
     """The change of primary of one group.
 
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -15,13 +15,11 @@
 from sardinehold.node import ports
 from sardinehold.node import promotion
 from sardinehold.node import reports
+from sardinehold.node import roster
 
 if typing.TYPE_CHECKING:
     from sardinehold.node import node as nodes
 
-HEARD_WITHIN = 1.0
-"""Seconds for which a report counts: two of them may be lost."""
-
 SUSPECT_AFTER = 0.3
 """Seconds for which a primary must be out of reach before it counts as failing: a
 new connection that failed and another attempt."""
@@ -47,17 +45,6 @@
 """Seconds before a change of primary that failed starts anew."""
 
 
-class Heard:
-    """The last report of a node."""
-
-    __slots__ = ("report", "at")
-
-    def __init__(self, report: reports.Report, at: float) -> None:
-        """Keep the report and when it came."""
-        self.report = report
-        self.at = at
-
-
 class Leader:
     """Acts for the fleet while its node leads.
 
@@ -67,7 +54,7 @@
     def __init__(self, node: "nodes.Node") -> None:
         """Start with nothing heard."""
         self.node = node
-        self.heard: dict[str, Heard] = {}
+        self.roster = roster.Roster(node)
         self.allocator: quota.Allocator | None = None
         self._working: set[str] = set()
         self._retry_at: dict[str, float] = {}
@@ -86,7 +73,8 @@
         acted_until = lead.acted_until
         if not lead.has_left:
             # The leader before may have gone on by what this node reported.
-            acted_until = max(acted_until, self.node.exchange.vouched_at + HEARD_WITHIN)
+            vouched_at = self.node.exchange.vouched_at
+            acted_until = max(acted_until, vouched_at + roster.HEARD_WITHIN)
         starts_at = acted_until + quota.GRANT_LIFETIME * margin
         expected = frozenset(
             f"{name}/{member.get('incarnation', '')}"
@@ -107,23 +95,12 @@
     def _review_touch(self, now: float) -> None:
         """Divide the rates anew when members come in touch or lose it."""
         count = len(self.node.members)
-        in_touch = sum(self._is_in_touch(name, now) for name in self.node.members)
+        in_touch = sum(self.roster.is_in_touch(name, now) for name in self.node.members)
         share = in_touch / count if count else 1.0
         if share != self._share_in_touch:
             self._share_in_touch = share
             self.configure()
 
-    def _is_in_touch(self, name: str, now: float) -> bool:
-        """Return whether a member reports, and had advice from this leader."""
-        if name == self.node.settings.name:
-            return True
-        heard = self.heard.get(name)
-        if heard is None or now - heard.at > HEARD_WITHIN:
-            return False
-        report = heard.report
-        is_advised = report.echo_of == self.node.incarnation
-        return is_advised and report.held < HEARD_WITHIN
-
     def end(self) -> None:
         """Stop to lead."""
         self.allocator = None
@@ -134,7 +111,7 @@
         :returns: None while another node may lead.
         """
         now = clock.read()
-        self.heard[report.node] = Heard(report, now)
+        self.roster.take(report, now)
         certain = self.find_certainty(now)
         if certain is None:
             return None
@@ -159,9 +136,7 @@
             now - certain,
             self.node.leadership.is_late(now),
             self.node.leadership.version,
-            tuple(
-                sorted({name for item in self._list_heard(now) for name in item.full})
-            ),
+            tuple(self.roster.list_full(now)),
         )
 
     def find_certainty(self, now: float) -> float | None:
@@ -169,29 +144,14 @@
         lead = self.node.leadership
         if lead.leads(now):
             return now
-        contacts = self._list_contacts(now)
+        contacts = self.roster.list_contacts(now)
         if len(contacts) < len(self.node.members):
             return None
         certain = lead.find_certainty(now, contacts)
-        if certain is None or now - certain > HEARD_WITHIN:
+        if certain is None or now - certain > roster.HEARD_WITHIN:
             return None
         return certain
 
-    def _list_contacts(self, now: float) -> list[tuple[float, float]]:
-        """Return the contacts with the store that members reported of late."""
-        contacts = [(self.node.following.find_store_contact(), now)]
-        for name in self.node.members:
-            heard = self.heard.get(name)
-            if name == self.node.settings.name or heard is None:
-                continue
-            said = heard.report.date(0.0, self.node.incarnation)
-            if said is None or now - heard.at > HEARD_WITHIN:
-                continue
-            # The contact was no later than the report's arrival less its age.
-            margin = 1 - clock.RATE_MARGIN
-            contacts.append((heard.at - heard.report.contact_age * margin, said))
-        return contacts
-
     def _take_evidence(self, report: reports.Report) -> None:
         """Take what another node knows of the primaries' logs."""
         for name, (age, position) in report.samples.items():
@@ -204,24 +164,13 @@
 
     def _list_suspects(self, now: float) -> list[str]:
         """Return the primaries that some node cannot reach."""
-        failing = {name for item in self._list_heard(now) for name in item.failing}
+        heard = self.roster.list_heard(now)
+        failing = {name for report in heard for name in report.failing}
         primaries = {
             group.state.primary for group in self.node.groups.values() if group.state
         }
         return sorted(failing & primaries)
 
-    def list_unheard(self, now: float) -> list[str]:
-        """Return the members that have not reported of late."""
-        heard = {report.node for report in self._list_heard(now)}
-        return sorted(self.node.members.keys() - heard - {self.node.settings.name})
-
-    def _list_heard(self, now: float) -> list[reports.Report]:
-        return [
-            heard.report
-            for heard in self.heard.values()
-            if now - heard.at < HEARD_WITHIN
-        ]
-
     # Looking after the groups
 
     async def run(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -239,7 +188,7 @@
     def _resign_if_cut_off(self) -> None:
         """Make way when the store refuses this node and answers others."""
         now = clock.read()
-        if self.node.leadership.should_resign(now, self._list_contacts(now)):
+        if self.node.leadership.should_resign(now, self.roster.list_contacts(now)):
             self.note("resigned", version=self.node.leadership.version)
             self.node.exchange.call(list(self.node.members), resigns=True)
             self.node.leadership.resign()
@@ -250,7 +199,7 @@
         if now < self._call_at:
             return
         self._call_at = now + CALL_INTERVAL
-        self.node.exchange.call(self.list_unheard(now))
+        self.node.exchange.call(self.roster.list_unheard(now))
 
     def _look(
         self,
@@ -294,7 +243,7 @@
             since = self._missing_since.setdefault(state.group, now)
             return now - since > MISSING_GRACE
         self._missing_since.pop(state.group, None)
-        heard = self._list_heard(now)
+        heard = self.roster.list_heard(now)
         failing = sum(
             report.failing.get(state.primary, 0.0) >= SUSPECT_AFTER for report in heard
         )
@@ -309,8 +258,11 @@
 
     async def _create(self, name: str) -> None:
         """Find out who leads a group that the store knows nothing of."""
+        unread: dict[str, str] = {}
         for record in self.list_records(name):
-            status = await failover.read_status(self, record)
+            reason, status = await failover.ask(self, record, failover.read_log_status)
+            if reason:
+                unread[record.name] = reason
             if status is not None and status.is_primary:
                 state = catalog.GroupState(
                     name, status.term, record.name, catalog.Phase.SERVING
@@ -318,6 +270,7 @@
                 await self.write_state(state)
                 self.note("created", group=name, term=status.term, primary=record.name)
                 return
+        self.note("not_created", group=name, unread=unread)
         self._retry_at[name] = clock.read() + CREATE_DELAY
 
     async def _replace(self, name: str) -> None:
@@ -360,14 +313,11 @@
 
     def is_seal_known(self, group: str, version: int) -> bool:
         """Return whether every node has given up the old primary."""
-        now = clock.read()
-        for name in self.node.members:
-            heard = self.heard.get(name)
-            if heard is None or now - heard.at > HEARD_WITHIN:
-                return False
-            if heard.report.states.get(group, 0) < version:
-                return False
-        return bool(self.node.members)
+        return self.roster.is_seal_known(group, version)
+
+    def find_acknowledged(self, group: str, since: float) -> positions.Position | None:
+        """Return the newest commit that callers were told of, None if unsure."""
+        return self.roster.find_acknowledged(group, since)
 
     def note_frozen(self, group: str, position: positions.Position) -> None:
         """Let reads go on at replicas: nothing beyond a position is acknowledged."""
@@ -381,30 +331,6 @@
             now - at < GONE_COUNTS for name, at in gone.items() if name != primary
         )
 
-    def find_acknowledged(self, group: str, since: float) -> positions.Position | None:
-        """Return the newest commit that any caller was told of.
-
-        :returns: None unless every member has said so in a report sent after
-            ``since``; one that was restarted cannot until it has heard the primary.
-        """
-        newest = self.node.groups[group].acknowledged
-        if newest is None:
-            return None
-        for name in self.node.members:
-            if name == self.node.settings.name:
-                continue
-            heard = self.heard.get(name)
-            if heard is None:
-                return None
-            sent_at = heard.report.date(0.0, self.node.incarnation)
-            if sent_at is None or sent_at < since:
-                return None
-            told = heard.report.acknowledged.get(group)
-            if told is None:
-                return None
-            newest = max(newest, told)
-        return newest
-
     def tell_soon(self) -> None:
         """Tell all nodes of the state without delay."""
         self.node.exchange.call(list(self.node.members))
--- a/src/sardinehold/node/occurrences.py
+++ b/src/sardinehold/node/occurrences.py
@@ -36,6 +36,7 @@
     "failed": "A statement was answered with a failure; outcome and reason say which.",
     "lines_dropped": "Lines beyond the bound of a second were not written.",
     "failover_created": "A group's first state was written.",
+    "failover_not_created": "No endpoint of a new group says that it leads.",
     "failover_seal": "The leader begins to replace a primary.",
     "failover_frozen": "Logs were stopped and read; unread says why others were not.",
     "failover_not_aligned": "An endpoint could not be told of the new primary yet.",
--- /dev/null
+++ b/src/sardinehold/node/roster.py
@@ -0,0 +1,118 @@
+"""What the members reported to the leader, and what follows from it for all."""
+
+import typing
+
+from sardinehold.core import positions
+from sardinehold.node import clock
+from sardinehold.node import reports
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import node as nodes
+
+HEARD_WITHIN = 1.0
+"""Seconds for which a report counts: two of them may be lost."""
+
+
+class Heard:
+    """The last report of a node."""
+
+    __slots__ = ("report", "at")
+
+    def __init__(self, report: reports.Report, at: float) -> None:
+        """Keep the report and when it came."""
+        self.report = report
+        self.at = at
+
+
+class Roster:
+    """The last report of each member.
+
+    :param node: the node that leads; it counts as heard.
+    """
+
+    def __init__(self, node: "nodes.Node") -> None:
+        """Start with nothing heard."""
+        self.node = node
+        self._heard: dict[str, Heard] = {}
+
+    def take(self, report: reports.Report, now: float) -> None:
+        """Take a report."""
+        self._heard[report.node] = Heard(report, now)
+
+    def list_unheard(self, now: float) -> list[str]:
+        """Return the members that have not reported of late."""
+        heard = {report.node for report in self.list_heard(now)}
+        return sorted(self.node.members.keys() - heard - {self.node.settings.name})
+
+    def list_full(self, now: float) -> list[str]:
+        """Return the endpoints that refused some node a connection of late."""
+        return sorted({name for item in self.list_heard(now) for name in item.full})
+
+    def list_heard(self, now: float) -> list[reports.Report]:
+        """Return the reports that still count."""
+        return [
+            heard.report
+            for heard in self._heard.values()
+            if now - heard.at < HEARD_WITHIN
+        ]
+
+    def is_in_touch(self, name: str, now: float) -> bool:
+        """Return whether a member reports, and had advice from this leader."""
+        if name == self.node.settings.name:
+            return True
+        heard = self._heard.get(name)
+        if heard is None or now - heard.at > HEARD_WITHIN:
+            return False
+        report = heard.report
+        is_advised = report.echo_of == self.node.incarnation
+        return is_advised and report.held < HEARD_WITHIN
+
+    def list_contacts(self, now: float) -> list[tuple[float, float]]:
+        """Return the contacts with the store that members reported of late."""
+        contacts = [(self.node.following.find_store_contact(), now)]
+        for name in self.node.members:
+            heard = self._heard.get(name)
+            if name == self.node.settings.name or heard is None:
+                continue
+            said = heard.report.date(0.0, self.node.incarnation)
+            if said is None or now - heard.at > HEARD_WITHIN:
+                continue
+            # The contact was no later than the report's arrival less its age.
+            margin = 1 - clock.RATE_MARGIN
+            contacts.append((heard.at - heard.report.contact_age * margin, said))
+        return contacts
+
+    def is_seal_known(self, group: str, version: int) -> bool:
+        """Return whether every node has given up the old primary."""
+        now = clock.read()
+        for name in self.node.members:
+            heard = self._heard.get(name)
+            if heard is None or now - heard.at > HEARD_WITHIN:
+                return False
+            if heard.report.states.get(group, 0) < version:
+                return False
+        return bool(self.node.members)
+
+    def find_acknowledged(self, group: str, since: float) -> positions.Position | None:
+        """Return the newest commit that any caller was told of.
+
+        :returns: None unless every member has said so in a report sent after
+            ``since``; one that was restarted cannot until it has heard the primary.
+        """
+        newest = self.node.groups[group].acknowledged
+        if newest is None:
+            return None
+        for name in self.node.members:
+            if name == self.node.settings.name:
+                continue
+            heard = self._heard.get(name)
+            if heard is None:
+                return None
+            sent_at = heard.report.date(0.0, self.node.incarnation)
+            if sent_at is None or sent_at < since:
+                return None
+            told = heard.report.acknowledged.get(group)
+            if told is None:
+                return None
+            newest = max(newest, told)
+        return newest
