Do not wait for processes that ended when the leader's tokens start anew

It took the members as it found them; entries of processes that had just ended stayed in that list after their successors had entered, so it always waited to the end. Change: the successor's entry takes the place of the process that ended. Entries that nothing replaced are waited for as before.

--- a/src/sardinehold/core/quota.py
+++ b/src/sardinehold/core/quota.py
@@ -237,10 +237,20 @@
         bucket.refill(now)
         bucket.settle(now, node, usage)
 
+    def replace_expected(self, now: float, old: str, new: str) -> None:
+        """Wait for a node's new process: the old one ended with its tokens."""
+        if old in self._expected:
+            self._expected.remove(old)
+            if new not in self._seen:
+                self._expected.add(new)
+            self._start_if_complete(now)
+
     def _finish_report(self, now: float, node: str) -> None:
-        if node not in self._expected:
-            return
-        self._expected.remove(node)
+        if node in self._expected:
+            self._expected.remove(node)
+            self._start_if_complete(now)
+
+    def _start_if_complete(self, now: float) -> None:
         if self._expected or now >= self.starts_at:
             return
         self.starts_at = now
--- a/src/sardinehold/node/following.py
+++ b/src/sardinehold/node/following.py
@@ -248,7 +248,11 @@
         if stored.value is None:
             self.node.members.pop(name, None)
         else:
+            old = self.node.members.get(name, stored.value).get("incarnation", "")
+            new = stored.value.get("incarnation", "")
             self.node.members[name] = stored.value
+            if old != new:
+                self.node.leader.note_restart(name, old, new)
 
     def _take_state(self, stored: objects.StoredObject) -> None:
         name = stored.name.removeprefix(GROUP_PREFIX)
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -45,6 +45,11 @@
 """Seconds before a change of primary that failed starts anew."""
 
 
+def make_identity(name: str, incarnation: str) -> str:
+    """Return what tells a member's process from those before and after it."""
+    return f"{name}/{incarnation}"
+
+
 class Leader:
     """Acts for the fleet while its node leads.
 
@@ -77,12 +82,22 @@
             acted_until = max(acted_until, vouched_at + roster.HEARD_WITHIN)
         starts_at = acted_until + quota.GRANT_LIFETIME * margin
         expected = frozenset(
-            f"{name}/{member.get('incarnation', '')}"
+            make_identity(name, member.get("incarnation", ""))
             for name, member in self.node.members.items()
         )
         self.allocator = quota.Allocator(lead.version, now, starts_at, expected)
         self.configure()
 
+    def note_restart(self, name: str, old: str, new: str) -> None:
+        """Take note that another process of a member has entered.
+
+        :param old: incarnation that was entered before.
+        """
+        if self.allocator is not None:
+            self.allocator.replace_expected(
+                clock.read(), make_identity(name, old), make_identity(name, new)
+            )
+
     def configure(self) -> None:
         """Put the rates of the configuration in force.
 
@@ -118,7 +133,7 @@
         self._take_evidence(report)
         grants: list[quota.Grant] | None = None
         if self.allocator is not None:
-            identity = f"{report.node}/{report.incarnation}"
+            identity = make_identity(report.node, report.incarnation)
             grants = self.allocator.exchange(
                 now, identity, report.sequence, report.usages
             )
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -506,6 +506,25 @@
     builders_node.play(monkeypatch, story)
 
 
+def test_team_has_its_rate_again_soon_after_all_nodes_were_restarted(monkeypatch):
+    # letters-desk trouble-1: the leader that came first waited for processes that
+    # had ended with the others, until all their tokens would have lapsed.
+    async def story(world):
+        names = list(world.nodes)
+        for name in names:
+            world.kill_node(name)
+        world.start_node(names[0], "north")
+        while world.find_leader() != names[0]:
+            await asyncio.sleep(0.01)
+        for name in names[1:]:
+            world.start_node(name, "north")
+        await asyncio.sleep(1.0)
+        leader = world.nodes[names[0]].leader
+        assert leader.allocator.starts_at <= clock.read()
+
+    builders_node.play(monkeypatch, story)
+
+
 def record_notes(node):
     notes = []
     write = node.journal.note
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -205,3 +205,21 @@
 
     with pytest.raises(AssertionError):
         check_windows(range(20))
+
+
+def test_allocator_does_not_wait_for_a_process_that_another_one_replaced():
+    allocator = build_allocator(0.0, 10.0, frozenset({"a/1", "b/1"}))
+    first, second = builders_quota.Balance("a/1"), builders_quota.Balance("b/2")
+    exchange(allocator, first, 1.0, 5)
+    allocator.replace_expected(1.0, "b/1", "b/2")
+    assert not exchange(allocator, first, 1.5, 5)[0].tokens
+    exchange(allocator, second, 2.0, 5)
+    assert allocator.starts_at == 2.0
+    assert exchange(allocator, first, 3.0, 5)[0].tokens
+
+
+def test_allocator_waits_for_a_process_that_nothing_replaced():
+    allocator = build_allocator(0.0, 10.0, frozenset({"a/1", "b/1"}))
+    allocator.replace_expected(1.0, "c/1", "c/2")
+    exchange(allocator, builders_quota.Balance("a/1"), 1.0, 5)
+    assert allocator.starts_at == 10.0
