Decide in the core how a node stops and which answers end a session

Found on reading the whole change: the daemon of the adapter held the times and the order of a planned stop, the adapter which failures end a session. They stand in node/stopping.py and node/outcomes.py now, with tests in virtual time; until now only real runs showed the stop. The text that says when to come back was written twice.

--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -30,6 +30,7 @@
 from sardinehold.node import session as sessions
 from sardinehold.node import settings
 from sardinehold.node import statements
+from sardinehold.node import stopping
 
 RESTART_DELAY = 0.2
 """Seconds before a part of the node that failed runs anew."""
@@ -252,7 +253,7 @@
         except budget.OverRate as error:
             raise outcomes.Failed(
                 statements.Failure.BUSY,
-                f"{error}; come back after {int(error.retry_after * 1000)} ms",
+                outcomes.advise_return(error, error.retry_after),
             ) from error
 
     def note_refused_start(self, route: str, error: outcomes.Failed) -> None:
@@ -270,7 +271,7 @@
 
     def note_rest(self, caller: Caller) -> None:
         """Close a session that has come to rest while the node stops."""
-        if self.is_stopping and self._closes_sessions and caller.is_resting():
+        if self._closes_sessions and caller.is_resting():
             caller.close()
 
     def find_group(self, name: str) -> groups.Group:
@@ -296,21 +297,37 @@
 
     # Stopping
 
-    def begin_stop(self) -> None:
+    async def stop(self) -> None:
+        """Stop without cutting a request; return when the process may end."""
+        self.journal.note("stopping", sessions=len(self.callers))
+        self._begin_stop()
+        stop = stopping.Stop(clock.read(), self.settings.grace)
+        while True:
+            step = stop.find_step(clock.read(), len(self.callers))
+            if step is stopping.Step.OVER:
+                break
+            if step is stopping.Step.ABANDONING:
+                self._abandon_transactions()
+            if step is not stopping.Step.ACCEPTING:
+                self._close_resting()
+            await anyio.sleep(TEND_INTERVAL)
+        self.journal.note("stopped", sessions=len(self.callers))
+
+    def _begin_stop(self) -> None:
         """Be no longer ready; hand on the lead."""
         self.is_stopping = True
         if self.leadership.leads(clock.read()):
             self.leadership.resign()
             self.spawn(self.keeping.write_farewell)
 
-    def close_resting(self) -> None:
+    def _close_resting(self) -> None:
         """Close all sessions at rest, now and as they come to rest."""
         self._closes_sessions = True
         for caller in list(self.callers):
             if caller.is_resting():
                 caller.close()
 
-    def abandon_transactions(self) -> None:
+    def _abandon_transactions(self) -> None:
         """Roll back the transactions that rest; their callers are told."""
         for caller in list(self.callers):
             session = caller.session
--- a/src/sardinehold/node/outcomes.py
+++ b/src/sardinehold/node/outcomes.py
@@ -59,3 +59,19 @@
             "group": self.group,
             "lease_age": self.lease_age,
         }
+
+
+_ENDINGS = frozenset({statements.Failure.DENIED, statements.Failure.UNKNOWN_ROUTE})
+
+
+def ends_session(answer: statements.Answer) -> bool:
+    """Return whether a session is of no use behind an answer.
+
+    Its key or its route is not in force any more, and nothing is open.
+    """
+    return answer.error in _ENDINGS and answer.status == "I"
+
+
+def advise_return(reason: object, seconds: float) -> str:
+    """Return the text of a refusal that says when to come back."""
+    return f"{reason}; come back after {int(seconds * 1000)} ms"
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -233,7 +233,7 @@
         except groups.Refused as error:
             raise outcomes.Failed(
                 statements.Failure.BUSY,
-                f"{error.reason}; come back after {int(error.retry_after * 1000)} ms",
+                outcomes.advise_return(error.reason, error.retry_after),
             ) from error
         finally:
             self.trace.waited += clock.read() - asked
--- a/src/sardinehold/platform/callers.py
+++ b/src/sardinehold/platform/callers.py
@@ -21,9 +21,6 @@
 
 _CODES = {failure: code for code, failure in endpoints.FAILURES.items()}
 
-_ENDING = frozenset({statements.Failure.DENIED, statements.Failure.UNKNOWN_ROUTE})
-"""Failures behind which a session is of no use any more."""
-
 
 def parse_statement(request_id: str, text: str) -> statements.Statement:
     """Return the statement that a query text holds.
@@ -249,7 +246,7 @@
         else:
             answer = await self._node.serve(self.session, statement)
         self._write(format_answer(answer))
-        if answer.error in _ENDING and answer.status == "I":
+        if outcomes.ends_session(answer):
             self._end()
 
     def is_resting(self) -> bool:
--- a/src/sardinehold/platform/daemon.py
+++ b/src/sardinehold/platform/daemon.py
@@ -13,7 +13,6 @@
 
 from sardinehold import errors
 from sardinehold import metrics
-from sardinehold.node import clock
 from sardinehold.node import journal
 from sardinehold.node import node as nodes
 from sardinehold.node import settings
@@ -32,13 +31,6 @@
 """Connections that the system keeps until they are accepted: every session of a zone
 may come at once after a restart."""
 
-UNROUTED_AFTER = 2.4
-"""Seconds after the stop signal when the balancer sends no new connections any more:
-it asks every second and leaves a node out after two misses."""
-
-FINISH_SHARE = 0.92
-"""Part of the time to the kill after which the process ends by itself."""
-
 
 def main() -> int:
     """Run a node with the settings that the environment names."""
@@ -85,8 +77,7 @@
                 if number == signal.SIGTERM:
                     break
                 _reload(node, path)
-            await _stop(node, clock.read() + loaded.grace * FINISH_SHARE)
-        node.journal.note("stopped", sessions=len(node.callers))
+            await node.stop()
         tasks.cancel_scope.cancel()
     await store_client.close()
     await duty_client.close()
@@ -125,21 +116,5 @@
     node.journal.note("settings_reloaded")
 
 
-async def _stop(node: nodes.Node, deadline: float) -> None:
-    """Stop without cutting a request: not ready, then sessions as they rest."""
-    grace = node.settings.grace
-    began = clock.read()
-    node.journal.note("stopping", sessions=len(node.callers))
-    node.begin_stop()
-    await anyio.sleep(UNROUTED_AFTER)
-    node.close_resting()
-    while node.callers and clock.read() < began + grace / 2:
-        await anyio.sleep(nodes.TEND_INTERVAL)
-    while node.callers and clock.read() < deadline:
-        node.abandon_transactions()
-        node.close_resting()
-        await anyio.sleep(nodes.TEND_INTERVAL)
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -525,6 +525,52 @@
     builders_node.play(monkeypatch, story)
 
 
+class Resting:
+    """A caller's connection to a node, as an adapter holds it."""
+
+    def __init__(self, world, node, route):
+        self.client = world.open(node, route)
+        self.session = self.client.session
+        self.node = world.nodes[node]
+        self.node.callers.add(self)
+        self.closed_at = None
+
+    def is_resting(self):
+        return self.session.status == "I" and not self.session.is_busy
+
+    def close(self):
+        if self.closed_at is None:
+            self.closed_at = clock.read()
+            self.node.callers.discard(self)
+
+
+def test_stop_lets_transactions_end_and_leaves_none_behind(monkeypatch):
+    async def story(world):
+        node = world.nodes["n1"]
+        resting, ending, lasting = (
+            Resting(world, "n1", "latest"),
+            Resting(world, "n1", "latest"),
+            Resting(world, "n1", "latest"),
+        )
+        for caller in (ending, lasting):
+            await caller.client.send(Kind.BEGIN)
+            await caller.client.write()
+        began = clock.read()
+        world.tasks.start_soon(node.stop)
+        await asyncio.sleep(2.0)
+        assert not node.is_ready()
+        assert resting.closed_at is None
+        await asyncio.sleep(0.7)
+        assert resting.closed_at is not None
+        assert (await ending.client.send(Kind.COMMIT)).error is None
+        await asyncio.sleep(2.0)
+        assert ending.closed_at is not None
+        assert lasting.session.transaction.is_expired
+        assert clock.read() - began < node.settings.grace
+
+    builders_node.play(monkeypatch, story)
+
+
 def record_notes(node):
     notes = []
     write = node.journal.note
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -21,6 +21,7 @@
 from sardinehold.node import reports
 from sardinehold.node import settings
 from sardinehold.node import statements
+from sardinehold.node import stopping
 
 P = positions.Position
 
@@ -392,3 +393,28 @@
     assert count_tokens(found) == 0
     found.configure(builders_node.make_catalog(rate=20.0, burst=20.0), 9)
     assert count_tokens(found) == count_tokens(make_budget(9)) > 0
+
+
+Step = stopping.Step
+
+
+@pytest.mark.parametrize(
+    ("at", "callers", "step"),
+    [
+        (0.0, 40, Step.ACCEPTING),
+        (2.3, 0, Step.ACCEPTING),
+        (2.5, 40, Step.RESTING),
+        (2.5, 0, Step.OVER),
+        (3.1, 3, Step.ABANDONING),
+        (5.6, 1, Step.OVER),
+    ],
+)
+def test_stop_of_a_full_node_takes_one_step_after_another(at, callers, step):
+    assert stopping.Stop(100.0, 6.0).find_step(100.0 + at, callers) is step
+
+
+def test_short_time_to_the_kill_still_leaves_time_for_every_step():
+    stop = stopping.Stop(0.0, 2.0)
+    assert stop.find_step(0.9, 1) is Step.ACCEPTING
+    assert stop.find_step(1.1, 1) is Step.ABANDONING
+    assert stop.find_step(1.9, 1) is Step.OVER
