Split a session by job: statements, transactions, reads and writes

Each kind of statement has its handler in handlers.py, a transaction runs itself, reads and writes outside one stand in reading.py and writing.py. No decision changed.

--- /dev/null
+++ b/src/sardinehold/node/handlers.py
@@ -0,0 +1,124 @@
+"""What to do with each kind of statement that a caller sends."""
+
+import typing
+
+from sardinehold.node import clock
+from sardinehold.node import outcomes
+from sardinehold.node import reading
+from sardinehold.node import statements
+from sardinehold.node import transactions
+from sardinehold.node import writing
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import session as sessions
+
+Kind = statements.Kind
+Handler = typing.Callable[
+    ["sessions.Session", statements.Statement],
+    typing.Awaitable[statements.Answer],
+]
+
+HANDLERS: dict[statements.Kind, Handler] = {}
+"""What to do with each kind of statement."""
+
+
+def handles(*kinds: statements.Kind) -> typing.Callable[[Handler], Handler]:
+    """File the decorated function as the handler of some kinds."""
+
+    def register(handler: Handler) -> Handler:
+        for kind in kinds:
+            HANDLERS[kind] = handler
+        return handler
+
+    return register
+
+
+ENDINGS = frozenset({Kind.COMMIT, Kind.ROLLBACK})
+"""What may follow in a transaction that failed."""
+
+
+@handles(Kind.BEGIN, Kind.BEGIN_READ)
+async def begin(
+    session: "sessions.Session", statement: statements.Statement
+) -> statements.Answer:
+    """Open a transaction; it reaches an endpoint with its first statement."""
+    if session.transaction is not None:
+        raise outcomes.Failed(
+            statements.Failure.MALFORMED, "a transaction is open already"
+        )
+    route, team = session.admit()
+    now = clock.read()
+    await session.node.spend(team, now + route.statement_timeout)
+    idle_deadline = clock.read() + session.node.catalog.transaction_idle
+    session.transaction = transactions.Transaction(
+        session, statement, now, route, team, idle_deadline
+    )
+    session.status = "T"
+    return session.answer_locally()
+
+
+@handles(Kind.COMMIT, Kind.ROLLBACK)
+async def end(
+    session: "sessions.Session", statement: statements.Statement
+) -> statements.Answer:
+    """End a transaction; one that failed is rolled back."""
+    if session.transaction is None:
+        session.status = "I"
+        if statement.kind is Kind.ROLLBACK:
+            return session.answer_locally()
+        raise outcomes.Failed(statements.Failure.ABORTED, "no transaction is open")
+    if statement.kind is Kind.ROLLBACK:
+        return session.transaction.roll_back()
+    if session.status == "E":
+        session.transaction.roll_back()
+        raise outcomes.Failed(statements.Failure.ABORTED, "the transaction had failed")
+    return await session.transaction.commit(statement)
+
+
+@handles(Kind.READ, Kind.WRITE, Kind.EXECUTE)
+async def run(
+    session: "sessions.Session", statement: statements.Statement
+) -> statements.Answer:
+    """Run a read or a write, prepared or not."""
+    if statement.kind is Kind.EXECUTE:
+        definition = session.prepared.get(statement.name)
+        if definition is None:
+            raise outcomes.Failed(
+                statements.Failure.UNKNOWN_STATEMENT, "no statement has this name"
+            )
+        statement.definition = definition
+    if session.transaction is not None:
+        return await session.transaction.run(statement)
+    if statements.is_write(statement):
+        return await writing.write(session, statement)
+    return await reading.read(session, statement)
+
+
+@handles(Kind.SET)
+async def set_value(
+    session: "sessions.Session", statement: statements.Statement
+) -> statements.Answer:
+    """Remember a variable; connections get it before they are used."""
+    session.values = {**session.values, statement.name: statement.value}
+    return session.answer_locally()
+
+
+@handles(Kind.PREPARE)
+async def prepare(
+    session: "sessions.Session", statement: statements.Statement
+) -> statements.Answer:
+    """Remember a prepared statement."""
+    session.prepared[statement.name] = statement.definition
+    return session.answer_locally()
+
+
+@handles(Kind.DEALLOCATE)
+async def deallocate(
+    session: "sessions.Session", statement: statements.Statement
+) -> statements.Answer:
+    """Forget a prepared statement."""
+    if session.prepared.pop(statement.name, None) is None:
+        raise outcomes.Failed(
+            statements.Failure.UNKNOWN_STATEMENT, "no statement has this name"
+        )
+    return session.answer_locally()
--- a/src/sardinehold/node/reading.py
+++ b/src/sardinehold/node/reading.py
@@ -140,3 +140,25 @@
     def _note_placed(self) -> None:
         if not self.placed.done():
             self.placed.set_result(None)
+
+
+async def read(
+    session: "sessions.Session", statement: statements.Statement
+) -> statements.Answer:
+    """Run a read outside a transaction, a second time if the first is late."""
+    route, team = session.admit()
+    began = clock.read()
+    deadline = began + route.statement_timeout
+    await session.node.spend(team, deadline)
+    session.node.hedges.note_read()
+    attempt = ReadAttempt(session, statement, route, team, began, deadline)
+    race = hedging.Race(session.node.spawn)
+    race.add(attempt.run)
+    await asyncio.wait([attempt.placed], timeout=deadline - began)
+    answer = await race.wait(attempt.find_patience())
+    if answer is None and session.node.hedges.take():
+        session.node.registry.count("reads_hedged")
+        second = ReadAttempt(session, statement, route, team, began, deadline)
+        second.avoided = attempt.avoided | find_avoided(route, attempt.endpoint)
+        race.add(second.run)
+    return answer or await race.wait()
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -1,22 +1,17 @@
-"""One caller's session: its values, its prepared statements, its transaction.
+"""One caller's session: its values, its prepared statements, its transaction."""
 
-A BEGIN is answered here and reaches an endpoint with the first statement that
-needs one, so that a transaction holds a connection no longer than it has to.
-"""
-
-import asyncio
 import typing
 
 from sardinehold.core import positions
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import groups
-from sardinehold.node import hedging
+from sardinehold.node import handlers
 from sardinehold.node import outcomes
 from sardinehold.node import pool
 from sardinehold.node import ports
-from sardinehold.node import reading
 from sardinehold.node import statements
+from sardinehold.node import transactions
 
 if typing.TYPE_CHECKING:
     from sardinehold.node import node as nodes
@@ -25,74 +20,6 @@
 """What a statement ends with that no endpoint saw."""
 
 Kind = statements.Kind
-Handler = typing.Callable[
-    ["Session", statements.Statement],
-    typing.Awaitable[statements.Answer],
-]
-
-HANDLERS: dict[statements.Kind, Handler] = {}
-"""What to do with each kind of statement."""
-
-
-def handles(*kinds: statements.Kind) -> typing.Callable[[Handler], Handler]:
-    """File the decorated function as the handler of some kinds."""
-
-    def register(handler: Handler) -> Handler:
-        for kind in kinds:
-            HANDLERS[kind] = handler
-        return handler
-
-    return register
-
-
-class Transaction:
-    """An open transaction.
-
-    :param begin: the caller's BEGIN.
-    :param began: when it arrived.
-    :param route: as it was then; changes bind from the next transaction on.
-    :param pooled: the connection that it runs on, None before its first statement.
-    :param wrote: whether a write was sent.
-    :param has_written: whether a write was answered with success.
-    :param idle_deadline: when it is ended if it rests until then.
-    :param is_expired: whether it was ended and the caller has not been told.
-    """
-
-    __slots__ = (
-        "begin",
-        "began",
-        "route",
-        "team",
-        "pooled",
-        "wrote",
-        "has_written",
-        "idle_deadline",
-        "is_expired",
-    )
-
-    def __init__(
-        self,
-        begin: statements.Statement,
-        began: float,
-        route: catalog.Route,
-        team: str,
-        idle_deadline: float,
-    ) -> None:
-        """Start without a connection."""
-        self.begin = begin
-        self.began = began
-        self.route = route
-        self.team = team
-        self.pooled: pool.Pooled | None = None
-        self.wrote = False
-        self.has_written = False
-        self.idle_deadline = idle_deadline
-        self.is_expired = False
-
-    @property
-    def is_read_only(self) -> bool:
-        """Whether it may run on a replica."""
-        return self.begin.kind is Kind.BEGIN_READ
 
 
 class Session:
@@ -114,7 +41,7 @@
         self.prepared: dict[str, statements.Definition] = {}
         self.trace = outcomes.Trace()
         self.own: positions.Position | None = None
-        self.transaction: Transaction | None = None
+        self.transaction: transactions.Transaction | None = None
         self.is_busy = False
         self.is_closed = False
 
@@ -153,12 +80,12 @@
                     raise outcomes.Failed(
                         statements.Failure.ABORTED, "the transaction rested too long"
                     )
-            if self.status == "E" and statement.kind not in _ENDINGS:
+            if self.status == "E" and statement.kind not in handlers.ENDINGS:
                 raise outcomes.Failed(
                     statements.Failure.MALFORMED,
                     "the transaction failed; end it with ROLLBACK",
                 )
-            return await HANDLERS[statement.kind](self, statement)
+            return await handlers.HANDLERS[statement.kind](self, statement)
         except outcomes.Failed as error:
             if self.transaction is not None:
                 self.status = "E"
@@ -187,12 +114,7 @@
 
     def abandon(self) -> None:
         """Roll the open transaction back; its caller is told with the next answer."""
-        transaction = self.transaction
-        pooled, transaction.pooled = transaction.pooled, None
-        if pooled is not None:
-            self.find_group(transaction.route).clean(pooled)
-        transaction.is_expired = True
-        transaction.idle_deadline = float("inf")
+        self.transaction.abandon()
         self.status = "E"
 
     def answer_locally(self) -> statements.Answer:
@@ -201,8 +123,8 @@
 
     def _drop_transaction(self) -> None:
         transaction, self.transaction = self.transaction, None
-        if transaction is not None and transaction.pooled is not None:
-            self.find_group(transaction.route).clean(transaction.pooled)
+        if transaction is not None:
+            transaction.give_up()
 
     def find_group(self, route: catalog.Route) -> groups.Group:
         """Return the group that a route leads to."""
@@ -329,286 +251,3 @@
         if self.transaction is None:
             return statements.is_write(statement)
         return statement.kind is Kind.COMMIT and self.transaction.has_written
-
-    # Single statements
-
-    async def run_read(self, statement: statements.Statement) -> statements.Answer:
-        """Run a read outside a transaction, a second time if the first is late."""
-        route, team = self.admit()
-        began = clock.read()
-        deadline = began + route.statement_timeout
-        await self.node.spend(team, deadline)
-        self.node.hedges.note_read()
-        attempt = reading.ReadAttempt(self, statement, route, team, began, deadline)
-        race = hedging.Race(self.node.spawn)
-        race.add(attempt.run)
-        await asyncio.wait([attempt.placed], timeout=deadline - began)
-        answer = await race.wait(attempt.find_patience())
-        if answer is None and self.node.hedges.take():
-            self.node.registry.count("reads_hedged")
-            second = reading.ReadAttempt(self, statement, route, team, began, deadline)
-            second.avoided = attempt.avoided | reading.find_avoided(
-                route, attempt.endpoint
-            )
-            race.add(second.run)
-        return answer or await race.wait()
-
-    async def run_write(self, statement: statements.Statement) -> statements.Answer:
-        """Run a write outside a transaction, at most once."""
-        route, team = self.admit()
-        began = clock.read()
-        deadline = began + route.statement_timeout
-        await self.node.spend(team, deadline)
-        group = self.find_group(route)
-        while clock.read() < deadline:
-            placed = await self.acquire(route, team, began, deadline, True)
-            try:
-                answer = await self.run_on(placed, statement, deadline)
-            except ports.ConnectionLost as error:
-                group.pump()
-                if not error.was_sent:
-                    await asyncio.sleep(reading.BUSY_PAUSE)
-                    continue
-                raise outcomes.Failed(
-                    statements.Failure.IN_DOUBT, "the write was sent and not answered"
-                ) from error
-            group.release(placed.pooled)
-            if answer.error is None:
-                self.own = answer.position or self.own
-                return answer
-            if answer.error is statements.Failure.READ_ONLY:
-                await self.node.refresh(group)
-            elif answer.error is not statements.Failure.BUSY:
-                return answer
-            await asyncio.sleep(reading.BUSY_PAUSE)
-        raise outcomes.Failed(
-            statements.Failure.BUSY, "the primary had no room in time"
-        )
-
-    # Transactions
-
-    async def run_inside(self, statement: statements.Statement) -> statements.Answer:
-        """Run a statement of the open transaction."""
-        transaction = self.transaction
-        self.trace.team = transaction.team
-        self.trace.group = transaction.route.group
-        now = clock.read()
-        deadline = now + transaction.route.statement_timeout
-        if transaction.pooled is None:
-            await self._begin(transaction, now, deadline)
-        placed = groups.Placed(transaction.pooled)
-        if statements.is_write(statement):
-            transaction.wrote = True
-        try:
-            answer = await self._run_while_busy(placed, statement, deadline)
-        except ports.ConnectionLost as error:
-            self._lose(transaction)
-            raise outcomes.Failed(
-                statements.Failure.ABORTED, "the connection to the endpoint was lost"
-            ) from error
-        if answer.error is statements.Failure.BUSY:
-            self._lose(transaction)
-            raise outcomes.Failed(
-                statements.Failure.ABORTED, "the endpoint had no room in time"
-            )
-        if answer.error is None and statements.is_write(statement):
-            transaction.has_written = True
-        self.status = answer.status
-        transaction.idle_deadline = clock.read() + self.node.catalog.transaction_idle
-        return answer
-
-    async def _run_while_busy(
-        self,
-        placed: groups.Placed,
-        statement: statements.Statement,
-        deadline: float,
-    ) -> statements.Answer:
-        """Run a statement of a transaction, again while its endpoint has no room."""
-        while True:
-            answer = await self.run_on(placed, statement, deadline)
-            if answer.error is not statements.Failure.BUSY:
-                return answer
-            if clock.read() + reading.BUSY_PAUSE > deadline:
-                return answer
-            await asyncio.sleep(reading.BUSY_PAUSE)
-
-    def _lose(self, transaction: Transaction) -> None:
-        """Note that a transaction was rolled back with its connection."""
-        pooled, transaction.pooled = transaction.pooled, None
-        transaction.idle_deadline = float("inf")
-        if pooled is not None and not pooled.is_lost:
-            self.find_group(transaction.route).discard(pooled)
-
-    async def _begin(
-        self, transaction: Transaction, now: float, deadline: float
-    ) -> None:
-        """Open the transaction on an endpoint.
-
-        :raises outcomes.Failed: none takes it; nothing of it ran.
-        """
-        route = transaction.route
-        group = self.find_group(route)
-        needs_primary = not transaction.is_read_only or reading.routes_reads_to_primary(
-            route
-        )
-        avoided: frozenset[str] = frozenset()
-        while clock.read() < deadline:
-            placed = await self.acquire(
-                route,
-                transaction.team,
-                transaction.began,
-                deadline,
-                needs_primary,
-                avoided,
-            )
-            try:
-                answer = await self.run_on(placed, transaction.begin, deadline)
-            except ports.ConnectionLost:
-                group.pump()
-                avoided |= reading.find_avoided(route, placed.pooled.endpoint)
-                await asyncio.sleep(reading.BUSY_PAUSE)
-                continue
-            if answer.error is None and answer.status == "T":
-                transaction.pooled = placed.pooled
-                return
-            group.clean(placed.pooled)
-            if answer.error is statements.Failure.READ_ONLY:
-                await self.node.refresh(group)
-                await asyncio.sleep(reading.BUSY_PAUSE)
-            elif answer.error is statements.Failure.BUSY:
-                await asyncio.sleep(reading.BUSY_PAUSE)
-            elif answer.error is not statements.Failure.LAGGING:
-                break
-        raise outcomes.Failed(
-            statements.Failure.ABORTED, "no endpoint took the transaction"
-        )
-
-    async def commit(self, statement: statements.Statement) -> statements.Answer:
-        """Commit the open transaction; past its sending the outcome may be unknown."""
-        transaction = self.transaction
-        self.trace.team = transaction.team
-        self.trace.group = transaction.route.group
-        deadline = clock.read() + transaction.route.statement_timeout
-        try:
-            if transaction.pooled is None:
-                await self._begin(transaction, clock.read(), deadline)
-            pooled = transaction.pooled
-            placed = groups.Placed(pooled)
-            answer = await self._run_while_busy(placed, statement, deadline)
-        except outcomes.Failed:
-            self._end()
-            raise
-        except ports.ConnectionLost as error:
-            self._lose(transaction)
-            self._end()
-            if error.was_sent and transaction.wrote:
-                raise outcomes.Failed(
-                    statements.Failure.IN_DOUBT, "the COMMIT was sent and not answered"
-                ) from error
-            raise outcomes.Failed(
-                statements.Failure.ABORTED, "the transaction was rolled back"
-            ) from error
-        group = self.find_group(transaction.route)
-        self._end()
-        if answer.status == "I":
-            group.release(pooled)
-        else:
-            group.clean(pooled)
-            answer.status = "I"
-        if answer.error is None and transaction.wrote:
-            self.own = answer.position or self.own
-        return answer
-
-    def roll_back(self) -> statements.Answer:
-        """End the open transaction without a trace."""
-        transaction = self.transaction
-        self._end()
-        if transaction.pooled is not None:
-            self.find_group(transaction.route).clean(transaction.pooled)
-        return self.answer_locally()
-
-    def _end(self) -> None:
-        self.transaction = None
-        self.status = "I"
-
-
-_ENDINGS = frozenset({Kind.COMMIT, Kind.ROLLBACK})
-
-
-@handles(Kind.BEGIN, Kind.BEGIN_READ)
-async def begin(session: Session, statement: statements.Statement) -> statements.Answer:
-    """Open a transaction; it reaches an endpoint with its first statement."""
-    if session.transaction is not None:
-        raise outcomes.Failed(
-            statements.Failure.MALFORMED, "a transaction is open already"
-        )
-    route, team = session.admit()
-    now = clock.read()
-    await session.node.spend(team, now + route.statement_timeout)
-    idle_deadline = clock.read() + session.node.catalog.transaction_idle
-    session.transaction = Transaction(statement, now, route, team, idle_deadline)
-    session.status = "T"
-    return session.answer_locally()
-
-
-@handles(Kind.COMMIT, Kind.ROLLBACK)
-async def end(session: Session, statement: statements.Statement) -> statements.Answer:
-    """End a transaction; one that failed is rolled back."""
-    if session.transaction is None:
-        session.status = "I"
-        if statement.kind is Kind.ROLLBACK:
-            return session.answer_locally()
-        raise outcomes.Failed(statements.Failure.ABORTED, "no transaction is open")
-    if statement.kind is Kind.ROLLBACK:
-        return session.roll_back()
-    if session.status == "E":
-        session.roll_back()
-        raise outcomes.Failed(statements.Failure.ABORTED, "the transaction had failed")
-    return await session.commit(statement)
-
-
-@handles(Kind.READ, Kind.WRITE, Kind.EXECUTE)
-async def run(session: Session, statement: statements.Statement) -> statements.Answer:
-    """Run a read or a write, prepared or not."""
-    if statement.kind is Kind.EXECUTE:
-        definition = session.prepared.get(statement.name)
-        if definition is None:
-            raise outcomes.Failed(
-                statements.Failure.UNKNOWN_STATEMENT, "no statement has this name"
-            )
-        statement.definition = definition
-    if session.transaction is not None:
-        return await session.run_inside(statement)
-    if statements.is_write(statement):
-        return await session.run_write(statement)
-    return await session.run_read(statement)
-
-
-@handles(Kind.SET)
-async def set_value(
-    session: Session, statement: statements.Statement
-) -> statements.Answer:
-    """Remember a variable; connections get it before they are used."""
-    session.values = {**session.values, statement.name: statement.value}
-    return session.answer_locally()
-
-
-@handles(Kind.PREPARE)
-async def prepare(
-    session: Session, statement: statements.Statement
-) -> statements.Answer:
-    """Remember a prepared statement."""
-    session.prepared[statement.name] = statement.definition
-    return session.answer_locally()
-
-
-@handles(Kind.DEALLOCATE)
-async def deallocate(
-    session: Session, statement: statements.Statement
-) -> statements.Answer:
-    """Forget a prepared statement."""
-    if session.prepared.pop(statement.name, None) is None:
-        raise outcomes.Failed(
-            statements.Failure.UNKNOWN_STATEMENT, "no statement has this name"
-        )
-    return session.answer_locally()
--- /dev/null
+++ b/src/sardinehold/node/transactions.py
@@ -0,0 +1,227 @@
+"""A caller's transaction, on one connection from its first statement to its end.
+
+A BEGIN is answered by the node and reaches an endpoint with the first statement
+that needs one, so that a transaction holds a connection no longer than it has to.
+"""
+
+import asyncio
+import typing
+
+from sardinehold.node import catalog
+from sardinehold.node import clock
+from sardinehold.node import groups
+from sardinehold.node import outcomes
+from sardinehold.node import pool
+from sardinehold.node import ports
+from sardinehold.node import reading
+from sardinehold.node import statements
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import session as sessions
+
+Kind = statements.Kind
+
+
+class Transaction:
+    """An open transaction.
+
+    :param session: the caller's session.
+    :param begin: the caller's BEGIN.
+    :param began: when it arrived.
+    :param route: as it was then; changes bind from the next transaction on.
+    :param pooled: the connection that it runs on, None before its first statement.
+    :param wrote: whether a write was sent.
+    :param has_written: whether a write was answered with success.
+    :param idle_deadline: when it is ended if it rests until then.
+    :param is_expired: whether it was ended and the caller has not been told.
+    """
+
+    __slots__ = (
+        "session",
+        "begin",
+        "began",
+        "route",
+        "team",
+        "pooled",
+        "wrote",
+        "has_written",
+        "idle_deadline",
+        "is_expired",
+    )
+
+    def __init__(
+        self,
+        session: "sessions.Session",
+        begin: statements.Statement,
+        began: float,
+        route: catalog.Route,
+        team: str,
+        idle_deadline: float,
+    ) -> None:
+        """Start without a connection."""
+        self.session = session
+        self.begin = begin
+        self.began = began
+        self.route = route
+        self.team = team
+        self.pooled: pool.Pooled | None = None
+        self.wrote = False
+        self.has_written = False
+        self.idle_deadline = idle_deadline
+        self.is_expired = False
+
+    @property
+    def is_read_only(self) -> bool:
+        """Whether it may run on a replica."""
+        return self.begin.kind is Kind.BEGIN_READ
+
+    def _find_group(self) -> groups.Group:
+        return self.session.find_group(self.route)
+
+    def give_up(self) -> None:
+        """Roll back what is open; the caller knows, or is gone."""
+        pooled, self.pooled = self.pooled, None
+        if pooled is not None:
+            self._find_group().clean(pooled)
+
+    def abandon(self) -> None:
+        """Roll back and keep in mind that the caller has to be told."""
+        self.give_up()
+        self.is_expired = True
+        self.idle_deadline = float("inf")
+
+    async def run(self, statement: statements.Statement) -> statements.Answer:
+        """Run a statement inside."""
+        self.session.trace.team = self.team
+        self.session.trace.group = self.route.group
+        now = clock.read()
+        deadline = now + self.route.statement_timeout
+        if self.pooled is None:
+            await self._begin(now, deadline)
+        placed = groups.Placed(self.pooled)
+        if statements.is_write(statement):
+            self.wrote = True
+        try:
+            answer = await self._run_while_busy(placed, statement, deadline)
+        except ports.ConnectionLost as error:
+            self._lose()
+            raise outcomes.Failed(
+                statements.Failure.ABORTED, "the connection to the endpoint was lost"
+            ) from error
+        if answer.error is statements.Failure.BUSY:
+            self._lose()
+            raise outcomes.Failed(
+                statements.Failure.ABORTED, "the endpoint had no room in time"
+            )
+        if answer.error is None and statements.is_write(statement):
+            self.has_written = True
+        self.session.status = answer.status
+        self.idle_deadline = clock.read() + self.session.node.catalog.transaction_idle
+        return answer
+
+    async def _run_while_busy(
+        self,
+        placed: groups.Placed,
+        statement: statements.Statement,
+        deadline: float,
+    ) -> statements.Answer:
+        """Run a statement, again while the endpoint has no room."""
+        while True:
+            answer = await self.session.run_on(placed, statement, deadline)
+            if answer.error is not statements.Failure.BUSY:
+                return answer
+            if clock.read() + reading.BUSY_PAUSE > deadline:
+                return answer
+            await asyncio.sleep(reading.BUSY_PAUSE)
+
+    def _lose(self) -> None:
+        """Note that it was rolled back with its connection."""
+        pooled, self.pooled = self.pooled, None
+        self.idle_deadline = float("inf")
+        if pooled is not None and not pooled.is_lost:
+            self._find_group().discard(pooled)
+
+    async def _begin(self, now: float, deadline: float) -> None:
+        """Open the transaction on an endpoint.
+
+        :raises sardinehold.node.outcomes.Failed: none takes it; nothing of it ran.
+        """
+        route = self.route
+        group = self._find_group()
+        needs_primary = not self.is_read_only or reading.routes_reads_to_primary(route)
+        avoided: frozenset[str] = frozenset()
+        while clock.read() < deadline:
+            placed = await self.session.acquire(
+                route,
+                self.team,
+                self.began,
+                deadline,
+                needs_primary,
+                avoided,
+            )
+            try:
+                answer = await self.session.run_on(placed, self.begin, deadline)
+            except ports.ConnectionLost:
+                group.pump()
+                avoided |= reading.find_avoided(route, placed.pooled.endpoint)
+                await asyncio.sleep(reading.BUSY_PAUSE)
+                continue
+            if answer.error is None and answer.status == "T":
+                self.pooled = placed.pooled
+                return
+            group.clean(placed.pooled)
+            if answer.error is statements.Failure.READ_ONLY:
+                await self.session.node.refresh(group)
+                await asyncio.sleep(reading.BUSY_PAUSE)
+            elif answer.error is statements.Failure.BUSY:
+                await asyncio.sleep(reading.BUSY_PAUSE)
+            elif answer.error is not statements.Failure.LAGGING:
+                break
+        raise outcomes.Failed(
+            statements.Failure.ABORTED, "no endpoint took the transaction"
+        )
+
+    async def commit(self, statement: statements.Statement) -> statements.Answer:
+        """Commit; past the sending the outcome may be unknown."""
+        self.session.trace.team = self.team
+        self.session.trace.group = self.route.group
+        deadline = clock.read() + self.route.statement_timeout
+        try:
+            if self.pooled is None:
+                await self._begin(clock.read(), deadline)
+            pooled = self.pooled
+            placed = groups.Placed(pooled)
+            answer = await self._run_while_busy(placed, statement, deadline)
+        except outcomes.Failed:
+            self._end()
+            raise
+        except ports.ConnectionLost as error:
+            self._lose()
+            self._end()
+            if error.was_sent and self.wrote:
+                raise outcomes.Failed(
+                    statements.Failure.IN_DOUBT, "the COMMIT was sent and not answered"
+                ) from error
+            raise outcomes.Failed(
+                statements.Failure.ABORTED, "the transaction was rolled back"
+            ) from error
+        group = self._find_group()
+        self._end()
+        if answer.status == "I":
+            group.release(pooled)
+        else:
+            group.clean(pooled)
+            answer.status = "I"
+        if answer.error is None and self.wrote:
+            self.session.own = answer.position or self.session.own
+        return answer
+
+    def roll_back(self) -> statements.Answer:
+        """End it without a trace."""
+        self._end()
+        self.give_up()
+        return self.session.answer_locally()
+
+    def _end(self) -> None:
+        self.session.transaction = None
+        self.session.status = "I"
--- /dev/null
+++ b/src/sardinehold/node/writing.py
@@ -0,0 +1,46 @@
+"""Writes outside a transaction: on the primary, sent once."""
+
+import asyncio
+import typing
+
+from sardinehold.node import clock
+from sardinehold.node import outcomes
+from sardinehold.node import ports
+from sardinehold.node import reading
+from sardinehold.node import statements
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import session as sessions
+
+
+async def write(
+    session: "sessions.Session", statement: statements.Statement
+) -> statements.Answer:
+    """Run a write outside a transaction, at most once."""
+    route, team = session.admit()
+    began = clock.read()
+    deadline = began + route.statement_timeout
+    await session.node.spend(team, deadline)
+    group = session.find_group(route)
+    while clock.read() < deadline:
+        placed = await session.acquire(route, team, began, deadline, True)
+        try:
+            answer = await session.run_on(placed, statement, deadline)
+        except ports.ConnectionLost as error:
+            group.pump()
+            if not error.was_sent:
+                await asyncio.sleep(reading.BUSY_PAUSE)
+                continue
+            raise outcomes.Failed(
+                statements.Failure.IN_DOUBT, "the write was sent and not answered"
+            ) from error
+        group.release(placed.pooled)
+        if answer.error is None:
+            session.own = answer.position or session.own
+            return answer
+        if answer.error is statements.Failure.READ_ONLY:
+            await session.node.refresh(group)
+        elif answer.error is not statements.Failure.BUSY:
+            return answer
+        await asyncio.sleep(reading.BUSY_PAUSE)
+    raise outcomes.Failed(statements.Failure.BUSY, "the primary had no room in time")
