--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -12,7 +12,9 @@
 from sardinehold.node import placement
 from sardinehold.node import pool
 from sardinehold.node import ports
+from sardinehold.node import sharing
 from sardinehold.node import statements
+from sardinehold.node import waiting
 
 DRAIN_PART = 0.85
 """Part of the time that a leaving endpoint may get new work in which a leaving primary
@@ -25,17 +27,6 @@
 OPEN_TIMEOUT = 1.0
 """Seconds that opening a connection may take; past it an endpoint counts as dark."""
 
-SPARE_CONNECTIONS = 2
-"""Connections to each endpoint that are left for questions about its log."""
-
-LIMIT_PART = 3
-"""Part of an endpoint's connections that one node may hold, as a divisor: several
-nodes may be busy at once, and one must not take all."""
-
-KEPT_PART = 1.7
-"""Divisor of an even part by which a node's kept connections are found: the rest is
-left for nodes that need more at the moment."""
-
 PROBE_TIMEOUT = 0.4
 """Seconds in which an endpoint that is well answers a new connection and a question,
 across regions and behind a queue."""
@@ -48,66 +39,6 @@
 closed instead."""
 
 
-class Refused(Exception):
-    """A statement got no connection; nothing of it ran.
-
-    :param retry_after: seconds after which trying again makes sense.
-    """
-
-    def __init__(self, reason: str, retry_after: float) -> None:
-        """Keep the reason."""
-        super().__init__(reason)
-        self.reason = reason
-        self.retry_after = retry_after
-
-
-class Waiter(admission.Waiter):
-    """A statement that waits for a connection of a group.
-
-    :param own: position of the session's last commit.
-    :param needs_primary: whether only the primary may run it.
-    :param avoided: endpoints that failed it already.
-    """
-
-    __slots__ = ("own", "values", "needs_primary", "avoided", "future", "opening")
-
-    def __init__(
-        self,
-        team: str,
-        route: catalog.Route,
-        began: float,
-        deadline: float,
-        own: positions.Position | None,
-        values: dict[str, str],
-        needs_primary: bool,
-        avoided: frozenset[str] = frozenset(),
-    ) -> None:
-        """Start waiting."""
-        super().__init__(team, route, began, deadline)
-        self.own = own
-        self.values = values
-        self.needs_primary = needs_primary
-        self.avoided = avoided
-        self.future: asyncio.Future = asyncio.get_running_loop().create_future()
-        self.opening: pool.Endpoint | None = None
-
-
-class Placed:
-    """A connection to run a statement on.
-
-    :param after: position that the endpoint's log must have, or None.
-    """
-
-    __slots__ = ("pooled", "after")
-
-    def __init__(
-        self, pooled: pool.Pooled, after: positions.Position | None = None
-    ) -> None:
-        """Keep the parts of the placement."""
-        self.pooled = pooled
-        self.after = after
-
-
 class Group:
     """One group of databases.
 
@@ -134,7 +65,7 @@
         self.state: catalog.GroupState | None = None
         self.evidence = evidence.Evidence()
         self.endpoints: dict[str, pool.Endpoint] = {}
-        self.waiters: list[Waiter] = []
+        self.waiters: list[waiting.Waiter] = []
         self.frozen: positions.Position | None = None
         self.acknowledged: positions.Position | None = None
         self._known_since = clock.read()
@@ -199,15 +130,13 @@
         """
         if self.config is None:
             return
-        usable = max(1, self.config.connections - SPARE_CONNECTIONS)
+        connections = self.config.connections
         for endpoint in self.endpoints.values():
-            endpoint.limit = max(1, usable // LIMIT_PART)
+            endpoint.limit = sharing.find_limit(connections)
+            sharers = neighbours if endpoint.distance == 0 else 0
             if endpoint is self.primary:
-                endpoint.kept = max(1, int(usable / (KEPT_PART * nodes)))
-            elif endpoint.distance == 0:
-                endpoint.kept = max(1, int(usable / (KEPT_PART * neighbours)))
-            else:
-                endpoint.kept = 0
+                sharers = nodes
+            endpoint.kept = sharing.find_kept(connections, sharers)
 
     def _leave(self, endpoint: pool.Endpoint) -> None:
         if endpoint is not self.primary:
@@ -240,10 +169,10 @@
 
     # Waiting for a connection
 
-    async def acquire(self, waiter: Waiter) -> Placed:
+    async def acquire(self, waiter: waiting.Waiter) -> waiting.Placed:
         """Return a connection for a statement.
 
-        :raises Refused: none can be had before the deadline.
+        :raises waiting.Refused: none can be had before the deadline.
         """
         expected = self._expect_wait()
         if clock.read() + expected > waiter.deadline or self._is_hopeless(waiter):
@@ -271,7 +200,7 @@
         parallel = sum(item.limit for item in endpoints)
         return admission.expect_wait(len(self.waiters), service, parallel)
 
-    def _is_hopeless(self, waiter: Waiter) -> bool:
+    def _is_hopeless(self, waiter: waiting.Waiter) -> bool:
         """Return whether a statement needs a primary that has long been missing."""
         if not waiter.needs_primary:
             return False
@@ -283,11 +212,11 @@
             self._unserved_since = now
         return now - self._unserved_since > HOPELESS_AFTER
 
-    def _refuse(self, waiter: Waiter, expected: float) -> Refused:
+    def _refuse(self, waiter: waiting.Waiter, expected: float) -> waiting.Refused:
         retry_after = admission.find_retry_after(expected, random.random())
-        return Refused(self.explain(waiter), retry_after)
+        return waiting.Refused(self.explain(waiter), retry_after)
 
-    def explain(self, waiter: Waiter) -> str:
+    def explain(self, waiter: waiting.Waiter) -> str:
         """Return why a statement got no connection."""
         if waiter.needs_primary and not self.is_serving():
             return f"group {self.name} has no primary that takes work"
@@ -306,7 +235,7 @@
                 self.waiters.remove(waiter)
                 waiter.future.set_result(placed)
 
-    def _place(self, waiter: Waiter, now: float) -> Placed | None:
+    def _place(self, waiter: waiting.Waiter, now: float) -> waiting.Placed | None:
         """Return a connection, or open one for the statement to wait for."""
         floor = None
         if waiter.needs_primary:
@@ -321,19 +250,21 @@
         pooled = endpoint.take_idle(waiter.team, waiter.values)
         if pooled is not None:
             after = None if endpoint is self.primary else floor
-            return Placed(pooled, after)
+            return waiting.Placed(pooled, after)
         if waiter.opening is None and endpoint.may_open(now):
             waiter.opening = endpoint
             self._open(endpoint, waiter.team, waiter)
         return None
 
-    def _find_primary_for(self, waiter: Waiter, now: float) -> pool.Endpoint | None:
+    def _find_primary_for(
+        self, waiter: waiting.Waiter, now: float
+    ) -> pool.Endpoint | None:
         if not self.is_serving() or not self.evidence.holds_lease(now):
             return None
         return self.primary
 
     def _choose_for_read(
-        self, waiter: Waiter, floor: positions.Position | None, now: float
+        self, waiter: waiting.Waiter, floor: positions.Position | None, now: float
     ) -> pool.Endpoint | None:
         holds_lease = self.is_serving() and self.evidence.holds_lease(now)
         candidates = [
@@ -348,7 +279,7 @@
 
     # Connections
 
-    def _open(self, endpoint: pool.Endpoint, team: str, waiter: Waiter) -> None:
+    def _open(self, endpoint: pool.Endpoint, team: str, waiter: waiting.Waiter) -> None:
         evicted = endpoint.make_room(clock.read())
         if evicted is not None:
             evicted.connection.close()
@@ -356,7 +287,7 @@
         self._spawn(self._finish_opening, endpoint, team, waiter)
 
     async def _finish_opening(
-        self, endpoint: pool.Endpoint, team: str, waiter: Waiter
+        self, endpoint: pool.Endpoint, team: str, waiter: waiting.Waiter
     ) -> None:
         now = clock.read()
         try:
--- a/src/sardinehold/node/reading.py
+++ b/src/sardinehold/node/reading.py
@@ -5,12 +5,12 @@
 
 from sardinehold.node import catalog
 from sardinehold.node import clock
-from sardinehold.node import groups
 from sardinehold.node import hedging
 from sardinehold.node import outcomes
 from sardinehold.node import pool
 from sardinehold.node import ports
 from sardinehold.node import statements
+from sardinehold.node import waiting
 
 if typing.TYPE_CHECKING:
     from sardinehold.node import session as sessions
@@ -112,7 +112,7 @@
                 return answer
         raise outcomes.Failed(last, "the read was not answered in time")
 
-    async def _try_one(self, placed: groups.Placed) -> statements.Answer | None:
+    async def _try_one(self, placed: waiting.Placed) -> statements.Answer | None:
         """Return an endpoint's answer, None if its connection broke."""
         group = self.session.find_group(self.route)
         try:
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -12,6 +12,7 @@
 from sardinehold.node import ports
 from sardinehold.node import statements
 from sardinehold.node import transactions
+from sardinehold.node import waiting
 
 if typing.TYPE_CHECKING:
     from sardinehold.node import node as nodes
@@ -140,19 +141,19 @@
         deadline: float,
         needs_primary: bool,
         avoided: frozenset[str] = frozenset(),
-    ) -> groups.Placed:
+    ) -> waiting.Placed:
         """Return a connection that carries the session's variables.
 
         :raises outcomes.Failed: none can be had in time.
         """
-        waiter = groups.Waiter(
+        waiter = waiting.Waiter(
             team, route, began, deadline, self.own, self.values, needs_primary, avoided
         )
         group = self.find_group(route)
         asked = clock.read()
         try:
             return await group.acquire(waiter)
-        except groups.Refused as error:
+        except waiting.Refused as error:
             raise outcomes.Failed(
                 statements.Failure.BUSY,
                 outcomes.advise_return(error.reason, error.retry_after),
@@ -198,7 +199,7 @@
 
     async def run_on(
         self,
-        placed: groups.Placed,
+        placed: waiting.Placed,
         statement: statements.Statement,
         deadline: float,
     ) -> statements.Answer:
--- a/src/sardinehold/node/transactions.py
+++ b/src/sardinehold/node/transactions.py
@@ -15,6 +15,7 @@
 from sardinehold.node import ports
 from sardinehold.node import reading
 from sardinehold.node import statements
+from sardinehold.node import waiting
 
 if typing.TYPE_CHECKING:
     from sardinehold.node import session as sessions
@@ -98,7 +99,7 @@
         deadline = now + self.route.statement_timeout
         if self.pooled is None:
             await self._begin(now, deadline)
-        placed = groups.Placed(self.pooled)
+        placed = waiting.Placed(self.pooled)
         if statements.is_write(statement):
             self.wrote = True
         try:
@@ -121,7 +122,7 @@
 
     async def _run_while_busy(
         self,
-        placed: groups.Placed,
+        placed: waiting.Placed,
         statement: statements.Statement,
         deadline: float,
     ) -> statements.Answer:
@@ -190,7 +191,7 @@
             if self.pooled is None:
                 await self._begin(clock.read(), deadline)
             pooled = self.pooled
-            placed = groups.Placed(pooled)
+            placed = waiting.Placed(pooled)
             answer = await self._run_while_busy(placed, statement, deadline)
         except outcomes.Failed:
             self._end()
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -20,6 +20,7 @@
 from sardinehold.node import promotion
 from sardinehold.node import reports
 from sardinehold.node import settings
+from sardinehold.node import sharing
 from sardinehold.node import statements
 from sardinehold.node import stopping
 
@@ -418,3 +419,16 @@
     assert stop.find_step(0.9, 1) is Step.ACCEPTING
     assert stop.find_step(1.1, 1) is Step.ABANDONING
     assert stop.find_step(1.9, 1) is Step.OVER
+
+
+def test_nodes_together_keep_no_more_connections_than_an_endpoint_takes():
+    for connections in (4, 21, 74, 255):
+        for nodes in (1, 3, 9, 71):
+            kept = sharing.find_kept(connections, nodes)
+            assert kept >= 1
+            assert kept * nodes <= max(nodes, connections)
+            assert sharing.find_limit(connections) <= max(1, connections // 2)
+
+
+def test_node_keeps_no_connection_to_an_endpoint_that_others_use():
+    assert sharing.find_kept(21, 0) == 0
