--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -1,7 +1,6 @@
 """Starts the processes of a scenario's deployment and stops them by id."""
 
 import configparser
-import json
 import pathlib
 import sys
 import tempfile
@@ -207,11 +206,5 @@
         self.proxies.append(listen)
 
 
-def save_fleet(fleet: fleets.Fleet, path: pathlib.Path) -> None:
-    """Write where a fleet is, for ``sardinehold-bench load``."""
-    data = {name: getattr(fleet, name) for name in fleets.Fleet.__slots__}
-    path.write_text(json.dumps(data), encoding="utf-8")
-
-
 def _name_route(team: scenarios.TeamLoad) -> str:
     return f"{team.name}-route"
--- a/src/sardinehold/core/variables.py
+++ b/src/sardinehold/core/variables.py
@@ -14,9 +14,6 @@
 PREFIX = "sardinehold."
 """How the names of the proxy's own settings start."""
 
-MAX_SETTINGS = 64
-"""Settings that one session may keep."""
-
 _UNITS = {"": 1.0, "s": 1.0, "ms": 0.001, "min": 60.0}
 _AGE = re.compile(r"^\s*(\d+(?:\.\d+)?)\s*(ms|s|min|)\s*$")
 _OFF = frozenset(["", "off", "none", "default"])
--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -26,6 +26,9 @@
 RETRY_DELAY = 0.1
 """Seconds between attempts while too few logs can be read."""
 
+LOOK_INTERVAL = 0.02
+"""Seconds between looks at whether an endpoint has room or all nodes know the seal."""
+
 POLL_INTERVAL = 0.05
 """Seconds between looks at an endpoint that is to become primary."""
 
@@ -295,7 +298,7 @@
         """Return the state of a log that grows no more, None if it may."""
         status = await connection.read_status(deadline)
         while status is None and clock.read() < deadline:
-            await anyio.sleep(RETRY_DELAY / 4)
+            await anyio.sleep(LOOK_INTERVAL)
             status = await connection.read_status(deadline)
         if status is None:
             return None
@@ -315,7 +318,7 @@
         while clock.read() < lapse:
             if self.fleet.is_seal_known(self.group, sealed_version):
                 return
-            await anyio.sleep(RETRY_DELAY / 5)
+            await anyio.sleep(LOOK_INTERVAL)
 
     async def _check_frozen(self, state: catalog.GroupState) -> bool:
         """Return whether the logs are still stopped; forget those that are not.
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -9,6 +9,7 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import evidence
+from sardinehold.node import jitter
 from sardinehold.node import placement
 from sardinehold.node import pool
 from sardinehold.node import ports
@@ -315,9 +316,9 @@
         now = clock.read()
         if error.failure is statements.Failure.CONNECTION_LIMIT:
             endpoint.note_answer(now)
-            endpoint.note_full(now, pool.FULL_PAUSE * (0.5 + random.random()))
+            endpoint.note_full(now, jitter.spread(pool.FULL_PAUSE))
         else:
-            endpoint.note_failure(now, random.random(), str(error))
+            endpoint.note_failure(now, str(error))
         asyncio.get_running_loop().call_later(
             max(0.0, endpoint.retry_at - now), self.pump
         )
@@ -353,7 +354,7 @@
         except ports.ConnectionLost as error:
             failed = str(error)
         if failed:
-            endpoint.note_failure(now, random.random(), failed)
+            endpoint.note_failure(now, failed)
             self._close_idle(endpoint)
         else:
             endpoint.probe_answered_at = clock.read()
--- a/src/sardinehold/node/keeping.py
+++ b/src/sardinehold/node/keeping.py
@@ -1,6 +1,5 @@
 """What a node writes to the store: its entry, the lead, and states of groups."""
 
-import random
 import secrets
 import typing
 
@@ -11,6 +10,7 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import following
+from sardinehold.node import jitter
 from sardinehold.node import leadership
 
 if typing.TYPE_CHECKING:
@@ -23,7 +23,13 @@
 STORE_RETRY = 0.3
 """Seconds between attempts to write an object of this node."""
 
+LOOK_SOONEST = 0.01
+LOOK_LATEST = 0.1
+"""Seconds between two looks at whether a renewal is due: none in a loop without a
+pause, and soon enough to notice within a lease that the lead was lost."""
+
 SECRET_BYTES = 32
+"""Bytes of the key that signs datagrams between nodes: 256 bits."""
 
 
 class Keeping:
@@ -80,7 +86,7 @@
                 return
             except errors.PlatformError as error:
                 self.node.journal.note("member_not_written", reason=str(error))
-                await anyio.sleep(STORE_RETRY * (0.5 + random.random()))
+                await anyio.sleep(jitter.spread(STORE_RETRY))
 
     async def _write_always(self, name: str, value: dict) -> None:
         """Write an object that only this node writes, whatever is there."""
@@ -113,7 +119,7 @@
             self._note_lead(self.node.leadership.leads(now))
             due = self.node.leadership.find_next_write(now)
             if self.node.is_stopping or due > now:
-                await anyio.sleep(min(0.1, max(0.01, due - now)))
+                await anyio.sleep(min(LOOK_LATEST, max(LOOK_SOONEST, due - now)))
                 continue
             await self._write_lead()
 
--- a/src/sardinehold/node/pool.py
+++ b/src/sardinehold/node/pool.py
@@ -10,6 +10,7 @@
 
 from sardinehold.core import positions
 from sardinehold.node import catalog
+from sardinehold.node import jitter
 from sardinehold.node import placement
 from sardinehold.node import ports
 from sardinehold.node import statements
@@ -20,6 +21,9 @@
 INITIAL_SERVICE = 0.03
 """Seconds that a statement is taken to need before one was measured."""
 
+LEAST_SERVICE = 0.001
+"""Seconds that a statement needs at least; a round trip is only estimated."""
+
 RETRY_FIRST = 0.05
 """Seconds before opening is tried again after the first failure."""
 
@@ -27,6 +31,9 @@
 """Seconds that the growing wait between attempts ends at; a small part of the time
 in which a crashed endpoint is back."""
 
+MAX_DOUBLINGS = 10
+"""Doublings of the wait that are counted; ``RETRY_LIMIT`` is reached before."""
+
 PROBE_AFTER = 0.5
 """Seconds without an answer after which an endpoint is asked by a new connection;
 longer than a queue in front of its slots."""
@@ -282,12 +289,12 @@
             self.connections.discard(pooled)
         return found
 
-    def note_failure(self, now: float, jitter: float, reason: str) -> None:
+    def note_failure(self, now: float, reason: str) -> None:
         """Wait longer after each failed attempt."""
         self.failure = reason
-        wait = min(RETRY_LIMIT, RETRY_FIRST * 2 ** min(self.failures, 10))
+        wait = min(RETRY_LIMIT, RETRY_FIRST * 2 ** min(self.failures, MAX_DOUBLINGS))
         self.failures += 1
-        self.retry_at = now + wait * (0.5 + jitter)
+        self.retry_at = now + jitter.spread(wait)
         if self.failing_since is None:
             self.failing_since = min(self.sent.values(), default=now)
 
@@ -300,7 +307,7 @@
 
     def note_service(self, seconds: float) -> None:
         """Take the time of a statement into the average, the way excluded."""
-        seconds = max(0.001, seconds - self.round_trip)
+        seconds = max(LEAST_SERVICE, seconds - self.round_trip)
         self.service += SERVICE_SMOOTHING * (seconds - self.service)
 
     def note_lack(self, floor: positions.Position, now: float) -> None:
--- a/src/sardinehold/node/watching.py
+++ b/src/sardinehold/node/watching.py
@@ -20,9 +20,14 @@
 """Seconds past the wait after which a watch counts as silent."""
 
 BACKOFF_FIRST = 0.1
+"""Seconds between attempts after the first failure; they double with each."""
+
 BACKOFF_LIMIT = 0.8
-"""Seconds between attempts after the first and after many failures; well below the
-bound for configurations."""
+"""Seconds between attempts after many failures; well below the bound for
+configurations."""
+
+MAX_DOUBLINGS = 8
+"""Doublings of the wait that are counted; ``BACKOFF_LIMIT`` is reached before."""
 
 
 class Watcher:
@@ -110,6 +115,8 @@
         self._on_state(self.kind, True, "")
 
     async def _pause(self) -> None:
-        bound = min(BACKOFF_LIMIT, BACKOFF_FIRST * 2 ** min(self._failures, 8))
+        bound = min(
+            BACKOFF_LIMIT, BACKOFF_FIRST * 2 ** min(self._failures, MAX_DOUBLINGS)
+        )
         self._failures += 1
         await anyio.sleep(bound * (0.5 + 0.5 * random.random()))
--- a/src/sardinehold/platform/endpoints.py
+++ b/src/sardinehold/platform/endpoints.py
@@ -9,16 +9,20 @@
 from sardinehold.node import ports
 from sardinehold.node import statements
 from sardinehold.platform import lines
+from sardinehold.platform import records
 
 OWN_ID = "-"
 """Identifier of statements that sardinehold issues itself."""
 
 KEEPALIVE_IDLE = 2
+"""Seconds of silence before the system probes a connection; ``USER_TIMEOUT_MS`` ends
+one that does not answer probes. A dark endpoint drops its own side after 3 s."""
+
 KEEPALIVE_INTERVAL = 1
+"""Seconds between such probes."""
+
 KEEPALIVE_COUNT = 2
-"""Seconds of silence before the system probes a connection, seconds between probes,
-and probes without an answer after which it is broken: a dark endpoint drops its side
-after 3 s."""
+"""Probes without an answer after which a connection is broken."""
 
 USER_TIMEOUT_MS = 3000
 """Milliseconds for which sent bytes may stay unacknowledged; a dark endpoint drops
@@ -68,7 +72,7 @@
     position = parse_position(received) or positions.START
     # "term held" is the term of the pause in force, 0 while there is none.
     return ports.LogStatus(
-        role == "primary", int(term), position, int(held), float(lag_ms) * 0.001
+        role == "primary", int(term), position, int(held), float(lag_ms) * records.MS
     )
 
 
--- a/src/sardinehold/platform/local.py
+++ b/src/sardinehold/platform/local.py
@@ -14,8 +14,6 @@
 METRICS_PORT = 9464
 """Port of the metrics page; ``deploy/system.toml`` names the same."""
 
-_MS = 0.001
-
 
 class _Reader:
     """Takes fields out of a table and collects what is wrong with them."""
@@ -81,7 +79,7 @@
         reader.take_address("platform.Address"),
         reader.take_address("CloudApi.Address"),
         float(reader.take("Bounds.GracePeriodS", number, 6)),
-        reader.take("Bounds.DrainMs", number, 7000) * _MS,
+        reader.take("Bounds.DrainMs", number, 7000) * records.MS,
         float(reader.take("Bounds.QuotaWindowS", number, 5)),
         float(reader.take("Bounds.QuotaOverage", number, 0.1)),
         float(reader.take("Bounds.QuotaSlack", number, 20)),
--- a/src/sardinehold/platform/records.py
+++ b/src/sardinehold/platform/records.py
@@ -18,7 +18,7 @@
     "read_your_writes": catalog.Consistency.SESSION,
 }
 
-_MS = 0.001
+MS = 0.001
 """Seconds in a millisecond."""
 
 _DEFAULT_TRANSACTION_IDLE_MS = 3000
@@ -63,7 +63,7 @@
         teams,
         owners,
         {entry["Name"]: _parse_group(entry) for entry in value["Services"]},
-        float(idle) * _MS,
+        float(idle) * MS,
     )
 
 
@@ -72,9 +72,9 @@
         entry["Host"],
         entry["Service"],
         _CONSISTENCIES[entry["Kind"]],
-        float(entry.get("MaxStalenessMs", 0)) * _MS,
-        float(entry["TimeoutMs"]) * _MS,
-        float(entry["TargetLatencyMs"]) * _MS,
+        float(entry.get("MaxStalenessMs", 0)) * MS,
+        float(entry["TimeoutMs"]) * MS,
+        float(entry["TargetLatencyMs"]) * MS,
         int(entry.get("Priority", 0)),
         bool(entry.get("Public", False)),
     )
--- a/src/sardinehold/startup.py
+++ b/src/sardinehold/startup.py
@@ -8,7 +8,6 @@
 
 TOKEN_SETTING = "sardinehold.session"
 AGE_SETTING = "sardinehold.max_age"
-KEY_SETTING = "sardinehold.idempotency_key"
 
 _AGE = re.compile(r"\s*(\d+(?:\.\d+)?)\s*(us|ms|s|min|h)?\s*", re.ASCII)
 _UNITS = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "min": 60.0, "h": 3600.0, None: 1.0}
--- a/src/sardinehold_bench/load.py
+++ b/src/sardinehold_bench/load.py
@@ -14,7 +14,6 @@
 TABLE = "bench_entries"
 CREATE = f"CREATE TABLE IF NOT EXISTS {TABLE} (session TEXT, number INTEGER)"
 INDEX = f"CREATE INDEX IF NOT EXISTS {TABLE}_session ON {TABLE} (session)"
-RECONNECT_SECONDS = 0.05
 GRACE_SECONDS = 12.0
 """How long after the run answers are waited for."""
 
--- a/src/sardinehold_standins/variables.py
+++ b/src/sardinehold_standins/variables.py
@@ -53,10 +53,6 @@
         """Return a variable's name as it is announced."""
         return self._names.get(name, name)
 
-    def list_all(self) -> list[tuple[str, str]]:
-        """Return all variables in order of their names."""
-        return sorted(self._values.items())
-
     def change(self, name: str, value: str, local: bool) -> None:
         """Set a variable; DEFAULT resets it."""
         if local:
