Test the watch alone as well: it must not date a lease

The test passed with a watch that dates leases, since the lists in between told the node of the seal in time. With the lists left out it fails then.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,6 +7,7 @@
 import builders_node
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import following
 from sardinehold.node import statements
 
 Kind = statements.Kind
@@ -340,7 +341,13 @@
     assert len(cluster.promotions) == 1
 
 
-def test_watch_that_hears_nothing_does_not_prove_that_the_primary_leads(monkeypatch):
+@pytest.mark.parametrize("interval", [following.LIST_INTERVAL, 60.0])
+def test_watch_that_hears_nothing_does_not_prove_that_the_primary_leads(
+    monkeypatch, interval
+):
+    # The second interval leaves the watch alone to date the lease, which it must not.
+    monkeypatch.setattr(following, "LIST_INTERVAL", interval)
+
     async def story(world):
         for name in ("n0", "n1"):
             await world.open(name, "latest").write()
