List the fields of each log line; check both ways that none is left out

docs/OPERATIONS.md said that events.md has all fields; it had the names. The test found lines that are not described, but not descriptions that nothing writes. Both come from one reading of the code now.

--- a/docs/generate.py
+++ b/docs/generate.py
@@ -3,6 +3,7 @@
 With ``--check`` nothing is written, and the exit code says whether all are current.
 """
 
+import ast
 import importlib
 import json
 import pathlib
@@ -15,6 +16,7 @@
 from sardinehold import schema
 from sardinehold import settings
 from sardinehold.node import occurrences
+from sardinehold.node import outcomes
 
 DOCS = pathlib.Path(__file__).parent
 
@@ -58,6 +60,19 @@
 """
 
 
+_WRITERS: dict[str, tuple[str, ...]] = {
+    "note": (),
+    "_note": (),
+    "note_ordinary": (),
+    "note_endpoint": ("endpoint", "group"),
+    "_format": ("count",),
+}
+"""Methods that write a line, and the fields that they add."""
+
+_READ_FROM = {"session.trace.describe()": tuple(outcomes.Trace().describe())}
+"""Where a call takes fields from that it does not name."""
+
+
 class Cause:
     """What an error code means, for the page of error codes."""
 
@@ -162,17 +177,53 @@
     return kind if isinstance(kind, str) else " or ".join(kind)
 
 
+def collect_events() -> dict[str, list[str]]:
+    """Return the fields of all log lines that the code writes, by event."""
+    found: dict[str, set[str]] = {}
+    package = pathlib.Path(sardinehold.__file__).parent
+    folders = (package / "node", package / "platform")
+    for path in (path for folder in folders for path in folder.glob("*.py")):
+        for call in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if isinstance(call, ast.Call) and call.args:
+                for event, fields in _read_note(path.name, call):
+                    found.setdefault(event, set()).update(fields)
+    return {event: sorted(fields) for event, fields in found.items()}
+
+
+def _read_note(module: str, call: ast.Call) -> list[tuple[str, set[str]]]:
+    """Return the events that a call writes, with its fields; none if it writes none."""
+    writer = getattr(call.func, "attr", "")
+    if writer not in _WRITERS:
+        return []
+    first = call.args[0]
+    choices = [first.body, first.orelse] if isinstance(first, ast.IfExp) else [first]
+    names = [choice.value for choice in choices if isinstance(choice, ast.Constant)]
+    fields = {*_WRITERS[writer], *(word.arg for word in call.keywords if word.arg)}
+    if any(word.arg is None for word in call.keywords):
+        fields.update(_READ_FROM.get(ast.unparse(call.keywords[-1].value), ()))
+    owner = ast.unparse(call.func.value)
+    prefix = ""
+    if module in ("leader.py", "failover.py") and "journal" not in owner:
+        prefix = "failover_"
+    return [(prefix + name, fields) for name in names]
+
+
 def format_events() -> str:
     """Return the page on the log lines of a node."""
-    rows = [f"| `{name}` | {text} |" for name, text in occurrences.EVENTS.items()]
+    written = collect_events()
+    rows = [
+        f"| `{name}` | {', '.join(f'`{field}`' for field in written.get(name, []))} |"
+        f" {text} |"
+        for name, text in occurrences.EVENTS.items()
+    ]
     fields = [
         f"| `{name}` | {text} |" for name, text in occurrences.STATEMENT_FIELDS.items()
     ]
     return "\n".join(
         [
             EVENTS,
-            "| event | meaning |",
-            "|---|---|",
+            "| event | fields | meaning |",
+            "|---|---|---|",
             *rows,
             "",
             "## Fields of `served` and `failed`",
--- a/src/sardinehold/node/following.py
+++ b/src/sardinehold/node/following.py
@@ -86,8 +86,9 @@
         if self._store_state.get(kind) is is_up:
             return
         self._store_state[kind] = is_up
-        event = "store_regained" if is_up else "store_lost"
-        self.node.journal.note(event, kind=kind, reason=reason)
+        self.node.journal.note(
+            "store_regained" if is_up else "store_lost", kind=kind, reason=reason
+        )
 
     def _change_config(self, changes: objects.Changes, asked: float) -> None:
         for stored in changes.objects:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from sardinehold.node import occurrences
+
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
 
 
@@ -27,6 +29,10 @@
     assert text == GENERATOR.build_pages()[name], "run docs/generate.py"
 
 
+def test_lines_that_the_code_writes_and_those_described_are_the_same():
+    assert set(GENERATOR.collect_events()) == set(occurrences.EVENTS)
+
+
 def test_every_code_has_a_cause_and_none_is_left_over():
     codes = {kind.code for kind in GENERATOR.list_errors()}
     assert set(GENERATOR.read_causes()) == codes
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1,9 +1,7 @@
 """The story of a request out of log lines, and the lines themselves."""
 
-import ast
 import json
 import os
-import pathlib
 
 import logbook
 import pytest
@@ -13,9 +11,6 @@
 from sardinehold import metrics
 from sardinehold import stories
 from sardinehold.node import journal
-from sardinehold.node import occurrences
-
-NODE = pathlib.Path(__file__).parent.parent / "src" / "sardinehold"
 
 
 def make_line(at: float, event: str, vm: str = "n1", **fields: object) -> str:
@@ -64,29 +59,6 @@
     assert "request=r7" in printed[3]
 
 
-def collect_events():
-    """Return the names of all lines that the code writes."""
-    found = set()
-    for path in [*(NODE / "node").glob("*.py"), *(NODE / "platform").glob("*.py")]:
-        for call in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
-            if not isinstance(call, ast.Call) or not call.args:
-                continue
-            name = getattr(call.func, "attr", "")
-            first = call.args[0]
-            if name in ("note", "note_ordinary", "_note_endpoint") and isinstance(
-                first, ast.Constant
-            ):
-                owner = ast.unparse(call.func.value)
-                is_leader = path.name in ("leader.py", "failover.py")
-                prefix = "failover_" if is_leader and "journal" not in owner else ""
-                found.add(prefix + first.value)
-    return found
-
-
-def test_every_line_that_the_code_writes_is_described():
-    assert collect_events() - occurrences.EVENTS.keys() == set()
-
-
 def write_many(vm: str, count: int, ordinary: bool):
     registry = metrics.Registry()
     made = journal.Journal(vm, registry)
