--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -619,6 +619,45 @@
     builders_node.play(monkeypatch, story)
 
 
+@pytest.mark.parametrize("has_left", [True, False])
+def test_group_goes_on_with_one_log_only_if_its_primary_has_left(monkeypatch, has_left):
+    # One of two replicas cannot be read. Its log may hold the only copy of a commit,
+    # unless the primary's is gone for good as well.
+    async def story(world):
+        cluster = world.clusters["g"]
+        cluster.databases["g-2"].is_deaf = True
+        assert (await world.open("n1", "latest").write()).error is None
+        for name in list(world.nodes):
+            world.kill_node(name)
+        for name in ("g-0", "g-1"):
+            cluster.databases[name].crash()
+        if has_left:
+            world.store.put(builders_node.ENDPOINT_KIND, "g-0", None)
+        for name in ("n0", "n1", "n2"):
+            world.start_node(name, "north")
+        for _ in range(14):
+            await asyncio.sleep(2.0)
+            world.tasks.start_soon(world.open("n1", "latest").write)
+        promoted = [endpoint for _, _, endpoint in cluster.promotions]
+        assert promoted == (["g-2"] if has_left else [])
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_rates_and_connections_are_divided_by_the_members_that_are_left(monkeypatch):
+    async def story(world):
+        node = world.nodes["n0"]
+        kept = node.groups["g"].primary.kept
+        world.kill_node("n2")
+        world.store.put(following.FLEET_KIND, f"{following.MEMBER_PREFIX}n2", None)
+        await asyncio.sleep(7.0)
+        assert set(node.members) == {"n0", "n1"}
+        assert node.budget.members == 2
+        assert node.groups["g"].primary.kept > kept
+
+    builders_node.play(monkeypatch, story)
+
+
 def test_team_gets_its_rate_over_all_nodes_and_no_more(monkeypatch):
     async def story(world):
         served = []
