--- a/src/sardinehold_standins/objects_in_memory.py
+++ b/src/sardinehold_standins/objects_in_memory.py
@@ -136,8 +136,3 @@
         stored = self.store.put(kind, name, value)
         await self._answer()
         return stored
-
-    async def delete(self, kind: str, name: str, version: int) -> None:
-        """Delete an object."""
-        await self._call("delete")
-        self.store.put(kind, name, None)
