--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -11,11 +11,13 @@
 
 from sardinehold import errors
 from sardinehold import metrics
+from sardinehold.core import positions
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import node as nodes
 from sardinehold.node import peers
 from sardinehold.node import ports
+from sardinehold.node import reports
 from sardinehold.node import session as sessions
 from sardinehold.node import settings
 from sardinehold.node import statements
@@ -161,6 +163,26 @@
     )
 
 
+def make_report(**changes: object) -> reports.Report:
+    fields = {
+        "node": "n1",
+        "incarnation": "a",
+        "sent_at": 50.0,
+        "states": {"g": 4},
+        "samples": {"g": (0.2, positions.Position(1, 7))},
+        "acknowledged": {"g": positions.Position(1, 6)},
+        "failing": {},
+        "sequence": 1,
+        "usages": [],
+        "catalog_version": 2,
+        "echo": 1000.0,
+        "echo_of": "leader-1",
+        "held": 0.5,
+        "contact_age": 0.1,
+    }
+    return reports.Report(**{**fields, **changes})
+
+
 class World:
     """Nodes, store and databases together."""
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -658,6 +658,50 @@
     builders_node.play(monkeypatch, story)
 
 
+def test_session_reads_what_its_transaction_committed(monkeypatch):
+    async def story(world):
+        for database in world.clusters["g"].databases.values():
+            database.lag = 1.0
+        client = world.open("n1", "session")
+        await client.send(Kind.BEGIN)
+        await client.write()
+        committed = await client.send(Kind.COMMIT)
+        assert client.session.own == committed.position
+        assert (await client.read()).error is None
+        assert world.clusters["g"].ran[-1].log >= committed.position.offset
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_replica_that_lacks_a_position_is_remembered(monkeypatch):
+    async def story(world):
+        replicas = [f"g-{index}" for index in (1, 2)]
+        client = world.open("n1", "session")
+        await client.read()
+        for name in replicas:
+            world.clusters["g"].databases[name].lag = 5.0
+        wrote = await client.write()
+        assert (await client.read()).error is None
+        group = world.nodes["n1"].groups["g"]
+        asked = [group.endpoints[name].lacked for name in replicas]
+        assert wrote.position in asked
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_evidence_of_one_node_serves_the_others(monkeypatch):
+    # Only n1 asks the primary; n2 reads from replicas by the position that n1 got.
+    async def story(world):
+        wrote = await world.open("n1", "latest").write()
+        await asyncio.sleep(1.0)
+        assert (await world.open("n1", "latest").read()).error is None
+        await asyncio.sleep(1.0)
+        latest = world.nodes["n2"].groups["g"].evidence.latest
+        assert latest.position >= wrote.position
+
+    builders_node.play(monkeypatch, story)
+
+
 def test_team_gets_its_rate_over_all_nodes_and_no_more(monkeypatch):
     async def story(world):
         served = []
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -11,6 +11,7 @@
 from sardinehold.node import admission
 from sardinehold.node import budget
 from sardinehold.node import catalog
+from sardinehold.node import clock
 from sardinehold.node import evidence
 from sardinehold.node import hedging
 from sardinehold.node import leadership
@@ -84,37 +85,17 @@
     assert not known.holds_lease(10.1)
 
 
-def make_report(**changes: object) -> reports.Report:
-    fields = {
-        "node": "n1",
-        "incarnation": "a",
-        "sent_at": 50.0,
-        "states": {"g": 4},
-        "samples": {"g": (0.2, P(1, 7))},
-        "acknowledged": {"g": P(1, 6)},
-        "failing": {},
-        "sequence": 1,
-        "usages": [],
-        "catalog_version": 2,
-        "echo": 1000.0,
-        "echo_of": "leader-1",
-        "held": 0.5,
-        "contact_age": 0.1,
-    }
-    return reports.Report(**{**fields, **changes})
-
-
 def test_age_in_a_report_is_dated_by_the_leaders_own_reading():
-    assert make_report().date(0.2, "leader-1") == pytest.approx(1000.293)
+    assert builders_node.make_report().date(0.2, "leader-1") == pytest.approx(1000.293)
 
 
 def test_reading_of_another_leaders_clock_dates_nothing():
-    assert make_report().date(0.2, "leader-2") is None
-    assert make_report(echo=None).date(0.2, "leader-1") is None
+    assert builders_node.make_report().date(0.2, "leader-2") is None
+    assert builders_node.make_report(echo=None).date(0.2, "leader-1") is None
 
 
 def test_messages_are_read_back_as_they_were():
-    report = make_report(failing={"e": 0.4})
+    report = builders_node.make_report(failing={"e": 0.4})
     again = reports.parse(report.dump())
     assert again.dump() == report.dump()
     state = catalog.GroupState("g", 2, "e", catalog.Phase.SEALED, 9, 3)
@@ -432,3 +413,57 @@
 
 def test_node_keeps_no_connection_to_an_endpoint_that_others_use():
     assert sharing.find_kept(21, 0) == 0
+
+
+def test_word_of_a_leader_counts_only_if_it_is_newer():
+    lead = make_leadership()
+    lead.observe(store_leader(5), 10.0)
+    lead.hear("n3", "c", 5, 11.0)
+    assert lead.holder == "n2"
+    lead.hear("n3", "c", 6, 11.0)
+    assert (lead.holder, lead.holder_incarnation) == ("n3", "c")
+
+
+def test_leader_does_not_give_way_to_another_ones_word():
+    lead = make_leadership()
+    lead.note_written(10.0, 5)
+    lead.hear("n3", "c", 6, 10.5)
+    assert lead.holder == "n1"
+
+
+def make_endpoint() -> pool.Endpoint:
+    record = catalog.EndpointRecord("e", "g", "host", 1, "z", 3)
+    return pool.Endpoint(record, 0)
+
+
+def test_primary_whose_commits_hang_while_it_answers_is_failing():
+    endpoint = make_endpoint()
+    endpoint.writes["c"] = 10.0
+    endpoint.probe_answered_at = 10.6
+    assert endpoint.find_failing_since(10.5) is None
+    assert endpoint.find_failing_since(10.8) == 10.0
+
+
+def test_primary_that_committed_since_is_only_slow():
+    endpoint = make_endpoint()
+    endpoint.writes["c"] = 10.0
+    endpoint.probe_answered_at = 10.6
+    endpoint.committed_at = 10.3
+    assert endpoint.find_failing_since(10.8) is None
+
+
+def test_primary_that_answered_no_question_since_is_not_called_isolated():
+    endpoint = make_endpoint()
+    endpoint.writes["c"] = 10.0
+    endpoint.probe_answered_at = 10.1
+    assert endpoint.find_failing_since(10.8) is None
+
+
+def test_grant_that_comes_too_late_is_not_spent():
+    found = make_budget(9)
+    balance = found.accounts["red"].balance
+    now = clock.read()
+    found.take_grant("red", 1, 5, now - 0.1)
+    assert balance.tokens == 0
+    found.take_grant("red", 2, 5, now + 1.0)
+    assert balance.tokens == 5
--- /dev/null
+++ b/tests/test_node_roster.py
@@ -0,0 +1,114 @@
+"""What a leader may conclude from the reports of the members."""
+
+import types
+
+import pytest
+
+import builders_node
+from sardinehold.core import positions
+from sardinehold.node import clock
+from sardinehold.node import roster
+
+P = positions.Position
+NOW = 1000.9
+"""Reading of the leader's clock; a report echoes 1000.0 and was held for 0.5 s."""
+
+
+@pytest.fixture
+def heard(monkeypatch):
+    """Return the roster of a leader n0 with the members n1 and n2."""
+    monkeypatch.setattr(clock, "read", lambda: NOW)
+    group = types.SimpleNamespace(acknowledged=P(1, 3))
+    node = types.SimpleNamespace(
+        settings=types.SimpleNamespace(name="n0"),
+        incarnation="leader-1",
+        members={"n0": {}, "n1": {}, "n2": {}},
+        groups={"g": group},
+        following=types.SimpleNamespace(find_store_contact=lambda: NOW - 0.1),
+    )
+    return roster.Roster(node)
+
+
+def report_all(heard, at=NOW, **changes):
+    for name in ("n0", "n1", "n2"):
+        heard.take(builders_node.make_report(node=name, **changes), at)
+
+
+def test_seal_is_known_when_every_member_reported_its_version(heard):
+    report_all(heard, states={"g": 4})
+    assert heard.is_seal_known("g", 4)
+
+
+def test_seal_is_not_known_to_a_member_that_acts_on_an_older_version(heard):
+    report_all(heard, states={"g": 4})
+    heard.take(builders_node.make_report(node="n2", states={"g": 3}), NOW)
+    assert not heard.is_seal_known("g", 4)
+
+
+def test_seal_is_not_known_to_a_member_that_was_not_heard_of_late(heard):
+    report_all(heard, at=NOW - roster.HEARD_WITHIN - 0.1)
+    assert not heard.is_seal_known("g", 4)
+
+
+def test_seal_is_known_to_nobody_where_there_are_no_members(heard):
+    heard.node.members.clear()
+    assert not heard.is_seal_known("g", 0)
+
+
+def test_newest_commit_that_any_member_told_of_is_found(heard):
+    report_all(heard)
+    heard.take(builders_node.make_report(node="n2", acknowledged={"g": P(1, 9)}), NOW)
+    assert heard.find_acknowledged("g", 1000.0) == P(1, 9)
+
+
+def test_leaders_own_word_counts_among_the_others(heard):
+    report_all(heard)
+    heard.node.groups["g"].acknowledged = P(1, 12)
+    assert heard.find_acknowledged("g", 1000.0) == P(1, 12)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"acknowledged": {}},
+        {"echo_of": "leader-2"},
+        {"echo": None},
+        {"echo": 999.0},
+    ],
+)
+def test_member_that_has_not_said_so_since_leaves_commits_unknown(heard, changes):
+    report_all(heard)
+    heard.take(builders_node.make_report(node="n2", **changes), NOW)
+    assert heard.find_acknowledged("g", 1000.0) is None
+
+
+def test_member_that_was_never_heard_leaves_commits_unknown(heard):
+    heard.take(builders_node.make_report(node="n1"), NOW)
+    assert heard.find_acknowledged("g", 1000.0) is None
+
+
+def test_leader_that_was_restarted_leaves_commits_unknown(heard):
+    report_all(heard)
+    heard.node.groups["g"].acknowledged = None
+    assert heard.find_acknowledged("g", 1000.0) is None
+
+
+def test_member_is_in_touch_while_it_has_this_leaders_advice(heard):
+    report_all(heard)
+    heard.take(builders_node.make_report(node="n2", echo_of="leader-2"), NOW)
+    touched = [name for name in heard.node.members if heard.is_in_touch(name, NOW)]
+    assert touched == ["n0", "n1"]
+    late = NOW + roster.HEARD_WITHIN + 0.1
+    assert [n for n in heard.node.members if heard.is_in_touch(n, late)] == ["n0"]
+
+
+def test_contact_with_the_store_is_dated_by_the_reports_arrival(heard):
+    heard.take(builders_node.make_report(node="n1", contact_age=3.0), NOW - 0.5)
+    own, other = heard.list_contacts(NOW)
+    assert own == (NOW - 0.1, NOW)
+    assert other[0] == pytest.approx(NOW - 0.5 - 3.0, abs=0.1)
+
+
+def test_members_that_do_not_report_are_listed(heard):
+    heard.take(builders_node.make_report(node="n1"), NOW)
+    assert heard.list_unheard(NOW) == ["n2"]
