--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -13,6 +13,7 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import evidence
+from sardinehold.node import groups
 from sardinehold.node import hedging
 from sardinehold.node import leadership
 from sardinehold.node import placement
@@ -467,3 +468,23 @@
     assert balance.tokens == 0
     found.take_grant("red", 2, 5, now + 1.0)
     assert balance.tokens == 5
+
+
+def make_group() -> groups.Group:
+    return groups.Group("g", None, None, lambda zone: 0, 7.0)
+
+
+def test_position_of_the_primary_does_not_lower_what_was_acknowledged():
+    group = make_group()
+    now = clock.read()
+    group.note_acknowledged(P(1, 9))
+    group.note_position(now + 1.0, P(1, 7))
+    assert group.acknowledged == P(1, 9)
+
+
+def test_position_asked_for_before_the_start_covers_nothing_of_it():
+    group = make_group()
+    group.note_position(clock.read() - 60.0, P(1, 7))
+    assert group.acknowledged is None
+    group.note_position(clock.read(), P(1, 8))
+    assert group.acknowledged == P(1, 8)
