Keep rates whole over changes of leader; let cut-off nodes refuse at once

Cause: after each change of leader only the even three tenths of the rates could be used for up to 3 s. The new leader's own write, told by a watch before the write was answered, counted as a sign of life of the leader before (1.6 s); processes whose entries were late were waited for (1.0 s); buckets began empty; members without this leader's advice counted as out of touch. Teams with callers at few nodes lost the even parts of the others. A node cut off from store and leader held each try until its timeout.

Change: the leader's object names tokens that are kept for a successor; nodes give back what short teams need elsewhere; a report of a new process stands for its entry; operations wait for a leader that settles, below half of their time; callers wait for the first configuration; an operation that was never sent is not counted; leases last 1.1 s; nodes that hear nobody refuse and are not ready; datagrams are compressed (report 502 to 193 bytes); small teams' tokens are not held ahead of need.

Ruled out: endpoints without room (their refusals are a tenth), the time of the election (0.3 s). Refilling a successor's buckets from when its predecessor stopped was tried and dropped: the random run of test_quota found an excess, since unknown tokens may still be spent.

--- a/src/sardinehold/core/quota.py
+++ b/src/sardinehold/core/quota.py
@@ -12,6 +12,10 @@
 spent stops counting as outstanding at once; what a silent node holds counts
 until its grants lapse. Exchanges of a node are numbered and never overlap; a
 late copy is dropped, and so is an answer of an earlier epoch.
+
+So that a successor need not start with empty buckets, the allocator keeps a
+reserve in each bucket that it has written down: it grants nothing out of it until a
+smaller reserve is written. What the store says is there was there to the end.
 """
 
 GRANT_LIFETIME = 1.0
@@ -24,6 +28,20 @@
 """A grant takes at most this part of a bucket, so that one node with a wish
 ahead of its need does not empty it for those whose requests wait."""
 
+RESERVED_PART = 0.75
+"""Part of a bucket that is written down as its reserve: the rest, and what the rate
+gives meanwhile, covers what is granted until the next writing."""
+
+SHORT_PART = 0.25
+"""The same of a team that is short of tokens."""
+
+LEAST_RESERVE = 4
+"""Tokens below which a reserve is not worth its writing: less than a node asks for."""
+
+SHORT_FOR = 0.5
+"""Seconds for which a team counts as short of tokens after a wish was not met; longer
+than the time between two reports."""
+
 
 class Rate:
     """What a team may use over all VMs together.
@@ -65,9 +83,11 @@
     :param wanted: tokens that it asks for.
     :param received: the last grant of the team that reached the node; a
         later one was lost on the way and goes back into the bucket.
+    :param spare: tokens of a part of the rate that is the node's own, which it
+        does not need and moves into the bucket.
     """
 
-    __slots__ = ("team", "left", "returned", "wanted", "received")
+    __slots__ = ("team", "left", "returned", "wanted", "received", "spare")
 
     def __init__(
         self,
@@ -76,6 +96,7 @@
         returned: int = 0,
         wanted: int = 0,
         received: int = 0,
+        spare: int = 0,
     ) -> None:
         """Keep the parts of the usage."""
         self.team = team
@@ -83,6 +104,7 @@
         self.returned = returned
         self.wanted = wanted
         self.received = received
+        self.spare = spare
 
 
 class _Holding:
@@ -100,12 +122,22 @@
 class _Bucket:
     """Tokens of one team that no node holds."""
 
-    __slots__ = ("rate", "burst", "tokens", "filled_at", "holdings")
-
-    def __init__(self, rate: Rate, now: float) -> None:
+    __slots__ = (
+        "rate",
+        "burst",
+        "tokens",
+        "filled_at",
+        "holdings",
+        "reserve",
+        "short_until",
+    )
+
+    def __init__(self, rate: Rate, now: float, reserve: int) -> None:
         self.rate = rate.rate
         self.burst = rate.burst
-        self.tokens = 0.0
+        self.tokens = float(min(rate.burst, reserve))
+        self.reserve = reserve
+        self.short_until = float("-inf")
         self.filled_at = now
         self.holdings: dict[str, _Holding] = {}
 
@@ -123,6 +155,11 @@
         self.tokens = min(room, self.tokens + elapsed * self.rate)
         self.filled_at = max(now, self.filled_at)
 
+    def add(self, now: float, tokens: int) -> None:
+        """Add tokens that a node moved here, up to what is free."""
+        room = max(0.0, self.burst - self.count_outstanding(now))
+        self.tokens = max(self.tokens, min(room, self.tokens + tokens))
+
     def settle(self, now: float, node: str, usage: Usage) -> None:
         """Take a node's word for what it has left and gives back."""
         held = self.holdings.get(node)
@@ -160,11 +197,20 @@
     :param epoch: of the role that this allocator holds.
     :param starts_at: when the predecessor's last grant has lapsed for sure.
     :param expected: nodes whose first exchange makes the wait unnecessary.
+    :param reserves: tokens by team that the predecessor wrote down and kept.
 
     .. versionadded:: 0.1
     """
 
-    __slots__ = ("epoch", "starts_at", "_expected", "_buckets", "_grants", "_seen")
+    __slots__ = (
+        "epoch",
+        "starts_at",
+        "_expected",
+        "_buckets",
+        "_grants",
+        "_seen",
+        "_reserves",
+    )
 
     def __init__(
         self,
@@ -172,14 +218,20 @@
         now: float,
         starts_at: float,
         expected: frozenset[str] = frozenset(),
+        reserves: dict[str, int] | None = None,
     ) -> None:
-        """Start with empty buckets."""
+        """Start with what the predecessor kept, which is nothing by default."""
         self.epoch = epoch
         self.starts_at = max(now, starts_at)
         self._expected = set(expected)
         self._buckets: dict[str, _Bucket] = {}
         self._grants = 0
         self._seen: dict[str, int] = {}
+        self._reserves = dict(reserves or {})
+
+    def has_started(self, now: float) -> bool:
+        """Return whether nothing that the predecessor granted can be spent."""
+        return now >= self.starts_at
 
     def configure(self, now: float, rates: dict[str, Rate]) -> None:
         """Put the rates of a document in force.
@@ -192,7 +244,8 @@
             bucket = self._buckets.get(team)
             if bucket is None:
                 start = max(now, self.starts_at)
-                self._buckets[team] = _Bucket(rate, start)
+                reserve = self._reserves.pop(team, 0)
+                self._buckets[team] = _Bucket(rate, start, reserve)
                 continue
             bucket.refill(now)
             bucket.rate = rate.rate
@@ -236,6 +289,7 @@
             return
         bucket.refill(now)
         bucket.settle(now, node, usage)
+        bucket.add(now, usage.spare)
 
     def replace_expected(self, now: float, old: str, new: str) -> None:
         """Wait for a node's new process: the old one ended with its tokens."""
@@ -263,13 +317,52 @@
         if bucket is None or now < self.starts_at:
             return Grant(self._grants, usage.team, 0, GRANT_LIFETIME)
         bucket.refill(now)
-        available = int(bucket.tokens)
+        available = max(0, int(bucket.tokens - bucket.reserve))
         tokens = min(usage.wanted, available, max(1, available // TAKEN_PART))
+        if available < usage.wanted:
+            bucket.short_until = now + SHORT_FOR
         grant = Grant(self._grants, usage.team, tokens, GRANT_LIFETIME)
         if tokens:
             bucket.move(now, node, grant)
         return grant
 
+    def list_short(self, now: float) -> list[str]:
+        """Return the teams of which some node did not get all that it wanted."""
+        return [
+            team for team, bucket in self._buckets.items() if now < bucket.short_until
+        ]
+
+    def needs_smaller_reserves(self, now: float) -> bool:
+        """Return whether a reserve keeps a team short."""
+        return any(
+            now < bucket.short_until and 0 < bucket.reserve > bucket.tokens - 1
+            for bucket in self._buckets.values()
+        )
+
+    def plan_reserves(self, now: float, part: float = RESERVED_PART) -> dict[str, int]:
+        """Return the reserves to write down, without small ones.
+
+        :param part: of each bucket; all of it once nothing is granted any more.
+        """
+        planned = {}
+        for team, bucket in self._buckets.items():
+            bucket.refill(now)
+            is_needed = now < bucket.short_until and part < 1.0
+            reserve = int(bucket.tokens * (SHORT_PART if is_needed else part))
+            if reserve >= LEAST_RESERVE:
+                planned[team] = reserve
+        return planned
+
+    def raise_reserves(self, reserves: dict[str, int]) -> None:
+        """Keep reserves that may be written down by now."""
+        for team, bucket in self._buckets.items():
+            bucket.reserve = max(bucket.reserve, reserves.get(team, 0))
+
+    def set_reserves(self, reserves: dict[str, int]) -> None:
+        """Keep the reserves that are written down, and no others."""
+        for team, bucket in self._buckets.items():
+            bucket.reserve = reserves.get(team, 0)
+
     def measure_exposure(self, now: float, team: str) -> float:
         """Return bucket plus outstanding tokens, which the burst bounds."""
         bucket = self._buckets[team]
--- a/src/sardinehold/node/budget.py
+++ b/src/sardinehold/node/budget.py
@@ -29,6 +29,13 @@
 one lost. Below a quarter of the shortest target latency, so that a refusal still
 leaves time to go elsewhere."""
 
+SETTLING_WAIT = 0.6
+"""Seconds that an operation waits while a leader's tokens are about to come: a new
+leader needs as long to hear all nodes. Another node would have no tokens either."""
+
+SETTLING_PART = 0.4
+"""Part of its time that an operation waits so at most; it may be tried again then."""
+
 MAX_WAITING = 64
 """Operations of one team that wait at once."""
 
@@ -88,6 +95,19 @@
         self.tokens -= 1.0
         return True
 
+    def put_back(self, now: float) -> None:
+        """Give one token back if there is room below the burst."""
+        self.refill(now)
+        if self.tokens < self.burst:
+            self.tokens = min(self.burst, self.tokens + 1.0)
+
+    def take_surplus(self, now: float, kept: float) -> int:
+        """Take out the whole tokens beyond those that are kept."""
+        self.refill(now)
+        surplus = max(0, int(self.tokens - kept))
+        self.tokens -= surplus
+        return surplus
+
 
 class Account:
     """What one team may spend on this node.
@@ -95,9 +115,17 @@
     :param received: number of the last grant.
     :param lapses_at: when the newest tokens that were moved here lapse.
     :param is_started: whether it got the tokens that a process begins with.
+    :param short_until: until when other nodes need the team's tokens more.
     """
 
-    __slots__ = ("balance", "even", "received", "lapses_at", "is_started")
+    __slots__ = (
+        "balance",
+        "even",
+        "received",
+        "lapses_at",
+        "is_started",
+        "short_until",
+    )
 
     def __init__(self, team: str, now: float) -> None:
         """Start with nothing."""
@@ -106,6 +134,7 @@
         self.received = 0
         self.lapses_at = now
         self.is_started = False
+        self.short_until = float("-inf")
 
 
 class Budget:
@@ -124,6 +153,7 @@
         self.members = 0
         self._ask_soon = ask_soon
         self.is_alone = False
+        self.is_settling = True
         self._catalog: catalog.Catalog | None = None
 
     def set_alone(self, is_alone: bool) -> None:
@@ -181,7 +211,7 @@
         balance.waiting.append(future)
         self._ask_soon()
         try:
-            limit = min(deadline, now + MAX_WAIT)
+            limit = find_wait_limit(now, deadline, self.is_settling)
             async with asyncio.timeout(max(0.0, limit - now)):
                 await future
         except TimeoutError:
@@ -199,25 +229,49 @@
         members = max(1, self.members)
         return min(1.0, (1 + len(account.balance.waiting)) * members / team.rate)
 
+    def refund(self, team: str) -> None:
+        """Give an operation of a team back, as far as the node's own part has room."""
+        account = self.accounts.get(team)
+        if account is not None:
+            account.even.put_back(clock.read())
+
     def collect_usages(self, now: float) -> list[quota.Usage]:
         """Return what the allocator is told and asked for."""
         usages = []
         for name, account in self.accounts.items():
             balance = account.balance
             balance.review(now)
-            wanted = max(0, balance.find_target() - balance.tokens)
+            wanted = max(0, find_need(balance) - balance.tokens)
             returned = 0
-            if balance.is_quiet(now):
+            if balance.is_quiet(now) or self._should_return(account, now):
                 wanted = 0
                 returned = balance.withdraw(balance.tokens)
-            if wanted or returned or account.lapses_at > now:
+            spare = self._find_spare(account, now)
+            if wanted or returned or spare or account.lapses_at > now:
                 usages.append(
                     quota.Usage(
-                        name, balance.tokens, returned, wanted, account.received
+                        name, balance.tokens, returned, wanted, account.received, spare
                     )
                 )
         return usages
 
+    def _should_return(self, account: Account, now: float) -> bool:
+        """Return whether tokens that are kept here are needed elsewhere."""
+        return now < account.short_until and not find_need(account.balance)
+
+    def _find_spare(self, account: Account, now: float) -> int:
+        """Take out what the node's own part has to spare for nodes that lack it."""
+        balance = account.balance
+        if now > account.short_until or balance.waiting or self.is_alone:
+            return 0
+        return account.even.take_surplus(now, balance.demand * balances.HORIZON)
+
+    def note_short(self, teams: typing.Iterable[str], until: float) -> None:
+        """Note the teams of which other nodes lack tokens."""
+        for name in teams:
+            if name in self.accounts:
+                self.accounts[name].short_until = until
+
     def take_grant(
         self, team: str, grant_id: int, tokens: int, deadline: float
     ) -> None:
@@ -231,6 +285,11 @@
             account.lapses_at = max(account.lapses_at, deadline)
         self._serve_waiting(account)
 
+    def serve_waiting(self) -> None:
+        """Let operations go on for which the node's own part has tokens by now."""
+        for account in self.accounts.values():
+            self._serve_waiting(account)
+
     def is_waiting(self) -> bool:
         """Return whether operations wait for the allocator."""
         return any(account.balance.waiting for account in self.accounts.values())
@@ -238,12 +297,33 @@
     def _serve_waiting(self, account: Account) -> None:
         now = clock.read()
         waiting = account.balance.waiting
-        while waiting and account.balance.take(now):
+        while waiting and (account.balance.take(now) or account.even.take(now)):
             future = waiting.popleft()
             if not future.done():
                 future.set_result(None)
 
 
+def find_wait_limit(now: float, deadline: float, is_settling: bool) -> float:
+    """Return until when an operation waits for a token.
+
+    :param is_settling: whether a leader's tokens are about to come.
+    """
+    if not is_settling:
+        return min(deadline, now + MAX_WAIT)
+    return now + min(SETTLING_WAIT, SETTLING_PART * (deadline - now))
+
+
+def find_need(balance: balances.Balance) -> int:
+    """Return how many tokens to hold.
+
+    Where no more than one is expected to be used before the next report, none is held
+    ahead of need: one on each node would be more than a small team has.
+    """
+    waiting = len(balance.waiting)
+    ahead = balance.find_target() - waiting
+    return waiting + (ahead if ahead > 1 else 0)
+
+
 def collect_rates(found: catalog.Catalog, in_touch: float) -> dict[str, quota.Rate]:
     """Return the parts of the teams' rates that the allocator moves.
 
--- a/src/sardinehold/node/evidence.py
+++ b/src/sardinehold/node/evidence.py
@@ -14,7 +14,7 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 
-LEASE = 1.5
+LEASE = 1.1
 """Seconds for which an instant of evidence lets a node use the primary. Bounds the
 wait of a change of primary when a node cannot be asked."""
 
--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -9,6 +9,7 @@
 from sardinehold.core import quota
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import evidence
 from sardinehold.node import pool
 from sardinehold.node import reports
 
@@ -27,7 +28,10 @@
 EXCHANGE_LIMIT = 0.3
 """Seconds after which an exchange with the allocator counts as lost."""
 
-ADVISED_WITHIN = 0.9
+ADVICE_LIFETIME = 0.9
+"""Seconds after which an answer to a report says nothing of now any more."""
+
+ADVISED_WITHIN = 0.7
 """Seconds after which a node without advice dates its lease by the store: two
 reports were lost, or there is no leader."""
 
@@ -39,6 +43,14 @@
 """Seconds since the last answer of the store from which a report may let a leader
 without the store go on; longer than a short watch."""
 
+CUT_OFF_AFTER = evidence.LEASE
+"""Seconds without a leader's advice and without the store after which a node counts
+as cut off: no lease of its own is left by then."""
+
+SETTLING = 1.0
+"""Seconds after a leader is first heard in which its first tokens are on their way: it
+waits until those of the leader before have lapsed."""
+
 STORE_ASK_INTERVAL = 0.8
 """Seconds between two questions to the store for a leader that it does not answer."""
 
@@ -48,6 +60,7 @@
 
     :param advised_at: when the last advice was asked for.
     :param vouched_at: when a report last said that the store is out of reach.
+    :param led_since: when the present leader was first heard.
     """
 
     def __init__(self, node: "nodes.Node") -> None:
@@ -55,6 +68,7 @@
         self.node = node
         self.advised_at = float("-inf")
         self.vouched_at = float("-inf")
+        self.led_since = float("-inf")
         self._started_at = clock.read()
         self._number = 0
         self._number_until = float("-inf")
@@ -79,7 +93,29 @@
 
     def is_alone(self, now: float) -> bool:
         """Return whether this node has been out of touch with the leader for long."""
-        return now - max(self.advised_at, self._started_at) > ALONE_AFTER
+        return self._count_unadvised(now) > ALONE_AFTER
+
+    def is_cut_off(self, now: float) -> bool:
+        """Return whether neither a leader nor the store has been heard for long.
+
+        Other nodes may be well: callers are better off there.
+        """
+        heard = max(
+            self.advised_at,
+            self.node.following.find_store_contact(),
+            self._started_at,
+        )
+        return now - heard > CUT_OFF_AFTER
+
+    def is_settling(self, now: float) -> bool:
+        """Return whether a leader's tokens are expected to come soon."""
+        if not self.is_advised():
+            return not self.is_alone(now)
+        return now - self.led_since < SETTLING
+
+    def _count_unadvised(self, now: float) -> float:
+        """Return the seconds since any leader's advice, or since the start."""
+        return now - max(self.advised_at, self._started_at)
 
     async def run(self) -> None:
         """Report to the leader until cancelled."""
@@ -119,6 +155,7 @@
             now - self._last_advice_at,
             now - self.node.following.find_store_contact(),
             self._list_full(now),
+            self._count_unadvised(now),
         )
         if holder == self.node.settings.name:
             advice = self.node.leader.answer(report)
@@ -205,9 +242,12 @@
 
     def _take_advice(self, advice: reports.Advice) -> None:
         now = clock.read()
-        if advice.echo > now or now - advice.echo > ADVISED_WITHIN:
+        if advice.echo > now or now - advice.echo > ADVICE_LIFETIME:
             return
-        self.advised_at = advice.echo
+        if not self._last_advice or advice.incarnation != self._last_advice.incarnation:
+            self.led_since = now
+        self.advised_at = max(self.advised_at, advice.echo)
+        self.node.budget.note_short(advice.short, now + quota.SHORT_FOR)
         self.node.leadership.note_alive(advice.incarnation, advice.lead_version, now)
         self._last_advice = advice
         self._last_advice_at = now
--- a/src/sardinehold/node/following.py
+++ b/src/sardinehold/node/following.py
@@ -71,11 +71,9 @@
         )
 
     def _find_wait(self) -> float:
-        return (
-            watching.LONG_WAIT
-            if self.node.exchange.is_advised()
-            else watching.SHORT_WAIT
-        )
+        if self.node.exchange.is_advised() or self.node.catalog is None:
+            return watching.LONG_WAIT
+        return watching.SHORT_WAIT
 
     def _note_unread(self, kind: str, reasons: list[str]) -> None:
         self.node.journal.note(
@@ -113,6 +111,7 @@
 
     def _take_catalog(self, found: catalog.Catalog, source: str) -> None:
         before, self.node.catalog = self.node.catalog, found
+        self.node.configured.set()
         self.node.journal.note(
             "configuration",
             version=found.version,
@@ -213,7 +212,7 @@
     async def date_leases(self) -> None:
         """List the fleet's objects again and again while no leader is heard."""
         while True:
-            if self.node.exchange.is_advised():
+            if self.node.exchange.is_advised() or self.node.catalog is None:
                 await anyio.sleep(FOLLOW_INTERVAL)
             else:
                 await self.fleet.step(relist=True)
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -44,6 +44,7 @@
     """One group of databases.
 
     :param endpoint_drain: seconds in which a leaving endpoint may get new work.
+    :param is_cut_off: returns whether this node hears nobody, at an instant.
     :param state: who leads it, as the store said last; None while unknown.
     :param acknowledged: position of the newest commit that callers were told of.
     :param gone: endpoints that were forgotten, and when.
@@ -58,8 +59,10 @@
         spawn: typing.Callable[..., None],
         measure_distance: typing.Callable[[str], int],
         endpoint_drain: float,
+        is_cut_off: typing.Callable[[float], bool],
     ) -> None:
         """Start without endpoints."""
+        self._is_cut_off = is_cut_off
         self.endpoint_drain = endpoint_drain
         self.name = name
         self.config: catalog.Group | None = None
@@ -202,10 +205,16 @@
         return admission.expect_wait(len(self.waiters), service, parallel)
 
     def _is_hopeless(self, waiter: waiting.Waiter) -> bool:
-        """Return whether a statement needs a primary that has long been missing."""
+        """Return whether a statement needs what this node will not have in time.
+
+        That is a primary that has long been missing or, while the node is cut off,
+        any evidence that it has not got by now.
+        """
+        now = clock.read()
+        if self._is_cut_off(now) and not self._has_evidence(waiter, now):
+            return True
         if not waiter.needs_primary:
             return False
-        now = clock.read()
         if self.is_serving():
             self._unserved_since = None
             return False
@@ -213,14 +222,36 @@
             self._unserved_since = now
         return now - self._unserved_since > HOPELESS_AFTER
 
+    def refuse_hopeless(self) -> None:
+        """Refuse what waits for something that will not come in time."""
+        for waiter in list(self.waiters):
+            if not waiter.future.done() and self._is_hopeless(waiter):
+                waiter.future.set_exception(self._refuse(waiter, self._expect_wait()))
+
+    def _has_evidence(self, waiter: waiting.Waiter, now: float) -> bool:
+        """Return whether what is known allows some endpoint to run a statement."""
+        if self.evidence.holds_lease(now):
+            return True
+        if waiter.needs_primary:
+            return False
+        floor = evidence.find_floor(
+            self.evidence, waiter.route, waiter.began, waiter.own
+        )
+        return floor is not None
+
     def _refuse(self, waiter: waiting.Waiter, expected: float) -> waiting.Refused:
         retry_after = admission.find_retry_after(expected, random.random())
         return waiting.Refused(self.explain(waiter), retry_after)
 
     def explain(self, waiter: waiting.Waiter) -> str:
         """Return why a statement got no connection."""
+        now = clock.read()
+        if not self._has_evidence(waiter, now) and self._is_cut_off(now):
+            return "this node hears neither the store nor a leader"
         if waiter.needs_primary and not self.is_serving():
             return f"group {self.name} has no primary that takes work"
+        if not self._has_evidence(waiter, now):
+            return f"it is not known whether the primary of group {self.name} leads"
         return f"all connections to group {self.name} are in use"
 
     def pump(self) -> None:
--- a/src/sardinehold/node/keeping.py
+++ b/src/sardinehold/node/keeping.py
@@ -125,9 +125,15 @@
 
     async def _write_lead(self) -> None:
         lead = self.node.leadership
+        if not lead.leads(clock.read()) and not lead.knows_reserves():
+            # What the leader before kept of the rates is only in its object.
+            await self.node.following.leader_watcher.step(relist=True)
+            if lead.find_next_write(clock.read()) > clock.read():
+                return
         asked = clock.read()
         was_leading = lead.leads(asked)
-        value = lead.make_value()
+        reserves = self.node.leader.plan_reserves(asked)
+        value = lead.make_value(reserves)
         try:
             with anyio.fail_after(LEAD_TIMEOUT):
                 stored = await self._put_lead(value)
@@ -142,7 +148,8 @@
                 await self.node.following.leader_watcher.step(relist=True)
             return
         self.wrote_at = clock.read()
-        lead.note_written(asked, stored.version)
+        lead.note_written(asked, stored.version, reserves)
+        self.node.leader.set_reserves(reserves)
 
     async def _put_lead(self, value: dict) -> objects.StoredObject:
         version = self.node.leadership.version
@@ -166,12 +173,15 @@
         else:
             self.node.leader.end()
         self.node.journal.note(
-            "lead_taken" if leads else "lead_lost", version=self.node.leadership.version
+            "lead_taken" if leads else "lead_lost",
+            version=self.node.leadership.version,
+            reserves=self.node.leadership.reserves,
         )
 
     async def write_farewell(self) -> None:
         """Leave the lead to any other node."""
         lead = self.node.leadership
+        value = lead.make_farewell(self.node.leader.plan_last_reserves(clock.read()))
         await self.node.store.update(
-            following.LEADER_KIND, leadership.NAME, lead.make_farewell(), lead.version
+            following.LEADER_KIND, leadership.NAME, value, lead.version
         )
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -73,6 +73,7 @@
     def begin(self) -> None:
         """Start to lead; tokens of the leader before must lapse first."""
         now = clock.read()
+        self._share_in_touch = 1.0
         margin = 1 + 2 * clock.RATE_MARGIN
         lead = self.node.leadership
         acted_until = lead.acted_until
@@ -85,8 +86,11 @@
             make_identity(name, member.get("incarnation", ""))
             for name, member in self.node.members.items()
         )
-        self.allocator = quota.Allocator(lead.version, now, starts_at, expected)
+        self.allocator = quota.Allocator(
+            lead.version, now, starts_at, expected, lead.reserves
+        )
         self.configure()
+        self.node.exchange.call(list(self.node.members))
 
     def note_restart(self, name: str, old: str, new: str) -> None:
         """Take note that another process of a member has entered.
@@ -109,6 +113,8 @@
 
     def _review_touch(self, now: float) -> None:
         """Divide the rates anew when members come in touch or lose it."""
+        if self.allocator is None or not self.allocator.has_started(now):
+            return
         count = len(self.node.members)
         in_touch = sum(self.roster.is_in_touch(name, now) for name in self.node.members)
         share = in_touch / count if count else 1.0
@@ -120,6 +126,29 @@
         """Stop to lead."""
         self.allocator = None
 
+    def plan_reserves(self, now: float) -> dict[str, int]:
+        """Return what the next renewal says is kept of the rates, and keep it.
+
+        The write may take effect without an answer: until one comes, what was
+        written before and what is written now are both kept.
+        """
+        if self.allocator is None or not self.allocator.has_started(now):
+            return self.node.leadership.reserves
+        planned = self.allocator.plan_reserves(now)
+        self.allocator.raise_reserves(planned)
+        return planned
+
+    def set_reserves(self, reserves: dict[str, int]) -> None:
+        """Keep no more than what a renewal has written down."""
+        if self.allocator is not None:
+            self.allocator.set_reserves(reserves)
+
+    def plan_last_reserves(self, now: float) -> dict[str, int]:
+        """Return what is left of the rates once this node grants no more."""
+        if self.allocator is None or not self.allocator.has_started(now):
+            return self.node.leadership.reserves
+        return self.allocator.plan_reserves(now, 1.0)
+
     def answer(self, report: reports.Report) -> reports.Advice | None:
         """Take a report and return the advice for its node.
 
@@ -133,10 +162,13 @@
         self._take_evidence(report)
         grants: list[quota.Grant] | None = None
         if self.allocator is not None:
+            self._note_unentered(report, now)
             identity = make_identity(report.node, report.incarnation)
             grants = self.allocator.exchange(
                 now, identity, report.sequence, report.usages
             )
+            if self.allocator.needs_smaller_reserves(now):
+                self.node.leadership.hurry(now)
         return reports.Advice(
             self.node.settings.name,
             self.node.incarnation,
@@ -152,8 +184,19 @@
             self.node.leadership.is_late(now),
             self.node.leadership.version,
             tuple(self.roster.list_full(now)),
+            tuple(self.allocator.list_short(now)) if self.allocator else (),
         )
 
+    def _note_unentered(self, report: reports.Report, now: float) -> None:
+        """Take a member's new process from its report: its entry may be late.
+
+        Only a process that had this leader's advice counts, which a late report of
+        the process before it cannot have had.
+        """
+        entered = self.node.members.get(report.node, {}).get("incarnation", "")
+        if report.incarnation != entered and (report.echo_of == self.node.incarnation):
+            self.note_restart(report.node, entered, report.incarnation)
+
     def find_certainty(self, now: float) -> float | None:
         """Return the instant up to which no other node can have taken over."""
         lead = self.node.leadership
--- a/src/sardinehold/node/leadership.py
+++ b/src/sardinehold/node/leadership.py
@@ -14,6 +14,9 @@
 RENEW_INTERVAL = 0.6
 """Seconds between renewals: two may fail before the lease lapses."""
 
+RENEW_SOONEST = 0.15
+"""Seconds between two renewals at least: two writes of a slow store."""
+
 LEASE = 1.6
 """Seconds from the sending of a renewal during which the leader may act."""
 
@@ -44,6 +47,7 @@
     :param spread: number from 0 to 1 that differs between nodes.
     :param acted_until: when the leader before had stopped at the latest.
     :param has_left: whether the leader before said itself that it stopped.
+    :param reserves: tokens by team that the object says are kept.
     """
 
     __slots__ = (
@@ -59,6 +63,8 @@
         "is_known",
         "acted_until",
         "has_left",
+        "reserves",
+        "_reserves_version",
         "_changed_at",
         "_next_write",
         "_beats",
@@ -78,6 +84,8 @@
         self.is_known = False
         self.acted_until = 0.0
         self.has_left = False
+        self.reserves: dict[str, int] = {}
+        self._reserves_version = 0
         self._changed_at = 0.0
         self._next_write = 0.0
         self._beats = 0
@@ -89,20 +97,36 @@
             self._changed_at = now
         if stored is None:
             self.version, self.holder, self.holder_incarnation = 0, "", ""
+            self._note_reserves({}, 0)
             return
+        value = stored.value or {}
+        if stored.version >= self.version:
+            self._note_reserves(value.get("reserves", {}), stored.version)
         if stored.version <= self.version:
             return
-        value = stored.value or {}
         self.version = stored.version
-        self.acted_until = now + LEASE
         self.holder = str(value.get("node", ""))
         self.holder_incarnation = str(value.get("incarnation", ""))
         self._changed_at = now
+        if self.is_own():
+            # A watch may tell of this node's own write before the write is answered.
+            return
+        self.leads_until = float("-inf")
         self.has_left = not self.holder
-        if not self.holder:
-            self.acted_until = now
-        if not self.is_own():
-            self.leads_until = float("-inf")
+        has_stopped = self.has_left or self._is_predecessor()
+        self.acted_until = now if has_stopped else now + LEASE
+
+    def _note_reserves(self, reserves: dict[str, int], version: int) -> None:
+        self.reserves = {team: int(tokens) for team, tokens in reserves.items()}
+        self._reserves_version = version
+
+    def _is_predecessor(self) -> bool:
+        """Return whether an earlier start of this process led; it is gone."""
+        return self.holder == self.node and not self.is_own()
+
+    def knows_reserves(self) -> bool:
+        """Return whether the reserves are those of the newest known object."""
+        return self._reserves_version == self.version
 
     def find_certainty(
         self, now: float, contacts: list[tuple[float, float]] | None
@@ -166,7 +190,7 @@
 
         :param version: of its object, so that reading it later is no fresh sign.
         """
-        if incarnation == self.holder_incarnation:
+        if incarnation == self.holder_incarnation and not self.is_own():
             self.version = max(self.version, version)
             self._changed_at = now
             self.acted_until = now + LEASE
@@ -182,16 +206,24 @@
         if self.is_own() or not self.holder:
             return self._next_write
         due = self._changed_at + TAKEOVER_AFTER + self.spread * TAKEOVER_SPREAD
-        if self.holder == self.node:
-            # An earlier start of this process led; it is gone.
+        if self._is_predecessor():
             due = self._changed_at
         return max(due, self._next_write)
 
-    def note_written(self, asked: float, version: int) -> None:
+    def hurry(self, now: float) -> None:
+        """Renew soon: something that the object says should change."""
+        soonest = self.renewed_at + RENEW_SOONEST
+        if self.leads(now):
+            self._next_write = min(self._next_write, max(now, soonest))
+
+    def note_written(
+        self, asked: float, version: int, reserves: dict[str, int]
+    ) -> None:
         """Note that a write sent at ``asked`` made this node the leader."""
         if not self.leads(asked):
             self.taken_version = version
         self.version = version
+        self._note_reserves(reserves, version)
         self.holder, self.holder_incarnation = self.node, self.incarnation
         self.renewed_at = asked
         self.leads_until = asked + LEASE
@@ -207,19 +239,23 @@
         self.holder = self.holder_incarnation = ""
         self._next_write = self.renewed_at + TAKEOVER_AFTER
 
-    def make_value(self) -> dict:
-        """Return the object's value that makes this node the leader."""
+    def make_value(self, reserves: dict[str, int]) -> dict:
+        """Return the object's value that makes this node the leader.
+
+        :param reserves: tokens by team that are kept for a successor.
+        """
         # The store takes no notice of a write that changes nothing.
         self._beats += 1
         return {
             "node": self.node,
             "incarnation": self.incarnation,
             "beat": self._beats,
+            "reserves": reserves,
         }
 
-    def make_farewell(self) -> dict:
+    def make_farewell(self, reserves: dict[str, int]) -> dict:
         """Return the object's value that leaves the lead to anyone."""
-        return {"node": "", "incarnation": ""}
+        return {"node": "", "incarnation": "", "reserves": reserves}
 
     def is_own(self) -> bool:
         """Return whether the object names this start of this process."""
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -41,6 +41,10 @@
 TEND_INTERVAL = 0.05
 """Seconds between looks at resting transactions and silent endpoints."""
 
+GREETING_PATIENCE = 1.5
+"""Seconds that a caller waits to be let in while the node has no configuration yet;
+callers give up after two."""
+
 PROBE_AGAIN = 0.4
 """Seconds between such questions to an endpoint that is out of reach."""
 
@@ -102,6 +106,7 @@
         self.journal = journal.Journal(loaded.name, registry)
         self.incarnation = secrets.token_hex(4)
         self.catalog: catalog.Catalog | None = None
+        self.configured = anyio.Event()
         self.groups: dict[str, groups.Group] = {}
         self.members: dict[str, dict] = {}
         self.callers: set[Caller] = set()
@@ -171,9 +176,16 @@
         return (
             not self.is_stopping
             and self.catalog is not None
+            and not self.exchange.is_cut_off(clock.read())
             and any(group.state is not None for group in self.groups.values())
         )
 
+    async def await_configuration(self) -> None:
+        """Wait until callers can be let in, for a while at most."""
+        if self.catalog is None:
+            with anyio.move_on_after(GREETING_PATIENCE):
+                await self.configured.wait()
+
     async def serve(
         self, session: sessions.Session, statement: statements.Statement
     ) -> statements.Answer:
@@ -256,6 +268,10 @@
                 outcomes.advise_return(error, error.retry_after),
             ) from error
 
+    def refund(self, team: str) -> None:
+        """Give an operation back that was never sent to an endpoint."""
+        self.budget.refund(team)
+
     def note_refused_start(self, route: str, error: outcomes.Failed) -> None:
         """Write a line about a caller that was not let in."""
         self.journal.note(
@@ -284,6 +300,7 @@
                 self.spawn,
                 self.settings.measure_distance,
                 self.settings.endpoint_drain,
+                self.exchange.is_cut_off,
             )
             self.groups[name] = group
         return group
@@ -346,6 +363,8 @@
                         "transaction_expired", route=caller.session.route_name
                     )
             self.budget.set_alone(self.exchange.is_alone(now))
+            self.budget.is_settling = self.exchange.is_settling(now)
+            self.budget.serve_waiting()
             for group in self.groups.values():
                 self._tend_group(group, now)
             failing = self.collect_failing(now).keys()
@@ -374,6 +393,7 @@
 
     def _tend_group(self, group: groups.Group, now: float) -> None:
         group.trim(now)
+        group.refuse_hopeless()
         for endpoint in list(group.endpoints.values()):
             if endpoint.is_silent(now, pool.PROBE_AFTER, PROBE_AGAIN):
                 group.probe(endpoint)
--- a/src/sardinehold/node/peers.py
+++ b/src/sardinehold/node/peers.py
@@ -1,8 +1,8 @@
 """Datagrams between nodes: reports to the leader, and its advice.
 
-A datagram is JSON behind a keyed BLAKE2b of it; the key lies in the platform's
-store, so that only nodes of this fleet are heard. Datagrams may be lost; each
-report is complete in itself. grpclib does not fit here: a stream that went silent
+A datagram is compressed JSON behind a keyed BLAKE2b of it; the key lies in the
+platform's store, so that only nodes of this fleet are heard. Datagrams may be lost;
+each report is complete in itself. grpclib does not fit here: a stream that went silent
 would hold back what a fresh datagram delivers.
 """
 
@@ -11,6 +11,7 @@
 import hmac
 import json
 import typing
+import zlib
 
 DIGEST_BYTES = 16
 """Bytes of the digest in front of a datagram."""
@@ -18,6 +19,24 @@
 MAX_DATAGRAM = 60_000
 """Bytes of a datagram at most; UDP over IPv4 carries 65,507."""
 
+MAX_MESSAGE = 4 * 1024 * 1024
+"""Bytes of a message at most once it is decompressed: the store's largest object,
+a megabyte, in the encoding of a datagram, with room to spare."""
+
+VOCABULARY = (
+    b'{"kind":"configuration","value":"{"kind":"request","version":'
+    b'{"kind":"call","node":"frontend-","inc":"","version":,"resigns":false}'
+    b'{"kind":"advice","node":"frontend-","inc":"","echo":,"states":[["","i-",'
+    b'"sealed",0],["serving",0]],"samples":{},"grants":[[,1.0]],"catalog":,"seq":,'
+    b'"at":,"suspects":[],"certain":0.0,"asks_store":false,"lead":,"full":[],'
+    b'"short":[]}{"kind":"report","node":"frontend-","inc":"","at":,"states":{},'
+    b'"samples":{},"acknowledged":{},"failing":{},"seq":,"usages":[[,0,0,0,0]],'
+    b'"catalog":,"echo":,"echo_of":"","held":0.,"contact":0.,"full":[],'
+    b'"unadvised":0.}'
+)
+"""What most messages hold, for the compression: a message is too short to learn it
+from. Nodes with another vocabulary do not understand each other."""
+
 Receive = typing.Callable[[dict, tuple[str, int]], None]
 
 
@@ -47,8 +66,8 @@
             self.rejected += 1
             return
         try:
-            message = json.loads(body)
-        except ValueError:
+            message = json.loads(unpack(body))
+        except (ValueError, zlib.error):
             self.rejected += 1
             return
         self._receive(message, address)
@@ -61,7 +80,7 @@
         """Send a message; it may be lost."""
         if not self.key or self._transport is None:
             return
-        body = json.dumps(message, separators=(",", ":")).encode()
+        body = pack(json.dumps(message, separators=(",", ":")).encode())
         if len(body) > MAX_DATAGRAM:
             self._note("message_unsent", reason=f"{len(body)} bytes are too many")
             return
@@ -74,3 +93,21 @@
 
     def _sign(self, body: bytes) -> bytes:
         return hashlib.blake2b(body, key=self.key, digest_size=DIGEST_BYTES).digest()
+
+
+def pack(data: bytes) -> bytes:
+    """Return data compressed with the vocabulary."""
+    packer = zlib.compressobj(wbits=-zlib.MAX_WBITS, zdict=VOCABULARY)
+    return packer.compress(data) + packer.flush()
+
+
+def unpack(data: bytes) -> bytes:
+    """Return what :func:`pack` was given.
+
+    :raises zlib.error: it cannot be read, or is longer than any message.
+    """
+    unpacker = zlib.decompressobj(wbits=-zlib.MAX_WBITS, zdict=VOCABULARY)
+    unpacked = unpacker.decompress(data, MAX_MESSAGE)
+    if unpacker.unconsumed_tail or not unpacker.eof:
+        raise zlib.error("the message is too long or cut off")
+    return unpacked
--- a/src/sardinehold/node/pool.py
+++ b/src/sardinehold/node/pool.py
@@ -42,7 +42,7 @@
 """Seconds after which a commit that does not return makes a primary suspect that
 answers other questions; longer than a full queue in front of its slots."""
 
-EXTRA_IDLE = 1.0
+EXTRA_IDLE = 4.0
 """Seconds for which a free connection beyond the kept ones stays open: long enough
 for the next statement of a busy team, short enough that other nodes get it."""
 
--- a/src/sardinehold/node/reports.py
+++ b/src/sardinehold/node/reports.py
@@ -5,10 +5,7 @@
 reading that the report brought. So no delay on the way makes anything look newer.
 """
 
-import base64
-import json
 import typing
-import zlib
 
 from sardinehold.core import positions
 from sardinehold.core import quota
@@ -28,6 +25,7 @@
     :param echo: reading of a leader's clock out of its last advice, None before one.
     :param echo_of: incarnation of that leader; clocks of others cannot be compared.
     :param held: seconds since that advice came.
+    :param unadvised: seconds since any leader's advice, or since its start.
     :param contact_age: seconds since the store last answered the node.
     :param full: endpoints that took no more connections of late.
     """
@@ -48,6 +46,7 @@
         "held",
         "contact_age",
         "full",
+        "unadvised",
     )
 
     def __init__(
@@ -67,6 +66,7 @@
         held: float = 0.0,
         contact_age: float = 0.0,
         full: tuple[str, ...] = (),
+        unadvised: float = 0.0,
     ) -> None:
         """Keep the parts of the report."""
         self.node = node
@@ -84,6 +84,7 @@
         self.held = held
         self.contact_age = contact_age
         self.full = full
+        self.unadvised = unadvised
 
     def date(self, age: float, incarnation: str) -> float | None:
         """Return an instant of the leader's clock, no later than ``age`` ago.
@@ -109,7 +110,14 @@
             "failing": {name: round(age, 3) for name, age in self.failing.items()},
             "seq": self.sequence,
             "usages": [
-                [usage.team, usage.left, usage.returned, usage.wanted, usage.received]
+                [
+                    usage.team,
+                    usage.left,
+                    usage.returned,
+                    usage.wanted,
+                    usage.received,
+                    usage.spare,
+                ]
                 for usage in self.usages
             ],
             "catalog": self.catalog_version,
@@ -118,6 +126,7 @@
             "held": self.held,
             "contact": round(self.contact_age, 4),
             "full": self.full,
+            "unadvised": round(self.unadvised, 3),
         }
 
 
@@ -133,6 +142,7 @@
     :param sent_at: the leader's clock, to be echoed.
     :param certain_age: seconds since the leader was last sure to lead.
     :param full: endpoints that took no more connections of some node of late.
+    :param short: teams of which some node did not get all tokens that it wanted.
     :param lead_version: of the leader's object, as it wrote it last.
     :param asks_store: whether the leader wants to know if the store answers others.
     """
@@ -152,6 +162,7 @@
         "asks_store",
         "lead_version",
         "full",
+        "short",
     )
 
     def __init__(
@@ -170,6 +181,7 @@
         asks_store: bool = False,
         lead_version: int = 0,
         full: tuple[str, ...] = (),
+        short: tuple[str, ...] = (),
     ) -> None:
         """Keep the parts of the advice."""
         self.node = node
@@ -186,6 +198,7 @@
         self.asks_store = asks_store
         self.lead_version = lead_version
         self.full = full
+        self.short = short
 
     def date(self, age: float) -> float:
         """Return an instant of the node's clock, no later than ``age`` ago."""
@@ -222,6 +235,7 @@
             "asks_store": self.asks_store,
             "lead": self.lead_version,
             "full": self.full,
+            "short": self.short,
         }
 
 
@@ -272,7 +286,7 @@
 
 
 class Configuration:
-    """The configuration as the store holds it, compressed for a datagram."""
+    """The configuration as the store holds it."""
 
     __slots__ = ("value",)
 
@@ -282,8 +296,7 @@
 
     def dump(self) -> dict:
         """Return the message."""
-        packed = zlib.compress(json.dumps(self.value).encode())
-        return {"kind": "configuration", "value": base64.b64encode(packed).decode()}
+        return {"kind": "configuration", "value": self.value}
 
 
 def _dump_samples(samples: dict[str, tuple[float, positions.Position]]) -> dict:
@@ -333,6 +346,7 @@
         float(message["held"]),
         float(message["contact"]),
         tuple(str(name) for name in message["full"]),
+        float(message["unadvised"]),
     )
 
 
@@ -362,6 +376,7 @@
         bool(message["asks_store"]),
         int(message["lead"]),
         tuple(str(name) for name in message["full"]),
+        tuple(str(name) for name in message["short"]),
     )
 
 
@@ -379,8 +394,7 @@
 
 
 def _parse_configuration(message: dict) -> Configuration:
-    packed = base64.b64decode(message["value"])
-    return Configuration(json.loads(zlib.decompress(packed)))
+    return Configuration(message["value"])
 
 
 _PARSERS: dict[str, typing.Callable[[dict], Message]] = {
--- a/src/sardinehold/node/roster.py
+++ b/src/sardinehold/node/roster.py
@@ -4,6 +4,7 @@
 
 from sardinehold.core import positions
 from sardinehold.node import clock
+from sardinehold.node import exchange
 from sardinehold.node import reports
 
 if typing.TYPE_CHECKING:
@@ -57,15 +58,14 @@
         ]
 
     def is_in_touch(self, name: str, now: float) -> bool:
-        """Return whether a member reports, and had advice from this leader."""
+        """Return whether a member reports, and takes no part of the rates alone."""
         if name == self.node.settings.name:
             return True
         heard = self._heard.get(name)
         if heard is None or now - heard.at > HEARD_WITHIN:
             return False
-        report = heard.report
-        is_advised = report.echo_of == self.node.incarnation
-        return is_advised and report.held < HEARD_WITHIN
+        unadvised = heard.report.unadvised + (now - heard.at)
+        return unadvised < exchange.ALONE_AFTER * (1 - clock.RATE_MARGIN)
 
     def list_contacts(self, now: float) -> list[tuple[float, float]]:
         """Return the contacts with the store that members reported of late."""
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -154,6 +154,8 @@
         try:
             return await group.acquire(waiter)
         except waiting.Refused as error:
+            if not self.trace.tries:
+                self.node.refund(team)
             raise outcomes.Failed(
                 statements.Failure.BUSY,
                 outcomes.advise_return(error.reason, error.retry_after),
--- a/src/sardinehold/node/sharing.py
+++ b/src/sardinehold/node/sharing.py
@@ -11,7 +11,7 @@
 """Part of an endpoint's connections that one node may hold, as a divisor: several
 nodes may be busy at once, and one must not take all."""
 
-KEPT_PART = 1.7
+KEPT_PART = 1.25
 """Divisor of an even part by which a node's kept connections are found: the rest is
 left for nodes that need more at the moment."""
 
--- a/src/sardinehold/platform/callers.py
+++ b/src/sardinehold/platform/callers.py
@@ -213,7 +213,7 @@
             if word == "CLOSE":
                 self._end()
             elif word == "START" and self.session is None and len(fields) == 2:
-                self._start(*fields)
+                await self._start(*fields)
             elif word == "QUERY" and self.session is not None and len(fields) == 2:
                 await self._query(*fields)
             else:
@@ -221,8 +221,9 @@
         except lines.MalformedLine:
             self._refuse(statements.Failure.MALFORMED)
 
-    def _start(self, route: str, key: str) -> None:
+    async def _start(self, route: str, key: str) -> None:
         self._greeting.cancel()
+        await self._node.await_configuration()
         session = sessions.Session(self._node, route, key)
         try:
             session.admit()
