Remove the entries of members that are gone; bound how long an unheard node goes on

Cause: entries of replaced VMs stayed in the store for ever. A node that reached only the primary renewed its own lease with each commit, without end.

Such a member takes no lease from the store until it has entered again; commits prove a lease for 3 s behind the last word of store or leader. Until no lease of a removed node can be left, changes of primary wait them out, and what callers were told counts as unsure until the primary was heard after it.

Ruled out: a mark in the entry instead of its removal; it needs the same waits, and the entry would still count.

--- a/src/sardinehold/node/evidence.py
+++ b/src/sardinehold/node/evidence.py
@@ -18,6 +18,14 @@
 """Seconds for which an instant of evidence lets a node use the primary. Bounds the
 wait of a change of primary when a node cannot be asked."""
 
+CUT_OFF_AFTER = LEASE
+"""Seconds without a leader's advice and without the store after which a node counts as
+cut off: no lease from them is left by then."""
+
+PROOF_LIMIT = 3.0
+"""Seconds without either for which a commit still proves the lease. It bounds how long
+a node that nobody hears goes on, by a configuration that may have changed."""
+
 HISTORY = 4.0
 """Seconds of positions that are kept; longer than any route's staleness needs."""
 
--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -9,7 +9,6 @@
 from sardinehold.core import quota
 from sardinehold.node import catalog
 from sardinehold.node import clock
-from sardinehold.node import evidence
 from sardinehold.node import pool
 from sardinehold.node import reports
 
@@ -43,10 +42,6 @@
 """Seconds since the last answer of the store from which a report may let a leader
 without the store go on; longer than a short watch."""
 
-CUT_OFF_AFTER = evidence.LEASE
-"""Seconds without a leader's advice and without the store after which a node counts
-as cut off: no lease of its own is left by then."""
-
 SETTLING = 1.0
 """Seconds after a leader is first heard in which its first tokens are on their way: it
 waits until those of the leader before have lapsed."""
@@ -95,17 +90,14 @@
         """Return whether this node has been out of touch with the leader for long."""
         return self._count_unadvised(now) > ALONE_AFTER
 
-    def is_cut_off(self, now: float) -> bool:
-        """Return whether neither a leader nor the store has been heard for long.
-
-        Other nodes may be well: callers are better off there.
-        """
+    def count_unheard(self, now: float) -> float:
+        """Return the seconds since a leader or the store was heard."""
         heard = max(
             self.advised_at,
             self.node.following.find_store_contact(),
             self._started_at,
         )
-        return now - heard > CUT_OFF_AFTER
+        return now - heard
 
     def is_settling(self, now: float) -> bool:
         """Return whether a leader's tokens are expected to come soon."""
--- a/src/sardinehold/node/following.py
+++ b/src/sardinehold/node/following.py
@@ -9,6 +9,7 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import leadership
+from sardinehold.node import membership
 from sardinehold.node import watching
 
 if typing.TYPE_CHECKING:
@@ -36,12 +37,14 @@
     """Keeps a node in step with the store.
 
     :param stored_catalog: the configuration in force, as it is stored.
+    :param member_versions: of the members' entries, by name.
     """
 
     def __init__(self, node: "nodes.Node") -> None:
         """Start with nothing read."""
         self.node = node
         self.stored_catalog: object = None
+        self.member_versions: dict[str, int] = {}
         self._store_state: dict[str, bool] = {}
         self._refused: dict[str, int] = {}
         sources = node.sources
@@ -181,16 +184,21 @@
         names = {stored.name for stored in changes.objects}
         listed = {f"{MEMBER_PREFIX}{name}" for name in self.node.members} - names
         for name in listed:
-            self.node.members.pop(name.removeprefix(MEMBER_PREFIX), None)
+            self._drop_member(name.removeprefix(MEMBER_PREFIX))
         self.take_fleet(changes, asked)
 
     def take_fleet(self, changes: objects.Changes, asked: float) -> None:
         """Take a list of the fleet's own objects, asked for at ``asked``.
 
         It dates the leases. A watch does not: one that the store tells nothing
-        looks like one that has nothing to tell.
+        looks like one that has nothing to tell. Nor does a list without this node's
+        entry: others do not wait for it then.
         """
         self._change_fleet(changes, asked)
+        own = f"{MEMBER_PREFIX}{self.node.settings.name}"
+        if own not in {stored.name for stored in changes.objects}:
+            self.node.keeping.enter_again()
+            return
         for group in self.node.groups.values():
             state = group.state
             if state is not None and state.phase is catalog.Phase.SERVING:
@@ -246,14 +254,26 @@
     def _take_member(self, stored: objects.StoredObject) -> None:
         name = stored.name.removeprefix(MEMBER_PREFIX)
         if stored.value is None:
-            self.node.members.pop(name, None)
+            self._drop_member(name)
         else:
             old = self.node.members.get(name, stored.value).get("incarnation", "")
             new = stored.value.get("incarnation", "")
             self.node.members[name] = stored.value
+            self.member_versions[name] = stored.version
             if old != new:
                 self.node.leader.note_restart(name, old, new)
 
+    def _drop_member(self, name: str) -> None:
+        if self.node.members.pop(name, None) is None:
+            return
+        now = clock.read()
+        self.node.journal.note("member_gone", member=name)
+        self.node.removals.note(now)
+        for group in self.node.groups.values():
+            group.forget_acknowledged(now + membership.ANSWERS_END)
+        if name == self.node.settings.name:
+            self.node.keeping.enter_again()
+
     def _take_state(self, stored: objects.StoredObject) -> None:
         name = stored.name.removeprefix(GROUP_PREFIX)
         self.take_state(catalog.parse_group_state(name, stored.value, stored.version))
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -44,7 +44,7 @@
     """One group of databases.
 
     :param endpoint_drain: seconds in which a leaving endpoint may get new work.
-    :param is_cut_off: returns whether this node hears nobody, at an instant.
+    :param count_unheard: returns the seconds since a leader or the store was heard.
     :param state: who leads it, as the store said last; None while unknown.
     :param acknowledged: position of the newest commit that callers were told of.
     :param gone: endpoints that were forgotten, and when.
@@ -59,10 +59,10 @@
         spawn: typing.Callable[..., None],
         measure_distance: typing.Callable[[str], int],
         endpoint_drain: float,
-        is_cut_off: typing.Callable[[float], bool],
+        count_unheard: typing.Callable[[float], float],
     ) -> None:
         """Start without endpoints."""
-        self._is_cut_off = is_cut_off
+        self._count_unheard = count_unheard
         self.endpoint_drain = endpoint_drain
         self.name = name
         self.config: catalog.Group | None = None
@@ -228,6 +228,10 @@
             if not waiter.future.done() and self._is_hopeless(waiter):
                 waiter.future.set_exception(self._refuse(waiter, self._expect_wait()))
 
+    def _is_cut_off(self, now: float) -> bool:
+        """Return whether this node hears neither a leader nor the store."""
+        return self._count_unheard(now) > evidence.CUT_OFF_AFTER
+
     def _has_evidence(self, waiter: waiting.Waiter, now: float) -> bool:
         """Return whether what is known allows some endpoint to run a statement."""
         if self.evidence.holds_lease(now):
@@ -444,6 +448,16 @@
         if position is not None:
             self.acknowledged = max(self.acknowledged or position, position)
 
+    def forget_acknowledged(self, now: float) -> None:
+        """Count as unsure what callers were told, until the primary is heard again.
+
+        A node was removed; what it told its callers, it tells nobody any more.
+
+        :param now: from when on the primary's answers cover that.
+        """
+        self.acknowledged = None
+        self._known_since = now
+
     def note_position(self, asked: float, position: positions.Position) -> None:
         """Take the primary's answer to a question sent under the lease.
 
@@ -484,7 +498,9 @@
             or state.phase is not catalog.Phase.SERVING
         ):
             return
-        if committed and self.config is not None and self.config.sync_replicas:
+        is_heard = self._count_unheard(now) < evidence.PROOF_LIMIT
+        is_copied = self.config is not None and self.config.sync_replicas
+        if committed and is_copied and is_heard:
             # Before a primary is replaced its replicas are paused, or it has
             # stepped down: a commit proves that neither had happened.
             self.evidence.confirm(asked)
--- a/src/sardinehold/node/keeping.py
+++ b/src/sardinehold/node/keeping.py
@@ -42,6 +42,7 @@
         """Start with nothing written."""
         self.node = node
         self.wrote_at = float("-inf")
+        self._is_missing = anyio.Event()
         self._is_leading = False
 
     async def write_state(self, state: catalog.GroupState) -> catalog.GroupState:
@@ -80,14 +81,30 @@
         }
         name = f"{following.MEMBER_PREFIX}{self.node.settings.name}"
         while True:
+            self._is_missing = anyio.Event()
             try:
                 await self._write_always(name, value)
                 await self._create_secret()
-                return
+                await self._is_missing.wait()
             except errors.PlatformError as error:
                 self.node.journal.note("member_not_written", reason=str(error))
                 await anyio.sleep(jitter.spread(STORE_RETRY))
 
+    def enter_again(self) -> None:
+        """Write this node's entry, which is not in the store."""
+        self._is_missing.set()
+
+    async def remove_member(self, name: str) -> None:
+        """Remove the entry of a member, unless it was written anew.
+
+        :raises sardinehold.errors.PlatformError: it was, or no answer came.
+        """
+        await self.node.store.delete(
+            following.FLEET_KIND,
+            f"{following.MEMBER_PREFIX}{name}",
+            self.node.following.member_versions[name],
+        )
+
     async def _write_always(self, name: str, value: dict) -> None:
         """Write an object that only this node writes, whatever is there."""
         try:
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -12,6 +12,7 @@
 from sardinehold.node import clock
 from sardinehold.node import failover
 from sardinehold.node import groups
+from sardinehold.node import membership
 from sardinehold.node import ports
 from sardinehold.node import promotion
 from sardinehold.node import reports
@@ -67,6 +68,7 @@
         self._call_at = 0.0
         self._share_in_touch = 1.0
         self._missing_since: dict[str, float] = {}
+        self._absences = membership.Absences()
 
     # Reports and advice
 
@@ -74,6 +76,7 @@
         """Start to lead; tokens of the leader before must lapse first."""
         now = clock.read()
         self._share_in_touch = 1.0
+        self._absences = membership.Absences()
         margin = 1 + 2 * clock.RATE_MARGIN
         lead = self.node.leadership
         acted_until = lead.acted_until
@@ -238,6 +241,7 @@
             self._resign_if_cut_off()
             if self.leads() and self.node.catalog is not None:
                 self._call_unheard()
+                await self._remove_gone(clock.read())
                 for name, group in list(self.node.groups.items()):
                     if name not in self._working:
                         self._look(tasks, name, group.state)
@@ -259,6 +263,17 @@
         self._call_at = now + CALL_INTERVAL
         self.node.exchange.call(self.roster.list_unheard(now))
 
+    async def _remove_gone(self, now: float) -> None:
+        """Remove the entry of a member that has long not been heard."""
+        self._absences.note(self.roster.list_unheard(now), now)
+        for name in self._absences.list_gone(now)[:1]:
+            self._absences = membership.Absences()
+            try:
+                await self.node.keeping.remove_member(name)
+                self.note("member_removed", member=name)
+            except errors.PlatformError as error:
+                self.note("member_not_removed", member=name, reason=str(error))
+
     def _look(
         self,
         tasks: anyio.abc.TaskGroup,
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -15,6 +15,7 @@
 from sardinehold.node import budget
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import evidence
 from sardinehold.node import exchange
 from sardinehold.node import following
 from sardinehold.node import groups
@@ -23,6 +24,7 @@
 from sardinehold.node import keeping
 from sardinehold.node import leader
 from sardinehold.node import leadership
+from sardinehold.node import membership
 from sardinehold.node import outcomes
 from sardinehold.node import peers
 from sardinehold.node import pool
@@ -109,6 +111,7 @@
         self.configured = anyio.Event()
         self.groups: dict[str, groups.Group] = {}
         self.members: dict[str, dict] = {}
+        self.removals = membership.Removals(clock.read())
         self.callers: set[Caller] = set()
         self.budget = budget.Budget(loaded, self.report_soon)
         self.leadership = leadership.Leadership(
@@ -176,10 +179,14 @@
         return (
             not self.is_stopping
             and self.catalog is not None
-            and not self.exchange.is_cut_off(clock.read())
+            and not self.is_cut_off(clock.read())
             and any(group.state is not None for group in self.groups.values())
         )
 
+    def is_cut_off(self, now: float) -> bool:
+        """Return whether this node hears nobody: callers are better off elsewhere."""
+        return self.exchange.count_unheard(now) > evidence.CUT_OFF_AFTER
+
     async def await_configuration(self) -> None:
         """Wait until callers can be let in, for a while at most."""
         if self.catalog is None:
@@ -300,7 +307,7 @@
                 self.spawn,
                 self.settings.measure_distance,
                 self.settings.endpoint_drain,
-                self.exchange.is_cut_off,
+                self.exchange.count_unheard,
             )
             self.groups[name] = group
         return group
--- a/src/sardinehold/node/ports.py
+++ b/src/sardinehold/node/ports.py
@@ -147,6 +147,9 @@
     ) -> objects.StoredObject:
         """Replace an object of that version."""
 
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Remove an object of that version."""
+
 
 class Duty(typing.Protocol):
     """Orders changes of primary."""
--- a/src/sardinehold/node/roster.py
+++ b/src/sardinehold/node/roster.py
@@ -85,6 +85,8 @@
     def is_seal_known(self, group: str, version: int) -> bool:
         """Return whether every node has given up the old primary."""
         now = clock.read()
+        if not self.node.removals.are_settled(now):
+            return False
         for name in self.node.members:
             heard = self._heard.get(name)
             if heard is None or now - heard.at > HEARD_WITHIN:
--- a/src/sardinehold/platform/store.py
+++ b/src/sardinehold/platform/store.py
@@ -113,6 +113,15 @@
         answer = await self._call("PUT", f"/api/objects/{kind}/{name}", json=body)
         return _parse_object(kind, answer)
 
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Remove an object of that version; raises VersionConflict.
+
+        One that is not there raises ObjectMissing.
+        """
+        await self._call(
+            "DELETE", f"/api/objects/{kind}/{name}", params={"Revision": version}
+        )
+
     async def _call(
         self,
         method: str,
--- a/src/sardinehold_standins/line_world.py
+++ b/src/sardinehold_standins/line_world.py
@@ -171,6 +171,7 @@
                 routing.Route(path, self._read, methods=["GET"]),
                 routing.Route(path, self._write, methods=["POST"]),
                 routing.Route(path + "/{name}", self._write, methods=["PUT"]),
+                routing.Route(path + "/{name}", self._delete, methods=["DELETE"]),
                 routing.Route("/failover", self._promote, methods=["POST"]),
             ]
         )
@@ -240,6 +241,20 @@
             return fault
         return responses.JSONResponse(_dump(stored))
 
+    async def _delete(self, request: requests.Request) -> responses.Response:
+        if self.fault == "busy":
+            return responses.Response(status_code=503)
+        client = self.store.connect("")
+        path = request.path_params
+        version = int(request.query_params["Revision"])
+        try:
+            await client.delete(path["kind"], path["name"], version)
+        except errors.VersionConflict:
+            return responses.Response(status_code=409)
+        if (fault := await self._misbehave(True)) is not None:
+            return fault
+        return responses.JSONResponse({})
+
     async def _promote(self, request: requests.Request) -> responses.Response:
         body = json.loads(await request.body())
         cluster = self.clusters[body["Service"]]
--- a/src/sardinehold_standins/objects_in_memory.py
+++ b/src/sardinehold_standins/objects_in_memory.py
@@ -128,11 +128,22 @@
     ) -> objects.StoredObject:
         """Replace an object of that version."""
         await self._call("update")
-        held = self.store.objects.get((kind, name))
-        if held is None or held.version != version:
-            raise errors.VersionConflict("Another version.", "Read it.")
+        held = self._find(kind, name, version)
         if held.value == value:
             return held
         stored = self.store.put(kind, name, value)
         await self._answer()
         return stored
+
+    async def delete(self, kind: str, name: str, version: int) -> None:
+        """Remove an object of that version."""
+        await self._call("delete")
+        self._find(kind, name, version)
+        self.store.put(kind, name, None)
+        await self._answer()
+
+    def _find(self, kind: str, name: str, version: int) -> objects.StoredObject:
+        held = self.store.objects.get((kind, name))
+        if held is None or held.version != version:
+            raise errors.VersionConflict("Another version.", "Read it.")
+        return held
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,6 +9,7 @@
 from sardinehold.node import clock
 from sardinehold.node import evidence
 from sardinehold.node import following
+from sardinehold.node import membership
 from sardinehold.node import statements
 from sardinehold.node import waiting
 
@@ -1042,3 +1043,73 @@
         assert (await world.open("n2", "latest").write()).error is None
 
     builders_node.play(monkeypatch, story)
+
+
+def test_entry_of_a_node_that_is_gone_is_removed_and_waited_for_no_more(monkeypatch):
+    # inc-3a14 and letters-desk trouble-3: each change of primary or leader waited for a
+    # VM that had been replaced, and its part of the rates was nobody's.
+    async def story(world):
+        names = list(world.nodes)
+        gone = next(name for name in names if name != world.find_leader())
+        world.kill_node(gone)
+        await asyncio.sleep(membership.UNHEARD_LIMIT + 2.0)
+        left = [name for name in names if name != gone]
+        for name in left:
+            assert sorted(world.nodes[name].members) == sorted(left)
+        await asyncio.sleep(membership.LEASES_LAPSE)
+        for name in left:
+            await world.open(name, "latest").write()
+        world.clusters["g"].primary.crash()
+        began = clock.read()
+        for name in left:
+            world.tasks.start_soon(world.open(name, "latest").write)
+        while len(world.clusters["g"].promotions) < 1:
+            await asyncio.sleep(0.01)
+        assert clock.read() - began < 1.0
+        await asyncio.sleep(3.0)
+        assert (await world.open(left[0], "latest").write()).error is None
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_node_whose_entry_was_removed_takes_no_lease_until_it_has_entered(monkeypatch):
+    # Other nodes do not hear n2, which reaches the store and the primary.
+    async def story(world):
+        node = world.nodes["n2"]
+        if world.find_leader() == "n2":
+            await node.keeping.write_farewell()
+            node.leadership.resign()
+            await asyncio.sleep(1.0)
+        world.cuts |= {frozenset(("n2", "n0")), frozenset(("n2", "n1"))}
+        leases = []
+        began = clock.read()
+        removed_at = entered_at = None
+        while clock.read() < began + 2 * membership.UNHEARD_LIMIT:
+            await asyncio.sleep(0.005)
+            is_entered = (following.FLEET_KIND, "member.n2") in world.store.objects
+            if not is_entered and removed_at is None:
+                removed_at = clock.read()
+            if removed_at and is_entered and entered_at is None:
+                entered_at = clock.read()
+            if removed_at and not entered_at:
+                leases.append(node.groups["g"].evidence.as_of)
+        assert removed_at and entered_at
+        assert max(leases, default=0.0) <= removed_at
+        assert (await world.open("n2", "latest").write()).error is None
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_node_that_nobody_hears_does_not_go_on_by_its_commits(monkeypatch):
+    async def story(world):
+        await world.open("n2", "latest").write()
+        world.store.cut.add("n2")
+        world.cuts |= {frozenset(("n2", "n0")), frozenset(("n2", "n1"))}
+        began = clock.read()
+        while clock.read() < began + 8.0:
+            await asyncio.sleep(0.2)
+            last = await world.open("n2", "latest").write()
+            if clock.read() - began > evidence.PROOF_LIMIT + evidence.LEASE + 1.5:
+                assert last.error is Failure.BUSY
+
+    builders_node.play(monkeypatch, story)
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -492,7 +492,7 @@
 
 
 def make_group() -> groups.Group:
-    return groups.Group("g", None, None, lambda zone: 0, 7.0, lambda now: False)
+    return groups.Group("g", None, None, lambda zone: 0, 7.0, lambda now: 0.0)
 
 
 def test_position_of_the_primary_does_not_lower_what_was_acknowledged():
--- a/tests/test_node_roster.py
+++ b/tests/test_node_roster.py
@@ -8,6 +8,7 @@
 from sardinehold.core import positions
 from sardinehold.node import clock
 from sardinehold.node import exchange
+from sardinehold.node import membership
 from sardinehold.node import roster
 
 P = positions.Position
@@ -25,6 +26,7 @@
         incarnation="leader-1",
         members={"n0": {}, "n1": {}, "n2": {}},
         groups={"g": group},
+        removals=membership.Removals(0.0),
         following=types.SimpleNamespace(find_store_contact=lambda: NOW - 0.1),
     )
     return roster.Roster(node)
@@ -56,6 +58,14 @@
     assert not heard.is_seal_known("g", 0)
 
 
+def test_seal_is_not_known_to_all_while_a_removed_node_may_hold_a_lease(heard):
+    report_all(heard)
+    heard.node.removals.note(NOW)
+    assert not heard.is_seal_known("g", 4)
+    heard.node.removals.note(NOW - membership.LEASES_LAPSE - 0.1)
+    assert heard.is_seal_known("g", 4)
+
+
 def test_newest_commit_that_any_member_told_of_is_found(heard):
     report_all(heard)
     heard.take(builders_node.make_report(node="n2", acknowledged={"g": P(1, 9)}), NOW)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -477,3 +477,11 @@
 
     product = ROOT / "src" / "sardinehold"
     assert count(product / "platform") < count(product) / 10
+
+
+def test_delete_is_conditional_on_the_version():
+    recorder = builders_platform.Recorder((200, {}))
+    run_store(recorder, lambda client: client.delete("own", "member.a", 8))
+    assert recorder.asked[0].method == "DELETE"
+    assert recorder.asked[0].url.path == "/api/objects/own/member.a"
+    assert recorder.asked[0].url.params["Revision"] == "8"
