--- a/src/sardinehold/node/budget.py
+++ b/src/sardinehold/node/budget.py
@@ -2,8 +2,8 @@
 
 A part of each rate is divided evenly and needs nobody, where each node's part is
 large enough; the rest is moved to the nodes by demand, by the allocator on the leader
-(:mod:`sardinehold.core.quota`). A node out of touch with the leader takes an even part of the whole rate, which
-the leader has stopped to move by then.
+(:mod:`sardinehold.core.quota`). A node out of touch with the leader takes an even part
+of the whole rate, which the leader has stopped to move by then.
 """
 
 import asyncio
