--- /dev/null
+++ b/tests/test_node_messages.py
@@ -0,0 +1,81 @@
+"""Datagrams between nodes: small, whole, and only from this fleet."""
+
+import json
+import zlib
+
+import pytest
+
+import builders_node
+from sardinehold import objects
+from sardinehold.node import membership
+from sardinehold.node import peers
+from sardinehold.node import watching
+
+
+def make_peers(received: list) -> peers.Peers:
+    found = peers.Peers(lambda message, _: received.append(message), lambda *_: None)
+    found.key = b"k" * 32
+    return found
+
+
+def make_datagram(sender: peers.Peers, body: bytes) -> bytes:
+    return sender._sign(body) + body
+
+
+def test_report_is_read_back_and_less_than_half_as_long():
+    received = []
+    found = make_peers(received)
+    message = builders_node.make_report().dump()
+    data = json.dumps(message).encode()
+    body = peers.pack(data)
+    found.datagram_received(make_datagram(found, body), ("a", 1))
+    assert received == [json.loads(data)]
+    assert len(body) < len(data) / 2
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{}", peers.pack(b'{"kind": 1}')[:-1], peers.pack(b"no JSON")]
+)
+def test_datagram_that_cannot_be_read_is_counted_and_left_out(body):
+    received = []
+    found = make_peers(received)
+    found.datagram_received(make_datagram(found, body), ("a", 1))
+    assert (received, found.rejected) == ([], 1)
+
+
+def test_datagram_of_another_fleet_is_not_read():
+    received = []
+    found, other = make_peers(received), make_peers([])
+    other.key = b"o" * 32
+    found.datagram_received(make_datagram(other, peers.pack(b"{}")), ("a", 1))
+    assert (received, found.rejected) == ([], 1)
+
+
+def test_message_that_grows_beyond_any_is_not_unpacked():
+    packed = peers.pack(b" " * (peers.MAX_MESSAGE + 1))
+    assert len(packed) < peers.MAX_DATAGRAM
+    with pytest.raises(zlib.error):
+        peers.unpack(packed)
+
+
+def test_largest_object_of_the_store_can_be_sent():
+    data = json.dumps({"routes": [{"name": f"r{n}"} for n in range(40_000)]}).encode()
+    assert peers.unpack(peers.pack(data)) == data
+
+
+def test_member_is_gone_when_it_was_not_heard_for_long_without_a_break():
+    absences = membership.Absences()
+    absences.note(["a", "b"], 0.0)
+    absences.note(["a"], 5.0)
+    absences.note(["a", "b"], 5.1)
+    late = membership.UNHEARD_LIMIT + 0.1
+    absences.note(["a", "b"], late)
+    assert absences.list_gone(late) == ["a"]
+
+
+def test_removal_is_covered_by_the_answers_revision():
+    kept = objects.StoredObject("k", "a", 7, {})
+    gone = objects.StoredObject("k", "b", 3, None)
+    assert watching.find_newest(objects.Changes([], 9)) == 0
+    assert watching.find_newest(objects.Changes([kept], 9)) == 7
+    assert watching.find_newest(objects.Changes([kept, gone], 9)) == 9
--- /dev/null
+++ b/tests/test_node_rates.py
@@ -0,0 +1,100 @@
+"""What a node holds, gives back and waits for of the teams' rates."""
+
+import pytest
+
+import builders_node
+from sardinehold.node import budget
+from sardinehold.node import clock
+from sardinehold.node import settings
+
+NOW = 100.0
+
+
+@pytest.fixture
+def found(monkeypatch):
+    """Return the budget of one of nine nodes; the team has 90 operations a second."""
+    monkeypatch.setattr(clock, "read", lambda: NOW)
+    loaded = settings.Settings(
+        "n0", "z", {}, ("", 1), ("", 1), ("", 1), 0, ("", 1), ("", 1)
+    )
+    found = budget.Budget(loaded, lambda: None)
+    found.configure(builders_node.make_catalog(rate=90.0, burst=90.0), 9)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("is_settling", "timeout", "expected"),
+    [
+        (False, 0.8, budget.MAX_WAIT),
+        (False, 0.05, 0.05),
+        (True, 0.8, 0.32),
+        (True, 4.0, budget.SETTLING_WAIT),
+    ],
+)
+def test_operation_waits_longer_for_a_leader_that_settles_but_not_half_its_time(
+    is_settling, timeout, expected
+):
+    limit = budget.find_wait_limit(NOW, NOW + timeout, is_settling)
+    assert limit - NOW == pytest.approx(expected)
+    assert limit - NOW <= max(budget.MAX_WAIT, timeout / 2)
+
+
+def test_operation_that_was_never_sent_is_given_back_up_to_the_burst(found):
+    even = found.accounts["red"].even
+    even.tokens = 0.0
+    found.refund("red")
+    assert even.tokens == 1.0
+    for _ in range(20):
+        found.refund("red")
+    assert even.tokens == even.burst == pytest.approx(3.0)
+    found.refund("unknown")
+
+
+def test_part_that_a_node_does_not_need_is_moved_only_when_others_lack_it(found):
+    account = found.accounts["red"]
+    account.even.tokens = 3.0
+    assert found.collect_usages(NOW) == []
+    found.note_short(["red", "unknown"], NOW + 1.0)
+    usage = found.collect_usages(NOW)[0]
+    assert (usage.team, usage.spare) == ("red", 3)
+    assert account.even.tokens == 0.0
+
+
+def test_node_keeps_what_its_own_callers_are_expected_to_use(found):
+    account = found.accounts["red"]
+    account.even.tokens = 3.0
+    account.balance.demand = 5.0
+    found.note_short(["red"], NOW + 1.0)
+    assert found.collect_usages(NOW)[0].spare == 1
+    account.balance.waiting.append(None)
+    account.even.tokens = 3.0
+    assert found.collect_usages(NOW)[0].spare == 0
+
+
+def test_tokens_that_a_node_needs_not_go_back_when_others_lack_them(found):
+    account = found.accounts["red"]
+    account.balance.grant(2, NOW + 1.0)
+    account.balance.quiet_since = NOW
+    assert found.collect_usages(NOW) == []
+    found.note_short(["red"], NOW + 1.0)
+    assert found.collect_usages(NOW)[0].returned == 2
+    assert account.balance.tokens == 0
+
+
+def test_one_operation_in_a_few_milliseconds_is_no_demand_of_dozens(found):
+    account = found.accounts["red"]
+    account.review(NOW)
+    account.balance.note_arrival()
+    account.review(NOW + 0.03)
+    assert account.balance.demand == 0.0
+    account.review(NOW + budget.REVIEW_LEAST + 0.01)
+    assert 0.0 < account.balance.demand < 2.0
+
+
+@pytest.mark.parametrize(("members", "part"), [(9, 0.3), (76, 0.0)])
+def test_small_rate_is_not_divided_among_many_nodes(members, part):
+    catalog = builders_node.make_catalog(rate=8.0, burst=8.0)
+    team = catalog.teams["red"]
+    assert budget.find_even_part(team, members) == part
+    moved = budget.collect_rates(catalog, members, 1.0)["red"]
+    assert moved.rate == pytest.approx(8.0 * (1 - part))
