Make two tests fail without their subject; correct comments that leases outdated

Two tests stayed green: a watch told of the removed entry before the list that the one looks at, and configurations reach silent followers by their version, not by what the other tests.

Change: a list without the node's own entry is handed over directly; an endpoint that leaves is told to nodes whose watches went silent. Both are red without their subject; the old two stay. Comments said that three reports or lists fit into a lease, which is 1.1 s now; a caught error that nothing raises any more is gone. No behaviour changes.

--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -1,7 +1,6 @@
 """A node's talk with the leader, and the leader's with the nodes."""
 
 import typing
-import zlib
 
 import anyio
 
@@ -16,7 +15,7 @@
     from sardinehold.node import node as nodes
 
 REPORT_INTERVAL = 0.4
-"""Seconds between reports to the leader; three of them fit into a lease."""
+"""Seconds between reports to the leader; one of them may be lost within a lease."""
 
 REPORT_LEAST = 0.03
 """Seconds between two reports at least, so that urgent ones are sent together."""
@@ -31,8 +30,8 @@
 """Seconds after which an answer to a report says nothing of now any more."""
 
 ADVISED_WITHIN = 0.7
-"""Seconds after which a node without advice dates its lease by the store: two
-reports were lost, or there is no leader."""
+"""Seconds after which a node without advice dates its lease by the store: a report was
+lost, or there is no leader. A slow store still answers within the lease."""
 
 ALONE_AFTER = 1.5
 """Seconds without advice after which a node takes an even part of the whole rates;
@@ -40,7 +39,8 @@
 
 VOUCH_AGE = 0.8
 """Seconds since the last answer of the store from which a report may let a leader
-without the store go on; longer than a short watch."""
+without the store go on; longer than a short watch. A node in a long watch reports so as
+well, and asks the store when the leader wants to know."""
 
 SETTLING = 1.0
 """Seconds after a leader is first heard in which its first tokens are on their way: it
@@ -191,7 +191,7 @@
         """Take a message of another node."""
         try:
             parsed = reports.parse(message)
-        except (KeyError, TypeError, ValueError, zlib.error) as error:
+        except (KeyError, TypeError, ValueError) as error:
             self.node.journal.note("message_refused", reason=repr(error))
             return
         if isinstance(parsed, reports.Report):
--- a/src/sardinehold/node/following.py
+++ b/src/sardinehold/node/following.py
@@ -34,7 +34,7 @@
 members may enter at once, and states of groups come by the leader as well."""
 
 LIST_INTERVAL = 0.4
-"""Seconds between lists that date the leases; three of them fit into a lease."""
+"""Seconds between lists that date the leases; one of them may fail within a lease."""
 
 
 class Following:
--- a/src/sardinehold/node/watching.py
+++ b/src/sardinehold/node/watching.py
@@ -23,7 +23,8 @@
 knows, before it reads the kind anew."""
 
 SHORT_WAIT = 0.5
-"""Seconds that a watch waits without a leader: it must date the lease itself."""
+"""Seconds that a watch waits without a leader: nobody tells of changes that a silent
+connection keeps back."""
 
 GATHERING = 0.05
 """Seconds between an answer with changes and the next watch: changes that come in quick
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,6 +6,7 @@
 import pytest
 
 import builders_node
+from sardinehold import objects
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import evidence
@@ -924,12 +925,12 @@
     assert (again.term, again.primary, again.phase) == (3, "g-1", catalog.Phase.SEALED)
 
 
-def count_refused(world, names, seconds, teams=("red-key",)):
-    """Have callers ask steadily; return a list that fills with refused answers."""
+def collect_refused(world, names, seconds):
+    """Have a team's callers ask steadily; return a list that fills with refusals."""
     refused = []
 
-    async def ask(name, key):
-        answer = await world.open(name, "bounded", key).read()
+    async def ask(name):
+        answer = await world.open(name, "bounded").read()
         if answer.error is not None:
             refused.append((clock.read(), answer.detail))
 
@@ -938,7 +939,7 @@
         asked = 0
         while clock.read() < began + seconds:
             await asyncio.sleep(1 / 60)
-            world.tasks.start_soon(ask, names[asked % len(names)], teams[0])
+            world.tasks.start_soon(ask, names[asked % len(names)])
             asked += 1
 
     world.tasks.start_soon(press)
@@ -950,7 +951,7 @@
     # since the new leader began with empty buckets and operations did not wait for it.
     async def story(world):
         names = list(world.nodes)
-        count_refused(world, names, 5.0)
+        collect_refused(world, names, 5.0)
         await asyncio.sleep(5.0)
         for name in names:
             world.kill_node(name)
@@ -958,7 +959,7 @@
             world.start_node(name, "north")
         while not all(node.is_ready() for node in world.nodes.values()):
             await asyncio.sleep(0.01)
-        refused = count_refused(world, names, 3.0)
+        refused = collect_refused(world, names, 3.0)
         for name in names:
             for _ in range(5):
                 world.tasks.start_soon(world.open(name, "bounded").read)
@@ -1153,7 +1154,7 @@
 
 
 def test_small_team_in_front_of_many_nodes_is_served_within_its_rate(monkeypatch):
-    # letters-desk grown: parts of a small rate divided among 76 nodes were crumbs that
+    # letters-desk grown: parts of a small rate among 76 nodes were so small that
     # no caller met, and a third of the rate was lost with them.
     async def story(world):
         refused, asked = [], []
@@ -1203,3 +1204,35 @@
         assert node.leader.plan_reserves(clock.read()) == {}
 
     builders_node.play(monkeypatch, story)
+
+
+def test_list_without_the_nodes_own_entry_dates_no_lease(monkeypatch):
+    async def story(world):
+        node = world.nodes["n1"]
+        evidence_before = node.groups["g"].evidence.as_of
+        asked = clock.read() + 5.0
+        others = [
+            stored
+            for (kind, name), stored in world.store.objects.items()
+            if kind == following.FLEET_KIND and name != "member.n1"
+        ]
+        node.following.take_fleet(objects.Changes(others, 1), asked)
+        assert node.groups["g"].evidence.as_of == evidence_before
+        own = world.store.objects[following.FLEET_KIND, "member.n1"]
+        node.following.take_fleet(objects.Changes([*others, own], 1), asked)
+        assert node.groups["g"].evidence.as_of == asked
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_endpoint_that_leaves_is_known_to_nodes_whose_watches_went_silent(monkeypatch):
+    # Only the leader is told; the configuration's version says nothing of endpoints.
+    async def story(world):
+        await asyncio.sleep(3.0)
+        world.store.silent.update(world.nodes.keys() - {world.find_leader()})
+        world.publish_endpoint("g-2", is_draining=True)
+        await asyncio.sleep(2.0)
+        for node in world.nodes.values():
+            assert node.groups["g"].endpoints["g-2"].leaving_since is not None
+
+    builders_node.play(monkeypatch, story)
