--- a/src/sardinehold/node/admission.py
+++ b/src/sardinehold/node/admission.py
@@ -16,7 +16,7 @@
 
 
 class Waiter:
-    """A statement that waits for a connection.
+    """A statement that waits for an endpoint.
 
     :param began: when it arrived.
     :param deadline: when its wait ends.
@@ -37,20 +37,26 @@
         self.began = began
         self.deadline = deadline
 
+    @property
+    def target(self) -> float:
+        """Until when it is in time."""
+        return self.began + self.route.target_latency
 
-def rank(waiter: Waiter, now: float) -> tuple[int, int, float]:
-    """Return the order of a waiter; the lowest goes first.
+
+def rank(target: float, priority: int, now: float) -> tuple[int, int, float]:
+    """Return the order of a statement; the lowest goes first.
 
     Statements that can still meet their route's target go before those that
     are late already, then by the route's priority, then by the time left.
+
+    :param target: until when it is in time.
     """
-    target = waiter.began + waiter.route.target_latency
-    return (int(target <= now), waiter.route.priority, target)
+    return (int(target <= now), priority, target)
 
 
 def order(waiters: list[_Waiter], now: float) -> list[_Waiter]:
     """Return the waiters in the order in which they are served."""
-    return sorted(waiters, key=lambda waiter: rank(waiter, now))
+    return sorted(waiters, key=lambda item: rank(item.target, item.route.priority, now))
 
 
 def expect_wait(ahead: int, service: float, parallel: int) -> float:
--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -158,7 +158,7 @@
             return
         member = self.node.members.get(holder)
         if member is not None:
-            self.node.peers.send(report.dump(), (member["host"], member["port"]))
+            self.node.peers.send(report.dump(), member.address)
 
     def _list_full(self, now: float) -> tuple[str, ...]:
         """Return the endpoints that refused this node a connection of late."""
@@ -232,7 +232,7 @@
             if name == self.node.settings.name:
                 self.report_now()
             elif member is not None:
-                self.node.peers.send(message, (member["host"], member["port"]))
+                self.node.peers.send(message, member.address)
 
     def _take_advice(self, advice: reports.Advice) -> None:
         now = clock.read()
@@ -276,8 +276,7 @@
         if watcher.is_failing():
             member = self.node.members.get(advice.node)
             if member is not None:
-                address = (member["host"], member["port"])
-                self.node.peers.send(reports.Request(known).dump(), address)
+                self.node.peers.send(reports.Request(known).dump(), member.address)
         else:
             watcher.hurry()
 
--- a/src/sardinehold/node/following.py
+++ b/src/sardinehold/node/following.py
@@ -8,6 +8,7 @@
 from sardinehold import objects
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import homes
 from sardinehold.node import leadership
 from sardinehold.node import membership
 from sardinehold.node import watching
@@ -53,6 +54,8 @@
         self.fleet_listed = anyio.Event()
         self._store_state: dict[str, bool] = {}
         self._refused: dict[str, int] = {}
+        self._lines: dict[str, list[str]] = {}
+        self._lines_from: tuple[dict, dict] = ({}, {})
         sources = node.sources
         self.configuration = self._watch(
             sources.configuration_kind, self._change_config, self._change_config
@@ -290,13 +293,17 @@
         name = stored.name.removeprefix(MEMBER_PREFIX)
         if stored.value is None:
             self._drop_member(name)
-        else:
-            old = self.node.members.get(name, stored.value).get("incarnation", "")
-            new = stored.value.get("incarnation", "")
-            self.node.members[name] = stored.value
-            self.member_versions[name] = stored.version
-            if old != new:
-                self.node.leader.note_restart(name, old, new)
+            return
+        try:
+            member = membership.parse_member(name, stored.value)
+        except errors.DocumentError as error:
+            self.node.journal.note("member_refused", member=name, reason=str(error))
+            return
+        old = self.node.members.get(name, member)
+        self.node.members[name] = member
+        self.member_versions[name] = stored.version
+        if old.incarnation != member.incarnation:
+            self.node.leader.note_restart(name, old.incarnation, member.incarnation)
 
     def _drop_member(self, name: str) -> None:
         if self.node.members.pop(name, None) is None:
@@ -334,14 +341,31 @@
     def update_shares(self) -> None:
         """Divide connections and rates by the members, once these are known."""
         count = len(self.node.members)
-        zone = self.node.settings.zone
-        neighbours = [m for m in self.node.members.values() if m.get("zone") == zone]
+        lines = self._find_lines()
         for group in self.node.groups.values():
-            group.divide(max(1, count), max(1, len(neighbours)))
+            group.divide(lines, self.node.settings.name)
         if self.node.catalog is not None:
             self.node.budget.configure(self.node.catalog, count)
             self.node.leader.configure()
 
+    def _find_lines(self) -> dict[str, list[str]]:
+        """Return each endpoint's homes, found anew if members or endpoints changed."""
+        zones = {
+            endpoint.name: endpoint.record.zone
+            for group in self.node.groups.values()
+            for endpoint in group.endpoints.values()
+        }
+        weights = {
+            member.name: (member.zone, member.weight)
+            for member in self.node.members.values()
+        }
+        if (zones, weights) != self._lines_from:
+            self._lines_from = (zones, weights)
+            self._lines = homes.assign(
+                zones, self.node.members.values(), self.node.settings.compare_zones
+            )
+        return self._lines
+
 
 def _has_changed(old: catalog.EndpointRecord, new: catalog.EndpointRecord) -> bool:
     return (old.is_draining, old.says_primary, old.born, old.host, old.port) != (
--- /dev/null
+++ b/src/sardinehold/node/frames.py
@@ -0,0 +1,187 @@
+"""The messages of a link between two nodes, as bytes.
+
+A frame is a MessagePack array: its kind and its fields in order. Times travel as
+seconds that are left and are dated by the receiver's clock, so that the way makes
+deadlines later by what it takes, never by what clocks differ.
+"""
+
+import typing
+
+import msgpack
+
+from sardinehold.core import positions
+from sardinehold.node import orders
+from sardinehold.node import statements
+
+CHALLENGE = 1
+PROOF = 2
+WELCOME = 3
+ORDER = 4
+ANSWER = 5
+LOST = 6
+REJECTED = 7
+CLOSE = 8
+PING = 9
+PONG = 10
+LEAVING = 11
+
+MAX_FRAME = 4 * 1024 * 1024
+"""Bytes of a frame at most: an answer's rows may have a megabyte each, as a message of
+the callers' protocol; a frame that is longer ends its link."""
+
+
+class FrameError(Exception):
+    """A frame does not follow the protocol of links."""
+
+
+class Reader:
+    """Cuts a stream of bytes into frames."""
+
+    __slots__ = ("_unpacker",)
+
+    def __init__(self) -> None:
+        """Start with nothing received."""
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME)
+
+    def feed(self, data: bytes) -> list[list]:
+        """Take bytes and return the frames that they complete.
+
+        :raises FrameError: they are no frames.
+        """
+        found = []
+        try:
+            self._unpacker.feed(data)
+            for frame in self._unpacker:
+                if not isinstance(frame, list) or not frame:
+                    raise FrameError(f"a frame is {type(frame).__name__}")
+                found.append(frame)
+        except (ValueError, msgpack.exceptions.UnpackException) as error:
+            raise FrameError(repr(error)) from error
+        return found
+
+
+def pack(kind: int, *fields: typing.Any) -> bytes:
+    """Return the bytes of a frame."""
+    return msgpack.packb([kind, *fields])
+
+
+def pack_order(stream: int, order: orders.Order, now: float) -> bytes:
+    """Return the frame of an order."""
+    statement = order.statement
+    definition = statement.definition
+    return pack(
+        ORDER,
+        stream,
+        order.group,
+        order.endpoint,
+        order.team,
+        statement.request_id,
+        statement.text,
+        statement.kind.value,
+        statement.arguments,
+        None if definition is None else [definition.writes, definition.shape],
+        order.values,
+        order.deadline - now,
+        order.target - now,
+        order.priority,
+        order.after,
+    )
+
+
+def parse_order(fields: list, now: float) -> orders.Order:
+    """Return the order of a frame, its stream left out.
+
+    :raises FrameError: a field is missing or of another type.
+    """
+    try:
+        group, endpoint, team, request, text, kind, arguments, definition = fields[:8]
+        values, left, in_time, priority, after = fields[8:]
+        statement = statements.Statement(
+            _take_text(request),
+            _take_text(text),
+            statements.Kind(kind),
+            definition=None if definition is None else _take_definition(definition),
+            arguments=_take_text(arguments),
+        )
+        return orders.Order(
+            _take_text(group),
+            _take_text(endpoint),
+            _take_text(team),
+            statement,
+            {_take_text(name): _take_text(value) for name, value in values.items()},
+            now + float(left),
+            now + float(in_time),
+            int(priority),
+            _take_position(after),
+        )
+    except (ValueError, TypeError, AttributeError, KeyError) as error:
+        raise FrameError(f"an order cannot be read: {error!r}") from error
+
+
+def pack_reply(stream: int, reply: orders.Reply) -> bytes:
+    """Return the frame of an endpoint's answer."""
+    answer = reply.answer
+    return pack(
+        ANSWER,
+        stream,
+        answer.rows,
+        answer.signature,
+        None if answer.error is None else answer.error.value,
+        answer.detail,
+        answer.status,
+        answer.position,
+        reply.load.ahead,
+        reply.load.service,
+    )
+
+
+def parse_reply(fields: list) -> orders.Reply:
+    """Return the answer of a frame, its stream left out.
+
+    :raises FrameError: a field is missing or of another type.
+    """
+    try:
+        rows, signature, error, detail, status, position, ahead, service = fields
+        answer = statements.Answer(
+            [_take_text(row) for row in rows],
+            _take_text(signature),
+            None if error is None else statements.Failure(error),
+            _take_text(detail),
+            _take_text(status),
+            _take_position(position),
+        )
+        return orders.Reply(answer, orders.Load(int(ahead), float(service)))
+    except (ValueError, TypeError) as error:
+        raise FrameError(f"an answer cannot be read: {error!r}") from error
+
+
+def parse_rejected(fields: list) -> orders.Rejected:
+    """Return the rejection of a frame, its stream left out.
+
+    :raises FrameError: a field is missing or of another type.
+    """
+    try:
+        rejection, reason, retry_after = fields
+        return orders.Rejected(
+            orders.Rejection(rejection), _take_text(reason), float(retry_after)
+        )
+    except (ValueError, TypeError) as error:
+        raise FrameError(f"a rejection cannot be read: {error!r}") from error
+
+
+def _take_text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is no text")
+    return value
+
+
+def _take_position(value: list | None) -> positions.Position | None:
+    if value is None:
+        return None
+    term, offset = value
+    return positions.Position(int(term), int(offset))
+
+
+def _take_definition(value: list) -> statements.Definition:
+    writes, shape = value
+    return statements.Definition(bool(writes), _take_text(shape))
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -9,7 +9,7 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import evidence
-from sardinehold.node import jitter
+from sardinehold.node import orders
 from sardinehold.node import placement
 from sardinehold.node import pool
 from sardinehold.node import ports
@@ -17,6 +17,9 @@
 from sardinehold.node import statements
 from sardinehold.node import waiting
 
+if typing.TYPE_CHECKING:
+    from sardinehold.node import links
+
 DRAIN_PART = 0.85
 """Part of the time that a leaving endpoint may get new work in which a leaving primary
 gets it; the rest covers the way from the store to this node."""
@@ -25,8 +28,13 @@
 """Seconds without a primary after which statements that need one are refused at once:
 a change of primary that goes well is over by then."""
 
-OPEN_TIMEOUT = 1.0
-"""Seconds that opening a connection may take; past it an endpoint counts as dark."""
+AVOIDED_FOR = 0.5
+"""Seconds for which a home is not asked that did not run an order for want of the
+endpoint or of itself: about the time in which it finds out whether that is over."""
+
+RETURN_AFTER = 0.3
+"""Seconds after which a caller should come back that was refused for want of a primary
+or of evidence: a report to the leader and its answer."""
 
 PROBE_TIMEOUT = 0.4
 """Seconds in which an endpoint that is well answers a new connection and a question,
@@ -35,16 +43,15 @@
 PROBE_TEAM = "sardinehold"
 """The name in which connections for questions about logs are opened."""
 
-CLEAN_TIMEOUT = 0.5
-"""Seconds that ending an abandoned transaction may take before its connection is
-closed instead."""
-
 
 class Group:
     """One group of databases.
 
     :param endpoint_drain: seconds in which a leaving endpoint may get new work.
     :param count_unheard: returns the seconds since a leader or the store was heard.
+    :param open_stream: returns a new stream to an endpoint, by way of its home.
+    :param may_use: returns whether a home can be asked, by its name and the time.
+    :param on_probed: called with the endpoint when a probe has ended.
     :param state: who leads it, as the store said last; None while unknown.
     :param acknowledged: position of the newest commit that callers were told of.
     :param gone: endpoints that were forgotten, and when.
@@ -60,6 +67,9 @@
         measure_distance: typing.Callable[[str], int],
         endpoint_drain: float,
         count_unheard: typing.Callable[[float], float],
+        open_stream: "typing.Callable[[pool.Endpoint], links.Stream]",
+        may_use: typing.Callable[[str, float], bool],
+        on_probed: "typing.Callable[[Group, pool.Endpoint], None]",
     ) -> None:
         """Start without endpoints."""
         self._count_unheard = count_unheard
@@ -78,6 +88,9 @@
         self._connector = connector
         self._spawn = spawn
         self._measure_distance = measure_distance
+        self._open_stream = open_stream
+        self._may_use = may_use
+        self._on_probed = on_probed
 
     # What the store says
 
@@ -126,21 +139,19 @@
             self.gone[name] = clock.read()
             self._close_idle(endpoint)
 
-    def divide(self, nodes: int, neighbours: int) -> None:
-        """Set how many connections this node keeps and may hold.
+    def divide(self, lines: dict[str, list[str]], own: str) -> None:
+        """Set the homes of the endpoints, and what this node may hold of each.
 
-        :param nodes: nodes that share the endpoints.
-        :param neighbours: those of them in this node's zone.
+        :param lines: the homes of each endpoint, in the order in which they are asked.
+        :param own: this node's name.
         """
-        if self.config is None:
-            return
-        connections = self.config.connections
         for endpoint in self.endpoints.values():
-            endpoint.limit = sharing.find_limit(connections)
-            sharers = neighbours if endpoint.distance == 0 else 0
-            if endpoint is self.primary:
-                sharers = nodes
-            endpoint.kept = sharing.find_kept(connections, sharers)
+            endpoint.homes = lines.get(endpoint.name, [])
+            if self.config is None:
+                continue
+            is_home = endpoint.homes[:1] == [own]
+            endpoint.limit = sharing.find_limit(self.config.connections, is_home)
+            endpoint.kept = endpoint.limit if is_home else 0
 
     def _leave(self, endpoint: pool.Endpoint) -> None:
         if endpoint is not self.primary:
@@ -171,39 +182,35 @@
         since = primary.leaving_since or primary.gone_since
         return since is None or clock.read() < since + DRAIN_PART * self.endpoint_drain
 
-    # Waiting for a connection
+    def takes_work(self, endpoint: pool.Endpoint) -> bool:
+        """Return whether an endpoint may be sent new work."""
+        if endpoint.takes_new_work():
+            return True
+        return endpoint is self.primary and self.is_serving()
+
+    # Waiting for an endpoint
 
     async def acquire(self, waiter: waiting.Waiter) -> waiting.Placed:
-        """Return a connection for a statement.
+        """Return an endpoint for a statement, and the way to it.
 
         :raises waiting.Refused: none can be had before the deadline.
         """
-        expected = self._expect_wait()
-        if clock.read() + expected > waiter.deadline or self._is_hopeless(waiter):
-            raise self._refuse(waiter, expected)
+        if self._is_hopeless(waiter):
+            raise self._refuse(waiter)
+        placed = self._place(waiter, clock.read())
+        if placed is not None:
+            return placed
         self.waiters.append(waiter)
-        self.pump()
         try:
             remaining = max(0.0, waiter.deadline - clock.read())
             async with asyncio.timeout(remaining):
                 return await waiter.future
         except TimeoutError:
-            raise self._refuse(waiter, self._expect_wait()) from None
-        except asyncio.CancelledError:
-            if waiter.future.done() and not waiter.future.cancelled():
-                self.release(waiter.future.result().pooled)
-            raise
+            raise self._refuse(waiter) from None
         finally:
             if waiter in self.waiters:
                 self.waiters.remove(waiter)
 
-    def _expect_wait(self) -> float:
-        """Return the seconds until those that wait already have been served."""
-        endpoints = self.endpoints.values()
-        service = max((item.service for item in endpoints), default=0.0)
-        parallel = sum(item.limit for item in endpoints)
-        return admission.expect_wait(len(self.waiters), service, parallel)
-
     def _is_hopeless(self, waiter: waiting.Waiter) -> bool:
         """Return whether a statement needs what this node will not have in time.
 
@@ -226,7 +233,7 @@
         """Refuse what waits for something that will not come in time."""
         for waiter in list(self.waiters):
             if not waiter.future.done() and self._is_hopeless(waiter):
-                waiter.future.set_exception(self._refuse(waiter, self._expect_wait()))
+                waiter.future.set_exception(self._refuse(waiter))
 
     def _is_cut_off(self, now: float) -> bool:
         """Return whether this node hears neither a leader nor the store."""
@@ -243,8 +250,8 @@
         )
         return floor is not None
 
-    def _refuse(self, waiter: waiting.Waiter, expected: float) -> waiting.Refused:
-        retry_after = admission.find_retry_after(expected, random.random())
+    def _refuse(self, waiter: waiting.Waiter) -> waiting.Refused:
+        retry_after = admission.find_retry_after(RETURN_AFTER, random.random())
         return waiting.Refused(self.explain(waiter), retry_after)
 
     def explain(self, waiter: waiting.Waiter) -> str:
@@ -256,10 +263,10 @@
             return f"group {self.name} has no primary that takes work"
         if not self._has_evidence(waiter, now):
             return f"it is not known whether the primary of group {self.name} leads"
-        return f"all connections to group {self.name} are in use"
+        return f"no endpoint of group {self.name} can be reached or has its position"
 
     def pump(self) -> None:
-        """Give free connections to those that wait."""
+        """Let those that wait go on, as far as there are endpoints for them."""
         if not self.waiters:
             return
         now = clock.read()
@@ -272,7 +279,7 @@
                 waiter.future.set_result(placed)
 
     def _place(self, waiter: waiting.Waiter, now: float) -> waiting.Placed | None:
-        """Return a connection, or open one for the statement to wait for."""
+        """Return the way to an endpoint that can run a statement now."""
         floor = None
         if waiter.needs_primary:
             endpoint = self._find_primary_for(waiter, now)
@@ -283,80 +290,49 @@
             endpoint = self._choose_for_read(waiter, floor, now)
         if endpoint is None:
             return None
-        pooled = endpoint.take_idle(waiter.team, waiter.values)
-        if pooled is not None:
-            after = None if endpoint is self.primary else floor
-            return waiting.Placed(pooled, after)
-        if waiter.opening is None and endpoint.may_open(now):
-            waiter.opening = endpoint
-            self._open(endpoint, waiter.team, waiter)
-        return None
+        after = None if endpoint is self.primary else floor
+        return waiting.Placed(self._open_stream(endpoint), after)
 
     def _find_primary_for(
         self, waiter: waiting.Waiter, now: float
     ) -> pool.Endpoint | None:
         if not self.is_serving() or not self.evidence.holds_lease(now):
             return None
-        return self.primary
+        primary = self.primary
+        return None if now < primary.shunned_until else primary
 
     def _choose_for_read(
         self, waiter: waiting.Waiter, floor: positions.Position | None, now: float
     ) -> pool.Endpoint | None:
         holds_lease = self.is_serving() and self.evidence.holds_lease(now)
         candidates = [
-            endpoint.describe(now, waiter.team, endpoint is self.primary)
+            endpoint.describe(now, endpoint is self.primary)
             for endpoint in self.endpoints.values()
             if endpoint.name not in waiter.avoided
             and endpoint.failing_since is None
+            and now >= endpoint.shunned_until
             and (endpoint.takes_new_work() or endpoint is self.primary)
         ]
         chosen = placement.choose_for_read(candidates, floor, holds_lease)
         return self.endpoints[chosen.name] if chosen else None
 
-    # Connections
-
-    def _open(self, endpoint: pool.Endpoint, team: str, waiter: waiting.Waiter) -> None:
-        evicted = endpoint.make_room(clock.read())
-        if evicted is not None:
-            evicted.connection.close()
-        endpoint.opening += 1
-        self._spawn(self._finish_opening, endpoint, team, waiter)
-
-    async def _finish_opening(
-        self, endpoint: pool.Endpoint, team: str, waiter: waiting.Waiter
+    def note_rejected(
+        self, endpoint: pool.Endpoint, home_name: str, rejection: orders.Rejection
     ) -> None:
+        """Take note that a home did not run an order."""
         now = clock.read()
-        try:
-            connection = await self._connector.open(
-                endpoint.record, team, now + OPEN_TIMEOUT
-            )
-        except ports.OpeningFailed as error:
-            self._note_failed_opening(endpoint, error)
-        else:
-            pooled = pool.Pooled(connection, endpoint, team)
-            connection.on_lost = lambda: self._lose(pooled)
-            endpoint.connections.add(pooled)
-            endpoint.handshakes += 1
-            endpoint.note_answer(clock.read())
-            pooled.idle_since = clock.read()
-            endpoint.idle.append(pooled)
-        finally:
-            endpoint.opening -= 1
-            waiter.opening = None
-        self.pump()
+        if rejection is orders.Rejection.FULL:
+            return
+        endpoint.avoided[home_name] = now + AVOIDED_FOR
+        if rejection is not orders.Rejection.UNREACHABLE:
+            return
+        # Homes that cannot be asked leave it to this node's own connections.
+        names = [name for name in endpoint.homes if self._may_use(name, now)] or [""]
+        if all(now < endpoint.avoided.get(name, 0.0) for name in names):
+            endpoint.shunned_until = now + pool.SHUNNED_FOR
+            asyncio.get_running_loop().call_later(pool.SHUNNED_FOR, self.pump)
 
-    def _note_failed_opening(
-        self, endpoint: pool.Endpoint, error: ports.OpeningFailed
-    ) -> None:
-        now = clock.read()
-        if error.failure is statements.Failure.CONNECTION_LIMIT:
-            endpoint.note_answer(now)
-            endpoint.note_full(now, jitter.spread(pool.FULL_PAUSE))
-        else:
-            endpoint.note_failure(now, str(error))
-        asyncio.get_running_loop().call_later(
-            max(0.0, endpoint.retry_at - now), self.pump
-        )
+    # Connections of this node
 
     def trim(self, now: float) -> None:
         """Close free connections that others may need more."""
@@ -394,53 +370,9 @@
         else:
             endpoint.probe_answered_at = clock.read()
             endpoint.note_answer(clock.read())
+        self._on_probed(self, endpoint)
         self.pump()
 
-    def _lose(self, pooled: pool.Pooled) -> None:
-        pooled.is_lost = True
-        endpoint = pooled.endpoint
-        endpoint.connections.discard(pooled)
-        if pooled in endpoint.idle:
-            endpoint.idle.remove(pooled)
-        self.probe(endpoint)
-
-    def release(self, pooled: pool.Pooled) -> None:
-        """Take back a connection on which nothing is open."""
-        endpoint = pooled.endpoint
-        if not pooled.is_lost:
-            if self.endpoints.get(endpoint.name) is not endpoint or (
-                not endpoint.takes_new_work() and endpoint is not self.primary
-            ):
-                self.discard(pooled)
-            else:
-                pooled.idle_since = clock.read()
-                endpoint.idle.append(pooled)
-        self.pump()
-
-    def discard(self, pooled: pool.Pooled) -> None:
-        """Close a connection."""
-        pooled.is_lost = True
-        pooled.endpoint.connections.discard(pooled)
-        pooled.connection.close()
-        self.pump()
-
-    def clean(self, pooled: pool.Pooled) -> None:
-        """Take back a connection whose transaction nobody needs."""
-        if not pooled.is_lost:
-            self._spawn(self._roll_back, pooled)
-
-    async def _roll_back(self, pooled: pool.Pooled) -> None:
-        try:
-            deadline = clock.read() + CLEAN_TIMEOUT
-            answer = await pooled.connection.roll_back(deadline)
-        except ports.ConnectionLost:
-            self.pump()
-            return
-        if answer.error is None and answer.status == "I":
-            self.release(pooled)
-        else:
-            self.discard(pooled)
-
     # What answers tell
 
     def note_acknowledged(self, position: positions.Position | None) -> None:
--- /dev/null
+++ b/src/sardinehold/node/home.py
@@ -0,0 +1,448 @@
+"""The home of an endpoint: one queue in front of its slots, and its connections.
+
+Answers the load of all nodes in front of a few slots: statements wait here, where it
+is known what runs, and leave in the order of what can still be in time, so that the
+endpoint is neither idle nor asked for more than it takes.
+"""
+
+import asyncio
+import random
+import typing
+
+from sardinehold.node import admission
+from sardinehold.node import clock
+from sardinehold.node import groups
+from sardinehold.node import jitter
+from sardinehold.node import orders
+from sardinehold.node import pool
+from sardinehold.node import ports
+from sardinehold.node import statements
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import node as nodes
+
+OPEN_TIMEOUT = 1.0
+"""Seconds that opening a connection may take; past it an endpoint counts as dark."""
+
+CLEAN_TIMEOUT = 0.5
+"""Seconds that ending an abandoned transaction may take before its connection is
+closed instead."""
+
+Kind = statements.Kind
+
+
+class Stream:
+    """A caller's statements on one endpoint, as its home holds them.
+
+    :param pooled: the connection that an open transaction holds, or None.
+    :param has_written: whether a write of that transaction succeeded.
+    :param is_running: whether an order runs or waits.
+    :param is_abandoned: whether nobody waits for the stream any more.
+    """
+
+    __slots__ = ("pooled", "has_written", "is_running", "is_abandoned", "waiter")
+
+    def __init__(self) -> None:
+        """Start without a connection."""
+        self.pooled: pool.Pooled | None = None
+        self.has_written = False
+        self.is_running = False
+        self.is_abandoned = False
+        self.waiter: Waiter | None = None
+
+
+class Waiter:
+    """An order that waits for a slot and a connection.
+
+    :param pooled: the connection that it has already, or None.
+    :param opening: whether a connection is being opened for it.
+    """
+
+    __slots__ = ("order", "pooled", "future", "opening")
+
+    def __init__(self, order: orders.Order, pooled: pool.Pooled | None) -> None:
+        """Start waiting."""
+        self.order = order
+        self.pooled = pooled
+        self.future: asyncio.Future = asyncio.get_running_loop().create_future()
+        self.opening = False
+
+    def rank(self, now: float) -> tuple[int, int, float]:
+        """Return the waiter's order; the lowest goes first."""
+        return admission.rank(self.order.target, self.order.priority, now)
+
+
+class Home:
+    """Runs orders on this node's own connections.
+
+    :param node: the node; its groups hold the connections.
+    :param running: orders that run or wait.
+    """
+
+    def __init__(self, node: "nodes.Node") -> None:
+        """Start with nothing running."""
+        self.node = node
+        self.running = 0
+        self.streams: set[Stream] = set()
+
+    def is_idle(self) -> bool:
+        """Return whether no order runs and no transaction is open here."""
+        return not self.running and not self.streams
+
+    async def run(self, stream: Stream, order: orders.Order) -> orders.Reply:
+        """Run an order.
+
+        :raises sardinehold.node.orders.Rejected: it was not sent.
+        :raises sardinehold.node.ports.ConnectionLost: the connection broke.
+        """
+        group = self.node.groups.get(order.group)
+        endpoint = group.endpoints.get(order.endpoint) if group is not None else None
+        if endpoint is None:
+            raise orders.Rejected(
+                orders.Rejection.AWAY, f"endpoint {order.endpoint} is not known here"
+            )
+        self.running += 1
+        stream.is_running = True
+        try:
+            pooled = await self._enter(group, endpoint, stream, order)
+            return await self._run_on(group, pooled, stream, order)
+        finally:
+            self.running -= 1
+            stream.is_running = False
+            if stream.is_abandoned or stream.pooled is None:
+                self.abandon(stream)
+            else:
+                self.streams.add(stream)
+
+    def abandon(self, stream: Stream) -> None:
+        """Roll back what a stream holds open; nobody waits for it any more."""
+        stream.is_abandoned = True
+        if stream.is_running:
+            waiter = stream.waiter
+            if waiter is not None and not waiter.future.done():
+                waiter.future.set_exception(
+                    orders.Rejected(orders.Rejection.AWAY, "the order was given up")
+                )
+            return
+        self.streams.discard(stream)
+        pooled, stream.pooled = stream.pooled, None
+        if pooled is not None and not pooled.is_lost:
+            self.node.spawn(self._roll_back, pooled)
+
+    # The queue
+
+    async def _enter(
+        self,
+        group: groups.Group,
+        endpoint: pool.Endpoint,
+        stream: Stream,
+        order: orders.Order,
+    ) -> pool.Pooled:
+        """Return a connection, with a slot to run on.
+
+        :raises sardinehold.node.orders.Rejected: none can be had in time.
+        """
+        waiter = Waiter(order, stream.pooled)
+        self._check(group, endpoint, waiter)
+        endpoint.waiters.append(waiter)
+        stream.waiter = waiter
+        self.pump(group, endpoint)
+        try:
+            async with asyncio.timeout(max(0.0, order.deadline - clock.read())):
+                return await waiter.future
+        except TimeoutError:
+            self._give_back(endpoint, waiter)
+            raise self._reject_full(endpoint, "its time was over") from None
+        finally:
+            stream.waiter = None
+            if waiter in endpoint.waiters:
+                endpoint.waiters.remove(waiter)
+
+    def _give_back(self, endpoint: pool.Endpoint, waiter: Waiter) -> None:
+        """Free what a waiter got at the very end of its time."""
+        future = waiter.future
+        if not future.done() or future.cancelled() or future.exception() is not None:
+            return
+        endpoint.running -= 1
+        if waiter.pooled is None:
+            self.release(future.result())
+
+    def _check(
+        self, group: groups.Group, endpoint: pool.Endpoint, waiter: Waiter
+    ) -> None:
+        """Reject at once what cannot be served in time."""
+        now = clock.read()
+        if waiter.pooled is None:
+            if not group.takes_work(endpoint):
+                raise orders.Rejected(
+                    orders.Rejection.AWAY, f"endpoint {endpoint.name} takes no new work"
+                )
+            if endpoint.failing_since is not None:
+                raise self._reject_unreachable(endpoint)
+        rank = waiter.rank(now)
+        ahead = sum(other.rank(now) <= rank for other in endpoint.waiters)
+        wait = admission.expect_wait(ahead, endpoint.service, endpoint.record.slots)
+        if now + wait > waiter.order.deadline:
+            raise self._reject_full(endpoint, f"{ahead} statements are ahead of it")
+
+    def _reject_full(self, endpoint: pool.Endpoint, reason: str) -> orders.Rejected:
+        wait = admission.expect_wait(
+            len(endpoint.waiters), endpoint.service, endpoint.record.slots
+        )
+        return orders.Rejected(
+            orders.Rejection.FULL,
+            f"endpoint {endpoint.name} has no room in time: {reason}",
+            admission.find_retry_after(wait, random.random()),
+        )
+
+    def _reject_unreachable(self, endpoint: pool.Endpoint) -> orders.Rejected:
+        return orders.Rejected(
+            orders.Rejection.UNREACHABLE,
+            f"endpoint {endpoint.name} is out of reach: {endpoint.failure}",
+        )
+
+    def pump(self, group: groups.Group, endpoint: pool.Endpoint) -> None:
+        """Let those that wait go on, as far as there are slots and connections."""
+        now = clock.read()
+        if endpoint.failing_since is not None:
+            self._reject_waiting(endpoint)
+        for waiter in sorted(endpoint.waiters, key=lambda item: item.rank(now)):
+            if not endpoint.has_slot():
+                return
+            if waiter.future.done():
+                continue
+            pooled = waiter.pooled
+            if pooled is None:
+                pooled = endpoint.take_idle(waiter.order.team, waiter.order.values)
+            if pooled is not None:
+                endpoint.running += 1
+                endpoint.waiters.remove(waiter)
+                waiter.future.set_result(pooled)
+            elif not waiter.opening and endpoint.may_open(now):
+                self._open(group, endpoint, waiter)
+
+    def _reject_waiting(self, endpoint: pool.Endpoint) -> None:
+        """Send back what waits for an endpoint that is out of reach."""
+        for waiter in list(endpoint.waiters):
+            if waiter.pooled is None and not waiter.future.done():
+                waiter.future.set_exception(self._reject_unreachable(endpoint))
+
+    # Running
+
+    async def _run_on(
+        self,
+        group: groups.Group,
+        pooled: pool.Pooled,
+        stream: Stream,
+        order: orders.Order,
+    ) -> orders.Reply:
+        """Run an order on a connection, and keep or give the connection back."""
+        endpoint = pooled.endpoint
+        was_open = stream.pooled is not None
+        needs_replica = _needs_replica(stream, order.statement)
+        asked = clock.read()
+        try:
+            await tune(pooled, order)
+            asked = clock.read()
+            endpoint.sent[pooled] = asked
+            if needs_replica:
+                endpoint.writes[pooled] = asked
+            answer = await pooled.connection.run(
+                order.statement, order.deadline, order.after
+            )
+        except ports.ConnectionLost:
+            stream.pooled = None
+            if not pooled.is_lost:
+                self.lose(group, pooled)
+            raise
+        finally:
+            endpoint.running -= 1
+            endpoint.sent.pop(pooled, None)
+            endpoint.writes.pop(pooled, None)
+            self.pump(group, endpoint)
+        self._learn(group, pooled, order, answer, asked, was_open, needs_replica)
+        self._keep(stream, pooled, order, answer)
+        self.pump(group, endpoint)
+        ahead = endpoint.running + len(endpoint.waiters)
+        return orders.Reply(answer, orders.Load(ahead, endpoint.service))
+
+    def _learn(
+        self,
+        group: groups.Group,
+        pooled: pool.Pooled,
+        order: orders.Order,
+        answer: statements.Answer,
+        asked: float,
+        was_open: bool,
+        needs_replica: bool,
+    ) -> None:
+        """Take from an answer what it tells of the endpoint."""
+        endpoint = pooled.endpoint
+        now = clock.read()
+        endpoint.note_service(now - asked)
+        is_done = answer.error is None and answer.status == "I"
+        was_alone = not was_open and answer.status == "I"
+        group.note_answer(endpoint, asked, answer, was_alone, is_done and needs_replica)
+
+    def _keep(
+        self,
+        stream: Stream,
+        pooled: pool.Pooled,
+        order: orders.Order,
+        answer: statements.Answer,
+    ) -> None:
+        """Keep a connection for its transaction, or give it back."""
+        if pooled.is_lost:
+            stream.pooled = None
+        elif answer.status == "I":
+            stream.pooled = None
+            stream.has_written = False
+            self.release(pooled)
+        else:
+            stream.pooled = pooled
+            if answer.error is None and statements.is_write(order.statement):
+                stream.has_written = True
+
+    # Connections
+
+    def _open(
+        self, group: groups.Group, endpoint: pool.Endpoint, waiter: Waiter
+    ) -> None:
+        evicted = endpoint.make_room(clock.read())
+        if evicted is not None:
+            evicted.connection.close()
+        endpoint.opening += 1
+        waiter.opening = True
+        self.node.spawn(self._finish_opening, group, endpoint, waiter)
+
+    async def _finish_opening(
+        self, group: groups.Group, endpoint: pool.Endpoint, waiter: Waiter
+    ) -> None:
+        now = clock.read()
+        team = waiter.order.team
+        try:
+            connection = await self.node.connector.open(
+                endpoint.record, team, now + OPEN_TIMEOUT
+            )
+        except ports.OpeningFailed as error:
+            self._note_failed_opening(group, endpoint, error)
+        else:
+            pooled = pool.Pooled(connection, endpoint, team)
+            connection.on_lost = lambda: self.lose(group, pooled)
+            endpoint.connections.add(pooled)
+            endpoint.handshakes += 1
+            endpoint.note_answer(clock.read())
+            pooled.idle_since = clock.read()
+            endpoint.idle.append(pooled)
+        finally:
+            endpoint.opening -= 1
+            waiter.opening = False
+        self.pump(group, endpoint)
+
+    def _note_failed_opening(
+        self,
+        group: groups.Group,
+        endpoint: pool.Endpoint,
+        error: ports.OpeningFailed,
+    ) -> None:
+        now = clock.read()
+        if error.failure is statements.Failure.CONNECTION_LIMIT:
+            endpoint.note_answer(now)
+            endpoint.note_full(now, jitter.spread(pool.FULL_PAUSE))
+        elif error.failure is statements.Failure.BUSY:
+            endpoint.note_answer(now)
+            endpoint.retry_at = now + jitter.spread(pool.FULL_PAUSE)
+        else:
+            endpoint.note_failure(now, str(error))
+        asyncio.get_running_loop().call_later(
+            max(0.0, endpoint.retry_at - now), self.pump, group, endpoint
+        )
+
+    def lose(self, group: groups.Group, pooled: pool.Pooled) -> None:
+        """Note that a connection broke; find out about its endpoint."""
+        pooled.is_lost = True
+        endpoint = pooled.endpoint
+        endpoint.connections.discard(pooled)
+        if pooled in endpoint.idle:
+            endpoint.idle.remove(pooled)
+        group.probe(endpoint)
+
+    def release(self, pooled: pool.Pooled) -> None:
+        """Take back a connection on which nothing is open."""
+        endpoint = pooled.endpoint
+        if pooled.is_lost:
+            return
+        group = self.node.groups[endpoint.record.group]
+        if group.endpoints.get(endpoint.name) is not endpoint or not group.takes_work(
+            endpoint
+        ):
+            self._discard(pooled)
+        else:
+            pooled.idle_since = clock.read()
+            endpoint.idle.append(pooled)
+
+    def _discard(self, pooled: pool.Pooled) -> None:
+        pooled.is_lost = True
+        pooled.endpoint.connections.discard(pooled)
+        pooled.connection.close()
+
+    async def _roll_back(self, pooled: pool.Pooled) -> None:
+        """End a transaction that nobody needs; its connection may be of use again."""
+        try:
+            deadline = clock.read() + CLEAN_TIMEOUT
+            answer = await pooled.connection.roll_back(deadline)
+        except ports.ConnectionLost:
+            if not pooled.is_lost:
+                self._discard(pooled)
+            return
+        if answer.error is None and answer.status == "I":
+            self.release(pooled)
+        else:
+            self._discard(pooled)
+        group = self.node.groups[pooled.endpoint.record.group]
+        self.pump(group, pooled.endpoint)
+
+
+async def tune(pooled: pool.Pooled, order: orders.Order) -> None:
+    """Give a connection the session's variables and the prepared statement.
+
+    :raises sardinehold.node.ports.ConnectionLost: it broke, or refused; the order has
+        not been sent.
+    """
+    statement = order.statement
+    definitions = [statement.definition] if statement.kind is Kind.EXECUTE else []
+    needs_reset, values, to_prepare = pool.find_missing(
+        pooled, order.values, definitions
+    )
+    connection = pooled.connection
+    deadline = order.deadline
+    answers: list[statements.Answer] = []
+    try:
+        if needs_reset:
+            answers.append(await connection.reset(deadline))
+            pooled.values = {}
+            pooled.prepared = set()
+        if values:
+            answers.extend(await connection.set_values(values, deadline))
+            pooled.values = dict(order.values)
+        if to_prepare:
+            answers.extend(await connection.prepare(to_prepare, deadline))
+            pooled.prepared.update(item.shared_name for item in to_prepare)
+    except ports.ConnectionLost as error:
+        raise ports.ConnectionLost(False, error.is_timeout) from error
+    if any(answer.error is not None for answer in answers):
+        pooled.is_lost = True
+        pooled.endpoint.connections.discard(pooled)
+        connection.close()
+        raise ports.ConnectionLost(False)
+
+
+def _needs_replica(stream: Stream, statement: statements.Statement) -> bool:
+    """Return whether a success proves that a replica has received a commit.
+
+    The COMMIT of a transaction that wrote nothing proves nothing: a primary that was
+    replaced still answers it.
+    """
+    if stream.pooled is None:
+        return statements.is_write(statement)
+    return statement.kind is Kind.COMMIT and stream.has_written
--- a/src/sardinehold/node/keeping.py
+++ b/src/sardinehold/node/keeping.py
@@ -12,6 +12,7 @@
 from sardinehold.node import following
 from sardinehold.node import jitter
 from sardinehold.node import leadership
+from sardinehold.node import membership
 
 if typing.TYPE_CHECKING:
     from sardinehold.node import node as nodes
@@ -80,12 +81,14 @@
 
     async def keep_member(self) -> None:
         """Enter this node among the members, and see that there is a secret."""
-        value = {
-            "zone": self.node.settings.zone,
-            "host": self.node.settings.peer_listen[0],
-            "port": self.node.settings.peer_listen[1],
-            "incarnation": self.node.incarnation,
-        }
+        loaded = self.node.settings
+        value = membership.Member(
+            loaded.name,
+            loaded.zone,
+            *loaded.peer_listen,
+            self.node.incarnation,
+            loaded.weight,
+        ).dump()
         name = f"{following.MEMBER_PREFIX}{self.node.settings.name}"
         while True:
             self._is_missing = anyio.Event()
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -12,6 +12,7 @@
 from sardinehold.node import clock
 from sardinehold.node import failover
 from sardinehold.node import groups
+from sardinehold.node import homes
 from sardinehold.node import membership
 from sardinehold.node import ports
 from sardinehold.node import promotion
@@ -69,6 +70,7 @@
         self._share_in_touch = 1.0
         self._missing_since: dict[str, float] = {}
         self._absences = membership.Absences()
+        self._suspects: set[str] = set()
 
     # Reports and advice
 
@@ -86,7 +88,7 @@
             acted_until = max(acted_until, vouched_at + roster.HEARD_WITHIN)
         starts_at = acted_until + quota.GRANT_LIFETIME * margin
         expected = frozenset(
-            make_identity(name, member.get("incarnation", ""))
+            make_identity(name, member.incarnation)
             for name, member in self.node.members.items()
         )
         self.allocator = quota.Allocator(
@@ -171,6 +173,7 @@
         if certain is None:
             return None
         self._take_evidence(report)
+        self._call_witnesses(now)
         grants: list[quota.Grant] | None = None
         if self.allocator is not None:
             self._note_unentered(report)
@@ -190,7 +193,7 @@
             self.node.catalog.version if self.node.catalog else 0,
             report.sequence,
             clock.read(),
-            self._list_suspects(now),
+            self._list_suspects(report, now),
             now - certain,
             self.node.leadership.is_late(now),
             self.node.leadership.version,
@@ -205,7 +208,8 @@
         Only a process that had this leader's advice counts, which a late report of
         the process before it cannot have had.
         """
-        entered = self.node.members.get(report.node, {}).get("incarnation", "")
+        member = self.node.members.get(report.node)
+        entered = member.incarnation if member is not None else ""
         if report.incarnation != entered and (report.echo_of == self.node.incarnation):
             self.note_restart(report.node, entered, report.incarnation)
 
@@ -232,14 +236,32 @@
             if report.states.get(name) == group.state.version:
                 group.note_position(asked, position)
 
-    def _list_suspects(self, now: float) -> list[str]:
+    def _list_suspects(self, report: reports.Report, now: float) -> list[str]:
+        """Return the primaries that a node is asked to look at."""
+        return sorted(
+            name
+            for name in self._find_suspects(now)
+            if report.node in self._find_witnesses(name, now)
+        )
+
+    def _find_suspects(self, now: float) -> set[str]:
         """Return the primaries that some node cannot reach."""
-        heard = self.roster.list_heard(now)
-        failing = {name for report in heard for name in report.failing}
         primaries = {
             group.state.primary for group in self.node.groups.values() if group.state
         }
-        return sorted(failing & primaries)
+        return self.roster.find_failing(now) & primaries
+
+    def _find_witnesses(self, endpoint: str, now: float) -> frozenset[str]:
+        """Return the nodes that decide whether a primary is out of reach."""
+        names = {report.node for report in self.roster.list_heard(now)}
+        return homes.choose_witnesses(endpoint, names)
+
+    def _call_witnesses(self, now: float) -> None:
+        """Have nodes look at once at a primary that was not suspected before."""
+        suspects = self._find_suspects(now)
+        for name in suspects - self._suspects:
+            self.node.exchange.call(sorted(self._find_witnesses(name, now)))
+        self._suspects = suspects
 
     # Looking after the groups
 
@@ -325,11 +347,16 @@
             since = self._missing_since.setdefault(state.group, now)
             return now - since > MISSING_GRACE
         self._missing_since.pop(state.group, None)
-        heard = self.roster.list_heard(now)
+        witnesses = self._find_witnesses(state.primary, now)
+        judges = [
+            report
+            for report in self.roster.list_heard(now)
+            if report.node in witnesses or state.primary in report.failing
+        ]
         failing = sum(
-            report.failing.get(state.primary, 0.0) >= SUSPECT_AFTER for report in heard
+            report.failing.get(state.primary, 0.0) >= SUSPECT_AFTER for report in judges
         )
-        return promotion.is_suspect(failing, len(heard))
+        return promotion.is_suspect(failing, len(judges))
 
     def _is_leaving(self, state: catalog.GroupState) -> bool:
         primary = self.node.groups[state.group].primary
--- a/src/sardinehold/node/membership.py
+++ b/src/sardinehold/node/membership.py
@@ -1,12 +1,14 @@
-"""When the entry of a node that is gone is removed, and what follows for the others.
+"""Who the members are, when one's entry is removed, and what follows for the others.
 
 Answers the load of VMs that are replaced day by day: nothing in the store expires by
 itself, and each entry that stays takes its part of the rates and connections, and
 is waited for at every change of leader or primary.
 """
 
+import math
 import typing
 
+from sardinehold import errors
 from sardinehold.node import clock
 from sardinehold.node import evidence
 
@@ -25,6 +27,74 @@
 """Seconds after a removal in which it may still tell a caller of a commit."""
 
 
+class Member:
+    """A node as its entry in the store describes it.
+
+    :param host: address that other nodes reach it at.
+    :param port: its port for datagrams and links.
+    :param incarnation: differs between the processes of one VM.
+    :param weight: how much work it takes, next to others.
+    """
+
+    __slots__ = ("name", "zone", "host", "port", "incarnation", "weight")
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        host: str,
+        port: int,
+        incarnation: str = "",
+        weight: float = 1.0,
+    ) -> None:
+        """Keep the parts of the entry."""
+        self.name = name
+        self.zone = zone
+        self.host = host
+        self.port = port
+        self.incarnation = incarnation
+        self.weight = weight
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where other nodes reach it."""
+        return self.host, self.port
+
+    def dump(self) -> dict:
+        """Return the entry."""
+        return {
+            "zone": self.zone,
+            "host": self.host,
+            "port": self.port,
+            "incarnation": self.incarnation,
+            "weight": self.weight,
+        }
+
+
+def parse_member(name: str, value: typing.Any) -> Member:
+    """Return the member that an entry describes.
+
+    :raises sardinehold.errors.DocumentError: it cannot be read.
+    """
+    try:
+        weight = float(value.get("weight", 1.0))
+        if not (math.isfinite(weight) and weight > 0):
+            raise ValueError(f"weight {weight}")
+        return Member(
+            name,
+            str(value["zone"]),
+            str(value["host"]),
+            int(value["port"]),
+            str(value.get("incarnation", "")),
+            weight,
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise errors.DocumentError(
+            f"The entry of member {name} cannot be read: {error!r}.",
+            "Restart that node; it writes its entry anew.",
+        ) from error
+
+
 class Absences:
     """Which members have not been heard, and since when."""
 
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -20,10 +20,12 @@
 from sardinehold.node import following
 from sardinehold.node import groups
 from sardinehold.node import hedging
+from sardinehold.node import home
 from sardinehold.node import journal
 from sardinehold.node import keeping
 from sardinehold.node import leader
 from sardinehold.node import leadership
+from sardinehold.node import links
 from sardinehold.node import membership
 from sardinehold.node import outcomes
 from sardinehold.node import peers
@@ -110,7 +112,7 @@
         self.catalog: catalog.Catalog | None = None
         self.configured = anyio.Event()
         self.groups: dict[str, groups.Group] = {}
-        self.members: dict[str, dict] = {}
+        self.members: dict[str, membership.Member] = {}
         self.removals = membership.Removals(clock.read())
         self.callers: set[Caller] = set()
         self.budget = budget.Budget(loaded, self.report_soon)
@@ -128,6 +130,15 @@
         self.keeping = keeping.Keeping(self)
         self.exchange = exchange.Exchange(self)
         self.peers = peers.Peers(self.exchange.hear, self.journal.note)
+        self.home = home.Home(self)
+        self.links = links.Links(
+            loaded.name,
+            lambda: self.peers.key,
+            self.home,
+            self.members.get,
+            self.spawn,
+            self.journal.note,
+        )
 
     def spawn(self, function: typing.Callable, *arguments: object) -> None:
         """Run a task of the node; its failure ends no other."""
@@ -246,6 +257,7 @@
         registry.set_gauge("leads", float(self.leadership.leads(now)))
         registry.set_gauge("callers", len(self.callers))
         registry.set_gauge("datagrams_rejected", self.peers.rejected)
+        registry.set_gauge("orders_running", self.home.running)
         for name, group in self.groups.items():
             age = metrics.label_name("lease_age_seconds", group=name)
             registry.set_gauge(age, now - group.evidence.as_of)
@@ -308,10 +320,26 @@
                 self.settings.measure_distance,
                 self.settings.endpoint_drain,
                 self.exchange.count_unheard,
+                self.open_stream,
+                self.links.may_use,
+                self.home.pump,
             )
             self.groups[name] = group
         return group
 
+    def open_stream(self, endpoint: pool.Endpoint) -> links.Stream:
+        """Return a new stream to an endpoint, by way of the first home to be asked."""
+        now = clock.read()
+        own = self.settings.name
+        for name in endpoint.homes:
+            if now < endpoint.avoided.get("" if name == own else name, 0.0):
+                continue
+            if name == own:
+                break
+            if self.links.may_use(name, now):
+                return links.Stream(self.links, endpoint, name)
+        return links.Stream(self.links, endpoint, "")
+
     async def refresh(self, group: groups.Group) -> None:
         """Ask the store who leads: an endpoint said that it does not."""
         now = clock.read()
@@ -327,7 +355,8 @@
         self._begin_stop()
         stop = stopping.Stop(clock.read(), self.settings.grace)
         while True:
-            step = stop.find_step(clock.read(), len(self.callers))
+            is_done = not self.callers and self.home.is_idle()
+            step = stop.find_step(clock.read(), int(not is_done))
             if step is stopping.Step.OVER:
                 break
             if step is stopping.Step.ABANDONING:
@@ -340,6 +369,7 @@
     def _begin_stop(self) -> None:
         """Be no longer ready; hand on the lead."""
         self.is_stopping = True
+        self.links.leave()
         if self.leadership.leads(clock.read()):
             self.exchange.call(list(self.members), resigns=True)
             self.leadership.resign()
@@ -373,6 +403,7 @@
             self.budget.set_alone(self.exchange.is_alone(now))
             self.budget.is_settling = self.exchange.is_settling(now)
             self.budget.serve_waiting()
+            self.links.look(now)
             for group in self.groups.values():
                 self._tend_group(group, now)
             failing = self.collect_failing(now).keys()
--- a/src/sardinehold/node/outcomes.py
+++ b/src/sardinehold/node/outcomes.py
@@ -18,9 +18,10 @@
     """How one statement was decided, for the log.
 
     :param endpoint: where it ran last.
+    :param home: the node whose connection it ran on.
     :param after: position that the endpoint was asked to have.
     :param position: position that it answered with.
-    :param waited: seconds that it waited for connections.
+    :param waited: seconds that it waited for an endpoint to be known.
     :param tries: how often it was sent.
     :param lease_age: seconds since the group's state was known to be in force.
     """
@@ -29,6 +30,7 @@
         "team",
         "group",
         "endpoint",
+        "home",
         "after",
         "position",
         "waited",
@@ -41,6 +43,7 @@
         self.team = ""
         self.group = ""
         self.endpoint = ""
+        self.home = ""
         self.after: positions.Position | None = None
         self.position: positions.Position | None = None
         self.waited = 0.0
@@ -51,6 +54,7 @@
         """Return the fields of a log line."""
         return {
             "endpoint": self.endpoint,
+            "home": self.home,
             "after": None if self.after is None else list(self.after),
             "position": None if self.position is None else list(self.position),
             "waited": self.waited,
--- a/src/sardinehold/node/peers.py
+++ b/src/sardinehold/node/peers.py
@@ -92,7 +92,12 @@
             self._transport.close()
 
     def _sign(self, body: bytes) -> bytes:
-        return hashlib.blake2b(body, key=self.key, digest_size=DIGEST_BYTES).digest()
+        return sign(self.key, body)
+
+
+def sign(key: bytes, body: bytes) -> bytes:
+    """Return a digest that only a node with the fleet's key can make."""
+    return hashlib.blake2b(body, key=key, digest_size=DIGEST_BYTES).digest()
 
 
 def pack(data: bytes) -> bytes:
--- a/src/sardinehold/node/placement.py
+++ b/src/sardinehold/node/placement.py
@@ -1,15 +1,12 @@
 """Where a statement runs.
 
 Answers the load of a few slots shared by all nodes, some endpoints slow, far or
-behind: a read goes where its row is expected soonest, counting the way, what is
-in front of it, and a connection that would have to be opened first.
+behind: a read goes where its row is expected soonest, counting the way and what is
+in front of it.
 """
 
 from sardinehold.core import positions
 
-OPENING_SECONDS = 0.03
-"""Expected cost of opening a connection: its handshake's slot and two ways."""
-
 FAR_SECONDS = 0.06
 """Seconds that an endpoint in another region must be faster by: its bytes cross
 between regions, which costs the users more than a short wait."""
@@ -24,9 +21,7 @@
 
     :param round_trip: seconds to it and back.
     :param service: seconds that a statement takes there of late.
-    :param in_flight: this node's statements that run there.
-    :param has_idle: whether a connection of the team is free.
-    :param may_open: whether another connection may be opened.
+    :param in_flight: statements that run there or wait for it.
     :param is_primary: whether it leads the group.
     :param applied: the position that it answered last, None if unknown.
     :param lacked: a position that it lacked, None if it lacked none of late.
@@ -39,8 +34,6 @@
         "round_trip",
         "service",
         "in_flight",
-        "has_idle",
-        "may_open",
         "is_primary",
         "applied",
         "lacked",
@@ -53,9 +46,7 @@
         name: str,
         round_trip: float,
         service: float,
-        in_flight: int = 0,
-        has_idle: bool = True,
-        may_open: bool = True,
+        in_flight: float = 0.0,
         is_primary: bool = False,
         applied: positions.Position | None = None,
         lacked: positions.Position | None = None,
@@ -67,8 +58,6 @@
         self.round_trip = round_trip
         self.service = service
         self.in_flight = in_flight
-        self.has_idle = has_idle
-        self.may_open = may_open
         self.is_primary = is_primary
         self.applied = applied
         self.lacked = lacked
@@ -82,8 +71,6 @@
     expected = candidate.round_trip + candidate.service * (1.0 + queued)
     if candidate.is_far:
         expected += FAR_SECONDS
-    if not candidate.has_idle:
-        expected += OPENING_SECONDS + candidate.round_trip
     return expected
 
 
@@ -107,14 +94,11 @@
     fitting = [
         candidate
         for candidate in candidates
-        if (candidate.has_idle or candidate.may_open)
-        and (
-            (candidate.is_primary and holds_lease)
-            or (
-                not candidate.is_primary
-                and floor is not None
-                and may_have(candidate, floor)
-            )
+        if (candidate.is_primary and holds_lease)
+        or (
+            not candidate.is_primary
+            and floor is not None
+            and may_have(candidate, floor)
         )
     ]
     return min(fitting, key=expect_seconds, default=None)
--- a/src/sardinehold/node/pool.py
+++ b/src/sardinehold/node/pool.py
@@ -1,9 +1,9 @@
-"""Connections of one node to one endpoint: few, kept warm, shared by turns.
+"""An endpoint as one node sees it, and the node's connections to it.
 
 A connection belongs to one team, because the endpoint is told the team when it
-is opened. A node keeps a few free ones and opens more as statements need them;
-the endpoint itself says when all nodes together hold too many. Where there is no
-room, the connection that has been idle longest gives way to another team's.
+is opened. The endpoint's home keeps them open as long as there is room; another node
+gives its own back soon. Where there is no room, the connection that has been idle
+longest gives way to another team's.
 """
 
 import typing
@@ -11,10 +11,14 @@
 from sardinehold.core import positions
 from sardinehold.node import catalog
 from sardinehold.node import jitter
+from sardinehold.node import orders
 from sardinehold.node import placement
 from sardinehold.node import ports
 from sardinehold.node import statements
 
+if typing.TYPE_CHECKING:
+    from sardinehold.node import home
+
 SERVICE_SMOOTHING = 0.15
 """Weight of the newest answer in the moving average of the service time."""
 
@@ -58,6 +62,17 @@
 """Seconds before an endpoint that takes no more connections is asked again; about the
 time in which one is given back."""
 
+SLOTS_AHEAD = 1
+"""Statements that are sent to an endpoint beyond its slots, so that none of these is
+empty while an answer is on its way and the next statement comes."""
+
+LOAD_MEMORY = 0.3
+"""Seconds after which what a home said of an endpoint's load says nothing any more."""
+
+SHUNNED_FOR = 0.3
+"""Seconds for which nothing is sent to an endpoint that its homes do not reach: about
+the time in which a home that lost it finds out whether it is back."""
+
 ROUND_TRIPS = (0.002, 0.004, 0.02)
 """Seconds to an endpoint in the own zone, region, or elsewhere, until measured."""
 
@@ -97,6 +112,13 @@
 class Endpoint:
     """One endpoint as this node sees it.
 
+    :param homes: members that hold its connections, in the order in which they are
+        asked.
+    :param avoided: until when a home is not asked, by its name.
+    :param shunned_until: until when nothing is sent there: no home reaches it.
+    :param load: what a home said of it last, at ``load_at``; None before.
+    :param waiters: orders that wait here for a slot or a connection.
+    :param running: orders that were sent and not answered.
     :param kept: free connections that stay open however long they are idle.
     :param limit: connections that this node may hold.
     :param full_until: until when the endpoint is taken to be at its limit.
@@ -119,6 +141,13 @@
 
     __slots__ = (
         "record",
+        "homes",
+        "avoided",
+        "shunned_until",
+        "load",
+        "load_at",
+        "waiters",
+        "running",
         "kept",
         "limit",
         "full_until",
@@ -152,6 +181,13 @@
         """Start with no connection."""
         self.record = record
         self.distance = distance
+        self.homes: list[str] = []
+        self.avoided: dict[str, float] = {}
+        self.shunned_until = float("-inf")
+        self.load: orders.Load | None = None
+        self.load_at = float("-inf")
+        self.waiters: list[home.Waiter] = []
+        self.running = 0
         self.kept = 1
         self.limit = 1
         self.full_until = 0.0
@@ -229,9 +265,9 @@
         """Return whether it is neither leaving nor gone."""
         return self.leaving_since is None and self.gone_since is None
 
-    def has_idle(self, team: str) -> bool:
-        """Return whether a connection of the team is free."""
-        return any(pooled.team == team for pooled in self.idle)
+    def has_slot(self) -> bool:
+        """Return whether another statement may be sent, or a connection opened."""
+        return self.running + self.opening < self.record.slots + SLOTS_AHEAD
 
     def may_open(self, now: float) -> bool:
         """Return whether another connection may be opened in place of an idle one."""
@@ -315,15 +351,26 @@
         self.lacked = floor
         self.lacked_until = now + placement.LAG_MEMORY
 
-    def describe(self, now: float, team: str, is_primary: bool) -> placement.Candidate:
+    def take_load(self, load: orders.Load, now: float) -> None:
+        """Take what a home said of the endpoint."""
+        self.load = load
+        self.load_at = now
+        self.service = load.service
+
+    def expect_ahead(self, now: float) -> float:
+        """Return how many statements are in front of a new one."""
+        if self.load is None:
+            return self.in_flight
+        age = (now - self.load_at) / LOAD_MEMORY
+        return max(self.in_flight, self.load.ahead * max(0.0, 1.0 - age))
+
+    def describe(self, now: float, is_primary: bool) -> placement.Candidate:
         """Return the endpoint as a placement sees it."""
         return placement.Candidate(
             self.name,
             self.round_trip,
             self.service,
-            self.in_flight,
-            self.has_idle(team),
-            self.may_open(now),
+            self.expect_ahead(now),
             is_primary,
             self.applied,
             self.lacked if now < self.lacked_until else None,
--- a/src/sardinehold/node/reading.py
+++ b/src/sardinehold/node/reading.py
@@ -6,6 +6,7 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import hedging
+from sardinehold.node import orders
 from sardinehold.node import outcomes
 from sardinehold.node import pool
 from sardinehold.node import ports
@@ -20,6 +21,10 @@
 the time in which a slot becomes free."""
 
 
+RETRY_PAUSE = 0.005
+"""Seconds before a statement goes to the next home after one that could not take it."""
+
+
 def routes_reads_to_primary(route: catalog.Route) -> bool:
     """Return whether only the primary serves a route's reads."""
     return route.consistency is catalog.Consistency.LATEST
@@ -91,7 +96,7 @@
             self._note_placed()
 
     async def _try_all(self) -> statements.Answer:
-        last = statements.Failure.BUSY
+        last = statements.Failure.TIMEOUT
         while clock.read() < self.deadline:
             placed = await self.session.acquire(
                 self.route,
@@ -101,11 +106,10 @@
                 routes_reads_to_primary(self.route),
                 self.avoided,
             )
-            self.endpoint = placed.pooled.endpoint
+            self.endpoint = placed.stream.endpoint
             self._note_placed()
             answer = await self._try_one(placed)
             if answer is None:
-                last = statements.Failure.TIMEOUT
                 continue
             last = answer.error
             if answer.error is None or not await self._may_go_on(answer.error):
@@ -113,16 +117,32 @@
         raise outcomes.Failed(last, "the read was not answered in time")
 
     async def _try_one(self, placed: waiting.Placed) -> statements.Answer | None:
-        """Return an endpoint's answer, None if its connection broke."""
-        group = self.session.find_group(self.route)
+        """Return an endpoint's answer, None if another one may give it."""
         try:
-            answer = await self.session.run_on(placed, self.statement, self.deadline)
+            return await self.session.run_on(
+                placed,
+                self.statement,
+                self.route,
+                self.team,
+                self.began,
+                self.deadline,
+            )
+        except orders.Rejected as error:
+            if error.rejection is orders.Rejection.FULL:
+                self._avoid_full(error)
+            await asyncio.sleep(RETRY_PAUSE)
         except ports.ConnectionLost:
-            group.pump()
             self.avoided |= find_avoided(self.route, self.endpoint)
-            return None
-        group.release(placed.pooled)
-        return answer
+        return None
+
+    def _avoid_full(self, error: orders.Rejected) -> None:
+        """Go elsewhere once if there is another endpoint, or give the read up."""
+        avoided = find_avoided(self.route, self.endpoint)
+        if self.avoided or not avoided:
+            raise self.session.refuse(
+                self.team, error.reason, error.retry_after
+            ) from error
+        self.avoided |= avoided
 
     async def _may_go_on(self, failure: statements.Failure) -> bool:
         """Return whether another try makes sense, after a pause if need be."""
--- a/src/sardinehold/node/roster.py
+++ b/src/sardinehold/node/roster.py
@@ -13,6 +13,10 @@
 HEARD_WITHIN = 1.0
 """Seconds for which a report counts: two of them may be lost."""
 
+LISTED_FOR = 0.05
+"""Seconds for which the list of reports is kept, unless one brings news: a twentieth of
+the time that a report counts."""
+
 
 class Heard:
     """The last report of a node."""
@@ -35,10 +39,15 @@
         """Start with nothing heard."""
         self.node = node
         self._heard: dict[str, Heard] = {}
+        self._listed: list[reports.Report] = []
+        self._listed_until = float("-inf")
 
     def take(self, report: reports.Report, now: float) -> None:
         """Take a report."""
+        before = self._heard.get(report.node)
         self._heard[report.node] = Heard(report, now)
+        if before is None or _find_news(before.report) != _find_news(report):
+            self._listed_until = float("-inf")
 
     def list_unheard(self, now: float) -> list[str]:
         """Return the members that have not reported of late."""
@@ -49,13 +58,24 @@
         """Return the endpoints that refused some node a connection of late."""
         return sorted({name for item in self.list_heard(now) for name in item.full})
 
+    def find_failing(self, now: float) -> set[str]:
+        """Return the endpoints that some node cannot reach."""
+        return {name for item in self.list_heard(now) for name in item.failing}
+
     def list_heard(self, now: float) -> list[reports.Report]:
-        """Return the reports that still count."""
-        return [
-            heard.report
-            for heard in self._heard.values()
-            if now - heard.at < HEARD_WITHIN
-        ]
+        """Return the reports that still count.
+
+        The list is kept for a moment: at hundreds of nodes it is asked for thousands
+        of times a second.
+        """
+        if now >= self._listed_until:
+            self._listed_until = now + LISTED_FOR
+            self._listed = [
+                heard.report
+                for heard in self._heard.values()
+                if now - heard.at < HEARD_WITHIN
+            ]
+        return self._listed
 
     def is_in_touch(self, name: str, now: float) -> bool:
         """Return whether a member reports, and takes no part of the rates alone."""
@@ -118,3 +138,8 @@
                 return None
             newest = max(newest, told)
         return newest
+
+
+def _find_news(report: reports.Report) -> tuple:
+    """Return what must be noticed at once if it changes."""
+    return report.incarnation, report.failing.keys(), report.full
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -7,9 +7,8 @@
 from sardinehold.node import clock
 from sardinehold.node import groups
 from sardinehold.node import handlers
+from sardinehold.node import orders
 from sardinehold.node import outcomes
-from sardinehold.node import pool
-from sardinehold.node import ports
 from sardinehold.node import statements
 from sardinehold.node import transactions
 from sardinehold.node import waiting
@@ -131,7 +130,7 @@
         """Return the group that a route leads to."""
         return self.node.find_group(route.group)
 
-    # Running on a connection
+    # Running on an endpoint
 
     async def acquire(
         self,
@@ -142,106 +141,83 @@
         needs_primary: bool,
         avoided: frozenset[str] = frozenset(),
     ) -> waiting.Placed:
-        """Return a connection that carries the session's variables.
+        """Return the way to an endpoint that can run a statement.
 
         :raises outcomes.Failed: none can be had in time.
         """
         waiter = waiting.Waiter(
-            team, route, began, deadline, self.own, self.values, needs_primary, avoided
+            team, route, began, deadline, self.own, needs_primary, avoided
         )
         group = self.find_group(route)
         asked = clock.read()
         try:
             return await group.acquire(waiter)
         except waiting.Refused as error:
-            if not self.trace.tries:
-                self.node.refund(team)
-            raise outcomes.Failed(
-                statements.Failure.BUSY,
-                outcomes.advise_return(error.reason, error.retry_after),
-            ) from error
+            raise self.refuse(team, error.reason, error.retry_after) from error
         finally:
             self.trace.waited += clock.read() - asked
 
-    async def tune(
-        self, pooled: pool.Pooled, deadline: float, statement: statements.Statement
-    ) -> None:
-        """Give a connection the session's variables and the prepared statement.
-
-        :raises sardinehold.node.ports.ConnectionLost: it broke, or refused.
-        """
-        definitions = [statement.definition] if statement.kind is Kind.EXECUTE else []
-        needs_reset, values, to_prepare = pool.find_missing(
-            pooled, self.values, definitions
+    def refuse(self, team: str, reason: str, retry_after: float) -> outcomes.Failed:
+        """Return the refusal of an operation; it is not counted if it never left."""
+        if not self.trace.tries:
+            self.node.refund(team)
+        return outcomes.Failed(
+            statements.Failure.BUSY, outcomes.advise_return(reason, retry_after)
         )
-        connection = pooled.connection
-        answers: list[statements.Answer] = []
-        if needs_reset:
-            answers.append(await connection.reset(deadline))
-            pooled.values = {}
-            pooled.prepared = set()
-        if values:
-            answers.extend(await connection.set_values(values, deadline))
-            pooled.values = dict(self.values)
-        if to_prepare:
-            answers.extend(await connection.prepare(to_prepare, deadline))
-            pooled.prepared.update(item.shared_name for item in to_prepare)
-        if any(answer.error is not None for answer in answers):
-            self.node.find_group(pooled.endpoint.record.group).discard(pooled)
-            raise ports.ConnectionLost(False)
-
-    async def _prepare(
-        self, pooled: pool.Pooled, deadline: float, statement: statements.Statement
-    ) -> None:
-        """Tune a connection; the statement has not left if that fails."""
-        try:
-            await self.tune(pooled, deadline, statement)
-        except ports.ConnectionLost as error:
-            raise ports.ConnectionLost(False, error.is_timeout) from error
 
     async def run_on(
         self,
         placed: waiting.Placed,
         statement: statements.Statement,
+        route: catalog.Route,
+        team: str,
+        began: float,
         deadline: float,
     ) -> statements.Answer:
-        """Run a statement on a connection and learn from the answer.
+        """Run a statement on an endpoint and learn from the answer.
 
-        :raises sardinehold.node.ports.ConnectionLost: it broke.
+        :param began: when its operation arrived.
+        :raises sardinehold.node.orders.Rejected: it was not sent to the endpoint.
+        :raises sardinehold.node.ports.ConnectionLost: the way to it broke.
         """
-        pooled = placed.pooled
-        endpoint = pooled.endpoint
-        group = self.node.find_group(endpoint.record.group)
+        stream = placed.stream
+        endpoint = stream.endpoint
+        group = self.node.find_group(route.group)
         trace = self.trace
         trace.endpoint = endpoint.name
+        trace.home = stream.home_name or self.node.settings.name
         trace.after = placed.after
         trace.tries += 1
         trace.lease_age = clock.read() - group.evidence.as_of
+        order = orders.Order(
+            route.group,
+            endpoint.name,
+            team,
+            statement,
+            self.values,
+            deadline,
+            began + route.target_latency,
+            route.priority,
+            placed.after,
+        )
+        was_open = self.transaction is not None
+        needs_replica = self._needs_replica(statement)
         endpoint.in_flight += 1
+        asked = clock.read()
         try:
-            await self._prepare(pooled, deadline, statement)
-            asked = clock.read()
-            endpoint.sent[pooled] = asked
-            needs_replica = self._needs_replica(statement)
-            if needs_replica:
-                endpoint.writes[pooled] = asked
-            answer = await pooled.connection.run(statement, deadline, placed.after)
+            answer = await stream.run(order)
+        except orders.Rejected as error:
+            trace.tries -= 1
+            group.note_rejected(endpoint, stream.home_name, error.rejection)
+            raise
         finally:
             endpoint.in_flight -= 1
-            endpoint.sent.pop(pooled, None)
-            endpoint.writes.pop(pooled, None)
         trace.position = answer.position
-        endpoint.note_service(clock.read() - asked)
         if answer.error is statements.Failure.LAGGING and placed.after is not None:
             endpoint.note_lack(placed.after, clock.read())
-        committed = answer.error is None and needs_replica
-        is_open = answer.status != "I"
+        is_done = answer.error is None and answer.status == "I"
         group.note_answer(
-            endpoint,
-            asked,
-            answer,
-            self.transaction is None,
-            committed and not is_open,
+            endpoint, asked, answer, not was_open, is_done and needs_replica
         )
         return answer
 
--- a/src/sardinehold/node/settings.py
+++ b/src/sardinehold/node/settings.py
@@ -18,6 +18,8 @@
     :param quota_window: seconds that rates are judged over.
     :param quota_overage: fraction that a team may exceed its rate by.
     :param quota_slack: operations that it may exceed it by on top.
+    :param weight: how much of the fleet's work this VM takes next to others, above 0;
+        the share of a core that it has, or less if its link is slow.
     """
 
     __slots__ = (
@@ -35,6 +37,7 @@
         "quota_window",
         "quota_overage",
         "quota_slack",
+        "weight",
     )
 
     def __init__(
@@ -53,6 +56,7 @@
         quota_window: float = 5.0,
         quota_overage: float = 0.1,
         quota_slack: float = 20.0,
+        weight: float = 1.0,
     ) -> None:
         """Keep the settings."""
         self.name = name
@@ -69,6 +73,7 @@
         self.quota_window = quota_window
         self.quota_overage = quota_overage
         self.quota_slack = quota_slack
+        self.weight = weight
 
     def take_bounds(self, newer: "Settings") -> None:
         """Take over what may change while the process runs: bounds, not addresses."""
@@ -80,7 +85,11 @@
 
     def measure_distance(self, zone: str) -> int:
         """Return 0 for the own zone, 1 for the own region, 2 for others."""
-        if zone == self.zone:
+        return self.compare_zones(self.zone, zone)
+
+    def compare_zones(self, one: str, other: str) -> int:
+        """Return 0 for the same zone, 1 for zones of one region, 2 for others."""
+        if one == other:
             return 0
-        region = self.zones.get(self.zone)
-        return 1 if region is not None and self.zones.get(zone) == region else 2
+        region = self.zones.get(one)
+        return 1 if region is not None and self.zones.get(other) == region else 2
--- a/src/sardinehold/node/transactions.py
+++ b/src/sardinehold/node/transactions.py
@@ -10,14 +10,15 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import groups
+from sardinehold.node import orders
 from sardinehold.node import outcomes
-from sardinehold.node import pool
 from sardinehold.node import ports
 from sardinehold.node import reading
 from sardinehold.node import statements
 from sardinehold.node import waiting
 
 if typing.TYPE_CHECKING:
+    from sardinehold.node import links
     from sardinehold.node import session as sessions
 
 Kind = statements.Kind
@@ -30,7 +31,7 @@
     :param begin: the caller's BEGIN.
     :param began: when it arrived.
     :param route: as it was then; changes bind from the next transaction on.
-    :param pooled: the connection that it runs on, None before its first statement.
+    :param stream: what it runs on, None before its first statement.
     :param wrote: whether a write was sent.
     :param has_written: whether a write was answered with success.
     :param idle_deadline: when it is ended if it rests until then.
@@ -43,7 +44,7 @@
         "began",
         "route",
         "team",
-        "pooled",
+        "stream",
         "wrote",
         "has_written",
         "idle_deadline",
@@ -65,7 +66,7 @@
         self.began = began
         self.route = route
         self.team = team
-        self.pooled: pool.Pooled | None = None
+        self.stream: links.Stream | None = None
         self.wrote = False
         self.has_written = False
         self.idle_deadline = idle_deadline
@@ -81,9 +82,9 @@
 
     def give_up(self) -> None:
         """Roll back what is open; the caller knows, or is gone."""
-        pooled, self.pooled = self.pooled, None
-        if pooled is not None:
-            self._find_group().clean(pooled)
+        stream, self.stream = self.stream, None
+        if stream is not None:
+            stream.close()
 
     def abandon(self) -> None:
         """Roll back and keep in mind that the caller has to be told."""
@@ -97,13 +98,19 @@
         self.session.trace.group = self.route.group
         now = clock.read()
         deadline = now + self.route.statement_timeout
-        if self.pooled is None:
-            await self._begin(now, deadline)
-        placed = waiting.Placed(self.pooled)
+        if self.stream is None:
+            await self._begin(deadline)
+        placed = waiting.Placed(self.stream)
         if statements.is_write(statement):
             self.wrote = True
         try:
             answer = await self._run_while_busy(placed, statement, deadline)
+        except orders.Rejected as error:
+            self._lose()
+            raise outcomes.Failed(
+                statements.Failure.ABORTED,
+                outcomes.advise_return(error.reason, error.retry_after),
+            ) from error
         except ports.ConnectionLost as error:
             self._lose()
             raise outcomes.Failed(
@@ -128,7 +135,9 @@
     ) -> statements.Answer:
         """Run a statement, again while the endpoint has no room."""
         while True:
-            answer = await self.session.run_on(placed, statement, deadline)
+            answer = await self.session.run_on(
+                placed, statement, self.route, self.team, self.began, deadline
+            )
             if answer.error is not statements.Failure.BUSY:
                 return answer
             if clock.read() + reading.BUSY_PAUSE > deadline:
@@ -136,13 +145,11 @@
             await asyncio.sleep(reading.BUSY_PAUSE)
 
     def _lose(self) -> None:
-        """Note that it was rolled back with its connection."""
-        pooled, self.pooled = self.pooled, None
+        """Note that it is rolled back."""
+        self.give_up()
         self.idle_deadline = float("inf")
-        if pooled is not None and not pooled.is_lost:
-            self._find_group().discard(pooled)
 
-    async def _begin(self, now: float, deadline: float) -> None:
+    async def _begin(self, deadline: float) -> None:
         """Open the transaction on an endpoint.
 
         :raises sardinehold.node.outcomes.Failed: none takes it; nothing of it ran.
@@ -160,17 +167,27 @@
                 needs_primary,
                 avoided,
             )
+            endpoint = placed.stream.endpoint
             try:
-                answer = await self.session.run_on(placed, self.begin, deadline)
+                answer = await self.session.run_on(
+                    placed, self.begin, route, self.team, self.began, deadline
+                )
+            except orders.Rejected as error:
+                if error.rejection is orders.Rejection.FULL:
+                    refused = reading.find_avoided(route, endpoint)
+                    if needs_primary or avoided or not refused:
+                        raise self._refuse(error) from error
+                    avoided |= refused
+                await asyncio.sleep(reading.RETRY_PAUSE)
+                continue
             except ports.ConnectionLost:
-                group.pump()
-                avoided |= reading.find_avoided(route, placed.pooled.endpoint)
+                avoided |= reading.find_avoided(route, endpoint)
                 await asyncio.sleep(reading.BUSY_PAUSE)
                 continue
             if answer.error is None and answer.status == "T":
-                self.pooled = placed.pooled
+                self.stream = placed.stream
                 return
-            group.clean(placed.pooled)
+            placed.stream.close()
             if answer.error is statements.Failure.READ_ONLY:
                 await self.session.node.refresh(group)
                 await asyncio.sleep(reading.BUSY_PAUSE)
@@ -182,20 +199,34 @@
             statements.Failure.ABORTED, "no endpoint took the transaction"
         )
 
+    def _refuse(self, error: orders.Rejected) -> outcomes.Failed:
+        """Return the refusal of a transaction that no endpoint has room for."""
+        self.session.refuse(self.team, error.reason, error.retry_after)
+        return outcomes.Failed(
+            statements.Failure.ABORTED,
+            outcomes.advise_return(error.reason, error.retry_after),
+        )
+
     async def commit(self, statement: statements.Statement) -> statements.Answer:
         """Commit; past the sending the outcome may be unknown."""
         self.session.trace.team = self.team
         self.session.trace.group = self.route.group
         deadline = clock.read() + self.route.statement_timeout
         try:
-            if self.pooled is None:
-                await self._begin(clock.read(), deadline)
-            pooled = self.pooled
-            placed = waiting.Placed(pooled)
+            if self.stream is None:
+                await self._begin(deadline)
+            placed = waiting.Placed(self.stream)
             answer = await self._run_while_busy(placed, statement, deadline)
         except outcomes.Failed:
             self._end()
             raise
+        except orders.Rejected as error:
+            self._lose()
+            self._end()
+            raise outcomes.Failed(
+                statements.Failure.ABORTED,
+                outcomes.advise_return(error.reason, error.retry_after),
+            ) from error
         except ports.ConnectionLost as error:
             self._lose()
             self._end()
@@ -206,13 +237,11 @@
             raise outcomes.Failed(
                 statements.Failure.ABORTED, "the transaction was rolled back"
             ) from error
-        group = self._find_group()
         self._end()
-        if answer.status == "I":
-            group.release(pooled)
-        else:
-            group.clean(pooled)
+        if answer.status != "I":
+            self.give_up()
             answer.status = "I"
+        self.stream = None
         if answer.error is None and self.wrote:
             self.session.own = answer.position or self.session.own
         return answer
--- a/src/sardinehold/node/waiting.py
+++ b/src/sardinehold/node/waiting.py
@@ -1,15 +1,18 @@
-"""A statement that waits for a connection, and what it gets."""
+"""A statement that waits for an endpoint, and what it gets."""
 
 import asyncio
+import typing
 
 from sardinehold.core import positions
 from sardinehold.node import admission
 from sardinehold.node import catalog
-from sardinehold.node import pool
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import links
 
 
 class Refused(Exception):
-    """A statement got no connection; nothing of it ran.
+    """A statement got no endpoint; nothing of it ran.
 
     :param retry_after: seconds after which trying again makes sense.
     """
@@ -22,14 +25,14 @@
 
 
 class Waiter(admission.Waiter):
-    """A statement that waits for a connection of a group.
+    """A statement that waits for an endpoint of a group.
 
     :param own: position of the session's last commit.
     :param needs_primary: whether only the primary may run it.
     :param avoided: endpoints that failed it already.
     """
 
-    __slots__ = ("own", "values", "needs_primary", "avoided", "future", "opening")
+    __slots__ = ("own", "needs_primary", "avoided", "future")
 
     def __init__(
         self,
@@ -38,31 +41,28 @@
         began: float,
         deadline: float,
         own: positions.Position | None,
-        values: dict[str, str],
         needs_primary: bool,
         avoided: frozenset[str] = frozenset(),
     ) -> None:
         """Start waiting."""
         super().__init__(team, route, began, deadline)
         self.own = own
-        self.values = values
         self.needs_primary = needs_primary
         self.avoided = avoided
         self.future: asyncio.Future = asyncio.get_running_loop().create_future()
-        self.opening: pool.Endpoint | None = None
 
 
 class Placed:
-    """A connection to run a statement on.
+    """The way to an endpoint that a statement is to run on.
 
     :param after: position that the endpoint's log must have, or None.
     """
 
-    __slots__ = ("pooled", "after")
+    __slots__ = ("stream", "after")
 
     def __init__(
-        self, pooled: pool.Pooled, after: positions.Position | None = None
+        self, stream: "links.Stream", after: positions.Position | None = None
     ) -> None:
         """Keep the parts of the placement."""
-        self.pooled = pooled
+        self.stream = stream
         self.after = after
--- a/src/sardinehold/node/writing.py
+++ b/src/sardinehold/node/writing.py
@@ -4,6 +4,7 @@
 import typing
 
 from sardinehold.node import clock
+from sardinehold.node import orders
 from sardinehold.node import outcomes
 from sardinehold.node import ports
 from sardinehold.node import reading
@@ -25,16 +26,21 @@
     while clock.read() < deadline:
         placed = await session.acquire(route, team, began, deadline, True)
         try:
-            answer = await session.run_on(placed, statement, deadline)
+            answer = await session.run_on(
+                placed, statement, route, team, began, deadline
+            )
+        except orders.Rejected as error:
+            if error.rejection is orders.Rejection.FULL:
+                raise session.refuse(team, error.reason, error.retry_after) from error
+            await asyncio.sleep(reading.RETRY_PAUSE)
+            continue
         except ports.ConnectionLost as error:
-            group.pump()
             if not error.was_sent:
                 await asyncio.sleep(reading.BUSY_PAUSE)
                 continue
             raise outcomes.Failed(
                 statements.Failure.IN_DOUBT, "the write was sent and not answered"
             ) from error
-        group.release(placed.pooled)
         if answer.error is None:
             session.own = answer.position or session.own
             return answer
--- a/src/sardinehold/platform/daemon.py
+++ b/src/sardinehold/platform/daemon.py
@@ -31,6 +31,9 @@
 """Connections that the system keeps until they are accepted: every session of a zone
 may come at once after a restart."""
 
+LINK_BACKLOG = 1024
+"""The same for links of other nodes: all of them may dial a home that is back."""
+
 
 def main() -> int:
     """Run a node with the settings that the environment names."""
@@ -88,6 +91,9 @@
 ) -> None:
     loop = asyncio.get_running_loop()
     await loop.create_datagram_endpoint(lambda: node.peers, loaded.peer_listen)
+    await loop.create_server(
+        node.links.accept, *loaded.peer_listen, backlog=LINK_BACKLOG
+    )
     await loop.create_server(
         functools.partial(callers.Caller, node), *loaded.listen, backlog=BACKLOG
     )
--- a/src/sardinehold/platform/local.py
+++ b/src/sardinehold/platform/local.py
@@ -15,6 +15,10 @@
 """Port of the metrics page; ``deploy/system.toml`` names the same."""
 
 
+LINK_PER_CORE = 20.0
+"""Megabits a second that a core passes on at most: a thousand statements of 2 KB."""
+
+
 class _Reader:
     """Takes fields out of a table and collects what is wrong with them."""
 
@@ -44,6 +48,20 @@
             return "", 0
 
 
+def _find_weight(reader: _Reader) -> float:
+    """Return the cores of the VM, or fewer if its link carries less than they do."""
+    number = (int, float)
+    # "CpuShare" is the part of one core, which is "CpuCores" times as fast as usual.
+    share = reader.take("Limits.CpuShare", number, 1.0)
+    cores = share * reader.take("Limits.CpuCores", number, 1)
+    carried = reader.take("Limits.LinkMbps", number, LINK_PER_CORE) / LINK_PER_CORE
+    weight = min(cores, carried)
+    if weight <= 0:
+        reader.faults.append(f"Limits.CpuShare, CpuCores, LinkMbps give {weight}")
+        return 1.0
+    return weight
+
+
 def load(path: pathlib.Path) -> settings.Settings:
     """Read and check the settings file.
 
@@ -83,6 +101,7 @@
         float(reader.take("Bounds.QuotaWindowS", number, 5)),
         float(reader.take("Bounds.QuotaOverage", number, 0.1)),
         float(reader.take("Bounds.QuotaSlack", number, 20)),
+        _find_weight(reader),
     )
     if reader.faults:
         raise errors.SettingsError(
--- /dev/null
+++ b/tests/builders_links.py
@@ -0,0 +1,82 @@
+"""Homes, links and orders for tests."""
+
+import asyncio
+
+from sardinehold.core import positions
+from sardinehold.node import frames
+from sardinehold.node import membership
+from sardinehold.node import orders
+from sardinehold.node import statements
+
+Kind = statements.Kind
+
+
+def make_member(name: str, zone: str = "north", weight: float = 1.0):
+    return membership.Member(name, zone, name, 1, "a", weight)
+
+
+def make_members(count: int, zone: str = "north") -> list[membership.Member]:
+    return [make_member(f"{zone}-{index}", zone) for index in range(count)]
+
+
+def compare_zones(one: str, other: str) -> int:
+    return 0 if one == other else 2
+
+
+def make_order(now: float = 100.0, **changes: object) -> orders.Order:
+    fields = {
+        "group": "g",
+        "endpoint": "g-0",
+        "team": "red",
+        "statement": statements.Statement("r1", "READ x", Kind.READ),
+        "values": {"name": "v\xe4lue"},
+        "deadline": now + 1.0,
+        "target": now + 0.4,
+        "priority": 1,
+        "after": positions.Position(2, 7),
+    }
+    return orders.Order(**{**fields, **changes})
+
+
+def list_parts(order: orders.Order) -> list:
+    """Return everything that an order says."""
+    statement = order.statement
+    definition = statement.definition
+    return [
+        order.group,
+        order.endpoint,
+        order.team,
+        statement.request_id,
+        statement.text,
+        statement.kind,
+        statement.arguments,
+        definition and (definition.writes, definition.shape),
+        order.values,
+        order.deadline,
+        order.target,
+        order.priority,
+        order.after,
+    ]
+
+
+class Wire(asyncio.Transport):
+    """Keeps what one end of a link writes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reader = frames.Reader()
+        self.frames: list[list] = []
+        self.is_aborted = False
+        self.is_reading = True
+
+    def write(self, data):
+        self.frames.extend(self.reader.feed(data))
+
+    def abort(self):
+        self.is_aborted = True
+
+    def pause_reading(self):
+        self.is_reading = False
+
+    def resume_reading(self):
+        self.is_reading = True
--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -15,6 +15,7 @@
 from sardinehold.core import positions
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import links
 from sardinehold.node import node as nodes
 from sardinehold.node import peers
 from sardinehold.node import ports
@@ -31,6 +32,9 @@
 SEED = 1
 """Of what nodes draw: waits that are spread."""
 
+LINK_DELAY = 0.002
+"""Seconds from one node to another over a link."""
+
 ZONES = {"north": "n", "middle": "m", "south": "s"}
 
 Kind = statements.Kind
@@ -125,6 +129,62 @@
             )
 
 
+class Pipe(asyncio.Transport):
+    """One end of a connection between two nodes, in memory.
+
+    What is written while the nodes are cut off from each other, or while the other
+    one is frozen, comes when they are not any more.
+    """
+
+    def __init__(self, world: "World", node: str, protocol: asyncio.Protocol) -> None:
+        super().__init__()
+        self.world = world
+        self.node = node
+        self.protocol = protocol
+        self.other: Pipe | None = None
+        self.is_open = True
+        self._queue: list[bytes] = []
+
+    def connect(self, other: "Pipe") -> None:
+        self.other = other
+        self.protocol.connection_made(self)
+
+    def write(self, data):
+        if self.is_open:
+            self._queue.append(bytes(data))
+            asyncio.get_running_loop().call_later(LINK_DELAY, self._deliver)
+
+    def _deliver(self) -> None:
+        if self.world.is_held_up(self.node, self.other.node):
+            asyncio.get_running_loop().call_later(0.01, self._deliver)
+            return
+        while self._queue and self.other.is_open:
+            self.other.protocol.data_received(self._queue.pop(0))
+
+    def abort(self):
+        self.close()
+
+    def close(self):
+        if not self.is_open:
+            return
+        self.is_open = False
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.protocol.connection_lost, None)
+        loop.call_later(LINK_DELAY, self.other.fail)
+
+    def fail(self) -> None:
+        """End the connection from outside."""
+        if self.is_open:
+            self.is_open = False
+            self.protocol.connection_lost(ConnectionResetError())
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+
 class Sources:
     """Configuration and endpoints as the tests store them: objects, unencoded."""
 
@@ -199,8 +259,31 @@
         self.scopes: dict[str, anyio.CancelScope] = {}
         self.connection_limit = 21
         self.cuts: set[frozenset[str]] = set()
+        self.frozen: set[str] = set()
+        self.pipes: list[Pipe] = []
         self._requests = 0
 
+    def is_held_up(self, one: str, other: str) -> bool:
+        return self.is_cut(one, other) or bool(self.frozen & {one, other})
+
+    def make_dial(self, name: str):
+        """Return what connects a node to others."""
+
+        async def dial(address, make):
+            await asyncio.sleep(LINK_DELAY)
+            target = self.nodes.get(address[0])
+            if target is None:
+                raise ConnectionRefusedError(address[0])
+            while self.is_held_up(name, address[0]):
+                await asyncio.sleep(0.01)
+            near = Pipe(self, name, make())
+            far = Pipe(self, address[0], target.links.accept())
+            self.pipes.append(near)
+            near.connect(far)
+            far.connect(near)
+
+        return dial
+
     def is_cut(self, one: str, other: str) -> bool:
         return frozenset((one, other)) in self.cuts
 
@@ -235,6 +318,15 @@
             metrics.Registry(),
         )
         node.peers = Datagrams(self, name, node.exchange.hear)
+        node.links = links.Links(
+            name,
+            lambda: node.peers.key,
+            node.home,
+            node.members.get,
+            node.spawn,
+            node.journal.note,
+            self.make_dial(name),
+        )
         # The node with the lowest number is the first to take the lead.
         node.leadership.spread = int(name.removeprefix("n")) / 10
         self.nodes[name] = node
@@ -250,6 +342,10 @@
     def kill_node(self, name: str) -> None:
         self.scopes[name].cancel()
         del self.nodes[name]
+        for pipe in self.pipes:
+            for end in (pipe, pipe.other):
+                if end.node == name:
+                    end.close()
         for cluster in self.clusters.values():
             for database in cluster.databases.values():
                 for connection in list(database.connections):
--- /dev/null
+++ b/tests/test_homes.py
@@ -0,0 +1,103 @@
+"""Which nodes are the homes of which endpoints."""
+
+import collections
+
+import pytest
+
+import builders_links
+from sardinehold import errors
+from sardinehold.node import homes
+from sardinehold.node import membership
+
+
+def make_zones(count: int, zone: str = "north") -> dict[str, str]:
+    return {f"e{index}": zone for index in range(count)}
+
+
+def test_all_nodes_find_the_same_homes_whatever_order_they_learned_of_members_in():
+    members = builders_links.make_members(12)
+    forwards = homes.assign(make_zones(4), members, builders_links.compare_zones)
+    assert (
+        homes.assign(make_zones(4), members[::-1], builders_links.compare_zones)
+        == forwards
+    )
+    assert all(len(line) == homes.LINE_LENGTH for line in forwards.values())
+
+
+def test_homes_are_in_the_endpoints_own_zone():
+    members = builders_links.make_members(3) + builders_links.make_members(3, "south")
+    lines = homes.assign({"e0": "south"}, members, builders_links.compare_zones)
+    assert all(name.startswith("south") for name in lines["e0"])
+
+
+def test_lone_node_of_a_zone_is_followed_by_one_of_another_zone():
+    members = [
+        builders_links.make_member("s", "south"),
+        *builders_links.make_members(3),
+    ]
+    line = homes.assign({"e0": "south"}, members, builders_links.compare_zones)["e0"]
+    assert line[0] == "s"
+    assert len(set(line)) == homes.LINE_LENGTH
+
+
+def test_no_member_means_no_home():
+    assert homes.assign(make_zones(2), [], builders_links.compare_zones) == {}
+
+
+@pytest.mark.parametrize(("nodes", "endpoints"), [(3, 3), (12, 4), (33, 10), (2, 9)])
+def test_no_node_is_first_home_of_much_more_than_its_part(nodes, endpoints):
+    # The load: as many busy endpoints as there are; two primaries on one small VM
+    # have half of its processor each.
+    lines = homes.assign(
+        make_zones(endpoints),
+        builders_links.make_members(nodes),
+        builders_links.compare_zones,
+    )
+    counts = collections.Counter(line[0] for line in lines.values())
+    assert max(counts.values()) <= -(-homes.CROWDING * endpoints // nodes)
+
+
+def test_strong_nodes_are_homes_more_often():
+    members = [
+        builders_links.make_member(f"weak-{index}", weight=0.5) for index in range(10)
+    ]
+    members += [
+        builders_links.make_member(f"strong-{index}", weight=2.0) for index in range(10)
+    ]
+    lines = homes.assign(make_zones(300), members, builders_links.compare_zones)
+    strong = sum(line[0].startswith("strong") for line in lines.values())
+    assert 0.7 < strong / 300 < 0.9
+
+
+def test_member_that_leaves_moves_few_homes_but_its_own():
+    members = builders_links.make_members(20)
+    zones = make_zones(100)
+    before = homes.assign(zones, members, builders_links.compare_zones)
+    after = homes.assign(zones, members[1:], builders_links.compare_zones)
+    gone = members[0].name
+    kept = [name for name, line in before.items() if line[0] != gone]
+    moved = [name for name in kept if before[name][0] != after[name][0]]
+    assert len(moved) <= 0.15 * len(kept)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        None,
+        [],
+        {"zone": "north"},
+        {"zone": "north", "host": "h", "port": "many"},
+        {"zone": "north", "host": "h", "port": 1, "weight": 0},
+        {"zone": "north", "host": "h", "port": 1, "weight": float("inf")},
+    ],
+)
+def test_entry_that_cannot_be_read_names_the_remedy(value):
+    with pytest.raises(errors.DocumentError) as caught:
+        membership.parse_member("n1", value)
+    assert "n1" in caught.value.message
+    assert caught.value.remedy
+
+
+def test_entry_is_read_back_as_it_was_written():
+    member = builders_links.make_member("n1", weight=0.7)
+    assert membership.parse_member("n1", member.dump()).dump() == member.dump()
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,253 @@
+"""Links between nodes: frames, the proof of the key, and what bad input costs."""
+
+import asyncio
+
+import pytest
+
+import builders_links
+from sardinehold.core import positions
+from sardinehold.node import frames
+from sardinehold.node import links
+from sardinehold.node import orders
+from sardinehold.node import peers
+from sardinehold.node import statements
+
+Kind = statements.Kind
+
+KEY = b"k" * 32
+
+
+class FakeHome:
+    """Keeps the orders that come in, and answers none."""
+
+    def __init__(self) -> None:
+        self.orders: list[orders.Order] = []
+        self.abandoned = 0
+
+    async def run(self, stream, order):
+        stream.is_running = True
+        self.orders.append(order)
+        await asyncio.sleep(3600)
+
+    def abandon(self, stream):
+        self.abandoned += 1
+
+
+class Ends:
+    """A node's links with nothing behind them."""
+
+    def __init__(self, tasks: list, key: bytes = KEY) -> None:
+        self.lines: list[tuple[str, dict]] = []
+        self.home = FakeHome()
+        self.links = links.Links(
+            "n1",
+            lambda: key,
+            self.home,
+            lambda name: None,
+            lambda function, *rest: tasks.append(
+                asyncio.ensure_future(function(*rest))
+            ),
+            lambda event, **fields: self.lines.append((event, fields)),
+        )
+
+    def accept(self) -> tuple[links.Inbound, builders_links.Wire]:
+        inbound, wire = self.links.accept(), builders_links.Wire()
+        inbound.connection_made(wire)
+        return inbound, wire
+
+
+def run(story) -> None:
+    async def main():
+        tasks: list[asyncio.Future] = []
+        try:
+            await story(tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    asyncio.run(main())
+
+
+def greet(inbound: links.Inbound, wire: builders_links.Wire, key: bytes = KEY) -> None:
+    """Prove the key as a node named n2 does."""
+    nonce = wire.frames[0][1]
+    proof = peers.sign(key, nonce + b"n2")
+    inbound.data_received(frames.pack(frames.PROOF, "n2", b"nonce", proof))
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {},
+        {"after": None, "values": {}, "priority": 0},
+        {
+            "statement": statements.Statement(
+                "r2",
+                "EXECUTE s \xff\x80",
+                Kind.EXECUTE,
+                definition=statements.Definition(True, "q2"),
+                arguments="\xff\x80",
+            )
+        },
+    ],
+)
+def test_order_is_read_back_as_it_was(changes):
+    order = builders_links.make_order(100.0, **changes)
+    ((kind, stream, *fields),) = frames.Reader().feed(
+        frames.pack_order(7, order, 100.25)
+    )
+    assert (kind, stream) == (frames.ORDER, 7)
+    # The receiver's clock is another one: only what is left counts.
+    parts = builders_links.list_parts(frames.parse_order(fields, 500.25))
+    expected = builders_links.list_parts(order)
+    expected[9] += 400.0
+    expected[10] += 400.0
+    assert parts == expected
+
+
+def test_reply_is_read_back_as_it_was():
+    answer = statements.Answer(
+        ["a", "\xe9"], "sig", None, "", "T", positions.Position(3, 9)
+    )
+    data = frames.pack_reply(1, orders.Reply(answer, orders.Load(4, 0.02)))
+    ((_, _, *fields),) = frames.Reader().feed(data)
+    reply = frames.parse_reply(fields)
+    assert reply.answer.rows == ["a", "\xe9"]
+    assert reply.answer.position == positions.Position(3, 9)
+    assert (reply.answer.status, reply.answer.signature) == ("T", "sig")
+    assert (reply.load.ahead, reply.load.service) == (4, 0.02)
+    failed = statements.Answer([], error=statements.Failure.FAILED, detail="no")
+    data = frames.pack_reply(1, orders.Reply(failed, orders.Load(0, 0.0)))
+    ((_, _, *fields),) = frames.Reader().feed(data)
+    assert frames.parse_reply(fields).answer.error is statements.Failure.FAILED
+
+
+def test_frames_are_found_however_the_bytes_are_cut():
+    data = frames.pack(frames.PING, 1) + frames.pack(frames.PONG, 2)
+    reader = frames.Reader()
+    found = [frame for byte in data for frame in reader.feed(bytes([byte]))]
+    assert found == [[frames.PING, 1], [frames.PONG, 2]]
+
+
+def test_caller_without_the_key_is_let_in_nowhere():
+    async def story(tasks):
+        ends = Ends(tasks)
+        inbound, wire = ends.accept()
+        greet(inbound, wire, b"x" * 32)
+        assert wire.is_aborted
+        assert not inbound.is_up
+        assert ends.lines[0][0] == "link_refused"
+
+    run(story)
+
+
+def test_node_that_does_not_know_the_key_yet_lets_nobody_in():
+    async def story(tasks):
+        ends = Ends(tasks, b"")
+        inbound, wire = ends.accept()
+        greet(inbound, wire, b"")
+        assert wire.is_aborted
+
+    run(story)
+
+
+def test_order_before_the_proof_is_not_run():
+    async def story(tasks):
+        ends = Ends(tasks)
+        inbound, wire = ends.accept()
+        inbound.data_received(frames.pack_order(1, builders_links.make_order(), 100.0))
+        await asyncio.sleep(0)
+        assert wire.is_aborted
+        assert not ends.home.orders
+
+    run(story)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xc1",
+        b"GET / HTTP/1.1\r\n\r\n",
+        frames.pack("x"),
+        frames.pack(frames.ORDER),
+        frames.pack(frames.ORDER, 1, "too", "short"),
+        frames.pack(frames.ORDER, 1, *[None] * 13),
+        frames.pack(frames.ORDER, [1], *[None] * 13),
+        frames.pack(frames.CLOSE),
+        frames.pack(frames.CLOSE, {}),
+        frames.pack(frames.PING),
+        frames.pack(99, 1),
+        frames.pack(frames.WELCOME, b"x"),
+    ],
+)
+def test_bad_frame_ends_its_link_and_no_other(data):
+    async def story(tasks):
+        ends = Ends(tasks)
+        bad, bad_wire = ends.accept()
+        good, good_wire = ends.accept()
+        greet(bad, bad_wire)
+        greet(good, good_wire)
+        for inbound in (bad, good):
+            inbound.data_received(
+                frames.pack_order(1, builders_links.make_order(), 100.0)
+            )
+        await asyncio.sleep(0)
+        bad.data_received(data)
+        assert bad_wire.is_aborted
+        assert ends.home.abandoned == 1
+        assert not good_wire.is_aborted
+        good.data_received(frames.pack(frames.PING, 3))
+        assert good_wire.frames[-1] == [frames.PONG, 3]
+        assert ("link_ended", "n2") in [
+            (event, fields.get("peer")) for event, fields in ends.lines
+        ]
+
+    run(story)
+
+
+def test_frame_without_an_end_takes_no_more_than_its_bound_of_memory():
+    reader = frames.Reader()
+    head = b"\x91\xdb" + (2**31).to_bytes(4, "big")
+    with pytest.raises(frames.FrameError):
+        reader.feed(head + b"x" * (frames.MAX_FRAME + 1))
+
+
+def test_second_order_on_a_stream_that_runs_ends_the_link():
+    async def story(tasks):
+        ends = Ends(tasks)
+        inbound, wire = ends.accept()
+        greet(inbound, wire)
+        inbound.data_received(frames.pack_order(1, builders_links.make_order(), 100.0))
+        await asyncio.sleep(0)
+        inbound.data_received(frames.pack_order(1, builders_links.make_order(), 100.0))
+        assert wire.is_aborted
+
+    run(story)
+
+
+def test_node_that_takes_no_answers_may_give_no_orders():
+    async def story(tasks):
+        ends = Ends(tasks)
+        inbound, wire = ends.accept()
+        greet(inbound, wire)
+        inbound.pause_writing()
+        assert not wire.is_reading
+        inbound.resume_writing()
+        assert wire.is_reading
+
+    run(story)
+
+
+def test_far_end_must_prove_the_key_as_well():
+    async def story(tasks):
+        ends = Ends(tasks)
+        outbound, wire = links.Outbound(ends.links, "n2"), builders_links.Wire()
+        outbound.connection_made(wire)
+        outbound.data_received(frames.pack(frames.CHALLENGE, b"nonce"))
+        proof = wire.frames[-1][3]
+        assert proof == peers.sign(KEY, b"nonce" + b"n1")
+        outbound.data_received(frames.pack(frames.WELCOME, b"guessed"))
+        assert wire.is_aborted
+        assert not outbound.may_take()
+
+    run(story)
