Let one node of a zone read the store and tell the others

The reader of a zone (rendezvous hash over its members) follows the store; others ask it over their link and the store itself when it does not answer, when they lead, or when no leader is heard. Answers of a reader are no sign of life of the store.

Ruled out: AllowStale for first lists, a tenth of the price: a node that starts again would use withdrawn keys and endpoints that left for as long as the copy is old. prometheus_client and the public modules are loaded when they are used.

--- a/src/sardinehold/metrics.py
+++ b/src/sardinehold/metrics.py
@@ -7,9 +7,7 @@
 
 import typing
 
-import prometheus_client
 from hdrh import histogram
-from prometheus_client import core
 
 LOWEST = 1
 """Microseconds."""
@@ -94,9 +92,11 @@
 
     def format_page(self) -> bytes:
         """Return the metrics page in the Prometheus text format."""
-        page = prometheus_client.CollectorRegistry(auto_describe=False)
-        page.register(_Collector(self))
-        return prometheus_client.generate_latest(page)
+        # Loaded when the page is first asked for: a process that starts again has
+        # callers to serve before anybody reads its metrics.
+        from sardinehold import exposition
+
+        return exposition.format_page(self)
 
 
 def create_histogram() -> histogram.HdrHistogram:
@@ -150,57 +150,3 @@
             start = index + 1
     pairs.append(text[start:])
     return pairs
-
-
-class _Collector:
-    """Shows a registry to prometheus_client."""
-
-    def __init__(self, registry: Registry) -> None:
-        self._registry = registry
-
-    def collect(self) -> typing.Iterator[core.Metric]:
-        yield from _collect_values(
-            self._registry.counters, core.CounterMetricFamily, "Events since the start."
-        )
-        yield from _collect_values(
-            self._registry.gauges, core.GaugeMetricFamily, "Value at this moment."
-        )
-        yield from self._collect_histograms()
-
-    def _collect_histograms(self) -> typing.Iterator[core.Metric]:
-        families: dict[str, core.Metric] = {}
-        for name in self._registry.list_histograms():
-            bare, labels = split_name(name)
-            metric = PREFIX + bare + "_seconds"
-            family = families.setdefault(
-                metric, core.Metric(metric, "Latency percentiles.", "summary")
-            )
-            _add_summary(family, labels, self._registry.read_histogram(name))
-        yield from families.values()
-
-
-def _collect_values(
-    values: dict[str, float], kind: type, documentation: str
-) -> typing.Iterator[core.Metric]:
-    families: dict[str, core.Metric] = {}
-    for name, value in sorted(values.items()):
-        bare, labels = split_name(name)
-        metric = PREFIX + bare.removesuffix("_total")
-        family = families.setdefault(metric, kind(metric, documentation))
-        suffix = "_total" if kind is core.CounterMetricFamily else ""
-        family.add_sample(metric + suffix, labels, value)
-    yield from families.values()
-
-
-def _add_summary(
-    family: core.Metric, labels: dict[str, str], source: histogram.HdrHistogram
-) -> None:
-    count = source.get_total_count()
-    for percentile in PERCENTILES:
-        quantile = {**labels, "quantile": f"{percentile / 100:g}"}
-        value = source.get_value_at_percentile(percentile) / 1e6
-        family.add_sample(family.name, quantile, value)
-    family.add_sample(family.name + "_count", labels, count)
-    family.add_sample(
-        family.name + "_sum", labels, source.get_mean_value() * count / 1e6
-    )
--- a/src/sardinehold/node/following.py
+++ b/src/sardinehold/node/following.py
@@ -87,6 +87,7 @@
             self._note_store,
             self._note_unread,
             gathering,
+            self.node.readers.find_relay if kind != LEADER_KIND else _find_none,
         )
 
     def _find_wait(self) -> float:
@@ -367,6 +368,10 @@
         return self._lines
 
 
+def _find_none() -> None:
+    """Return no reader: the leader's object is followed when no leader is heard."""
+
+
 def _has_changed(old: catalog.EndpointRecord, new: catalog.EndpointRecord) -> bool:
     return (old.is_draining, old.says_primary, old.born, old.host, old.port) != (
         new.is_draining,
--- a/src/sardinehold/node/frames.py
+++ b/src/sardinehold/node/frames.py
@@ -9,6 +9,7 @@
 
 import msgpack
 
+from sardinehold import objects
 from sardinehold.core import positions
 from sardinehold.node import orders
 from sardinehold.node import statements
@@ -24,6 +25,9 @@
 PING = 9
 PONG = 10
 LEAVING = 11
+FOLLOW = 12
+CHANGES = 13
+EXPIRED = 14
 
 MAX_FRAME = 4 * 1024 * 1024
 """Bytes of a frame at most: an answer's rows may have a megabyte each, as a message of
@@ -169,6 +173,33 @@
         raise FrameError(f"a rejection cannot be read: {error!r}") from error
 
 
+def pack_changes(number: int, changes: objects.Changes) -> bytes:
+    """Return the frame of changes in the store.
+
+    :raises TypeError: an object holds what no frame can.
+    """
+    found = [[item.name, item.version, item.value] for item in changes.objects]
+    return pack(CHANGES, number, changes.revision, found)
+
+
+def parse_changes(kind: str, fields: list) -> objects.Changes:
+    """Return the changes of a frame, its number left out.
+
+    :raises FrameError: a field is missing or of another type.
+    """
+    try:
+        revision, found = fields
+        return objects.Changes(
+            [
+                objects.StoredObject(kind, _take_text(name), int(version), value)
+                for name, version, value in found
+            ],
+            int(revision),
+        )
+    except (ValueError, TypeError) as error:
+        raise FrameError(f"changes cannot be read: {error!r}") from error
+
+
 def _take_text(value: object) -> str:
     if not isinstance(value, str):
         raise TypeError(f"{value!r} is no text")
--- a/src/sardinehold/node/links.py
+++ b/src/sardinehold/node/links.py
@@ -11,6 +11,8 @@
 import secrets
 import typing
 
+from sardinehold import errors
+from sardinehold import objects
 from sardinehold.node import clock
 from sardinehold.node import frames
 from sardinehold.node import home
@@ -54,6 +56,7 @@
 """Orders on one link that are not answered; beyond them nothing is sent."""
 
 Spawn = typing.Callable[..., None]
+Tell = typing.Callable[[str, int, float], typing.Awaitable[objects.Changes]]
 Dial = typing.Callable[
     [tuple[str, int], typing.Callable[[], asyncio.Protocol]], typing.Awaitable[object]
 ]
@@ -177,9 +180,26 @@
                 self.links.home.abandon(stream)
         elif kind == frames.PING:
             self.send(frames.pack(frames.PONG, fields[0]))
+        elif kind == frames.FOLLOW:
+            number, name, revision, wait = fields
+            self.links.spawn(self._tell, number, name, int(revision), float(wait))
         else:
             raise frames.FrameError(f"kind {kind!r} at a home")
 
+    async def _tell(self, number: int, name: str, revision: int, wait: float) -> None:
+        """Tell what the store holds, to a node that does not ask the store itself."""
+        try:
+            changes = await self.links.tell(name, revision, wait)
+            data = frames.pack_changes(number, changes)
+            if len(data) > frames.MAX_FRAME:
+                raise ValueError(f"{len(data)} bytes are too many")
+        except errors.WatchExpired:
+            data = frames.pack(frames.EXPIRED, number)
+        except (errors.PlatformError, TypeError, ValueError) as error:
+            rejection = orders.Rejection.AWAY
+            data = frames.pack(frames.REJECTED, number, rejection.value, str(error), 0)
+        self.send(data)
+
     def _greet(self, kind: int, fields: list) -> None:
         if kind != frames.PROOF:
             raise frames.FrameError(f"kind {kind!r} before a proof")
@@ -260,6 +280,7 @@
         self.is_leaving = False
         self.greeted: asyncio.Future = asyncio.get_running_loop().create_future()
         self._waiting: dict[int, asyncio.Future] = {}
+        self._following: dict[int, tuple[str, asyncio.Future]] = {}
         self._heard_at = clock.read()
         self._asked_at: float | None = None
 
@@ -298,6 +319,21 @@
         finally:
             del self._waiting[number]
 
+    async def follow(self, kind: str, revision: int, wait: float) -> objects.Changes:
+        """Ask what changed in the store; all there is for revision 0.
+
+        :raises sardinehold.errors.WatchExpired: the reader does not know that.
+        :raises sardinehold.node.ports.ConnectionLost: it tells nothing.
+        """
+        number = self.links.make_number()
+        future = asyncio.get_running_loop().create_future()
+        self._following[number] = (kind, future)
+        self.send(frames.pack(frames.FOLLOW, number, kind, revision, wait))
+        try:
+            return await future
+        finally:
+            del self._following[number]
+
     def close(self, number: int) -> None:
         """Give a stream up; what it holds open is rolled back."""
         self.send(frames.pack(frames.CLOSE, number))
@@ -316,7 +352,7 @@
 
     def is_unused(self) -> bool:
         """Return whether nothing is awaited on it."""
-        return not self._waiting
+        return not self._waiting and not self._following
 
     def _take(self, kind: int, fields: list) -> None:
         self._heard_at = clock.read()
@@ -326,6 +362,12 @@
             self._finish(fields[0], frames.parse_reply(fields[1:]))
         elif kind == frames.REJECTED:
             self._finish(fields[0], frames.parse_rejected(fields[1:]))
+        elif kind == frames.CHANGES:
+            followed, _ = self._following.get(fields[0], ("", None))
+            self._finish(fields[0], frames.parse_changes(followed, fields[1:]))
+        elif kind == frames.EXPIRED:
+            expired = errors.WatchExpired("The reader lacks it.", "Read all again.")
+            self._finish(fields[0], expired)
         elif kind == frames.LOST:
             number, was_sent, is_timeout = fields
             lost = ports.ConnectionLost(
@@ -346,8 +388,14 @@
         elif kind != frames.PONG:
             raise frames.FrameError(f"kind {kind!r} from a home")
 
-    def _finish(self, number: int, outcome: orders.Reply | Exception) -> None:
+    def _finish(
+        self, number: int, outcome: orders.Reply | objects.Changes | Exception
+    ) -> None:
         future = self._waiting.get(number)
+        if number in self._following:
+            _, future = self._following[number]
+            if isinstance(outcome, orders.Rejected):
+                outcome = ports.ConnectionLost(True, reason=outcome.reason)
         if future is None or future.done():
             return
         if isinstance(outcome, Exception):
@@ -360,7 +408,8 @@
             self.greeted.set_exception(ConnectionError(reason))
             # Dialling may have failed before anybody waited for it.
             self.greeted.exception()
-        for future in self._waiting.values():
+        followed = [future for _, future in self._following.values()]
+        for future in [*self._waiting.values(), *followed]:
             if not future.done():
                 future.set_exception(
                     ports.ConnectionLost(True, reason=f"the link broke: {reason}")
@@ -394,6 +443,7 @@
     :param find_key: returns the fleet's key, empty while it is unknown.
     :param local: runs the orders that come in.
     :param find_member: returns a member by its name, None if there is none.
+    :param tell: returns what this node knows of a kind in the store after a revision.
     """
 
     def __init__(
@@ -402,11 +452,13 @@
         find_key: typing.Callable[[], bytes],
         local: home.Home,
         find_member: typing.Callable[[str], membership.Member | None],
+        tell: Tell,
         spawn: Spawn,
         note: typing.Callable[..., None],
         dial_node: Dial = dial,
     ) -> None:
         """Start without links."""
+        self.tell = tell
         self.name = name
         self.find_key = find_key
         self.home = local
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -31,6 +31,7 @@
 from sardinehold.node import peers
 from sardinehold.node import pool
 from sardinehold.node import ports
+from sardinehold.node import readers
 from sardinehold.node import session as sessions
 from sardinehold.node import settings
 from sardinehold.node import statements
@@ -126,6 +127,7 @@
         self._closes_sessions = False
         self._failing: set[str] = set()
         self._refreshed_at = float("-inf")
+        self.readers = readers.Readers(self)
         self.following = following.Following(self)
         self.keeping = keeping.Keeping(self)
         self.exchange = exchange.Exchange(self)
@@ -136,6 +138,7 @@
             lambda: self.peers.key,
             self.home,
             self.members.get,
+            self.readers.tell,
             self.spawn,
             self.journal.note,
         )
--- a/src/sardinehold/node/occurrences.py
+++ b/src/sardinehold/node/occurrences.py
@@ -26,6 +26,7 @@
     "lead_not_written": "The leader's object could not be written; with the reason.",
     "member_not_written": "This node could not enter itself among the members.",
     "member_refused": "A member's entry cannot be read and is left out; the reason.",
+    "reader_lost": "The node that reads the store for this zone does not answer.",
     "link_up": "A link to another node stands; orders go over it.",
     "link_lost": "A link to another node ended, with the reason; orders go elsewhere.",
     "link_silent": "A node does not answer on its link; orders go elsewhere meanwhile.",
--- /dev/null
+++ b/src/sardinehold/node/readers.py
@@ -0,0 +1,126 @@
+"""Who reads the platform's store, and who is told by a reader.
+
+Answers the load of hundreds of nodes that start together, and of changes that all of
+them must know: each call to the store costs, and its rates are shared by all. One
+node of each availability zone follows the store; the others ask it over a link, and
+the store itself when it does not answer.
+"""
+
+import typing
+
+import anyio
+
+from sardinehold import errors
+from sardinehold import objects
+from sardinehold.node import clock
+from sardinehold.node import homes
+from sardinehold.node import membership
+from sardinehold.node import ports
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import node as nodes
+
+FOLLOW_WAIT = 2.5
+"""Seconds that a reader keeps a question while nothing changes: within the bound for
+configurations a silent reader is noticed and the store asked."""
+
+FOLLOW_MARGIN = 0.5
+"""Seconds past the wait after which a reader counts as silent."""
+
+AVOIDED_FOR = 3.0
+"""Seconds for which a reader that did not answer is not asked again."""
+
+STORE = "store"
+"""What readers stand in line for, as homes do for an endpoint."""
+
+
+def choose_reader(
+    zone: str, members: typing.Iterable[membership.Member]
+) -> membership.Member | None:
+    """Return the member of a zone that reads the store for it, None if it has none."""
+    near = [member for member in members if member.zone == zone]
+    return min(near, key=lambda member: homes.score(STORE, member), default=None)
+
+
+class Relay:
+    """A reader as a source of a kind; see :class:`.watching.Source`."""
+
+    __slots__ = ("_readers", "_name")
+
+    def __init__(self, readers: "Readers", name: str) -> None:
+        """Ask the reader of that name."""
+        self._readers = readers
+        self._name = name
+
+    async def list(self, kind: str) -> objects.Changes:
+        """Read all objects of a kind."""
+        return await self._readers.ask(self._name, kind, 0, 0.0)
+
+    async def watch(self, kind: str, revision: int, wait: float) -> objects.Changes:
+        """Return what changed after a revision."""
+        return await self._readers.ask(
+            self._name, kind, revision, min(wait, FOLLOW_WAIT)
+        )
+
+
+class Readers:
+    """What a node knows of the reader of its zone.
+
+    :param node: the node.
+    """
+
+    def __init__(self, node: "nodes.Node") -> None:
+        """Start with every reader to be asked."""
+        self.node = node
+        self._avoided_until = float("-inf")
+
+    def find_relay(self) -> Relay | None:
+        """Return the reader to ask, None if this node is to ask the store.
+
+        A node that leads, or hears no leader, reads for itself: only the leader tells
+        what a reader may have missed.
+        """
+        node = self.node
+        if node.leader.leads() or not node.exchange.is_advised():
+            return None
+        if clock.read() < self._avoided_until:
+            return None
+        reader = choose_reader(node.settings.zone, node.members.values())
+        if reader is None or reader.name == node.settings.name:
+            return None
+        return Relay(self, reader.name)
+
+    async def ask(
+        self, name: str, kind: str, revision: int, wait: float
+    ) -> objects.Changes:
+        """Return what a reader tells.
+
+        :raises sardinehold.errors.PlatformUnavailable: it tells nothing.
+        :raises sardinehold.errors.WatchExpired: it does not know what came before.
+        """
+        link = await self.node.links.obtain(name)
+        try:
+            if link is None:
+                raise ports.ConnectionLost(False, reason="there is no link to it")
+            with anyio.fail_after(wait + FOLLOW_MARGIN):
+                return await link.follow(kind, revision, wait)
+        except (ports.ConnectionLost, TimeoutError) as error:
+            self._avoided_until = clock.read() + AVOIDED_FOR
+            self.node.journal.note(
+                "reader_lost", peer=name, kind=kind, reason=str(error) or "no answer"
+            )
+            raise errors.PlatformUnavailable(
+                f"Reader {name} did not answer.", "Ask the store."
+            ) from error
+
+    async def tell(self, kind: str, revision: int, wait: float) -> objects.Changes:
+        """Return what this node knows of a kind to another one.
+
+        :raises sardinehold.errors.PlatformError: it cannot tell.
+        """
+        for watcher in self.node.following.watchers:
+            if watcher.kind == kind:
+                return await watcher.tell(revision, min(wait, FOLLOW_WAIT))
+        raise errors.PlatformUnavailable(
+            f"This node does not follow {kind!r}.", "Ask the store."
+        )
--- a/src/sardinehold/node/watching.py
+++ b/src/sardinehold/node/watching.py
@@ -1,5 +1,6 @@
 """Follows one kind of objects in the platform's store."""
 
+import collections
 import random
 import typing
 
@@ -44,10 +45,27 @@
 """Doublings of the wait that are counted; ``BACKOFF_LIMIT`` is reached before."""
 
 
+RECENT = 64
+"""Answers with changes that are kept for other nodes; one that lacks more reads all."""
+
+
+class Source(typing.Protocol):
+    """Where a kind is read: the store, or a node that follows it."""
+
+    async def list(self, kind: str) -> objects.Changes:
+        """Read all objects of a kind."""
+
+    async def watch(self, kind: str, revision: int, wait: float) -> objects.Changes:
+        """Return what changed after a revision."""
+
+
 class Watcher:
     """Lists a kind once and follows its changes.
 
     Its ``changed`` is the store's revision of the newest change that it was told of.
+    What it was told it tells other nodes as well, see :meth:`tell`.
+
+    :param find_relay: returns a node to ask in place of the store, None for the store.
 
     :param take_all: takes a whole list, and when it was asked for.
     :param take_changes: takes changes, and when they were asked for.
@@ -67,8 +85,16 @@
         on_state: typing.Callable[[str, bool, str], None],
         on_unread: typing.Callable[[str, list[str]], None],
         gathering: float = GATHERING,
+        find_relay: typing.Callable[[], Source | None] = lambda: None,
     ) -> None:
         """Start with nothing read."""
+        self._find_relay = find_relay
+        self._is_relayed = False
+        self._objects: dict[str, objects.StoredObject] = {}
+        self._recent: collections.deque[tuple[int, objects.Changes]] = (
+            collections.deque(maxlen=RECENT)
+        )
+        self._told = anyio.Event()
         self.kind = kind
         self.revision = 0
         self.changed = 0
@@ -122,36 +148,118 @@
         :returns: whether anything was told.
         """
         self._relist = self._relist or relist
+        relay = None if self._relist else self._find_relay()
         asked = clock.read()
+        before = self.revision
         try:
-            if self._relist or not self.revision:
-                with anyio.fail_after(CALL_MARGIN):
-                    changes = await self._store.list(self.kind)
-                self._relist = False
-                self._take_all(changes, asked)
-            else:
-                wait = self._find_wait()
-                with anyio.fail_after(wait + CALL_MARGIN):
-                    changes = await self._store.watch(self.kind, self.revision, wait)
-                self._take_changes(changes, asked)
+            changes, is_all = await self._ask(relay or self._store)
         except errors.WatchExpired:
             self.revision = 0
             return False
         except (errors.PlatformError, TimeoutError) as error:
+            if relay is not None:
+                # Nothing is known of the store; the next step asks that.
+                return False
             # What a watch missed before it was cut may never be told to another.
             self._relist = True
             self._on_state(self.kind, False, str(error) or "no answer in time")
             await self._pause()
             return False
+        if relay is None:
+            self.answered_at = clock.read()
+        self._is_relayed = relay is not None
+        if is_all:
+            self._take_all(changes, asked)
+        else:
+            self._take_changes(changes, asked)
         if changes.unread:
             self._on_unread(self.kind, changes.unread)
-        self.revision = changes.revision
-        self.changed = max(self.changed, find_newest(changes))
-        self.answered_at = clock.read()
+        self._keep(before, changes, is_all)
         self._failures = 0
         self._on_state(self.kind, True, "")
         return bool(changes.objects)
 
+    async def _ask(self, source: Source) -> tuple[objects.Changes, bool]:
+        """Return what a source tells, and whether that is all that there is."""
+        if self._relist or not self.revision:
+            with anyio.fail_after(CALL_MARGIN):
+                changes = await source.list(self.kind)
+            self._relist = False
+            return changes, True
+        wait = self._find_wait()
+        with anyio.fail_after(wait + CALL_MARGIN):
+            return await source.watch(self.kind, self.revision, wait), False
+
+    # Telling other nodes
+
+    def _keep(self, before: int, changes: objects.Changes, is_all: bool) -> None:
+        """Keep what was told, and wake those that wait for it.
+
+        :param before: revision that the changes follow.
+        """
+        if is_all:
+            self._objects = {}
+            self._recent.clear()
+        else:
+            self._recent.append((before, changes))
+        for stored in changes.objects:
+            if stored.value is None:
+                self._objects.pop(stored.name, None)
+            else:
+                self._objects[stored.name] = stored
+        self.revision = changes.revision
+        self.changed = max(self.changed, find_newest(changes))
+        if changes.objects:
+            self._told.set()
+            self._told = anyio.Event()
+
+    async def tell(self, revision: int, wait: float) -> objects.Changes:
+        """Return what another node lacks; all there is for revision 0.
+
+        :param revision: up to which it knows the kind.
+        :param wait: seconds after which it is told that nothing has changed.
+        :raises sardinehold.errors.PlatformUnavailable: this node does not follow the
+            store itself, or the store does not answer it.
+        :raises sardinehold.errors.WatchExpired: it lacks more than is kept here.
+        """
+        if not self._follows_store():
+            raise errors.PlatformUnavailable(
+                f"This node does not follow {self.kind} in the store.",
+                "Ask the store.",
+            )
+        if not revision:
+            return objects.Changes(list(self._objects.values()), self.revision)
+        deadline = clock.read() + wait
+        while True:
+            told = self._told
+            missed = self._list_missed(revision)
+            if missed or not self._follows_store():
+                return objects.Changes(missed, max(revision, self.revision))
+            left = deadline - clock.read()
+            if left <= 0:
+                return objects.Changes([], max(revision, self.revision))
+            with anyio.move_on_after(left):
+                await told.wait()
+
+    def _follows_store(self) -> bool:
+        return bool(self.revision) and not self._is_relayed and not self._failures
+
+    def _list_missed(self, revision: int) -> list[objects.StoredObject]:
+        """Return the changes after a revision."""
+        if revision >= self.revision:
+            return []
+        if not self._recent or self._recent[0][0] > revision:
+            raise errors.WatchExpired(
+                f"What changed after {revision} is not kept here.",
+                "Read all objects again.",
+            )
+        return [
+            stored
+            for _, changes in self._recent
+            if changes.revision > revision
+            for stored in changes.objects
+        ]
+
     async def _pause(self) -> None:
         bound = min(
             BACKOFF_LIMIT, BACKOFF_FIRST * 2 ** min(self._failures, MAX_DOUBLINGS)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -5,6 +5,7 @@
 import pytest
 
 import builders_links
+from sardinehold import errors
 from sardinehold.core import positions
 from sardinehold.node import frames
 from sardinehold.node import links
@@ -44,12 +45,16 @@
             lambda: key,
             self.home,
             lambda name: None,
+            self.tell,
             lambda function, *rest: tasks.append(
                 asyncio.ensure_future(function(*rest))
             ),
             lambda event, **fields: self.lines.append((event, fields)),
         )
 
+    async def tell(self, kind, revision, wait):
+        raise errors.WatchExpired("gone", "read all again")
+
     def accept(self) -> tuple[links.Inbound, builders_links.Wire]:
         inbound, wire = self.links.accept(), builders_links.Wire()
         inbound.connection_made(wire)
