--- a/src/sardinehold/node/frames.py
+++ b/src/sardinehold/node/frames.py
@@ -136,6 +136,7 @@
         answer.position,
         reply.load.ahead,
         reply.load.service,
+        reply.load.failed,
     )
 
 
@@ -145,7 +146,8 @@
     :raises FrameError: a field is missing or of another type.
     """
     try:
-        rows, signature, error, detail, status, position, ahead, service = fields
+        rows, signature, error, detail, status, position, *load = fields
+        ahead, service, failed = load
         answer = statements.Answer(
             [_take_text(row) for row in rows],
             _take_text(signature),
@@ -154,7 +156,9 @@
             _take_text(status),
             _take_position(position),
         )
-        return orders.Reply(answer, orders.Load(int(ahead), float(service)))
+        return orders.Reply(
+            answer, orders.Load(int(ahead), float(service), float(failed))
+        )
     except (ValueError, TypeError) as error:
         raise FrameError(f"an answer cannot be read: {error!r}") from error
 
--- a/src/sardinehold/node/home.py
+++ b/src/sardinehold/node/home.py
@@ -30,6 +30,11 @@
 
 Kind = statements.Kind
 
+FAILURES_OF_ENDPOINTS = frozenset(
+    {statements.Failure.FAILED, statements.Failure.TIMEOUT, statements.Failure.BUSY}
+)
+"""What shows that an endpoint is not well; other failures are the statement's own."""
+
 
 class Stream:
     """A caller's statements on one endpoint, as its home holds them.
@@ -251,6 +256,7 @@
                 order.statement, order.deadline, order.after
             )
         except ports.ConnectionLost:
+            endpoint.grade.note(clock.read(), True)
             stream.pooled = None
             if not pooled.is_lost:
                 self.lose(group, pooled)
@@ -264,7 +270,8 @@
         self._keep(stream, pooled, order, answer)
         self.pump(group, endpoint)
         ahead = endpoint.running + len(endpoint.waiters)
-        return orders.Reply(answer, orders.Load(ahead, endpoint.service))
+        failed = endpoint.grade.find_share(clock.read())
+        return orders.Reply(answer, orders.Load(ahead, endpoint.service, failed))
 
     def _learn(
         self,
@@ -280,6 +287,7 @@
         endpoint = pooled.endpoint
         now = clock.read()
         endpoint.note_service(now - asked)
+        endpoint.grade.note(now, answer.error in FAILURES_OF_ENDPOINTS)
         is_done = answer.error is None and answer.status == "I"
         was_alone = not was_open and answer.status == "I"
         group.note_answer(endpoint, asked, answer, was_alone, is_done and needs_replica)
--- a/src/sardinehold/node/orders.py
+++ b/src/sardinehold/node/orders.py
@@ -58,14 +58,16 @@
 
     :param ahead: statements that run there or wait for it.
     :param service: seconds that one takes of late.
+    :param failed: share of them that failed of late.
     """
 
-    __slots__ = ("ahead", "service")
+    __slots__ = ("ahead", "service", "failed")
 
-    def __init__(self, ahead: int, service: float) -> None:
+    def __init__(self, ahead: int, service: float, failed: float = 0.0) -> None:
         """Keep the parts of the load."""
         self.ahead = ahead
         self.service = service
+        self.failed = failed
 
 
 class Reply:
--- a/src/sardinehold/node/placement.py
+++ b/src/sardinehold/node/placement.py
@@ -6,6 +6,7 @@
 """
 
 from sardinehold.core import positions
+from sardinehold.node import grading
 
 FAR_SECONDS = 0.06
 """Seconds that an endpoint in another region must be faster by: its bytes cross
@@ -27,6 +28,7 @@
     :param lacked: a position that it lacked, None if it lacked none of late.
     :param slots: statements that it runs at once.
     :param is_far: whether it is in another region.
+    :param failed: share of its statements that failed of late.
     """
 
     __slots__ = (
@@ -39,6 +41,7 @@
         "lacked",
         "slots",
         "is_far",
+        "failed",
     )
 
     def __init__(
@@ -52,6 +55,7 @@
         lacked: positions.Position | None = None,
         slots: int = 1,
         is_far: bool = False,
+        failed: float = 0.0,
     ) -> None:
         """Keep the parts of the candidate."""
         self.name = name
@@ -63,6 +67,7 @@
         self.lacked = lacked
         self.slots = slots
         self.is_far = is_far
+        self.failed = failed
 
 
 def expect_seconds(candidate: Candidate) -> float:
@@ -71,7 +76,7 @@
     expected = candidate.round_trip + candidate.service * (1.0 + queued)
     if candidate.is_far:
         expected += FAR_SECONDS
-    return expected
+    return expected + grading.find_penalty(candidate.failed)
 
 
 def may_have(candidate: Candidate, floor: positions.Position) -> bool:
--- a/src/sardinehold/node/pool.py
+++ b/src/sardinehold/node/pool.py
@@ -10,6 +10,8 @@
 
 from sardinehold.core import positions
 from sardinehold.node import catalog
+from sardinehold.node import clock
+from sardinehold.node import grading
 from sardinehold.node import jitter
 from sardinehold.node import orders
 from sardinehold.node import placement
@@ -117,6 +119,7 @@
     :param avoided: until when a home is not asked, by its name.
     :param shunned_until: until when nothing is sent there: no home reaches it.
     :param load: what a home said of it last, at ``load_at``; None before.
+    :param grade: how its statements end, as this node sees it as its home.
     :param waiters: orders that wait here for a slot or a connection.
     :param running: orders that were sent and not answered.
     :param kept: free connections that stay open however long they are idle.
@@ -146,6 +149,7 @@
         "shunned_until",
         "load",
         "load_at",
+        "grade",
         "waiters",
         "running",
         "kept",
@@ -186,6 +190,7 @@
         self.shunned_until = float("-inf")
         self.load: orders.Load | None = None
         self.load_at = float("-inf")
+        self.grade = grading.Grade(clock.read())
         self.waiters: list[home.Waiter] = []
         self.running = 0
         self.kept = 1
@@ -364,6 +369,13 @@
         age = (now - self.load_at) / LOAD_MEMORY
         return max(self.in_flight, self.load.ahead * max(0.0, 1.0 - age))
 
+    def find_failed_share(self, now: float) -> float:
+        """Return the share of its statements that failed of late."""
+        share = self.grade.find_share(now)
+        if self.load is not None and now - self.load_at < grading.MEMORY:
+            share = max(share, self.load.failed)
+        return share
+
     def describe(self, now: float, is_primary: bool) -> placement.Candidate:
         """Return the endpoint as a placement sees it."""
         return placement.Candidate(
@@ -376,6 +388,7 @@
             self.lacked if now < self.lacked_until else None,
             self.record.slots,
             self.distance > 1,
+            self.find_failed_share(now),
         )
 
 
--- a/src/sardinehold_standins/group_in_memory.py
+++ b/src/sardinehold_standins/group_in_memory.py
@@ -42,6 +42,8 @@
         self.is_deaf = False
         self.is_cut_off = False
         self.lag = 0.0
+        self.fails_every = 0
+        self._statements = 0
         self.work = 0.005
         self.unreachable: set[str] = set()
         self.swallows: set[str] = set()
@@ -59,6 +61,11 @@
         for connection in list(self.connections):
             connection.break_off()
 
+    def fails_now(self) -> bool:
+        """Return whether a statement fails: one of ``fails_every``, 0 for none."""
+        self._statements += 1
+        return bool(self.fails_every) and not self._statements % self.fails_every
+
     def status(self) -> ports.LogStatus:
         """Return what it says of its log."""
         return ports.LogStatus(
@@ -221,6 +228,8 @@
         database.cluster.ran.append(
             Run(database.name, statement.request_id, database.applied, clock.read())
         )
+        if database.fails_now():
+            return self._fail(statements.Failure.FAILED)
         if kind is Kind.COMMIT:
             return await self._commit(statement.request_id, deadline)
         if not statements.is_write(statement):
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -386,3 +386,33 @@
         assert world.store.calls["list"] <= lists + 1
 
     builders_node.play(monkeypatch, story, count=3)
+
+
+def test_reads_leave_a_replica_that_fails_every_second_one_and_come_back(monkeypatch):
+    async def story(world):
+        await world.open("n1", "latest").write()
+        replica = world.clusters["g"].databases["g-1"]
+        clients = [
+            world.open(name, "bounded") for name in world.nodes for _ in range(4)
+        ]
+
+        async def read_all():
+            before = len(world.clusters["g"].ran)
+            answers = await asyncio.gather(*(client.read() for client in clients))
+            assert {answer.error for answer in answers} == {None}
+            ran = world.clusters["g"].ran[before:]
+            return sum(run.database == "g-1" for run in ran) / len(ran)
+
+        await read_all()
+        assert await read_all() >= 0.3
+        replica.fails_every = 2
+        for _ in range(4):
+            await read_all()
+        assert await read_all() <= 0.1
+        replica.fails_every = 0
+        await asyncio.sleep(10.0)
+        for _ in range(10):
+            await read_all()
+        assert await read_all() >= 0.3
+
+    builders_node.play(monkeypatch, story, count=6)
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -13,6 +13,7 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import evidence
+from sardinehold.node import grading
 from sardinehold.node import groups
 from sardinehold.node import hedging
 from sardinehold.node import leadership
@@ -523,3 +524,32 @@
     assert not watcher._relist
     watcher.compare(9, 11.1 + watching.BEHIND_GRACE)
     assert watcher._relist
+
+
+def test_endpoint_that_fails_a_part_of_its_statements_gets_fewer_and_comes_back():
+    # srv_grey: an endpoint in the own zone fails two of five statements, and its
+    # health is good; the next one is in another region.
+    grade = grading.Grade(100.0)
+    for index in range(40):
+        grade.note(100.0 + index / 20, index % 5 < 2)
+    share = grade.find_share(102.0)
+    assert share == pytest.approx(0.4, abs=0.1)
+    grey = make_candidate("grey", failed=share)
+    far = make_candidate("far", is_far=True)
+    assert placement.choose_for_read([grey, far], P(1, 1), False) is far
+    # Nothing is sent there meanwhile; what was seen grows old.
+    assert grade.find_share(110.0) == 0.0
+    back = make_candidate("grey", failed=grade.find_share(110.0))
+    assert placement.choose_for_read([back, far], P(1, 1), False) is back
+
+
+def test_endpoints_that_all_fail_alike_are_used_as_before():
+    near = make_candidate("near", failed=0.5)
+    far = make_candidate("far", is_far=True, failed=0.5)
+    assert placement.choose_for_read([near, far], P(1, 1), False) is near
+
+
+def test_one_failure_says_nothing_of_an_endpoint():
+    grade = grading.Grade(100.0)
+    grade.note(100.0, True)
+    assert grade.find_share(100.0) == 0.0
