Split links and homes by job; let readers tell no list that is older than the question

Found by reading: a process that starts again could list a kind from a reader whose watch had gone silent, and use a withdrawn key or an endpoint that left until the leader's word came.

test_process_that_starts_again_learns_nothing_old_from_a_reader and test_reader_that_reads_all_anew_still_tells_what_went_and_came.

--- /dev/null
+++ b/src/sardinehold/node/connections.py
@@ -0,0 +1,179 @@
+"""A home's connections to its endpoints: opened, tuned, given back, rolled back."""
+
+import asyncio
+import typing
+
+from sardinehold.node import clock
+from sardinehold.node import groups
+from sardinehold.node import jitter
+from sardinehold.node import orders
+from sardinehold.node import pool
+from sardinehold.node import ports
+from sardinehold.node import statements
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import node as nodes
+
+OPEN_TIMEOUT = 1.0
+"""Seconds that opening a connection may take; past it an endpoint counts as dark."""
+
+CLEAN_TIMEOUT = 0.5
+"""Seconds that ending an abandoned transaction may take before its connection is
+closed instead."""
+
+Pump = typing.Callable[[groups.Group, pool.Endpoint], None]
+
+
+class Connections:
+    """Opens and closes connections for the orders that wait for them.
+
+    :param pump: lets orders go on when a connection is free or may be opened.
+    """
+
+    def __init__(self, node: "nodes.Node", pump: Pump) -> None:
+        """Start with nothing open."""
+        self.node = node
+        self._pump = pump
+
+    def open(
+        self,
+        group: groups.Group,
+        endpoint: pool.Endpoint,
+        team: str,
+        on_done: typing.Callable[[], None],
+    ) -> None:
+        """Begin to open a connection in a team's name.
+
+        :param on_done: called when it is open, or has failed.
+        """
+        evicted = endpoint.make_room(clock.read())
+        if evicted is not None:
+            evicted.connection.close()
+        endpoint.opening += 1
+        self.node.spawn(self._finish_opening, group, endpoint, team, on_done)
+
+    async def _finish_opening(
+        self,
+        group: groups.Group,
+        endpoint: pool.Endpoint,
+        team: str,
+        on_done: typing.Callable[[], None],
+    ) -> None:
+        now = clock.read()
+        try:
+            connection = await self.node.connector.open(
+                endpoint.record, team, now + OPEN_TIMEOUT
+            )
+        except ports.OpeningFailed as error:
+            self._note_failed_opening(group, endpoint, error)
+        else:
+            pooled = pool.Pooled(connection, endpoint, team)
+            connection.on_lost = lambda: self.lose(group, pooled)
+            endpoint.connections.add(pooled)
+            endpoint.handshakes += 1
+            endpoint.note_answer(clock.read())
+            pooled.idle_since = clock.read()
+            endpoint.idle.append(pooled)
+        finally:
+            endpoint.opening -= 1
+            on_done()
+        self._pump(group, endpoint)
+
+    def _note_failed_opening(
+        self,
+        group: groups.Group,
+        endpoint: pool.Endpoint,
+        error: ports.OpeningFailed,
+    ) -> None:
+        now = clock.read()
+        if error.failure is statements.Failure.CONNECTION_LIMIT:
+            endpoint.note_answer(now)
+            endpoint.note_full(now, jitter.spread(pool.FULL_PAUSE))
+        elif error.failure is statements.Failure.BUSY:
+            endpoint.note_answer(now)
+            endpoint.retry_at = now + jitter.spread(pool.FULL_PAUSE)
+        else:
+            endpoint.note_failure(now, str(error))
+        asyncio.get_running_loop().call_later(
+            max(0.0, endpoint.retry_at - now), self._pump, group, endpoint
+        )
+
+    def lose(self, group: groups.Group, pooled: pool.Pooled) -> None:
+        """Note that a connection broke; find out about its endpoint."""
+        pooled.is_lost = True
+        endpoint = pooled.endpoint
+        endpoint.connections.discard(pooled)
+        if pooled in endpoint.idle:
+            endpoint.idle.remove(pooled)
+        group.probe(endpoint)
+
+    def release(self, pooled: pool.Pooled) -> None:
+        """Take back a connection on which nothing is open."""
+        endpoint = pooled.endpoint
+        if pooled.is_lost:
+            return
+        group = self.node.groups[endpoint.record.group]
+        if group.endpoints.get(endpoint.name) is not endpoint or not group.takes_work(
+            endpoint
+        ):
+            self._discard(pooled)
+        else:
+            pooled.idle_since = clock.read()
+            endpoint.idle.append(pooled)
+
+    def _discard(self, pooled: pool.Pooled) -> None:
+        pooled.is_lost = True
+        pooled.endpoint.connections.discard(pooled)
+        pooled.connection.close()
+
+    async def roll_back(self, pooled: pool.Pooled) -> None:
+        """End a transaction that nobody needs; its connection may be of use again."""
+        try:
+            deadline = clock.read() + CLEAN_TIMEOUT
+            answer = await pooled.connection.roll_back(deadline)
+        except ports.ConnectionLost:
+            if not pooled.is_lost:
+                self._discard(pooled)
+            return
+        if answer.error is None and answer.status == "I":
+            self.release(pooled)
+        else:
+            self._discard(pooled)
+        group = self.node.groups[pooled.endpoint.record.group]
+        self._pump(group, pooled.endpoint)
+
+
+async def tune(pooled: pool.Pooled, order: orders.Order) -> None:
+    """Give a connection the session's variables and the prepared statement.
+
+    :raises sardinehold.node.ports.ConnectionLost: it broke, or refused; the order has
+        not been sent.
+    """
+    statement = order.statement
+    definitions = (
+        [statement.definition] if statement.kind is statements.Kind.EXECUTE else []
+    )
+    needs_reset, values, to_prepare = pool.find_missing(
+        pooled, order.values, definitions
+    )
+    connection = pooled.connection
+    deadline = order.deadline
+    answers: list[statements.Answer] = []
+    try:
+        if needs_reset:
+            answers.append(await connection.reset(deadline))
+            pooled.values = {}
+            pooled.prepared = set()
+        if values:
+            answers.extend(await connection.set_values(values, deadline))
+            pooled.values = dict(order.values)
+        if to_prepare:
+            answers.extend(await connection.prepare(to_prepare, deadline))
+            pooled.prepared.update(item.shared_name for item in to_prepare)
+    except ports.ConnectionLost as error:
+        raise ports.ConnectionLost(False, error.is_timeout) from error
+    if any(answer.error is not None for answer in answers):
+        pooled.is_lost = True
+        pooled.endpoint.connections.discard(pooled)
+        connection.close()
+        raise ports.ConnectionLost(False)
--- a/src/sardinehold/node/following.py
+++ b/src/sardinehold/node/following.py
@@ -280,7 +280,7 @@
             if self.node.exchange.is_advised() or self.node.catalog is None:
                 await anyio.sleep(FOLLOW_INTERVAL)
             else:
-                relay = self.node.readers.find_fresh_relay()
+                relay = self.node.readers.find_relay()
                 await self.fleet.step(relist=True, relay=relay)
                 await anyio.sleep(LIST_INTERVAL)
 
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -18,7 +18,7 @@
 from sardinehold.node import waiting
 
 if typing.TYPE_CHECKING:
-    from sardinehold.node import links
+    from sardinehold.node import forwarding
 
 DRAIN_PART = 0.85
 """Part of the time that a leaving endpoint may get new work in which a leaving primary
@@ -67,7 +67,7 @@
         measure_distance: typing.Callable[[str], int],
         endpoint_drain: float,
         count_unheard: typing.Callable[[float], float],
-        open_stream: "typing.Callable[[pool.Endpoint], links.Stream]",
+        open_stream: "typing.Callable[[pool.Endpoint], forwarding.Stream]",
         may_use: typing.Callable[[str, float], bool],
         on_probed: "typing.Callable[[Group, pool.Endpoint], None]",
     ) -> None:
--- a/src/sardinehold/node/home.py
+++ b/src/sardinehold/node/home.py
@@ -11,8 +11,8 @@
 
 from sardinehold.node import admission
 from sardinehold.node import clock
+from sardinehold.node import connections
 from sardinehold.node import groups
-from sardinehold.node import jitter
 from sardinehold.node import orders
 from sardinehold.node import pool
 from sardinehold.node import ports
@@ -21,13 +21,6 @@
 if typing.TYPE_CHECKING:
     from sardinehold.node import node as nodes
 
-OPEN_TIMEOUT = 1.0
-"""Seconds that opening a connection may take; past it an endpoint counts as dark."""
-
-CLEAN_TIMEOUT = 0.5
-"""Seconds that ending an abandoned transaction may take before its connection is
-closed instead."""
-
 Kind = statements.Kind
 
 FAILURES_OF_ENDPOINTS = frozenset(
@@ -72,6 +65,10 @@
         self.future: asyncio.Future = asyncio.get_running_loop().create_future()
         self.opening = False
 
+    def note_opened(self) -> None:
+        """Note that no connection is being opened for it any more."""
+        self.opening = False
+
     def rank(self, now: float) -> tuple[int, int, float]:
         """Return the waiter's order; the lowest goes first."""
         return admission.rank(self.order.target, self.order.priority, now)
@@ -87,6 +84,7 @@
     def __init__(self, node: "nodes.Node") -> None:
         """Start with nothing running."""
         self.node = node
+        self.connections = connections.Connections(node, self.pump)
         self.running = 0
         self.streams: set[Stream] = set()
 
@@ -132,7 +130,7 @@
         self.streams.discard(stream)
         pooled, stream.pooled = stream.pooled, None
         if pooled is not None and not pooled.is_lost:
-            self.node.spawn(self._roll_back, pooled)
+            self.node.spawn(self.connections.roll_back, pooled)
 
     # The queue
 
@@ -170,7 +168,7 @@
             return
         endpoint.running -= 1
         if waiter.pooled is None:
-            self.release(future.result())
+            self.connections.release(future.result())
 
     def _check(
         self, group: groups.Group, endpoint: pool.Endpoint, waiter: Waiter
@@ -224,7 +222,10 @@
                 endpoint.waiters.remove(waiter)
                 waiter.future.set_result(pooled)
             elif not waiter.opening and endpoint.may_open(now):
-                self._open(group, endpoint, waiter)
+                waiter.opening = True
+                self.connections.open(
+                    group, endpoint, waiter.order.team, waiter.note_opened
+                )
 
     def _reject_waiting(self, endpoint: pool.Endpoint) -> None:
         """Send back what waits for an endpoint that is out of reach."""
@@ -247,7 +248,7 @@
         needs_replica = _needs_replica(stream, order.statement)
         asked = clock.read()
         try:
-            await tune(pooled, order)
+            await connections.tune(pooled, order)
             asked = clock.read()
             endpoint.sent[pooled] = asked
             if needs_replica:
@@ -259,7 +260,7 @@
             endpoint.grade.note(clock.read(), True)
             stream.pooled = None
             if not pooled.is_lost:
-                self.lose(group, pooled)
+                self.connections.lose(group, pooled)
             raise
         finally:
             endpoint.running -= 1
@@ -305,145 +306,12 @@
         elif answer.status == "I":
             stream.pooled = None
             stream.has_written = False
-            self.release(pooled)
+            self.connections.release(pooled)
         else:
             stream.pooled = pooled
             if answer.error is None and statements.is_write(order.statement):
                 stream.has_written = True
 
-    # Connections
-
-    def _open(
-        self, group: groups.Group, endpoint: pool.Endpoint, waiter: Waiter
-    ) -> None:
-        evicted = endpoint.make_room(clock.read())
-        if evicted is not None:
-            evicted.connection.close()
-        endpoint.opening += 1
-        waiter.opening = True
-        self.node.spawn(self._finish_opening, group, endpoint, waiter)
-
-    async def _finish_opening(
-        self, group: groups.Group, endpoint: pool.Endpoint, waiter: Waiter
-    ) -> None:
-        now = clock.read()
-        team = waiter.order.team
-        try:
-            connection = await self.node.connector.open(
-                endpoint.record, team, now + OPEN_TIMEOUT
-            )
-        except ports.OpeningFailed as error:
-            self._note_failed_opening(group, endpoint, error)
-        else:
-            pooled = pool.Pooled(connection, endpoint, team)
-            connection.on_lost = lambda: self.lose(group, pooled)
-            endpoint.connections.add(pooled)
-            endpoint.handshakes += 1
-            endpoint.note_answer(clock.read())
-            pooled.idle_since = clock.read()
-            endpoint.idle.append(pooled)
-        finally:
-            endpoint.opening -= 1
-            waiter.opening = False
-        self.pump(group, endpoint)
-
-    def _note_failed_opening(
-        self,
-        group: groups.Group,
-        endpoint: pool.Endpoint,
-        error: ports.OpeningFailed,
-    ) -> None:
-        now = clock.read()
-        if error.failure is statements.Failure.CONNECTION_LIMIT:
-            endpoint.note_answer(now)
-            endpoint.note_full(now, jitter.spread(pool.FULL_PAUSE))
-        elif error.failure is statements.Failure.BUSY:
-            endpoint.note_answer(now)
-            endpoint.retry_at = now + jitter.spread(pool.FULL_PAUSE)
-        else:
-            endpoint.note_failure(now, str(error))
-        asyncio.get_running_loop().call_later(
-            max(0.0, endpoint.retry_at - now), self.pump, group, endpoint
-        )
-
-    def lose(self, group: groups.Group, pooled: pool.Pooled) -> None:
-        """Note that a connection broke; find out about its endpoint."""
-        pooled.is_lost = True
-        endpoint = pooled.endpoint
-        endpoint.connections.discard(pooled)
-        if pooled in endpoint.idle:
-            endpoint.idle.remove(pooled)
-        group.probe(endpoint)
-
-    def release(self, pooled: pool.Pooled) -> None:
-        """Take back a connection on which nothing is open."""
-        endpoint = pooled.endpoint
-        if pooled.is_lost:
-            return
-        group = self.node.groups[endpoint.record.group]
-        if group.endpoints.get(endpoint.name) is not endpoint or not group.takes_work(
-            endpoint
-        ):
-            self._discard(pooled)
-        else:
-            pooled.idle_since = clock.read()
-            endpoint.idle.append(pooled)
-
-    def _discard(self, pooled: pool.Pooled) -> None:
-        pooled.is_lost = True
-        pooled.endpoint.connections.discard(pooled)
-        pooled.connection.close()
-
-    async def _roll_back(self, pooled: pool.Pooled) -> None:
-        """End a transaction that nobody needs; its connection may be of use again."""
-        try:
-            deadline = clock.read() + CLEAN_TIMEOUT
-            answer = await pooled.connection.roll_back(deadline)
-        except ports.ConnectionLost:
-            if not pooled.is_lost:
-                self._discard(pooled)
-            return
-        if answer.error is None and answer.status == "I":
-            self.release(pooled)
-        else:
-            self._discard(pooled)
-        group = self.node.groups[pooled.endpoint.record.group]
-        self.pump(group, pooled.endpoint)
-
-
-async def tune(pooled: pool.Pooled, order: orders.Order) -> None:
-    """Give a connection the session's variables and the prepared statement.
-
-    :raises sardinehold.node.ports.ConnectionLost: it broke, or refused; the order has
-        not been sent.
-    """
-    statement = order.statement
-    definitions = [statement.definition] if statement.kind is Kind.EXECUTE else []
-    needs_reset, values, to_prepare = pool.find_missing(
-        pooled, order.values, definitions
-    )
-    connection = pooled.connection
-    deadline = order.deadline
-    answers: list[statements.Answer] = []
-    try:
-        if needs_reset:
-            answers.append(await connection.reset(deadline))
-            pooled.values = {}
-            pooled.prepared = set()
-        if values:
-            answers.extend(await connection.set_values(values, deadline))
-            pooled.values = dict(order.values)
-        if to_prepare:
-            answers.extend(await connection.prepare(to_prepare, deadline))
-            pooled.prepared.update(item.shared_name for item in to_prepare)
-    except ports.ConnectionLost as error:
-        raise ports.ConnectionLost(False, error.is_timeout) from error
-    if any(answer.error is not None for answer in answers):
-        pooled.is_lost = True
-        pooled.endpoint.connections.discard(pooled)
-        connection.close()
-        raise ports.ConnectionLost(False)
-
 
 def _needs_replica(stream: Stream, statement: statements.Statement) -> bool:
     """Return whether a success proves that a replica has received a commit.
--- a/src/sardinehold/node/links.py
+++ b/src/sardinehold/node/links.py
@@ -16,31 +16,16 @@
 from sardinehold.node import clock
 from sardinehold.node import frames
 from sardinehold.node import home
-from sardinehold.node import jitter
-from sardinehold.node import membership
 from sardinehold.node import orders
 from sardinehold.node import peers
-from sardinehold.node import pool
 from sardinehold.node import ports
-from sardinehold.node import statements
+
+if typing.TYPE_CHECKING:
+    from sardinehold.node import forwarding
 
 NONCE_BYTES = 16
 """Bytes that a proof of the key answers to; none is ever drawn twice."""
 
-DIAL_TIMEOUT = 0.4
-"""Seconds in which a node that is well takes a link, across regions and behind a queue
-of connections."""
-
-DIAL_PATIENCE = 0.15
-"""Seconds that an order waits for its first link before it goes to the next home."""
-
-REDIAL_FIRST = 0.2
-"""Seconds before a node is dialled again after the first failure."""
-
-REDIAL_LIMIT = 1.6
-"""Seconds that the growing wait between attempts ends at; a process that is restarted
-takes a second or two."""
-
 PING_AFTER = 0.1
 """Seconds without a frame, while an answer is awaited, after which a node is asked for
 a sign of life; longer than most statements take."""
@@ -55,24 +40,11 @@
 MAX_STREAMS = 512
 """Orders on one link that are not answered; beyond them nothing is sent."""
 
-Spawn = typing.Callable[..., None]
-Tell = typing.Callable[[str, int, float], typing.Awaitable[objects.Changes]]
-Dial = typing.Callable[
-    [tuple[str, int], typing.Callable[[], asyncio.Protocol]], typing.Awaitable[object]
-]
-
-
-async def dial(
-    address: tuple[str, int], make: typing.Callable[[], asyncio.Protocol]
-) -> None:
-    """Connect to a node over TCP; raises OSError."""
-    await asyncio.get_running_loop().create_connection(make, *address)
-
 
 class Link(asyncio.Protocol):
     """What both ends of a link share: frames, and the proof of the key."""
 
-    def __init__(self, links: "Links") -> None:
+    def __init__(self, links: "forwarding.Links") -> None:
         """Start unconnected."""
         self.links = links
         self.peer = ""
@@ -148,7 +120,7 @@
 class Inbound(Link):
     """The end of a link at a home."""
 
-    def __init__(self, links: "Links") -> None:
+    def __init__(self, links: "forwarding.Links") -> None:
         """Start without streams."""
         super().__init__(links)
         self._streams: dict[int, home.Stream] = {}
@@ -272,7 +244,7 @@
     :param is_leaving: whether it takes no new streams.
     """
 
-    def __init__(self, links: "Links", peer: str) -> None:
+    def __init__(self, links: "forwarding.Links", peer: str) -> None:
         """Start without streams."""
         super().__init__(links)
         self.peer = peer
@@ -326,7 +298,9 @@
         return reply
 
     async def follow(self, kind: str, revision: int, wait: float) -> objects.Changes:
-        """Ask what changed in the store; all there is for revision 0.
+        """Ask what changed in the store, or for all there is by now.
+
+        :param revision: up to which this node knows, :data:`.readers.FRESH` for all.
 
         :raises sardinehold.errors.WatchExpired: the reader does not know that.
         :raises sardinehold.node.ports.ConnectionLost: it tells nothing.
@@ -423,182 +397,3 @@
                 )
         if was_up:
             self.links.note("link_lost", peer=self.peer, reason=reason)
-
-
-class Line:
-    """What a node knows of the way to one home.
-
-    :param link: the newest link, None before the first.
-    :param retry_at: before when it is not dialled.
-    """
-
-    __slots__ = ("link", "old", "dialling", "failures", "retry_at")
-
-    def __init__(self) -> None:
-        """Start without a link."""
-        self.link: Outbound | None = None
-        self.old: list[Outbound] = []
-        self.dialling: asyncio.Future | None = None
-        self.failures = 0
-        self.retry_at = float("-inf")
-
-    def may_dial(self, now: float) -> bool:
-        """Return whether a new link makes sense: not to a node that is stopping."""
-        link = self.link
-        return now >= self.retry_at and not (link and link.is_up and link.is_leaving)
-
-
-class Links:
-    """A node's links to homes, and those of other nodes to it.
-
-    :param name: of this node.
-    :param find_key: returns the fleet's key, empty while it is unknown.
-    :param local: runs the orders that come in.
-    :param find_member: returns a member by its name, None if there is none.
-    :param tell: returns what this node knows of a kind in the store after a revision.
-    """
-
-    def __init__(
-        self,
-        name: str,
-        find_key: typing.Callable[[], bytes],
-        local: home.Home,
-        find_member: typing.Callable[[str], membership.Member | None],
-        tell: Tell,
-        spawn: Spawn,
-        note: typing.Callable[..., None],
-        dial_node: Dial = dial,
-    ) -> None:
-        """Start without links."""
-        self.tell = tell
-        self.name = name
-        self.find_key = find_key
-        self.home = local
-        self.spawn = spawn
-        self.note = note
-        self.inbound: set[Inbound] = set()
-        self.is_leaving = False
-        self._find_member = find_member
-        self._dial = dial_node
-        self._lines: dict[str, Line] = {}
-        self._number = 0
-
-    def accept(self) -> Inbound:
-        """Return the protocol for a connection that came in."""
-        return Inbound(self)
-
-    def leave(self) -> None:
-        """Tell the other nodes that this one takes no new streams."""
-        self.is_leaving = True
-        for link in self.inbound:
-            if link.is_up:
-                link.send(frames.pack(frames.LEAVING))
-
-    def may_use(self, name: str, now: float) -> bool:
-        """Return whether a stream to a home may begin, or a link is worth a try."""
-        line = self._lines.get(name)
-        if line is None or line.dialling is not None:
-            return self._find_member(name) is not None
-        if line.link is not None and line.link.may_take():
-            return True
-        return line.may_dial(now) and self._find_member(name) is not None
-
-    async def obtain(self, name: str) -> Outbound | None:
-        """Return a link that takes streams, None if there is none soon."""
-        line = self._lines.setdefault(name, Line())
-        if line.link is not None and line.link.may_take():
-            return line.link
-        if line.dialling is None:
-            if not line.may_dial(clock.read()):
-                return None
-            line.dialling = asyncio.get_running_loop().create_future()
-            self.spawn(self._dial_line, name, line)
-        await asyncio.wait([line.dialling], timeout=DIAL_PATIENCE)
-        link = line.link
-        return link if link is not None and link.may_take() else None
-
-    async def _dial_line(self, name: str, line: Line) -> None:
-        """Put a new link in place of one that is of no use."""
-        link = Outbound(self, name)
-        try:
-            member = self._find_member(name)
-            if member is None or not self.find_key():
-                raise OSError("the node or the fleet's key is not known")
-            async with asyncio.timeout(DIAL_TIMEOUT):
-                await self._dial(member.address, lambda: link)
-                await link.greeted
-        except (OSError, TimeoutError) as error:
-            link.end(repr(error))
-            wait = min(REDIAL_LIMIT, REDIAL_FIRST * 2**line.failures)
-            line.failures = min(line.failures + 1, pool.MAX_DOUBLINGS)
-            line.retry_at = clock.read() + jitter.spread(wait)
-        else:
-            line.failures = 0
-            if line.link is not None:
-                line.old.append(line.link)
-            line.link = link
-            self.note("link_up", peer=name)
-        finally:
-            dialling, line.dialling = line.dialling, None
-            dialling.set_result(None)
-
-    def look(self, now: float) -> None:
-        """Find out about links on which answers are awaited."""
-        for line in self._lines.values():
-            if line.link is not None:
-                line.link.look(now)
-            for link in list(line.old):
-                if link.is_unused():
-                    line.old.remove(link)
-                    link.end("another link took its place")
-
-    def make_number(self) -> int:
-        """Return a number for a new stream."""
-        self._number += 1
-        return self._number
-
-
-class Stream:
-    """A caller's statements to one endpoint, by way of a home or of this node.
-
-    :param endpoint: as this node sees it.
-    :param home_name: the home, ``""`` for this node's own connections.
-    """
-
-    __slots__ = ("endpoint", "home_name", "_links", "_link", "_number", "_held")
-
-    def __init__(self, links: Links, endpoint: pool.Endpoint, home_name: str) -> None:
-        """Start without having sent anything."""
-        self.endpoint = endpoint
-        self.home_name = home_name
-        self._links = links
-        self._link: Outbound | None = None
-        self._number = 0
-        self._held = home.Stream()
-
-    async def run(self, order: orders.Order) -> statements.Answer:
-        """Run an order.
-
-        :raises sardinehold.node.orders.Rejected: it was not sent to the endpoint.
-        :raises sardinehold.node.ports.ConnectionLost: the way to it broke.
-        """
-        if not self.home_name:
-            reply = await self._links.home.run(self._held, order)
-        else:
-            if self._link is None:
-                self._link = await self._links.obtain(self.home_name)
-                self._number = self._links.make_number()
-            if self._link is None:
-                raise orders.Rejected(
-                    orders.Rejection.AWAY, f"node {self.home_name} cannot be reached"
-                )
-            reply = await self._link.ask(self._number, order)
-            self.endpoint.take_load(reply.load, clock.read())
-        return reply.answer
-
-    def close(self) -> None:
-        """Give up what the stream holds open; it is rolled back."""
-        if not self.home_name:
-            self._links.home.abandon(self._held)
-        elif self._link is not None:
-            self._link.close(self._number)
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -18,6 +18,7 @@
 from sardinehold.node import evidence
 from sardinehold.node import exchange
 from sardinehold.node import following
+from sardinehold.node import forwarding
 from sardinehold.node import groups
 from sardinehold.node import hedging
 from sardinehold.node import home
@@ -25,7 +26,6 @@
 from sardinehold.node import keeping
 from sardinehold.node import leader
 from sardinehold.node import leadership
-from sardinehold.node import links
 from sardinehold.node import membership
 from sardinehold.node import outcomes
 from sardinehold.node import peers
@@ -133,7 +133,7 @@
         self.exchange = exchange.Exchange(self)
         self.peers = peers.Peers(self.exchange.hear, self.journal.note)
         self.home = home.Home(self)
-        self.links = links.Links(
+        self.links = forwarding.Links(
             loaded.name,
             lambda: self.peers.key,
             self.home,
@@ -330,7 +330,7 @@
             self.groups[name] = group
         return group
 
-    def open_stream(self, endpoint: pool.Endpoint) -> links.Stream:
+    def open_stream(self, endpoint: pool.Endpoint) -> forwarding.Stream:
         """Return a new stream to an endpoint, by way of the first home to be asked."""
         now = clock.read()
         own = self.settings.name
@@ -340,8 +340,8 @@
             if name == own:
                 break
             if self.links.may_use(name, now):
-                return links.Stream(self.links, endpoint, name)
-        return links.Stream(self.links, endpoint, "")
+                return forwarding.Stream(self.links, endpoint, name)
+        return forwarding.Stream(self.links, endpoint, "")
 
     async def refresh(self, group: groups.Group) -> None:
         """Ask the store who leads: an endpoint said that it does not."""
--- a/src/sardinehold/node/readers.py
+++ b/src/sardinehold/node/readers.py
@@ -53,7 +53,11 @@
 
 
 class Relay:
-    """A reader as a source of a kind; see :class:`.watching.Source`."""
+    """A reader as a source of a kind; see :class:`.watching.Source`.
+
+    Its lists are begun after the question, since an older one might bring back what
+    this node knows to be gone.
+    """
 
     __slots__ = ("_readers", "name")
 
@@ -63,8 +67,8 @@
         self.name = name
 
     async def list(self, kind: str) -> objects.Changes:
-        """Read all objects of a kind."""
-        return await self._readers.ask(self.name, kind, 0, 0.0)
+        """Read all objects of a kind, as of no earlier than now."""
+        return await self._readers.ask(self.name, kind, FRESH, FRESH_WAIT)
 
     async def watch(self, kind: str, revision: int, wait: float) -> objects.Changes:
         """Return what changed after a revision."""
@@ -73,16 +77,6 @@
         )
 
 
-class FreshRelay(Relay):
-    """A reader that is asked for lists which it begins after the question."""
-
-    __slots__ = ()
-
-    async def list(self, kind: str) -> objects.Changes:
-        """Read all objects of a kind, as of no earlier than now."""
-        return await self._readers.ask(self.name, kind, FRESH, FRESH_WAIT)
-
-
 class Readers:
     """What a node knows of the reader of its zone.
 
@@ -100,11 +94,6 @@
         while clock.read() < deadline and not self.node.exchange.is_advised():
             await anyio.sleep(SETTLING / 10)
 
-    def find_fresh_relay(self) -> Relay | None:
-        """Return the reader to ask for a list as of now, None for the store."""
-        relay = self.find_relay()
-        return FreshRelay(self, relay.name) if relay is not None else None
-
     def find_relay(self) -> Relay | None:
         """Return the reader to ask, None if this node is to ask the store.
 
--- a/src/sardinehold/node/transactions.py
+++ b/src/sardinehold/node/transactions.py
@@ -18,7 +18,7 @@
 from sardinehold.node import waiting
 
 if typing.TYPE_CHECKING:
-    from sardinehold.node import links
+    from sardinehold.node import forwarding
     from sardinehold.node import session as sessions
 
 Kind = statements.Kind
@@ -66,7 +66,7 @@
         self.began = began
         self.route = route
         self.team = team
-        self.stream: links.Stream | None = None
+        self.stream: forwarding.Stream | None = None
         self.wrote = False
         self.has_written = False
         self.idle_deadline = idle_deadline
--- a/src/sardinehold/node/waiting.py
+++ b/src/sardinehold/node/waiting.py
@@ -8,7 +8,7 @@
 from sardinehold.node import catalog
 
 if typing.TYPE_CHECKING:
-    from sardinehold.node import links
+    from sardinehold.node import forwarding
 
 
 class Refused(Exception):
@@ -61,7 +61,7 @@
     __slots__ = ("stream", "after")
 
     def __init__(
-        self, stream: "links.Stream", after: positions.Position | None = None
+        self, stream: "forwarding.Stream", after: positions.Position | None = None
     ) -> None:
         """Keep the parts of the placement."""
         self.stream = stream
--- a/src/sardinehold/node/watching.py
+++ b/src/sardinehold/node/watching.py
@@ -94,7 +94,7 @@
         """Start with nothing read."""
         self._find_relay = find_relay
         self._is_relayed = False
-        self._objects: dict[str, objects.StoredObject] = {}
+        self._versions: dict[str, int] = {}
         self._recent: collections.deque[tuple[int, objects.Changes]] = (
             collections.deque(maxlen=RECENT)
         )
@@ -166,15 +166,16 @@
         :param relay: a node to ask for that in place of the store.
         :returns: whether anything was told.
         """
-        if not (self._relist or relist):
+        # A list of another node may be older than what this one knew before.
+        self._relist = self._relist or relist or not self.revision
+        if not self._relist:
             relay = self._find_relay()
-        self._relist = self._relist or relist
         asked = clock.read()
         before = self.revision
         try:
             changes, is_all = await self._ask(relay or self._store)
         except errors.WatchExpired:
-            self.revision = 0
+            self._relist = True
             return False
         except (errors.PlatformError, TimeoutError) as error:
             if relay is not None:
@@ -201,7 +202,7 @@
 
     async def _ask(self, source: Source) -> tuple[objects.Changes, bool]:
         """Return what a source tells, and whether that is all that there is."""
-        if self._relist or not self.revision:
+        if self._relist:
             with anyio.fail_after(CALL_MARGIN):
                 changes = await source.list(self.kind)
             self._relist = False
@@ -217,24 +218,38 @@
 
         :param before: revision that the changes follow.
         """
+        if before:
+            told = self._find_news(changes) if is_all else changes.objects
+            self._recent.append((before, objects.Changes(told, changes.revision)))
         if is_all:
-            self._objects = {}
-            self._recent.clear()
-        else:
-            self._recent.append((before, changes))
+            self._versions = {}
         for stored in changes.objects:
+            self._versions[stored.name] = stored.version
             if stored.value is None:
-                self._objects.pop(stored.name, None)
-            else:
-                self._objects[stored.name] = stored
+                del self._versions[stored.name]
         self.revision = changes.revision
         self.changed = max(self.changed, find_newest(changes))
         if changes.objects:
             self._told.set()
             self._told = anyio.Event()
 
+    def _find_news(self, listed: objects.Changes) -> list[objects.StoredObject]:
+        """Return what a whole list changes, those that are gone included."""
+        names = {stored.name for stored in listed.objects}
+        gone = [
+            objects.StoredObject(self.kind, name, version, None)
+            for name, version in self._versions.items()
+            if name not in names
+        ]
+        news = [
+            stored
+            for stored in listed.objects
+            if self._versions.get(stored.name, -1) < stored.version
+        ]
+        return gone + news
+
     async def tell(self, revision: int, wait: float) -> objects.Changes:
-        """Return what another node lacks; all there is for revision 0.
+        """Return what another node lacks.
 
         :param revision: up to which it knows the kind.
         :param wait: seconds after which it is told that nothing has changed.
@@ -247,8 +262,6 @@
                 f"This node does not follow {self.kind} in the store.",
                 "Ask the store.",
             )
-        if not revision:
-            return objects.Changes(list(self._objects.values()), self.revision)
         deadline = clock.read() + wait
         while True:
             told = self._told
--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -15,7 +15,7 @@
 from sardinehold.core import positions
 from sardinehold.node import catalog
 from sardinehold.node import clock
-from sardinehold.node import links
+from sardinehold.node import forwarding
 from sardinehold.node import node as nodes
 from sardinehold.node import peers
 from sardinehold.node import ports
@@ -324,7 +324,7 @@
             metrics.Registry(),
         )
         node.peers = Datagrams(self, name, node.exchange.hear)
-        node.links = links.Links(
+        node.links = forwarding.Links(
             name,
             lambda: node.peers.key,
             node.home,
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -6,7 +6,7 @@
 
 import builders_node
 from sardinehold.node import clock
-from sardinehold.node import links
+from sardinehold.node import forwarding
 from sardinehold.node import statements
 
 Kind = statements.Kind
@@ -268,7 +268,7 @@
         for pipe in world.pipes:
             pipe.is_open = pipe.other.is_open = False
         await client.read()
-        await asyncio.sleep(links.REDIAL_LIMIT)
+        await asyncio.sleep(forwarding.REDIAL_LIMIT)
         for _ in range(5):
             assert (await client.write()).error is None
             await asyncio.sleep(0.2)
@@ -416,3 +416,61 @@
         assert await read_all() >= 0.3
 
     builders_node.play(monkeypatch, story, count=6)
+
+
+@pytest.mark.parametrize("kind", ["configuration", "endpoints"])
+def test_process_that_starts_again_learns_nothing_old_from_a_reader(monkeypatch, kind):
+    # The reader's watch went silent before the change: what it knows is older than
+    # what the node knew before its restart.
+    async def story(world):
+        await asyncio.sleep(3.0)
+        leader = world.find_leader()
+        name, node = next(
+            (name, node)
+            for name, node in world.nodes.items()
+            if name != leader and node.readers.find_relay() is not None
+        )
+        reader = node.readers.find_relay().name
+        world.store.silent.add(reader)
+        if kind == "configuration":
+            world.publish(version=2, keys={})
+        else:
+            world.publish_endpoint("g-1", is_draining=True)
+        world.kill_node(name)
+        zone = node.settings.zone
+        again = world.start_node(name, zone)
+        while not again.is_ready():
+            await asyncio.sleep(0.005)
+        for _ in range(40):
+            if kind == "configuration":
+                assert again.find_version() == 2
+            else:
+                assert not again.groups["g"].endpoints["g-1"].takes_new_work()
+            await asyncio.sleep(0.02)
+
+    builders_node.play(monkeypatch, story, count=9)
+
+
+def test_reader_that_reads_all_anew_still_tells_what_went_and_came(monkeypatch):
+    async def story(world):
+        await asyncio.sleep(3.0)
+        leader = world.find_leader()
+        node = next(
+            node
+            for name, node in world.nodes.items()
+            if name != leader and node.readers.find_relay() is not None
+        )
+        reader = world.nodes[node.readers.find_relay().name]
+        world.store.silent.add(reader.settings.name)
+        world.publish_endpoint("g-1", is_draining=True)
+        world.store.put(builders_node.ENDPOINT_KIND, "g-2", None)
+        world.store.silent.clear()
+        lists = world.store.calls["list"]
+        reader.following.endpoints.hurry()
+        await asyncio.sleep(0.2)
+        endpoints = node.groups["g"].endpoints
+        assert not endpoints["g-1"].takes_new_work()
+        assert endpoints["g-2"].gone_since is not None
+        assert world.store.calls["list"] == lists + 1
+
+    builders_node.play(monkeypatch, story, count=9)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -7,6 +7,7 @@
 import builders_links
 from sardinehold import errors
 from sardinehold.core import positions
+from sardinehold.node import forwarding
 from sardinehold.node import frames
 from sardinehold.node import links
 from sardinehold.node import orders
@@ -40,7 +41,7 @@
     def __init__(self, tasks: list, key: bytes = KEY) -> None:
         self.lines: list[tuple[str, dict]] = []
         self.home = FakeHome()
-        self.links = links.Links(
+        self.links = forwarding.Links(
             "n1",
             lambda: key,
             self.home,
