Expect a read that queues later, and send it a second time no sooner

Cause: patience counted a statement's duration without the queue that the endpoint's home told of, so that reads were sent twice just when the endpoint was busy: 55 runs for 48 reads in test_reads_that_queue_in_front_of_a_busy_endpoint_are_not_sent_twice, 48 now.

--- a/src/sardinehold/node/pool.py
+++ b/src/sardinehold/node/pool.py
@@ -369,6 +369,11 @@
         age = (now - self.load_at) / LOAD_MEMORY
         return max(self.in_flight, self.load.ahead * max(0.0, 1.0 - age))
 
+    def expect_seconds(self, now: float) -> float:
+        """Return the seconds until a new statement is answered."""
+        queued = self.expect_ahead(now) / max(1, self.record.slots)
+        return self.round_trip + self.service * (1.0 + queued)
+
     def find_failed_share(self, now: float) -> float:
         """Return the share of its statements that failed of late."""
         share = self.grade.find_share(now)
--- a/src/sardinehold/node/reading.py
+++ b/src/sardinehold/node/reading.py
@@ -84,7 +84,7 @@
         """Return the seconds after which the read is late."""
         if self.endpoint is None:
             return hedging.LEAST
-        return hedging.find_patience(self.endpoint.service + self.endpoint.round_trip)
+        return hedging.find_patience(self.endpoint.expect_seconds(clock.read()))
 
     async def run(self) -> statements.Answer:
         """Return the answer of the first endpoint that gives one.
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -474,3 +474,19 @@
         assert world.store.calls["list"] == lists + 1
 
     builders_node.play(monkeypatch, story, count=9)
+
+
+def test_reads_that_queue_in_front_of_a_busy_endpoint_are_not_sent_twice(monkeypatch):
+    # What is sent a second time because it waits makes all others wait longer.
+    async def story(world):
+        cluster = world.clusters["g"]
+        for database in cluster.databases.values():
+            database.work = 0.05
+        clients = [world.open(name, "latest") for name in world.nodes for _ in range(8)]
+        for _ in range(3):
+            await asyncio.gather(*(client.read() for client in clients))
+        before = len(cluster.ran)
+        await asyncio.gather(*(client.read() for client in clients))
+        assert len(cluster.ran) - before == len(clients)
+
+    builders_node.play(monkeypatch, story, count=6, timeout=4.0)
