Run no order that a partition held up

Its caller had been told ABORTED at 8.4 s. The home dated the time left from the arrival; the transaction's stream was gone, so that the write began a new one; and the end of the stream, which came with it, was taken before the order had begun.

Orders are dated by a reading of the home's own clock that the sender echoes; an order inside a transaction says so and is rejected without it; a stream that is given up runs nothing. Found with it: a statement that could only begin at its deadline was queued. test_order_that_a_partition_held_up_does_not_run_when_it_is_over failed first (both transactions), test_order_inside_a_transaction_that_its_home_does_not_know_is_rejected.

--- a/src/sardinehold/node/frames.py
+++ b/src/sardinehold/node/frames.py
@@ -1,8 +1,8 @@
 """The messages of a link between two nodes, as bytes.
 
 A frame is a MessagePack array: its kind and its fields in order. Times travel as
-seconds that are left and are dated by the receiver's clock, so that the way makes
-deadlines later by what it takes, never by what clocks differ.
+seconds that are left; the home dates them by a reading of its own clock that the
+sender echoes, so that no delay on the way makes a deadline later.
 """
 
 import typing
@@ -69,8 +69,14 @@
     return msgpack.packb([kind, *fields])
 
 
-def pack_order(stream: int, order: orders.Order, now: float) -> bytes:
-    """Return the frame of an order."""
+def pack_order(
+    stream: int, order: orders.Order, now: float, echo: float, held: float
+) -> bytes:
+    """Return the frame of an order.
+
+    :param echo: the newest reading of the home's clock that came.
+    :param held: seconds since it came.
+    """
     statement = order.statement
     definition = statement.definition
     return pack(
@@ -89,17 +95,24 @@
         order.target - now,
         order.priority,
         order.after,
+        order.is_inside,
+        echo,
+        held,
     )
 
 
-def parse_order(fields: list, now: float) -> orders.Order:
+def parse_order(fields: list) -> orders.Order:
     """Return the order of a frame, its stream left out.
 
+    Its times are dated by this node's own reading that the sender had last: a frame
+    that a partition held up is as old as it is.
+
     :raises FrameError: a field is missing or of another type.
     """
     try:
         group, endpoint, team, request, text, kind, arguments, definition = fields[:8]
-        values, left, in_time, priority, after = fields[8:]
+        values, left, in_time, priority, after, is_inside, echo, held = fields[8:]
+        sent = float(echo) + float(held)
         statement = statements.Statement(
             _take_text(request),
             _take_text(text),
@@ -113,17 +126,21 @@
             _take_text(team),
             statement,
             {_take_text(name): _take_text(value) for name, value in values.items()},
-            now + float(left),
-            now + float(in_time),
+            sent + float(left),
+            sent + float(in_time),
             int(priority),
             _take_position(after),
+            bool(is_inside),
         )
     except (ValueError, TypeError, AttributeError, KeyError) as error:
         raise FrameError(f"an order cannot be read: {error!r}") from error
 
 
-def pack_reply(stream: int, reply: orders.Reply) -> bytes:
-    """Return the frame of an endpoint's answer."""
+def pack_reply(stream: int, reply: orders.Reply, now: float) -> bytes:
+    """Return the frame of an endpoint's answer.
+
+    :param now: a reading of the home's clock, for the sender to echo.
+    """
     answer = reply.answer
     return pack(
         ANSWER,
@@ -137,6 +154,7 @@
         reply.load.ahead,
         reply.load.service,
         reply.load.failed,
+        now,
     )
 
 
@@ -146,7 +164,7 @@
     :raises FrameError: a field is missing or of another type.
     """
     try:
-        rows, signature, error, detail, status, position, *load = fields
+        rows, signature, error, detail, status, position, *load, _ = fields
         ahead, service, failed = load
         answer = statements.Answer(
             [_take_text(row) for row in rows],
--- a/src/sardinehold/node/home.py
+++ b/src/sardinehold/node/home.py
@@ -104,6 +104,7 @@
             raise orders.Rejected(
                 orders.Rejection.AWAY, f"endpoint {order.endpoint} is not known here"
             )
+        self._check_stream(stream, order)
         self.running += 1
         stream.is_running = True
         try:
@@ -117,6 +118,18 @@
             else:
                 self.streams.add(stream)
 
+    @staticmethod
+    def _check_stream(stream: Stream, order: orders.Order) -> None:
+        """Reject an order that nobody waits for, or whose transaction is gone.
+
+        Behind a partition an order may come together with the end of its stream, or
+        when its connection has long been lost.
+        """
+        if stream.is_abandoned or clock.read() >= order.deadline:
+            raise orders.Rejected(orders.Rejection.AWAY, "the order came too late")
+        if order.is_inside and (stream.pooled is None or stream.pooled.is_lost):
+            raise orders.Rejected(orders.Rejection.AWAY, "its transaction is gone")
+
     def abandon(self, stream: Stream) -> None:
         """Roll back what a stream holds open; nobody waits for it any more."""
         stream.is_abandoned = True
@@ -184,8 +197,12 @@
                 raise self._reject_unreachable(endpoint)
         rank = waiter.rank(now)
         ahead = sum(other.rank(now) <= rank for other in endpoint.waiters)
-        wait = admission.expect_wait(ahead, endpoint.service, endpoint.record.slots)
-        if now + wait > waiter.order.deadline:
+        if endpoint.has_slot() and not ahead:
+            # Also where statements take too long of late: only one that runs shows
+            # that they do not any more.
+            return
+        wait = admission.expect_wait(ahead + 1, endpoint.service, endpoint.record.slots)
+        if now + wait + endpoint.service > waiter.order.deadline:
             raise self._reject_full(endpoint, f"{ahead} statements are ahead of it")
 
     def _reject_full(self, endpoint: pool.Endpoint, reason: str) -> orders.Rejected:
@@ -249,6 +266,8 @@
         asked = clock.read()
         try:
             await connections.tune(pooled, order)
+            if stream.is_abandoned:
+                raise self._reject_abandoned(stream, pooled)
             asked = clock.read()
             endpoint.sent[pooled] = asked
             if needs_replica:
@@ -274,6 +293,12 @@
         failed = endpoint.grade.find_share(clock.read())
         return orders.Reply(answer, orders.Load(ahead, endpoint.service, failed))
 
+    def _reject_abandoned(self, stream: Stream, pooled: pool.Pooled) -> orders.Rejected:
+        """Give back a connection that a stream without a waiter does not need."""
+        if stream.pooled is None:
+            self.connections.release(pooled)
+        return orders.Rejected(orders.Rejection.AWAY, "the order was given up")
+
     def _learn(
         self,
         group: groups.Group,
--- a/src/sardinehold/node/links.py
+++ b/src/sardinehold/node/links.py
@@ -129,7 +129,7 @@
         """Ask for a proof of the key."""
         super().connection_made(transport)
         self.links.inbound.add(self)
-        self.send(frames.pack(frames.CHALLENGE, self._nonce))
+        self.send(frames.pack(frames.CHALLENGE, self._nonce, clock.read()))
 
     def pause_writing(self) -> None:
         """Take no more orders from a node that does not take its answers."""
@@ -151,7 +151,7 @@
             if stream is not None:
                 self.links.home.abandon(stream)
         elif kind == frames.PING:
-            self.send(frames.pack(frames.PONG, fields[0]))
+            self.send(frames.pack(frames.PONG, fields[0], clock.read()))
         elif kind == frames.FOLLOW:
             number, name, revision, wait = fields
             self.links.spawn(self._tell, number, name, int(revision), float(wait))
@@ -184,7 +184,7 @@
             self.send(frames.pack(frames.LEAVING))
 
     def _take_order(self, number: int, fields: list) -> None:
-        order = frames.parse_order(fields, clock.read())
+        order = frames.parse_order(fields)
         stream = self._streams.get(number)
         if stream is None:
             stream = self._streams[number] = home.Stream()
@@ -195,7 +195,7 @@
     async def _run(self, number: int, stream: home.Stream, order: orders.Order) -> None:
         try:
             reply = await self.links.home.run(stream, order)
-            data = frames.pack_reply(number, reply)
+            data = frames.pack_reply(number, reply, clock.read())
         except orders.Rejected as error:
             data = frames.pack(
                 frames.REJECTED,
@@ -256,6 +256,8 @@
         self._open: set[int] = set()
         self._heard_at = clock.read()
         self._asked_at: float | None = None
+        self._echo = 0.0
+        self._echo_at = 0.0
 
     def may_take(self) -> bool:
         """Return whether a new stream may begin."""
@@ -281,7 +283,8 @@
         if not self._waiting:
             self._heard_at = now
         self._waiting[number] = future
-        self.send(frames.pack_order(number, order, now))
+        held = now - self._echo_at
+        self.send(frames.pack_order(number, order, now, self._echo, held))
         try:
             limit = order.deadline + VERDICT_GRACE - now
             await asyncio.wait([future], timeout=max(0.0, limit))
@@ -339,6 +342,8 @@
         self._heard_at = clock.read()
         self._asked_at = None
         self.is_silent = False
+        if kind in (frames.ANSWER, frames.PONG, frames.CHALLENGE):
+            self._echo, self._echo_at = float(fields[-1]), self._heard_at
         if kind == frames.ANSWER:
             self._finish(fields[0], frames.parse_reply(fields[1:]))
         elif kind == frames.REJECTED:
--- a/src/sardinehold/node/orders.py
+++ b/src/sardinehold/node/orders.py
@@ -15,6 +15,8 @@
     :param target: until when its operation is in time.
     :param priority: its route's; 0 is served first.
     :param after: position that the endpoint's log must have, or None.
+    :param is_inside: whether it belongs to a transaction that its stream holds open;
+        outside of that it must not run.
     """
 
     __slots__ = (
@@ -27,6 +29,7 @@
         "target",
         "priority",
         "after",
+        "is_inside",
     )
 
     def __init__(
@@ -40,6 +43,7 @@
         target: float,
         priority: int,
         after: positions.Position | None = None,
+        is_inside: bool = False,
     ) -> None:
         """Keep the parts of the order."""
         self.group = group
@@ -51,6 +55,7 @@
         self.target = target
         self.priority = priority
         self.after = after
+        self.is_inside = is_inside
 
 
 class Load:
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -199,6 +199,7 @@
             began + route.target_latency,
             route.priority,
             placed.after,
+            self.transaction is not None and self.transaction.stream is stream,
         )
         was_open = self.transaction is not None
         needs_replica = self._needs_replica(statement)
--- a/tests/builders_links.py
+++ b/tests/builders_links.py
@@ -56,6 +56,7 @@
         order.target,
         order.priority,
         order.after,
+        order.is_inside,
     ]
 
 
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -4,9 +4,12 @@
 
 import pytest
 
+import builders_links
 import builders_node
 from sardinehold.node import clock
 from sardinehold.node import forwarding
+from sardinehold.node import home
+from sardinehold.node import orders
 from sardinehold.node import statements
 
 Kind = statements.Kind
@@ -490,3 +493,53 @@
         assert len(cluster.ran) - before == len(clients)
 
     builders_node.play(monkeypatch, story, count=6, timeout=4.0)
+
+
+@pytest.mark.parametrize("seconds", [1.5, 6.0])
+@pytest.mark.parametrize("begins", [True, False])
+def test_order_that_a_partition_held_up_does_not_run_when_it_is_over(
+    monkeypatch, seconds, begins
+):
+    # siewnik-druk-grown trouble-1 (8904ae00): a write in a transaction reached its home
+    # thirteen seconds late, when the transaction was gone, and ran outside of it; its
+    # caller had been told that nothing was kept.
+    async def story(world):
+        home, other = find_home(world), find_others(world)[-1]
+        cluster = world.clusters["g"]
+        client = world.open(other, "latest")
+        if begins:
+            await client.send(Kind.BEGIN)
+        assert (await client.read()).error is None
+        ran = len(cluster.ran)
+        world.cuts.add(frozenset((home, other)))
+        wrote = await client.write()
+        assert wrote.error in (
+            (Failure.ABORTED,) if begins else (Failure.IN_DOUBT, None)
+        )
+        acknowledged = len(cluster.acknowledged)
+        await asyncio.sleep(seconds)
+        world.cuts.clear()
+        await asyncio.sleep(2.0)
+        assert len(cluster.acknowledged) == acknowledged
+        if begins:
+            assert len(cluster.ran) == ran
+            assert world.nodes[home].home.is_idle()
+
+    builders_node.play(monkeypatch, story, count=4)
+
+
+def test_order_inside_a_transaction_that_its_home_does_not_know_is_rejected(
+    monkeypatch,
+):
+    async def story(world):
+        node = world.nodes[find_home(world)]
+        now = clock.read()
+        order = builders_links.make_order(now, is_inside=True, after=None)
+        with pytest.raises(orders.Rejected):
+            await node.home.run(home.Stream(), order)
+        late = builders_links.make_order(now - 1.5, after=None)
+        with pytest.raises(orders.Rejected):
+            await node.home.run(home.Stream(), late)
+        assert not world.clusters["g"].ran
+
+    builders_node.play(monkeypatch, story)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -18,6 +18,9 @@
 
 KEY = b"k" * 32
 
+NOW = 500.0
+"""A reading of the home's clock."""
+
 
 class FakeHome:
     """Keeps the orders that come in, and answers none."""
@@ -85,7 +88,7 @@
     "changes",
     [
         {},
-        {"after": None, "values": {}, "priority": 0},
+        {"after": None, "values": {}, "priority": 0, "is_inside": True},
         {
             "statement": statements.Statement(
                 "r2",
@@ -100,11 +103,11 @@
 def test_order_is_read_back_as_it_was(changes):
     order = builders_links.make_order(100.0, **changes)
     ((kind, stream, *fields),) = frames.Reader().feed(
-        frames.pack_order(7, order, 100.25)
+        frames.pack_order(7, order, 100.25, 499.25, 1.0)
     )
     assert (kind, stream) == (frames.ORDER, 7)
-    # The receiver's clock is another one: only what is left counts.
-    parts = builders_links.list_parts(frames.parse_order(fields, 500.25))
+    # The home's clock is another one: times count from the reading that it sent.
+    parts = builders_links.list_parts(frames.parse_order(fields))
     expected = builders_links.list_parts(order)
     expected[9] += 400.0
     expected[10] += 400.0
@@ -115,7 +118,7 @@
     answer = statements.Answer(
         ["a", "\xe9"], "sig", None, "", "T", positions.Position(3, 9)
     )
-    data = frames.pack_reply(1, orders.Reply(answer, orders.Load(4, 0.02)))
+    data = frames.pack_reply(1, orders.Reply(answer, orders.Load(4, 0.02)), NOW)
     ((_, _, *fields),) = frames.Reader().feed(data)
     reply = frames.parse_reply(fields)
     assert reply.answer.rows == ["a", "\xe9"]
@@ -123,7 +126,7 @@
     assert (reply.answer.status, reply.answer.signature) == ("T", "sig")
     assert (reply.load.ahead, reply.load.service) == (4, 0.02)
     failed = statements.Answer([], error=statements.Failure.FAILED, detail="no")
-    data = frames.pack_reply(1, orders.Reply(failed, orders.Load(0, 0.0)))
+    data = frames.pack_reply(1, orders.Reply(failed, orders.Load(0, 0.0)), NOW)
     ((_, _, *fields),) = frames.Reader().feed(data)
     assert frames.parse_reply(fields).answer.error is statements.Failure.FAILED
 
@@ -161,7 +164,9 @@
     async def story(tasks):
         ends = Ends(tasks)
         inbound, wire = ends.accept()
-        inbound.data_received(frames.pack_order(1, builders_links.make_order(), 100.0))
+        inbound.data_received(
+            frames.pack_order(1, builders_links.make_order(), 100.0, NOW, 0.0)
+        )
         await asyncio.sleep(0)
         assert wire.is_aborted
         assert not ends.home.orders
@@ -177,8 +182,8 @@
         frames.pack("x"),
         frames.pack(frames.ORDER),
         frames.pack(frames.ORDER, 1, "too", "short"),
-        frames.pack(frames.ORDER, 1, *[None] * 13),
-        frames.pack(frames.ORDER, [1], *[None] * 13),
+        frames.pack(frames.ORDER, 1, *[None] * 16),
+        frames.pack(frames.ORDER, [1], *[None] * 16),
         frames.pack(frames.CLOSE),
         frames.pack(frames.CLOSE, {}),
         frames.pack(frames.PING),
@@ -195,7 +200,7 @@
         greet(good, good_wire)
         for inbound in (bad, good):
             inbound.data_received(
-                frames.pack_order(1, builders_links.make_order(), 100.0)
+                frames.pack_order(1, builders_links.make_order(), 100.0, NOW, 0.0)
             )
         await asyncio.sleep(0)
         bad.data_received(data)
@@ -203,7 +208,7 @@
         assert ends.home.abandoned == 1
         assert not good_wire.is_aborted
         good.data_received(frames.pack(frames.PING, 3))
-        assert good_wire.frames[-1] == [frames.PONG, 3]
+        assert good_wire.frames[-1][:2] == [frames.PONG, 3]
         assert ("link_ended", "n2") in [
             (event, fields.get("peer")) for event, fields in ends.lines
         ]
@@ -223,9 +228,13 @@
         ends = Ends(tasks)
         inbound, wire = ends.accept()
         greet(inbound, wire)
-        inbound.data_received(frames.pack_order(1, builders_links.make_order(), 100.0))
+        inbound.data_received(
+            frames.pack_order(1, builders_links.make_order(), 100.0, NOW, 0.0)
+        )
         await asyncio.sleep(0)
-        inbound.data_received(frames.pack_order(1, builders_links.make_order(), 100.0))
+        inbound.data_received(
+            frames.pack_order(1, builders_links.make_order(), 100.0, NOW, 0.0)
+        )
         assert wire.is_aborted
 
     run(story)
@@ -249,7 +258,7 @@
         ends = Ends(tasks)
         outbound, wire = links.Outbound(ends.links, "n2"), builders_links.Wire()
         outbound.connection_made(wire)
-        outbound.data_received(frames.pack(frames.CHALLENGE, b"nonce"))
+        outbound.data_received(frames.pack(frames.CHALLENGE, b"nonce", NOW))
         proof = wire.frames[-1][3]
         assert proof == peers.sign(KEY, b"nonce" + b"n1")
         outbound.data_received(frames.pack(frames.WELCOME, b"guessed"))
