--- a/src/sardinehold/node/forwarding.py
+++ b/src/sardinehold/node/forwarding.py
@@ -178,17 +178,18 @@
 class Stream:
     """A caller's statements to one endpoint, by way of a home or of this node.
 
+    :param ways: this node's links, and its own connections.
     :param endpoint: as this node sees it.
     :param home_name: the home, ``""`` for this node's own connections.
     """
 
-    __slots__ = ("endpoint", "home_name", "_links", "_link", "_number", "_held")
+    __slots__ = ("endpoint", "home_name", "_ways", "_link", "_number", "_held")
 
-    def __init__(self, links: Links, endpoint: pool.Endpoint, home_name: str) -> None:
+    def __init__(self, ways: Links, endpoint: pool.Endpoint, home_name: str) -> None:
         """Start without having sent anything."""
         self.endpoint = endpoint
         self.home_name = home_name
-        self._links = links
+        self._ways = ways
         self._link: links.Outbound | None = None
         self._number = 0
         self._held = home.Stream()
@@ -200,11 +201,11 @@
         :raises sardinehold.node.ports.ConnectionLost: the way to it broke.
         """
         if not self.home_name:
-            reply = await self._links.home.run(self._held, order)
+            reply = await self._ways.home.run(self._held, order)
         else:
             if self._link is None:
-                self._link = await self._links.obtain(self.home_name)
-                self._number = self._links.make_number()
+                self._link = await self._ways.obtain(self.home_name)
+                self._number = self._ways.make_number()
             if self._link is None:
                 raise orders.Rejected(
                     orders.Rejection.AWAY, f"node {self.home_name} cannot be reached"
@@ -216,6 +217,6 @@
     def close(self) -> None:
         """Give up what the stream holds open; it is rolled back."""
         if not self.home_name:
-            self._links.home.abandon(self._held)
+            self._ways.home.abandon(self._held)
         elif self._link is not None:
             self._link.close(self._number)
