--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -1,6 +1,7 @@
 """Statements by way of homes, in virtual time: the queue, and homes that are lost."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -10,6 +11,7 @@
 from sardinehold.node import forwarding
 from sardinehold.node import home
 from sardinehold.node import orders
+from sardinehold.node import ports
 from sardinehold.node import statements
 
 Kind = statements.Kind
@@ -558,3 +560,39 @@
         assert {node.find_version() for node in world.nodes.values()} == {2}
 
     builders_node.play(monkeypatch, story, count=6)
+
+
+@pytest.mark.parametrize("ending", ["waiting", "placed", "late"])
+def test_connection_and_slot_of_an_order_that_was_given_up_are_taken_back(
+    monkeypatch, ending
+):
+    async def story(world):
+        node = world.nodes[find_home(world)]
+        endpoint = node.groups["g"].endpoints["g-0"]
+        world.clusters["g"].databases["g-0"].work = 0.2
+
+        async def run(stream, left):
+            order = builders_links.make_order(clock.read() - 1.0 + left, after=None)
+            with contextlib.suppress(orders.Rejected, ports.ConnectionLost):
+                await node.home.run(stream, order)
+
+        busy = [asyncio.ensure_future(run(home.Stream(), 1.0)) for _ in range(4)]
+        await asyncio.sleep(0.05)
+        stream = home.Stream()
+        last = asyncio.ensure_future(run(stream, 0.25 if ending == "late" else 1.0))
+        await asyncio.sleep(0.01)
+        if ending == "waiting":
+            node.home.abandon(stream)
+            await asyncio.sleep(0.001)
+            assert last.done()
+        elif ending == "placed":
+            placed = stream.waiter.future
+            placed.add_done_callback(lambda _: node.home.abandon(stream))
+        await asyncio.gather(*busy, last)
+        await asyncio.sleep(0.6)
+        assert node.home.is_idle()
+        assert endpoint.running == 0
+        assert not endpoint.waiters
+        assert set(endpoint.idle) == endpoint.connections
+
+    builders_node.play(monkeypatch, story)
