Renew the watches of a node that takes the lead

What callers saw: a confirmed configuration was not in force for as long as 26 s, on all nodes. Nodes rely on what the leader was told, and watch the store themselves for 25 s at a time; a connection that has gone silent does no harm meanwhile. The leader watches for 4 s, but one that had just taken the lead was still in a watch that it had begun as a follower: if that was silent, nobody heard of a change until it lapsed.

Evidence: with watches silent before a planned change of leader, version 2 is not in force 3 s after its publication (test_configuration_arrives_although_the_new_leaders_watches_were _silent), nor when all connections go silent and the lead moves for that reason (test_configuration_is_in_force_when_nodes_are_in_touch_after_a_silence, five instants); both failed before. Ruled out for these tests: the list that is begun anew.

A node that takes the lead begins its watches anew and says so (watches_renewed), so the lines tell this fault from a follower's.

--- a/src/sardinehold/node/following.py
+++ b/src/sardinehold/node/following.py
@@ -123,6 +123,12 @@
         for watcher, revision in zip(self.watchers, changed, strict=False):
             watcher.compare(revision, now)
 
+    def renew_watches(self, reason: str) -> None:
+        """Begin all watches anew: their connections may have gone silent."""
+        self.node.journal.note("watches_renewed", reason=reason)
+        for watcher in self.watchers:
+            watcher.interrupt()
+
     def _note_unread(self, kind: str, reasons: list[str]) -> None:
         self.node.journal.note(
             "objects_unread", kind=kind, count=len(reasons), reason=reasons[0]
--- a/src/sardinehold/node/keeping.py
+++ b/src/sardinehold/node/keeping.py
@@ -206,6 +206,9 @@
         self._is_leading = leads
         if leads:
             self.node.leader.begin()
+            # The others rely on this node's watches now. These were begun while it
+            # relied on another's: a silent one would go unnoticed for long.
+            self.node.following.renew_watches("this node leads")
         else:
             self.node.leader.end()
         self.node.journal.note(
--- a/src/sardinehold/node/occurrences.py
+++ b/src/sardinehold/node/occurrences.py
@@ -21,6 +21,7 @@
     "endpoint_regained": "The endpoint answers again.",
     "endpoint_refused": "An entry names no endpoint; with the reason, once a version.",
     "group_state": "Term, primary or phase of a group changed, as the store has it.",
+    "watches_renewed": "Watches from before were given up and begun anew; the reason.",
     "lead_taken": "This node acts for the fleet; reserves are tokens that were kept.",
     "lead_lost": "This node does not act for the fleet any more.",
     "lead_not_written": "The leader's object could not be written; with the reason.",
--- a/src/sardinehold/node/watching.py
+++ b/src/sardinehold/node/watching.py
@@ -157,12 +157,16 @@
             self.hurry()
 
     def hurry(self) -> None:
-        """Read the kind again now: a newer change is known to exist.
+        """Read the kind again now: a newer change is known to exist."""
+        self._relist = True
+        self.interrupt()
+
+    def interrupt(self) -> None:
+        """End the watch that is on its way; the next one tells what it was to tell.
 
-        A list that is on its way goes on: a large one over a slow link would never
-        come to its end otherwise.
+        A list goes on: a large one over a slow link would never come to its end
+        otherwise, and one that gets no answer is noticed sooner than a watch.
         """
-        self._relist = True
         is_listing = clock.read() < self._listing_until
         if self._scope is not None and not is_listing:
             self._scope.cancel()
--- a/src/sardinehold_standins/objects_in_memory.py
+++ b/src/sardinehold_standins/objects_in_memory.py
@@ -11,6 +11,9 @@
 SILENCE = 1.2
 """Seconds past its wait after which a client ends a watch that is silent."""
 
+KEEPALIVE = 1.0
+"""Seconds that a client keeps a free connection."""
+
 
 class Store:
     """Objects in memory, with watches and faults.
@@ -19,6 +22,9 @@
     :param cut: names of nodes that it does not answer.
     :param losing: names of nodes whose writes are done and not answered.
     :param silent: names of nodes whose watches are not answered any more.
+    :param silenced: how often a node's open connections went silent, by its name.
+    :param unanswered: nodes whose next call is made over a connection that went
+        silent, and until when that one is kept.
     :param transfers: seconds that objects take to come, by node and kind.
     """
 
@@ -28,6 +34,8 @@
         self.cut: set[str] = set()
         self.losing: set[str] = set()
         self.silent: set[str] = set()
+        self.silenced: dict[str, int] = {}
+        self.unanswered: dict[str, float] = {}
         self.transfers: dict[tuple[str, str], float] = {}
         self.revision = 1
         self.objects: dict[tuple[str, str], objects.StoredObject] = {}
@@ -62,6 +70,16 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def silence(self, node: str) -> None:
+        """Let a node's open connections go silent for good; new ones work.
+
+        One of them is free, and is used for the next call that is soon enough.
+        """
+        self.silenced[node] = self.silenced.get(node, 0) + 1
+        self.unanswered[node] = clock.read() + KEEPALIVE
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def connect(self, node: str) -> "StoreClient":
         """Return the store as a node reaches it."""
         return StoreClient(self, node)
@@ -81,6 +99,9 @@
         if self.node in self.store.cut:
             await asyncio.sleep(1.0)
             raise errors.PlatformUnavailable("The store is cut off.", "Wait.")
+        if clock.read() < self.store.unanswered.pop(self.node, 0.0):
+            await asyncio.sleep(SILENCE)
+            raise errors.PlatformUnavailable("The connection is silent.", "Wait.")
 
     async def _answer(self) -> None:
         if self.node in self.store.losing:
@@ -104,8 +125,10 @@
             raise errors.WatchExpired("The revision is gone.", "List again.")
         deadline = clock.read() + wait
         generation = self.store.generation
+        silenced = self.store.silenced.get(self.node, 0)
         while True:
-            if self.node in self.store.silent:
+            is_silent = silenced != self.store.silenced.get(self.node, 0)
+            if is_silent or self.node in self.store.silent:
                 await asyncio.sleep(max(0.0, deadline - clock.read()) + SILENCE)
                 raise errors.PlatformUnavailable("The watch is silent.", "Wait.")
             if generation != self.store.generation:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1123,6 +1123,56 @@
     builders_node.play(monkeypatch, story)
 
 
+@pytest.mark.parametrize("after", [0.05, 1.0, 2.0, 3.0, 3.9])
+def test_configuration_is_in_force_when_nodes_are_in_touch_after_a_silence(
+    monkeypatch, after
+):
+    # All open connections to the store go silent at once, at any moment of the
+    # leader's watches. Nodes are in touch again 4 s later, and the configuration's
+    # bound of 3 s is over by then.
+    async def story(world):
+        await asyncio.sleep(3.0)
+        watches = world.store.calls["watch"]
+        while world.store.calls["watch"] == watches:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(after)
+        for name in world.nodes:
+            world.store.silence(name)
+        await asyncio.sleep(0.1)
+        world.publish(version=2, keys={"blue-key": "blue"})
+        world.publish_endpoint("g-2", is_draining=True)
+        await asyncio.sleep(3.9)
+        for node in world.nodes.values():
+            assert node.find_version() == 2
+            assert node.groups["g"].endpoints["g-2"].leaving_since is not None
+
+    builders_node.play(monkeypatch, story)
+
+
+def test_configuration_arrives_although_the_new_leaders_watches_were_silent(
+    monkeypatch,
+):
+    # A member's long watch may have been silent without harm, as the leader told it of
+    # changes; once that member leads, nobody tells it.
+    async def story(world):
+        await asyncio.sleep(3.0)
+        first = world.find_leader()
+        for name in world.nodes.keys() - {first}:
+            world.store.silence(name)
+        await asyncio.sleep(4.0)
+        world.tasks.start_soon(world.nodes[first].stop)
+        await asyncio.sleep(1.0)
+        assert world.find_leader() not in ("", first)
+        world.publish(version=2, keys={"blue-key": "blue"})
+        world.publish_endpoint("g-2", is_draining=True)
+        await asyncio.sleep(3.0)
+        for node in world.nodes.values():
+            assert node.find_version() == 2
+            assert node.groups["g"].endpoints["g-2"].leaving_since is not None
+
+    builders_node.play(monkeypatch, story)
+
+
 def test_calm_day_costs_the_store_little(monkeypatch):
     # letters-desk grown: 76 nodes made 90 calls a second, half the price of the day.
     async def story(world):
