Look at the members' contacts on the leader only

Cause: each look of each node at whether it leads (ten a second) first listed when every member had heard the store, which only a leader that goes on without the store needs: n entries on n nodes.

Ruled out: looks of one node on common instants, and fewer looks at whether the leader is heard. Both were taken out again.

--- a/src/sardinehold/node/keeping.py
+++ b/src/sardinehold/node/keeping.py
@@ -204,11 +204,11 @@
         )
 
     def _note_lead(self, leads: bool) -> None:
+        if leads is self._is_leading:
+            return
         if not leads and self.node.leader.find_certainty(clock.read()) is not None:
             # The store is out of reach for all: nobody else can have taken over.
             return
-        if leads is self._is_leading:
-            return
         self._is_leading = leads
         if leads:
             self.node.leader.begin()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1215,6 +1215,24 @@
     builders_node.play(monkeypatch, story, count=9)
 
 
+def test_nodes_that_do_not_lead_look_at_no_list_of_members(monkeypatch):
+    # Ten times a second each of 76 nodes asked when every member had heard the store.
+    async def story(world):
+        leader = world.find_leader()
+        looked = []
+        for name, node in world.nodes.items():
+            find = node.leader.roster.list_contacts
+            monkeypatch.setattr(
+                node.leader.roster,
+                "list_contacts",
+                lambda now, find=find, name=name: looked.append(name) or find(now),
+            )
+        await asyncio.sleep(5.0)
+        assert set(looked) <= {leader}
+
+    builders_node.play(monkeypatch, story)
+
+
 def test_small_team_in_front_of_many_nodes_is_served_within_its_rate(monkeypatch):
     # letters-desk grown: parts of a small rate among 76 nodes were so small that
     # no caller met, and a third of the rate was lost with them.
