Notice silent watches of a leader before nodes are in touch again

What callers saw: all nodes went on by an old configuration 4 s behind a silence of the open connections to the store. Cause: the leader's watches wait 4 s, and its client 1.2 s more.

A watch of the leader waits 1.5 s now: 2.7 s to notice and a second for the others, within the 4 s of the tightest bounds. It costs 1.25 calls a second of the fleet, whatever its size.

--- a/src/sardinehold/node/watching.py
+++ b/src/sardinehold/node/watching.py
@@ -16,9 +16,10 @@
 """Seconds that a watch waits while the leader tells which changes there are; below the
 store's limit of thirty."""
 
-LEADER_WAIT = 4.0
-"""Seconds that a watch of the leader waits, on which the others rely: a connection that
-went silent is noticed within the bounds for configurations and leaving endpoints."""
+LEADER_WAIT = 1.5
+"""Seconds that a watch of the leader waits, on which the others rely. With the client's
+limit on top, and the second in which the others learn of it, a connection that went
+silent is noticed before nodes are in touch again: 4 s where the bounds are tightest."""
 
 BEHIND_GRACE = 0.3
 """Seconds for which a node waits to be told by its watch of a change that the leader
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1173,6 +1173,31 @@
     builders_node.play(monkeypatch, story)
 
 
+@pytest.mark.parametrize("after", [0.05, 0.5, 1.0, 1.4])
+def test_silent_watches_of_all_nodes_are_noticed_although_other_calls_work(
+    monkeypatch, after
+):
+    # Fault soak, seed 3200: renewals went over connections of their own, and nothing
+    # but the leader's watches showed that these were silent.
+    async def story(world):
+        await asyncio.sleep(3.0)
+        leader = world.find_leader()
+        await asyncio.sleep(after)
+        for name in world.nodes:
+            world.store.silence(name)
+        world.store.unanswered.clear()
+        await asyncio.sleep(0.1)
+        world.publish(version=2, keys={"blue-key": "blue"})
+        world.publish_endpoint("g-2", is_draining=True)
+        await asyncio.sleep(3.9)
+        assert world.find_leader() == leader
+        for node in world.nodes.values():
+            assert node.find_version() == 2
+            assert node.groups["g"].endpoints["g-2"].leaving_since is not None
+
+    builders_node.play(monkeypatch, story)
+
+
 @pytest.mark.parametrize("seconds", [0.6, 0.9, 1.2, 2.0])
 def test_configuration_arrives_after_an_outage_that_left_watches_silent(
     monkeypatch, seconds
