--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -8,8 +8,9 @@
 
 Checked from what callers and databases see: no acknowledged write is lost or applied
 twice, no refusal that says "not run" is untrue, no read misses a commit that it had to
-see, no statement runs in another team's name, fencing tokens only rise, and everything
-serves again once the faults are over. Exit code 1 names what was broken.
+see, no statement runs in another team's name, fencing tokens only rise, a configuration
+is in force within its bound, and everything serves again once the faults are over.
+Exit code 1 names what was broken.
 """
 
 import argparse
@@ -30,6 +31,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 NODES = 3
+"""Node processes of a seed, unless the command says another number."""
 CLIENTS = 12
 FAULT_SECONDS = 14.0
 """Seconds in which faults are injected."""
@@ -37,6 +39,13 @@
 CALM_SECONDS = 8.0
 """Seconds behind them in which everything must serve again."""
 
+APPLY_SECONDS = 3.0
+"""Seconds from the store's acknowledgement in which a configuration must be in force:
+the least that a deployment asks."""
+
+SETTLE_SECONDS = 4.0
+"""Seconds behind the last fault for which the bound does not hold yet, likewise."""
+
 FAILED_SEEDS = {
     101: "two faults restarted one node at once (the soak's own fault)",
     201: "two faults restarted one node at once (the soak's own fault)",
@@ -54,7 +63,12 @@
 KINDS = {"latest": "primary", "bounded": "bounded", "session": "read_your_writes"}
 
 
-def make_configuration() -> dict:
+def make_passing_key(version: int) -> str:
+    """Return the key that one version of the configuration holds and no other."""
+    return f"k-red-{version}"
+
+
+def make_configuration(version: int = 1) -> dict:
     """Return a configuration with a route of each kind."""
     routes = [
         {
@@ -73,8 +87,9 @@
         {"Name": team, "ApiKeys": [key], "RatePerS": 500, "Burst": 500}
         for key, team in TEAMS.items()
     ]
+    tenants[0]["ApiKeys"].append(make_passing_key(version))
     return {
-        "Version": 1,
+        "Version": version,
         "Routes": routes,
         "Services": [{"Name": "g", "MaxConnections": 21, "SyncReplicas": 1}],
         "Limits": {"TxIdleMs": 3000},
@@ -85,8 +100,9 @@
 class World:
     """Stand-ins, links and node processes of one seed."""
 
-    def __init__(self, seed: int, folder: pathlib.Path, lane: int) -> None:
+    def __init__(self, seed: int, folder: pathlib.Path, lane: int, nodes: int) -> None:
         """Prepare; nothing runs yet."""
+        self.nodes = nodes
         self.lane = lane
         self.random = random.Random(seed)
         self.folder = folder
@@ -95,10 +111,16 @@
         self.links: dict[str, line_world.Link] = {}
         self.store_links: list[line_world.Link] = []
         self.processes: dict[int, asyncio.subprocess.Process] = {}
-        self.locks = [asyncio.Lock() for _ in range(NODES)]
+        self.locks = [asyncio.Lock() for _ in range(nodes)]
         self.is_over = False
+        self.version = 0
         self.broken: list[str] = []
 
+    def change_configuration(self) -> None:
+        """Put the next version into the store."""
+        self.version += 1
+        self.store.store.put("config", "main", make_configuration(self.version))
+
     async def start(self) -> None:
         """Start everything and wait until the nodes are up."""
         await self.store.start()
@@ -108,8 +130,8 @@
             link = self.links[name] = line_world.Link(server.port)
             await link.start()
             self.publish(name)
-        self.store.store.put("config", "main", make_configuration())
-        for index in range(NODES):
+        self.change_configuration()
+        for index in range(self.nodes):
             link = line_world.Link(self.store.port)
             await link.start()
             self.store_links.append(link)
@@ -141,7 +163,8 @@
         host = self.find_address(index)
         store = f"127.0.0.1:{self.store_links[index].port}"
         path = self.folder / f"node-{index}.toml"
-        zone = list(self.cluster.databases.values())[index].zone
+        databases = list(self.cluster.databases.values())
+        zone = databases[index % len(databases)].zone
         path.write_text(
             f'NodeName = "n{index}"\nIp = "{host}"\nZone = "{zone}"\n'
             "InternalPorts = [7560, 7575]\n"
@@ -203,7 +226,7 @@
         route = self.random.choice(list(STALENESS))
         key = self.random.choice(list(TEAMS))
         self.team = TEAMS[key]
-        host = self.world.find_address(self.random.randrange(NODES))
+        host = self.world.find_address(self.random.randrange(self.world.nodes))
         reader, writer = await asyncio.wait_for(asyncio.open_connection(host, 6432), 2)
         try:
             writer.write(f"START {route} {key}\r\n".encode())
@@ -307,7 +330,7 @@
 
 async def kill_node(world: World) -> None:
     """Kill a node and start it again."""
-    index = world.random.randrange(NODES)
+    index = world.random.randrange(world.nodes)
     async with world.locks[index]:
         process = world.processes[index]
         process.kill()
@@ -318,7 +341,7 @@
 
 async def stop_node(world: World) -> None:
     """Ask a node to stop, and start it again when it is gone."""
-    index = world.random.randrange(NODES)
+    index = world.random.randrange(world.nodes)
     async with world.locks[index]:
         process = world.processes[index]
         if process.returncode is not None:
@@ -331,7 +354,7 @@
 
 async def pause_node(world: World) -> None:
     """Suspend a node for a while."""
-    process = world.processes[world.random.randrange(NODES)]
+    process = world.processes[world.random.randrange(world.nodes)]
     with contextlib.suppress(ProcessLookupError):
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(0.5 + 2.5 * world.random.random())
@@ -403,6 +426,49 @@
     world.store.fault = ""
 
 
+async def silence_store(world: World) -> None:
+    """Let all connections to the store go silent for good, and change something."""
+    for link in world.store_links:
+        link.silence()
+    await change_configuration(world)
+
+
+async def change_configuration(world: World) -> None:
+    """Change the configuration a few times in quick succession."""
+    for _ in range(world.random.randrange(1, 4)):
+        world.change_configuration()
+        await asyncio.sleep(0.2 * world.random.random())
+
+
+async def check_configuration(world: World) -> None:
+    """Change the configuration as the faults end, and look for it on each node."""
+    for link in world.store_links:
+        link.silence()
+    settled_at = time.monotonic() + SETTLE_SECONDS
+    world.change_configuration()
+    await asyncio.sleep(max(APPLY_SECONDS, settled_at - time.monotonic()))
+    for index in range(world.nodes):
+        for version, expected in ((world.version, "READY"), (world.version - 1, "ERR")):
+            answer = await knock(world, index, make_passing_key(version))
+            if not answer.startswith(expected):
+                world.broken.append(
+                    f"configuration: node {index} answers {answer!r} to the key of "
+                    f"version {version}; version {world.version} is in force"
+                )
+
+
+async def knock(world: World, index: int, key: str) -> str:
+    """Return how a node answers a caller with a key."""
+    reader, writer = await asyncio.wait_for(
+        asyncio.open_connection(world.find_address(index), 6432), 2
+    )
+    try:
+        writer.write(f"START latest {key}\r\n".encode())
+        return (await asyncio.wait_for(reader.readuntil(b"\r\n"), 2)).decode().strip()
+    finally:
+        writer.transport.abort()
+
+
 FAULTS = (
     kill_node,
     stop_node,
@@ -412,6 +478,8 @@
     lag_replica,
     break_link,
     break_store,
+    silence_store,
+    change_configuration,
 )
 
 
@@ -451,9 +519,11 @@
     return broken
 
 
-async def play(seed: int, folder: pathlib.Path, lane: int) -> tuple[list[str], str]:
+async def play(
+    seed: int, folder: pathlib.Path, lane: int, nodes: int
+) -> tuple[list[str], str]:
     """Play one seed; return what was broken, and a summary."""
-    world = World(seed, folder, lane)
+    world = World(seed, folder, lane, nodes)
     world.clients = [Client(world, number) for number in range(CLIENTS)]
     await world.start()
     work = [asyncio.create_task(client.run()) for client in world.clients]
@@ -461,7 +531,9 @@
     try:
         await inject(world)
         before = sum(client.served for client in world.clients)
-        await asyncio.sleep(CALM_SECONDS)
+        ends = time.monotonic() + CALM_SECONDS
+        await check_configuration(world)
+        await asyncio.sleep(max(0.0, ends - time.monotonic()))
         calm = sum(client.served for client in world.clients) - before
         world.is_over = True
         await asyncio.wait(work[:-1], timeout=8)
@@ -494,6 +566,9 @@
         default=1 + os.getpid() % 250,
         help="loopback net 127.0.LANE, for runs at once",
     )
+    parser.add_argument(
+        "--nodes", type=int, default=NODES, help="node processes, 200 at most"
+    )
     arguments = parser.parse_args()
     failed = 0
     seeds = list(FAILED_SEEDS) if arguments.failed else []
@@ -501,7 +576,9 @@
     for seed in seeds:
         with tempfile.TemporaryDirectory() as name:
             folder = pathlib.Path(name)
-            broken, summary = asyncio.run(play(seed, folder, arguments.lane))
+            broken, summary = asyncio.run(
+                play(seed, folder, arguments.lane, arguments.nodes)
+            )
             shown = "; ".join(broken[:SHOWN]) or "ok"
             print(f"seed {seed}: {shown} ({len(broken)} broken, {summary})", flush=True)
             if broken and arguments.keep:
--- a/src/sardinehold_standins/line_world.py
+++ b/src/sardinehold_standins/line_world.py
@@ -286,6 +286,7 @@
         self.delay = 0.0
         self.is_silent = False
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silenced: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -297,6 +298,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence(self) -> None:
+        """Swallow what all open connections carry, for good; new ones work."""
+        self._silenced |= self._writers
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -312,6 +317,7 @@
             self._pass_on(reader, far_writer), self._pass_on(far_reader, writer)
         )
         self._writers -= {writer, far_writer}
+        self._silenced -= {writer, far_writer}
 
     async def _pass_on(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -320,6 +326,6 @@
             while data := await reader.read(READ_BYTES):
                 if self.delay:
                     await asyncio.sleep(self.delay)
-                if not self.is_silent:
+                if not self.is_silent and writer not in self._silenced:
                     writer.write(data)
         writer.transport.abort()
