--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -310,6 +310,20 @@
         }
         self.store.put(ENDPOINT_KIND, name, record)
 
+    def publish_changes(self) -> None:
+        """Change the configuration, and let an endpoint leave."""
+        self.publish(version=2, keys={"blue-key": "blue"})
+        self.publish_endpoint("g-2", is_draining=True)
+
+    def list_unaware(self) -> list[str]:
+        """Return the nodes that lack one of these changes."""
+        return [
+            name
+            for name, node in self.nodes.items()
+            if node.find_version() != 2
+            or node.groups["g"].endpoints["g-2"].leaving_since is None
+        ]
+
     def start_node(self, name: str, zone: str = "north") -> nodes.Node:
         loaded = settings.Settings(
             name, zone, ZONES, ("", 1), ("", 1), (name, 1), 0, ("", 1), ("", 1)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1139,12 +1139,9 @@
         for name in world.nodes:
             world.store.silence(name)
         await asyncio.sleep(0.1)
-        world.publish(version=2, keys={"blue-key": "blue"})
-        world.publish_endpoint("g-2", is_draining=True)
+        world.publish_changes()
         await asyncio.sleep(3.9)
-        for node in world.nodes.values():
-            assert node.find_version() == 2
-            assert node.groups["g"].endpoints["g-2"].leaving_since is not None
+        assert world.list_unaware() == []
 
     builders_node.play(monkeypatch, story)
 
@@ -1163,12 +1160,9 @@
         world.tasks.start_soon(world.nodes[first].stop)
         await asyncio.sleep(1.0)
         assert world.find_leader() not in ("", first)
-        world.publish(version=2, keys={"blue-key": "blue"})
-        world.publish_endpoint("g-2", is_draining=True)
+        world.publish_changes()
         await asyncio.sleep(3.0)
-        for node in world.nodes.values():
-            assert node.find_version() == 2
-            assert node.groups["g"].endpoints["g-2"].leaving_since is not None
+        assert world.list_unaware() == []
 
     builders_node.play(monkeypatch, story)
 
@@ -1187,13 +1181,10 @@
             world.store.silence(name)
         world.store.unanswered.clear()
         await asyncio.sleep(0.1)
-        world.publish(version=2, keys={"blue-key": "blue"})
-        world.publish_endpoint("g-2", is_draining=True)
+        world.publish_changes()
         await asyncio.sleep(3.9)
         assert world.find_leader() == leader
-        for node in world.nodes.values():
-            assert node.find_version() == 2
-            assert node.groups["g"].endpoints["g-2"].leaving_since is not None
+        assert world.list_unaware() == []
 
     builders_node.play(monkeypatch, story)
 
@@ -1215,12 +1206,9 @@
             world.store.silence(name)
         await asyncio.sleep(seconds)
         world.store.cut.clear()
-        world.publish(version=2, keys={"blue-key": "blue"})
-        world.publish_endpoint("g-2", is_draining=True)
+        world.publish_changes()
         await asyncio.sleep(4.0)
-        for node in world.nodes.values():
-            assert node.find_version() == 2
-            assert node.groups["g"].endpoints["g-2"].leaving_since is not None
+        assert world.list_unaware() == []
 
     builders_node.play(monkeypatch, story)
 
