--- a/src/sardinehold/node/keeping.py
+++ b/src/sardinehold/node/keeping.py
@@ -188,6 +188,7 @@
             return
         self.wrote_at = clock.read()
         if self._has_unanswered:
+            # Watches that waited meanwhile may hear nothing any more.
             self._has_unanswered = False
             self.node.following.renew_watches("the store answers again")
         lead.note_written(asked, stored.version, reserves)
--- a/src/sardinehold/node/loops.py
+++ b/src/sardinehold/node/loops.py
@@ -8,9 +8,9 @@
 import asyncio
 import selectors
 
-MAX_STEPS = 8
-"""Rounds of ready steps after which the kernel is asked for input all the same: a
-statement's way from its arrival to the endpoint takes about as many."""
+MAX_ROUNDS = 8
+"""Rounds of ready steps after which the kernel is asked for input all the same: about
+as many as a statement takes from its arrival to the endpoint."""
 
 
 class Selector(selectors.DefaultSelector):
@@ -29,7 +29,7 @@
         :param timeout: seconds to wait at most; 0 or less if steps are ready to run.
         """
         is_busy = timeout is not None and timeout <= 0
-        if is_busy and self._rounds < MAX_STEPS:
+        if is_busy and self._rounds < MAX_ROUNDS:
             self._rounds += 1
             return []
         self._rounds = 0
--- a/tests/test_loops.py
+++ b/tests/test_loops.py
@@ -37,7 +37,7 @@
 def test_chain_of_steps_asks_the_kernel_once_in_a_while(monkeypatch):
     # letters-desk grown: 720 polls a second on a node with 40 statements a second.
     polls = count_polls(monkeypatch, lambda: hand_on(400))
-    assert polls <= 2 * 400 / loops.MAX_STEPS + 2
+    assert polls <= 2 * 400 / loops.MAX_ROUNDS + 2
 
 
 def test_input_is_taken_although_steps_never_end(monkeypatch):
@@ -47,7 +47,7 @@
         arrived = []
         loop.add_reader(near, lambda: arrived.append(near.recv(1)))
         far.send(b"x")
-        await hand_on(loops.MAX_STEPS)
+        await hand_on(loops.MAX_ROUNDS)
         assert arrived == [b"x"]
         loop.remove_reader(near)
         near.close()
