--- a/src/sardinehold_standins/objects_in_memory.py
+++ b/src/sardinehold_standins/objects_in_memory.py
@@ -15,10 +15,31 @@
 """Idle timeout in seconds of a client's connections."""
 
 
+class Copy:
+    """Content of the store at one revision, to which it can be restored.
+
+    :param items: the objects by kind and name.
+    """
+
+    __slots__ = ("revision", "items", "history")
+
+    def __init__(
+        self,
+        revision: int,
+        items: dict[tuple[str, str], objects.StoredObject],
+        history: list[objects.StoredObject],
+    ) -> None:
+        """Store the content."""
+        self.revision = revision
+        self.items = items
+        self.history = history
+
+
 class Store:
     """In-memory objects with watches and fault injection.
 
     :param delay: latency of a call in seconds.
+    :param era: rises by one each time that the store is restored from a copy.
     :param cut: names of nodes whose calls get no answer.
     :param losing: names of nodes whose writes take effect without an answer.
     :param silent: names of nodes whose watches get no answer.
@@ -38,6 +59,7 @@
         self.silenced: dict[str, int] = {}
         self.unanswered: dict[str, float] = {}
         self.transfer_seconds: dict[tuple[str, str], float] = {}
+        self.era = 1
         self.revision = 1
         self.objects: dict[tuple[str, str], objects.StoredObject] = {}
         self.history: list[objects.StoredObject] = []
@@ -71,6 +93,20 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def save(self) -> Copy:
+        """Return a copy of the content."""
+        return Copy(self.revision, dict(self.objects), list(self.history))
+
+    def restore(self, copy: Copy) -> None:
+        """Return to a copy: later changes are lost, their revisions are used again."""
+        self.era += 1
+        self.revision = copy.revision
+        self.objects = dict(copy.items)
+        self.history = list(copy.history)
+        self.generation += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def silence(self, node: str) -> None:
         """Make a node's open connections unresponsive for good; new ones work.
 
@@ -133,7 +169,7 @@
         :raises sardinehold.errors.PlatformUnavailable: a fault ended the watch.
         """
         await self._call("watch")
-        if revision < self.store.oldest:
+        if not self.store.oldest <= revision <= self.store.revision:
             raise errors.WatchExpired("The revision has expired.", "List again.")
         deadline = clock.read() + wait
         generation = self.store.generation
--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -384,6 +384,16 @@
             self.start_node(f"n{index}", zones[index % len(zones)])
         await asyncio.sleep(4.0)
 
+    async def restore_store(
+        self, copy: objects_in_memory.Copy, seconds: float = 2.0
+    ) -> None:
+        """Take the store away, and bring it back from an older copy."""
+        self.store.cut |= set(self.nodes)
+        self.store.abort_watches()
+        await asyncio.sleep(seconds)
+        self.store.restore(copy)
+        self.store.cut.clear()
+
     def open(self, node: str, route: str = "session", key: str = "red-key") -> "Client":
         return Client(self, sessions.Session(self.nodes[node], route, key))
 
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,197 @@
+"""Fleets whose store comes back from an older copy, in virtual time."""
+
+import asyncio
+
+import pytest
+
+import builders_node
+from sardinehold.node import clock
+from sardinehold.node import leadership
+from sardinehold.node import statements
+from sardinehold.node import store_mirror
+from sardinehold_standins import objects_in_memory
+
+Failure = statements.Failure
+
+APPLY_SECONDS = 3.0
+"""Seconds from the store's acknowledgement until a configuration must be in force."""
+
+ELECTION_SECONDS = leadership.TAKEOVER_AFTER + leadership.TAKEOVER_JITTER + 1.0
+"""Seconds after the store's return until a node must lead: a takeover, and the time in
+which watches and retries notice the return."""
+
+
+def list_leaders(world):
+    now = clock.read()
+    return [name for name, node in world.nodes.items() if node.leadership.leads(now)]
+
+
+async def count_leaders(world, seconds):
+    """Return the highest number of nodes that led at the same time."""
+    most = 0
+    deadline = clock.read() + seconds
+    while clock.read() < deadline:
+        most = max(most, len(list_leaders(world)))
+        await asyncio.sleep(0.02)
+    return most
+
+
+async def replace_primary(world):
+    """Crash the primary and wait for the next one; the database returns."""
+    database = world.clusters["g"].primary
+    database.crash()
+    await asyncio.sleep(6.0)
+    database.is_primary = False
+    database.term = world.clusters["g"].primary.term
+    database.log = list(world.clusters["g"].primary.log)
+    database.paused_term = 0
+    database.is_up = True
+    await asyncio.sleep(1.0)
+
+
+def find_stored_state(world):
+    return world.store.objects["sardinehold", "group.g"].value
+
+
+@pytest.mark.parametrize("seconds", [0.1, 2.0])
+def test_a_node_leads_again_after_the_store_was_restored(monkeypatch, seconds):
+    async def scenario(world):
+        copy = world.store.save()
+        await asyncio.sleep(5.0)
+        await world.restore_store(copy, seconds)
+        await asyncio.sleep(ELECTION_SECONDS)
+        world.store.calls.clear()
+        await asyncio.sleep(5.0)
+        assert len(list_leaders(world)) == 1
+        # One node renews its lease; nobody else writes.
+        assert world.store.calls["update"] <= 5.0 / leadership.RENEW_INTERVAL + 1
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("killed", ["leader", "followers"])
+def test_one_node_leads_when_revisions_are_given_out_again(monkeypatch, killed):
+    async def scenario(world):
+        copy = world.store.save()
+        await asyncio.sleep(9.0)
+        first = world.find_leader()
+        names = (
+            [first] if killed == "leader" else [n for n in world.nodes if n != first]
+        )
+        await world.restore_store(copy)
+        for name in names:
+            zone = world.nodes[name].settings.zone
+            world.kill_node(name)
+            world.start_node(name, zone)
+        assert await count_leaders(world, 20.0) == 1
+        assert len(list_leaders(world)) == 1
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_fencing_tokens_rise_when_the_store_is_restored(monkeypatch):
+    async def scenario(world):
+        copy = world.store.save()
+        await replace_primary(world)
+        await world.restore_store(copy)
+        await asyncio.sleep(ELECTION_SECONDS)
+        await replace_primary(world)
+        tokens = [token for _, token, _ in world.clusters["g"].promotions]
+        assert len(tokens) >= 2
+        assert tokens == sorted(set(tokens))
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_replaced_primary_stays_replaced_when_the_store_is_restored(monkeypatch):
+    async def scenario(world):
+        copy = world.store.save()
+        await replace_primary(world)
+        primary = world.clusters["g"].primary.name
+        await world.restore_store(copy)
+        deadline = clock.read() + 8.0
+        while clock.read() < deadline:
+            for node in world.nodes.values():
+                assert node.groups["g"].state.primary == primary
+            await asyncio.sleep(0.05)
+        assert find_stored_state(world)["primary"] == primary
+        assert len(world.clusters["g"].promotions) == 1
+        assert (await world.open("n1", "latest").write()).error is None
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("passed", [0, 40])
+def test_configuration_written_after_a_restore_is_in_force_in_time(monkeypatch, passed):
+    # The store's revision passes the one from which the watches continue.
+    async def scenario(world):
+        copy = world.store.save()
+        world.publish(version=2)
+        await asyncio.sleep(4.0)
+        await world.restore_store(copy, 0.1)
+        for _ in range(passed):
+            world.store.put("other", "x", {})
+        world.publish(version=2)
+        world.publish(version=3, keys={"blue-key": "blue"})
+        for _ in range(passed):
+            world.store.put("other", "x", {})
+        await asyncio.sleep(APPLY_SECONDS)
+        assert {node.find_version() for node in world.nodes.values()} == {3}
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("restarted", [["n1"], ["n0"], ["n0", "n1"]])
+def test_restarted_node_gets_the_configuration_that_the_store_lost(
+    monkeypatch, restarted
+):
+    async def scenario(world):
+        copy = world.store.save()
+        world.publish(version=2, keys={"blue-key": "blue"})
+        await asyncio.sleep(4.0)
+        await world.restore_store(copy)
+        for name in restarted:
+            zone = world.nodes[name].settings.zone
+            world.kill_node(name)
+            world.start_node(name, zone)
+        await asyncio.sleep(ELECTION_SECONDS + 1.0)
+        assert {node.find_version() for node in world.nodes.values()} == {2}
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_draining_endpoint_gets_no_work_when_the_store_forgot_it(monkeypatch):
+    async def scenario(world):
+        copy = world.store.save()
+        world.publish_endpoint("g-2", is_draining=True)
+        await asyncio.sleep(4.0)
+        await world.restore_store(copy)
+        await asyncio.sleep(4.0)
+        for node in world.nodes.values():
+            assert node.groups["g"].endpoints["g-2"].draining_since is not None
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_members_and_secret_that_the_store_lost_are_written_again(monkeypatch):
+    async def scenario(world):
+        copy = world.store.save()
+        fleet = store_mirror.FLEET_KIND
+        items = {key: item for key, item in copy.items.items() if key[0] != fleet}
+        key = world.nodes["n0"].peers.key
+        events = []
+        for node in world.nodes.values():
+            monkeypatch.setattr(
+                node.journal, "note", lambda event, **_: events.append(event)
+            )
+        await asyncio.sleep(2.0)
+        empty = objects_in_memory.Copy(copy.revision, items, [])
+        await world.restore_store(empty)
+        await asyncio.sleep(ELECTION_SECONDS)
+        assert {node.peers.key for node in world.nodes.values()} == {key}
+        stored = {name for kind, name in world.store.objects if kind == fleet}
+        assert stored == {"group.g", "member.n0", "member.n1", "member.n2", "secret"}
+        assert bytes.fromhex(world.store.objects[fleet, "secret"].value["key"]) == key
+        assert "member_gone" not in events
+
+    builders_node.run_scenario(monkeypatch, scenario)
