--- a/src/sardinehold/errors.py
+++ b/src/sardinehold/errors.py
@@ -213,6 +213,16 @@
     code = "SH303"
 
 
+class StoreRestored(PlatformError):
+    """The platform's store was restored from an older copy during the call.
+
+    What the call read may be gone; what it wrote may have met other contents than its
+    condition meant.
+    """
+
+    code = "SH308"
+
+
 class ObjectMissing(PlatformError):
     """The object does not exist."""
 
--- a/src/sardinehold/node/catalog.py
+++ b/src/sardinehold/node/catalog.py
@@ -5,6 +5,8 @@
 
 import enum
 
+from sardinehold import objects
+
 
 class Consistency(enum.Enum):
     """Consistency level of a route's reads."""
@@ -204,18 +206,34 @@
     SEALED = "sealed"
 
 
+Stage = tuple[int, bool, int]
+"""Term, whether the group is sealed, and attempt of a state. Every step of every change
+of primary increases it, whatever the store has lost."""
+
+
 class GroupState:
     """A group's primary and term, as agreed on in the store.
 
     :param term: of the primary; increases with each change.
     :param primary: the endpoint's name, ``""`` while none is known.
     :param phase: ``SEALED`` while the primary is being replaced.
-    :param version: the store's version of this state, 0 if it is not stored.
+    :param version: version of the group's object in the store, with revision 0 if there
+        is none.
     :param attempt: number of promotions requested under this seal; the version that
         the state gets with the new count is the fencing token of the request.
+    :param is_stored: whether the object holds this state and was written in the era of
+        its version; otherwise the leader has to write it again.
     """
 
-    __slots__ = ("group", "term", "primary", "phase", "version", "attempt")
+    __slots__ = (
+        "group",
+        "term",
+        "primary",
+        "phase",
+        "version",
+        "attempt",
+        "is_stored",
+    )
 
     def __init__(
         self,
@@ -225,22 +243,54 @@
         phase: Phase,
         version: int = 0,
         attempt: int = 0,
+        is_stored: bool = True,
     ) -> None:
         """Initialize the state."""
         self.attempt = attempt
+        self.is_stored = is_stored
         self.group = group
         self.term = term
         self.primary = primary
         self.phase = phase
         self.version = version
 
-    def dump(self) -> dict:
-        """Return the value that is stored."""
+    @property
+    def stage(self) -> Stage:
+        """The state's place in the order of all states of the group."""
+        return self.term, self.phase is Phase.SEALED, self.attempt
+
+    def move(self, version: int, is_stored: bool) -> "GroupState":
+        """Return the same state for another version of the stored object."""
+        return GroupState(
+            self.group,
+            self.term,
+            self.primary,
+            self.phase,
+            version,
+            self.attempt,
+            is_stored,
+        )
+
+    def merge(self, other: "GroupState") -> "GroupState":
+        """Return the later one of two states, with the newest version of the object.
+
+        A restored store holds an earlier state under a newer version.
+        """
+        later = max(self, other, key=lambda state: (state.stage, state.version))
+        version = max(self.version, other.version)
+        return later if later.version == version else later.move(version, False)
+
+    def dump(self, era: int = 0) -> dict:
+        """Return the value that is stored.
+
+        :param era: era of the store in which it is written.
+        """
         return {
             "term": self.term,
             "primary": self.primary,
             "phase": self.phase.value,
             "attempt": self.attempt,
+            "era": era,
         }
 
 
@@ -256,4 +306,5 @@
         Phase(value["phase"]),
         version,
         int(value["attempt"]),
+        int(value.get("era", 0)) == objects.find_era(version),
     )
--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -46,6 +46,9 @@
 """Seconds after a leader's first response until its first tokens are expected: it waits
 until those of the previous leader have expired."""
 
+NO_STAGE: catalog.Stage = (0, False, 0)
+"""Stage of a group of which the leader has sent no state: before all others."""
+
 STORE_CHECK_INTERVAL = 0.8
 """Seconds between two checks of the store for a leader that it does not answer."""
 
@@ -71,6 +74,8 @@
         self._allocator_empty_until = float("-inf")
         self._store_checked_at = float("-inf")
         self._report_due = anyio.Event()
+        self._catalog_hint = 0
+        self._catalog_hint_at = float("-inf")
         self._last_response: reports.LeaderResponse | None = None
         self._last_response_at = 0.0
 
@@ -92,6 +97,10 @@
         """Return whether this node has had no contact with a leader for long."""
         return self.measure_leader_silence(now) > LEADER_LOST_AFTER
 
+    def has_lost_leader(self, now: float) -> bool:
+        """Return whether this node had contact with a leader, but not for long."""
+        return self.leader_contact_at > float("-inf") and self.is_isolated(now)
+
     def measure_isolation(self, now: float) -> float:
         """Return the seconds since the last contact with a leader or the store."""
         last_contact = max(
@@ -133,7 +142,7 @@
             self.node.settings.name,
             self.node.incarnation,
             now,
-            {name: g.state.version for name, g in self.node.groups.items() if g.state},
+            {name: g.state.stage for name, g in self.node.groups.items() if g.state},
             self.collect_samples(now),
             {
                 name: group.acknowledged
@@ -150,6 +159,8 @@
             now - self.node.store_mirror.find_store_contact(),
             self._list_full(now),
             self.measure_leader_silence(now),
+            self.node.store.era,
+            self._list_later_states(),
         )
         if holder == self.node.settings.name:
             response = self.node.leader.handle_report(report)
@@ -160,6 +171,21 @@
         if member is not None:
             self.node.peers.send(report.dump(), member.address)
 
+    def _list_later_states(self) -> list[catalog.GroupState]:
+        """Return the states that the leader does not know, by its last response.
+
+        A leader that started after a restore only knows what the store did not lose.
+        """
+        if self._last_response is None:
+            return []
+        advised = {state.group: state.stage for state in self._last_response.states}
+        return [
+            group.state
+            for name, group in self.node.groups.items()
+            if group.state is not None
+            and group.state.stage > advised.get(name, NO_STAGE)
+        ]
+
     def _list_full(self, now: float) -> tuple[str, ...]:
         """Return the endpoints that recently refused this node a connection."""
         return tuple(
@@ -212,6 +238,7 @@
     def _handle_announcement(
         self, announcement: reports.Announcement, now: float
     ) -> None:
+        self.node.store.note_era(announcement.version)
         if announcement.resigns:
             self.node.leadership.accept_resignation(
                 announcement.incarnation, announcement.version, now
@@ -244,6 +271,7 @@
         now = clock.read()
         if response.echo > now or now - response.echo > RESPONSE_LIFETIME:
             return
+        self.node.store.note_era(response.lead_version)
         if (
             not self._last_response
             or response.incarnation != self._last_response.incarnation
@@ -263,7 +291,7 @@
         for state in response.states:
             self.node.store_mirror.take_state(state)
             group = self.node.groups[state.group]
-            if group.state.version != state.version:
+            if group.state.stage != state.stage:
                 continue
             if state.phase is catalog.Phase.SERVING:
                 group.lease.confirm(response.date(response.certain_age))
@@ -282,12 +310,18 @@
         self.fetch_newer_catalog(response.node, response.catalog_version)
 
     def fetch_newer_catalog(self, peer: str, version: int) -> None:
-        """Fetch the configuration of another node if it is newer."""
+        """Fetch the configuration of another node if it is newer.
+
+        A store that was restored may have lost it: it is then fetched from the node.
+        """
         known = self.node.find_version()
         if version <= known:
             return
+        if version > self._catalog_hint:
+            self._catalog_hint, self._catalog_hint_at = version, clock.read()
         watcher = self.node.store_mirror.configuration
-        if watcher.is_failing():
+        is_lost = watcher.listed_at > self._catalog_hint_at
+        if watcher.is_failing() or is_lost:
             member = self.node.members.get(peer)
             if member is not None:
                 self.node.peers.send(
--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -58,6 +58,11 @@
 """Seconds between the seal and the freeze of a switchover, in which running statements
 complete."""
 
+REQUESTED_ATTEMPT = 2
+"""First attempt of a seal under which a promotion was requested, when all leases on the
+old primary had expired. A primary of a later term under an earlier attempt was promoted
+under a seal that the store has lost."""
+
 REINSTATE_AFTER = 1.5
 """Seconds after which an old primary that stepped down may be promoted again, if too
 few replicas can be read to replace it."""
@@ -78,7 +83,7 @@
     async def write_state(self, state: catalog.GroupState) -> catalog.GroupState:
         """Store a state unless it changed since it was read (compare-and-swap)."""
 
-    def is_seal_known(self, group: str, version: int) -> bool:
+    def is_seal_known(self, group: str, stage: catalog.Stage) -> bool:
         """Return whether every node has stopped using the old primary."""
 
     def count_departed(self, group: str, primary: str) -> int:
@@ -176,18 +181,20 @@
             fleet.notify_nodes()
             if self.planned:
                 await anyio.sleep(PLANNED_SEAL_DELAY)
-        sealed_version = state.version
+        sealed = state
         self._first_frozen_at = clock.read()
         while fleet.leads():
             plan = await self._freeze(state)
             if plan.leader:
+                if sealed.attempt < REQUESTED_ATTEMPT:
+                    await self._wait_for_leases(sealed.stage)
                 await self._publish(state, plan.leader, started_at)
                 return
             if not plan.target:
                 await anyio.sleep(RETRY_DELAY)
                 continue
             fleet.record_frozen(self.group, self._end_position)
-            await self._wait_for_leases(sealed_version)
+            await self._wait_for_leases(sealed.stage)
             if not await self._check_frozen(state):
                 continue
             state = await self._promote(state, plan.target)
@@ -316,11 +323,11 @@
 
     # Promoting
 
-    async def _wait_for_leases(self, sealed_version: int) -> None:
+    async def _wait_for_leases(self, sealed: catalog.Stage) -> None:
         """Wait until no node holds a lease on the old primary."""
         expires_at = self._frozen_at + primary_lease.LEASE * (1 + 2 * clock.RATE_MARGIN)
         while clock.read() < expires_at:
-            if self.fleet.is_seal_known(self.group, sealed_version):
+            if self.fleet.is_seal_known(self.group, sealed):
                 return
             await anyio.sleep(CHECK_INTERVAL)
 
@@ -429,6 +436,27 @@
     return done
 
 
+async def find_later_term(fleet: Fleet, group: str, state: catalog.GroupState) -> bool:
+    """Return whether an endpoint has seen a later term than a state's.
+
+    :raises sardinehold.errors.PlatformUnavailable: no endpoint confirms the state: its
+        primary cannot be queried, or is none.
+    """
+    is_confirmed = False
+    for record in fleet.list_records(group):
+        status = await read_status(fleet, record)
+        if status is not None and status.term > state.term:
+            return True
+        if status is not None and status.is_primary and record.name == state.primary:
+            is_confirmed = status.term == state.term
+    if not is_confirmed:
+        raise errors.PlatformUnavailable(
+            f"{state.primary} does not confirm that it is the primary of {group}.",
+            "It is replaced if no other node knows a later state.",
+        )
+    return False
+
+
 async def _reconcile_one(
     connection: ports.Connection, state: catalog.GroupState, deadline: float
 ) -> bool:
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -44,6 +44,21 @@
 """Team name under which connections for queries about logs are opened."""
 
 
+class Drain:
+    """The drain of an endpoint's process.
+
+    :param born: the start of the process that drains.
+    :param since: when this node learned of it.
+    """
+
+    __slots__ = ("born", "since")
+
+    def __init__(self, born: int, since: float) -> None:
+        """Store the drain."""
+        self.born = born
+        self.since = since
+
+
 class Group:
     """One group of databases.
 
@@ -56,6 +71,8 @@
     :param state: primary and term, as last read from the store; None while unknown.
     :param acknowledged: position of the newest commit acknowledged to a caller.
     :param removed_at: when endpoints were removed, by their names.
+    :param drains: drains of endpoints, by their names; a drain is never revoked, also
+        if the store has lost it.
     :param frozen: on the leader, during a failover: the end of the frozen logs, beyond
         which no commit is acknowledged.
     """
@@ -85,6 +102,7 @@
         self.acknowledged: positions.Position | None = None
         self._commits_known_since = clock.read()
         self.removed_at: dict[str, float] = {}
+        self.drains: dict[str, Drain] = {}
         self._no_primary_since: float | None = None
         self._connector = connector
         self._spawn = spawn
@@ -96,9 +114,7 @@
     # Updates from the store
 
     def apply_state(self, state: catalog.GroupState) -> None:
-        """Apply a newer state of the group."""
-        if self.state is not None and state.version <= self.state.version:
-            return
+        """Apply a later state of the group."""
         before, self.state = self.state, state
         if state.phase is catalog.Phase.SERVING:
             self.frozen = None
@@ -120,13 +136,22 @@
         endpoint.record = record
         endpoint.missing_since = None
         self.removed_at.pop(record.name, None)
-        if not record.is_draining:
-            endpoint.draining_since = None
-        elif endpoint.draining_since is None:
-            endpoint.draining_since = now
+        was_draining = endpoint.draining_since is not None
+        endpoint.draining_since = self._find_drain(record, now)
+        if endpoint.draining_since is not None and not was_draining:
             self._close_if_draining(endpoint)
         self.dispatch_waiting()
 
+    def _find_drain(self, record: catalog.EndpointRecord, now: float) -> float | None:
+        """Return since when an endpoint has been draining, None if it is not."""
+        drain = self.drains.get(record.name)
+        if drain is not None and drain.born == record.born:
+            return drain.since
+        if not record.is_draining:
+            return None
+        self.drains[record.name] = Drain(record.born, now)
+        return now
+
     def mark_missing(self, name: str, now: float) -> None:
         """Record that the store no longer has a record of an endpoint."""
         endpoint = self.endpoints.get(name)
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -5,6 +5,7 @@
 import anyio
 
 from sardinehold import errors
+from sardinehold import objects
 from sardinehold.core import positions
 from sardinehold.core import quota
 from sardinehold.node import catalog
@@ -65,7 +66,7 @@
         self.allocator: quota.Allocator | None = None
         self._busy: set[str] = set()
         self._retry_at: dict[str, float] = {}
-        self._aligned: dict[str, int] = {}
+        self._aligned: dict[str, catalog.Stage] = {}
         self._announce_at = 0.0
         self._connected_share = 1.0
         self._missing_since: dict[str, float] = {}
@@ -179,11 +180,13 @@
         :returns: None while another node may lead.
         """
         now = clock.read()
+        self.node.store.note_era(objects.make_version(report.era, 0))
         self.member_reports.add(report, now)
         exclusive_until = self.find_exclusive_until(now)
         if exclusive_until is None:
             return None
         self._apply_positions(report)
+        self._apply_later_states(report)
         # The other nodes depend on this node's watch, whose connection may be silent
         # while theirs is not.
         self.node.exchange.fetch_newer_catalog(report.node, report.catalog_version)
@@ -201,7 +204,11 @@
             self.node.settings.name,
             self.node.incarnation,
             report.sent_at,
-            [group.state for group in self.node.groups.values() if group.state],
+            [
+                group.state
+                for group in self.node.groups.values()
+                if group.state is not None and group.state.is_stored
+            ],
             self.node.exchange.collect_samples(now),
             grants or [],
             self.node.catalog.version if self.node.catalog else 0,
@@ -252,9 +259,17 @@
             sampled_at = report.date(age, self.node.incarnation)
             if group is None or group.state is None or sampled_at is None:
                 continue
-            if report.states.get(name) == group.state.version:
+            if report.states.get(name) == group.state.stage:
                 group.record_position(sampled_at, position)
 
+    def _apply_later_states(self, report: reports.Report) -> None:
+        """Take the states that another node knows and the store has lost."""
+        for state in report.later:
+            if not self.node.store.is_current(state.version):
+                version = objects.make_version(self.node.store.era, 0)
+                state = state.move(version, False)
+            self.node.store_mirror.take_state(state)
+
     def _list_suspects(self, report: reports.Report, now: float) -> list[str]:
         """Return the primaries that a node is to probe."""
         return sorted(
@@ -340,11 +355,13 @@
         work: typing.Callable[..., typing.Awaitable[None]]
         if state is None:
             work = self._create
+        elif not state.is_stored:
+            work = self._rewrite
         elif state.phase is catalog.Phase.SEALED or self._is_lost(state, now):
             work = self._replace
         elif self._is_primary_draining(state):
             work = self._hand_over
-        elif self._aligned.get(name) != state.version:
+        elif self._aligned.get(name) != state.stage:
             work = self._align
         else:
             return
@@ -391,22 +408,51 @@
     async def _create(self, name: str) -> None:
         """Find the primary of a group that has no state in the store."""
         unread: dict[str, str] = {}
+        found: dict[str, ports.LogStatus] = {}
         for record in self.list_records(name):
             reason, status = await failover.query(
                 self, record, failover.read_log_status
             )
             if reason:
                 unread[record.name] = reason
-            if status is not None and status.is_primary:
-                state = catalog.GroupState(
-                    name, status.term, record.name, catalog.Phase.SERVING
-                )
-                await self.write_state(state)
-                self.note("created", group=name, term=status.term, primary=record.name)
-                return
+            if status is not None:
+                found[record.name] = status
+        primary = promotion.find_primary(found)
+        if primary:
+            term = found[primary].term
+            state = catalog.GroupState(
+                name,
+                term,
+                primary,
+                catalog.Phase.SERVING,
+                objects.make_version(self.node.store.era, 0),
+            )
+            await self.write_state(state)
+            self.note("created", group=name, term=term, primary=primary)
+            return
         self.note("not_created", group=name, unread=unread)
         self._retry_at[name] = clock.read() + CREATE_DELAY
 
+    async def _rewrite(self, name: str) -> None:
+        """Write a state that the store lost, or holds from before a restore.
+
+        A process that started after the restore may know no later state than the store:
+        the endpoints have to confirm it.
+        """
+        state = self.find_state(name)
+        if state.phase is catalog.Phase.SERVING:
+            try:
+                if await failover.find_later_term(self, name, state):
+                    await self._replace(name)
+                    return
+            except errors.PlatformUnavailable:
+                if not self.node.store.remembers_earlier_era():
+                    await self._replace(name)
+                    return
+        state = self.find_state(name)
+        await self.write_state(state)
+        self.note("rewritten", group=name, term=state.term, primary=state.primary)
+
     async def _replace(self, name: str) -> None:
         await self._run_procedure(name, planned=False)
 
@@ -422,7 +468,7 @@
         """Configure replication from a primary that another leader promoted."""
         state = self.find_state(name)
         if state is not None and await failover.reconcile(self, name, state):
-            self._aligned[name] = state.version
+            self._aligned[name] = state.stage
         else:
             self._retry_at[name] = clock.read() + FAILURE_DELAY
 
@@ -445,9 +491,9 @@
         """Write a state if the stored version is the one it was derived from."""
         return await self.node.store_writer.write_state(state)
 
-    def is_seal_known(self, group: str, version: int) -> bool:
+    def is_seal_known(self, group: str, stage: catalog.Stage) -> bool:
         """Return whether every node has stopped using the old primary."""
-        return self.member_reports.is_seal_known(group, version)
+        return self.member_reports.is_seal_known(group, stage)
 
     def find_acknowledged(self, group: str, since: float) -> positions.Position | None:
         """Return the newest commit acknowledged to callers, None if unknown."""
--- a/src/sardinehold/node/leadership.py
+++ b/src/sardinehold/node/leadership.py
@@ -4,6 +4,11 @@
 object in the store and acts only while its last renewal is younger than ``LEASE``.
 Another node takes over only when the object has not changed for longer. A leader that
 shuts down resigns, and is replaced immediately.
+
+The object holds the era of the store in which it was written. After a restore of the
+store, or over a write whose condition was meant for an earlier era, it does not tell
+who leads: a lease that was lost with later changes may still run. It then counts as
+changed when it is first read, and names nobody who has stopped.
 """
 
 from sardinehold import objects
@@ -48,6 +53,7 @@
     :param spread: jitter fraction from 0 to 1 that differs between nodes.
     :param predecessor_until: latest time at which the previous leader had stopped.
     :param has_resigned: whether the previous leader announced that it stopped.
+    :param is_observed: whether the object was read since the store was restored.
     :param reserves: tokens by team that the stored object reserves.
     """
 
@@ -66,6 +72,7 @@
         "has_resigned",
         "reserves",
         "_reserves_version",
+        "_names_leader",
         "_changed_at",
         "_next_write",
         "_heartbeats",
@@ -87,27 +94,62 @@
         self.has_resigned = False
         self.reserves: dict[str, int] = {}
         self._reserves_version = 0
+        self._names_leader = False
         self._changed_at = 0.0
         self._next_write = 0.0
         self._heartbeats = 0
 
-    def observe(self, stored: objects.StoredObject | None, now: float) -> None:
-        """Process the leader's object as stored; None if there is none."""
+    def begin_era(self, now: float) -> None:
+        """Process a restore of the store, which may have lost the leader's object.
+
+        A leader within its lease goes on and writes the object again: every other node
+        waits for longer than the lease. One whose lease has run out cannot know whether
+        another took over before the restore.
+        """
+        self.is_observed = False
+        self._changed_at = now
+        self.has_resigned = False
+        if self.leads(now):
+            self._next_write = now
+        else:
+            self._forget_leader(now)
+
+    def _forget_leader(self, now: float) -> None:
+        """Assume that an unknown node has just renewed its lease."""
+        if self.is_own():
+            self.holder = self.holder_incarnation = ""
+        self._names_leader = False
+        self.has_resigned = False
+        self.predecessor_until = max(self.predecessor_until, now + LEASE)
+
+    def observe(
+        self, stored: objects.StoredObject | None, now: float, era: int = 0
+    ) -> None:
+        """Process the leader's object as stored; None if there is none.
+
+        :param era: era of the store in which it was read.
+        """
         if not self.is_observed:
             self.is_observed = True
             self._changed_at = now
         if stored is None:
-            self.version, self.holder, self.holder_incarnation = 0, "", ""
-            self._note_reserves({}, 0)
+            version = objects.make_version(era, 0)
+            if version != self.version:
+                self._observe_outdated(version, {}, now)
             return
         value = stored.value or {}
-        if stored.version >= self.version:
+        is_current = value.get("era", 0) == objects.find_era(stored.version)
+        if is_current and stored.version >= self.version:
             self._note_reserves(value.get("reserves", {}), stored.version)
         if stored.version <= self.version:
             return
+        if not is_current:
+            self._observe_outdated(stored.version, value, now)
+            return
         self.version = stored.version
         self.holder = str(value.get("node", ""))
         self.holder_incarnation = str(value.get("incarnation", ""))
+        self._names_leader = True
         self._changed_at = now
         if self.is_own():
             # A watch may deliver this node's own write before it is acknowledged.
@@ -117,13 +159,27 @@
         has_stopped = self.has_resigned or self._is_predecessor()
         self.predecessor_until = now if has_stopped else now + LEASE
 
+    def _observe_outdated(self, version: int, value: dict, now: float) -> None:
+        """Process an object that was not written for the present era."""
+        self.version = version
+        self._changed_at = now
+        if self.leads(now):
+            self._reserves_version = version
+            return
+        self._note_reserves({}, version)
+        self._forget_leader(now)
+        if not self.holder and value.get("incarnation") != self.incarnation:
+            self.holder = str(value.get("node", ""))
+            self.holder_incarnation = str(value.get("incarnation", ""))
+
     def _note_reserves(self, reserves: dict[str, int], version: int) -> None:
         self.reserves = {team: int(tokens) for team, tokens in reserves.items()}
         self._reserves_version = version
 
     def _is_predecessor(self) -> bool:
         """Return whether an earlier process of this node led; it has ended."""
-        return self.holder == self.node and not self.is_own()
+        is_namesake = self.holder == self.node and not self.is_own()
+        return is_namesake and self._names_leader
 
     def has_current_reserves(self) -> bool:
         """Return whether the reserves are those of the newest known object."""
@@ -186,6 +242,7 @@
             return
         self.version = version
         self.holder, self.holder_incarnation = node, incarnation
+        self._names_leader = True
         self._changed_at = now
 
     def note_heartbeat(self, incarnation: str, version: int, now: float) -> None:
@@ -209,7 +266,7 @@
             return float("inf")
         if self.is_own():
             return self._next_write
-        if not self.holder:
+        if self.has_resigned:
             # There is no leader; with jitter, one of many nodes should write first.
             due = self._changed_at + self.spread * TAKEOVER_JITTER / 2
             return max(due, self._next_write)
@@ -228,15 +285,20 @@
         self, sent_at: float, version: int, reserves: dict[str, int]
     ) -> None:
         """Record that a write sent at ``sent_at`` made or kept this node the leader."""
-        if not self.leads(sent_at):
+        if not self.leads(sent_at) or not self.is_acquired():
             self.acquired_version = version
         self.version = version
+        self._names_leader = True
         self._note_reserves(reserves, version)
         self.holder, self.holder_incarnation = self.node, self.incarnation
         self.renewed_at = sent_at
         self.leads_until = sent_at + LEASE
         self._next_write = sent_at + RENEW_INTERVAL
 
+    def is_acquired(self) -> bool:
+        """Return whether this node took the lead in the era of the newest object."""
+        return objects.find_era(self.acquired_version) == objects.find_era(self.version)
+
     def note_failed(self, now: float) -> None:
         """Record that a write failed or met another version."""
         self._next_write = now + RETRY_DELAY * (1.0 + self.spread)
@@ -259,11 +321,17 @@
             "incarnation": self.incarnation,
             "beat": self._heartbeats,
             "reserves": reserves,
+            "era": objects.find_era(self.version),
         }
 
     def make_resignation(self, reserves: dict[str, int]) -> dict:
         """Return the object's value that lets any node take over."""
-        return {"node": "", "incarnation": "", "reserves": reserves}
+        return {
+            "node": "",
+            "incarnation": "",
+            "reserves": reserves,
+            "era": objects.find_era(self.version),
+        }
 
     def is_own(self) -> bool:
         """Return whether the object names this process as the leader."""
--- a/src/sardinehold/node/member_reports.py
+++ b/src/sardinehold/node/member_reports.py
@@ -3,6 +3,7 @@
 import typing
 
 from sardinehold.core import positions
+from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import exchange
 from sardinehold.node import reports
@@ -106,7 +107,7 @@
             )
         return contacts
 
-    def is_seal_known(self, group: str, version: int) -> bool:
+    def is_seal_known(self, group: str, stage: catalog.Stage) -> bool:
         """Return whether every node has stopped using the old primary."""
         now = clock.read()
         if not self.node.removals.are_leases_expired(now):
@@ -115,7 +116,8 @@
             received = self._received.get(name)
             if received is None or now - received.at > REPORT_LIFETIME:
                 return False
-            if received.report.states.get(group, 0) < version:
+            known = received.report.states.get(group)
+            if known is None or known < stage:
                 return False
         return bool(self.node.members)
 
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -33,6 +33,7 @@
 from sardinehold.node import settings
 from sardinehold.node import statements
 from sardinehold.node import stopping
+from sardinehold.node import store_era
 from sardinehold.node import store_mirror
 from sardinehold.node import store_readers
 from sardinehold.node import store_writer
@@ -103,7 +104,9 @@
     ) -> None:
         """Initialize the node without a configuration."""
         self.settings = loaded
-        self.store = store
+        self.store = store_era.EraStore(
+            store, lambda era: self.store_mirror.handle_restore(era)
+        )
         self.connector = connector
         self.duty = duty
         self.sources = sources
--- a/src/sardinehold/node/peers.py
+++ b/src/sardinehold/node/peers.py
@@ -32,7 +32,7 @@
     b'"short":[],"changed":[]}{"kind":"report","node":"frontend-","inc":"","at":,"states":{},'
     b'"samples":{},"acknowledged":{},"failing":{},"seq":,"usages":[[,0,0,0,0]],'
     b'"catalog":,"echo":,"echo_of":"","held":0.,"contact":0.,"full":[],'
-    b'"unadvised":0.}'
+    b'"unadvised":0.,"era":1,"later":[]}'
 )
 """Preset dictionary of the compression: content that most messages share, since a
 message is too short to build one of its own. Nodes with different dictionaries cannot
--- a/src/sardinehold/node/ports.py
+++ b/src/sardinehold/node/ports.py
@@ -131,7 +131,11 @@
 
 
 class Store(typing.Protocol):
-    """The platform's store; raises :class:`sardinehold.errors.PlatformError`."""
+    """The platform's store; raises :class:`sardinehold.errors.PlatformError`.
+
+    Versions carry the store's era, see :mod:`sardinehold.objects`. A condition or watch
+    is given to the store by its revision alone.
+    """
 
     async def list(self, kind: str) -> objects.Changes:
         """Read all objects of a kind."""
--- a/src/sardinehold/node/promotion.py
+++ b/src/sardinehold/node/promotion.py
@@ -91,6 +91,18 @@
     return Plan(target=state.primary if may_reinstate else "")
 
 
+def find_primary(statuses: dict[str, ports.LogStatus]) -> str:
+    """Return the primary of the newest term that any endpoint has seen, ``""`` if none.
+
+    A primary of an earlier term has been replaced.
+    """
+    newest = max((status.term for status in statuses.values()), default=0)
+    for name, status in statuses.items():
+        if status.is_primary and status.term == newest:
+            return name
+    return ""
+
+
 def is_suspect(failing: int, reporting: int) -> bool:
     """Return whether enough nodes find a primary unreachable.
 
--- a/src/sardinehold/node/reports.py
+++ b/src/sardinehold/node/reports.py
@@ -17,7 +17,7 @@
     """Report of a node to the leader.
 
     :param sent_at: reading of the node's clock, to be echoed.
-    :param states: version of each group's state that the node uses.
+    :param states: stage of each group's state that the node uses.
     :param samples: newest position of each primary, with its age.
     :param acknowledged: newest commit of each group acknowledged to callers.
     :param failing: endpoints that the node cannot reach, with the seconds since when.
@@ -28,6 +28,8 @@
     :param unadvised: seconds since any leader's response, or since the node's start.
     :param contact_age: seconds since the store last answered the node.
     :param full: endpoints that recently refused more connections.
+    :param era: era of the store that the node knows of.
+    :param later: states that the node knows and the leader's last response lacked.
     """
 
     __slots__ = (
@@ -47,6 +49,8 @@
         "contact_age",
         "full",
         "unadvised",
+        "era",
+        "later",
     )
 
     def __init__(
@@ -54,7 +58,7 @@
         node: str,
         incarnation: str,
         sent_at: float,
-        states: dict[str, int],
+        states: dict[str, catalog.Stage],
         samples: dict[str, tuple[float, positions.Position]],
         acknowledged: dict[str, positions.Position],
         failing: dict[str, float],
@@ -67,6 +71,8 @@
         contact_age: float = 0.0,
         full: tuple[str, ...] = (),
         unadvised: float = 0.0,
+        era: int = 0,
+        later: typing.Sequence[catalog.GroupState] = (),
     ) -> None:
         """Store the fields of the report."""
         self.node = node
@@ -85,6 +91,8 @@
         self.contact_age = contact_age
         self.full = full
         self.unadvised = unadvised
+        self.era = era
+        self.later = later
 
     def date(self, age: float, incarnation: str) -> float | None:
         """Return a time on the leader's clock, not later than ``age`` ago.
@@ -127,6 +135,8 @@
             "contact": round(self.contact_age, 4),
             "full": self.full,
             "unadvised": round(self.unadvised, 3),
+            "era": self.era,
+            "later": _dump_states(self.later),
         }
 
 
@@ -135,7 +145,7 @@
 
     :param incarnation: incarnation of the leader's process.
     :param echo: the ``sent_at`` of the report.
-    :param states: the groups' states.
+    :param states: the groups' states, as far as the store holds them.
     :param samples: newest positions of the primaries, with their ages.
     :param grants: tokens granted to the node.
     :param suspects: primaries that some node cannot reach, for the others to probe.
@@ -143,7 +153,7 @@
     :param certain_age: seconds since no other node could have been the leader.
     :param full: endpoints that recently refused some node more connections.
     :param short: teams of which some node did not get all the tokens requested.
-    :param changed: revision of the newest change of each kind the leader watches.
+    :param changed: version of the newest change of each kind the leader watches.
     :param lead_version: version of the leader's object as last written.
     :param asks_store: whether the leader requests a check that other nodes reach the
         store.
@@ -216,17 +226,7 @@
             "node": self.node,
             "inc": self.incarnation,
             "echo": self.echo,
-            "states": [
-                [
-                    item.group,
-                    item.term,
-                    item.primary,
-                    item.phase.value,
-                    item.version,
-                    item.attempt,
-                ]
-                for item in self.states
-            ],
+            "states": _dump_states(self.states),
             "samples": _dump_samples(self.samples),
             "grants": [
                 [grant.grant_id, grant.team, grant.tokens, grant.lifetime]
@@ -305,6 +305,39 @@
         return {"kind": "configuration", "value": self.value}
 
 
+def _dump_states(states: typing.Iterable[catalog.GroupState]) -> list[list]:
+    return [
+        [
+            item.group,
+            item.term,
+            item.primary,
+            item.phase.value,
+            item.version,
+            item.attempt,
+        ]
+        for item in states
+    ]
+
+
+def _parse_states(value: list) -> list[catalog.GroupState]:
+    return [
+        catalog.GroupState(
+            group,
+            int(term),
+            primary,
+            catalog.Phase(phase),
+            int(version),
+            int(attempt),
+        )
+        for group, term, primary, phase, version, attempt in value
+    ]
+
+
+def _parse_stage(value: list) -> catalog.Stage:
+    term, is_sealed, attempt = value
+    return int(term), bool(is_sealed), int(attempt)
+
+
 def _dump_samples(samples: dict[str, tuple[float, positions.Position]]) -> dict:
     return {
         name: [round(age, 4), position.term, position.offset]
@@ -337,7 +370,7 @@
         message["node"],
         message["inc"],
         float(message["at"]),
-        {name: int(version) for name, version in message["states"].items()},
+        {name: _parse_stage(stage) for name, stage in message["states"].items()},
         _parse_samples(message["samples"]),
         {
             name: positions.Position(int(term), int(offset))
@@ -353,6 +386,8 @@
         float(message["contact"]),
         tuple(str(name) for name in message["full"]),
         float(message["unadvised"]),
+        int(message["era"]),
+        _parse_states(message["later"]),
     )
 
 
@@ -361,17 +396,7 @@
         message["node"],
         message["inc"],
         float(message["echo"]),
-        [
-            catalog.GroupState(
-                group,
-                int(term),
-                primary,
-                catalog.Phase(phase),
-                int(version),
-                int(attempt),
-            )
-            for group, term, primary, phase, version, attempt in message["states"]
-        ],
+        _parse_states(message["states"]),
         _parse_samples(message["samples"]),
         [quota.Grant(*grant) for grant in message["grants"]],
         int(message["catalog"]),
--- a/src/sardinehold/node/store_mirror.py
+++ b/src/sardinehold/node/store_mirror.py
@@ -39,6 +39,10 @@
 """Seconds without a leader during which a node that is no candidate waits for an
 announcement; a candidate takes over within three."""
 
+MEMBER_GRACE = 2.5
+"""Seconds after a restore of the store during which members whose entries are missing
+are kept: running nodes write theirs again at once."""
+
 LIST_INTERVAL = 0.4
 """Seconds between lists that renew the leases; one of them may fail within a lease."""
 
@@ -49,6 +53,7 @@
     :param stored_catalog: the active configuration as it is stored.
     :param member_versions: versions of the members' entries, by name.
     :param fleet_listed: set once the fleet's own objects have been listed.
+    :param is_secret_stored: whether the store holds the fleet's secret.
     """
 
     def __init__(self, node: "nodes.Node") -> None:
@@ -57,6 +62,8 @@
         self.stored_catalog: object = None
         self.member_versions: dict[str, int] = {}
         self.fleet_listed = anyio.Event()
+        self.is_secret_stored = False
+        self._members_kept_until = float("-inf")
         self._store_state: dict[str, bool] = {}
         self._refused: dict[str, int] = {}
         self._owners: dict[str, list[str]] = {}
@@ -132,6 +139,22 @@
         for watcher in self.watchers:
             watcher.restart_watch()
 
+    def handle_restore(self, era: int) -> None:
+        """Read everything again: the store was restored from an older copy."""
+        now = clock.read()
+        self.node.journal.note("store_restored", era=era)
+        self.is_secret_stored = False
+        self._members_kept_until = now + MEMBER_GRACE
+        self.node.leadership.begin_era(now)
+        for watcher in [*self.watchers, self.leader_watcher]:
+            watcher.restart_watch()
+        self.node.spawn(self._list_members_after_grace)
+
+    async def _list_members_after_grace(self) -> None:
+        """List the members once those that are still missing may be dropped."""
+        await anyio.sleep(MEMBER_GRACE)
+        self.fleet.refresh()
+
     def _log_unreadable(self, kind: str, reasons: list[str]) -> None:
         self.node.journal.note(
             "objects_unread", kind=kind, count=len(reasons), reason=reasons[0]
@@ -234,9 +257,10 @@
 
     def _apply_fleet(self, changes: objects.Changes, sent_at: float) -> None:
         names = {stored.name for stored in changes.objects}
-        listed = {f"{MEMBER_PREFIX}{name}" for name in self.node.members} - names
-        for name in listed:
-            self._drop_member(name.removeprefix(MEMBER_PREFIX))
+        if clock.read() >= self._members_kept_until:
+            listed = {f"{MEMBER_PREFIX}{name}" for name in self.node.members} - names
+            for name in listed:
+                self._drop_member(name.removeprefix(MEMBER_PREFIX))
         self.apply_fleet_list(changes, sent_at)
 
     def apply_fleet_list(self, changes: objects.Changes, sent_at: float) -> None:
@@ -244,20 +268,32 @@
 
         A list renews the leases. A watch does not: one whose connection is silent looks
         like one without changes. A list without this node's entry does not renew them
-        either, since other nodes do not wait for this node then.
+        either, since other nodes do not wait for this node then; nor does a state that
+        was not written since the store was restored.
         """
         self._apply_fleet_changes(changes, sent_at)
         self.fleet_listed.set()
-        own = f"{MEMBER_PREFIX}{self.node.settings.name}"
-        if own not in {stored.name for stored in changes.objects}:
+        names = {stored.name for stored in changes.objects}
+        self._note_lost_states(names, objects.find_era(changes.revision))
+        self.is_secret_stored = SECRET_NAME in names
+        is_registered = f"{MEMBER_PREFIX}{self.node.settings.name}" in names
+        if not (is_registered and self.is_secret_stored):
             self.node.store_writer.restore_entry()
+        if not is_registered:
             return
         for group in self.node.groups.values():
             state = group.state
-            if state is not None and state.phase is catalog.Phase.SERVING:
+            is_serving = state is not None and state.phase is catalog.Phase.SERVING
+            if is_serving and state.is_stored:
                 group.lease.confirm(sent_at)
                 group.dispatch_waiting()
 
+    def _note_lost_states(self, names: set[str], era: int) -> None:
+        """Mark the states whose objects a complete list lacks."""
+        for name, group in self.node.groups.items():
+            if group.state is not None and f"{GROUP_PREFIX}{name}" not in names:
+                group.state = group.state.move(objects.make_version(era, 0), False)
+
     def _apply_fleet_changes(self, changes: objects.Changes, sent_at: float) -> None:
         # Apply all members before shares are computed from their number.
         for stored in changes.objects:
@@ -266,6 +302,7 @@
         self.update_shares()
         for stored in changes.objects:
             if stored.name == SECRET_NAME and stored.value:
+                self.is_secret_stored = True
                 self.node.peers.key = bytes.fromhex(stored.value["key"])
             elif stored.name.startswith(GROUP_PREFIX) and stored.value:
                 self._apply_state(stored)
@@ -279,13 +316,14 @@
         await anyio.sleep(LIST_INTERVAL)
         was_isolated = False
         while True:
-            is_isolated = self.node.exchange.is_isolated(clock.read())
+            is_isolated = self.node.exchange.has_lost_leader(clock.read())
             if is_isolated and not was_isolated:
                 for watcher in self.watchers:
                     if not watcher.is_relayed:
                         watcher.refresh()
             was_isolated = is_isolated
-            if self.node.exchange.is_leader_reachable() or self.node.catalog is None:
+            has_leases = any(group.state for group in self.node.groups.values())
+            if self.node.exchange.is_leader_reachable() or not has_leases:
                 await anyio.sleep(LEADER_CHECK_INTERVAL)
             else:
                 relay = self.node.store_readers.find_relay()
@@ -298,14 +336,16 @@
             is_reachable = self.node.exchange.is_leader_reachable()
             if (
                 is_reachable and self.node.leadership.is_observed
-            ) or self._defers_to_candidates():
+            ) or self.defers_to_candidates():
                 await anyio.sleep(LEADER_CHECK_INTERVAL)
             else:
                 await self.leader_watcher.step()
                 await anyio.sleep(0)
 
-    def _defers_to_candidates(self) -> bool:
+    def defers_to_candidates(self) -> bool:
         """Return whether to await a candidate's announcement before taking over."""
+        if self.node.leadership.is_own():
+            return False
         if self.node.exchange.measure_leader_silence(clock.read()) > CANDIDATE_GRACE:
             return False
         members = self.node.members
@@ -317,14 +357,20 @@
 
     def _apply_leader(self, changes: objects.Changes, sent_at: float) -> None:
         found = [item for item in changes.objects if item.name == leadership.NAME]
-        self.node.leadership.observe(found[0] if found else None, clock.read())
+        self.node.leadership.observe(
+            found[0] if found else None,
+            clock.read(),
+            objects.find_era(changes.revision),
+        )
 
     def _apply_leader_changes(self, changes: objects.Changes, sent_at: float) -> None:
         for stored in changes.objects:
             if stored.name == leadership.NAME:
                 is_removed = stored.value is None
                 self.node.leadership.observe(
-                    None if is_removed else stored, clock.read()
+                    None if is_removed else stored,
+                    clock.read(),
+                    objects.find_era(changes.revision),
                 )
 
     def find_store_contact(self) -> float:
@@ -365,10 +411,14 @@
         self.take_state(catalog.parse_group_state(name, stored.value, stored.version))
 
     def take_state(self, state: catalog.GroupState) -> None:
-        """Apply a group's state if it is newer."""
+        """Apply a group's state, unless a later one is known."""
         group = self.node.find_group(state.group)
-        if group.state is not None and state.version <= group.state.version:
-            return
+        held = group.state
+        if held is not None:
+            state = held.merge(state)
+            if state.stage == held.stage and state.primary == held.primary:
+                group.state = state
+                return
         self.node.journal.note(
             "group_state",
             group=state.group,
@@ -376,6 +426,7 @@
             primary=state.primary,
             phase=state.phase.value,
             version=state.version,
+            stored=state.is_stored,
         )
         group.apply_state(state)
         self.update_shares()
--- a/src/sardinehold/node/store_readers.py
+++ b/src/sardinehold/node/store_readers.py
@@ -36,7 +36,7 @@
 FRESH_WAIT = 0.6
 """Timeout in seconds of a fresh list: one that is running, and the next one."""
 
-STARTUP_WAIT = 1.5
+STARTUP_WAIT = 3.0
 """Seconds that a starting process waits for a leader, and thereby for a reader, before
 it watches the store itself."""
 
@@ -68,13 +68,17 @@
 
     async def list(self, kind: str) -> objects.Changes:
         """Return all objects of a kind, as of the call or later."""
-        return await self._readers.fetch_changes(self.name, kind, FRESH, FRESH_WAIT)
+        changes = await self._readers.fetch_changes(self.name, kind, FRESH, FRESH_WAIT)
+        self._readers.node.store.check_changes(changes)
+        return changes
 
     async def watch(self, kind: str, revision: int, wait: float) -> objects.Changes:
         """Wait for changes after a revision and return them."""
-        return await self._readers.fetch_changes(
+        changes = await self._readers.fetch_changes(
             self.name, kind, revision, min(wait, WATCH_WAIT)
         )
+        self._readers.node.store.check_changes(changes, revision)
+        return changes
 
 
 class StoreReaders:
@@ -138,6 +142,8 @@
 
         :raises sardinehold.errors.PlatformError: the changes cannot be read.
         """
+        if revision != FRESH:
+            self.node.store.note_era(revision)
         for watcher in self.node.store_mirror.watchers:
             if watcher.kind == kind and revision == FRESH:
                 return await watcher.list_fresh()
--- a/src/sardinehold/node/store_watch.py
+++ b/src/sardinehold/node/store_watch.py
@@ -10,7 +10,7 @@
 from sardinehold import errors
 from sardinehold import objects
 from sardinehold.node import clock
-from sardinehold.node import ports
+from sardinehold.node import store_era
 
 LONG_WAIT = 25.0
 """Seconds that a watch waits while the leader announces changes; below the store's
@@ -70,8 +70,10 @@
 class Watcher:
     """Lists a kind of objects once and watches its changes.
 
-    ``changed`` is the store's revision of the newest change received. Other nodes can
-    read the received changes, see :meth:`read_changes`.
+    ``changed`` is the version of the newest change received, and ``listed_at`` the time
+    at which the last complete list was requested. Other nodes can read the received
+    changes, see :meth:`read_changes`. After a restore of the store the kind is listed
+    again: no watch continues in another era.
 
     :param find_relay: returns the node to read from instead of the store, None for the
         store.
@@ -85,7 +87,7 @@
 
     def __init__(
         self,
-        store: ports.Store,
+        store: store_era.EraStore,
         kind: str,
         apply_list: typing.Callable[[objects.Changes, float], None],
         apply_changes: typing.Callable[[objects.Changes, float], None],
@@ -111,6 +113,7 @@
         self.changed = 0
         self._stale_since: float | None = None
         self.answered_at = float("-inf")
+        self.listed_at = float("-inf")
         self._store = store
         self._apply_list = apply_list
         self._apply_changes = apply_changes
@@ -181,7 +184,8 @@
         :returns: whether any objects were received.
         """
         # A list from another node may be older than this node's state.
-        self._relist = self._relist or relist or not self.revision
+        is_known = self.revision and self._store.is_current(self.revision)
+        self._relist = self._relist or relist or not is_known
         if not self._relist:
             relay = self._find_relay()
         sent_at = clock.read()
@@ -191,6 +195,10 @@
         except errors.WatchExpired:
             self._relist = True
             return False
+        except errors.StoreRestored:
+            self._relist = True
+            await self._back_off()
+            return False
         except (errors.PlatformError, TimeoutError) as error:
             if relay is not None:
                 # The relay failed, not the store; the next step reads from the store.
@@ -205,6 +213,7 @@
             self.answered_at = clock.read()
         self._is_relayed = relay is not None
         if is_full_list:
+            self.listed_at = sent_at
             self._apply_list(changes, sent_at)
         else:
             self._apply_changes(changes, sent_at)
@@ -336,7 +345,8 @@
         return listing.result()
 
     def _reads_from_store(self) -> bool:
-        return bool(self.revision) and not self._is_relayed and not self._failures
+        is_known = self.revision and self._store.is_current(self.revision)
+        return bool(is_known) and not self._is_relayed and not self._failures
 
     def _list_missed(self, revision: int) -> list[objects.StoredObject]:
         """Return the changes after a revision."""
--- a/src/sardinehold/node/store_writer.py
+++ b/src/sardinehold/node/store_writer.py
@@ -63,22 +63,13 @@
             store did not answer.
         """
         name = f"{store_mirror.GROUP_PREFIX}{state.group}"
-        if state.version:
-            stored = await self.node.store.update(
-                store_mirror.FLEET_KIND, name, state.dump(), state.version
-            )
+        kind = store_mirror.FLEET_KIND
+        value = state.dump(self.node.store.era)
+        if objects.find_revision(state.version):
+            stored = await self.node.store.update(kind, name, value, state.version)
         else:
-            stored = await self.node.store.create(
-                store_mirror.FLEET_KIND, name, state.dump()
-            )
-        written = catalog.GroupState(
-            state.group,
-            state.term,
-            state.primary,
-            state.phase,
-            stored.version,
-            state.attempt,
-        )
+            stored = await self.node.store.create(kind, name, value)
+        written = state.move(stored.version, True)
         self.node.store_mirror.take_state(written)
         return written
 
@@ -103,7 +94,7 @@
                 await anyio.sleep(jitter.spread(STORE_RETRY))
 
     def restore_entry(self) -> None:
-        """Request that this node's entry, which the store lacks, is written again."""
+        """Request that this node's entry and the secret, if missing, are written."""
         self._entry_missing.set()
 
     async def remove_member(self, name: str) -> None:
@@ -137,19 +128,23 @@
                 await self.node.store.update(kind, name, value, stored_version)
             else:
                 await self.node.store.create(kind, name, value)
-        except errors.VersionConflict:
+        except (errors.VersionConflict, errors.ObjectMissing):
             found = await self.node.store.list(kind)
-            for stored in found.objects:
-                if stored.name == name:
-                    await self.node.store.update(kind, name, value, stored.version)
+            versions = {stored.name: stored.version for stored in found.objects}
+            if name in versions:
+                await self.node.store.update(kind, name, value, versions[name])
+            else:
+                await self.node.store.create(kind, name, value)
 
     async def _create_secret(self) -> None:
         # Jitter: among nodes that start together, one should create it first.
         await anyio.sleep(self.node.leadership.spread * SECRET_JITTER)
-        if self.node.peers.key:
+        if self.node.store_mirror.is_secret_stored:
             return
         try:
-            value = {"key": secrets.token_hex(SECRET_BYTES)}
+            # Nodes that have a key go on with it when the store has lost it.
+            key = self.node.peers.key or secrets.token_bytes(SECRET_BYTES)
+            value = {"key": key.hex()}
             await self.node.store.create(
                 store_mirror.FLEET_KIND, store_mirror.SECRET_NAME, value
             )
@@ -163,7 +158,8 @@
             now = clock.read()
             self._update_lead(self.node.leadership.leads(now))
             due = self.node.leadership.find_next_write(now)
-            if self.node.is_stopping or due > now:
+            is_deferred = due <= now and self.node.store_mirror.defers_to_candidates()
+            if self.node.is_stopping or due > now or is_deferred:
                 await anyio.sleep(min(MAX_CHECK_DELAY, max(MIN_CHECK_DELAY, due - now)))
                 continue
             await self._write_lead()
@@ -201,10 +197,13 @@
             self.node.store_mirror.restart_watches("the store answers again")
         lead.note_written(sent_at, stored.version, reserves)
         self.node.leader.set_reserves(reserves)
+        if was_leading and lead.acquired_version == stored.version:
+            # The store was restored within the lease.
+            self.node.exchange.announce(list(self.node.members))
 
     async def _put_lead(self, value: dict) -> objects.StoredObject:
         version = self.node.leadership.version
-        if not version:
+        if not objects.find_revision(version):
             return await self.node.store.create(
                 store_mirror.LEADER_KIND, leadership.NAME, value
             )
--- a/src/sardinehold/objects.py
+++ b/src/sardinehold/objects.py
@@ -1,12 +1,38 @@
-"""Objects of the platform's store and the interface of its clients."""
+"""Objects of the platform's store and the interface of its clients.
+
+A revision orders the changes of the store only until the store is restored from an
+older copy: it then goes back, and is given out again for other contents. A *version*
+is a revision with the era of the store, which rises with each restore, in its high
+bits. Versions are therefore ordered over restores as well, and versions of different
+eras are never equal.
+"""
 
 import typing
 
+REVISION_BITS = 40
+"""Bits of a version that hold the revision; at 400 writes a second they last for 87
+years, and a version stays an exact number in JSON up to era 8,191."""
+
+
+def make_version(era: int, revision: int) -> int:
+    """Return the version of a revision in an era of the store."""
+    return era << REVISION_BITS | revision
+
+
+def find_era(version: int) -> int:
+    """Return the era of a version."""
+    return version >> REVISION_BITS
+
+
+def find_revision(version: int) -> int:
+    """Return the store's revision of a version."""
+    return version & ((1 << REVISION_BITS) - 1)
+
 
 class StoredObject:
     """A version of an object in the platform's store.
 
-    :param version: the platform's revision that last changed it; 0 for a
+    :param version: version of the store that last changed it; 0 for a
         deleted object in the answer to a watch.
     :param value: content of the object, None if it was deleted.
     """
@@ -24,7 +50,7 @@
 class Changes:
     """The objects that a list or a watch returned.
 
-    :param revision: the platform's revision at which the objects were current.
+    :param revision: version of the store at which the objects were current.
     :param unread: the reason for each object that was omitted because it could not
         be parsed.
     """
--- a/src/sardinehold/platform/store.py
+++ b/src/sardinehold/platform/store.py
@@ -25,6 +25,10 @@
 _REMEDY = "Check that the platform's store is up and that this VM can reach it."
 _JSON = {"Content-Type": "application/json"}
 
+ERA_HEADER = "Store-Era"
+"""Header of every answer: a number that rises by one each time that the store comes
+back from an older copy."""
+
 
 def make_client(
     address: tuple[str, int], transport: httpx.AsyncBaseTransport | None
@@ -71,10 +75,10 @@
         revision = 0
         params: dict[str, typing.Any] = {}
         while True:
-            answer = await self._call("GET", f"/api/objects/{kind}", params=params)
+            answer, era = await self._call("GET", f"/api/objects/{kind}", params=params)
             items = answer.get("items") or []
-            found.extend(_parse_items(kind, items, unread))
-            revision = revision or int(answer["StoreRevision"])
+            found.extend(_parse_items(kind, items, era, unread))
+            revision = revision or _parse_version(answer["StoreRevision"], era)
             if not answer.get("HasMore") or not items:
                 return objects.Changes(found, revision, unread)
             params = {"after": items[-1]["meta"]["Name"]}
@@ -85,35 +89,39 @@
         A deleted object has None as value. Raises WatchExpired when the store
         no longer holds the revision.
         """
-        answer = await self._call(
+        since = objects.find_revision(revision)
+        answer, era = await self._call(
             "GET",
             f"/api/objects/{kind}",
-            params={"Watch": revision, "WaitMs": int(wait * 1000)},
+            params={"Watch": since, "WaitMs": int(wait * 1000)},
             timeout=wait + CALL_TIMEOUT,
         )
         found = []
         unread: list[str] = []
         for event in answer.get("events") or []:
-            stored = _parse_items(kind, [event.get("Object")], unread)
+            stored = _parse_items(kind, [event.get("Object")], era, unread)
             if event.get("IsGone"):
                 for item in stored:
                     item.value = None
             found.extend(stored)
-        return objects.Changes(found, int(answer["StoreRevision"]), unread)
+        current = _parse_version(answer["StoreRevision"], era)
+        return objects.Changes(found, current, unread)
 
     async def create(self, kind: str, name: str, value: dict) -> objects.StoredObject:
         """Create an object; raises VersionConflict if it exists."""
         body = {"meta": {"Name": name}, "spec": value}
-        answer = await self._call("POST", f"/api/objects/{kind}", json=body)
-        return _parse_object(kind, answer)
+        answer, era = await self._call("POST", f"/api/objects/{kind}", json=body)
+        return _parse_object(kind, answer, era)
 
     async def update(
         self, kind: str, name: str, value: dict, version: int
     ) -> objects.StoredObject:
         """Replace an object; raises VersionConflict if its version differs."""
-        body = {"meta": {"Name": name, "Revision": version}, "spec": value}
-        answer = await self._call("PUT", f"/api/objects/{kind}/{name}", json=body)
-        return _parse_object(kind, answer)
+        meta = {"Name": name, "Revision": objects.find_revision(version)}
+        body = {"meta": meta, "spec": value}
+        path = f"/api/objects/{kind}/{name}"
+        answer, era = await self._call("PUT", path, json=body)
+        return _parse_object(kind, answer, era)
 
     async def delete(self, kind: str, name: str, version: int) -> None:
         """Delete an object; raises VersionConflict if its version differs.
@@ -121,7 +129,9 @@
         Raises ObjectMissing if the object does not exist.
         """
         await self._call(
-            "DELETE", f"/api/objects/{kind}/{name}", params={"Revision": version}
+            "DELETE",
+            f"/api/objects/{kind}/{name}",
+            params={"Revision": objects.find_revision(version)},
         )
 
     async def _call(
@@ -130,7 +140,8 @@
         path: str,
         timeout: float = CALL_TIMEOUT,
         **arguments: typing.Any,
-    ) -> dict:
+    ) -> tuple[dict, int]:
+        """Return the body of an answer and the store's era."""
         try:
             answer = await self._http.request(
                 method, path, timeout=timeout, headers=_JSON, **arguments
@@ -145,10 +156,11 @@
         if answer.status_code >= 400:
             raise _build_error(answer.status_code, f"{method} {path}")
         try:
-            return answer.json() if answer.content else {}
+            era = int(answer.headers.get(ERA_HEADER, 0))
+            return (answer.json() if answer.content else {}), era
         except ValueError as error:
             raise errors.PlatformUnavailable(
-                f"The store's answer to {method} {path} is not JSON.", _REMEDY
+                f"The store's answer to {method} {path} is malformed: {error}.", _REMEDY
             ) from error
 
     def _count(self, method: str, result: str) -> None:
@@ -178,21 +190,24 @@
     )
 
 
-def _parse_object(kind: str, value: dict) -> objects.StoredObject:
+def _parse_version(revision: typing.Any, era: int) -> int:
+    return objects.make_version(era, int(revision))
+
+
+def _parse_object(kind: str, value: dict, era: int) -> objects.StoredObject:
     meta = value["meta"]
-    return objects.StoredObject(
-        kind, meta["Name"], int(meta["Revision"]), value.get("spec")
-    )
+    version = _parse_version(meta["Revision"], era)
+    return objects.StoredObject(kind, meta["Name"], version, value.get("spec"))
 
 
 def _parse_items(
-    kind: str, items: list, unread: list[str]
+    kind: str, items: list, era: int, unread: list[str]
 ) -> list[objects.StoredObject]:
     """Parse the items of a list; add the errors of malformed ones to ``unread``."""
     found = []
     for item in items:
         try:
-            found.append(_parse_object(kind, item))
+            found.append(_parse_object(kind, item, era))
         except (KeyError, TypeError, ValueError) as error:
             unread.append(repr(error))
     return found
--- a/src/sardinehold_standins/loopback.py
+++ b/src/sardinehold_standins/loopback.py
@@ -16,6 +16,7 @@
 from starlette import routing
 
 from sardinehold import errors
+from sardinehold import objects
 from sardinehold.core import positions
 from sardinehold.node import clock
 from sardinehold.node import ports
@@ -23,6 +24,7 @@
 from sardinehold.platform import callers
 from sardinehold.platform import endpoints
 from sardinehold.platform import lines
+from sardinehold.platform import store
 from sardinehold_standins import group_in_memory
 from sardinehold_standins import objects_in_memory
 
@@ -187,12 +189,21 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _answer(self, body: dict) -> responses.Response:
+        """Return an answer of the store in its present era."""
+        headers = {store.ERA_HEADER: str(self.store.era)}
+        return responses.JSONResponse(body, headers=headers)
+
+    def _refuse(self, status: int) -> responses.Response:
+        headers = {store.ERA_HEADER: str(self.store.era)}
+        return responses.Response(status_code=status, headers=headers)
+
     async def _apply_fault(self, is_write: bool) -> responses.Response | None:
         if self.fault == "busy":
-            return responses.Response(status_code=503)
+            return self._refuse(503)
         if self.fault == "silent" or (self.fault == "losing" and is_write):
             await asyncio.sleep(STATEMENT_SECONDS)
-            return responses.Response(status_code=503)
+            return self._refuse(503)
         return None
 
     async def _read(self, request: requests.Request) -> responses.Response:
@@ -204,26 +215,26 @@
         if "Watch" not in query:
             changes = await client.list(kind)
             items = [_dump(item) for item in changes.objects]
-            return responses.JSONResponse(
-                {"items": items, "HasMore": False, "StoreRevision": changes.revision}
+            revision = objects.find_revision(changes.revision)
+            return self._answer(
+                {"items": items, "HasMore": False, "StoreRevision": revision}
             )
         try:
             changes = await client.watch(
                 kind, int(query["Watch"]), int(query["WaitMs"]) / 1000
             )
         except errors.WatchExpired:
-            return responses.Response(status_code=410)
+            return self._refuse(410)
         found = [
             {"IsGone": item.value is None, "Object": _dump(item)}
             for item in changes.objects
         ]
-        return responses.JSONResponse(
-            {"events": found, "StoreRevision": changes.revision}
-        )
+        revision = objects.find_revision(changes.revision)
+        return self._answer({"events": found, "StoreRevision": revision})
 
     async def _write(self, request: requests.Request) -> responses.Response:
         if self.fault == "busy":
-            return responses.Response(status_code=503)
+            return self._refuse(503)
         body = json.loads(await request.body())
         meta = body["meta"]
         client = self.store.connect("")
@@ -236,24 +247,24 @@
                     kind, meta["Name"], body["spec"], meta["Revision"]
                 )
         except errors.VersionConflict:
-            return responses.Response(status_code=409)
+            return self._refuse(409)
         if (fault := await self._apply_fault(True)) is not None:
             return fault
-        return responses.JSONResponse(_dump(stored))
+        return self._answer(_dump(stored))
 
     async def _delete(self, request: requests.Request) -> responses.Response:
         if self.fault == "busy":
-            return responses.Response(status_code=503)
+            return self._refuse(503)
         client = self.store.connect("")
         path = request.path_params
         version = int(request.query_params["Revision"])
         try:
             await client.delete(path["kind"], path["name"], version)
         except errors.VersionConflict:
-            return responses.Response(status_code=409)
+            return self._refuse(409)
         if (fault := await self._apply_fault(True)) is not None:
             return fault
-        return responses.JSONResponse({})
+        return self._answer({})
 
     async def _promote(self, request: requests.Request) -> responses.Response:
         body = json.loads(await request.body())
@@ -268,7 +279,8 @@
 
 
 def _dump(stored: typing.Any) -> dict:
-    meta = {"Name": stored.name, "Revision": stored.version}
+    revision = objects.find_revision(stored.version)
+    meta = {"Name": stored.name, "Revision": revision}
     return {"meta": meta, "spec": stored.value, "status": None}
 
 
--- a/src/sardinehold_standins/objects_in_memory.py
+++ b/src/sardinehold_standins/objects_in_memory.py
@@ -157,7 +157,7 @@
         found = [
             item for (other, _), item in self.store.objects.items() if other == kind
         ]
-        answer = objects.Changes(found, self.store.revision)
+        answer = self._date(found)
         await asyncio.sleep(self.store.transfer_seconds.get((self.node, kind), 0.0))
         return answer
 
@@ -169,6 +169,7 @@
         :raises sardinehold.errors.PlatformUnavailable: a fault ended the watch.
         """
         await self._call("watch")
+        revision = objects.find_revision(revision)
         if not self.store.oldest <= revision <= self.store.revision:
             raise errors.WatchExpired("The revision has expired.", "List again.")
         deadline = clock.read() + wait
@@ -200,7 +201,7 @@
                     raise errors.PlatformUnavailable(
                         "The watch was aborted.", "Watch again."
                     )
-                answer = objects.Changes(found, self.store.revision)
+                answer = self._date(found)
                 if found:
                     await asyncio.sleep(
                         self.store.transfer_seconds.get((self.node, kind), 0.0)
@@ -215,7 +216,7 @@
         await self._call("create")
         if (kind, name) in self.store.objects:
             raise errors.VersionConflict("The object exists already.", "Read it.")
-        stored = self.store.put(kind, name, value)
+        stored = self._date_object(self.store.put(kind, name, value))
         await self._answer()
         return stored
 
@@ -226,8 +227,8 @@
         await self._call("update")
         held = self._find(kind, name, version)
         if held.value == value:
-            return held
-        stored = self.store.put(kind, name, value)
+            return self._date_object(held)
+        stored = self._date_object(self.store.put(kind, name, value))
         await self._answer()
         return stored
 
@@ -240,8 +241,17 @@
 
     def _find(self, kind: str, name: str, version: int) -> objects.StoredObject:
         held = self.store.objects.get((kind, name))
-        if held is None or held.version != version:
+        if held is None or held.version != objects.find_revision(version):
             raise errors.VersionConflict(
                 "The object has another version.", "Read it again."
             )
         return held
+
+    def _date(self, found: typing.Sequence[objects.StoredObject]) -> objects.Changes:
+        """Return objects at the present revision, with versions of the present era."""
+        revision = objects.make_version(self.store.era, self.store.revision)
+        return objects.Changes(list(map(self._date_object, found)), revision)
+
+    def _date_object(self, stored: objects.StoredObject) -> objects.StoredObject:
+        version = objects.make_version(self.store.era, stored.version)
+        return objects.StoredObject(stored.kind, stored.name, version, stored.value)
--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -32,6 +32,9 @@
 SEED = 1
 """Seed of the nodes' random numbers, such as jitter."""
 
+MAX_NODES = 30
+"""Highest number of nodes in a test; their jitter fractions are spread from 0 to 1."""
+
 LINK_DELAY = 0.002
 """Seconds that data takes from one node to another over a link."""
 
@@ -233,7 +236,7 @@
         "node": "n1",
         "incarnation": "a",
         "sent_at": 50.0,
-        "states": {"g": 4},
+        "states": {"g": (1, True, 1)},
         "samples": {"g": (0.2, positions.Position(1, 7))},
         "acknowledged": {"g": positions.Position(1, 6)},
         "failing": {},
@@ -349,7 +352,7 @@
             self.make_dial(name),
         )
         # Jitter makes the node with the lowest number the first leader.
-        node.leadership.spread = int(name.removeprefix("n")) / 10
+        node.leadership.spread = int(name.removeprefix("n")) / MAX_NODES
         self.nodes[name] = node
         scope = self.scopes[name] = anyio.CancelScope()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -414,7 +414,10 @@
             await world.open(name, "latest").write()
         world.kill_node(first)
         world.clusters["g"].primary.crash()
-        await asyncio.sleep(8.0)
+        # The killed node may be the one that had connections to the primary.
+        for name in world.nodes:
+            await world.open(name, "latest").write()
+        await asyncio.sleep(8.0 - 2.0)
         second = world.find_leader()
         assert second
         assert second != first
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import json
 
 import anyio
 import pytest
@@ -103,10 +104,12 @@
 
 
 def test_messages_are_read_back_as_they_were():
-    report = builders_node.make_report(failing={"e": 0.4})
-    again = reports.parse(report.dump())
+    version = objects.make_version(3, 9)
+    state = catalog.GroupState("g", 2, "e", catalog.Phase.SEALED, version, 3)
+    report = builders_node.make_report(failing={"e": 0.4}, era=3, later=[state])
+    again = reports.parse(json.loads(json.dumps(report.dump())))
     assert again.dump() == report.dump()
-    state = catalog.GroupState("g", 2, "e", catalog.Phase.SEALED, 9, 3)
+    assert again.states == report.states
     advice = reports.LeaderResponse(
         "n0", "a", 50.0, [state], {"g": (0.1, P(2, 3))}, [], 5, 1, 77.0, ["e"], 0.2
     )
--- a/tests/test_node_roster.py
+++ b/tests/test_node_roster.py
@@ -32,38 +32,42 @@
     return member_reports.MemberReports(node)
 
 
+SERVING = (1, False, 0)
+SEALED = (1, True, 1)
+
+
 def report_all(leader_reports, at=NOW, **changes):
     for name in ("n0", "n1", "n2"):
         leader_reports.add(builders_node.make_report(node=name, **changes), at)
 
 
-def test_seal_is_known_when_every_member_reported_its_version(leader_reports):
-    report_all(leader_reports, states={"g": 4})
-    assert leader_reports.is_seal_known("g", 4)
+def test_seal_is_known_when_every_member_reported_its_stage(leader_reports):
+    report_all(leader_reports, states={"g": SEALED})
+    assert leader_reports.is_seal_known("g", SEALED)
 
 
-def test_seal_is_not_known_to_a_member_with_an_older_version(leader_reports):
-    report_all(leader_reports, states={"g": 4})
-    leader_reports.add(builders_node.make_report(node="n2", states={"g": 3}), NOW)
-    assert not leader_reports.is_seal_known("g", 4)
+def test_seal_is_not_known_to_a_member_at_an_earlier_stage(leader_reports):
+    report_all(leader_reports, states={"g": SEALED})
+    leader_reports.add(builders_node.make_report(node="n2", states={"g": SERVING}), NOW)
+    assert not leader_reports.is_seal_known("g", SEALED)
 
 
 def test_seal_is_not_known_to_a_member_without_a_recent_report(leader_reports):
     report_all(leader_reports, at=NOW - member_reports.REPORT_LIFETIME - 0.1)
-    assert not leader_reports.is_seal_known("g", 4)
+    assert not leader_reports.is_seal_known("g", SEALED)
 
 
 def test_seal_is_known_to_nobody_where_there_are_no_members(leader_reports):
     leader_reports.node.members.clear()
-    assert not leader_reports.is_seal_known("g", 0)
+    assert not leader_reports.is_seal_known("g", SERVING)
 
 
 def test_seal_is_not_known_to_all_while_a_removed_node_may_hold_a_lease(leader_reports):
     report_all(leader_reports)
     leader_reports.node.removals.note(NOW)
-    assert not leader_reports.is_seal_known("g", 4)
+    assert not leader_reports.is_seal_known("g", SEALED)
     leader_reports.node.removals.note(NOW - membership.LEASE_EXPIRY_DELAY - 0.1)
-    assert leader_reports.is_seal_known("g", 4)
+    assert leader_reports.is_seal_known("g", SEALED)
 
 
 def test_newest_acknowledged_commit_of_any_member_is_found(leader_reports):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -40,7 +40,11 @@
     """Crash the primary and wait for the next one; the database returns."""
     database = world.clusters["g"].primary
     database.crash()
-    await asyncio.sleep(6.0)
+    deadline = clock.read() + 6.0
+    while clock.read() < deadline:
+        for name in world.nodes:
+            await world.open(name, "latest").write()
+        await asyncio.sleep(0.1)
     database.is_primary = False
     database.term = world.clusters["g"].primary.term
     database.log = list(world.clusters["g"].primary.log)
@@ -182,7 +186,12 @@
         events = []
         for node in world.nodes.values():
             monkeypatch.setattr(
-                node.journal, "note", lambda event, **_: events.append(event)
+                node.journal,
+                "note",
+                lambda event, **f: (
+                    events.append(event),
+                    print(clock.read(), event, f),
+                ),
             )
         await asyncio.sleep(2.0)
         empty = objects_in_memory.Copy(copy.revision, items, [])
