Let nobody take over from the leader that follows a resignation

The leader resigned while the store came back; a node that heard the announcement of its successor still held it for resigned, and wrote over the version that the announcement named.

A leader that is announced ends the resignation. The test failed before: the next write was due at 11.1 in place of 13.2.

--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -3,8 +3,9 @@
 ``python bench/fault_soak.py --seeds 50`` runs fifty seeds of some seconds each;
 ``--seed N`` sets the first one. Nodes are killed, stopped, paused and restarted by
 signals; links to databases and store are delayed, reset and silenced; databases crash,
-lag and receive no replication data; the store rejects calls, does not respond and loses
-responses. Clients keep using open connections until they break.
+lag and receive no replication data; the store rejects calls, does not respond, loses
+responses and comes back from older copies. Clients keep using open connections until
+they break.
 
 Checked from the view of callers and databases: no acknowledged write is lost or applied
 twice, no write reported as not run was applied, no read misses a commit that it must
@@ -15,6 +16,7 @@
 
 import argparse
 import asyncio
+import collections
 import contextlib
 import os
 import pathlib
@@ -28,6 +30,7 @@
 from sardinehold.platform import settings_file
 from sardinehold_standins import group_in_memory
 from sardinehold_standins import loopback
+from sardinehold_standins import objects_in_memory
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 NODES = 3
@@ -59,6 +62,12 @@
 determines the faults, not the machine's timing, so each cause also has a test in
 virtual time."""
 
+COPY_INTERVAL = 0.5
+"""Seconds between copies of the store."""
+
+COPIES = 16
+"""Copies that are kept: the store goes back by at most eight seconds."""
+
 MAX_PRINTED = 5
 """Maximum number of violations printed per seed."""
 
@@ -120,10 +129,17 @@
         self.is_finished = False
         self.version = 0
         self.violations: list[str] = []
+        self.copies: collections.deque[objects_in_memory.Copy] = collections.deque(
+            maxlen=COPIES
+        )
 
     def change_configuration(self) -> None:
         """Write the next version of the configuration to the store."""
         self.version += 1
+        self.write_configuration()
+
+    def write_configuration(self) -> None:
+        """Write the present version of the configuration to the store."""
         self.store.store.put("config", "main", make_configuration(self.version))
 
     async def start(self) -> None:
@@ -439,6 +455,26 @@
     world.store.fault = ""
 
 
+async def restore_store(world: World) -> None:
+    """Restore the store from an older copy, with an outage; the operator writes again.
+
+    The databases' entries are written again by :func:`update_entries`.
+    """
+    world.store.fault = world.random.choice(["busy", "silent"])
+    await asyncio.sleep(0.1 + 2.0 * world.random.random())
+    world.store.store.restore(world.random.choice(world.copies))
+    world.store.fault = ""
+    await asyncio.sleep(world.random.random())
+    world.write_configuration()
+
+
+async def save_copies(world: World) -> None:
+    """Save copies of the store periodically."""
+    while True:
+        world.copies.append(world.store.store.save())
+        await asyncio.sleep(COPY_INTERVAL)
+
+
 async def silence_store(world: World) -> None:
     """Silence all open connections to the store, then change the configuration."""
     for link in world.store_links:
@@ -491,6 +527,7 @@
     lag_replica,
     break_link,
     break_store,
+    restore_store,
     silence_store,
     change_configuration,
 )
@@ -548,6 +585,7 @@
     await world.start()
     work = [asyncio.create_task(client.run()) for client in world.clients]
     work.append(asyncio.create_task(update_entries(world)))
+    work.append(asyncio.create_task(save_copies(world)))
     try:
         await inject_faults(world)
         before = sum(client.served for client in world.clients)
@@ -556,7 +594,7 @@
         await asyncio.sleep(max(0.0, ends - time.monotonic()))
         served_after_faults = sum(client.served for client in world.clients) - before
         world.is_finished = True
-        await asyncio.wait(work[:-1], timeout=8)
+        await asyncio.wait(work[: len(world.clients)], timeout=8)
     finally:
         for task in work:
             task.cancel()
--- a/src/sardinehold/node/leadership.py
+++ b/src/sardinehold/node/leadership.py
@@ -243,6 +243,7 @@
         self.version = version
         self.holder, self.holder_incarnation = node, incarnation
         self._names_leader = True
+        self.has_resigned = False
         self._changed_at = now
 
     def note_heartbeat(self, incarnation: str, version: int, now: float) -> None:
@@ -266,7 +267,7 @@
             return float("inf")
         if self.is_own():
             return self._next_write
-        if self.has_resigned:
+        if self.has_resigned and not self.holder:
             # There is no leader; with jitter, one of many nodes should write first.
             due = self._changed_at + self.spread * TAKEOVER_JITTER / 2
             return max(due, self._next_write)
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -72,16 +72,23 @@
 
 
 class Recorder:
-    """HTTP transport that answers from a list and records the requests."""
+    """HTTP transport that answers from a list and records the requests.
 
-    def __init__(self, *answers: tuple[int, object]) -> None:
+    ``eras`` has the value of ``Store-Era`` for each answer; 1 where it ends.
+    """
+
+    def __init__(
+        self, *answers: tuple[int, object], eras: tuple[int, ...] = ()
+    ) -> None:
         self.answers = list(answers)
+        self.eras = list(eras)
         self.requests: list[httpx.Request] = []
 
     def __call__(self, request: httpx.Request) -> httpx.Response:
         self.requests.append(request)
         status, body = self.answers.pop(0)
-        return httpx.Response(status, json=body)
+        era = self.eras.pop(0) if self.eras else 1
+        return httpx.Response(status, json=body, headers={"Store-Era": str(era)})
 
     def read_body(self, index: int) -> dict:
         return json.loads(self.requests[index].content)
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -298,6 +298,90 @@
     assert leadership.LEASE < leadership.TAKEOVER_AFTER
 
 
+def test_nobody_takes_over_from_the_leader_that_follows_a_resignation():
+    lead = make_leadership()
+    lead.observe(store_leader(5), 10.0)
+    lead.accept_resignation("b", 5, 11.0)
+    lead.accept_announcement("n3", "c", 6, 11.1)
+    assert lead.find_next_write(11.2) >= 11.1 + leadership.TAKEOVER_AFTER
+
+
+def restore_leader(incarnation: str = "b", era: int = 1) -> objects.StoredObject:
+    """Return the object of a leader of an era as it is read in era 2."""
+    value = {"node": "n2", "incarnation": incarnation, "beat": 1, "era": era}
+    return objects.StoredObject("k", "leader", objects.make_version(2, 3), value)
+
+
+@pytest.mark.parametrize("stored", [None, restore_leader(), restore_leader("a")])
+def test_nobody_takes_over_within_a_lease_that_a_restore_has_lost(stored):
+    lead = make_leadership()
+    lead.observe(store_leader(5), 8.0)
+    lead.accept_resignation("b", 5, 9.0)
+    lead.begin_era(10.0)
+    assert lead.find_next_write(10.1) == float("inf")
+    lead.observe(stored, 10.2, 2)
+    assert lead.find_next_write(10.3) >= 10.0 + leadership.TAKEOVER_AFTER
+    assert lead.predecessor_until >= 10.0 + leadership.LEASE
+
+
+def test_leader_within_its_lease_writes_its_object_after_a_restore_at_once():
+    lead = make_leadership()
+    lead.note_written(10.0, 5, {"t": 7})
+    lead.begin_era(10.5)
+    lead.observe(None, 10.6, 2)
+    assert lead.leads(10.7)
+    assert lead.find_next_write(10.7) <= 10.7
+    assert lead.make_value({})["era"] == 2
+    lead.note_written(10.7, objects.make_version(2, 4), {})
+    assert lead.acquired_version == objects.make_version(2, 4)
+
+
+def test_leader_whose_lease_has_run_out_waits_after_a_restore():
+    lead = make_leadership()
+    lead.note_written(10.0, 5, {})
+    lead.begin_era(12.0)
+    lead.observe(restore_leader("a"), 12.1, 2)
+    assert lead.find_next_write(12.2) >= 12.0 + leadership.TAKEOVER_AFTER
+
+
+def test_reserves_that_a_restore_brought_back_are_not_used():
+    lead = make_leadership()
+    stored = restore_leader()
+    stored.value["reserves"] = {"t": 90}
+    lead.begin_era(10.0)
+    lead.observe(stored, 10.1, 2)
+    assert lead.has_current_reserves()
+    assert lead.reserves == {}
+
+
+def test_state_that_a_restore_brought_back_is_not_later():
+    serving, sealed = catalog.Phase.SERVING, catalog.Phase.SEALED
+    held = catalog.GroupState("g", 2, "b", serving, objects.make_version(1, 80))
+    for found in (
+        catalog.GroupState("g", 1, "a", serving, objects.make_version(2, 50)),
+        catalog.GroupState("g", 1, "a", sealed, objects.make_version(2, 50), 3),
+    ):
+        merged = held.merge(found)
+        assert (merged.primary, merged.stage) == ("b", held.stage)
+        assert merged.version == found.version
+        assert not merged.is_stored
+        assert found.merge(held).stage == held.stage
+
+
+def test_stored_state_counts_only_in_the_era_in_which_it_was_written():
+    state = catalog.GroupState("g", 2, "b", catalog.Phase.SERVING)
+    value = state.dump(1)
+    first, second = objects.make_version(1, 50), objects.make_version(2, 50)
+    assert catalog.parse_group_state("g", value, first).is_stored
+    assert not catalog.parse_group_state("g", value, second).is_stored
+
+
+def test_primary_of_a_term_that_another_endpoint_has_left_is_not_found():
+    old, new = make_status(5, primary=True, term=1), make_status(5, term=2)
+    assert promotion.find_primary({"a": old, "b": new}) == ""
+    assert promotion.find_primary({"a": old}) == "a"
+
+
 def test_leader_without_the_store_continues_while_no_node_reaches_the_store():
     lead = make_leadership()
     lead.note_written(10.0, 5, {})
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -10,6 +10,7 @@
 import builders_node
 import builders_platform
 from sardinehold import errors
+from sardinehold import objects
 from sardinehold.core import positions
 from sardinehold.node import catalog
 from sardinehold.node import clock
@@ -124,7 +125,7 @@
     )
     changes = run_store(recorder, lambda client: client.list("servers"))
     assert [item.name for item in changes.objects] == ["a", "b"]
-    assert changes.revision == 8
+    assert objects.find_revision(changes.revision) == 8
     assert recorder.requests[1].url.params["after"] == "a"
 
 
@@ -175,11 +176,39 @@
     recorder = builders_platform.Recorder(
         (200, builders_platform.make_object("leader", 9, {"a": 1}))
     )
-    stored = run_store(recorder, lambda c: c.update("own", "leader", {"a": 1}, 8))
-    assert stored.version == 9
+    version = objects.make_version(1, 8)
+    stored = run_store(recorder, lambda c: c.update("own", "leader", {"a": 1}, version))
+    assert stored.version == objects.make_version(1, 9)
     assert recorder.read_body(0)["meta"]["Revision"] == 8
 
 
+def test_versions_carry_the_era_of_the_answer():
+    page = {
+        "items": [builders_platform.make_object("a", 3, {})],
+        "HasMore": True,
+        "StoreRevision": 8,
+    }
+    last = {**page, "HasMore": False}
+    events = {"events": [{"Object": page["items"][0]}], "StoreRevision": 9}
+    recorder = builders_platform.Recorder(
+        (200, page), (200, last), (200, events), eras=(1, 2, 3)
+    )
+
+    async def call(client):
+        return await client.list("own"), await client.watch(
+            "own", objects.make_version(2, 8), 1.0
+        )
+
+    listed, watched = run_store(recorder, call)
+    assert [item.version for item in listed.objects] == [
+        objects.make_version(1, 3),
+        objects.make_version(2, 3),
+    ]
+    assert listed.revision == objects.make_version(1, 8)
+    assert watched.revision == objects.make_version(3, 9)
+    assert recorder.requests[2].url.params["Watch"] == "8"
+
+
 def test_promotion_request_has_holder_and_token():
     recorder = builders_platform.Recorder((200, {}))
 
