Carry the store's era through the proxy's client; drill on our platform stand-in

Proxies took nothing from a restored store until its revisions had passed the old ones: a document that was written after the restore was not in force (tests/test_control.py::test_document_written_after_the_store_was_restored_is_ in_force failed, 1 == 2). The client of the object API now composes versions of era and revision, refuses conditions and ends watches of an earlier era.

The stand-in sends Store-Era in each answer, and POST /admin/save and /admin/restore play the drill.

A fresh leader that asks the endpoints for the present term waits for a slot: a busy primary would otherwise be replaced. Tests of a fleet that is restarted after a restore, of restores during a change of primary, of two restores, and of a node that the store does not answer.

--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -138,6 +138,17 @@
     return status
 
 
+async def await_log_status(
+    connection: ports.Connection, deadline: float
+) -> ports.LogStatus | None:
+    """Return the status of the log, waiting for a free slot until the deadline."""
+    status = await connection.read_status(deadline)
+    while status is None and clock.read() < deadline:
+        await anyio.sleep(CHECK_INTERVAL)
+        status = await connection.read_status(deadline)
+    return status
+
+
 async def read_log_status(
     connection: ports.Connection, deadline: float
 ) -> ports.LogStatus | None:
@@ -307,10 +318,7 @@
         deadline: float,
     ) -> ports.LogStatus | None:
         """Stop a log and return its status, None if it may still grow."""
-        status = await connection.read_status(deadline)
-        while status is None and clock.read() < deadline:
-            await anyio.sleep(CHECK_INTERVAL)
-            status = await connection.read_status(deadline)
+        status = await await_log_status(connection, deadline)
         if status is None:
             return None
         if status.is_primary:
@@ -444,7 +452,7 @@
     """
     is_confirmed = False
     for record in fleet.list_records(group):
-        status = await read_status(fleet, record)
+        _, status = await query(fleet, record, await_log_status)
         if status is not None and status.term > state.term:
             return True
         if status is not None and status.is_primary and record.name == state.primary:
--- a/src/sardinehold/platform_client.py
+++ b/src/sardinehold/platform_client.py
@@ -31,6 +31,9 @@
 BUCKET_BURST = 40
 """Calls that one process may make at once after an idle period."""
 
+ERA_HEADER = "Store-Era"
+"""Header of the platform's answers: rises by one with each restore from a copy."""
+
 REMEDY = "Check that the platform is up and reachable from this VM."
 
 
@@ -96,6 +99,9 @@
 class HttpObjectClient:
     """HTTP implementation of :class:`sardinehold.objects.ObjectClient`.
 
+    Versions carry the store's era, see :mod:`sardinehold.objects`. A condition or watch
+    of an earlier era fails as one of an outdated revision does.
+
     :param url: base URL of the object API.
     :param caller: name of this VM, sent with each call.
     :param tls: certificate files, empty for the system's authorities.
@@ -103,7 +109,15 @@
     .. versionadded:: 0.1
     """
 
-    __slots__ = ("_http", "_bucket", "_backoff", "_retry_at", "_clock", "calls")
+    __slots__ = (
+        "_http",
+        "_bucket",
+        "_backoff",
+        "_retry_at",
+        "_clock",
+        "calls",
+        "era",
+    )
 
     def __init__(
         self,
@@ -126,6 +140,7 @@
         self._backoff = Backoff()
         self._retry_at = 0.0
         self.calls: dict[str, int] = {}
+        self.era = 0
 
     async def close(self) -> None:
         """Close all connections."""
@@ -134,14 +149,14 @@
     async def get(self, kind: str, name: str) -> objects.StoredObject:
         """Read one object; raises ObjectMissing if it does not exist."""
         answer = await self._call("GET", f"/v1/objects/{kind}/{name}")
-        return _parse_object(answer.json())
+        return _parse_object(answer.json(), _read_era(answer))
 
     async def list(self, kinds: tuple[str, ...]) -> objects.Changes:
         """Read all objects of some kinds at one revision."""
         answer = await self._call(
             "GET", "/v1/objects", params={"kinds": ",".join(kinds)}
         )
-        return _parse_changes(answer.json())
+        return _parse_changes(answer)
 
     async def create(self, kind: str, name: str, value: dict) -> objects.StoredObject:
         """Create an object; raises VersionConflict if it exists."""
@@ -151,30 +166,47 @@
         self, kind: str, name: str, value: dict, version: int
     ) -> objects.StoredObject:
         """Replace an object; raises VersionConflict if its version differs."""
-        return await self._put(kind, name, value, {"If-Match": f'"{version}"'})
+        headers = self._make_condition(version)
+        return await self._put(kind, name, value, headers)
 
     async def delete(self, kind: str, name: str, version: int) -> None:
         """Delete an object; raises VersionConflict if its version differs."""
-        headers = {"If-Match": f'"{version}"'}
+        headers = self._make_condition(version)
         await self._call("DELETE", f"/v1/objects/{kind}/{name}", headers=headers)
 
+    def _make_condition(self, version: int) -> dict[str, str]:
+        """Return the header of a conditional write; raises VersionConflict."""
+        if objects.find_era(version) < self.era:
+            raise errors.VersionConflict(
+                "The version precedes a restore of the platform's store.",
+                "Read the object and retry.",
+            )
+        return {"If-Match": f'"{objects.find_revision(version)}"'}
+
     async def watch(
         self, kinds: tuple[str, ...], revision: int, wait: float
     ) -> objects.Changes:
         """Return the changes after ``revision``, waiting at most ``wait`` seconds."""
-        params = {"kinds": ",".join(kinds), "revision": revision, "wait": wait}
+        since = objects.find_revision(revision)
+        params = {"kinds": ",".join(kinds), "revision": since, "wait": wait}
         answer = await self._call(
             "GET", "/v1/watch", params=params, timeout=wait + CALL_TIMEOUT
         )
-        return _parse_changes(answer.json())
+        changes = _parse_changes(answer)
+        if objects.find_era(changes.revision) != objects.find_era(revision):
+            raise errors.WatchExpired(
+                "The platform's store was restored from an older copy.",
+                "List the objects again.",
+            )
+        return changes
 
     async def list_vms(self) -> objects.Changes:
         """Read the list of live and leaving VMs, which may be out of date."""
-        return _parse_changes((await self._call("GET", "/v1/vms")).json())
+        return _parse_changes(await self._call("GET", "/v1/vms"))
 
     async def list_groups(self) -> objects.Changes:
         """Read the database groups that the platform runs."""
-        return _parse_changes((await self._call("GET", "/v1/groups")).json())
+        return _parse_changes(await self._call("GET", "/v1/groups"))
 
     async def _put(
         self, kind: str, name: str, value: dict, headers: dict[str, str]
@@ -182,8 +214,8 @@
         answer = await self._call(
             "PUT", f"/v1/objects/{kind}/{name}", headers=headers, json=value
         )
-        body = answer.json()
-        return objects.StoredObject(kind, name, body["version"], value)
+        version = objects.make_version(_read_era(answer), answer.json()["version"])
+        return objects.StoredObject(kind, name, version, value)
 
     async def _call(
         self,
@@ -205,6 +237,7 @@
                 f"The platform did not answer {call}: {type(error).__name__}.", REMEDY
             ) from error
         self._check(answer, call)
+        self.era = max(self.era, _read_era(answer))
         return answer
 
     async def _throttle(self) -> None:
@@ -264,13 +297,24 @@
         return 0.0
 
 
-def _parse_object(body: dict) -> objects.StoredObject:
-    return objects.StoredObject(
-        body["kind"], body["name"], body.get("version") or 0, body["value"]
-    )
+def _read_era(answer: httpx.Response) -> int:
+    try:
+        return int(answer.headers.get(ERA_HEADER, 0))
+    except ValueError as error:
+        raise errors.PlatformUnavailable(
+            f"The platform's answer has a malformed {ERA_HEADER}.", REMEDY
+        ) from error
+
+
+def _parse_object(body: dict, era: int) -> objects.StoredObject:
+    revision = body.get("version") or 0
+    version = objects.make_version(era, revision) if revision else 0
+    return objects.StoredObject(body["kind"], body["name"], version, body["value"])
 
 
-def _parse_changes(body: dict) -> objects.Changes:
+def _parse_changes(answer: httpx.Response) -> objects.Changes:
+    body, era = answer.json(), _read_era(answer)
     return objects.Changes(
-        [_parse_object(entry) for entry in body["objects"]], body["revision"]
+        [_parse_object(entry, era) for entry in body["objects"]],
+        objects.make_version(era, body["revision"]),
     )
--- a/src/sardinehold_standins/platform.py
+++ b/src/sardinehold_standins/platform.py
@@ -49,9 +49,32 @@
         await send({"type": "http.response.start", "status": 500, "headers": headers})
 
 
+class EraHeader:
+    """ASGI middleware that adds the header ``Store-Era`` to each answer."""
+
+    def __init__(self, app, store: stores.Store) -> None:
+        """Wrap an application."""
+        self.app = app
+        self.store = store
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Answer a request."""
+
+        async def send_with_era(message) -> None:
+            if message["type"] == "http.response.start":
+                era = str(self.store.era).encode()
+                headers = [*message.get("headers", []), (b"store-era", era)]
+                message = {**message, "headers": headers}
+            await send(message)
+
+        await self.app(scope, receive, send_with_era)
+
+
 class Platform:
     """The platform's object API.
 
+    Every answer of the store has its era in the header ``Store-Era``.
+
     :param store: stored objects.
     :param controller: admission control.
 
@@ -65,7 +88,9 @@
         self.store = store
         self.controller = controller
         self._changed = asyncio.Event()
+        self._copy = store.save()
         self.app = applications.Starlette(routes=self._build_routes())
+        self.app.add_middleware(EraHeader, store=store)
 
     def _build_routes(self) -> list[routing.Route]:
         """Return the routes of API, administration and faults."""
@@ -87,6 +112,8 @@
                 self._handle_admin_group,
                 methods=["PUT", "DELETE"],
             ),
+            routing.Route("/admin/save", self._handle_save, methods=["POST"]),
+            routing.Route("/admin/restore", self._handle_restore, methods=["POST"]),
             routing.Route("/admin/expire", self._handle_expire, methods=["POST"]),
             routing.Route("/faults", self._handle_faults, methods=["GET", "PUT"]),
             routing.Route("/counts", self._handle_counts, methods=["GET", "DELETE"]),
@@ -229,6 +256,17 @@
         self._wake()
         return _answer({"revision": self.store.revision})
 
+    async def _handle_save(self, request: requests.Request) -> responses.Response:
+        """Save the copy of the store to which ``/admin/restore`` returns."""
+        self._copy = self.store.save()
+        return _answer({"revision": self._copy.revision})
+
+    async def _handle_restore(self, request: requests.Request) -> responses.Response:
+        """Restore the store from the saved copy, as after a loss of its newest data."""
+        self.store.restore(self._copy)
+        self._wake()
+        return _answer({"revision": self.store.revision, "era": self.store.era})
+
     async def _handle_faults(self, request: requests.Request) -> responses.Response:
         """Return or change the fault switches."""
         if request.method == "PUT":
--- a/src/sardinehold_standins/store.py
+++ b/src/sardinehold_standins/store.py
@@ -64,19 +64,47 @@
         return objects.Changes(list(self._visible.values()), newest)
 
 
+class Copy:
+    """Content of a store at one revision."""
+
+    __slots__ = ("revision", "items", "changes")
+
+    def __init__(
+        self,
+        revision: int,
+        items: dict[tuple[str, str], objects.StoredObject],
+        changes: collections.deque,
+    ) -> None:
+        """Store the content."""
+        self.revision = revision
+        self.items = items
+        self.changes = changes
+
+
 class Store:
     """Versioned objects with conditional updates and a bounded history.
 
+    ``era`` rises by one each time that the store is restored from a copy.
+
     :param history: number of changes retained for watches.
     :param list_lag: seconds by which the lists of VMs and groups lag.
 
     .. versionadded:: 0.1
     """
 
-    __slots__ = ("revision", "vms", "groups", "_objects", "_changes", "_history")
+    __slots__ = (
+        "era",
+        "revision",
+        "vms",
+        "groups",
+        "_objects",
+        "_changes",
+        "_history",
+    )
 
     def __init__(self, history: int = HISTORY_CHANGES, list_lag: float = 0.0) -> None:
         """Create an empty store at revision 0."""
+        self.era = 1
         self.revision = 0
         self.vms = LaggingList("vm", list_lag)
         self.groups = LaggingList("group", list_lag)
@@ -150,6 +178,17 @@
         found = [self._read_changed(kind, name) for kind, name in reversed(changed)]
         return objects.Changes(found, self.revision)
 
+    def save(self) -> Copy:
+        """Return a copy of the content."""
+        return Copy(self.revision, dict(self._objects), self._changes.copy())
+
+    def restore(self, copy: Copy) -> None:
+        """Return to a copy: later changes are lost, their revisions are used again."""
+        self.era += 1
+        self.revision = copy.revision
+        self._objects = dict(copy.items)
+        self._changes = copy.changes.copy()
+
     def expire_history(self) -> None:
         """Discard the history, so that all watches have to list again."""
         self._changes.clear()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -85,6 +85,31 @@
     run(check)
 
 
+def test_document_written_after_the_store_was_restored_is_in_force():
+    async def check():
+        fleet = Fleet()
+        async with anyio.create_task_group() as tasks:
+            for vm in ("a", "b"):
+                fleet.start(tasks, vm)
+            await wait_for(lambda: all(fleet.is_serving(vm) for vm in "ab"))
+            copy = fleet.store.save()
+            for number in range(200):
+                fleet.store.create("other", str(number), {})
+            await anyio.sleep(1.0)
+            fleet.store.restore(copy)
+            stored = fleet.store.get("document", "current")
+            value = {**stored.value, "version": stored.value["version"] + 1}
+            fleet.store.update("document", "current", value, stored.version)
+            await anyio.sleep(4.0)
+            for vm in "ab":
+                found = fleet.controls[vm].view.document.version
+                assert found == value["version"]
+            assert all(fleet.is_serving(vm) for vm in "ab")
+            tasks.cancel_scope.cancel()
+
+    run(check)
+
+
 def test_planned_stop_leaves_the_fleet():
     async def check():
         fleet = Fleet()
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -204,3 +204,89 @@
         assert "member_gone" not in events
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_restarted_fleet_does_not_return_to_the_primary_that_was_replaced(monkeypatch):
+    # Nobody remembers the change of primary that the store has lost.
+    async def scenario(world):
+        copy = world.store.save()
+        await replace_primary(world)
+        primary = world.clusters["g"].primary.name
+        zones = {name: node.settings.zone for name, node in world.nodes.items()}
+        await world.restore_store(copy)
+        for name in zones:
+            world.kill_node(name)
+        for name, zone in zones.items():
+            world.start_node(name, zone)
+        deadline = clock.read() + ELECTION_SECONDS + 3.0
+        while clock.read() < deadline:
+            for node in world.nodes.values():
+                group = node.groups.get("g")
+                if group is not None and group.lease.holds_lease(clock.read()):
+                    assert group.state.primary == primary
+            await asyncio.sleep(0.02)
+        assert find_stored_state(world)["primary"] == primary
+        assert (await world.open("n1", "latest").write()).error is None
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("delay", [0.8, 1.2, 1.6, 2.0, 2.4])
+def test_change_of_primary_ends_although_the_store_is_restored_meanwhile(
+    monkeypatch, delay
+):
+    async def scenario(world):
+        copy = world.store.save()
+        await asyncio.sleep(3.0)
+        world.clusters["g"].primary.crash()
+
+        async def call(name):
+            while True:
+                await world.open(name, "latest").write()
+                await asyncio.sleep(0.1)
+
+        for name in world.nodes:
+            world.tasks.start_soon(call, name)
+        await asyncio.sleep(delay)
+        await world.restore_store(copy, 0.3)
+        await asyncio.sleep(ELECTION_SECONDS + 6.0)
+        cluster = world.clusters["g"]
+        tokens = [token for _, token, _ in cluster.promotions]
+        assert tokens == sorted(set(tokens))
+        log = [request for _, request in cluster.primary.log]
+        assert set(cluster.acknowledged) <= set(log)
+        assert find_stored_state(world)["primary"] == cluster.primary.name
+        assert (await world.open("n1", "latest").write()).error is None
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_node_without_the_store_learns_of_its_restore_from_the_others(monkeypatch):
+    async def scenario(world):
+        copy = world.store.save()
+        await asyncio.sleep(3.0)
+        away = next(name for name in world.nodes if name != world.find_leader())
+        await world.restore_store(copy)
+        world.store.cut.add(away)
+        await asyncio.sleep(ELECTION_SECONDS)
+        assert world.nodes[away].store.era == world.store.era
+        assert (await world.open(away, "latest").write()).error is None
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_one_node_leads_over_two_restores_within_seconds(monkeypatch):
+    async def scenario(world):
+        first = world.store.save()
+        await asyncio.sleep(4.0)
+        second = world.store.save()
+        await asyncio.sleep(1.0)
+        counted = asyncio.create_task(count_leaders(world, 12.0))
+        await world.restore_store(second, 1.2)
+        await asyncio.sleep(1.0)
+        await world.restore_store(first, 0.3)
+        await asyncio.sleep(ELECTION_SECONDS)
+        assert len(list_leaders(world)) == 1
+        assert await counted == 1
+
+    builders_node.run_scenario(monkeypatch, scenario)
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -57,3 +57,15 @@
         snapshot.apply(objects.Changes([deleted], version + 2), version + 1)
     assert snapshot.collect_changes(5) is None
     assert snapshot.collect_changes(snapshot.version) is not None
+
+
+def test_replaced_primary_stays_replaced_when_the_store_is_restored():
+    def list_state(era, revision, term):
+        version = objects.make_version(era, revision)
+        stored = objects.StoredObject("group-state", "g", version, {"term": term})
+        return objects.Changes([stored], version)
+
+    snapshot = snapshots.Snapshot()
+    snapshot.replace(list_state(1, 80, 2))
+    snapshot.replace(list_state(2, 50, 1))
+    assert snapshot.find("group-state", "g").value["term"] == 2
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -42,6 +42,25 @@
     asyncio.run(run())
 
 
+def test_restored_store_is_in_another_era_and_gives_revisions_out_again():
+    async def scenario(client):
+        created = await client.put(OBJECT, json={"vm": "a"}, headers=CREATE)
+        await client.post("/admin/save")
+        match = {"If-Match": f'"{created.json()["version"]}"'}
+        updated = await client.put(OBJECT, json={"vm": "b"}, headers=match)
+        lost = updated.json()["version"]
+        restored = await client.post("/admin/restore")
+        eras = [answer.headers["Store-Era"] for answer in (updated, restored)]
+        assert eras == ["1", "2"]
+        assert (await client.get(OBJECT)).json()["value"] == {"vm": "a"}
+        query = {"kinds": "role", "revision": lost, "wait": 0}
+        assert (await client.get("/v1/watch", params=query)).status_code == 410
+        again = await client.put(OBJECT, json={"vm": "c"}, headers=match)
+        assert again.json()["version"] == lost
+
+    run_scenario(scenario)
+
+
 def test_object_is_created_updated_and_deleted_by_version():
     async def scenario(client):
         created = await client.put(OBJECT, json={"vm": "a"}, headers=CREATE)
