Write a node's entry again when a restore brought back an earlier process's

The store held the entry of the process before, with an address that may be another VM's: other nodes sent reports and statements there. A node wrote its entry again only where the list had none under its name.

--- a/src/sardinehold/node/store_mirror.py
+++ b/src/sardinehold/node/store_mirror.py
@@ -276,8 +276,10 @@
         names = {stored.name for stored in changes.objects}
         self._note_lost_states(names, objects.find_era(changes.revision))
         self.is_secret_stored = SECRET_NAME in names
+        member = self.node.members.get(self.node.settings.name)
+        is_current = member is not None and member.incarnation == self.node.incarnation
         is_registered = f"{MEMBER_PREFIX}{self.node.settings.name}" in names
-        if not (is_registered and self.is_secret_stored):
+        if not (is_registered and is_current and self.is_secret_stored):
             self.node.store_writer.restore_entry()
         if not is_registered:
             return
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -290,3 +290,22 @@
         assert await counted == 1
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_entry_of_an_earlier_process_that_a_restore_brought_back_is_replaced(
+    monkeypatch,
+):
+    # The earlier process may have had another address.
+    async def scenario(world):
+        copy = world.store.save()
+        world.kill_node("n1")
+        node = world.start_node("n1", "middle")
+        await asyncio.sleep(3.0)
+        await world.restore_store(copy)
+        await asyncio.sleep(ELECTION_SECONDS)
+        entry = world.store.objects[store_mirror.FLEET_KIND, "member.n1"].value
+        assert entry["incarnation"] == node.incarnation
+        members = [other.members["n1"] for other in world.nodes.values()]
+        assert {member.incarnation for member in members} == {node.incarnation}
+
+    builders_node.run_scenario(monkeypatch, scenario)
