--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -358,6 +358,19 @@
             with contextlib.suppress(RuntimeError):
                 writer.close()
 
+    def drain(self) -> None:
+        """Report that it leaves; it serves on until it ends."""
+        self.record.write(f"db {self.name}: is draining")
+        self.state = "draining"
+        self.register()
+
+    def leave(self) -> None:
+        """End; the entry is removed, and the log is gone."""
+        self.crash()
+        self.is_primary = False
+        self.cluster.store.remove("servers", self.name)
+        del self.cluster.databases[self.name]
+
     def crash(self) -> None:
         """Stop; open connections are reset."""
         self.record.write(f"db {self.name}: crashes")
@@ -588,10 +601,22 @@
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT)
-            for database in self.databases.values():
+            for database in list(self.databases.values()):
                 if database.is_up:
                     database.register()
 
+    async def add_replacement(self, old: Database) -> Database:
+        """Start a database with the log of one that is to leave."""
+        index = len(self.databases) + 3
+        database = Database(self, f"i-{self.service}-{index}", old.zone)
+        database.log, database.term = list(old.log), old.term
+        database.applied = len(database.log)
+        self.databases[database.name] = database
+        await database.start()
+        database.register()
+        self.record.write(f"db {database.name}: starts, to replace {old.name}")
+        return database
+
     def find_newest_primary(self) -> Database:
         leaders = [item for item in self.databases.values() if item.is_primary]
         return max(leaders, key=lambda item: item.term, default=None) or next(
@@ -611,7 +636,7 @@
         while True:
             await asyncio.sleep(0.02)
             now = time.monotonic()
-            for database in self.databases.values():
+            for database in list(self.databases.values()):
                 if not database.is_up:
                     continue
                 leaders = [
@@ -795,7 +820,7 @@
 MaxValueBytes = 1048576
 MinTtlMs = 1000
 [CloudApi]
-Address = "127.0.0.1:{world.cloud.port}"
+Address = "127.0.0.1:{world.cloud_ports[self.index]}"
 RatePerS = 50.0
 Duties = ["failover"]
 DutyPerS = 50.0
@@ -869,6 +894,7 @@
         self.tasks: list[asyncio.Task] = []
         self.addresses: list[str] = []
         self.store_ports: list[int] = []
+        self.cloud_ports: list[int] = []
         self.version = 6
         self.tenants: dict[str, list[str]] = {"nypu920": ["u6wsjnba", "j8pjbvk9"]}
         self.rate = 500
@@ -952,13 +978,18 @@
             self.tasks += await cluster.start()
         self.configure()
         self.addresses = [find_address() for _ in range(count)]
-        self.store_ports = self.store_ports or [self.store.port] * count
+        self.store_ports = [self.store.port] * count
+        self.cloud_ports = [self.cloud.port] * count
+        await self.place_links(count)
         names = list(self.zones)
         self.nodes = [Node(self, index, names[index % len(names)]) for index in range(count)]
         for node in self.nodes:
             await node.start()
         await self.wait_ready()
 
+    async def place_links(self, count: int) -> None:
+        """Place links between the nodes and the platform; by default there are none."""
+
     async def wait_ready(self, seconds: float = 20.0) -> None:
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
@@ -1078,12 +1109,12 @@
     return port
 
 
-def run(folder: str, scenario) -> None:
+def run(folder: str, scenario, make_world=World) -> None:
     """Run a scenario and exit with 1 if it broke a rule, 0 if not, 2 if it can't run."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play() -> int:
-        world = World(pathlib.Path(folder))
+        world = make_world(pathlib.Path(folder))
         try:
             async with asyncio.timeout(110):
                 await scenario(world, has_trouble)
@@ -1097,4 +1128,6 @@
             print(f"broken: {text}")
         return 1 if world.record.broken else 0
 
+    # Streams that are still open at the end are closed with the process.
+    sys.unraisablehook = lambda unraisable: None
     sys.exit(asyncio.run(play()))
