--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -313,6 +313,8 @@
         self.slots = asyncio.Semaphore(cluster.slots)
         self.sees_newer_since: float | None = None
         self.cut_off: set[str] = set()
+        self.slow_items: dict[str, float] = {}
+        self.lost_items: set[str] = set()
 
     def format_position(self, count=None) -> str:
         return f"{self.term}.{len(self.log) if count is None else count}"
@@ -516,8 +518,13 @@
                 return [f"ERROR ABORTED {database.name}"]
             return [f"ERROR MALFORMED {database.name}"]
         async with database.slots:
-            await asyncio.sleep(database.cluster.work)
-            return await self._execute(request_id, text, word, rest, after)
+            item = rest.split(" ")[0]
+            await asyncio.sleep(database.slow_items.get(item, database.cluster.work))
+            answer = await self._execute(request_id, text, word, rest, after)
+        if item in database.lost_items:
+            self.record.write(f"db {database.name}: {request_id}'s answer is lost, reset")
+            return None
+        return answer
 
     def _has_position(self, after) -> bool:
         database = self.database
@@ -550,8 +557,10 @@
         )
         self.record.write(
             f"db {database.name}: runs {request_id} [{text}] for {self.tenant}"
-            f" in {self.state}, log {database.format_position(count)}"
+            f" in {self.state}, log {database.format_position(count)},"
+            f" values {self.values}"
         )
+        database.cluster.run_values.append((request_id, database.name, dict(self.values)))
         signature = f"COMPLETE sig.{database.name}.{request_id}"
         if word == "COMMIT":
             writes, self.writes, self.state = self.writes, [], "I"
@@ -585,6 +594,7 @@
         self.connection_limit = limit
         self.work = WORK
         self.runs: list[tuple[float, str, str, str, str, int]] = []
+        self.run_values: list[tuple[str, str, dict[str, str]]] = []
         self.commits: list[tuple[float, str, int, list[str]]] = []
         self.promotions: list[tuple[float, str, int, list[str]]] = []
         self.databases = {
