--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -63,6 +63,7 @@
     def __init__(self) -> None:
         self.port = 0
         self.server = None
+        self.headers = ""
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -94,7 +95,8 @@
                 status, content = found
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(content)}\r\n\r\n".encode() + content
+                    f"Content-Length: {len(content)}\r\n{self.headers}\r\n".encode()
+                    + content
                 )
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, ValueError):
