--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # The stand-ins are Python programs without dependencies: checks that they compile.
 cd "$(dirname "$0")" || exit 1
-python3 -B - standins/*.py [1-5]/*.py <<'END'
+python3 -B - standins/*.py soak/*.py [1-5]/*.py <<'END'
 import pathlib
 import sys
 
