End promotion requests with the lead of their sender

Cause: httpx's timeout bounds each phase, not the call; a call that is given up is closed, so that the kernel delivers its bytes when the partition heals; nothing is checked between connecting and writing; and a leader resigned or stopped beside its own request.

A request now has its own connection with a deadline that the lead outlasts, the clock is read immediately before its only write, closes are resets (SO_LINGER 0, also for a killed process), and TCP_USER_TIMEOUT covers a paused one. Resigning waits for it.

Ruled out: the tokens (versions of conditional writes) and two leaders at once.

The new tests on the old leader: test_leader_does_not_resign...[0.3], test_leader_that_stops..., test_promotion_request_is_ not_sent_near... fail.

--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -44,6 +44,14 @@
 CREATE_DELAY = 0.3
 """Seconds between attempts to find the primary of a group that has no state."""
 
+REQUEST_TIMEOUT = 0.8
+"""Seconds for which a promotion request may be on its way. The lead must last as long:
+the next leader may request other promotions."""
+
+LEAD_CHECK_INTERVAL = 0.02
+"""Seconds between checks whether the lead lasts for another request, or whether the
+last request has ended."""
+
 FAILURE_DELAY = 0.5
 """Seconds before a failed change of primary is retried."""
 
@@ -73,6 +81,7 @@
         self._absences = membership.Absences()
         self._suspects: set[str] = set()
         self._started_at: float | None = None
+        self._requests_running = 0
 
     # Reports and responses
 
@@ -317,7 +326,7 @@
         if self.allocator is None:
             return
         now = clock.read()
-        if self.node.leadership.should_resign(
+        if not self._requests_running and self.node.leadership.should_resign(
             now, self.member_reports.list_contacts(now)
         ):
             self.note("resigned", version=self.node.leadership.version)
@@ -476,7 +485,7 @@
 
     def leads(self) -> bool:
         """Return whether this node may act as the leader."""
-        return self.node.leadership.leads(clock.read())
+        return not self.node.is_stopping and self.node.leadership.leads(clock.read())
 
     def list_records(self, group: str) -> list[catalog.EndpointRecord]:
         """Return the records of a group's endpoints, which may hold a log."""
@@ -524,9 +533,29 @@
         )
 
     async def request_promotion(self, group: str, endpoint: str, token: int) -> None:
-        """Request the promotion of an endpoint; see :class:`ports.Duty`."""
+        """Request the promotion of an endpoint; see :class:`ports.Duty`.
+
+        :raises sardinehold.errors.PlatformError: this node leads for too short a time.
+        """
         holder = self.node.settings.name
-        await self.node.duty.promote(group, endpoint, holder, token)
+        deadline = clock.read() + REQUEST_TIMEOUT
+        while self.node.leadership.leads_until < deadline:
+            if not self.leads():
+                raise errors.PlatformError(
+                    "This node is no longer the leader.", "The next leader continues."
+                )
+            await anyio.sleep(LEAD_CHECK_INTERVAL)
+            deadline = clock.read() + REQUEST_TIMEOUT
+        self._requests_running += 1
+        try:
+            await self.node.duty.promote(group, endpoint, holder, token, deadline)
+        finally:
+            self._requests_running -= 1
+
+    async def finish_requests(self) -> None:
+        """Wait until no promotion request is on its way."""
+        while self._requests_running:
+            await anyio.sleep(LEAD_CHECK_INTERVAL)
 
     def note(self, event: str, **fields: object) -> None:
         """Log a step of a change of primary."""
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -379,10 +379,15 @@
         """Become not ready, drain links, and hand over leadership."""
         self.is_stopping = True
         self.links.start_draining()
+        self.spawn(self._hand_over_lead)
+
+    async def _hand_over_lead(self) -> None:
+        """Resign if this node leads, after its last promotion request has ended."""
+        await self.leader.finish_requests()
         if self.leadership.leads(clock.read()):
             self.exchange.announce(list(self.members), resigns=True)
             self.leadership.resign()
-            self.spawn(self.store_writer.write_resignation)
+            await self.store_writer.write_resignation()
 
     def _close_idle(self) -> None:
         """Close all idle sessions, and further ones as soon as they become idle."""
--- a/src/sardinehold/platform/daemon.py
+++ b/src/sardinehold/platform/daemon.py
@@ -91,7 +91,6 @@
             await node.stop()
         tasks.cancel_scope.cancel()
     await store_client.close()
-    await failover_api.close()
 
 
 async def _listen(
--- a/src/sardinehold_standins/group_in_memory.py
+++ b/src/sardinehold_standins/group_in_memory.py
@@ -150,9 +150,15 @@
         replica.applied = max(replica.applied, length)
 
     async def promote(self, name: str) -> None:
-        """Promote a database to primary of the next term after ``promote_delay``."""
-        await asyncio.sleep(self.promote_delay)
+        """Promote a database to primary of the next term after ``promote_delay``.
+
+        Nothing changes for the present primary.
+        """
         target = self.databases[name]
+        terms = [item.term for item in self.databases.values() if item.is_primary]
+        if target.is_primary and target.term == max(terms):
+            return
+        await asyncio.sleep(self.promote_delay)
         target.term = max(item.term for item in self.databases.values()) + 1
         target.is_primary = True
         target.paused_term = 0
--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -105,13 +105,28 @@
     def __init__(self, world: "World") -> None:
         self.world = world
 
-    async def promote(self, group, endpoint, holder, token):
-        cluster = self.world.clusters[group]
+    async def promote(self, group, endpoint, holder, token, deadline):
+        world = self.world
+        cluster = world.clusters[group]
         cluster.promotions.append((holder, token, endpoint))
-        await asyncio.sleep(0.005)
+        delay = world.request_delays.pop(0) if world.request_delays else 0.005
+        world.tasks.start_soon(self._execute, cluster, endpoint, delay)
+        world.requesting.append(holder)
+        try:
+            await asyncio.sleep(min(delay, deadline - clock.read()))
+        finally:
+            world.requesting.remove(holder)
+        if clock.read() >= deadline:
+            raise errors.PlatformUnavailable("No answer.", "Check the endpoint.")
         if not cluster.databases[endpoint].is_up:
             raise errors.PlatformError("It is not running.", "Choose another.")
-        self.world.tasks.start_soon(cluster.promote, endpoint)
+
+    @staticmethod
+    async def _execute(cluster, endpoint, delay):
+        """Execute a request, also if its sender no longer waits for the answer."""
+        await asyncio.sleep(delay)
+        if cluster.databases[endpoint].is_up:
+            await cluster.promote(endpoint)
 
 
 class Datagrams(peers.Peers):
@@ -252,7 +267,11 @@
 
 
 class World:
-    """Nodes, store and databases of a simulated fleet."""
+    """Nodes, store and databases of a simulated fleet.
+
+    ``request_delays`` has the seconds after which the platform executes each of the
+    next promotion requests, ``requesting`` the senders of those on their way.
+    """
 
     def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
         self.tasks = tasks
@@ -264,6 +283,8 @@
         self.cuts: set[frozenset[str]] = set()
         self.frozen: set[str] = set()
         self.pipes: list[PipeTransport] = []
+        self.request_delays: list[float] = []
+        self.requesting: list[str] = []
         self._requests = 0
 
     def is_delayed(self, one: str, other: str) -> bool:
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -2,9 +2,15 @@
 
 import asyncio
 import json
+import re
+import sys
 
+import anyio
 import httpx
 
+from sardinehold.node import clock
+from sardinehold.platform import failover_client
+
 
 def make_route(**changes: object) -> dict:
     return {
@@ -98,6 +104,46 @@
         return httpx.MockTransport(self)
 
 
+class FailoverServer:
+    """The platform's failover API; without a status, no request is answered.
+
+    ``was_reset`` tells for each connection whether its sender reset it.
+    """
+
+    def __init__(self, status: int | None = None) -> None:
+        self.status = status
+        self.requests: list[bytes] = []
+        self.was_reset: list[bool] = []
+        self.address = ("127.0.0.1", 0)
+        self.ended = asyncio.Event()
+
+    async def start(self) -> asyncio.Server:
+        server = await asyncio.start_server(self._serve, *self.address)
+        self.address = server.sockets[0].getsockname()
+        return server
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = re.search(rb"content-length: (\d+)", head.lower())
+            body = await reader.readexactly(int(length.group(1)))
+            self.requests.append(head + body)
+            if self.status is not None:
+                answer = f"HTTP/1.1 {self.status} X\r\nContent-Length: 2\r\n\r\n{{}}"
+                writer.write(answer.encode())
+            await reader.read()
+            self.was_reset.append(False)
+        except asyncio.IncompleteReadError:
+            self.was_reset.append(False)
+        except ConnectionResetError:
+            self.was_reset.append(True)
+        finally:
+            self.ended.set()
+            writer.close()
+
+
 class LineServer:
     """Server that answers each line from a script and records the lines."""
 
@@ -122,3 +168,13 @@
                 return
             writer.write(answer)
         writer.close()
+
+
+async def request_promotion(port: int) -> None:
+    """Send one promotion request, as a process that a test kills."""
+    client = failover_client.FailoverClient(("127.0.0.1", port))
+    await client.promote("db", "i-2", "frontend-1", 41, clock.read() + 60.0)
+
+
+if __name__ == "__main__":
+    anyio.run(request_promotion, int(sys.argv[1]))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,6 +6,7 @@
 import pytest
 
 import builders_node
+from sardinehold import errors
 from sardinehold import objects
 from sardinehold.node import catalog
 from sardinehold.node import clock
@@ -1345,3 +1346,67 @@
             assert node.groups["g"].endpoints["g-2"].draining_since is not None
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+async def await_request(world):
+    while not world.requesting:
+        await asyncio.sleep(0.01)
+    return world.requesting[0]
+
+
+async def check_requests_have_ended(world, seconds):
+    """Check that no node leads while another's promotion request is on its way."""
+    until = clock.read() + seconds
+    while clock.read() < until:
+        leader = world.find_leader()
+        assert not leader or set(world.requesting) <= {leader}
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("wait", [0.0, 0.15, 0.3, 0.45])
+def test_leader_does_not_resign_while_its_promotion_request_is_on_its_way(
+    monkeypatch, wait
+):
+    # The request arrived after those of the next leader, with a lower fencing token.
+    async def scenario(world):
+        first = world.find_leader()
+        for name in world.nodes:
+            await world.open(name, "latest").write()
+        await asyncio.sleep(wait)
+        world.request_delays = [5.0]
+        world.clusters["g"].primary.crash()
+        assert await await_request(world) == first
+        world.store.cut.add(first)
+        await check_requests_have_ended(world, 6.0)
+        assert world.find_leader() != first
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_leader_that_stops_waits_for_its_promotion_request(monkeypatch):
+    # The next leader took over at once, before the request had arrived.
+    async def scenario(world):
+        first = world.find_leader()
+        for name in world.nodes:
+            await world.open(name, "latest").write()
+        world.request_delays = [5.0]
+        world.clusters["g"].primary.crash()
+        assert await await_request(world) == first
+        world.tasks.start_soon(world.nodes[first].stop)
+        await check_requests_have_ended(world, 3.0)
+        assert world.find_leader() != first
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_promotion_request_is_not_sent_near_the_end_of_the_lease(monkeypatch):
+    # Without the store the lead ends before the request could have timed out.
+    async def scenario(world):
+        leader = world.nodes[world.find_leader()]
+        world.store.cut.add(leader.settings.name)
+        leader.leadership.leads_until = clock.read() + 0.3
+        with pytest.raises(errors.PlatformError):
+            await leader.leader.request_promotion("g", "g-1", 7)
+        assert not world.clusters["g"].promotions
+
+    builders_node.run_scenario(monkeypatch, scenario)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,7 +1,9 @@
 """Platform adapter: settings, records, store, failover, endpoints, callers, pages."""
 
 import asyncio
+import json
 import pathlib
+import sys
 import tomllib
 
 import anyio
@@ -209,32 +211,94 @@
     assert recorder.requests[2].url.params["Watch"] == "8"
 
 
-def test_promotion_request_has_holder_and_token():
-    recorder = builders_platform.Recorder((200, {}))
+def request_promotion(server, deadline=5.0, holder="frontend-1"):
+    """Send one request, and return once the server has seen its connection end."""
 
     async def main():
-        client = failover_client.FailoverClient(("127.0.0.1", 1), recorder.transport)
-        await client.promote("db", "i-2", "frontend-1", 41)
-        await client.close()
+        listening = await server.start()
+        client = failover_client.FailoverClient(server.address)
+        try:
+            await client.promote("db", "i-2", holder, 41, clock.read() + deadline)
+        finally:
+            if server.requests:
+                await server.ended.wait()
+            listening.close()
 
     anyio.run(main)
-    headers = recorder.requests[0].headers
-    assert headers["X-Duty-Holder"] == "frontend-1"
-    assert headers["X-Fencing-Token"] == "41"
-    assert recorder.read_body(0) == {"Service": "db", "Id": "i-2"}
 
 
-def test_refused_promotion_is_an_error():
+def test_promotion_request_has_holder_and_token():
+    server = builders_platform.FailoverServer(200)
+    request_promotion(server)
+    head, _, body = server.requests[0].partition(b"\r\n\r\n")
+    lines = head.decode().lower().split("\r\n")
+    assert lines[0] == "post /failover http/1.1"
+    assert "x-duty-holder: frontend-1" in lines
+    assert "x-fencing-token: 41" in lines
+    assert json.loads(body) == {"Service": "db", "Id": "i-2"}
+
+
+@pytest.mark.parametrize("status", [409, 429, 503])
+def test_refused_promotion_is_an_error(status):
+    with pytest.raises(errors.PlatformError) as caught:
+        request_promotion(builders_platform.FailoverServer(status))
+    assert not isinstance(caught.value, errors.PlatformUnavailable)
+
+
+def test_failed_promotion_may_have_been_executed():
+    with pytest.raises(errors.PlatformUnavailable):
+        request_promotion(builders_platform.FailoverServer(500))
+
+
+def test_unanswered_promotion_request_is_reset_at_its_deadline():
+    # A partition that heals later delivered the request after the next leader's ones.
+    server = builders_platform.FailoverServer()
+    with pytest.raises(errors.PlatformUnavailable):
+        request_promotion(server, 0.2)
+    assert server.was_reset == [True]
+
+
+def test_promotion_request_is_not_sent_after_its_deadline(monkeypatch):
+    # The process was suspended while it connected, and sent the request afterwards.
+    real_connect = asyncio.open_connection
+
+    async def connect(*arguments):
+        opened = await real_connect(*arguments)
+        now = clock.read()
+        monkeypatch.setattr(clock, "read", lambda: now + 10.0)
+        return opened
+
+    monkeypatch.setattr(asyncio, "open_connection", connect)
+    server = builders_platform.FailoverServer(200)
+    with pytest.raises(errors.PlatformError) as caught:
+        request_promotion(server)
+    assert not isinstance(caught.value, errors.PlatformUnavailable)
+    assert server.requests == []
+
+
+def test_promotion_request_of_a_killed_process_is_discarded():
+    # The kernel delivered it after the process had ended and another one led.
+    server = builders_platform.FailoverServer()
+
     async def main():
-        recorder = builders_platform.Recorder((409, {}))
-        client = failover_client.FailoverClient(("127.0.0.1", 1), recorder.transport)
-        try:
-            await client.promote("db", "i-2", "frontend-1", 41)
-        finally:
-            await client.close()
+        listening = await server.start()
+        port = str(server.address[1])
+        command = [sys.executable, builders_platform.__file__, port]
+        sender = await asyncio.create_subprocess_exec(*command)
+        while not server.requests:
+            await asyncio.sleep(0.01)
+        sender.kill()
+        await sender.wait()
+        await server.ended.wait()
+        listening.close()
+
+    anyio.run(main)
+    assert server.was_reset == [True]
+
 
+def test_node_name_that_no_header_can_hold_is_an_error():
     with pytest.raises(errors.PlatformError):
-        anyio.run(main)
+        request_promotion(builders_platform.FailoverServer(200), holder="lod\u017a")
 
 
 def run_scenario(scenario, *script):
