Name an endpoint again while its promotion may still be executed

Cause: a request without an answer counted as failed after 3 s, and another endpoint was named; the state in the store did not tell which endpoint an attempt had named. The state now holds it, it is named again until the platform answers, and nothing else is requested or planned until REQUEST_LIFETIME after it. Refusals are told from missing answers.

Ruled out: bytes on their way (the request had arrived).

--- a/src/sardinehold/node/catalog.py
+++ b/src/sardinehold/node/catalog.py
@@ -206,6 +206,11 @@
     SEALED = "sealed"
 
 
+FIRST_REQUEST = 2
+"""First attempt of a seal under which a promotion was requested, when all leases on the
+old primary had expired. A primary of a later term under an earlier attempt was promoted
+under a seal that the store has lost."""
+
 Stage = tuple[int, bool, int]
 """Term, whether the group is sealed, and attempt of a state. Every step of every change
 of primary increases it, whatever the store has lost."""
@@ -223,6 +228,8 @@
         the state gets with the new count is the fencing token of the request.
     :param is_stored: whether the object holds this state and was written in the era of
         its version; otherwise the leader has to write it again.
+    :param requested: the endpoint whose promotion was last requested, if the platform
+        may still execute the request, otherwise ``""``.
     """
 
     __slots__ = (
@@ -233,6 +240,7 @@
         "version",
         "attempt",
         "is_stored",
+        "requested",
     )
 
     def __init__(
@@ -244,8 +252,10 @@
         version: int = 0,
         attempt: int = 0,
         is_stored: bool = True,
+        requested: str = "",
     ) -> None:
         """Initialize the state."""
+        self.requested = requested
         self.attempt = attempt
         self.is_stored = is_stored
         self.group = group
@@ -269,6 +279,19 @@
             version,
             self.attempt,
             is_stored,
+            self.requested,
+        )
+
+    def forget_request(self) -> "GroupState":
+        """Return the same state without a request that may still be executed."""
+        return GroupState(
+            self.group,
+            self.term,
+            self.primary,
+            self.phase,
+            self.version,
+            self.attempt,
+            self.is_stored,
         )
 
     def merge(self, other: "GroupState") -> "GroupState":
@@ -290,6 +313,7 @@
             "primary": self.primary,
             "phase": self.phase.value,
             "attempt": self.attempt,
+            "requested": self.requested,
             "era": era,
         }
 
@@ -307,4 +331,5 @@
         version,
         int(value["attempt"]),
         int(value.get("era", 0)) == objects.find_era(version),
+        str(value.get("requested", "")),
     )
--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -35,7 +35,14 @@
 
 PROMOTION_TIMEOUT = 3.0
 """Seconds within which a promotion must take effect; the slowest one that endpoints are
-specified to need takes 1 s. Another promotion is requested only after it."""
+specified to need takes 1 s."""
+
+UNANSWERED_TIMEOUT = 1.2
+"""Seconds to wait for the effect of a request without an answer before it is repeated:
+the slowest promotion, and a query."""
+
+REFUSED_DELAY = 0.5
+"""Seconds after which another promotion is requested when one was refused."""
 
 IN_FLIGHT_DELAY = 0.25
 """Seconds after the logs were frozen in which answers in transit reach the nodes. Only
@@ -58,11 +65,6 @@
 """Seconds between the seal and the freeze of a switchover, in which running statements
 complete."""
 
-REQUESTED_ATTEMPT = 2
-"""First attempt of a seal under which a promotion was requested, when all leases on the
-old primary had expired. A primary of a later term under an earlier attempt was promoted
-under a seal that the store has lost."""
-
 REINSTATE_AFTER = 1.5
 """Seconds after which an old primary that stepped down may be promoted again, if too
 few replicas can be read to replace it."""
@@ -86,6 +88,9 @@
     def is_seal_known(self, group: str, stage: catalog.Stage) -> bool:
         """Return whether every node has stopped using the old primary."""
 
+    def find_request_expiry(self, group: str) -> float:
+        """Return when no unanswered promotion request can be executed any more."""
+
     def count_departed(self, group: str, primary: str) -> int:
         """Return how many replicas left recently, possibly with the only copy."""
 
@@ -180,6 +185,8 @@
         self._reinstate_at = clock.read() + REINSTATE_AFTER
         self._accept_loss_at = clock.read() + LOSS_ACCEPTED_AFTER
         self._failed_targets: set[str] = set()
+        self._request_expires_at = fleet.find_request_expiry(group)
+        self._effective_by = 0.0
 
     async def run(self) -> None:
         """Replace the primary; stop when this node is no longer the leader."""
@@ -188,7 +195,13 @@
         started_at = clock.read()
         if state.phase is not catalog.Phase.SEALED:
             fleet.note("seal", group=self.group, term=state.term, old=state.primary)
-            state = await self._write(state, state.term, state.primary, sealed=True)
+            state = await self._write(
+                state,
+                state.term,
+                state.primary,
+                sealed=True,
+                requested=self._find_requested(state),
+            )
             fleet.notify_nodes()
             if self.planned:
                 await anyio.sleep(PLANNED_SEAL_DELAY)
@@ -197,7 +210,7 @@
         while fleet.leads():
             plan = await self._freeze(state)
             if plan.leader:
-                if sealed.attempt < REQUESTED_ATTEMPT:
+                if sealed.attempt < catalog.FIRST_REQUEST:
                     await self._wait_for_leases(sealed.stage)
                 await self._publish(state, plan.leader, started_at)
                 return
@@ -208,22 +221,48 @@
             await self._wait_for_leases(sealed.stage)
             if not await self._check_frozen(state):
                 continue
+            if not self._may_request(state, plan.target):
+                await anyio.sleep(RETRY_DELAY)
+                continue
             state = await self._promote(state, plan.target)
             if await self._wait_for_promotion(state, plan.target):
                 await self._publish(state, plan.target, started_at)
                 return
-            self._failed_targets.add(plan.target)
+
+    def _may_request(self, state: catalog.GroupState, target: str) -> bool:
+        """Return whether no earlier request can promote another endpoint afterwards.
+
+        The platform may execute a request that it did not answer, which replaces the
+        primary by a log without the commits since. For the present primary it changes
+        nothing.
+        """
+        return target == state.requested or clock.read() >= self._request_expires_at
 
     async def _write(
-        self, state: catalog.GroupState, term: int, primary: str, sealed: bool
+        self,
+        state: catalog.GroupState,
+        term: int,
+        primary: str,
+        sealed: bool,
+        requested: str = "",
     ) -> catalog.GroupState:
         phase = catalog.Phase.SEALED if sealed else catalog.Phase.SERVING
         attempt = state.attempt + 1 if sealed else 0
         new = catalog.GroupState(
-            self.group, term, primary, phase, state.version, attempt
+            self.group,
+            term,
+            primary,
+            phase,
+            state.version,
+            attempt,
+            requested=requested,
         )
         return await self.fleet.write_state(new)
 
+    def _find_requested(self, state: catalog.GroupState) -> str:
+        """Return the endpoint that an unanswered request may still promote."""
+        return state.requested if clock.read() < self._request_expires_at else ""
+
     # Freezing
 
     async def _freeze(self, state: catalog.GroupState) -> promotion.Plan:
@@ -257,6 +296,7 @@
             self.sync_replicas,
             draining,
             frozenset(self._failed_targets),
+            self._find_requested(state),
             self._frozen_at > self._reinstate_at,
             self.fleet.find_acknowledged(
                 self.group, self._logs_changed_at + IN_FLIGHT_DELAY
@@ -371,22 +411,27 @@
         self, state: catalog.GroupState, target: str
     ) -> catalog.GroupState:
         """Request a promotion with a new fencing token: the state's new version."""
-        state = await self._write(state, state.term, state.primary, sealed=True)
-        if not self.fleet.leads():
-            raise errors.PlatformUnavailable(
-                "This node is no longer the leader.", "The next leader continues."
-            )
+        state = await self._write(
+            state, state.term, state.primary, sealed=True, requested=target
+        )
         self.fleet.note("promote", group=self.group, target=target, token=state.version)
         try:
             await self.fleet.request_promotion(self.group, target, state.version)
-        except errors.PlatformError as error:
+            self._effective_by = clock.read() + PROMOTION_TIMEOUT
+            self._failed_targets.add(target)
+        except errors.PlatformUnavailable as error:
+            self._request_expires_at = self.fleet.find_request_expiry(self.group)
+            self._effective_by = clock.read() + UNANSWERED_TIMEOUT
             self.fleet.note("promote_unanswered", group=self.group, reason=str(error))
+        except errors.PlatformError as error:
+            self._effective_by = clock.read() + REFUSED_DELAY
+            self._failed_targets.add(target)
+            self.fleet.note("promote_refused", group=self.group, reason=str(error))
         return state
 
     async def _wait_for_promotion(self, state: catalog.GroupState, target: str) -> bool:
         """Return whether an endpoint became primary of a later term in time."""
-        deadline = clock.read() + PROMOTION_TIMEOUT
-        while clock.read() < deadline and self.fleet.leads():
+        while clock.read() < self._effective_by and self.fleet.leads():
             record = self._find_record(target)
             if record is None:
                 return False
@@ -412,7 +457,13 @@
             raise errors.PlatformUnavailable(
                 f"{primary} is no longer primary.", "The failover restarts."
             )
-        published = await self._write(state, status.term, primary, sealed=False)
+        published = await self._write(
+            state,
+            status.term,
+            primary,
+            sealed=False,
+            requested=self._find_requested(state),
+        )
         self.fleet.notify_nodes()
         self.fleet.note(
             "published",
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -44,6 +44,11 @@
 """Team name under which connections for queries about logs are opened."""
 
 
+REQUEST_LIFETIME = 8.0
+"""Seconds after which the platform no longer executes a promotion request that it has
+not answered."""
+
+
 class Drain:
     """The drain of an endpoint's process.
 
@@ -104,6 +109,7 @@
         self.removed_at: dict[str, float] = {}
         self.drains: dict[str, Drain] = {}
         self._no_primary_since: float | None = None
+        self._request_expires_at = float("-inf")
         self._connector = connector
         self._spawn = spawn
         self._measure_distance = measure_distance
@@ -116,6 +122,8 @@
     def apply_state(self, state: catalog.GroupState) -> None:
         """Apply a later state of the group."""
         before, self.state = self.state, state
+        if _names_request(before, state):
+            self._request_expires_at = clock.read() + REQUEST_LIFETIME
         if state.phase is catalog.Phase.SERVING:
             self.frozen = None
             self._no_primary_since = None
@@ -125,6 +133,16 @@
             self.lease.begin_term(state.term)
         self.dispatch_waiting()
 
+    def find_request_expiry(self) -> float:
+        """Return when the platform cannot execute an unanswered request any more.
+
+        A promotion request of this or of an earlier leader, for the endpoint that the
+        state names.
+        """
+        if self.state is None or not self.state.requested:
+            return float("-inf")
+        return self._request_expires_at
+
     def apply_record(self, record: catalog.EndpointRecord, now: float) -> None:
         """Apply an endpoint's record."""
         endpoint = self.endpoints.get(record.name)
@@ -472,3 +490,16 @@
             self.lease.confirm(sent_at)
         if self.lease.holds_lease(sent_at):
             self.record_position(sent_at, position)
+
+
+def _names_request(
+    before: catalog.GroupState | None, state: catalog.GroupState
+) -> bool:
+    """Return whether a state records a promotion request that is new to this node."""
+    if not state.requested:
+        return False
+    return (
+        before is None
+        or before.requested != state.requested
+        or before.attempt < state.attempt >= catalog.FIRST_REQUEST
+    )
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -361,6 +361,7 @@
         now = clock.read()
         if now < self._retry_at.get(name, 0.0):
             return
+        expires_at = self.find_request_expiry(name)
         work: typing.Callable[..., typing.Awaitable[None]]
         if state is None:
             work = self._create
@@ -368,8 +369,10 @@
             work = self._rewrite
         elif state.phase is catalog.Phase.SEALED or self._is_lost(state, now):
             work = self._replace
-        elif self._is_primary_draining(state):
+        elif self._is_primary_draining(state) and now >= expires_at:
             work = self._hand_over
+        elif state.requested and now >= expires_at:
+            work = self._forget_request
         elif self._aligned.get(name) != state.stage:
             work = self._align
         else:
@@ -473,6 +476,11 @@
         sync = config.sync_replicas if config is not None else 1
         await failover.Failover(self, name, sync, planned).run()
 
+    async def _forget_request(self, name: str) -> None:
+        """Store that no promotion request can be executed any more."""
+        state = self.find_state(name)
+        await self.write_state(state.forget_request())
+
     async def _align(self, name: str) -> None:
         """Configure replication from a primary that another leader promoted."""
         state = self.find_state(name)
@@ -512,6 +520,10 @@
         """Allow reads on replicas: no commit after ``position`` is acknowledged."""
         self.node.groups[group].frozen = position
 
+    def find_request_expiry(self, group: str) -> float:
+        """Return when no unanswered promotion request can be executed any more."""
+        return self.node.groups[group].find_request_expiry()
+
     def count_departed(self, group: str, primary: str) -> int:
         """Return how many replicas left recently and may have had the only copy."""
         now = clock.read()
--- a/src/sardinehold/node/promotion.py
+++ b/src/sardinehold/node/promotion.py
@@ -51,6 +51,7 @@
     sync_replicas: int,
     draining: frozenset[str] = frozenset(),
     failed: frozenset[str] = frozenset(),
+    requested: str = "",
     may_reinstate: bool = False,
     acknowledged: positions.Position | None = None,
     may_lose_commits: bool = False,
@@ -64,6 +65,8 @@
         that left recently: one of them may hold the only copy of a commit.
     :param draining: endpoints about to leave, chosen only if no other qualifies.
     :param failed: endpoints whose promotion failed, likewise.
+    :param requested: an endpoint that a request which is not answered may promote,
+        chosen first among equals: repeating a request changes nothing.
     :param may_reinstate: whether the old primary may be promoted if no other qualifies.
     :param acknowledged: newest commit that was acknowledged to any caller, None unless
         it is known for all nodes.
@@ -76,8 +79,13 @@
     old = statuses.get(state.primary)
     replicas = {name: item for name, item in statuses.items() if item is not old}
 
-    def preference(name: str) -> tuple[positions.Position, bool, bool]:
-        return replicas[name].received, name not in draining, name not in failed
+    def preference(name: str) -> tuple[positions.Position, bool, bool, bool]:
+        return (
+            replicas[name].received,
+            name == requested,
+            name not in draining,
+            name not in failed,
+        )
 
     best = max(sorted(replicas), key=preference, default="")
     if best and len(replicas) >= count_required_replicas(replica_count, sync_replicas):
--- a/src/sardinehold/node/reports.py
+++ b/src/sardinehold/node/reports.py
@@ -314,6 +314,7 @@
             item.phase.value,
             item.version,
             item.attempt,
+            item.requested,
         ]
         for item in states
     ]
@@ -328,8 +329,9 @@
             catalog.Phase(phase),
             int(version),
             int(attempt),
+            requested=requested,
         )
-        for group, term, primary, phase, version, attempt in value
+        for group, term, primary, phase, version, attempt, requested in value
     ]
 
 
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -140,8 +140,8 @@
         except ConnectionResetError:
             self.was_reset.append(True)
         finally:
-            self.ended.set()
             writer.close()
+            self.ended.set()
 
 
 class LineServer:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import anyio
 import pytest
 
 import builders_node
@@ -1410,3 +1411,106 @@
         assert not world.clusters["g"].promotions
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+async def write_for(world, seconds, interval=0.05):
+    """Write through all nodes; return the identifiers of acknowledged writes."""
+    until = clock.read() + seconds
+    acknowledged = set()
+
+    async def write(name):
+        client = world.open(name, "latest")
+        while clock.read() < until:
+            answer = await client.write()
+            if answer.error is None:
+                acknowledged.add(answer.completion_tag.split()[-1])
+            await asyncio.sleep(interval)
+
+    async with anyio.create_task_group() as tasks:
+        for name in list(world.nodes):
+            tasks.start_soon(write, name)
+    return acknowledged
+
+
+def check_log(world, acknowledged):
+    """Check that the primary's log has all acknowledged writes."""
+    assert acknowledged
+    log = {request for _, request in world.clusters["g"].primary.log}
+    assert acknowledged <= log
+
+
+@pytest.mark.parametrize("delay", [2.5, 5.5, 7.5])
+def test_promotion_executed_late_does_not_undo_the_next_change(monkeypatch, delay):
+    # The platform executed a request seconds later, when another primary had replaced
+    # the one that it named; that one's commits were lost.
+    async def scenario(world):
+        world.request_delays = [delay]
+        world.publish_endpoint("g-0", is_draining=True)
+
+        async def drain_again():
+            group = world.nodes["n2"].groups["g"]
+            while group.state.primary == "g-0":
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.5)
+            world.publish_endpoint(group.state.primary, is_draining=True)
+
+        world.tasks.start_soon(drain_again)
+        acknowledged = await write_for(world, 14.0)
+        check_log(world, acknowledged)
+        check_log(world, await write_for(world, 1.0))
+        assert world.clusters["g"].primary.name == "g-2"
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("delay", [3.0, 5.5, 7.5])
+def test_unanswered_promotion_request_is_repeated_for_the_same_endpoint(
+    monkeypatch, delay
+):
+    # Another endpoint was promoted, and undone when the first request was executed.
+    async def scenario(world):
+        await write_for(world, 0.5)
+        world.request_delays = [delay, delay, 0.005]
+        world.clusters["g"].primary.crash()
+        acknowledged = await write_for(world, 12.0)
+        targets = {endpoint for _, _, endpoint in world.clusters["g"].promotions}
+        assert len(targets) == 1
+        check_log(world, acknowledged)
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_next_leader_repeats_an_unanswered_promotion_request(monkeypatch):
+    # It chose another endpoint, as the first one was draining by then.
+    async def scenario(world):
+        await write_for(world, 0.5)
+        world.request_delays = [6.0]
+        world.clusters["g"].primary.crash()
+        first = await await_request(world)
+        target = world.clusters["g"].promotions[0][2]
+        world.publish_endpoint(target, is_draining=True)
+        world.kill_node(first)
+        acknowledged = await write_for(world, 5.0)
+        assert acknowledged
+        assert {item[2] for item in world.clusters["g"].promotions} == {target}
+        acknowledged |= await write_for(world, 10.0)
+        check_log(world, acknowledged)
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_refused_promotion_request_is_followed_by_another_at_once(monkeypatch):
+    async def scenario(world):
+        await write_for(world, 0.5)
+        cluster = world.clusters["g"]
+        cluster.primary.crash()
+        while not cluster.promotions:
+            cluster.databases["g-1"].is_up = cluster.databases["g-1"].paused_term == 0
+            await asyncio.sleep(0.001)
+        began = clock.read()
+        while world.nodes["n2"].groups["g"].state.primary == "g-0":
+            await asyncio.sleep(0.01)
+            assert clock.read() - began < 3.0
+        assert cluster.primary.name == "g-2"
+
+    builders_node.run_scenario(monkeypatch, scenario)
