Find primaries that no state names, and keep the longer log

The leader now reads the logs when an entry claims another primary, or when it or another node was answered in a later term. The published primary is promoted again if its log is longer: no node sent the other one a statement. Otherwise the later one is published.

Ruled out: watches (the entry's new role was logged within 20 ms).

Before: the two new tests fail on the sources before (no write acknowledged; term 1 instead of 2).

--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -161,6 +161,9 @@
             self.measure_leader_silence(now),
             self.node.store.era,
             self._list_later_states(),
+            tuple(
+                name for name, group in self.node.groups.items() if group.is_overtaken()
+            ),
         )
         if holder == self.node.settings.name:
             response = self.node.leader.handle_report(report)
--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -143,6 +143,21 @@
     return status
 
 
+async def read_statuses(fleet: Fleet, group: str) -> dict[str, ports.LogStatus]:
+    """Return the status of each log of a group that can be read in time."""
+    statuses: dict[str, ports.LogStatus] = {}
+
+    async def read(record: catalog.EndpointRecord) -> None:
+        status = await read_status(fleet, record)
+        if status is not None:
+            statuses[record.name] = status
+
+    async with anyio.create_task_group() as tasks:
+        for record in fleet.list_records(group):
+            tasks.start_soon(read, record)
+    return statuses
+
+
 async def await_log_status(
     connection: ports.Connection, deadline: float
 ) -> ports.LogStatus | None:
@@ -194,15 +209,7 @@
         state = fleet.find_state(self.group)
         started_at = clock.read()
         if state.phase is not catalog.Phase.SEALED:
-            fleet.note("seal", group=self.group, term=state.term, old=state.primary)
-            state = await self._write(
-                state,
-                state.term,
-                state.primary,
-                sealed=True,
-                requested=self._find_requested(state),
-            )
-            fleet.notify_nodes()
+            state = await self._seal(state)
             if self.planned:
                 await anyio.sleep(PLANNED_SEAL_DELAY)
         sealed = state
@@ -229,6 +236,35 @@
                 await self._publish(state, plan.target, started_at)
                 return
 
+    async def reinstate(self) -> None:
+        """Promote the published primary again, before it follows a later one.
+
+        Its log has commits that the later one's lacks and that were acknowledged.
+        """
+        started_at = clock.read()
+        state = self.fleet.find_state(self.group)
+        if state.phase is not catalog.Phase.SEALED:
+            state = await self._seal(state)
+            primary = state.primary
+            state = await self._promote(state, primary)
+            if await self._wait_for_promotion(state, primary):
+                await self._publish(state, primary, started_at)
+                return
+        await self.run()
+
+    async def _seal(self, state: catalog.GroupState) -> catalog.GroupState:
+        """Store that the primary is being replaced, and tell the nodes."""
+        self.fleet.note("seal", group=self.group, term=state.term, old=state.primary)
+        sealed = await self._write(
+            state,
+            state.term,
+            state.primary,
+            sealed=True,
+            requested=self._find_requested(state),
+        )
+        self.fleet.notify_nodes()
+        return sealed
+
     def _may_request(self, state: catalog.GroupState, target: str) -> bool:
         """Return whether no earlier request can promote another endpoint afterwards.
 
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -110,6 +110,7 @@
         self.drains: dict[str, Drain] = {}
         self._no_primary_since: float | None = None
         self._request_expires_at = float("-inf")
+        self._newest_term = 0
         self._connector = connector
         self._spawn = spawn
         self._measure_distance = measure_distance
@@ -143,6 +144,17 @@
             return float("-inf")
         return self._request_expires_at
 
+    def is_overtaken(self) -> bool:
+        """Return whether an endpoint answered in a later term than the primary's.
+
+        Another endpoint may then have been promoted than the one that the state names.
+        """
+        return (
+            self.state is not None
+            and self.state.phase is catalog.Phase.SERVING
+            and self._newest_term > self.state.term
+        )
+
     def apply_record(self, record: catalog.EndpointRecord, now: float) -> None:
         """Apply an endpoint's record."""
         endpoint = self.endpoints.get(record.name)
@@ -471,6 +483,8 @@
             endpoint.committed_at = now
             self.record_acknowledged(answer.position)
         position = answer.position
+        if position is not None:
+            self._newest_term = max(self._newest_term, position.term)
         if position is None or not (was_autocommit or committed):
             return
         endpoint.applied = position
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -52,6 +52,10 @@
 """Seconds between checks whether the lead lasts for another request, or whether the
 last request has ended."""
 
+VERIFY_INTERVAL = 1.0
+"""Seconds between checks whether a primary of a later term than the published one
+exists, while something indicates it."""
+
 FAILURE_DELAY = 0.5
 """Seconds before a failed change of primary is retried."""
 
@@ -82,6 +86,7 @@
         self._suspects: set[str] = set()
         self._started_at: float | None = None
         self._requests_running = 0
+        self._verified_at: dict[str, float] = {}
 
     # Reports and responses
 
@@ -369,6 +374,8 @@
             work = self._rewrite
         elif state.phase is catalog.Phase.SEALED or self._is_lost(state, now):
             work = self._replace
+        elif self._may_be_overtaken(state, now):
+            work = self._verify
         elif self._is_primary_draining(state) and now >= expires_at:
             work = self._hand_over
         elif state.requested and now >= expires_at:
@@ -410,6 +417,27 @@
         )
         return promotion.is_suspect(failing, len(voters))
 
+    def _may_be_overtaken(self, state: catalog.GroupState, now: float) -> bool:
+        """Return whether another primary than the published one may exist.
+
+        The platform executes some promotion requests late, and others promote as well.
+        """
+        if now < self._verified_at.get(state.group, float("-inf")) + VERIFY_INTERVAL:
+            return False
+        group = self.node.groups[state.group]
+        return (
+            group.is_overtaken()
+            or any(
+                endpoint.record.claims_primary and endpoint is not group.primary
+                for endpoint in group.endpoints.values()
+            )
+            or any(
+                state.group in report.overtaken
+                and report.states.get(state.group) == state.stage
+                for report in self.member_reports.list_current(now)
+            )
+        )
+
     def _is_primary_draining(self, state: catalog.GroupState) -> bool:
         primary = self.node.groups[state.group].primary
         if primary is None or primary.draining_since is None:
@@ -472,9 +500,33 @@
         await self._run_procedure(name, planned=True)
 
     async def _run_procedure(self, name: str, planned: bool) -> None:
+        await self._make_procedure(name, planned).run()
+
+    def _make_procedure(self, name: str, planned: bool) -> failover.Failover:
         config = self.node.catalog.groups.get(name)
         sync = config.sync_replicas if config is not None else 1
-        await failover.Failover(self, name, sync, planned).run()
+        return failover.Failover(self, name, sync, planned)
+
+    async def _verify(self, name: str) -> None:
+        """Find a primary of a later term than the published one, and act on it."""
+        self._verified_at[name] = clock.read()
+        state = self.find_state(name)
+        statuses = await failover.read_statuses(self, name)
+        later = promotion.find_later_primary(statuses, state)
+        if not later:
+            return
+        self.note(
+            "unexpected_primary",
+            group=name,
+            term=statuses[later].term,
+            primary=later,
+            published=state.primary,
+        )
+        procedure = self._make_procedure(name, planned=False)
+        if promotion.has_more_commits(statuses, state, later):
+            await procedure.reinstate()
+        else:
+            await procedure.run()
 
     async def _forget_request(self, name: str) -> None:
         """Store that no promotion request can be executed any more."""
--- a/src/sardinehold/node/occurrences.py
+++ b/src/sardinehold/node/occurrences.py
@@ -59,6 +59,7 @@
     "failover_not_frozen": "Paused logs were found running; they are read again.",
     "failover_promote_unanswered": "The promotion request may still be executed.",
     "failover_promote_refused": "The promotion request is not executed; with reason.",
+    "failover_unexpected_primary": "An endpoint was promoted that no state names.",
     "failover_published": "The new primary is active; gap_ms counts from the seal.",
     "failover_work_failed": "A step for a group failed and will be retried.",
     "failover_resigned": "The leader resigned: the store answers only other nodes.",
--- a/src/sardinehold/node/promotion.py
+++ b/src/sardinehold/node/promotion.py
@@ -73,9 +73,9 @@
     :param may_lose_commits: whether to continue although the logs that could prove
         completeness are permanently lost.
     """
-    for name, status in statuses.items():
-        if status.is_primary and status.term > state.term:
-            return Plan(leader=name)
+    leader = find_later_primary(statuses, state)
+    if leader:
+        return Plan(leader=leader)
     old = statuses.get(state.primary)
     replicas = {name: item for name, item in statuses.items() if item is not old}
 
@@ -99,6 +99,34 @@
     return Plan(target=state.primary if may_reinstate else "")
 
 
+def find_later_primary(
+    statuses: dict[str, ports.LogStatus], state: catalog.GroupState
+) -> str:
+    """Return the newest primary of a later term than a state's, ``""`` if none."""
+    later = {
+        name: status.term
+        for name, status in statuses.items()
+        if status.is_primary and status.term > state.term
+    }
+    return max(later, key=later.__getitem__, default="")
+
+
+def has_more_commits(
+    statuses: dict[str, ports.LogStatus], state: catalog.GroupState, later: str
+) -> bool:
+    """Return whether the published primary's log goes beyond that of a later one.
+
+    No statement was sent to the later one, so that its log ends where it was promoted.
+    """
+    published = statuses.get(state.primary)
+    return (
+        published is not None
+        and published.is_primary
+        and published.term == state.term
+        and published.received.offset > statuses[later].received.offset
+    )
+
+
 def find_primary(statuses: dict[str, ports.LogStatus]) -> str:
     """Return the primary of the newest term that any endpoint has seen, ``""`` if none.
 
--- a/src/sardinehold/node/reports.py
+++ b/src/sardinehold/node/reports.py
@@ -30,6 +30,8 @@
     :param full: endpoints that recently refused more connections.
     :param era: era of the store that the node knows of.
     :param later: states that the node knows and the leader's last response lacked.
+    :param overtaken: groups of which an endpoint answered in a later term than that of
+        the state that the node uses.
     """
 
     __slots__ = (
@@ -51,6 +53,7 @@
         "unadvised",
         "era",
         "later",
+        "overtaken",
     )
 
     def __init__(
@@ -73,6 +76,7 @@
         unadvised: float = 0.0,
         era: int = 0,
         later: typing.Sequence[catalog.GroupState] = (),
+        overtaken: tuple[str, ...] = (),
     ) -> None:
         """Store the fields of the report."""
         self.node = node
@@ -93,6 +97,7 @@
         self.unadvised = unadvised
         self.era = era
         self.later = later
+        self.overtaken = overtaken
 
     def date(self, age: float, incarnation: str) -> float | None:
         """Return a time on the leader's clock, not later than ``age`` ago.
@@ -137,6 +142,7 @@
             "unadvised": round(self.unadvised, 3),
             "era": self.era,
             "later": _dump_states(self.later),
+            "overtaken": self.overtaken,
         }
 
 
@@ -314,7 +320,7 @@
             item.phase.value,
             item.version,
             item.attempt,
-            item.requested,
+            *([item.requested] if item.requested else []),
         ]
         for item in states
     ]
@@ -329,9 +335,9 @@
             catalog.Phase(phase),
             int(version),
             int(attempt),
-            requested=requested,
+            requested=requested[0] if requested else "",
         )
-        for group, term, primary, phase, version, attempt, requested in value
+        for group, term, primary, phase, version, attempt, *requested in value
     ]
 
 
@@ -390,6 +396,7 @@
         float(message["unadvised"]),
         int(message["era"]),
         _parse_states(message["later"]),
+        tuple(str(name) for name in message.get("overtaken", ())),
     )
 
 
--- a/src/sardinehold_standins/group_in_memory.py
+++ b/src/sardinehold_standins/group_in_memory.py
@@ -89,6 +89,10 @@
         )
 
 
+DEMOTION_DELAY = 1.0
+"""Seconds for which a primary continues after another one was promoted."""
+
+
 class Cluster:
     """Databases of one group; replicates and promotes."""
 
@@ -164,8 +168,26 @@
         target.paused_term = 0
         target.applied = len(target.log)
         for other in self.databases.values():
-            if other is not target and other.is_up and not other.paused_term:
-                other.log = other.log[: len(target.log)]
+            if other is target or not other.is_up or other.paused_term:
+                continue
+            if other.is_primary:
+                loop = asyncio.get_running_loop()
+                loop.call_later(DEMOTION_DELAY, self._demote, other, target)
+            else:
+                self._follow(other, target)
+
+    @staticmethod
+    def _follow(replica: Database, primary: Database) -> None:
+        replica.log = replica.log[: len(primary.log)]
+        replica.applied = min(replica.applied, len(replica.log))
+        if not replica.is_cut_off:
+            replica.term = max(replica.term, primary.term)
+
+    def _demote(self, old: Database, new: Database) -> None:
+        """Make an old primary follow the one that replaced it."""
+        if old.is_primary and old.term < new.term and not old.is_cut_off:
+            old.is_primary = False
+            self._follow(old, new)
 
 
 class DatabaseConnection:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1514,3 +1514,40 @@
         assert cluster.primary.name == "g-2"
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("lag", [0, 30])
+def test_primary_that_nobody_requested_does_not_end_the_writes(monkeypatch, lag):
+    # A promotion was executed very late: nodes went on to use the published primary,
+    # which followed the new one, and no write was acknowledged any more.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        acknowledged = await write_for(world, 1.0)
+        cluster.databases["g-2"].is_receive_blocked = bool(lag)
+        acknowledged |= await write_for(world, 0.5)
+
+        async def promote():
+            await cluster.promote("g-2")
+            cluster.databases["g-2"].is_receive_blocked = False
+            for name in cluster.databases:
+                world.publish_endpoint(name)
+
+        world.tasks.start_soon(promote)
+        acknowledged |= await write_for(world, 5.0)
+        late = await write_for(world, 1.0)
+        check_log(world, late)
+        check_log(world, acknowledged)
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_published_primary_of_a_later_term_is_published_again(monkeypatch):
+    # A repeated request promoted it twice; its positions were of no use to replicas.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        await write_for(world, 1.0)
+        cluster.primary.term += 1
+        await write_for(world, 3.0)
+        assert world.nodes["n1"].groups["g"].state.term == cluster.primary.term
+
+    builders_node.run_scenario(monkeypatch, scenario)
