Check what an entry names, and contain errors in the work for a group

Cause: a service name that Latin-1 lacks, or an address with an empty label, raised an error that no caller of the connector expects, and errors in the work for a group ended the node. Such entries are refused now, the connector raises OpeningFailed for whatever it cannot write, errors in a group's work are logged and retried, and groups without configuration are left alone.

Ruled out: other tasks of the node, which are supervised.

--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -369,6 +369,9 @@
         expires_at = self.find_request_expiry(name)
         work: typing.Callable[..., typing.Awaitable[None]]
         if state is None:
+            if name not in self.node.catalog.groups:
+                # Any writer's entry can name a group; none of its callers come here.
+                return
             work = self._create
         elif not state.is_stored:
             work = self._rewrite
@@ -392,8 +395,15 @@
     ) -> None:
         try:
             await work(name)
-        except (errors.SardineholdError, ports.ConnectionLost) as error:
-            self.note("work_failed", group=name, work=work.__name__, reason=str(error))
+        except Exception as error:
+            # The work for one group must neither end the process nor the other groups'.
+            is_expected = isinstance(
+                error, errors.SardineholdError | ports.ConnectionLost
+            )
+            reason = str(error) if is_expected else repr(error)
+            if not is_expected:
+                self.node.registry.count("tasks_failed")
+            self.note("work_failed", group=name, work=work.__name__, reason=reason)
             self._retry_at[name] = clock.read() + FAILURE_DELAY
         finally:
             self._busy.discard(name)
--- a/src/sardinehold/platform/endpoints.py
+++ b/src/sardinehold/platform/endpoints.py
@@ -314,8 +314,8 @@
     ) -> Connection:
         """Open a connection for a team.
 
-        :raises sardinehold.node.ports.OpeningFailed: the endpoint refused, or
-            did not answer before the deadline.
+        :raises sardinehold.node.ports.OpeningFailed: the endpoint refused, did not
+            answer before the deadline, or cannot be told the names.
         """
         loop = asyncio.get_running_loop()
         timeout = max(0.0, deadline - clock.read())
@@ -324,9 +324,14 @@
                 _, connection = await loop.create_connection(
                     Connection, record.host, record.port
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise ports.OpeningFailed(None, repr(error)) from error
-        await connection.start(record.group, team, record.name, deadline)
+        try:
+            await connection.start(record.group, team, record.name, deadline)
+        except ValueError as error:
+            connection.close()
+            # A name that no line can hold tells nothing about the endpoint.
+            raise ports.OpeningFailed(statements.Failure.BUSY, repr(error)) from error
         return connection
 
 
--- a/src/sardinehold/platform/lines.py
+++ b/src/sardinehold/platform/lines.py
@@ -72,5 +72,19 @@
 
 
 def format_line(*parts: str) -> bytes:
-    """Encode a line from its word and fields."""
+    """Encode a line from its word and fields.
+
+    :raises ValueError: a field has characters that the encoding lacks.
+    """
     return " ".join(parts).encode(ENCODING) + _END
+
+
+def check_field(text: str) -> str:
+    """Return a text that can be a field of a line, other than the last.
+
+    :raises ValueError: it is empty, or has blanks or characters that no line can have.
+    """
+    if not text or not text.isprintable() or " " in text:
+        raise ValueError(f"field {text!r}")
+    text.encode(ENCODING)
+    return text
--- a/src/sardinehold/platform/records.py
+++ b/src/sardinehold/platform/records.py
@@ -3,10 +3,12 @@
 This is the only module that uses the field names of these records.
 """
 
+import ipaddress
 import typing
 
 from sardinehold import errors
 from sardinehold.node import catalog
+from sardinehold.platform import lines
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -109,9 +111,9 @@
         raise ValueError(f"state {value['State']!r}")
     host, port = split_address(_require(value, "Address", str))
     return catalog.EndpointRecord(
-        name,
-        _require(value, "Service", str),
-        host,
+        lines.check_field(name),
+        lines.check_field(_require(value, "Service", str)),
+        str(ipaddress.IPv4Address(host)),
         port,
         _require(value, "Zone", str),
         # "Capacity" is the number of statements that the endpoint runs concurrently.
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,6 +17,7 @@
 from sardinehold.node import statements
 from sardinehold.node import store_mirror
 from sardinehold.node import store_watch
+from sardinehold_standins import group_in_memory
 from sardinehold_standins import objects_in_memory
 
 Kind = statements.Kind
@@ -1551,3 +1552,63 @@
         assert world.nodes["n1"].groups["g"].state.term == cluster.primary.term
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def publish_other_group(world):
+    """Publish an endpoint of a group "other", as another writer does."""
+    world.clusters["other"] = group_in_memory.Cluster("other")
+    world.publish_endpoint("other-0")
+
+
+def test_group_that_no_configuration_names_is_left_alone(monkeypatch):
+    # Any writer of the store could have the leader query an address of its choice.
+    async def scenario(world):
+        publish_other_group(world)
+        opened = []
+        leader = world.nodes[world.find_leader()]
+        open_connection = leader.connector.open
+
+        async def note_and_open(record, team, deadline):
+            opened.append(record.group)
+            return await open_connection(record, team, deadline)
+
+        leader.connector.open = note_and_open
+        world.nodes["n2"].connector.open = note_and_open
+        await asyncio.sleep(3.0)
+        assert "other" not in opened
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_error_in_the_work_for_one_group_spares_the_leader_and_other_groups(
+    monkeypatch,
+):
+    # review/2: an entry of another writer ended the process of whichever node led.
+    read_catalog = builders_node.Sources.parse_catalog
+
+    def add_group(value):
+        found = read_catalog(value)
+        found.groups["other"] = catalog.Group("other", 21, 1)
+        return found
+
+    monkeypatch.setattr(builders_node.Sources, "parse_catalog", staticmethod(add_group))
+
+    async def scenario(world):
+        publish_other_group(world)
+        for node in world.nodes.values():
+            open_connection = node.connector.open
+
+            async def fail(record, team, deadline, open_connection=open_connection):
+                if record.group == "other":
+                    raise UnicodeError("label empty or too long")
+                return await open_connection(record, team, deadline)
+
+            node.connector.open = fail
+        first = world.find_leader()
+        await write_for(world, 3.0)
+        assert world.find_leader() == first
+        world.clusters["g"].primary.crash()
+        await asyncio.sleep(3.0)
+        check_log(world, await write_for(world, 1.0))
+
+    builders_node.run_scenario(monkeypatch, scenario)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -84,14 +84,53 @@
         {"DatabaseRole": "witness"},
         {"Service": None},
         {"born": "today"},
+        {"Service": "zam\u00f3wienia-\u0142\u00f3d\u017a"},
+        {"Service": "two words"},
+        {"Service": "line\r\nbreak"},
+        {"Service": "\ud800"},
+        {"Service": ""},
+        {"Address": "db..example:5432"},
+        {"Address": "10.0.0.9.1:5432"},
+        {"Address": "\u0142:5432"},
     ],
 )
 def test_malformed_endpoint_record_is_refused(changes):
+    # Another writer's entry was used: its text could be neither sent nor looked up.
     entry = builders_platform.make_entry(**changes)
     with pytest.raises(errors.DocumentError, match="i-1"):
         records.parse_endpoint("i-1", entry)
 
 
+@pytest.mark.parametrize("name", ["i-\u017a", "i 1", "i\n1", "\ud800"])
+def test_endpoint_name_that_no_line_can_hold_is_refused(name):
+    with pytest.raises(errors.DocumentError):
+        records.parse_endpoint(name, builders_platform.make_entry())
+
+
+@pytest.mark.parametrize(
+    ("host", "group", "team"),
+    [
+        ("db..example", "db", "desk"),
+        ("127.0.0.1", "\u0142\u00f3d\u017a", "desk"),
+        ("127.0.0.1", "db", "\u0142\u00f3d\u017a"),
+    ],
+)
+def test_connection_that_cannot_be_described_is_not_opened(host, group, team):
+    # The error was none that callers of the connector expect, and ended the leader.
+    server = builders_platform.LineServer()
+
+    async def main():
+        listening = await server.start()
+        record = catalog.EndpointRecord("i-1", group, host, server.port, "north")
+        try:
+            await endpoints.Connector().open(record, team, clock.read() + 5.0)
+        finally:
+            listening.close()
+
+    with pytest.raises(ports.OpeningFailed):
+        anyio.run(main)
+
+
 @pytest.mark.parametrize("entry", [None, "text", 7, [], {}])
 def test_endpoint_record_that_is_no_table_is_refused(entry):
     with pytest.raises(errors.DocumentError, match="i-1"):
