Decode each object of a list by itself if the whole cannot be decoded

Cause: the body of a list was decoded as a whole, so that one unreadable entry failed it; and readiness did not ask for a list of databases. The body is now split along its brackets when the decoder refuses it, and a node is ready once it has read the list.

Ruled out: the other kinds, whose lists were answered.

--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -196,6 +196,7 @@
         return (
             not self.is_stopping
             and self.catalog is not None
+            and self.store_mirror.endpoints.revision > 0
             and not self.is_disconnected(clock.read())
             and any(group.state is not None for group in self.groups.values())
         )
--- a/src/sardinehold/platform/store.py
+++ b/src/sardinehold/platform/store.py
@@ -11,6 +11,7 @@
 from sardinehold import errors
 from sardinehold import metrics
 from sardinehold import objects
+from sardinehold.platform import bodies
 
 CALL_TIMEOUT = 1.2
 """Seconds without a received byte after which a call times out. A healthy store answers
@@ -81,7 +82,7 @@
             revision = revision or _parse_version(answer["StoreRevision"], era)
             if not answer.get("HasMore") or not items:
                 return objects.Changes(found, revision, unread)
-            params = {"after": items[-1]["meta"]["Name"]}
+            params = {"after": _find_last_name(items)}
 
     async def watch(self, kind: str, revision: int, wait: float) -> objects.Changes:
         """Return the changes after ``revision``, waiting at most ``wait`` seconds.
@@ -99,11 +100,7 @@
         found = []
         unread: list[str] = []
         for event in answer.get("events") or []:
-            stored = _parse_items(kind, [event.get("Object")], era, unread)
-            if event.get("IsGone"):
-                for item in stored:
-                    item.value = None
-            found.extend(stored)
+            found.extend(_parse_event(kind, event, era, unread))
         current = _parse_version(answer["StoreRevision"], era)
         return objects.Changes(found, current, unread)
 
@@ -157,7 +154,7 @@
             raise _build_error(answer.status_code, f"{method} {path}")
         try:
             era = int(answer.headers.get(ERA_HEADER, 0))
-            return (answer.json() if answer.content else {}), era
+            return (bodies.decode(answer.content) if answer.content else {}), era
         except ValueError as error:
             raise errors.PlatformUnavailable(
                 f"The store's answer to {method} {path} is malformed: {error}.", _REMEDY
@@ -203,11 +200,47 @@
 def _parse_items(
     kind: str, items: list, era: int, unread: list[str]
 ) -> list[objects.StoredObject]:
-    """Parse the items of a list; add the errors of malformed ones to ``unread``."""
+    """Parse the items of a list; add the errors of malformed ones to ``unread``.
+
+    An item of which only the content is unreadable is returned with an empty one.
+    """
     found = []
     for item in items:
         try:
-            found.append(_parse_object(kind, item, era))
-        except (KeyError, TypeError, ValueError) as error:
+            stored = _parse_object(kind, item, era)
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             unread.append(repr(error))
+            continue
+        if isinstance(stored.value, bodies.Unreadable):
+            unread.append(f"{stored.name}: {stored.value.reason}")
+            stored.value = {}
+        found.append(stored)
+    return found
+
+
+def _parse_event(
+    kind: str, event: typing.Any, era: int, unread: list[str]
+) -> list[objects.StoredObject]:
+    """Parse an event of a watch; a deleted object has None as value."""
+    if not isinstance(event, dict):
+        unread.append(f"event {event!r}")
+        return []
+    if not event.get("IsGone"):
+        return _parse_items(kind, [event.get("Object")], era, unread)
+    found = _parse_items(kind, [event.get("Object")], era, [])
+    for stored in found:
+        stored.value = None
     return found
+
+
+def _find_last_name(items: list) -> str:
+    """Return the name of the last item that has one.
+
+    :raises sardinehold.errors.PlatformUnavailable: none has one.
+    """
+    for item in reversed(items):
+        if isinstance(item, dict) and isinstance(item.get("meta"), dict):
+            return str(item["meta"].get("Name", ""))
+    raise errors.PlatformUnavailable(
+        "The store listed objects without names only.", _REMEDY
+    )
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -94,7 +94,10 @@
         self.requests.append(request)
         status, body = self.answers.pop(0)
         era = self.eras.pop(0) if self.eras else 1
-        return httpx.Response(status, json=body, headers={"Store-Era": str(era)})
+        headers = {"Store-Era": str(era)}
+        if isinstance(body, bytes):
+            return httpx.Response(status, content=body, headers=headers)
+        return httpx.Response(status, json=body, headers=headers)
 
     def read_body(self, index: int) -> dict:
         return json.loads(self.requests[index].content)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1612,3 +1612,14 @@
         check_log(world, await write_for(world, 1.0))
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_node_without_a_list_of_endpoints_is_not_ready(monkeypatch):
+    # review/3: nodes that knew no database reported that they were ready.
+    async def scenario(world):
+        node = world.nodes["n1"]
+        assert node.is_ready()
+        node.store_mirror.endpoints.revision = 0
+        assert not node.is_ready()
+
+    builders_node.run_scenario(monkeypatch, scenario)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -196,6 +196,88 @@
     assert (params["Watch"], params["WaitMs"]) == ("2", "1500")
 
 
+UNREADABLE = [
+    pytest.param(b'{"Zone": "For\xeat"}', id="not UTF-8"),
+    pytest.param(b'{"Zone": ' + b"[" * 3000 + b"]" * 3000 + b"}", id="nested"),
+    pytest.param(b'{"Zone": ' + b"7" * 5000 + b"}", id="digits"),
+    pytest.param(b'{"Zone": "a\\"]}\xff", "b": {"c": []}}', id="brackets in text"),
+    pytest.param(b"\xfe\xff", id="no JSON"),
+]
+
+
+def format_object(name, revision, spec=b"{}"):
+    meta = json.dumps({"Name": name, "Revision": revision}).encode()
+    return b'{"meta": ' + meta + b', "spec": ' + spec + b', "status": null}'
+
+
+@pytest.mark.parametrize("spec", UNREADABLE)
+def test_list_with_an_unreadable_object_has_the_others(spec):
+    # review/3: no node could read the list of databases while one entry was unreadable.
+    items = [
+        format_object("a", 3, b'{"x": ["]}"]}'),
+        format_object("odd", 4, spec),
+        format_object("b", 5, b'{"x": 2}'),
+    ]
+    body = b'{"items": [%s], "HasMore": false, "StoreRevision": 9}' % b",".join(items)
+    changes = run_store(
+        builders_platform.Recorder((200, body)), lambda client: client.list("servers")
+    )
+    assert [(item.name, item.value) for item in changes.objects] == [
+        ("a", {"x": ["]}"]}),
+        ("odd", {}),
+        ("b", {"x": 2}),
+    ]
+    assert len(changes.unread) == 1
+    assert changes.unread[0].startswith("odd: ")
+    assert objects.find_revision(changes.revision) == 9
+
+
+@pytest.mark.parametrize("spec", UNREADABLE)
+@pytest.mark.parametrize("gone", [False, True])
+def test_watch_with_an_unreadable_object_has_the_other_changes(spec, gone):
+    events = [
+        b'{"IsGone": %s, "Object": %s}'
+        % (json.dumps(gone).encode(), format_object("odd", 4, spec)),
+        b'{"IsGone": true, "Object": %s}' % format_object("a", 3),
+        b'{"Object": %s, "IsGone": false}' % format_object("b", 5, b'{"x": 2}'),
+    ]
+    body = b'{"StoreRevision": 9, "events": [%s]}' % b",".join(events)
+    changes = run_store(
+        builders_platform.Recorder((200, body)),
+        lambda client: client.watch("servers", 2, 1.5),
+    )
+    assert [(item.name, item.value) for item in changes.objects] == [
+        ("odd", None if gone else {}),
+        ("a", None),
+        ("b", {"x": 2}),
+    ]
+    assert len(changes.unread) == (0 if gone else 1)
+
+
+def test_list_goes_on_after_a_page_that_ends_with_an_unreadable_object():
+    first = b'{"items": [%s, %s], "HasMore": true, "StoreRevision": 8}' % (
+        format_object("a", 3),
+        format_object("odd", 4, b'"\xff"'),
+    )
+    recorder = builders_platform.Recorder(
+        (200, first),
+        (200, {"items": [], "HasMore": False, "StoreRevision": 9}),
+    )
+    run_store(recorder, lambda client: client.list("servers"))
+    assert recorder.requests[1].url.params["after"] == "odd"
+
+
+@pytest.mark.parametrize(
+    "body", [b"\xff", b"[]", b'{"items": [', b"[" * 3000, b'{"items": 7}{', b'{"a"}']
+)
+def test_body_that_cannot_be_read_at_all_is_an_error(body):
+    with pytest.raises(errors.PlatformUnavailable):
+        run_store(
+            builders_platform.Recorder((200, body)),
+            lambda client: client.list("servers"),
+        )
+
+
 @pytest.mark.parametrize(
     ("status", "kind"),
     [
