Look up the key again inside transactions and after waits

Cause: the key was looked up at BEGIN, or when a statement arrived, and the team found then was used for all that followed. It is looked up now for each statement of a transaction and before each time that a statement is sent; the transaction is rolled back, also an idle one.

--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -301,6 +301,14 @@
         """Return the token of an operation that was never sent to an endpoint."""
         self.rate_limiter.refund_token(team)
 
+    def revoke_transactions(self) -> None:
+        """Roll back the idle transactions whose keys the configuration withdrew."""
+        for caller in list(self.callers):
+            if caller.session is not None and caller.session.revoke():
+                self.journal.note(
+                    "transaction_revoked", route=caller.session.route_name
+                )
+
     def note_refused_start(self, route: str, error: outcomes.StatementFailed) -> None:
         """Log that a caller's session was refused."""
         self.journal.note(
--- a/src/sardinehold/node/occurrences.py
+++ b/src/sardinehold/node/occurrences.py
@@ -43,6 +43,7 @@
     "message_unsent": "A datagram to another node could not be sent.",
     "task_failed": "A task ended with an unexpected error.",
     "transaction_expired": "A transaction was idle for too long and was rolled back.",
+    "transaction_revoked": "A transaction was rolled back: its key was withdrawn.",
     "start_refused": "A caller's session was refused; with the configuration version.",
     "line_refused": "A caller sent something that is not a statement.",
     "objects_unread": "Objects of a list or a watch are malformed and ignored.",
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -71,11 +71,29 @@
         self.trace.group = route.group
         return route, team
 
+    def check_key(self, team: str) -> None:
+        """Check that the key still identifies the team that a statement runs for.
+
+        A change to the route, in contrast, applies from the next transaction on.
+
+        :raises outcomes.StatementFailed: the key was withdrawn.
+        """
+        if not self.is_key_of(team):
+            raise outcomes.StatementFailed(
+                statements.Failure.DENIED, "the key is no longer in force"
+            )
+
+    def is_key_of(self, team: str) -> bool:
+        """Return whether the key identifies a team, ``""`` for a caller without one."""
+        return self.node.catalog.teams_by_key.get(self.key, "") == team
+
     async def handle(self, statement: statements.Statement) -> statements.Answer:
         """Run a statement and return the caller's answer."""
         self.is_busy = True
         self.trace = outcomes.Trace()
         try:
+            if statement.kind is not Kind.ROLLBACK:
+                self._check_transaction_key(statement)
             if self.transaction is not None and self.transaction.is_expired:
                 self.transaction.is_expired = False
                 if statement.kind is not Kind.ROLLBACK:
@@ -99,6 +117,34 @@
             self.is_busy = False
             if self.is_closed:
                 self.close()
+            else:
+                self.revoke()
+
+    def _check_transaction_key(self, statement: statements.Statement) -> None:
+        """Roll back the open transaction if its key was withdrawn.
+
+        :raises outcomes.StatementFailed: it was rolled back.
+        """
+        transaction = self.transaction
+        if transaction is None or self.is_key_of(transaction.team):
+            return
+        transaction.release()
+        if statement.kind is Kind.COMMIT:
+            transaction.roll_back()
+        self.check_key(transaction.team)
+
+    def revoke(self) -> bool:
+        """Roll back an idle transaction whose key was withdrawn.
+
+        The caller is told with the answer to its next statement.
+
+        :returns: whether there was one.
+        """
+        transaction = self.transaction
+        if transaction is None or self.is_busy or self.is_key_of(transaction.team):
+            return False
+        transaction.release()
+        return True
 
     def close(self) -> None:
         """Release what the session holds; its caller has disconnected."""
@@ -182,9 +228,11 @@
         """Run a statement on an endpoint and update the group from the answer.
 
         :param arrived_at: when its operation arrived.
+        :raises outcomes.StatementFailed: the key was withdrawn since then.
         :raises sardinehold.node.execution.Rejected: it was not sent to the endpoint.
         :raises sardinehold.node.ports.ConnectionLost: the connection to it broke.
         """
+        self.check_key(team)
         stream = assignment.stream
         endpoint = stream.endpoint
         group = self.node.find_group(route.group)
--- a/src/sardinehold/node/store_mirror.py
+++ b/src/sardinehold/node/store_mirror.py
@@ -200,6 +200,7 @@
             keys=len(found.teams_by_key),
             rates=catalog.find_changed_rates(before, found),
         )
+        self.node.revoke_transactions()
         for name, config in found.groups.items():
             self.node.find_group(name).config = config
         self.update_shares()
--- a/src/sardinehold/node/transactions.py
+++ b/src/sardinehold/node/transactions.py
@@ -105,6 +105,9 @@
             self.has_sent_write = True
         try:
             answer = await self._run_while_busy(assignment, statement, deadline)
+        except outcomes.StatementFailed:
+            self._mark_aborted()
+            raise
         except execution.Rejected as error:
             self._mark_aborted()
             raise outcomes.StatementFailed(
@@ -219,6 +222,7 @@
             assignment = waiting.Assignment(self.stream)
             answer = await self._run_while_busy(assignment, statement, deadline)
         except outcomes.StatementFailed:
+            self._mark_aborted()
             self._end()
             raise
         except execution.Rejected as error:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1623,3 +1623,104 @@
         assert not node.is_ready()
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+async def begin_transaction(world, route="latest"):
+    """Open a transaction that has written through its connection."""
+    client = world.open("n1", route)
+    assert (await client.send(Kind.BEGIN)).error is None
+    assert (await client.write()).error is None
+    return client
+
+
+async def withdraw_key(world):
+    world.publish(version=2, keys={"blue-key": "blue"})
+    while world.nodes["n1"].find_version() != 2:
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("kind", [Kind.READ, Kind.WRITE, Kind.COMMIT, Kind.SET])
+def test_withdrawn_key_ends_an_open_transaction(monkeypatch, kind):
+    # review/4: it went on to read and to commit while the transaction was open.
+    async def scenario(world):
+        client = await begin_transaction(world)
+        await withdraw_key(world)
+        parts = {"name": "a", "value": "b"} if kind is Kind.SET else {}
+        answer = await client.send(kind, **parts)
+        assert answer.error is Failure.DENIED
+        assert answer.status == ("I" if kind is Kind.COMMIT else "E")
+        if kind is not Kind.COMMIT:
+            assert (await client.send(Kind.COMMIT)).error is Failure.DENIED
+        assert (await client.read()).error is Failure.DENIED
+        await asyncio.sleep(1.0)
+        assert not world.clusters["g"].primary.log
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_transaction_of_a_withdrawn_key_is_rolled_back_while_it_is_idle(monkeypatch):
+    # It held its locks and connection until the caller's next statement.
+    async def scenario(world):
+        client = await begin_transaction(world)
+        holding = [
+            item
+            for item in world.clusters["g"].primary.connections
+            if item.writes is not None
+        ]
+        assert len(holding) == 1
+        await withdraw_key(world)
+        await asyncio.sleep(0.2)
+        assert holding[0].writes is None
+        assert (await client.send(Kind.ROLLBACK)).error is None
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("kind", [Kind.READ, Kind.WRITE])
+@pytest.mark.parametrize("is_open", [False, True])
+def test_statement_that_waited_is_not_sent_with_a_withdrawn_key(
+    monkeypatch, kind, is_open
+):
+    # Its key was checked when it arrived, and it had waited for a primary since.
+    async def scenario(world):
+        client = world.open("n1", "latest")
+        if is_open:
+            await client.send(Kind.BEGIN)
+        world.clusters["g"].primary.crash()
+        answers = []
+
+        async def send():
+            answers.append(await client.send(kind))
+
+        world.tasks.start_soon(send)
+        await asyncio.sleep(0.1)
+        before = len(world.clusters["g"].executions)
+        await withdraw_key(world)
+        await asyncio.sleep(8.0)
+        assert [answer.error for answer in answers] == [Failure.DENIED]
+        assert len(world.clusters["g"].executions) == before
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("kind", [Kind.READ, Kind.COMMIT])
+def test_key_that_stays_in_force_keeps_its_transaction(monkeypatch, kind):
+    async def scenario(world):
+        client = await begin_transaction(world)
+        world.publish(version=2, keys={"red-key": "red"})
+        await asyncio.sleep(1.0)
+        assert world.nodes["n1"].find_version() == 2
+        assert (await client.send(kind)).error is None
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_key_of_another_team_ends_an_open_transaction(monkeypatch):
+    async def scenario(world):
+        client = await begin_transaction(world)
+        world.publish(version=2, keys={"red-key": "blue"})
+        await asyncio.sleep(1.0)
+        assert (await client.send(Kind.COMMIT)).error is Failure.DENIED
+        assert (await client.write()).error is None
+
+    builders_node.run_scenario(monkeypatch, scenario)
