Let no entry of another writer cost more than itself

Cause: int() of an infinite number raises OverflowError, which nothing expected, and an error in one object ended the whole watch. The same goes for values that the frames between nodes cannot hold, and for malformed objects of the fleet itself, which nobody wrote again either.

Content that nodes cannot use counts as empty, objects are applied one by one, malformed states and entries are written again, and a malformed leader's object is no resignation.

Ruled out: ports out of range and values of other types, which were refused.

--- a/src/sardinehold/node/leadership.py
+++ b/src/sardinehold/node/leadership.py
@@ -137,7 +137,11 @@
             if version != self.version:
                 self._observe_outdated(version, {}, now)
             return
-        value = stored.value or {}
+        value = stored.value
+        if not _is_readable(value):
+            if stored.version > self.version:
+                self._observe_outdated(stored.version, {}, now)
+            return
         is_current = value.get("era", 0) == objects.find_era(stored.version)
         if is_current and stored.version >= self.version:
             self._note_reserves(value.get("reserves", {}), stored.version)
@@ -147,8 +151,8 @@
             self._observe_outdated(stored.version, value, now)
             return
         self.version = stored.version
-        self.holder = str(value.get("node", ""))
-        self.holder_incarnation = str(value.get("incarnation", ""))
+        self.holder = value["node"]
+        self.holder_incarnation = value["incarnation"]
         self._names_leader = True
         self._changed_at = now
         if self.is_own():
@@ -337,3 +341,17 @@
     def is_own(self) -> bool:
         """Return whether the object names this process as the leader."""
         return self.holder == self.node and self.holder_incarnation == self.incarnation
+
+
+def _is_readable(value: object) -> bool:
+    """Return whether a leader's object has the form that nodes write."""
+    if not isinstance(value, dict):
+        return False
+    reserves = value.get("reserves", {})
+    return (
+        isinstance(value.get("node"), str)
+        and isinstance(value.get("incarnation"), str)
+        and isinstance(value.get("era", 0), int)
+        and isinstance(reserves, dict)
+        and all(isinstance(tokens, int) for tokens in reserves.values())
+    )
--- a/src/sardinehold/node/membership.py
+++ b/src/sardinehold/node/membership.py
@@ -91,7 +91,7 @@
             str(value.get("incarnation", "")),
             weight,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise errors.DocumentError(
             f"The entry of member {name} cannot be read: {error!r}.",
             "Restart that node; it writes its entry again.",
--- a/src/sardinehold/node/occurrences.py
+++ b/src/sardinehold/node/occurrences.py
@@ -47,6 +47,8 @@
     "start_refused": "A caller's session was refused; with the configuration version.",
     "line_refused": "A caller sent something that is not a statement.",
     "objects_unread": "Objects of a list or a watch are malformed and ignored.",
+    "object_failed": "An object of the store could not be applied; the others were.",
+    "state_refused": "A group's state in the store is malformed; it is written again.",
     "served": "An endpoint answered a statement successfully.",
     "failed": "A statement failed; outcome and reason give the details.",
     "lines_dropped": "Log lines above the limit per second were not written.",
--- a/src/sardinehold/node/store_mirror.py
+++ b/src/sardinehold/node/store_mirror.py
@@ -216,34 +216,54 @@
         self._apply_endpoint_changes(changes, sent_at)
 
     def _apply_endpoint_changes(self, changes: objects.Changes, sent_at: float) -> None:
-        now = clock.read()
         for stored in changes.objects:
-            if stored.value is None:
-                self._refused.pop(stored.name, None)
-                for group in self.node.groups.values():
-                    if stored.name in group.endpoints:
-                        self.log_endpoint("endpoint_missing", stored.name, group.name)
-                    group.mark_missing(stored.name, now)
-                continue
-            try:
-                record = self.node.sources.parse_endpoint(stored.name, stored.value)
-            except errors.DocumentError as error:
-                self._log_refused(stored, str(error))
-                continue
-            group = self.node.find_group(record.group)
-            known = group.endpoints.get(record.name)
-            if known is None or _has_changed(known.record, record):
-                self.log_endpoint(
-                    "endpoint",
-                    record.name,
-                    record.group,
-                    draining=record.is_draining,
-                    primary=record.claims_primary,
-                    born=record.born,
-                )
-            group.apply_record(record, now)
+            self._apply_one(self._apply_endpoint, stored)
         self.update_shares()
 
+    def _apply_one(
+        self,
+        apply: typing.Callable[[objects.StoredObject], None],
+        stored: objects.StoredObject,
+    ) -> None:
+        """Apply one change; an error costs nothing but this one.
+
+        Anyone may write to the store, and a watch that fails is repeated for ever.
+        """
+        try:
+            apply(stored)
+        except Exception as error:
+            self.node.registry.count("tasks_failed")
+            self.node.journal.note(
+                "object_failed", kind=stored.kind, name=stored.name, reason=repr(error)
+            )
+
+    def _apply_endpoint(self, stored: objects.StoredObject) -> None:
+        now = clock.read()
+        if stored.value is None:
+            self._refused.pop(stored.name, None)
+            for group in self.node.groups.values():
+                if stored.name in group.endpoints:
+                    self.log_endpoint("endpoint_missing", stored.name, group.name)
+                group.mark_missing(stored.name, now)
+            return
+        try:
+            record = self.node.sources.parse_endpoint(stored.name, stored.value)
+        except errors.DocumentError as error:
+            self._log_refused(stored, str(error))
+            return
+        group = self.node.find_group(record.group)
+        known = group.endpoints.get(record.name)
+        if known is None or _has_changed(known.record, record):
+            self.log_endpoint(
+                "endpoint",
+                record.name,
+                record.group,
+                draining=record.is_draining,
+                primary=record.claims_primary,
+                born=record.born,
+            )
+        group.apply_record(record, now)
+
     def _log_refused(self, stored: objects.StoredObject, reason: str) -> None:
         """Log an endpoint's entry that cannot be parsed, once per version."""
         if self._refused.get(stored.name) != stored.version:
@@ -301,14 +321,13 @@
         # Apply all members before shares are computed from their number.
         for stored in changes.objects:
             if stored.name.startswith(MEMBER_PREFIX):
-                self._apply_member(stored)
+                self._apply_one(self._apply_member, stored)
         self.update_shares()
         for stored in changes.objects:
             if stored.name == SECRET_NAME and stored.value:
-                self.is_secret_stored = True
-                self.node.peers.key = bytes.fromhex(stored.value["key"])
-            elif stored.name.startswith(GROUP_PREFIX) and stored.value:
-                self._apply_state(stored)
+                self._apply_one(self._apply_secret, stored)
+            elif stored.name.startswith(GROUP_PREFIX) and stored.value is not None:
+                self._apply_one(self._apply_state, stored)
 
     async def confirm_leases(self) -> None:
         """Renew the leases by listing the fleet objects while the leader is silent.
@@ -391,6 +410,8 @@
             member = membership.parse_member(name, stored.value)
         except errors.DocumentError as error:
             self.node.journal.note("member_refused", member=name, reason=str(error))
+            if name == self.node.settings.name:
+                self.node.store_writer.restore_entry()
             return
         old = self.node.members.get(name, member)
         self.node.members[name] = member
@@ -398,6 +419,10 @@
         if old.incarnation != member.incarnation:
             self.node.leader.note_restart(name, old.incarnation, member.incarnation)
 
+    def _apply_secret(self, stored: objects.StoredObject) -> None:
+        self.node.peers.key = bytes.fromhex(stored.value["key"])
+        self.is_secret_stored = True
+
     def _drop_member(self, name: str) -> None:
         if self.node.members.pop(name, None) is None:
             return
@@ -411,7 +436,16 @@
 
     def _apply_state(self, stored: objects.StoredObject) -> None:
         name = stored.name.removeprefix(GROUP_PREFIX)
-        self.take_state(catalog.parse_group_state(name, stored.value, stored.version))
+        try:
+            state = catalog.parse_group_state(name, stored.value, stored.version)
+        except (KeyError, ValueError, TypeError, AttributeError) as error:
+            self.node.journal.note("state_refused", group=name, reason=repr(error))
+            group = self.node.groups.get(name)
+            if group is not None and group.state is not None:
+                # The leader writes it again, over the version that is stored now.
+                group.state = group.state.move(stored.version, False)
+            return
+        self.take_state(state)
 
     def take_state(self, state: catalog.GroupState) -> None:
         """Apply a group's state, unless a later one is known."""
--- a/src/sardinehold/platform/bodies.py
+++ b/src/sardinehold/platform/bodies.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import math
 import re
 import typing
 
@@ -20,6 +21,13 @@
 _KEY = re.compile(rb'\s*("(?:[^"\\]|\\.)*+")\s*:', re.DOTALL)
 
 
+MAX_DEPTH = 64
+"""Levels of nesting of a value that nodes can forward to each other."""
+
+MAX_NUMBER = 2**63 - 1
+"""Largest number that nodes can forward to each other."""
+
+
 class Unreadable:
     """A value that could not be decoded.
 
@@ -53,6 +61,37 @@
     return found
 
 
+def check_value(value: typing.Any) -> None:
+    """Check that nodes can compute with a decoded value and forward it.
+
+    :raises ValueError: it has a number that is too large or not finite, text that is no
+        Unicode, or too many levels.
+    """
+    level = [value]
+    for _ in range(MAX_DEPTH):
+        below: list[typing.Any] = []
+        for item in level:
+            if isinstance(item, dict):
+                below += [*item.keys(), *item.values()]
+            elif isinstance(item, list):
+                below += item
+            else:
+                _check_scalar(item)
+        if not below:
+            return
+        level = below
+    raise ValueError(f"more than {MAX_DEPTH} levels")
+
+
+def _check_scalar(value: typing.Any) -> None:
+    if isinstance(value, str):
+        value.encode()
+    elif isinstance(value, float) and not math.isfinite(value):
+        raise ValueError(f"number {value}")
+    elif isinstance(value, int) and abs(value) > MAX_NUMBER:
+        raise ValueError(f"number of {value.bit_length()} bits")
+
+
 def _decode_list(content: bytes) -> list:
     return [_decode_object(part) for part in _split(content)]
 
--- a/src/sardinehold/platform/records.py
+++ b/src/sardinehold/platform/records.py
@@ -38,7 +38,7 @@
     """
     try:
         return _parse_catalog(value)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise errors.DocumentError(
             f"The stored configuration is malformed: {error!r}.",
             "Write a corrected version; the previous one stays in force until then.",
@@ -99,7 +99,7 @@
     """
     try:
         return _parse_endpoint(name, value)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise errors.DocumentError(
             f"Entry {name} is not a valid endpoint record: {error!r}.",
             "Check which program writes it; it is ignored until it changes.",
@@ -120,7 +120,7 @@
         max(1, _require(value, "Capacity", int)),
         value["State"] == "draining",
         _ROLES[value["DatabaseRole"]],
-        int(value.get("born", 0)),
+        _require(value, "born", int) if "born" in value else 0,
     )
 
 
--- a/src/sardinehold/platform/store.py
+++ b/src/sardinehold/platform/store.py
@@ -211,13 +211,25 @@
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             unread.append(repr(error))
             continue
-        if isinstance(stored.value, bodies.Unreadable):
-            unread.append(f"{stored.name}: {stored.value.reason}")
+        reason = _find_fault(stored.value)
+        if reason:
+            unread.append(f"{stored.name}: {reason}")
             stored.value = {}
         found.append(stored)
     return found
 
 
+def _find_fault(value: typing.Any) -> str:
+    """Return why an object's content cannot be used, ``""`` if it can."""
+    if isinstance(value, bodies.Unreadable):
+        return value.reason
+    try:
+        bodies.check_value(value)
+    except ValueError as error:
+        return repr(error)
+    return ""
+
+
 def _parse_event(
     kind: str, event: typing.Any, era: int, unread: list[str]
 ) -> list[objects.StoredObject]:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1724,3 +1724,59 @@
         assert (await client.write()).error is None
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_entry_that_raises_an_unexpected_error_costs_only_itself(monkeypatch):
+    # The watch of the databases failed on it, and no node followed them any more.
+    read_endpoint = builders_node.Sources.parse_endpoint
+
+    def parse(name, value):
+        if name == "a-odd":
+            raise OverflowError("cannot convert float infinity to integer")
+        return read_endpoint(name, value)
+
+    monkeypatch.setattr(builders_node.Sources, "parse_endpoint", staticmethod(parse))
+
+    async def scenario(world):
+        world.store.put(builders_node.ENDPOINT_KIND, "a-odd", {"born": 1})
+        world.publish_endpoint("g-2", is_draining=True)
+        await asyncio.sleep(1.0)
+        world.start_node("n3")
+        await asyncio.sleep(3.0)
+        for node in world.nodes.values():
+            assert node.groups["g"].endpoints["g-2"].draining_since is not None
+            assert node.is_ready()
+        check_log(world, await write_for(world, 1.0))
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("value", [{}, [], "text", {"term": "x"}, {"key": 7}])
+@pytest.mark.parametrize("name", ["group.g", "secret", "member.n1", "group.other"])
+def test_malformed_object_of_the_fleet_costs_only_itself(monkeypatch, name, value):
+    # The watch of the fleet's own objects failed on it, and nobody wrote it again.
+    async def scenario(world):
+        world.store.put(store_mirror.FLEET_KIND, name, value)
+        await asyncio.sleep(3.0)
+        world.clusters["g"].primary.crash()
+        await write_for(world, 4.0)
+        check_log(world, await write_for(world, 1.0))
+        assert world.clusters["g"].primary.name != "g-0"
+        stored = world.store.objects[store_mirror.FLEET_KIND, name].value
+        if name in ("group.g", "member.n1"):
+            assert stored != value
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("value", [{}, [], {"node": 7, "incarnation": 8}])
+def test_malformed_leader_object_leaves_one_leader(monkeypatch, value):
+    async def scenario(world):
+        world.store.put(store_mirror.LEADER_KIND, leadership.NAME, value)
+        for _ in range(80):
+            await asyncio.sleep(0.05)
+            world.find_leader()
+        assert world.find_leader()
+        check_log(world, await write_for(world, 1.0))
+
+    builders_node.run_scenario(monkeypatch, scenario)
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -658,3 +658,36 @@
     tracker = grading.ErrorRate(100.0)
     tracker.record(100.0, True)
     assert tracker.compute(100.0) == 0.0
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        {},
+        [],
+        "text",
+        {"node": 7, "incarnation": "x"},
+        {"node": "a", "incarnation": "x", "reserves": []},
+        {"node": "a", "incarnation": "x", "reserves": {"red": "many"}},
+        {"node": "a", "incarnation": "x", "era": "today"},
+    ],
+)
+def test_malformed_leader_object_names_no_leader_and_no_resignation(value):
+    # The watch of the leader failed on it, or a lease that still ran was ignored.
+    lead = leadership.Leadership("n1", "one", 0.0)
+    lead.observe(store_leader(5), 10.0)
+    lead.observe(objects.StoredObject("lead", "leader", 6, value), 11.0)
+    assert not lead.has_resigned
+    assert lead.find_next_write(11.0) >= 11.0 + leadership.TAKEOVER_AFTER
+    assert lead.predecessor_until >= 11.0 + leadership.LEASE
+    assert lead.version == 6
+
+
+def test_leader_keeps_its_lead_over_a_malformed_object():
+    lead = leadership.Leadership("n1", "one", 0.0)
+    lead.observe(None, 9.0)
+    lead.note_written(10.0, 5, {})
+    lead.observe(objects.StoredObject("lead", "leader", 6, {"node": 7}), 10.5)
+    assert lead.leads(10.6)
+    assert lead.is_own()
+    assert lead.version == 6
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -16,6 +16,7 @@
 from sardinehold.core import positions
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import frames
 from sardinehold.node import ports
 from sardinehold.node import statements
 from sardinehold.platform import callers
@@ -84,6 +85,13 @@
         {"DatabaseRole": "witness"},
         {"Service": None},
         {"born": "today"},
+        {"born": 1.5},
+        {"born": float("inf")},
+        {"born": True},
+        {"Address": "10.0.0.9:65536"},
+        {"Address": "10.0.0.9:0"},
+        {"Address": "10.0.0.9:-1"},
+        {"Address": "10.0.0.9:" + "9" * 5000},
         {"Service": "zam\u00f3wienia-\u0142\u00f3d\u017a"},
         {"Service": "two words"},
         {"Service": "line\r\nbreak"},
@@ -232,6 +240,46 @@
     assert objects.find_revision(changes.revision) == 9
 
 
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"1e400",
+        b"NaN",
+        b"9" * 400,
+        b"18446744073709551616",
+        b"-9223372036854775809",
+        b"[" * 500 + b"]" * 500,
+        b'{"a":' * 70 + b"1" + b"}" * 70,
+        b'"\\ud800"',
+        b'{"\\ud800": 1}',
+    ],
+)
+def test_object_with_a_value_that_nodes_cannot_use_is_empty(value):
+    # The watch of the databases failed on it, and started again for ever.
+    items = [format_object("odd", 4, b'{"born": %s}' % value), format_object("b", 5)]
+    body = b'{"items": [%s], "HasMore": false, "StoreRevision": 9}' % b",".join(items)
+    changes = run_store(
+        builders_platform.Recorder((200, body)), lambda client: client.list("servers")
+    )
+    assert [(item.name, item.value) for item in changes.objects] == [
+        ("odd", {}),
+        ("b", {}),
+    ]
+    assert len(changes.unread) == 1
+    frames.pack_changes(1, changes)
+
+
+@pytest.mark.parametrize("value", [2**63 - 1, -(2**63) + 1, 1.5, "\u0142", [[[1]]]])
+def test_object_with_unusual_values_is_read(value):
+    found = builders_platform.make_object("a", 3, {"x": value})
+    body = {"items": [found], "HasMore": False, "StoreRevision": 8}
+    changes = run_store(
+        builders_platform.Recorder((200, body)), lambda client: client.list("servers")
+    )
+    assert changes.objects[0].value == {"x": value}
+    assert not changes.unread
+
+
 @pytest.mark.parametrize("spec", UNREADABLE)
 @pytest.mark.parametrize("gone", [False, True])
 def test_watch_with_an_unreadable_object_has_the_other_changes(spec, gone):
