Send no command to a log after the lead has ended

A paused replica could receive again by the RESUME of a former leader, and take a commit that the log to be promoted lacks.

Cause: nothing was asked between reading a log's status and the command, and a command that was given up was closed instead of reset, so that the kernel delivered it when a partition healed.

Ruled out: late PAUSE and STEPDOWN, whose terms the databases check.

Before: the four new test cases fail. After: they pass.

--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -395,7 +395,7 @@
     ) -> ports.LogStatus | None:
         """Stop a log and return its status, None if it may still grow."""
         status = await await_log_status(connection, deadline)
-        if status is None:
+        if status is None or not self.fleet.leads():
             return None
         if status.is_primary:
             if status.term > state.term:
@@ -523,7 +523,9 @@
         reason, follows = await query(
             fleet,
             record,
-            lambda connection, deadline: _reconcile_one(connection, state, deadline),
+            lambda connection, deadline: _reconcile_one(
+                fleet, connection, state, deadline
+            ),
         )
         if reason:
             fleet.note("not_aligned", group=group, endpoint=record.name, reason=reason)
@@ -553,10 +555,13 @@
 
 
 async def _reconcile_one(
-    connection: ports.Connection, state: catalog.GroupState, deadline: float
+    fleet: Fleet,
+    connection: ports.Connection,
+    state: catalog.GroupState,
+    deadline: float,
 ) -> bool:
     status = await connection.read_status(deadline)
-    if status is None:
+    if status is None or not fleet.leads():
         return False
     if status.is_primary and status.term < state.term:
         status = await connection.step_down(state.term, deadline)
--- a/src/sardinehold/platform/endpoints.py
+++ b/src/sardinehold/platform/endpoints.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 
 from sardinehold.core import positions
 from sardinehold.node import catalog
@@ -25,6 +26,10 @@
 KEEPALIVE_COUNT = 2
 """Unanswered keepalive probes after which a connection counts as lost."""
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""``struct linger`` with a timeout of 0 s: a close resets the connection, and the
+kernel discards the bytes that were not delivered."""
+
 USER_TIMEOUT_MS = 3000
 """Milliseconds for which sent bytes may stay unacknowledged; an endpoint that is cut
 off drops its side after the same time."""
@@ -148,7 +153,12 @@
         if self._closed:
             return
         self._closed = True
-        self._transport.abort()
+        if not self._transport.is_closing():
+            # A partition that heals must not deliver what was given up.
+            self._transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            self._transport.abort()
         waiting, self._pending = self._pending, []
         for future in waiting:
             if not future.done():
--- a/src/sardinehold/platform/failover_client.py
+++ b/src/sardinehold/platform/failover_client.py
@@ -9,22 +9,19 @@
 import asyncio
 import json
 import socket
-import struct
 
 import anyio
 import h11
 
 from sardinehold import errors
 from sardinehold.node import clock
+from sardinehold.platform import endpoints
 
 READ_BYTES = 4096
 
 UNAVAILABLE = 503
 """Status of an answer that says that nothing was done."""
 
-LINGER = struct.pack("ii", 1, 0)
-"""``struct linger`` with a timeout of 0 s: a close resets the connection."""
-
 
 class FailoverClient:
     """Requests changes of primary; implements the node's port for promotions.
@@ -118,7 +115,7 @@
     The deadline also holds while the process is paused, the close if it is killed.
     """
     connection = transport.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, endpoints.RESET_ON_CLOSE)
     remaining = max(1, round((deadline - clock.read()) * 1000))
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, remaining)
 
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -154,6 +154,8 @@
         self.script = list(script)
         self.lines: list[bytes] = []
         self.port = 0
+        self.was_reset: list[bool] = []
+        self.ended = asyncio.Event()
 
     async def start(self) -> asyncio.Server:
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -163,14 +165,19 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        while line := await reader.readline():
-            self.lines.append(line)
-            answer = self.script.pop(0) if self.script else b""
-            if answer is None:
-                writer.close()
-                return
-            writer.write(answer)
-        writer.close()
+        try:
+            while line := await reader.readline():
+                self.lines.append(line)
+                answer = self.script.pop(0) if self.script else b""
+                if answer is None:
+                    return
+                writer.write(answer)
+            self.was_reset.append(False)
+        except ConnectionResetError:
+            self.was_reset.append(True)
+        finally:
+            writer.close()
+            self.ended.set()
 
 
 async def request_promotion(port: int) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,6 +11,7 @@
 from sardinehold import objects
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import failover
 from sardinehold.node import leadership
 from sardinehold.node import membership
 from sardinehold.node import primary_lease
@@ -1780,3 +1781,38 @@
         check_log(world, await write_for(world, 1.0))
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("command", ["pause", "step_down", "resume"])
+def test_leader_that_was_suspended_sends_no_command_to_a_log(monkeypatch, command):
+    # It went on in the middle of a change of primary that another leader had ended.
+    async def scenario(world):
+        await write_for(world, 0.5)
+        leader = world.nodes[world.find_leader()]
+        state = leader.groups["g"].state
+        replica = world.find_database("g-1")
+        database = replica if command != "step_down" else world.find_database("g-0")
+        database.paused_term = 5 if command == "resume" else 0
+        read_status = group_in_memory.DatabaseConnection.read_status
+
+        async def read_and_suspend(connection, deadline):
+            status = await read_status(connection, deadline)
+            leader.leadership.leads_until = float("-inf")
+            return status
+
+        monkeypatch.setattr(
+            group_in_memory.DatabaseConnection, "read_status", read_and_suspend
+        )
+        record = leader.groups["g"].endpoints[database.name].record
+        connection = await leader.connector.open(record, "", clock.read() + 1.0)
+        if command == "resume":
+            await failover.reconcile(leader.leader, "g", state)
+            assert database.paused_term == 5
+        else:
+            procedure = failover.Failover(leader.leader, "g", 1, False)
+            frozen = await procedure._freeze_log(connection, state, clock.read() + 1.0)
+            assert frozen is None
+            assert not database.paused_term
+            assert database.is_primary == (command == "step_down")
+
+    builders_node.run_scenario(monkeypatch, scenario)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -568,6 +568,25 @@
     run_scenario(scenario, b"ROW half\r\nCOMPL")
 
 
+def test_connection_without_an_answer_in_time_is_reset():
+    # The kernel delivered a command that was given up when a partition healed, such as
+    # the RESUME of a former leader.
+    server = builders_platform.LineServer(READY)
+
+    async def main():
+        listening = await server.start()
+        record = catalog.EndpointRecord("i-1", "db", "127.0.0.1", server.port, "north")
+        connection = await endpoints.Connector().open(record, "d", clock.read() + 5.0)
+        with pytest.raises(ports.ConnectionLost):
+            await connection.resume(clock.read() + 0.2)
+        await server.ended.wait()
+        listening.close()
+
+    anyio.run(main)
+    assert server.lines[-1].startswith(b"QUERY - RESUME")
+    assert server.was_reset == [True]
+
+
 def test_refused_start_reports_the_failure():
     server = builders_platform.LineServer(b"ERROR WRONGNODE another\r\n")
 
