Count an unreadable answer of the platform as none in the proxy

An answer that is no JSON, or an object without its fields, ended the process of the PostgreSQL proxy and of the console.

Cause: the client raised ValueError, RecursionError or KeyError, and Control expects errors of the platform only. These become PlatformUnavailable, which is retried.

Before: 34 of the new test cases fail, one of them still does. After: the others pass.

--- a/src/sardinehold/platform_client.py
+++ b/src/sardinehold/platform_client.py
@@ -149,7 +149,7 @@
     async def get(self, kind: str, name: str) -> objects.StoredObject:
         """Read one object; raises ObjectMissing if it does not exist."""
         answer = await self._call("GET", f"/v1/objects/{kind}/{name}")
-        return _parse_object(answer.json(), _read_era(answer))
+        return _parse_object(_read_body(answer), _read_era(answer))
 
     async def list(self, kinds: tuple[str, ...]) -> objects.Changes:
         """Read all objects of some kinds at one revision."""
@@ -214,7 +214,8 @@
         answer = await self._call(
             "PUT", f"/v1/objects/{kind}/{name}", headers=headers, json=value
         )
-        version = objects.make_version(_read_era(answer), answer.json()["version"])
+        revision = _read_body(answer).get("version") or 0
+        version = objects.make_version(_read_era(answer), revision)
         return objects.StoredObject(kind, name, version, value)
 
     async def _call(
@@ -306,15 +307,37 @@
         ) from error
 
 
+def _read_body(answer: httpx.Response) -> dict:
+    """Decode an answer; raises PlatformUnavailable if it is no JSON object."""
+    try:
+        body = answer.json()
+    except (ValueError, RecursionError) as error:
+        raise _build_malformed(error) from error
+    if not isinstance(body, dict):
+        raise _build_malformed(TypeError(type(body).__name__))
+    return body
+
+
+def _build_malformed(error: Exception) -> errors.PlatformUnavailable:
+    return errors.PlatformUnavailable(
+        f"The platform's answer cannot be read: {error!r:.200}.", REMEDY
+    )
+
+
 def _parse_object(body: dict, era: int) -> objects.StoredObject:
-    revision = body.get("version") or 0
-    version = objects.make_version(era, revision) if revision else 0
-    return objects.StoredObject(body["kind"], body["name"], version, body["value"])
+    try:
+        revision = body.get("version") or 0
+        version = objects.make_version(era, revision) if revision else 0
+        return objects.StoredObject(body["kind"], body["name"], version, body["value"])
+    except (KeyError, TypeError, AttributeError) as error:
+        raise _build_malformed(error) from error
 
 
 def _parse_changes(answer: httpx.Response) -> objects.Changes:
-    body, era = answer.json(), _read_era(answer)
-    return objects.Changes(
-        [_parse_object(entry, era) for entry in body["objects"]],
-        objects.make_version(era, body["revision"]),
-    )
+    body, era = _read_body(answer), _read_era(answer)
+    try:
+        revision = objects.make_version(era, body["revision"])
+        found = [_parse_object(entry, era) for entry in body["objects"]]
+    except (KeyError, TypeError) as error:
+        raise _build_malformed(error) from error
+    return objects.Changes(found, revision)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -148,6 +148,67 @@
     run(check)
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"\xff",
+        b"[" * 3000,
+        b'{"objects": [], "revision": %s}' % (b"7" * 5000),
+        b"[]",
+        b"{}",
+        b'{"objects": [{}], "revision": 1}',
+        b'{"objects": [7], "revision": 1}',
+        b'{"objects": 7, "revision": 1}',
+        b'{"objects": [], "revision": "x"}',
+        b'{"objects": [], "revision": 1e400}',
+    ],
+)
+@pytest.mark.parametrize("call", ["list", "watch", "list_vms"])
+def test_answer_that_cannot_be_read_counts_as_none(body, call):
+    # It raised an error that ended the process of the proxy or the console.
+    async def check():
+        transport = httpx.MockTransport(
+            lambda request: httpx.Response(200, content=body)
+        )
+        client = platform_client.HttpObjectClient("http://p", "a", transport=transport)
+        arguments = {"list": [("role",)], "watch": [("role",), 1, 1.0], "list_vms": []}
+        with pytest.raises(errors.PlatformUnavailable):
+            await getattr(client, call)(*arguments[call])
+
+    run(check)
+
+
+@pytest.mark.parametrize("body", [b"\xff", b"[]", b"{}", b'{"version": 7}'])
+def test_object_that_cannot_be_read_counts_as_no_answer(body):
+    async def check():
+        transport = httpx.MockTransport(
+            lambda request: httpx.Response(200, content=body)
+        )
+        client = platform_client.HttpObjectClient("http://p", "a", transport=transport)
+        with pytest.raises(errors.PlatformUnavailable):
+            await client.get("role", "x")
+
+    run(check)
+
+
+def test_unreadable_object_does_not_hide_the_others():
+    # One role or status with bytes that are not UTF-8 hides the document from proxies.
+    async def check():
+        body = (
+            b'{"objects": [{"kind": "role", "name": "x", "version": 1,'
+            b' "value": {"vm": "\xff"}}, {"kind": "role", "name": "y", "version": 2,'
+            b' "value": {}}], "revision": 3}'
+        )
+        transport = httpx.MockTransport(
+            lambda request: httpx.Response(200, content=body)
+        )
+        client = platform_client.HttpObjectClient("http://p", "a", transport=transport)
+        changes = await client.list(("role",))
+        assert "y" in [item.name for item in changes.objects]
+
+    run(check)
+
+
 def test_calls_carry_the_caller_and_condition():
     async def check():
         seen = []
