--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -376,7 +376,9 @@
         reason, status = await query(
             self.fleet,
             record,
-            lambda connection, deadline: self._freeze_log(connection, state, deadline),
+            lambda connection, deadline: self._freeze_log(
+                record.name, connection, state, deadline
+            ),
         )
         if reason:
             self._unread[record.name] = reason
@@ -389,6 +391,7 @@
 
     async def _freeze_log(
         self,
+        name: str,
         connection: ports.Connection,
         state: catalog.GroupState,
         deadline: float,
@@ -400,7 +403,10 @@
         if status.is_primary:
             if status.term > state.term:
                 return status
-            return await connection.step_down(state.term + 1, deadline)
+            status = await connection.step_down(state.term + 1, deadline)
+            if status is None or status.is_primary or name == state.primary:
+                return status
+            # An earlier primary follows the present one now, as a replica.
         if status.paused_term > state.term:
             return status
         return await connection.pause(max(state.term, status.term) + 1, deadline)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1810,9 +1810,30 @@
             assert database.paused_term == 5
         else:
             procedure = failover.Failover(leader.leader, "g", 1, False)
-            frozen = await procedure._freeze_log(connection, state, clock.read() + 1.0)
+            deadline = clock.read() + 1.0
+            frozen = await procedure._freeze_log("", connection, state, deadline)
             assert frozen is None
             assert not database.paused_term
             assert database.is_primary == (command == "step_down")
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_earlier_primary_is_paused_when_the_present_one_is_replaced(monkeypatch):
+    # letters-desk-grown trouble-1: it stepped down only, followed the present primary,
+    # and acknowledged commits that the log to be promoted lacked.
+    async def scenario(world):
+        await write_for(world, 0.5)
+        leader = world.nodes[world.find_leader()]
+        earlier = world.find_database("g-1")
+        earlier.is_primary = True
+        state = catalog.GroupState("g", 2, "g-0", catalog.Phase.SEALED)
+        record = leader.groups["g"].endpoints["g-1"].record
+        connection = await leader.connector.open(record, "", clock.read() + 1.0)
+        procedure = failover.Failover(leader.leader, "g", 1, False)
+        deadline = clock.read() + 1.0
+        frozen = await procedure._freeze_log("g-1", connection, state, deadline)
+        assert not frozen.is_primary
+        assert earlier.paused_term == frozen.paused_term == 3
+
+    builders_node.run_scenario(monkeypatch, scenario)
