--- a/src/sardinehold/core/quota.py
+++ b/src/sardinehold/core/quota.py
@@ -351,6 +351,15 @@
             team for team, bucket in self._buckets.items() if now < bucket.short_until
         ]
 
+    def sum_tokens(self, now: float) -> tuple[int, int]:
+        """Return the tokens in all buckets and the outstanding ones of all teams."""
+        available = outstanding = 0
+        for bucket in self._buckets.values():
+            bucket.refill(now)
+            available += int(bucket.tokens)
+            outstanding += bucket.count_outstanding(now)
+        return available, outstanding
+
     def needs_smaller_reserves(self, now: float) -> bool:
         """Return whether a reserve withholds tokens from a team that is short."""
         return any(
--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -71,6 +71,8 @@
         self._has_leader_resigned = False
         self._sequence = 0
         self._sequence_until = float("-inf")
+        self._sequence_at = float("-inf")
+        self._is_exchange_pending = False
         self._allocator_empty_until = float("-inf")
         self._store_checked_at = float("-inf")
         self._report_due = anyio.Event()
@@ -212,7 +214,11 @@
         """
         if now < self._sequence_until:
             return 0, []
+        if self._is_exchange_pending:
+            self.node.exchange_load.count_lost_exchange()
         self._sequence += 1
+        self._sequence_at = now
+        self._is_exchange_pending = True
         self._sequence_until = now + EXCHANGE_TIMEOUT
         return self._sequence, self.node.rate_limiter.collect_usages(now)
 
@@ -272,6 +278,7 @@
 
     def _handle_response(self, response: reports.LeaderResponse) -> None:
         now = clock.read()
+        self.node.exchange_load.count_response(now - response.echo)
         if response.echo > now or now - response.echo > RESPONSE_LIFETIME:
             return
         self.node.store.note_era(response.lead_version)
@@ -342,6 +349,9 @@
 
     def _apply_grants(self, response: reports.LeaderResponse) -> None:
         self._sequence_until = float("-inf")
+        if self._is_exchange_pending:
+            self._is_exchange_pending = False
+            self.node.exchange_load.count_exchange(clock.read() - self._sequence_at)
         for grant in response.grants:
             deadline = response.echo + grant.lifetime * (1 - clock.RATE_MARGIN)
             self.node.rate_limiter.take_grant(
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -156,6 +156,17 @@
             self.allocator.credit(now, self.allocator.starts_at - self._started_at)
             self._started_at = None
 
+    def describe_tokens(self) -> dict:
+        """Return the sums of available and outstanding tokens while this node leads."""
+        if self.allocator is None:
+            return {}
+        available, outstanding = self.allocator.sum_tokens(clock.read())
+        return {
+            "available": available,
+            "outstanding": outstanding,
+            "connected_share": self._connected_share,
+        }
+
     def stop_leading(self) -> None:
         """Stop leading."""
         self.allocator = None
@@ -196,6 +207,9 @@
         now = clock.read()
         self.node.store.note_era(objects.make_version(report.era, 0))
         self.member_reports.add(report, now)
+        self.node.exchange_load.count_report(
+            now, report.date(0.0, self.node.incarnation)
+        )
         exclusive_until = self.find_exclusive_until(now)
         if exclusive_until is None:
             return None
@@ -212,6 +226,8 @@
             grants = self.allocator.exchange(
                 now, identity, report.sequence, report.usages
             )
+            if grants is not None:
+                self.node.exchange_load.count_grants(report.usages, grants)
             if self.allocator.needs_smaller_reserves(now):
                 self.node.leadership.renew_soon(now)
         return reports.LeaderResponse(
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -15,6 +15,7 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import exchange
+from sardinehold.node import exchange_load
 from sardinehold.node import executor
 from sardinehold.node import forwarding
 from sardinehold.node import groups
@@ -112,6 +113,7 @@
         self.sources = sources
         self.registry = registry
         self.journal = journal.Journal(loaded.name, registry)
+        self.exchange_load = exchange_load.ExchangeLoad(registry, self.journal.note)
         self.incarnation = secrets.token_hex(4)
         self.catalog: catalog.Catalog | None = None
         self.configured = anyio.Event()
@@ -416,8 +418,11 @@
 
     async def _run_maintenance(self) -> None:
         while True:
+            due = clock.read() + MAINTENANCE_INTERVAL
             await anyio.sleep(MAINTENANCE_INTERVAL)
             now = clock.read()
+            self.exchange_load.observe_loop_delay(now - due)
+            self.exchange_load.write_line(now, self._describe_exchange)
             for caller in list(self.callers):
                 if caller.session is not None and caller.session.expire_idle(now):
                     self.journal.note(
@@ -435,6 +440,11 @@
                 self._failing = set(failing)
                 self.exchange.report_now()
 
+    def _describe_exchange(self) -> dict:
+        """Return the tokens of the allocator, and the bytes sent since the start."""
+        described = self.leader.describe_tokens()
+        return {**described, "sent_bytes": self.peers.sent_bytes}
+
     def collect_failing(self, now: float) -> dict[str, float]:
         """Return the unreachable endpoints, with the seconds since when."""
         return {
--- a/src/sardinehold/node/peers.py
+++ b/src/sardinehold/node/peers.py
@@ -52,6 +52,7 @@
         """Initialize without a key; all datagrams are rejected until one is set."""
         self.key = b""
         self.rejected = 0
+        self.sent_bytes = 0
         self._receive = receive
         self._note = note
         self._transport: asyncio.DatagramTransport | None = None
@@ -87,6 +88,7 @@
                 "message_unsent", reason=f"datagram of {len(body)} bytes is too large"
             )
             return
+        self.sent_bytes += DIGEST_BYTES + len(body)
         self._transport.sendto(self._sign(body) + body, address)
 
     def close(self) -> None:
--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -228,18 +228,27 @@
     keys: dict[str, str] | None = None,
     timeout: float = 1.0,
     connections: int = 21,
+    teams: dict[str, tuple[float, float]] | None = None,
 ) -> catalog.Catalog:
-    """Return a configuration with one route of each kind to one group."""
+    """Return a configuration with one route of each kind to one group.
+
+    :param teams: rate and burst of each further team.
+    """
     kinds = catalog.Consistency
     routes = {
         "latest": catalog.Route("latest", "g", kinds.LATEST, 0.0, timeout),
         "bounded": catalog.Route("bounded", "g", kinds.BOUNDED, 1.5, timeout),
         "session": catalog.Route("session", "g", kinds.SESSION, 2.5, timeout),
     }
+    more = teams or {}
     return catalog.Catalog(
         version,
         routes,
-        {"red": catalog.Team("red", rate, burst), "blue": catalog.Team("blue", 50, 50)},
+        {
+            "red": catalog.Team("red", rate, burst),
+            "blue": catalog.Team("blue", 50, 50),
+            **{name: catalog.Team(name, *limits) for name, limits in more.items()},
+        },
         {"red-key": "red", "blue-key": "blue"} if keys is None else keys,
         {"g": catalog.Group("g", connections, 1)},
         3.0,
@@ -348,10 +357,16 @@
             or node.groups["g"].endpoints["g-2"].draining_since is None
         ]
 
-    def start_node(self, name: str, zone: str = "north") -> nodes.Node:
-        loaded = settings.Settings(
+    def make_settings(self, name: str, zone: str) -> settings.Settings:
+        return settings.Settings(
             name, zone, ZONES, ("", 1), ("", 1), (name, 1), 0, ("", 1), ("", 1)
         )
+
+    def make_datagrams(self, name: str, receive: peers.Receive) -> Datagrams:
+        return Datagrams(self, name, receive)
+
+    def start_node(self, name: str, zone: str = "north") -> nodes.Node:
+        loaded = self.make_settings(name, zone)
         node = nodes.Node(
             loaded,
             self.store.connect(name),
@@ -361,7 +376,7 @@
             self.tasks,
             metrics.Registry(),
         )
-        node.peers = Datagrams(self, name, node.exchange.handle_message)
+        node.peers = self.make_datagrams(name, node.exchange.handle_message)
         node.links = forwarding.Links(
             name,
             lambda: node.peers.key,
