Cover a node in a summary only when it told its tokens under this leader

Read in the code: a node whose report carried no exchange was covered although the aggregator did not know what tokens it held, so that a new leader's allocator could start too early; and what a suspended aggregator handled late counted from its arrival, so that a node that used its even share could count as connected. An aggregator now passes on the leader's identity of the response itself and does not report faster while there is no leader.

--- a/src/sardinehold/node/aggregation.py
+++ b/src/sardinehold/node/aggregation.py
@@ -47,6 +47,7 @@
         self.node = node
         self.member_reports = member_reports.MemberReports(node)
         self._leader = ""
+        self._settled: set[str] = set()
         self._grants = 0
         self._sequences: dict[str, int] = {}
         self._waiting: dict[str, WaitingRequest] = {}
@@ -96,6 +97,7 @@
         if incarnation != self._leader:
             self._leader = incarnation
             self.member_reports.clear()
+            self._settled.clear()
 
     def _find_stages(self, now: float) -> dict[str, catalog.Stage]:
         """Return the earliest stage of each group that the section's nodes use.
@@ -120,12 +122,17 @@
         return [received.report for received in self._list_dated(now)]
 
     def _list_dated(self, now: float) -> list[member_reports.ReceivedReport]:
-        """Return the valid reports that can be dated on this node's clock."""
+        """Return the valid reports that a summary may cover.
+
+        They can be dated on this node's clock, and their nodes have told what tokens
+        they hold since the leader took the lead.
+        """
         self._follow_leader()
         return [
             received
             for received in self.member_reports.list_received(now)
             if received.report.echo_of == self.node.incarnation
+            and _identify(received.report) in self._settled
         ]
 
     def summarize(self, report: reports.Report, now: float) -> None:
@@ -137,12 +144,11 @@
         report.covered = {
             item.report.node: (
                 item.report.incarnation,
-                item.report.unadvised + (now - item.at),
+                item.report.unadvised + self._measure_age(item.report, now),
             )
             for item in received
         }
-        sent_at = min(item.date(0.0, self.node.incarnation) for item in covered)
-        report.covered_age = now - sent_at
+        report.covered_age = max(self._measure_age(item, now) for item in covered)
         report.covered_failing = {
             item.node: item.failing for item in covered if item.failing
         }
@@ -171,6 +177,10 @@
             }
         )
 
+    def _measure_age(self, report: reports.Report, now: float) -> float:
+        """Return the seconds since a report was sent, at most."""
+        return now - report.date(0.0, self.node.incarnation)
+
     def _find_own_stage(self, group: str) -> catalog.Stage | None:
         found = self.node.groups.get(group)
         return found.state.stage if found is not None and found.state else None
@@ -189,10 +199,11 @@
 
         What is missing is requested, and sent in a second answer.
         """
-        borrower = leader.make_identity(report.node, report.incarnation)
+        borrower = _identify(report)
         if report.sequence <= self._sequences.get(borrower, 0):
             return
         self._sequences[borrower] = report.sequence
+        self._settled.add(borrower)
         self._drop_request(report.node)
         lenders = self.node.rate_limiter.lenders
         for usage in report.usages:
@@ -296,15 +307,20 @@
             [state.stage for state in response.states],
             response.changed,
             response.catalog_version,
-            response.suspects,
             response.asks_store,
         )
         if news == self._announced:
             return
         self._announced = news
-        self.node.exchange.announce(
-            [
-                received.report.node
-                for received in self.member_reports.list_received(now)
-            ]
+        message = reports.Announcement(
+            response.node, response.incarnation, response.lead_version
+        ).dump()
+        names = [report.node for report in self.member_reports.list_current(now)]
+        members = self.node.members
+        self.node.peers.send_to_all(
+            message, [members[name].address for name in names if name in members]
         )
+
+
+def _identify(report: reports.Report) -> str:
+    return leader.make_identity(report.node, report.incarnation)
--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -185,7 +185,9 @@
         response = self.last_response
         if self.node.aggregator.has_members(now):
             interval = SUMMARY_INTERVAL
-        elif response is not None and response.asks_store:
+        elif response is None or not self.is_leader_reachable():
+            interval = REPORT_INTERVAL
+        elif response.asks_store:
             interval = OUTAGE_REPORT_INTERVAL
         else:
             # One report may be lost before a lease of the last response expires.
@@ -417,21 +419,15 @@
         resigns: bool = False,
         suspects: typing.Sequence[str] = (),
     ) -> None:
-        """Announce the leader, so that nodes report immediately.
-
-        An aggregator announces the leader that it follows.
+        """Announce a leadership change, so that nodes report immediately.
 
         :param resigns: whether this leader resigns.
         :param suspects: primaries that the nodes are to probe.
         """
         lead = self.node.leadership
-        leader_name, incarnation = self.node.settings.name, self.node.incarnation
         version = lead.version if resigns else lead.acquired_version
-        if not (resigns or lead.is_own()):
-            leader_name, incarnation = lead.holder, lead.holder_incarnation
-            version = lead.version
         message = reports.Announcement(
-            leader_name, incarnation, version, resigns, suspects
+            self.node.settings.name, self.node.incarnation, version, resigns, suspects
         ).dump()
         members = self.node.members
         if self.node.settings.name in names:
--- a/tests/test_aggregation.py
+++ b/tests/test_aggregation.py
@@ -207,6 +207,8 @@
             )
             for report in received:
                 reported.add(report, now)
+                if report.sequence:
+                    node.aggregator._settled.add(f"{report.node}/{report.incarnation}")
             report = builders_node.make_report(node="n1", **own)
             node.aggregator.summarize(report, now)
             found.append(report)
@@ -256,6 +258,19 @@
     assert report.covered_age == 0.0
 
 
+def test_summary_does_not_cover_a_node_that_did_not_tell_its_tokens(summary):
+    assert summary(builders_node.make_report(node="n2", sequence=0)).covered == {}
+
+
+def test_delayed_report_counts_from_its_sending(summary):
+    """A node that was suspended handles reports that were sent long before."""
+    report = summary(builders_node.make_report(node="n2", held=0.0, unadvised=0.4))
+    incarnation, unadvised = report.covered["n2"]
+    assert incarnation == "a"
+    assert unadvised == pytest.approx(0.9, abs=0.02)
+    assert report.covered_age == pytest.approx(0.5, abs=0.02)
+
+
 def test_reports_under_another_leader_are_forgotten(monkeypatch):
     async def scenario(world):
         name = find_aggregators(world)[0]
