--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -38,9 +38,10 @@
 """Seconds for which an aggregator is not used that did not respond, or that has no
 contact with the leader itself."""
 
-FALLBACK_INTERVAL = 1.0
-"""Seconds between reports to the leader of a node that has no usable aggregator. If
-those of all sections were silent, the leader would get the reports of all nodes."""
+FALLBACK_INTERVAL = 0.6
+"""Minimum seconds between reports to the leader of a node that has no usable
+aggregator: within ``LEADER_TIMEOUT``, and no more often, since the leader gets the
+reports of all nodes if those of all sections are silent."""
 
 EMPTY_RETRY_DELAY = 0.15
 """Seconds before tokens are requested again from an allocator that had none left."""
@@ -110,6 +111,7 @@
         self._target = ""
         self._unanswered_since = float("inf")
         self._avoided_until: dict[str, float] = {}
+        self._avoided_under = ""
         self._fallback_at = float("-inf")
         self._aggregators: list[str] = []
         self._aggregators_of = ""
@@ -216,9 +218,11 @@
 
     def _list_aggregators(self, holder: str) -> list[str]:
         """Return the nodes through which this one reports to a leader."""
+        if self._avoided_under != holder:
+            self._avoided_under = holder
+            self._avoided_until.clear()
         if self._aggregators_of != holder:
             self._aggregators_of = holder
-            self._avoided_until.clear()
             self._aggregators = sections.list_aggregators(
                 self.node.settings.name, self.node.members, holder
             )
@@ -247,6 +251,9 @@
         if target != self._target:
             self._target = target
             self._unanswered_since = float("inf")
+            # An answer of the previous one would no longer be used.
+            self._sequence_until = float("-inf")
+            self._is_exchange_pending = False
             self.node.rate_limiter.forget_grants()
         return target
 
--- a/tests/test_aggregation.py
+++ b/tests/test_aggregation.py
@@ -12,6 +12,7 @@
 from sardinehold.node import clock
 from sardinehold.node import exchange
 from sardinehold.node import member_reports
+from sardinehold.node import ownership
 from sardinehold.node import rate_limiter
 from sardinehold.node import reports
 from sardinehold.node import sections
@@ -113,6 +114,38 @@
     run(monkeypatch, scenario, rate=2000.0, burst=2000.0)
 
 
+def test_section_without_aggregators_reports_to_the_leader_seldom(monkeypatch):
+    async def scenario(world):
+        name = next(
+            name
+            for name in list_section(world, find_aggregators(world)[0])
+            if name
+            not in ownership.list_leader_candidates(world.nodes[name].members.values())
+        )
+        node = world.nodes[name]
+        for aggregator in list(node.exchange._aggregators):
+            break_by_kill(world, aggregator)
+        await asyncio.sleep(1.4)
+        assert node.exchange._target == world.find_leader()
+        sent = []
+        send = node.peers.send
+
+        def record(message, address):
+            sent.append(address)
+            send(message, address)
+
+        monkeypatch.setattr(node.peers, "send", record)
+        for _ in range(40):
+            node.exchange.request_tokens("red")
+            await asyncio.sleep(0.02)
+        assert 1 <= len(sent) <= 2
+        leader = world.nodes[world.find_leader()]
+        assert name not in leader.leader.member_reports.list_silent(clock.read())
+        assert node.exchange.is_leader_reachable()
+
+    run(monkeypatch, scenario)
+
+
 def test_reads_go_on_while_the_store_is_down_for_all(monkeypatch):
     async def scenario(world):
         world.store.cut |= set(world.nodes)
