Let the aggregators of many sections report less often

From 8 sections on they share one rate (test_leader_gets_no_more_reports_than_from_a_few_sections failed at 1000 and above). Fleets of up to 8 sections are not concerned.

--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -180,7 +180,10 @@
                 await self._report_due.wait()
             self._report_due = anyio.Event()
             self._report()
-            await anyio.sleep(MIN_REPORT_INTERVAL)
+            pace = 1.0
+            if self.node.aggregator.has_members(clock.read()):
+                pace = sections.find_pace(self._sections)
+            await anyio.sleep(MIN_REPORT_INTERVAL * pace)
 
     def _find_interval(self, now: float) -> float:
         """Return the seconds until the next report, unless one is urgent."""
--- a/src/sardinehold/node/sections.py
+++ b/src/sardinehold/node/sections.py
@@ -24,6 +24,11 @@
 AGGREGATORS = 3
 """Members that may aggregate for a section, in the order of preference."""
 
+SECTIONS_AT_FULL_RATE = 8
+"""Sections whose aggregators may all report as often as any node; more of them share
+that rate, so that the leader's work stays the same. Their larger sections have a
+steadier demand, and hold tokens in advance."""
+
 KEY = "section"
 """Key under which members are assigned to sections."""
 
@@ -60,6 +65,11 @@
     return sum(math.ceil(count / size) for count in zones.values())
 
 
+def find_pace(count: int) -> float:
+    """Return the factor by which aggregators of ``count`` sections report less often."""
+    return max(1.0, count / SECTIONS_AT_FULL_RATE)
+
+
 def _find_index(name: str, count: int) -> int:
     if count == 1:
         return 0
--- a/tests/test_sections.py
+++ b/tests/test_sections.py
@@ -5,6 +5,7 @@
 import pytest
 
 import builders_links
+from sardinehold.node import exchange
 from sardinehold.node import ownership
 from sardinehold.node import sections
 
@@ -46,6 +47,15 @@
     assert limit <= 3 + math.sqrt(count)
 
 
+@pytest.mark.parametrize("count", [75, 195, 1000, 2459, 10_000])
+def test_leader_gets_no_more_reports_than_from_a_few_sections(count):
+    """However many statements need tokens, and however large the fleet is."""
+    number = sections.count_sections(make_fleet(count))
+    rate = number / (exchange.MIN_REPORT_INTERVAL * sections.find_pace(number))
+    limit = sections.SECTIONS_AT_FULL_RATE / exchange.MIN_REPORT_INTERVAL
+    assert rate <= limit * 1.001
+
+
 def test_every_node_of_a_section_has_the_same_aggregators_in_its_zone():
     fleet = make_fleet(195)
     candidates = ownership.list_leader_candidates(fleet.values())
