Show that commits in flight are lost when the primary is replaced (LOST)

With fewer frozen logs than replicas, the leader promotes one that has every commit that the members report as acknowledged (find_acknowledged); a commit that is acknowledged after its member's report is not in it. Here the writes take 0.9 s, the primary drains or is wrongly suspected, and the primary and one replica refuse the leader's queries, since they are at their connection limit.

--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -487,6 +487,12 @@
         return leaders[0] if leaders else ""
 
 
+def fill_connections(world: World, database: group_in_memory.Database) -> None:
+    """Occupy the connections of a database that are free."""
+    while len(database.connections) < world.connection_limit:
+        world.connect(database, "other", "other")
+
+
 class Client:
     """A caller connected to one node."""
 
--- /dev/null
+++ b/tests/test_commits_in_flight.py
@@ -0,0 +1,44 @@
+"""Commits that are on their way while the primary is replaced."""
+
+import asyncio
+
+import pytest
+
+import builders_node
+from sardinehold.node import leader
+
+
+async def drain_primary(world, monkeypatch):
+    """Announce that the primary leaves; it still works."""
+    world.publish_endpoint("g-0", is_draining=True)
+
+
+async def suspect_primary(world, monkeypatch):
+    """Have the leader replace a primary that it wrongly counts as unreachable."""
+    monkeypatch.setattr(
+        leader.Leader, "_is_lost", lambda self, state, now: state.term == 1
+    )
+
+
+@pytest.mark.parametrize("change", [drain_primary, suspect_primary])
+def test_promoted_log_has_the_commits_that_were_in_flight(monkeypatch, change):
+    # The leader counted on reports from before these commits were acknowledged.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, replica, target = cluster.databases.values()
+        clients = [world.open(name, "latest") for name in world.nodes]
+        await asyncio.gather(*(client.write() for client in clients))
+        # The leader can query neither; the replica still receives from the primary.
+        builders_node.fill_connections(world, primary)
+        builders_node.fill_connections(world, replica)
+        primary.statement_seconds = 0.9
+        writes = [asyncio.create_task(client.write()) for client in clients]
+        await change(world, monkeypatch)
+        answers = await asyncio.gather(*writes)
+        assert any(answer.error is None for answer in answers)
+        await asyncio.sleep(4.0)
+        assert cluster.promoted
+        kept = {request for _, request in cluster.primary.log}
+        assert set(cluster.acknowledged) <= kept
+
+    builders_node.run_scenario(monkeypatch, scenario)
