--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -342,6 +342,9 @@
             for item in records
             if item.is_draining or item.name in self._evacuated
         )
+        acknowledged = self.fleet.find_acknowledged(
+            self.group, self._logs_changed_at + IN_FLIGHT_DELAY
+        )
         plan = promotion.choose_target(
             statuses,
             state,
@@ -351,9 +354,7 @@
             frozenset(self._failed_targets),
             self._find_requested(state),
             self._frozen_at > self._reinstate_at,
-            self.fleet.find_acknowledged(
-                self.group, self._logs_changed_at + IN_FLIGHT_DELAY
-            ),
+            acknowledged,
             self._frozen_at > self._accept_loss_at and self._find_record(old) is None,
             self.fleet.find_preferred(self.group),
         )
@@ -361,9 +362,13 @@
             "frozen",
             group=self.group,
             logs={name: list(item.received) for name, item in statuses.items()},
+            born={item.name: item.born for item in records if item.name in statuses},
             unread=self._unread,
             replicas=replica_count,
+            required=enough,
+            acknowledged=None if acknowledged is None else list(acknowledged),
             target=plan.target,
+            grounds=None if plan.grounds is None else plan.grounds.value,
             leader=plan.leader,
         )
         return plan
@@ -452,10 +457,12 @@
         if clock.read() < self._first_frozen_at + RECHECK_AFTER:
             return True
         running = []
+        unread: dict[str, str] = {}
 
         async def check(record: catalog.EndpointRecord, frozen: ports.LogStatus):
-            status = await read_status(self.fleet, record)
+            reason, status = await query(self.fleet, record, read_log_status)
             if status is None:
+                unread[record.name] = reason or "the endpoint has no free slot"
                 return
             if status.paused_term <= state.term or status.received != frozen.received:
                 running.append(record.name)
@@ -467,8 +474,13 @@
                     tasks.start_soon(check, record, frozen)
         for name in running:
             del self._frozen[name]
-        if running:
-            self.fleet.note("not_frozen", group=self.group, endpoints=sorted(running))
+        if running or unread:
+            self.fleet.note(
+                "not_frozen",
+                group=self.group,
+                endpoints=sorted(running),
+                unread=unread,
+            )
         return not running
 
     async def _promote(
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -666,6 +666,10 @@
                 )
             await anyio.sleep(LEAD_CHECK_INTERVAL)
             deadline = clock.read() + REQUEST_TIMEOUT
+        lead_left = self.node.leadership.leads_until - clock.read()
+        self.note(
+            "request", group=group, target=endpoint, token=token, lead_left=lead_left
+        )
         self._requests_running += 1
         try:
             await self.node.duty.promote(group, endpoint, holder, token, deadline)
--- a/src/sardinehold/node/promotion.py
+++ b/src/sardinehold/node/promotion.py
@@ -5,6 +5,8 @@
 that affects few nodes costs less than a failover.
 """
 
+import enum
+
 from sardinehold.core import positions
 from sardinehold.node import catalog
 from sardinehold.node import ports
@@ -17,19 +19,42 @@
 the partition costs less than a failover costs all nodes."""
 
 
+class Grounds(enum.Enum):
+    """Why a log is known to hold every acknowledged commit."""
+
+    REPLICAS = "replicas"
+    """It is the longest of so many frozen replicas that no commit is on others only."""
+
+    REPORTS = "reports"
+    """It reaches the newest commit that the members report as acknowledged."""
+
+    OLD_PRIMARY = "old primary"
+    """It is as long as that of the primary that stepped down."""
+
+    REINSTATED = "reinstated"
+    """It is that of the primary that stepped down, which is promoted again."""
+
+    LOSS_ACCEPTED = "loss accepted"
+    """It is not known: the other logs are permanently lost."""
+
+
 class Plan:
     """Result of a freeze.
 
     :param leader: an endpoint that is already primary of a later term, or ``""``.
     :param target: the endpoint to promote, ``""`` while too few logs were read.
+    :param grounds: why the target may be promoted, None without one.
     """
 
-    __slots__ = ("leader", "target")
+    __slots__ = ("leader", "target", "grounds")
 
-    def __init__(self, leader: str = "", target: str = "") -> None:
+    def __init__(
+        self, leader: str = "", target: str = "", grounds: Grounds | None = None
+    ) -> None:
         """Initialize the plan."""
         self.leader = leader
         self.target = target
+        self.grounds = grounds if target else None
 
 
 def count_required_replicas(replicas: int, sync_replicas: int) -> int:
@@ -94,14 +119,16 @@
 
     best = max(sorted(replicas), key=preference, default="")
     if best and len(replicas) >= count_required_replicas(replica_count, sync_replicas):
-        return Plan(target=best)
+        return Plan(target=best, grounds=Grounds.REPLICAS)
     if best and acknowledged is not None and replicas[best].received >= acknowledged:
-        return Plan(target=best)
+        return Plan(target=best, grounds=Grounds.REPORTS)
     if old is None:
-        return Plan(target=best if may_lose_commits else "")
+        accepted = best if may_lose_commits else ""
+        return Plan(target=accepted, grounds=Grounds.LOSS_ACCEPTED)
     if best and replicas[best].received >= old.received:
-        return Plan(target=best)
-    return Plan(target=state.primary if may_reinstate else "")
+        return Plan(target=best, grounds=Grounds.OLD_PRIMARY)
+    reinstated = state.primary if may_reinstate else ""
+    return Plan(target=reinstated, grounds=Grounds.REINSTATED)
 
 
 def has_longest_outside(
