--- /dev/null
+++ b/src/sardinehold/node/commits.py
@@ -0,0 +1,46 @@
+"""Commits that a node's callers have on their way to a group's primary.
+
+A commit that is in flight can still be acknowledged after the group was sealed. The
+newest acknowledged commit is final only once none is in flight and none can start.
+"""
+
+import math
+
+from sardinehold.core import positions
+
+SEAL_GRACE = 0.3
+"""Seconds since a seal in which open transactions may still commit."""
+
+
+class Commits:
+    """Commits of this node's callers to the primary of one group.
+
+    :param newest: position of the newest one that was acknowledged; None if unknown.
+    :param in_flight: number of those that were sent and not answered.
+    :param closed_at: when no further one may start, infinite unless the group is
+        sealed.
+    """
+
+    __slots__ = ("newest", "in_flight", "closed_at")
+
+    def __init__(self) -> None:
+        """Initialize for a group that is not sealed, with the newest commit unknown."""
+        self.newest: positions.Position | None = None
+        self.in_flight = 0
+        self.closed_at = math.inf
+
+    def seal(self, now: float) -> None:
+        """Let no commit start after ``SEAL_GRACE``; the primary is being replaced."""
+        self.closed_at = min(self.closed_at, now + SEAL_GRACE)
+
+    def unseal(self) -> None:
+        """Let commits start again; there is a primary."""
+        self.closed_at = math.inf
+
+    def may_start(self, now: float) -> bool:
+        """Return whether a commit may be sent."""
+        return now < self.closed_at
+
+    def find_final(self, now: float) -> positions.Position | None:
+        """Return the newest acknowledged commit, None if a later one is possible."""
+        return None if self.in_flight or self.may_start(now) else self.newest
--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -326,11 +326,7 @@
             now,
             {name: g.state.stage for name, g in self.node.groups.items() if g.state},
             self.collect_samples(now),
-            {
-                name: group.acknowledged
-                for name, group in self.node.groups.items()
-                if group.acknowledged is not None
-            },
+            self.node.find_final_commits(now),
             self.node.collect_failing(now),
             sequence,
             usages,
--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -15,6 +15,7 @@
 from sardinehold.core import positions
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import commits
 from sardinehold.node import ports
 from sardinehold.node import primary_lease
 from sardinehold.node import promotion
@@ -44,10 +45,6 @@
 REFUSED_DELAY = 0.5
 """Seconds after which another promotion is requested when one was refused."""
 
-IN_FLIGHT_DELAY = 0.25
-"""Seconds after the logs were frozen in which answers in transit reach the nodes. Only
-later reports of acknowledged commits are complete."""
-
 LOSS_ACCEPTED_AFTER = 20.0
 """Seconds after which a group whose primary's record is gone, with logs that cannot be
 read, continues with the best log that remains: crashed endpoints restart sooner."""
@@ -61,10 +58,6 @@
 promotion: a replica that restarted meanwhile, lost its pause and received a commit
 would otherwise go unnoticed."""
 
-PLANNED_SEAL_DELAY = 0.3
-"""Seconds between the seal and the freeze of a switchover, in which running statements
-complete."""
-
 REINSTATE_AFTER = 1.5
 """Seconds after which an old primary that stepped down may be promoted again, if too
 few replicas can be read to replace it."""
@@ -98,7 +91,11 @@
         """Return how many replicas left recently, possibly with the only copy."""
 
     def find_acknowledged(self, group: str, since: float) -> positions.Position | None:
-        """Return the newest commit acknowledged to a caller, None if uncertain."""
+        """Return the newest commit that is acknowledged to any caller.
+
+        :param since: only reports that were sent later count.
+        :returns: None if it is not known, or if a later one may be acknowledged.
+        """
 
     def find_preferred(self, group: str) -> frozenset[str]:
         """Return the endpoints in a region that all restricting routes allow."""
@@ -203,7 +200,6 @@
         self._frozen: dict[str, ports.LogStatus] = {}
         self._unread: dict[str, str] = {}
         self._evacuated: frozenset[str] = frozenset()
-        self._logs_changed_at = float("inf")
         self._reuse_since = clock.read()
         self._first_frozen_at = clock.read()
         self._end_position = positions.START
@@ -221,7 +217,7 @@
         if state.phase is not catalog.Phase.SEALED:
             state = await self._seal(state)
             if self.planned:
-                await anyio.sleep(PLANNED_SEAL_DELAY)
+                await anyio.sleep(commits.SEAL_GRACE)
         sealed = state
         self._first_frozen_at = clock.read()
         while fleet.leads():
@@ -329,7 +325,6 @@
                         self._freeze_one, record, state, statuses, tasks, enough
                     )
         if statuses.keys() != self._frozen.keys():
-            self._logs_changed_at = clock.read()
             self.fleet.notify_nodes()
         self._frozen = statuses
         self._frozen_at = clock.read()
@@ -342,9 +337,7 @@
             for item in records
             if item.is_draining or item.name in self._evacuated
         )
-        acknowledged = self.fleet.find_acknowledged(
-            self.group, self._logs_changed_at + IN_FLIGHT_DELAY
-        )
+        acknowledged = self.fleet.find_acknowledged(self.group, self._first_frozen_at)
         plan = promotion.choose_target(
             statuses,
             state,
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -8,6 +8,7 @@
 from sardinehold.node import admission
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import commits
 from sardinehold.node import eligibility
 from sardinehold.node import evacuations
 from sardinehold.node import execution
@@ -102,7 +103,7 @@
     :param find_region: returns the region of an availability zone, None if unknown.
     :param may_probe: returns whether an endpoint of the group may be probed now.
     :param state: primary and term, as last read from the store; None while unknown.
-    :param acknowledged: position of the newest commit acknowledged to a caller.
+    :param commits: those of this node's callers.
     :param removed_at: when endpoints were removed, by their names.
     :param drains: drains of endpoints, by their names; a drain is never revoked, also
         if the store has lost it.
@@ -144,7 +145,7 @@
         self.waiters: list[waiting.Waiter] = []
         self.evacuations = evacuations.Evacuations()
         self.frozen: positions.Position | None = None
-        self.acknowledged: positions.Position | None = None
+        self.commits = commits.Commits()
         self._commits_known_since = clock.read()
         self.removed_at: dict[str, float] = {}
         self.drains: dict[str, Drain] = {}
@@ -171,8 +172,10 @@
         if state.phase is catalog.Phase.SERVING:
             self.frozen = None
             self._no_primary_since = None
+            self.commits.unseal()
         if state.phase is catalog.Phase.SEALED:
             self.lease.revoke()
+            self.commits.seal(clock.read())
         if before is None or before.term != state.term:
             self.lease.begin_term(state.term)
         self.dispatch_waiting()
@@ -662,7 +665,7 @@
     def record_acknowledged(self, position: positions.Position | None) -> None:
         """Record a commit that was acknowledged to a caller."""
         if position is not None:
-            self.acknowledged = max(self.acknowledged or position, position)
+            self.commits.newest = max(self.commits.newest or position, position)
 
     def reset_acknowledged(self, now: float) -> None:
         """Discard the newest acknowledged commit until the primary reports a position.
@@ -672,7 +675,7 @@
 
         :param now: answers of the primary to later requests cover these commits.
         """
-        self.acknowledged = None
+        self.commits.newest = None
         self._commits_known_since = now
 
     def record_position(self, sent_at: float, position: positions.Position) -> None:
@@ -681,8 +684,8 @@
         The first one covers what this node acknowledged before a restart.
         """
         self.lease.record_position(sent_at, position)
-        if self.acknowledged is None and sent_at >= self._commits_known_since:
-            self.acknowledged = position
+        if self.commits.newest is None and sent_at >= self._commits_known_since:
+            self.commits.newest = position
 
     def record_answer(
         self,
--- a/src/sardinehold/node/member_reports.py
+++ b/src/sardinehold/node/member_reports.py
@@ -185,12 +185,13 @@
         return bool(self.node.members)
 
     def find_acknowledged(self, group: str, since: float) -> positions.Position | None:
-        """Return the newest commit that was acknowledged to any caller.
+        """Return the newest commit that is acknowledged to any caller.
 
         :returns: None unless every member has reported one in a report sent after
-            ``since``; a restarted member cannot until it has an answer of the primary.
+            ``since``. It cannot while a later commit is possible, nor after a restart
+            until it has an answer of the primary.
         """
-        newest = self.node.groups[group].acknowledged
+        newest = self.node.groups[group].commits.find_final(clock.read())
         if newest is None:
             return None
         for name in self.node.members:
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -12,6 +12,7 @@
 import anyio.abc
 
 from sardinehold import metrics
+from sardinehold.core import positions
 from sardinehold.node import aggregation
 from sardinehold.node import caller_guard
 from sardinehold.node import caller_limits
@@ -158,6 +159,7 @@
         self._tasks = tasks
         self._closes_sessions = False
         self._failing: set[str] = set()
+        self._final: set[str] = set()
         self._refreshed_at = float("-inf")
         self.store_readers = store_readers.StoreReaders(self)
         self.store_mirror = store_mirror.StoreMirror(self)
@@ -549,6 +551,10 @@
                 self._note_failing(failing)
                 self._failing = set(failing)
                 self.exchange.report_now()
+            final = self.find_final_commits(now).keys()
+            if final - self._final:
+                self.exchange.report_now()
+            self._final = set(final)
 
     def _describe_exchange(self) -> dict:
         """Return the tokens of the allocator, and the bytes sent since the start."""
@@ -564,6 +570,13 @@
             if (since := endpoint.find_failing_since(now)) is not None
         }
 
+    def find_final_commits(self, now: float) -> dict[str, positions.Position]:
+        """Return the newest acknowledged commits of groups without a later one."""
+        found = {
+            name: group.commits.find_final(now) for name, group in self.groups.items()
+        }
+        return {name: newest for name, newest in found.items() if newest is not None}
+
     def _note_failing(self, failing: typing.Collection[str]) -> None:
         """Log each endpoint that became unreachable or reachable."""
         for group in self.groups.values():
--- a/src/sardinehold/node/reports.py
+++ b/src/sardinehold/node/reports.py
@@ -20,7 +20,8 @@
     :param sent_at: reading of the node's clock, to be echoed.
     :param states: stage of each group's state that the node uses.
     :param samples: newest position of each primary, with its age.
-    :param acknowledged: newest commit of each group acknowledged to callers.
+    :param acknowledged: newest commit that was acknowledged to a caller, of each group
+        in which no later one can be.
     :param failing: endpoints that the node cannot reach, with the seconds since when.
     :param sequence: number of the exchange with the allocator.
     :param echo: reading of a leader's clock from its last response, None before one.
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -314,6 +314,12 @@
         stream = assignment.stream
         endpoint = stream.endpoint
         group = self.node.find_group(route.group)
+        proves_commit = self._proves_commit(statement)
+        if proves_commit and not group.commits.may_start(clock.read()):
+            raise execution.Rejected(
+                execution.Rejection.AWAY,
+                f"the primary of group {group.name} is being replaced",
+            )
         trace = self.trace
         trace.endpoint = endpoint.name
         trace.home = stream.owner_name or self.node.settings.name
@@ -335,8 +341,8 @@
             assignment.divert_at,
         )
         was_open = self.transaction is not None
-        proves_commit = self._proves_commit(statement)
         endpoint.in_flight += 1
+        group.commits.in_flight += proves_commit
         sent_at = clock.read()
         endpoint.view.record_sent(sent_at)
         try:
@@ -349,6 +355,7 @@
             raise
         finally:
             endpoint.in_flight -= 1
+            group.commits.in_flight -= proves_commit
             endpoint.view.record_ended(sent_at)
         trace.position = answer.position
         is_done = answer.error is None and answer.status == "I"
--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -487,10 +487,12 @@
         return leaders[0] if leaders else ""
 
 
-def fill_connections(world: World, database: group_in_memory.Database) -> None:
-    """Occupy the connections of a database that are free."""
-    while len(database.connections) < world.connection_limit:
-        world.connect(database, "other", "other")
+def fill_connections(
+    world: World, database: group_in_memory.Database
+) -> list[group_in_memory.DatabaseConnection]:
+    """Occupy the connections of a database that are free, and return them."""
+    free = world.connection_limit - len(database.connections)
+    return [world.connect(database, "other", "other") for _ in range(free)]
 
 
 class Client:
--- a/tests/test_commits_in_flight.py
+++ b/tests/test_commits_in_flight.py
@@ -5,7 +5,11 @@
 import pytest
 
 import builders_node
+from sardinehold.node import commits
 from sardinehold.node import leader
+from sardinehold.node import statements
+
+Kind = statements.Kind
 
 
 async def drain_primary(world, monkeypatch):
@@ -29,16 +33,38 @@
         clients = [world.open(name, "latest") for name in world.nodes]
         await asyncio.gather(*(client.write() for client in clients))
         # The leader can query neither; the replica still receives from the primary.
-        builders_node.fill_connections(world, primary)
-        builders_node.fill_connections(world, replica)
+        others = builders_node.fill_connections(world, primary)
+        others += builders_node.fill_connections(world, replica)
         primary.statement_seconds = 0.9
         writes = [asyncio.create_task(client.write()) for client in clients]
         await change(world, monkeypatch)
         answers = await asyncio.gather(*writes)
         assert any(answer.error is None for answer in answers)
+        for connection in others:
+            connection.close()
         await asyncio.sleep(4.0)
         assert cluster.promoted
         kept = {request for _, request in cluster.primary.log}
         assert set(cluster.acknowledged) <= kept
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_commit_of_an_open_transaction_is_not_sent_long_after_the_seal(monkeypatch):
+    # Its acknowledgement would be later than the reports on which a leader promotes.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        databases = list(cluster.databases.values())
+        client = world.open("n2", "latest")
+        await client.send(Kind.BEGIN)
+        assert (await client.write()).error is None
+        for database in databases:
+            builders_node.fill_connections(world, database)
+        await suspect_primary(world, monkeypatch)
+        await asyncio.sleep(commits.SEAL_GRACE + 0.2)
+        answer = await client.send(Kind.COMMIT)
+        assert answer.error is statements.Failure.ABORTED
+        await asyncio.sleep(1.0)
+        assert not cluster.acknowledged
+
+    builders_node.run_scenario(monkeypatch, scenario)
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -640,15 +640,15 @@
     now = clock.read()
     group.record_acknowledged(P(1, 9))
     group.record_position(now + 1.0, P(1, 7))
-    assert group.acknowledged == P(1, 9)
+    assert group.commits.newest == P(1, 9)
 
 
 def test_position_requested_before_the_start_does_not_cover_earlier_commits():
     group = make_group()
     group.record_position(clock.read() - 60.0, P(1, 7))
-    assert group.acknowledged is None
+    assert group.commits.newest is None
     group.record_position(clock.read(), P(1, 8))
-    assert group.acknowledged == P(1, 8)
+    assert group.commits.newest == P(1, 8)
 
 
 def test_watcher_lists_again_only_when_it_stays_behind():
--- a/tests/test_node_roster.py
+++ b/tests/test_node_roster.py
@@ -7,6 +7,7 @@
 import builders_node
 from sardinehold.core import positions
 from sardinehold.node import clock
+from sardinehold.node import commits
 from sardinehold.node import exchange
 from sardinehold.node import member_reports
 from sardinehold.node import membership
@@ -20,7 +21,9 @@
 def leader_reports(monkeypatch):
     """Return the reports received by a leader n0 with the members n1 and n2."""
     monkeypatch.setattr(clock, "read", lambda: NOW)
-    group = types.SimpleNamespace(acknowledged=P(1, 3))
+    group = types.SimpleNamespace(commits=commits.Commits())
+    group.commits.newest = P(1, 3)
+    group.commits.seal(NOW - commits.SEAL_GRACE)
     node = types.SimpleNamespace(
         settings=types.SimpleNamespace(name="n0"),
         incarnation="leader-1",
@@ -80,7 +83,7 @@
 
 def test_leaders_own_acknowledgements_count_as_well(leader_reports):
     report_all(leader_reports)
-    leader_reports.node.groups["g"].acknowledged = P(1, 12)
+    leader_reports.node.groups["g"].commits.newest = P(1, 12)
     assert leader_reports.find_acknowledged("g", 1000.0) == P(1, 12)
 
 
@@ -106,7 +109,22 @@
 
 def test_leader_that_was_restarted_leaves_commits_unknown(leader_reports):
     report_all(leader_reports)
-    leader_reports.node.groups["g"].acknowledged = None
+    leader_reports.node.groups["g"].commits.newest = None
+    assert leader_reports.find_acknowledged("g", 1000.0) is None
+
+
+@pytest.mark.parametrize("reason", ["in flight", "not sealed", "just sealed"])
+def test_commit_that_may_be_acknowledged_later_leaves_commits_unknown(
+    leader_reports, reason
+):
+    report_all(leader_reports)
+    own = leader_reports.node.groups["g"].commits
+    if reason == "in flight":
+        own.in_flight = 1
+    else:
+        own.unseal()
+    if reason == "just sealed":
+        own.seal(NOW)
     assert leader_reports.find_acknowledged("g", 1000.0) is None
 
 
