--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -15,6 +15,7 @@
 from sardinehold.core import positions
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import commits
 from sardinehold.node import ports
 from sardinehold.node import primary_lease
 from sardinehold.node import promotion
@@ -44,10 +45,6 @@
 REFUSED_DELAY = 0.5
 """Seconds after which another promotion is requested when one was refused."""
 
-IN_FLIGHT_DELAY = 0.25
-"""Seconds after the logs were frozen in which answers in transit reach the nodes. Only
-later reports of acknowledged commits are complete."""
-
 LOSS_ACCEPTED_AFTER = 20.0
 """Seconds after which a group whose primary's record is gone, with logs that cannot be
 read, continues with the best log that remains: crashed endpoints restart sooner."""
@@ -61,10 +58,6 @@
 promotion: a replica that restarted meanwhile, lost its pause and received a commit
 would otherwise go unnoticed."""
 
-PLANNED_SEAL_DELAY = 0.3
-"""Seconds between the seal and the freeze of a switchover, in which running statements
-complete."""
-
 REINSTATE_AFTER = 1.5
 """Seconds after which an old primary that stepped down may be promoted again, if too
 few replicas can be read to replace it."""
@@ -98,7 +91,11 @@
         """Return how many replicas left recently, possibly with the only copy."""
 
     def find_acknowledged(self, group: str, since: float) -> positions.Position | None:
-        """Return the newest commit acknowledged to a caller, None if uncertain."""
+        """Return the newest commit that is acknowledged to any caller.
+
+        :param since: only reports that were sent later count.
+        :returns: None if it is not known, or if a later one may be acknowledged.
+        """
 
     def find_preferred(self, group: str) -> frozenset[str]:
         """Return the endpoints in a region that all restricting routes allow."""
@@ -203,7 +200,6 @@
         self._frozen: dict[str, ports.LogStatus] = {}
         self._unread: dict[str, str] = {}
         self._evacuated: frozenset[str] = frozenset()
-        self._logs_changed_at = float("inf")
         self._reuse_since = clock.read()
         self._first_frozen_at = clock.read()
         self._end_position = positions.START
@@ -221,7 +217,7 @@
         if state.phase is not catalog.Phase.SEALED:
             state = await self._seal(state)
             if self.planned:
-                await anyio.sleep(PLANNED_SEAL_DELAY)
+                await anyio.sleep(commits.SEAL_GRACE)
         sealed = state
         self._first_frozen_at = clock.read()
         while fleet.leads():
@@ -329,7 +325,6 @@
                         self._freeze_one, record, state, statuses, tasks, enough
                     )
         if statuses.keys() != self._frozen.keys():
-            self._logs_changed_at = clock.read()
             self.fleet.notify_nodes()
         self._frozen = statuses
         self._frozen_at = clock.read()
@@ -342,6 +337,7 @@
             for item in records
             if item.is_draining or item.name in self._evacuated
         )
+        acknowledged = self.fleet.find_acknowledged(self.group, self._first_frozen_at)
         plan = promotion.choose_target(
             statuses,
             state,
@@ -351,9 +347,7 @@
             frozenset(self._failed_targets),
             self._find_requested(state),
             self._frozen_at > self._reinstate_at,
-            self.fleet.find_acknowledged(
-                self.group, self._logs_changed_at + IN_FLIGHT_DELAY
-            ),
+            acknowledged,
             self._frozen_at > self._accept_loss_at and self._find_record(old) is None,
             self.fleet.find_preferred(self.group),
         )
@@ -361,9 +355,13 @@
             "frozen",
             group=self.group,
             logs={name: list(item.received) for name, item in statuses.items()},
+            born={item.name: item.born for item in records if item.name in statuses},
             unread=self._unread,
             replicas=replica_count,
+            required=enough,
+            acknowledged=None if acknowledged is None else list(acknowledged),
             target=plan.target,
+            grounds=None if plan.grounds is None else plan.grounds.value,
             leader=plan.leader,
         )
         return plan
@@ -452,10 +450,12 @@
         if clock.read() < self._first_frozen_at + RECHECK_AFTER:
             return True
         running = []
+        unread: dict[str, str] = {}
 
         async def check(record: catalog.EndpointRecord, frozen: ports.LogStatus):
-            status = await read_status(self.fleet, record)
+            reason, status = await query(self.fleet, record, read_log_status)
             if status is None:
+                unread[record.name] = reason or "the endpoint has no free slot"
                 return
             if status.paused_term <= state.term or status.received != frozen.received:
                 running.append(record.name)
@@ -467,8 +467,13 @@
                     tasks.start_soon(check, record, frozen)
         for name in running:
             del self._frozen[name]
-        if running:
-            self.fleet.note("not_frozen", group=self.group, endpoints=sorted(running))
+        if running or unread:
+            self.fleet.note(
+                "not_frozen",
+                group=self.group,
+                endpoints=sorted(running),
+                unread=unread,
+            )
         return not running
 
     async def _promote(
