Add a soak of requests: what callers sent against what databases ran

Databases of the stand-ins can receive commits one by one, start again without their log, and reject statements while their slots are taken; the defaults are as before.

--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -512,13 +512,15 @@
                 )
 
 
-async def request_session(world: World, index: int, key: str) -> str:
+async def request_session(
+    world: World, index: int, key: str, route: str = "latest"
+) -> str:
     """Return a node's response to a session start with the given key."""
     reader, writer = await asyncio.wait_for(
         asyncio.open_connection(world.find_address(index), 6432), 2
     )
     try:
-        writer.write(f"START latest {key}\r\n".encode())
+        writer.write(f"START {route} {key}\r\n".encode())
         return (await asyncio.wait_for(reader.readuntil(b"\r\n"), 2)).decode().strip()
     finally:
         writer.transport.abort()
--- a/bench/promotion_soak.py
+++ b/bench/promotion_soak.py
@@ -63,8 +63,8 @@
         self.ended_at = 0.0
         self.store.find_delay = lambda: self.late.pop(0) if self.late else 0.0
 
-    def write_configuration(self) -> None:
-        """Write the present version of the configuration to the store."""
+    def make_configuration(self) -> dict:
+        """Return the present version of the configuration."""
         value = fault_soak.make_configuration(self.version)
         value["Services"] = [
             {"Name": name, "MaxConnections": 21, "SyncReplicas": 1} for name in GROUPS
@@ -73,14 +73,24 @@
             {**value["Routes"][0], "Name": f"r-{name}", "Host": name, "Service": name}
             for name in GROUPS
         ]
-        self.store.store.put("config", "main", value)
+        return value
+
+    def write_configuration(self) -> None:
+        """Write the present version of the configuration to the store."""
+        self.store.store.put("config", "main", self.make_configuration())
+
+    def make_server(
+        self, database: group_in_memory.Database
+    ) -> loopback.DatabaseServer:
+        """Return the server of a database."""
+        return loopback.DatabaseServer(database)
 
     async def start(self) -> None:
         """Start all servers, links and nodes, and wait until the nodes are ready."""
         await self.store.start()
         for cluster in self.clusters.values():
             for name, database in cluster.databases.items():
-                server = loopback.DatabaseServer(database)
+                server = self.make_server(database)
                 await server.start()
                 self.links[name] = loopback.Link(server.port)
                 await self.links[name].start()
@@ -240,9 +250,11 @@
     )
 
 
-async def change_primaries(world: World, cluster: group_in_memory.Cluster) -> None:
+async def change_primaries(
+    world: World, cluster: group_in_memory.Cluster, seconds: float = FAULT_SECONDS
+) -> None:
     """Change the primary of a group in series."""
-    ends = time.monotonic() + FAULT_SECONDS
+    ends = time.monotonic() + seconds
     while time.monotonic() < ends:
         await asyncio.sleep(CHANGE_INTERVAL * world.random.random())
         change = world.random.choice((drain_primary, crash_primary, crash_primary))
--- /dev/null
+++ b/bench/request_soak.py
@@ -0,0 +1,808 @@
+"""Soak test of requests: what callers sent against what databases ran and kept.
+
+``python bench/request_soak.py --seeds 50`` runs fifty seeds. In a planned part, the
+nodes are stopped in turn while their callers keep their connections. Then faults
+overlap: primaries drain and crash, leaders get into trouble as they request promotions,
+nodes are suspended and stopped, and all of them lose power at the same moment.
+Databases receive commits one by one, have neither slots nor connections left, take
+a second for a write, and start again without their log. The configuration withdraws
+and moves keys throughout. Some callers stay until their connection ends, others give up
+after a second or two.
+
+Checked from the view of callers and databases: UNASKED, no statement runs that no
+caller sent, or with another text or in another team's name; LOST, no promoted log and
+no log at the end lacks an acknowledged write, and planned stops leave no request
+without an answer; ONE, fencing tokens increase, and no write is acknowledged that the
+old primary committed after a promotion; TWICE; REFUSED; and all groups accept writes
+after the faults. Statements that start after their caller was answered or had left are
+reported, not violations.
+"""
+
+import asyncio
+import bisect
+import contextlib
+import functools
+import pathlib
+import random
+import signal
+import sys
+import time
+
+import fault_soak
+import promotion_soak
+from sardinehold.node import clock
+from sardinehold.node import statements
+from sardinehold_standins import group_in_memory
+from sardinehold_standins import loopback
+
+CALLERS = 16
+"""Callers of each group; every second one gives up after a second or two."""
+
+PLANNED_SECONDS = 7.0
+"""Seconds of planned stops only."""
+
+FAULT_SECONDS = 16.0
+"""Seconds during which faults are injected."""
+
+RECOVERY_SECONDS = 12.0
+"""Seconds after the nodes are back until all groups must accept writes."""
+
+START_SECONDS = 240.0
+"""Seconds until all nodes must be ready after a start: a machine may run hundreds."""
+
+GRACE_SECONDS = 6.0
+"""Seconds from the stop signal until a node is killed."""
+
+ANSWER_SECONDS = 8.0
+"""Seconds for which a caller that stays waits for an answer."""
+
+REST_SECONDS = 0.2
+"""Seconds after which a node must have read a request that was sent."""
+
+LATE_SECONDS = 0.02
+"""Seconds after a request's end until a start counts as late: it was on its way."""
+
+UNFREEZE_SECONDS = 0.3
+"""Seconds after a suspension during which a node may not know what it missed."""
+
+STALE_SECONDS = 12.0
+"""Seconds for which a node that is suspended or cut off may follow an older
+configuration."""
+
+SLOTS = 3
+CONNECTION_LIMIT = 21
+DATA_WORDS = ("READ", "WRITE", "EXECUTE", "COMMIT")
+
+TROUBLE_SHARE = 0.6
+"""Share of the promotion requests at which something happens to the leader."""
+
+BUSY_SHARE = 0.6
+"""Share of the changes of primary at which databases of the group are busy."""
+
+FIXED_KEYS = {"k-red": "red", "k-blue": "blue"}
+MOVING_KEY = "k-moving"
+WITHDRAWN_KEY = "k-withdrawn"
+
+
+class Request:
+    """A statement that a caller sent.
+
+    :param text: how a database must receive it.
+    :param ended_at: when the caller had its answer or had left; infinite before.
+    :param outcome: ``COMPLETE``, a code, ``left`` or ``closed``; empty before.
+    """
+
+    __slots__ = ("text", "key", "group", "node", "sent_at", "ended_at", "outcome")
+
+    def __init__(self, text: str, key: str, group: str, node: int) -> None:
+        """Record that the statement is sent now."""
+        self.text = text
+        self.key = key
+        self.group = group
+        self.node = node
+        self.sent_at = clock.read()
+        self.ended_at = float("inf")
+        self.outcome = ""
+
+    def end(self, outcome: str) -> None:
+        """Record the end, unless there was one before."""
+        if not self.outcome:
+            self.ended_at = clock.read()
+            self.outcome = outcome
+
+
+class Run:
+    """A statement that a database ran.
+
+    :param term: the database's term when it ended.
+    """
+
+    __slots__ = ("database", "term", "team", "request", "text", "at", "ended_at", "ok")
+
+    def __init__(
+        self,
+        database: group_in_memory.Database,
+        team: str,
+        request: str,
+        text: str,
+        at: float,
+        ok: bool,
+    ) -> None:
+        """Record that the run ends now."""
+        self.database = database.name
+        self.term = database.term
+        self.team = team
+        self.request = request
+        self.text = text
+        self.at = at
+        self.ended_at = clock.read()
+        self.ok = ok
+
+
+class World(promotion_soak.World):
+    """Stand-ins, node processes and records of one seed."""
+
+    def __init__(self, seed: int, folder: pathlib.Path, lane: int, nodes: int) -> None:
+        """Create the stand-ins; nothing is started."""
+        self.teams: dict[str, list[tuple[float, str]]] = {}
+        super().__init__(seed, folder, lane, nodes)
+        self.requests: dict[str, Request] = {}
+        self.runs: list[Run] = []
+        self.delays: dict[str, float] = {}
+        self.reborn_at: dict[str, float] = {}
+        self.suspended_at: dict[int, float] = {}
+        self.suspensions: list[tuple[float, float]] = []
+        self.ending: set[asyncio.subprocess.Process] = set()
+        self.power_trigger = ""
+        self.counts = dict.fromkeys(
+            ("power losses", "suspensions", "stops", "killed", "reborn", "occupied"), 0
+        )
+        self.planned: tuple[float, float] = (0.0, 0.0)
+        for cluster in self.clusters.values():
+            cluster.find_delivery_delay = self.find_delivery_delay
+            for database in cluster.databases.values():
+                database.slots = SLOTS
+
+    def find_delivery_delay(self, replica: group_in_memory.Database) -> float:
+        """Return the seconds after which a replica receives a commit."""
+        return self.delays.get(replica.name, 0.002) + 0.01 * self.random.random()
+
+    def make_server(
+        self, database: group_in_memory.Database
+    ) -> loopback.DatabaseServer:
+        """Return the server of a database, which records what it runs."""
+        on_run = functools.partial(self.record_run, database)
+        return loopback.DatabaseServer(database, CONNECTION_LIMIT, on_run)
+
+    def record_run(
+        self,
+        database: group_in_memory.Database,
+        team: str,
+        request: str,
+        text: str,
+        at: float,
+        answer: statements.Answer | None,
+    ) -> None:
+        """Record a statement that ran; rejected ones did not."""
+        if text.startswith("AFTER "):
+            text = text.split(" ", 2)[2]
+        is_data = text.split(" ")[0] in DATA_WORDS
+        error = None if answer is None else answer.error
+        if error not in _NOT_RUN and (request != "-" or is_data):
+            ok = answer is not None and error is None
+            self.runs.append(Run(database, team, request, text, at, ok))
+
+    def make_configuration(self) -> dict:
+        """Return the present version; one key moves, one is withdrawn at times."""
+        value = super().make_configuration()
+        for route in value["Routes"]:
+            route["TimeoutMs"] = 2500
+        reads = {"Kind": "bounded", "MaxStalenessMs": 1500}
+        value["Routes"] += [
+            {
+                **route,
+                **reads,
+                "Name": f"{route['Name']}-reads",
+                "Host": f"{name}-reads",
+            }
+            for name, route in zip(promotion_soak.GROUPS, value["Routes"], strict=True)
+        ]
+        keys = {**FIXED_KEYS, MOVING_KEY: f"moving{self.version}"}
+        if self.version % 2:
+            keys[WITHDRAWN_KEY] = "withdrawn"
+        value["Tenants"] = [
+            {"Name": team, "ApiKeys": [key], "RatePerS": 2000, "Burst": 2000}
+            for key, team in keys.items()
+        ]
+        for key, team in keys.items():
+            self.teams.setdefault(key, []).append((clock.read(), team))
+        return value
+
+    def find_teams(self, key: str, since: float, until: float) -> set[str]:
+        """Return the teams that held a key at some time of an interval."""
+        held = self.teams[key]
+        first = max(0, bisect.bisect(held, (since, "")) - 1)
+        return {team for at, team in held[first:] if at <= until}
+
+    def send_signal(self, index: int, number: int) -> None:
+        """Send a signal to a node that runs."""
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self.ending.add(self.processes[index])
+        if number == signal.SIGSTOP:
+            self.suspended_at.setdefault(index, clock.read())
+            self.counts["suspensions"] += 1
+        if number == signal.SIGCONT and index in self.suspended_at:
+            self.suspensions.append((self.suspended_at.pop(index), clock.read()))
+        with contextlib.suppress(ProcessLookupError):
+            super().send_signal(index, number)
+
+    def is_beside_suspension(self, run: Run) -> bool:
+        """Return whether a node was suspended, or had just been, during a run."""
+        since = run.at - UNFREEZE_SECONDS
+        return any(a <= run.ended_at and b >= since for a, b in self.suspensions)
+
+    def note_data(self, index: int, data: bytes) -> None:
+        """Choose what happens to a node that requests a promotion."""
+        if not self.has_trouble or b"/failover" not in data:
+            return
+        self.note_moment("promotion")
+        if self.random.random() < TROUBLE_SHARE:
+            self.random.choice(promotion_soak.TROUBLES)(self, index)
+
+    def note_moment(self, moment: str) -> None:
+        """Cut the power at a moment that a power loss waits for."""
+        if self.power_trigger == moment:
+            self.power_trigger = ""
+            delay = 0.0 if moment == "answer" else 0.5 * self.random.random()
+            asyncio.get_running_loop().call_later(delay, cut_power, self)
+
+    async def wait_until_ready(self) -> None:
+        """Wait until all nodes accept sessions."""
+        ends = time.monotonic() + START_SECONDS
+        for index in range(self.nodes):
+            while not await self._is_ready(index):
+                if time.monotonic() > ends:
+                    self.violations.append(f"node {index} is not ready after its start")
+                    return
+                await asyncio.sleep(0.2)
+
+    async def _is_ready(self, index: int) -> bool:
+        try:
+            answer = await fault_soak.request_session(self, index, "k-red", "g")
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            return False
+        return answer.startswith("READY")
+
+    async def watch_processes(self) -> None:
+        """Report processes that end by themselves, and start them again."""
+        while True:
+            await asyncio.sleep(0.2)
+            for index, process in list(self.processes.items()):
+                if process.returncode is None or process in self.ending:
+                    continue
+                self.violations.append(f"node {index} ended: {process.returncode}")
+                self.ending.add(process)
+                self.spawn(restart_later(self, index, process, 0.0))
+
+
+_NOT_RUN = (
+    statements.Failure.BUSY,
+    statements.Failure.LAGGING,
+    statements.Failure.READ_ONLY,
+    statements.Failure.UNKNOWN_STATEMENT,
+)
+
+
+# Callers
+
+
+class Caller:
+    """A caller that uses one session after another."""
+
+    def __init__(self, world: World, group: str, number: int) -> None:
+        """Create an unconnected caller."""
+        self.world = world
+        self.group = group
+        self.name = f"{group}{number}"
+        self.random = random.Random(world.random.random())
+        self.is_patient = number % 2 == 0
+        self.count = 0
+
+    async def run(self) -> None:
+        """Run sessions until cancelled."""
+        while True:
+            with contextlib.suppress(
+                OSError, asyncio.IncompleteReadError, TimeoutError
+            ):
+                await self._run_session()
+            await asyncio.sleep(0.05)
+
+    async def _run_session(self) -> None:
+        self.key = self.random.choice([*FIXED_KEYS, MOVING_KEY, WITHDRAWN_KEY])
+        self.node = self.random.randrange(self.world.nodes)
+        host = self.world.find_address(self.node)
+        self.open: Request | None = None
+        self.is_leaving = False
+        async with asyncio.timeout(2.0):
+            self.reader, self.writer = await asyncio.open_connection(host, 6432)
+        try:
+            route = self.group if self.random.random() < 0.7 else f"{self.group}-reads"
+            self.writer.write(f"START {route} {self.key}\r\n".encode())
+            async with asyncio.timeout(2.0):
+                line = await self.reader.readuntil(b"\r\n")
+            if line.startswith(b"READY"):
+                await self._use_session(route.endswith("-reads"))
+        finally:
+            if self.open is not None:
+                self.open.end("left" if self.is_leaving else "closed")
+            self.writer.transport.abort()
+
+    async def _use_session(self, is_reading: bool) -> None:
+        shape = f"q{self.name}"
+        code, _ = await self._send("PREPARE s1 WRITE " + shape)
+        if code != "COMPLETE":
+            return
+        # A caller that stays uses its session until the node closes it.
+        for _ in range(10**6 if self.is_patient else self.random.randrange(3, 30)):
+            chosen = 0.0 if is_reading else self.random.random()
+            if chosen < 0.3:
+                await self._send(f"READ i{self.name}x{self.count}")
+            elif chosen < 0.6:
+                await self._send(f"WRITE item {self.name}x{self.count}")
+            elif chosen < 0.75:
+                data = f"item {self.name}x{self.count}"
+                await self._send(f"EXECUTE s1 {data}", f"EXECUTE w_{shape} {data}")
+            else:
+                await self._run_transaction()
+            await asyncio.sleep(0.1 * self.random.random())
+
+    async def _run_transaction(self) -> None:
+        code, state = await self._send("BEGIN")
+        for _ in range(self.random.randrange(1, 4)):
+            if code != "COMPLETE":
+                break
+            code, state = await self._send(f"WRITE item {self.name}x{self.count}")
+            await asyncio.sleep(0.1 * self.random.random())
+        if state == "I":
+            return
+        is_kept = code == "COMPLETE" and self.random.random() < 0.9
+        await self._send("COMMIT" if is_kept else "ROLLBACK")
+
+    async def _send(self, text: str, expected: str = "") -> tuple[str, str]:
+        """Send a statement; return the answer's code and the session's state."""
+        self.count += 1
+        name = f"{self.name}x{self.count}"
+        request = Request(expected or text, self.key, self.group, self.node)
+        self.world.requests[name] = self.open = request
+        self.writer.write(f"QUERY {name} {text}\r\n".encode())
+        seconds = ANSWER_SECONDS if self.is_patient else 1.0 + self.random.random()
+        code = ""
+        try:
+            async with asyncio.timeout(seconds):
+                while True:
+                    line = await self.reader.readuntil(b"\r\n")
+                    word, *rest = line.decode().split()
+                    if word == "READY":
+                        break
+                    if word != "ROW":
+                        code = rest[0] if word == "ERROR" else word
+                    if word == "COMPLETE":
+                        self._check_signature(name, request, rest[-1])
+        except TimeoutError:
+            self.is_leaving = True
+            raise
+        request.end(code)
+        self.open = None
+        if code == "COMPLETE" and text.startswith(("WRITE", "EXECUTE", "COMMIT")):
+            self.world.note_moment("answer")
+        return code, rest[0]
+
+    def _check_signature(self, name: str, request: Request, signature: str) -> None:
+        if request.text.split(" ")[0] in DATA_WORDS and signature != name:
+            self.world.violations.append(f"MIXED: {name} was answered {signature}")
+
+
+# Faults
+
+
+async def restart_later(
+    world: World, index: int, process: asyncio.subprocess.Process, seconds: float
+) -> None:
+    """Start a node again after its process has ended, unless it was started since."""
+    await process.wait()
+    await asyncio.sleep(seconds)
+    async with world.locks[index]:
+        if world.processes[index] is process:
+            await world.start_node(index)
+
+
+async def stop_node(world: World, index: int) -> None:
+    """Stop a node; kill it at the end of its grace; start it again."""
+    async with world.locks[index]:
+        process = world.processes[index]
+        world.send_signal(index, signal.SIGTERM)
+        world.counts["stops"] += 1
+        try:
+            async with asyncio.timeout(GRACE_SECONDS):
+                await process.wait()
+        except TimeoutError:
+            world.send_signal(index, signal.SIGKILL)
+            world.counts["killed"] += 1
+            await process.wait()
+        await world.start_node(index)
+
+
+async def stop_some_node(world: World) -> None:
+    """Stop one of the nodes."""
+    await stop_node(world, world.random.randrange(world.nodes))
+
+
+async def suspend_nodes(world: World) -> None:
+    """Suspend several nodes in short succession, and continue them in another order."""
+    for _ in range(world.random.randrange(1, max(2, 1 + world.nodes // 2))):
+        index = world.random.randrange(world.nodes)
+        world.send_signal(index, signal.SIGSTOP)
+        asyncio.get_running_loop().call_later(
+            0.5 + 4.5 * world.random.random(),
+            world.send_signal,
+            index,
+            signal.SIGCONT,
+        )
+        await asyncio.sleep(0.2 * world.random.random())
+
+
+async def lose_power(world: World) -> None:
+    """Cut the power now, or at the next promotion request or acknowledgement."""
+    moment = world.random.choice(("now", "promotion", "answer"))
+    world.power_trigger = moment
+    world.note_moment("now")
+
+
+def cut_power(world: World) -> None:
+    """Kill all nodes at the same moment, and start them again at different times."""
+    if not world.has_trouble:
+        return
+    world.counts["power losses"] += 1
+    for index, process in world.processes.items():
+        world.send_signal(index, signal.SIGKILL)
+        world.send_signal(index, signal.SIGCONT)
+        delay = 3.0 * world.random.random()
+        world.spawn(restart_later(world, index, process, delay))
+
+
+def choose_database(world: World) -> group_in_memory.Database:
+    """Return a database, the primary of its group in half of the cases."""
+    cluster = world.random.choice(list(world.clusters.values()))
+    if world.random.random() < 0.5:
+        return promotion_soak.find_newest_primary(cluster)
+    return world.random.choice(list(cluster.databases.values()))
+
+
+async def slow_database(world: World) -> None:
+    """Have the statements of a database take up to a second."""
+    await slow_statements(world, choose_database(world))
+
+
+async def slow_statements(world: World, database: group_in_memory.Database) -> None:
+    """Have the statements of one database take up to a second for some time."""
+    database.statement_seconds = 0.2 + 0.8 * world.random.random()
+    await asyncio.sleep(0.5 + 2.0 * world.random.random())
+    database.statement_seconds = 0.005
+
+
+async def slow_replication(world: World) -> None:
+    """Have a replica receive commits later than the other one."""
+    database = choose_database(world)
+    world.delays[database.name] = 0.05 + 0.95 * world.random.random()
+    await asyncio.sleep(1.0 + 4.0 * world.random.random())
+    world.delays.pop(database.name, None)
+
+
+async def occupy_databases(world: World) -> None:
+    """Take the slots or connections of some databases of a group."""
+    await occupy_group(world, choose_database(world).cluster)
+
+
+async def occupy_group(world: World, cluster: group_in_memory.Cluster) -> None:
+    """Take the slots or connections of some databases of one group for some time."""
+    chosen = world.random.sample(
+        list(cluster.databases.values()), world.random.randrange(1, 4)
+    )
+    world.counts["occupied"] += len(chosen)
+    opened = []
+    for database in chosen:
+        if world.random.random() < 0.5:
+            database.slots = 0
+        else:
+            database.slots = SLOTS
+            for _ in range(CONNECTION_LIMIT - len(database.connections)):
+                opened.append(
+                    group_in_memory.DatabaseConnection(database, "other", "other")
+                )
+    await asyncio.sleep(0.5 + 2.0 * world.random.random())
+    for database in chosen:
+        database.slots = SLOTS
+    for connection in opened:
+        connection.close()
+
+
+async def empty_replica(world: World) -> None:
+    """Start a replica again under its id and without its log.
+
+    Only while the primary and the other replicas have all that was committed.
+    """
+    cluster = world.random.choice(list(world.clusters.values()))
+    primary = promotion_soak.find_newest_primary(cluster)
+    replicas = [item for item in cluster.databases.values() if item is not primary]
+    database = world.random.choice(replicas)
+    if not all(item.is_up for item in cluster.databases.values()):
+        return
+    others = [item for item in replicas if item is not database]
+    database.crash()
+    await asyncio.sleep(0.3 + world.random.random())
+    is_kept = (
+        primary.is_up
+        and primary.is_primary
+        and not database.is_primary
+        and all(item.is_up and item.log[-1:] == primary.log[-1:] for item in others)
+    )
+    if not is_kept or database.is_up:
+        if not database.is_up:
+            await promotion_soak.restart_database(database, 0.0)
+        return
+    database.start_empty()
+    world.reborn_at[database.name] = clock.read()
+    world.counts["reborn"] += 1
+    world.born[database.name] = world.born.get(database.name, 1) + 1
+    cluster.send_log(primary, database)
+
+
+async def change_configuration(world: World) -> None:
+    """Change the configuration: a key moves, another is withdrawn or comes back."""
+    world.change_configuration()
+
+
+FAULTS = (
+    stop_some_node,
+    suspend_nodes,
+    suspend_nodes,
+    lose_power,
+    slow_database,
+    slow_replication,
+    slow_replication,
+    occupy_databases,
+    empty_replica,
+    empty_replica,
+    change_configuration,
+)
+
+
+async def change_primaries(
+    world: World, cluster: group_in_memory.Cluster, ends: float
+) -> None:
+    """Change the primary of a group in series, mostly while the group is busy."""
+    changes = (
+        promotion_soak.drain_primary,
+        promotion_soak.crash_primary,
+        promotion_soak.crash_primary,
+        occupy_group,
+    )
+    while time.monotonic() < ends:
+        await asyncio.sleep(promotion_soak.CHANGE_INTERVAL * world.random.random())
+        if world.random.random() < BUSY_SHARE:
+            primary = promotion_soak.find_newest_primary(cluster)
+            world.spawn(slow_statements(world, primary))
+            world.spawn(occupy_group(world, cluster))
+        await world.random.choice(changes)(world, cluster)
+
+
+async def inject_faults(world: World) -> None:
+    """Inject overlapping faults for ``FAULT_SECONDS``."""
+    ends = time.monotonic() + FAULT_SECONDS
+    async with asyncio.TaskGroup() as tasks:
+        for cluster in world.clusters.values():
+            tasks.create_task(change_primaries(world, cluster, ends))
+        while time.monotonic() < ends:
+            tasks.create_task(world.random.choice(FAULTS)(world))
+            await asyncio.sleep(0.1 + 0.7 * world.random.random())
+
+
+async def stop_nodes(world: World) -> None:
+    """Stop the nodes in turn, and change the configuration meanwhile."""
+    begin = clock.read()
+    ends = time.monotonic() + PLANNED_SECONDS
+    index = world.random.randrange(world.nodes)
+    while time.monotonic() < ends:
+        index = (index + 1) % world.nodes
+        await stop_node(world, index)
+        world.change_configuration()
+        await world.wait_until_ready()
+    world.planned = (begin, clock.read())
+
+
+# Checks
+
+
+def find_unasked(world: World) -> list[str]:
+    """Return the runs that no caller asked for."""
+    found = []
+    for run in world.runs:
+        request = world.requests.get(run.request)
+        shown = f"{run.request} {run.text!r} at {run.database}"
+        if request is None:
+            found.append(f"UNASKED: nobody sent {shown}")
+        elif run.text != request.text and not run.text.startswith("PREPARE"):
+            found.append(f"UNASKED: {shown} was sent as {request.text!r}")
+        elif run.team not in world.find_teams(
+            request.key, request.sent_at - STALE_SECONDS, run.at
+        ):
+            found.append(f"UNASKED: {shown} for {run.team} with {request.key}")
+    return found
+
+
+def count_late(world: World) -> str:
+    """Describe the runs that started after their request had ended."""
+    seen: set[str] = set()
+    counts = {False: 0, True: 0}
+    latest = 0.0
+    for run in sorted(world.runs, key=lambda item: item.at):
+        is_repeat = run.request in seen
+        seen.add(run.request)
+        request = world.requests.get(run.request)
+        if request is not None and run.at > request.ended_at + LATE_SECONDS:
+            counts[is_repeat] += 1
+            latest = max(latest, run.at - request.ended_at)
+    return (
+        f"late of {len(world.runs)} runs: {counts[False]} first, {counts[True]} "
+        f"repeated, by {latest:.1f} s at most"
+    )
+
+
+def find_commits(world: World) -> dict[str, Run]:
+    """Return the runs that committed the acknowledged writes, by request."""
+    return {
+        run.request: run
+        for run in world.runs
+        if run.ok
+        and run.request in world.requests
+        and world.requests[run.request].outcome == "COMPLETE"
+        and run.text.startswith(("WRITE", "EXECUTE w_", "COMMIT"))
+    }
+
+
+def find_group_violations(
+    world: World, group: str, commits: dict[str, Run]
+) -> tuple[list[str], int]:
+    """Return a group's violations, and its writes excused by suspensions."""
+    cluster = world.clusters[group]
+    written = set(cluster.acknowledged)
+    mine = {
+        name: run
+        for name, run in commits.items()
+        if world.requests[name].group == group and name in written
+    }
+    found = []
+    excused = 0
+    behind = set()
+    for name, run in mine.items():
+        for promotion in cluster.promoted:
+            is_behind = promotion.term > run.term and promotion.name != run.database
+            if is_behind and promotion.at < run.ended_at:
+                behind.add(name)
+                if world.is_beside_suspension(run):
+                    excused += 1
+                else:
+                    found.append(
+                        f"ONE: {name} committed at {run.database} in term {run.term}, "
+                        f"{run.ended_at - promotion.at:.3f} s after {promotion.name} "
+                        f"led term {promotion.term}"
+                    )
+                break
+    for promotion in cluster.promoted:
+        lost = {
+            name
+            for name, run in mine.items()
+            if run.ended_at < promotion.at and run.term < promotion.term
+        }
+        lost -= promotion.kept | behind
+        if lost:
+            reborn = promotion.at - world.reborn_at.get(promotion.name, float("-inf"))
+            found.append(
+                f"LOST: {promotion.name} leads term {promotion.term} without "
+                f"{len(lost)} acknowledged writes, such as {min(lost)} "
+                f"(reborn {reborn:.1f} s ago)"
+            )
+    log = [request for _, request in promotion_soak.find_newest_primary(cluster).log]
+    kept = set(log)
+    gone = mine.keys() - kept - behind
+    if gone:
+        found.append(f"LOST: {group} ends without {len(gone)}, such as {min(gone)}")
+    if len(log) > len(kept):
+        found.append(f"TWICE: {len(log) - len(kept)} writes of {group}")
+    found += [
+        f"REFUSED: {name} was answered {request.outcome} and is kept"
+        for name, request in world.requests.items()
+        if request.outcome in fault_soak.NOT_RUN_CODES and name in kept
+    ]
+    tokens = [token for name, token in world.store.promotions if name == group]
+    found += [
+        f"ONE: token {token} after {before} in {group}"
+        for before, token in zip(tokens, tokens[1:], strict=False)
+        if token <= before
+    ]
+    last = max((run.ended_at for run in mine.values()), default=float("-inf"))
+    if last < world.ended_at - 1.0:
+        found.append(f"RECOVER: no write to {group} is acknowledged after the faults")
+    return found, excused
+
+
+def find_unanswered(world: World) -> list[str]:
+    """Return the requests that got no answer while nodes were only stopped."""
+    begin, end = world.planned
+    ran = {run.request: run.at for run in world.runs}
+    return [
+        f"LOST: no answer to {name} {request.text!r} of node {request.node}, "
+        f"{request.ended_at - request.sent_at:.3f} s"
+        for name, request in world.requests.items()
+        if request.outcome == "closed"
+        and begin <= request.sent_at
+        and request.ended_at <= end
+        and (
+            ran.get(name, float("inf")) <= request.ended_at
+            or request.ended_at - request.sent_at > REST_SECONDS
+        )
+    ]
+
+
+async def run_seed(
+    seed: int, folder: pathlib.Path, lane: int, nodes: int
+) -> tuple[list[str], str]:
+    """Run one seed; return the violations and a summary."""
+    world = World(seed, folder, lane, nodes)
+    try:
+        await world.start()
+        world.spawn(world.update_entries())
+        await world.wait_until_ready()
+        world.spawn(world.watch_processes())
+        for group in world.clusters:
+            for number in range(CALLERS):
+                world.spawn(Caller(world, group, number).run())
+        await asyncio.sleep(0.5)
+        await stop_nodes(world)
+        world.has_trouble = True
+        await inject_faults(world)
+        world.has_trouble = False
+        await world.wait_until_ready()
+        await asyncio.sleep(RECOVERY_SECONDS)
+        world.ended_at = clock.read()
+    finally:
+        tasks = list(world.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await world.stop()
+    commits = find_commits(world)
+    violations = world.violations + find_unasked(world) + find_unanswered(world)
+    excused = 0
+    for group in world.clusters:
+        found, count = find_group_violations(world, group, commits)
+        violations += found
+        excused += count
+    changes = sum(len(cluster.promoted) for cluster in world.clusters.values())
+    counts = ", ".join(f"{count} {name}" for name, count in world.counts.items())
+    return (
+        violations,
+        f"{len(commits)} writes, {len(world.store.promotions)} requests, "
+        f"{changes} promotions, {counts}, {excused} late commits beside suspensions, "
+        f"{count_late(world)}",
+    )
+
+
+def main() -> int:
+    """Run the seeds; return 1 if any had violations."""
+    arguments = fault_soak.make_parser(__doc__).parse_args()
+    return fault_soak.run_seeds(arguments, run_seed)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/sardinehold_standins/group_in_memory.py
+++ b/src/sardinehold_standins/group_in_memory.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import typing
 
 from sardinehold.core import positions
 from sardinehold.node import clock
@@ -51,7 +52,8 @@
     Fault switches: ``is_up``, ``is_receive_blocked`` (receives no log entries),
     ``is_cut_off`` (neither sends nor receives log entries), ``lag`` in seconds,
     ``failure_interval``, ``unreachable`` (names of nodes) and ``lost_answers``
-    (IDs of requests that are executed without an answer).
+    (IDs of requests that are executed without an answer). :mod:`.loopback` rejects
+    statements while ``occupied`` is at least ``slots``.
     """
 
     def __init__(self, cluster: "Cluster", name: str, zone: str) -> None:
@@ -73,6 +75,8 @@
         self.statement_seconds = 0.005
         self.unreachable: set[str] = set()
         self.lost_answers: set[str] = set()
+        self.slots = float("inf")
+        self.occupied = 0
         self.connections: set[DatabaseConnection] = set()
 
     @property
@@ -87,6 +91,15 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def start_empty(self) -> None:
+        """Start again as a replica that holds nothing of before."""
+        self.is_primary = False
+        self.term = 1
+        self.log = []
+        self.applied = 0
+        self.paused_term = 0
+        self.is_up = True
+
     def should_fail(self) -> bool:
         """Return whether this statement fails.
 
@@ -107,9 +120,17 @@
 DEMOTION_DELAY = 1.0
 """Seconds for which a primary continues after another one was promoted."""
 
+DELIVERY_CHECK_INTERVAL = 0.005
+"""Seconds between checks whether a replica has received a commit."""
+
 
 class Cluster:
-    """Databases of one group; replicates and promotes."""
+    """Databases of one group; replicates and promotes.
+
+    :param find_delivery_delay: returns the seconds after which a replica receives what
+        the primary has just committed, each replica on its own. By default, all
+        replicas receive each commit at once.
+    """
 
     def __init__(
         self, group: str, zones: tuple[str, ...] = ("north", "middle", "south")
@@ -126,6 +147,8 @@
         self.promotions: list[tuple[str, int, str]] = []
         self.promoted: list[Promotion] = []
         self.promote_delay = 0.6
+        self.find_delivery_delay: typing.Callable[[Database], float] | None = None
+        self._deliveries: set[tuple[Database, Database]] = set()
 
     @property
     def primary(self) -> Database:
@@ -140,6 +163,8 @@
         """
         primary.log.append((primary.term, request_id))
         primary.applied = len(primary.log)
+        if self.find_delivery_delay is not None:
+            return await self._replicate_separately(primary)
         while primary.is_up and primary.is_primary:
             reached = False
             for replica in self.databases.values():
@@ -165,10 +190,71 @@
             await asyncio.sleep(0.02)
         return False
 
+    async def _replicate_separately(self, primary: Database) -> bool:
+        """Send the log to each replica; return whether one received its last entry."""
+        term, length, entry = primary.term, len(primary.log), primary.log[-1]
+        replicas = [item for item in self.databases.values() if item is not primary]
+        for replica in replicas:
+            self.send_log(primary, replica)
+        while primary.is_up and primary.is_primary and primary.term == term:
+            for replica in replicas:
+                if len(replica.log) >= length and replica.log[length - 1] == entry:
+                    return True
+            await asyncio.sleep(DELIVERY_CHECK_INTERVAL)
+        return False
+
+    def send_log(self, primary: Database, replica: Database) -> None:
+        """Send the primary's log to a replica, unless it is on its way."""
+        if self.find_delivery_delay is None or (primary, replica) in self._deliveries:
+            return
+        self._deliveries.add((primary, replica))
+        asyncio.get_running_loop().call_later(
+            self.find_delivery_delay(replica),
+            self._deliver,
+            primary,
+            replica,
+            primary.term,
+            list(primary.log),
+        )
+
+    def _deliver(
+        self,
+        primary: Database,
+        replica: Database,
+        term: int,
+        log: list[tuple[int, str]],
+    ) -> None:
+        self._deliveries.discard((primary, replica))
+        if not primary.is_up or not primary.is_primary or replica.term > term:
+            return
+        is_received = (
+            replica.is_up
+            and not replica.is_receive_blocked
+            and not replica.is_cut_off
+            and not primary.is_cut_off
+            and not replica.paused_term
+        )
+        if is_received and primary.term == term:
+            replica.is_primary = False
+            replica.term = term
+            replica.log = log
+            replica.applied = min(replica.applied, len(log))
+            asyncio.get_running_loop().call_later(
+                replica.lag, self._apply_log, replica, log
+            )
+        if not is_received or len(log) < len(primary.log):
+            self.send_log(primary, replica)
+
     @staticmethod
     def _apply(replica: Database, length: int) -> None:
         replica.applied = max(replica.applied, length)
 
+    @staticmethod
+    def _apply_log(replica: Database, log: list[tuple[int, str]]) -> None:
+        # The replica may have started empty, or follow another primary, since.
+        if replica.log[: len(log)] == log:
+            replica.applied = max(replica.applied, len(log))
+
     async def promote(self, name: str) -> None:
         """Promote a database to primary of the next term after ``promote_delay``.
 
@@ -185,12 +271,15 @@
         target.applied = len(target.log)
         self.promoted.append(Promotion(target, clock.read()))
         for other in self.databases.values():
-            if other is target or not other.is_up or other.paused_term:
+            if other is target:
+                continue
+            self.send_log(target, other)
+            if not other.is_up or other.paused_term:
                 continue
             if other.is_primary:
                 loop = asyncio.get_running_loop()
                 loop.call_later(DEMOTION_DELAY, self._demote, other, target)
-            else:
+            elif self.find_delivery_delay is None:
                 self._follow(other, target)
 
     @staticmethod
@@ -205,6 +294,7 @@
         if old.is_primary and old.term < new.term and not old.is_cut_off:
             old.is_primary = False
             self._follow(old, new)
+            self.send_log(new, old)
 
 
 class DatabaseConnection:
--- a/src/sardinehold_standins/loopback.py
+++ b/src/sardinehold_standins/loopback.py
@@ -40,15 +40,31 @@
 """Seconds between checks whether a held connection was reset."""
 
 
+OnRun = typing.Callable[[str, str, str, float, statements.Answer | None], None]
+
+SLOT_WORDS = frozenset(
+    ("READ", "WRITE", "EXECUTE", "COMMIT", "STATUS", "PAUSE", "RESUME", "STEPDOWN")
+)
+"""First words of the statements that occupy a slot."""
+
+
 class DatabaseServer:
     """Serves one database over the line protocol.
 
     :param limit: maximum number of connections.
+    :param on_run: called with the team, request and text of a statement, the time at
+        which it started, and its answer, or None without one.
     """
 
-    def __init__(self, database: group_in_memory.Database, limit: int = 21) -> None:
+    def __init__(
+        self,
+        database: group_in_memory.Database,
+        limit: int = 21,
+        on_run: OnRun = lambda team, request, text, at, answer: None,
+    ) -> None:
         """Create the server; :meth:`start` assigns the port."""
         self.database = database
+        self.on_run = on_run
         self.limit = limit
         self.port = 0
 
@@ -68,10 +84,14 @@
                 if line == "CLOSE":
                     break
                 _, request_id, text = line.split(" ", 2)
+                started_at = clock.read()
+                answer = None
                 try:
-                    answer = await self._run(connection, request_id, text)
+                    answer = await self._take_slot(connection, request_id, text)
                 except ports.ConnectionLost:
                     break
+                finally:
+                    self.on_run(connection.team, request_id, text, started_at, answer)
                 writer.write(callers.format_answer(answer))
         if connection is not None:
             connection.close()
@@ -97,6 +117,25 @@
         writer.write(lines.format_line("READY", "I", "-"))
         return connection
 
+    async def _take_slot(
+        self,
+        connection: group_in_memory.DatabaseConnection,
+        request_id: str,
+        text: str,
+    ) -> statements.Answer:
+        """Run a statement, or reject it if it needs a slot and none is free."""
+        database = self.database
+        words = text.split(" ", 3)
+        if words[2 if words[0] == "AFTER" else 0] not in SLOT_WORDS:
+            return await self._run(connection, request_id, text)
+        if database.occupied >= database.slots:
+            return connection._fail(statements.Failure.BUSY)
+        database.occupied += 1
+        try:
+            return await self._run(connection, request_id, text)
+        finally:
+            database.occupied -= 1
+
     async def _run(
         self,
         connection: group_in_memory.DatabaseConnection,
