Log statements sent after their request has ended, and suspensions

No decision changes.

A request carries over the link when its statement arrived, which attempt it is (first, retry, hedge) and why nobody waits for it any more, if its entry node knows. The node that sends it to the endpoint writes sent_late with the attempt, the age and the reason (answered, caller left, deadline), and counts it by attempt and reason. If the request ends while it waits at the owner, the entry node writes the line once the answer has arrived, from the age at sending in the reply. sent_for_other_team names a connection whose team is not the request's. served and failed have hedges and unfinished if a read was hedged; other lines are as long as before. suspended says for how long a process did not run, and how much of that it computed.

--- a/src/sardinehold/node/execution.py
+++ b/src/sardinehold/node/execution.py
@@ -3,9 +3,56 @@
 import enum
 
 from sardinehold.core import positions
+from sardinehold.node import clock
 from sardinehold.node import statements
 
 
+class Attempt(enum.Enum):
+    """Why a statement is sent."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    HEDGE = "hedge"
+
+
+class Ending(enum.Enum):
+    """Why nobody waits for a statement any more."""
+
+    ANSWERED = "answered"
+    LEFT = "caller left"
+    DEADLINE = "deadline"
+
+
+class Origin:
+    """The arrival of a caller's statement, for which requests are sent.
+
+    :param arrived_at: when it arrived at its entry node.
+    :param ending: why nobody waits for it any more; None if somebody does, as far as
+        this node knows.
+    :param ended_at: since when.
+    :param sent: the statement that was sent last for it, its own or a BEGIN.
+    """
+
+    __slots__ = ("arrived_at", "ending", "ended_at", "sent")
+
+    def __init__(self, arrived_at: float, ending: Ending | None = None) -> None:
+        """Initialize the origin; nothing was sent yet."""
+        self.arrived_at = arrived_at
+        self.ending = ending
+        self.ended_at: float | None = None
+        self.sent: statements.Statement | None = None
+
+    def end(self, ending: Ending) -> None:
+        """Record that nobody waits any more; the first reason is kept."""
+        if self.ending is None:
+            self.ending = ending
+            self.ended_at = clock.read()
+
+    def find_attempt(self, statement: statements.Statement) -> Attempt:
+        """Return whether a statement is sent for the first time."""
+        return Attempt.RETRY if self.sent is statement else Attempt.FIRST
+
+
 class Request:
     """A statement for one endpoint, with what the endpoint's owner needs to run it.
 
@@ -19,6 +66,8 @@
         it must not run outside of that.
     :param divert_at: statements that run or wait at the endpoint from which on it is
         rejected as diverted, None if it may not be.
+    :param origin: the caller's statement that it serves.
+    :param sent_at: when it was sent to the endpoint, None if that is unknown.
     """
 
     __slots__ = (
@@ -33,6 +82,9 @@
         "after",
         "is_in_transaction",
         "divert_at",
+        "origin",
+        "attempt",
+        "sent_at",
     )
 
     def __init__(
@@ -48,8 +100,10 @@
         after: positions.Position | None = None,
         is_in_transaction: bool = False,
         divert_at: int | None = None,
+        origin: Origin | None = None,
+        attempt: Attempt = Attempt.FIRST,
     ) -> None:
-        """Initialize the request."""
+        """Initialize the request; without an origin it arrives now."""
         self.group = group
         self.endpoint = endpoint
         self.team = team
@@ -61,6 +115,15 @@
         self.after = after
         self.is_in_transaction = is_in_transaction
         self.divert_at = divert_at
+        self.origin = origin if origin is not None else Origin(clock.read())
+        self.attempt = attempt
+        self.sent_at: float | None = None
+
+    def find_ending(self, now: float) -> Ending | None:
+        """Return why nobody waits for its answer any more, None if somebody does."""
+        if self.origin.ending is not None:
+            return self.origin.ending
+        return Ending.DEADLINE if now >= self.deadline else None
 
     def measure(self) -> int:
         """Return the characters of its statement and of the session's variables."""
@@ -89,14 +152,18 @@
 
 
 class Reply:
-    """An endpoint's answer, with its load."""
+    """An endpoint's answer, with its load.
+
+    :param age: seconds from the arrival of the caller's statement until it was sent.
+    """
 
-    __slots__ = ("answer", "load")
+    __slots__ = ("answer", "load", "age")
 
-    def __init__(self, answer: statements.Answer, load: Load) -> None:
+    def __init__(self, answer: statements.Answer, load: Load, age: float = 0.0) -> None:
         """Initialize the reply."""
         self.answer = answer
         self.load = load
+        self.age = age
 
 
 class Rejection(enum.Enum):
--- a/src/sardinehold/node/executor.py
+++ b/src/sardinehold/node/executor.py
@@ -372,7 +372,8 @@
                 if stream.pooled is None:
                     self.connections.release(pooled)
                 raise self._reject_evacuated(endpoint)
-            sent_at = clock.read()
+            sent_at = request.sent_at = clock.read()
+            self.node.late_sends.check(request, pooled.team)
             endpoint.sent[pooled] = sent_at
             if proves_commit:
                 endpoint.writes[pooled] = sent_at
@@ -398,7 +399,9 @@
         ahead = endpoint.running + len(endpoint.waiters)
         failed = endpoint.error_rate.compute(clock.read())
         return execution.Reply(
-            answer, execution.Load(ahead, endpoint.service_time, failed)
+            answer,
+            execution.Load(ahead, endpoint.service_time, failed),
+            sent_at - request.origin.arrived_at,
         )
 
     def _make_pace(
--- a/src/sardinehold/node/forwarding.py
+++ b/src/sardinehold/node/forwarding.py
@@ -259,6 +259,7 @@
                 if error.ahead is not None:
                     self.endpoint.record_ahead(error.ahead, clock.read())
                 raise
+            request.sent_at = request.origin.arrived_at + reply.age
             self.endpoint.update_load(reply.load, clock.read())
         return reply.answer
 
--- a/src/sardinehold/node/frames.py
+++ b/src/sardinehold/node/frames.py
@@ -1,8 +1,8 @@
 """Encoding of the messages on a link between two nodes.
 
 A frame is a MessagePack array: its kind, then its fields in order. Deadlines are sent
-as remaining seconds. The owner dates them by a reading of its own clock that the sender
-echoes, so that no network delay makes a deadline later.
+as remaining seconds, arrivals as elapsed ones. The owner dates them by a reading of its
+own clock that the sender echoes, so that no network delay makes a deadline later.
 """
 
 import typing
@@ -93,6 +93,7 @@
     """
     statement = request.statement
     definition = statement.definition
+    ending = request.origin.ending
     return pack(
         REQUEST,
         stream,
@@ -111,6 +112,9 @@
         request.after,
         request.is_in_transaction,
         request.divert_at,
+        now - request.origin.arrived_at,
+        request.attempt.value,
+        None if ending is None else ending.value,
         echo,
         held,
     )
@@ -127,7 +131,7 @@
     try:
         group, endpoint, team, request, text, kind, arguments, definition = fields[:8]
         values, left, in_time, priority, after, is_in_transaction, *rest = fields[8:]
-        divert_at, echo, held = rest
+        divert_at, age, attempt, ending, echo, held = rest
         sent = float(echo) + float(held)
         statement = statements.Statement(
             _parse_text(request),
@@ -148,6 +152,10 @@
             _parse_position(after),
             bool(is_in_transaction),
             None if divert_at is None else int(divert_at),
+            execution.Origin(
+                sent - float(age), None if ending is None else execution.Ending(ending)
+            ),
+            execution.Attempt(attempt),
         )
     except (ValueError, TypeError, AttributeError, KeyError) as error:
         raise FrameError(f"malformed request: {error!r}") from error
@@ -171,6 +179,7 @@
         reply.load.ahead,
         reply.load.service_time,
         reply.load.failed,
+        reply.age,
         now,
     )
 
@@ -182,7 +191,7 @@
     """
     try:
         rows, completion_tag, error, detail, status, position, *load, _ = fields
-        ahead, service_time, failed = load
+        ahead, service_time, failed, age = load
         answer = statements.Answer(
             [_parse_text(row) for row in rows],
             _parse_text(completion_tag),
@@ -192,7 +201,9 @@
             _parse_position(position),
         )
         return execution.Reply(
-            answer, execution.Load(int(ahead), float(service_time), float(failed))
+            answer,
+            execution.Load(int(ahead), float(service_time), float(failed)),
+            float(age),
         )
     except (ValueError, TypeError) as error:
         raise FrameError(f"malformed answer: {error!r}") from error
--- a/src/sardinehold/node/hedging.py
+++ b/src/sardinehold/node/hedging.py
@@ -77,6 +77,10 @@
         self._running += 1
         self._spawn(self._run, attempt)
 
+    def count_running(self) -> int:
+        """Return the number of attempts that have not ended."""
+        return self._running
+
     async def wait(self, seconds: float | None = None) -> statements.Answer | None:
         """Return the first success, None if there is none in time.
 
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -6,6 +6,7 @@
 import functools
 import random
 import secrets
+import time
 import typing
 
 import anyio
@@ -29,6 +30,7 @@
 from sardinehold.node import groups
 from sardinehold.node import hedging
 from sardinehold.node import journal
+from sardinehold.node import late_sends
 from sardinehold.node import leader
 from sardinehold.node import leadership
 from sardinehold.node import membership
@@ -63,6 +65,10 @@
 """Seconds that a new caller waits while the node has no configuration yet; callers time
 out after two."""
 
+SUSPENDED_AFTER = 0.5
+"""Seconds by which a check is late from which on the process counts as suspended: a
+busy event loop, or a VM that has used its CPU share, is late by less."""
+
 PROBE_RETRY_INTERVAL = 0.4
 """Seconds between probes of an endpoint that is unreachable."""
 
@@ -134,6 +140,7 @@
         self.registry = registry
         self.journal = journal.Journal(loaded.name, registry)
         self.exchange_load = exchange_load.ExchangeLoad(registry, self.journal.note)
+        self.late_sends = late_sends.LateSends(registry, self.journal.note)
         self.incarnation = secrets.token_hex(4)
         self.catalog: catalog.Catalog | None = None
         self.configured = anyio.Event()
@@ -527,8 +534,15 @@
     async def _run_maintenance(self) -> None:
         while True:
             due = clock.read() + MAINTENANCE_INTERVAL
+            computed = time.process_time()
             await anyio.sleep(MAINTENANCE_INTERVAL)
             now = clock.read()
+            if now - due > SUSPENDED_AFTER:
+                self.journal.note(
+                    "suspended",
+                    seconds=now - due,
+                    computed=time.process_time() - computed,
+                )
             self.exchange_load.observe_loop_delay(now - due)
             self.exchange_load.write_line(now, self._describe_exchange)
             for caller in list(self.callers):
--- a/src/sardinehold/node/occurrences.py
+++ b/src/sardinehold/node/occurrences.py
@@ -36,6 +36,9 @@
     "link_refused": "A connection to this node's links was refused; with the reason.",
     "order_rejected": "This node, as owner of an endpoint, did not run a request.",
     "order_lost": "This node, as owner of an endpoint, got no answer to a request.",
+    "sent_late": "A statement was sent to an endpoint after its request had ended.",
+    "sent_for_other_team": "A connection's team is not that of the statement on it.",
+    "suspended": "This process did not run for seconds, or was busy if it computed.",
     "member_gone": "The store no longer has an entry of a member.",
     "failover_member_removed": "The leader removed the entry of a silent member.",
     "failover_member_not_removed": "The entry could not be removed; with the reason.",
@@ -100,6 +103,8 @@
     "position": "term and number of the log position in the answer",
     "lease_age": "seconds since the group's state was known to be active",
     "skipped": "for a read on the primary, why each replica was not used",
+    "hedges": "number of further attempts at a slow read; absent if none",
+    "unfinished": "of the attempts, how many still ran when the answer was given",
     "catalog": "version of the configuration that was applied",
 }
 """Description of the fields of ``served`` and ``failed`` events."""
--- a/src/sardinehold/node/outcomes.py
+++ b/src/sardinehold/node/outcomes.py
@@ -1,6 +1,8 @@
 """Failures of statements, and traces of how statements were executed."""
 
 from sardinehold.core import positions
+from sardinehold.node import clock
+from sardinehold.node import execution
 from sardinehold.node import statements
 
 
@@ -25,6 +27,9 @@
     :param tries: number of times it was sent.
     :param lease_age: seconds since the group's state was known to be in force.
     :param skipped: for a read on the primary, reasons against the replicas by name.
+    :param hedges: attempts that were started besides the first.
+    :param unfinished: attempts that still ran when it was answered.
+    :param origin: its arrival, shared by all requests that are sent for it.
     """
 
     __slots__ = (
@@ -38,10 +43,13 @@
         "tries",
         "lease_age",
         "skipped",
+        "hedges",
+        "unfinished",
+        "origin",
     )
 
     def __init__(self) -> None:
-        """Create an empty trace."""
+        """Create an empty trace of a statement that arrives now."""
         self.team = ""
         self.group = ""
         self.endpoint = ""
@@ -52,10 +60,13 @@
         self.tries = 0
         self.lease_age = 0.0
         self.skipped: dict[str, str] | None = None
+        self.hedges = 0
+        self.unfinished = 0
+        self.origin = execution.Origin(clock.read())
 
     def describe(self) -> dict[str, object]:
         """Return the fields of a log line."""
-        return {
+        fields = {
             "endpoint": self.endpoint,
             "home": self.home,
             "after": None if self.after is None else list(self.after),
@@ -65,8 +76,13 @@
             "team": self.team,
             "group": self.group,
             "lease_age": self.lease_age,
-            **({} if self.skipped is None else {"skipped": self.skipped}),
         }
+        if self.skipped is not None:
+            fields["skipped"] = self.skipped
+        if self.hedges:
+            fields["hedges"] = self.hedges
+            fields["unfinished"] = self.unfinished
+        return fields
 
 
 _ENDINGS = frozenset({statements.Failure.DENIED, statements.Failure.UNKNOWN_ROUTE})
--- a/src/sardinehold/node/reading.py
+++ b/src/sardinehold/node/reading.py
@@ -50,6 +50,7 @@
     :param endpoint: where it was sent last.
     :param avoided: endpoints that are not used.
     :param diverted: endpoints whose owners sent the read back.
+    :param origin: the arrival of the statement; the session may be at a later one.
     """
 
     __slots__ = (
@@ -63,6 +64,8 @@
         "endpoint",
         "avoided",
         "diverted",
+        "origin",
+        "is_hedge",
     )
 
     def __init__(
@@ -73,6 +76,7 @@
         team: str,
         arrived_at: float,
         deadline: float,
+        is_hedge: bool = False,
     ) -> None:
         """Create an attempt without an endpoint."""
         self.session = session
@@ -85,6 +89,8 @@
         self.endpoint: pool.Endpoint | None = None
         self.avoided: frozenset[str] = frozenset()
         self.diverted: frozenset[str] = frozenset()
+        self.origin = session.trace.origin
+        self.is_hedge = is_hedge
 
     def compute_hedge_delay(self) -> float:
         """Return the seconds after which the read is hedged."""
@@ -142,6 +148,8 @@
                 self.team,
                 self.arrived_at,
                 self.deadline,
+                self.origin,
+                self.is_hedge,
             )
         except execution.Rejected as error:
             if error.rejection is execution.Rejection.DIVERTED:
@@ -201,7 +209,12 @@
     answer = await race.wait(attempt.compute_hedge_delay())
     if answer is None and session.node.hedge_budget.take():
         session.node.registry.count("reads_hedged")
-        second = ReadAttempt(session, statement, route, team, arrived_at, deadline)
+        session.trace.hedges += 1
+        second = ReadAttempt(
+            session, statement, route, team, arrived_at, deadline, is_hedge=True
+        )
         second.avoided = attempt.avoided | find_avoided(route, attempt.endpoint)
         race.add(second.run)
-    return answer or await race.wait()
+    answer = answer or await race.wait()
+    session.trace.unfinished = race.count_running()
+    return answer
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -98,6 +98,7 @@
         """Run a statement and return the caller's answer."""
         self.is_busy = True
         self.trace = outcomes.Trace()
+        origin = self.trace.origin
         try:
             if statement.kind is not Kind.ROLLBACK:
                 self._check_transaction_key(statement)
@@ -121,6 +122,7 @@
                 [], error=error.failure, detail=error.detail, status=self.status
             )
         finally:
+            origin.end(execution.Ending.ANSWERED)
             self.is_busy = False
             if self.is_closed:
                 self.close()
@@ -157,6 +159,7 @@
         """Release what the session holds; its caller has disconnected."""
         self.is_closed = True
         if self.is_busy:
+            self.trace.origin.end(execution.Ending.LEFT)
             return
         self._drop_transaction()
 
@@ -302,10 +305,14 @@
         team: str,
         arrived_at: float,
         deadline: float,
+        origin: execution.Origin | None = None,
+        is_hedge: bool = False,
     ) -> statements.Answer:
         """Run a statement on an endpoint and update the group from the answer.
 
         :param arrived_at: when its operation arrived.
+        :param origin: the arrival that it serves, by default that of the session's
+            current statement.
         :raises outcomes.StatementFailed: the key was withdrawn since then.
         :raises sardinehold.node.execution.Rejected: it was not sent to the endpoint.
         :raises sardinehold.node.ports.ConnectionLost: the connection to it broke.
@@ -327,6 +334,7 @@
         trace.skipped = assignment.skipped
         trace.tries += 1
         trace.lease_age = clock.read() - group.lease.as_of
+        origin = origin if origin is not None else trace.origin
         request = execution.Request(
             route.group,
             endpoint.name,
@@ -339,7 +347,10 @@
             assignment.after,
             self.transaction is not None and self.transaction.stream is stream,
             assignment.divert_at,
+            origin,
+            execution.Attempt.HEDGE if is_hedge else origin.find_attempt(statement),
         )
+        sent_before, origin.sent = origin.sent, statement
         was_open = self.transaction is not None
         endpoint.in_flight += 1
         group.commits.in_flight += proves_commit
@@ -349,6 +360,7 @@
             answer = await stream.run(request)
         except execution.Rejected as error:
             trace.tries -= 1
+            origin.sent = sent_before
             if not error.is_final:
                 group.handle_rejection(endpoint, stream.owner_name, error.rejection)
             self.node.cold_endpoints.record_rejection(group, endpoint, error)
@@ -357,6 +369,8 @@
             endpoint.in_flight -= 1
             group.commits.in_flight -= proves_commit
             endpoint.view.record_ended(sent_at)
+        if stream.owner_name:
+            self.node.late_sends.check_forwarded(request, sent_at)
         trace.position = answer.position
         is_done = answer.error is None and answer.status == "I"
         group.record_answer(
--- a/tests/builders_links.py
+++ b/tests/builders_links.py
@@ -34,6 +34,7 @@
         "target": now + 0.4,
         "priority": 1,
         "after": positions.Position(2, 7),
+        "origin": execution.Origin(now - 0.3),
     }
     return execution.Request(**{**fields, **changes})
 
@@ -58,6 +59,9 @@
         request.after,
         request.is_in_transaction,
         request.divert_at,
+        request.attempt,
+        request.origin.ending,
+        request.origin.arrived_at,
     ]
 
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -102,6 +102,10 @@
             )
         },
         {"divert_at": 4},
+        {
+            "attempt": execution.Attempt.HEDGE,
+            "origin": execution.Origin(98.5, execution.Ending.ANSWERED),
+        },
     ],
 )
 def test_request_round_trips(changes):
@@ -115,9 +119,22 @@
     expected = builders_links.list_fields(request)
     expected[9] += 400.0
     expected[10] += 400.0
+    expected[-1] += 400.0
     assert parts == expected
 
 
+@pytest.mark.parametrize(
+    ("place", "value"), [(-5, "soon"), (-4, "third"), (-4, None), (-3, "gone"), (-3, 0)]
+)
+def test_request_of_unknown_origin_is_malformed(place, value):
+    request = builders_links.make_request(100.0)
+    data = frames.pack_request(7, request, 100.25, 499.25, 1.0)
+    ((_, _, *fields),) = frames.Reader().feed(data)
+    fields[place] = value
+    with pytest.raises(frames.FrameError, match="malformed request"):
+        frames.parse_request(fields)
+
+
 @pytest.mark.parametrize("ahead", [None, 5])
 def test_rejection_round_trips(ahead):
     data = frames.pack(frames.REJECTED, 1, "diverted", "it holds 5", 0.5, ahead)
@@ -131,9 +148,10 @@
     answer = statements.Answer(
         ["a", "\xe9"], "sig", None, "", "T", positions.Position(3, 9)
     )
-    data = frames.pack_reply(1, execution.Reply(answer, execution.Load(4, 0.02)), NOW)
-    ((_, _, *fields),) = frames.Reader().feed(data)
+    sent = execution.Reply(answer, execution.Load(4, 0.02), 0.75)
+    ((_, _, *fields),) = frames.Reader().feed(frames.pack_reply(1, sent, NOW))
     reply = frames.parse_reply(fields)
+    assert reply.age == 0.75
     assert reply.answer.rows == ["a", "\xe9"]
     assert reply.answer.position == positions.Position(3, 9)
     assert (reply.answer.status, reply.answer.completion_tag) == ("T", "sig")
