Explain late attempts and suspensions of a request

sardinehold explain prints suspensions of the nodes that a request passed through, and counts times from the line with its outcome: a line of an owner may come earlier, one of a late attempt later. A statement that an owner sent is never dated after its answer.

--- a/src/sardinehold/cli.py
+++ b/src/sardinehold/cli.py
@@ -215,7 +215,7 @@
         )
     lines = explanations.read_lines(arguments.files)
     explanation = explanations.explain_request(lines, arguments.request)
-    since = next(line["at"] for line in explanation if "request" in line)
+    since = explanations.find_outcome(explanation)["at"]
     for line in explanation:
         print(explanations.format_line(line, since))
     return 0
--- a/src/sardinehold/explanations.py
+++ b/src/sardinehold/explanations.py
@@ -1,7 +1,8 @@
 """Log lines of all nodes that explain one request.
 
-An explanation has the lines of the request and the state as seen by its nodes at that
-time: the last line of each kind that may have decided the request.
+An explanation has the lines of the request, suspensions of its nodes meanwhile, and the
+state as seen by its nodes at that time: the last line of each kind that may have
+decided the request.
 """
 
 import json
@@ -17,6 +18,9 @@
 """Seconds before and after the request in which a change of its group's primary is
 included; a change completes within this time."""
 
+OUTCOME_EVENTS = ("served", "failed")
+"""Events with the outcome of a request, written by the node that has its caller."""
+
 Line = dict[str, typing.Any]
 
 
@@ -66,9 +70,10 @@
             f"No line has the request identifier {request}.",
             "Give the logs of all nodes; lines of successes may have been dropped.",
         )
-    first, last = request_lines[0], request_lines[-1]
+    first, last = find_outcome(request_lines), request_lines[-1]
     started_at = first["at"] - first.get("seconds", 0.0)
     vms = {line["vm"] for line in request_lines}
+    involved = vms | {first.get("home")}
     explanation = {id(line): line for line in request_lines}
     latest: dict[tuple, Line] = {}
     for line in lines:
@@ -82,11 +87,21 @@
         is_near = started_at - PRIMARY_CHANGE_SECONDS <= line["at"]
         if is_near and _is_about_primary(line, first):
             explanation[id(line)] = line
+        if line["event"] == "suspended" and line["vm"] in involved:
+            began_at = line["at"] - line["seconds"]
+            if began_at <= last["at"] and line["at"] >= started_at:
+                explanation[id(line)] = line
     for line in latest.values():
         explanation[id(line)] = line
     return sorted(explanation.values(), key=lambda line: line["at"])
 
 
+def find_outcome(lines: list[Line]) -> Line:
+    """Return the line with a request's outcome, its first one if there is none."""
+    found = (line for line in lines if line["event"] in OUTCOME_EVENTS)
+    return next(found, next(line for line in lines if "request" in line))
+
+
 def _find_subject(line: Line, request: Line) -> tuple | None:
     """Return the subject of a line if it may have decided the request, else None."""
     event = line["event"]
--- a/src/sardinehold/node/forwarding.py
+++ b/src/sardinehold/node/forwarding.py
@@ -259,8 +259,9 @@
                 if error.ahead is not None:
                     self.endpoint.record_ahead(error.ahead, clock.read())
                 raise
-            request.sent_at = request.origin.arrived_at + reply.age
-            self.endpoint.update_load(reply.load, clock.read())
+            now = clock.read()
+            request.sent_at = min(now, request.origin.arrived_at + reply.age)
+            self.endpoint.update_load(reply.load, now)
         return reply.answer
 
     def close(self) -> None:
--- a/tests/test_late_sends.py
+++ b/tests/test_late_sends.py
@@ -64,6 +64,26 @@
     run(monkeypatch, scenario)
 
 
+def test_request_whose_caller_leaves_while_it_waits_at_its_owner_is_logged(
+    monkeypatch,
+):
+    async def scenario(world, lines):
+        owner = world.nodes["n0"].groups["g"].endpoints["g-0"].owners[0]
+        entry = next(name for name in world.nodes if name != owner)
+        world.clusters["g"].databases["g-0"].statement_seconds = 0.2
+        clients = [world.open(entry, "latest") for _ in range(5)]
+        reads = [asyncio.ensure_future(client.read()) for client in clients]
+        await asyncio.sleep(0.05)
+        clients[-1].session.close()
+        await asyncio.gather(*reads)
+        (late,) = lines("sent_late")
+        assert (late["vm"], late["endpoint"]) == (entry, "g-0")
+        assert (late["attempt"], late["reason"]) == ("first", "caller left")
+        assert 0.1 < late["age"] < 0.3
+
+    run(monkeypatch, scenario)
+
+
 def test_ordinary_read_has_no_further_fields(monkeypatch):
     async def scenario(world, lines):
         assert (await world.open("n1", "bounded").read()).error is None
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -47,6 +47,26 @@
     ]
 
 
+def test_explanation_has_late_attempts_and_suspensions_meanwhile(tmp_path):
+    rows = [
+        make_line(1.0, "suspended", vm="n2", seconds=0.6),
+        make_line(4.9, "suspended", vm="n2", seconds=2.0),
+        make_line(4.9, "suspended", vm="n3", seconds=2.0),
+        make_line(4.95, "order_rejected", vm="n4", request="r7", endpoint="e2"),
+        make_line(5.0, "served", request="r7", home="n2", hedges=1, seconds=2.2),
+        make_line(5.4, "sent_late", vm="n2", request="r7", attempt="retry"),
+    ]
+    path = write_log(tmp_path, rows)
+    story = explanations.explain_request(explanations.read_lines([path]), "r7")
+    assert [(line["event"], line["at"]) for line in story] == [
+        ("suspended", 4.9),
+        ("order_rejected", 4.95),
+        ("served", 5.0),
+        ("sent_late", 5.4),
+    ]
+    assert explanations.find_outcome(story)["event"] == "served"
+
+
 def test_unknown_request_is_an_error_with_a_remedy(tmp_path):
     with pytest.raises(errors.SettingsError):
         explanations.explain_request(
