Count the leader's queries about logs that have no answer

By endpoint and reason: refused for the connection limit or for lack of a slot, no answer, connection lost or not opened.

--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -109,6 +109,9 @@
     async def open_control(self, record: catalog.EndpointRecord) -> ports.Connection:
         """Open a connection for queries about the log."""
 
+    def count_failed_query(self, endpoint: str, reason: str) -> None:
+        """Count a query about an endpoint's log without an answer."""
+
     async def request_promotion(self, group: str, endpoint: str, token: int) -> None:
         """Request the promotion of an endpoint; see :class:`ports.Duty`."""
 
@@ -132,13 +135,23 @@
         with anyio.fail_after(QUERY_TIMEOUT):
             connection = await fleet.open_control(record)
             try:
-                return "", await operation(connection, deadline)
+                answer = await operation(connection, deadline)
             finally:
                 connection.close()
     except TimeoutError:
+        fleet.count_failed_query(record.name, NO_ANSWER)
         return NO_ANSWER, None
-    except (ports.ConnectionLost, ports.OpeningFailed) as error:
+    except ports.OpeningFailed as error:
+        failure = error.failure.value if error.failure is not None else "not opened"
+        fleet.count_failed_query(record.name, failure)
+        return str(error), None
+    except ports.ConnectionLost as error:
+        failure = NO_ANSWER if error.is_timeout else "connection lost"
+        fleet.count_failed_query(record.name, failure)
         return str(error), None
+    if answer is None:
+        fleet.count_failed_query(record.name, "refused")
+    return "", answer
 
 
 async def read_status(
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -5,6 +5,7 @@
 import anyio
 
 from sardinehold import errors
+from sardinehold import metrics
 from sardinehold import objects
 from sardinehold.core import positions
 from sardinehold.core import quota
@@ -652,6 +653,14 @@
             record, groups.PROBE_TEAM, clock.read() + failover.QUERY_TIMEOUT
         )
 
+    def count_failed_query(self, endpoint: str, reason: str) -> None:
+        """Count a query about an endpoint's log without an answer."""
+        self.node.registry.count(
+            metrics.label_name(
+                "control_queries_failed", endpoint=endpoint, reason=reason
+            )
+        )
+
     async def request_promotion(self, group: str, endpoint: str, token: int) -> None:
         """Request the promotion of an endpoint; see :class:`ports.Duty`.
 
