--- a/bench/request_soak.py
+++ b/bench/request_soak.py
@@ -76,8 +76,8 @@
 CONNECTION_LIMIT = 21
 DATA_WORDS = ("READ", "WRITE", "EXECUTE", "COMMIT")
 
-TROUBLE_SHARE = 0.6
-"""Share of the promotion requests at which something happens to the leader."""
+FAULT_SHARE = 0.5
+"""Share of the kinds of faults that a seed has."""
 
 BUSY_SHARE = 0.6
 """Share of the changes of primary at which databases of the group are busy."""
@@ -160,6 +160,10 @@
         self.counts = dict.fromkeys(
             ("power losses", "suspensions", "stops", "killed", "reborn", "occupied"), 0
         )
+        # Seeds differ in their kinds of faults, since some faults hide others.
+        self.faults = [item for item in FAULTS if self.random.random() < FAULT_SHARE]
+        self.faults.append(change_configuration)
+        self.trouble_share = self.random.choice((0.0, 0.3, 0.6))
         self.planned: tuple[float, float] = (0.0, 0.0)
         for cluster in self.clusters.values():
             cluster.find_delivery_delay = self.find_delivery_delay
@@ -249,7 +253,7 @@
         if not self.has_trouble or b"/failover" not in data:
             return
         self.note_moment("promotion")
-        if self.random.random() < TROUBLE_SHARE:
+        if self.random.random() < self.trouble_share:
             self.random.choice(promotion_soak.TROUBLES)(self, index)
 
     def note_moment(self, moment: str) -> None:
@@ -568,14 +572,11 @@
 FAULTS = (
     stop_some_node,
     suspend_nodes,
-    suspend_nodes,
     lose_power,
     slow_database,
     slow_replication,
-    slow_replication,
     occupy_databases,
     empty_replica,
-    empty_replica,
     change_configuration,
 )
 
@@ -607,7 +608,7 @@
         for cluster in world.clusters.values():
             tasks.create_task(change_primaries(world, cluster, ends))
         while time.monotonic() < ends:
-            tasks.create_task(world.random.choice(FAULTS)(world))
+            tasks.create_task(world.random.choice(world.faults)(world))
             await asyncio.sleep(0.1 + 0.7 * world.random.random())
 
 
