--- a/bench/request_soak.py
+++ b/bench/request_soak.py
@@ -512,9 +512,13 @@
 
 async def occupy_group(world: World, cluster: group_in_memory.Cluster) -> None:
     """Take the slots or connections of some databases of one group for some time."""
-    chosen = world.random.sample(
-        list(cluster.databases.values()), world.random.randrange(1, 3)
-    )
+    databases = list(cluster.databases.values())
+    chosen = world.random.sample(databases, world.random.randrange(1, 3))
+    if world.random.random() < 0.5:
+        # The leader can query a single replica.
+        primary = promotion_soak.find_newest_primary(cluster)
+        replicas = [item for item in databases if item is not primary]
+        chosen = [primary, *world.random.sample(replicas, len(replicas) - 1)]
     world.counts["occupied"] += len(chosen)
     opened = []
     for database in chosen:
