--- a/bench/request_soak.py
+++ b/bench/request_soak.py
@@ -69,6 +69,9 @@
 """Seconds for which a node that is suspended or cut off may follow an older
 configuration."""
 
+DELIVERY_DELAYS = (0.005, 0.06, 0.36)
+"""Usual seconds until a database receives a commit."""
+
 DRAIN_SECONDS = 2.5
 """Seconds for which a database drains before it ends."""
 
@@ -151,6 +154,7 @@
         super().__init__(seed, folder, lane, nodes)
         self.requests: dict[str, Request] = {}
         self.runs: list[Run] = []
+        self.usual_delays: dict[str, float] = {}
         self.delays: dict[str, float] = {}
         self.reborn_at: dict[str, float] = {}
         self.suspended_at: dict[int, float] = {}
@@ -169,10 +173,12 @@
             cluster.find_delivery_delay = self.find_delivery_delay
             for database in cluster.databases.values():
                 database.slots = SLOTS
+                self.usual_delays[database.name] = self.random.choice(DELIVERY_DELAYS)
 
     def find_delivery_delay(self, replica: group_in_memory.Database) -> float:
         """Return the seconds after which a replica receives a commit."""
-        return self.delays.get(replica.name, 0.002) + 0.01 * self.random.random()
+        delay = self.delays.get(replica.name, self.usual_delays[replica.name])
+        return delay * (0.5 + self.random.random())
 
     def make_server(
         self, database: group_in_memory.Database
