--- a/bench/request_soak.py
+++ b/bench/request_soak.py
@@ -75,6 +75,11 @@
 DRAIN_SECONDS = 2.5
 """Seconds for which a database drains before it ends."""
 
+CLOSE_SECONDS = 0.2
+"""Seconds until the connections of the stand-ins are closed."""
+
+STALL_CHECK_INTERVAL = 0.05
+
 SLOTS = 3
 CONNECTION_LIMIT = 21
 DATA_WORDS = ("READ", "WRITE", "EXECUTE", "COMMIT")
@@ -161,6 +166,7 @@
         self.suspensions: list[tuple[float, float]] = []
         self.ending: set[asyncio.subprocess.Process] = set()
         self.power_trigger = ""
+        self.stall = 0.0
         self.counts = dict.fromkeys(
             ("power losses", "suspensions", "stops", "killed", "reborn", "occupied"), 0
         )
@@ -286,6 +292,13 @@
             return False
         return answer.startswith("READY")
 
+    async def watch_stalls(self) -> None:
+        """Record by how much this process runs late, as a machine's load causes."""
+        while True:
+            due_at = clock.read() + STALL_CHECK_INTERVAL
+            await asyncio.sleep(STALL_CHECK_INTERVAL)
+            self.stall = max(self.stall, clock.read() - due_at)
+
     async def watch_processes(self) -> None:
         """Report processes that end by themselves, and start them again."""
         while True:
@@ -779,6 +792,7 @@
         world.spawn(world.update_entries())
         await world.wait_until_ready()
         world.spawn(world.watch_processes())
+        world.spawn(world.watch_stalls())
         for group in world.clusters:
             for number in range(CALLERS):
                 world.spawn(Caller(world, group, number).run())
@@ -796,6 +810,9 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await world.stop()
+        for link in (*world.links.values(), *world.store_links, *world.duty_links):
+            link.reset()
+        await asyncio.sleep(CLOSE_SECONDS)
     commits = find_commits(world)
     violations = world.violations + find_unasked(world) + find_unanswered(world)
     excused = 0
@@ -809,7 +826,7 @@
         violations,
         f"{len(commits)} writes, {len(world.store.promotions)} requests, "
         f"{changes} promotions, {counts}, {excused} late commits beside suspensions, "
-        f"{count_late(world)}",
+        f"{count_late(world)}, the soak itself ran late by {world.stall:.1f} s",
     )
 
 
