Show that replicas which restart during a failover lose commits (LOST)

A replica that starts again under its name without its log counts among those that were read, although its earlier start may have had the only copy.

--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -495,6 +495,22 @@
     return [world.connect(database, "other", "other") for _ in range(free)]
 
 
+def restart_database(
+    world: World,
+    database: group_in_memory.Database,
+    keeps_log: bool = False,
+    is_published: bool = True,
+) -> None:
+    """Start a replica again under its name; its record says so if ``is_published``."""
+    database.crash()
+    database.paused_term = 0
+    if not keeps_log:
+        database.log, database.applied, database.term = [], 0, 1
+    database.is_up = True
+    if is_published:
+        world.publish_endpoint(database.name, born=1)
+
+
 class Client:
     """A caller connected to one node."""
 
--- /dev/null
+++ b/tests/test_frozen_logs.py
@@ -0,0 +1,101 @@
+"""Logs that change after they were frozen, and endpoints that start again."""
+
+import asyncio
+
+import pytest
+
+import builders_node
+from sardinehold.node import primary_lease
+
+
+async def write_until(world, seconds: float) -> None:
+    """Send writes through all nodes, which notice that the primary is gone."""
+    for _ in range(round(seconds / 0.5)):
+        for name in world.nodes:
+            world.tasks.start_soon(world.open(name, "latest").write)
+        await asyncio.sleep(0.5)
+
+
+def assert_nothing_lost(cluster) -> None:
+    kept = {request for _, request in cluster.primary.log}
+    assert set(cluster.acknowledged) <= kept
+
+
+def test_replica_that_starts_again_without_its_log_proves_nothing(monkeypatch):
+    # Its earlier start had the only copy; the log that lagged behind was promoted.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, replica, lagging = cluster.databases.values()
+        lagging.is_receive_blocked = True
+        for name in world.nodes:
+            assert (await world.open(name, "latest").write()).error is None
+        replica.is_receive_blocked = True
+        builders_node.restart_database(world, replica)
+        await asyncio.sleep(0.1)
+        primary.crash()
+        await write_until(world, 4.0)
+        assert not cluster.promoted
+        primary.is_up = True
+        await write_until(world, 4.0)
+        assert_nothing_lost(cluster)
+        assert (await world.open("n1", "latest").write()).error is None
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_group_has_a_primary_again_soon_after_both_others_restarted(monkeypatch):
+    # What the earlier starts had, the members report.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, *replicas = cluster.databases.values()
+        for replica in replicas:
+            builders_node.restart_database(world, replica)
+            for name in world.nodes:
+                assert (await world.open(name, "latest").write()).error is None
+        primary.crash()
+        await write_until(world, 3.0)
+        assert cluster.promoted
+        assert (await world.open("n1", "latest").write()).error is None
+        assert_nothing_lost(cluster)
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("is_published", [True, False])
+@pytest.mark.parametrize("is_read", [True, False])
+def test_replica_that_restarted_after_the_freeze_is_not_frozen(
+    monkeypatch, is_published, is_read
+):
+    # n2, which alone reaches the old primary, has a commit on this replica only.
+    monkeypatch.setattr(primary_lease, "LEASE", 1.5)
+
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, target, restarted = cluster.databases.values()
+        for name in ("n0", "n1"):
+            await world.open(name, "latest").write()
+        primary.unreachable |= {"n0", "n1"}
+        alone, other = world.open("n2", "latest"), world.open("n1", "latest")
+        world.tasks.start_soon(other.write)
+        while world.nodes["n1"].groups["g"].endpoints["g-0"].failing_since is None:
+            await asyncio.sleep(0.01)
+        world.store.cut.add("n2")
+        world.cuts |= {frozenset(("n2", "n0")), frozenset(("n2", "n1"))}
+        while not restarted.paused_term or not target.paused_term:
+            await asyncio.sleep(0.01)
+        builders_node.restart_database(
+            world, restarted, keeps_log=True, is_published=is_published
+        )
+        if not is_read:
+            restarted.unreachable |= {"n0", "n1"}
+        assert (await alone.write()).error is None
+        await asyncio.sleep(5.0)
+        for promoted in cluster.promoted:
+            assert set(cluster.acknowledged) <= promoted.kept
+        restarted.unreachable.clear()
+        primary.unreachable.clear()
+        await asyncio.sleep(4.0)
+        assert cluster.promoted
+        assert set(cluster.acknowledged) <= cluster.promoted[0].kept
+
+    builders_node.run_scenario(monkeypatch, scenario)
