Know frozen logs by the start of their endpoint (LOST)

Callers lost acknowledged writes when a replica restarted before or during a failover. Logs were known by the endpoint's name: one that started again without its log counted among the replicas that together hold every commit, and one that was frozen and could not be read again before the promotion counted as frozen.

A frozen log now belongs to one start (born); an unread one is not frozen; a restarted replica proves nothing until the longest frozen log reaches a position that the primary reported after the restart. Reports of the members and the old primary's log still prove a log, as with a crashed replica.

tests/test_frozen_logs.py: 3 of 6 failed before, each with a promoted log without an acknowledged commit; all pass. The first test now also lets the replicas receive again when the old primary is back: its last write needs one. Its assertion that nothing is promoted before fails on the old code as it did.

--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -54,9 +54,9 @@
 replication."""
 
 RECHECK_AFTER = 0.3
-"""Seconds since the first freeze after which the logs are checked again before the
-promotion: a replica that restarted meanwhile, lost its pause and received a commit
-would otherwise go unnoticed."""
+"""Seconds since a log was read after which it is checked again before the promotion:
+a replica that restarted meanwhile, lost its pause and received a commit would otherwise
+go unnoticed."""
 
 REINSTATE_AFTER = 1.5
 """Seconds after which an old primary that stepped down may be promoted again, if too
@@ -90,6 +90,12 @@
     def count_departed(self, group: str, primary: str) -> int:
         """Return how many replicas left recently, possibly with the only copy."""
 
+    def find_restarted(self, group: str, end: positions.Position) -> frozenset[str]:
+        """Return the endpoints that may have lost commits when they restarted.
+
+        :param end: of the longest frozen log; earlier commits are not lost.
+        """
+
     def find_acknowledged(self, group: str, since: float) -> positions.Position | None:
         """Return the newest commit that is acknowledged to any caller.
 
@@ -182,6 +188,22 @@
     return await connection.read_status(deadline)
 
 
+class FrozenLog:
+    """Log that was frozen.
+
+    :param born: the start of the endpoint's process; a later one has no pause.
+    :param read_at: when its status was read.
+    """
+
+    __slots__ = ("status", "born", "read_at")
+
+    def __init__(self, status: ports.LogStatus, born: int, read_at: float) -> None:
+        """Initialize the log as it was read."""
+        self.status = status
+        self.born = born
+        self.read_at = read_at
+
+
 class Failover:
     """One replacement of a group's primary.
 
@@ -197,7 +219,7 @@
         self.sync_replicas = sync_replicas
         self.planned = planned
         self._frozen_at = 0.0
-        self._frozen: dict[str, ports.LogStatus] = {}
+        self._frozen: dict[str, FrozenLog] = {}
         self._unread: dict[str, str] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._reuse_since = clock.read()
@@ -310,7 +332,7 @@
     async def _freeze(self, state: catalog.GroupState) -> promotion.Plan:
         """Freeze all reachable logs and return the plan that they permit."""
         records = self.fleet.list_records(self.group)
-        statuses = self._reuse_frozen(records)
+        logs = self._reuse_frozen(records)
         self._evacuated = frozenset(
             item.name for item in records if self.fleet.is_evacuated(item)
         )
@@ -320,17 +342,17 @@
         self._unread = {}
         async with anyio.create_task_group() as tasks:
             for record in records:
-                if record.name not in statuses:
+                if record.name not in logs:
                     tasks.start_soon(
-                        self._freeze_one, record, state, statuses, tasks, enough
+                        self._freeze_one, record, state, logs, tasks, enough
                     )
-        if statuses.keys() != self._frozen.keys():
+        if logs.keys() != self._frozen.keys():
             self.fleet.notify_nodes()
-        self._frozen = statuses
+        self._frozen = logs
         self._frozen_at = clock.read()
-        self._end_position = max(
-            (status.received for status in statuses.values()), default=positions.START
-        )
+        statuses = {name: log.status for name, log in logs.items()}
+        self._end_position = _find_end(statuses)
+        restarted = self.fleet.find_restarted(self.group, self._end_position)
         old = state.primary
         draining = frozenset(
             item.name
@@ -350,6 +372,7 @@
             acknowledged,
             self._frozen_at > self._accept_loss_at and self._find_record(old) is None,
             self.fleet.find_preferred(self.group),
+            restarted,
         )
         self.fleet.note(
             "frozen",
@@ -357,6 +380,7 @@
             logs={name: list(item.received) for name, item in statuses.items()},
             born={item.name: item.born for item in records if item.name in statuses},
             unread=self._unread,
+            restarted=sorted(restarted),
             replicas=replica_count,
             required=enough,
             acknowledged=None if acknowledged is None else list(acknowledged),
@@ -368,24 +392,24 @@
 
     def _reuse_frozen(
         self, records: list[catalog.EndpointRecord]
-    ) -> dict[str, ports.LogStatus]:
+    ) -> dict[str, FrozenLog]:
         """Return the logs that were frozen in an earlier round and not long ago."""
         now = clock.read()
         if now - self._reuse_since > FREEZE_LIFETIME:
             self._reuse_since = now
             return {}
-        names = {record.name for record in records}
+        starts = {record.name: record.born for record in records}
         return {
-            name: status
-            for name, status in self._frozen.items()
-            if name in names and not status.is_primary
+            name: log
+            for name, log in self._frozen.items()
+            if starts.get(name) == log.born and not log.status.is_primary
         }
 
     async def _freeze_one(
         self,
         record: catalog.EndpointRecord,
         state: catalog.GroupState,
-        statuses: dict[str, ports.LogStatus],
+        logs: dict[str, FrozenLog],
         tasks: anyio.abc.TaskGroup,
         enough: int,
     ) -> None:
@@ -400,13 +424,15 @@
             self._unread[record.name] = reason
         if status is None:
             return
-        statuses[record.name] = status
+        logs[record.name] = FrozenLog(status, record.born, clock.read())
         replicas = {
-            name: item for name, item in statuses.items() if name != state.primary
+            name: log.status for name, log in logs.items() if name != state.primary
         }
+        restarted = self.fleet.find_restarted(self.group, _find_end(replicas))
+        proving = len(replicas.keys() - restarted)
         # Further logs may be as long as the longest, and outside of evacuated zones.
         has_choice = promotion.has_longest_outside(replicas, self._evacuated)
-        if len(replicas) >= enough and not self.planned and has_choice:
+        if proving >= enough and not self.planned and has_choice:
             tasks.cancel_scope.cancel()
 
     async def _freeze_log(
@@ -447,25 +473,33 @@
         A replica that restarts loses its pause, and receives commits that
         disconnected nodes still wrote under their leases.
         """
-        if clock.read() < self._first_frozen_at + RECHECK_AFTER:
-            return True
+        due = clock.read() - RECHECK_AFTER
         running = []
         unread: dict[str, str] = {}
 
-        async def check(record: catalog.EndpointRecord, frozen: ports.LogStatus):
-            reason, status = await query(self.fleet, record, read_log_status)
+        async def check(record: catalog.EndpointRecord, frozen: FrozenLog):
+            reason, status = await query(self.fleet, record, await_log_status)
             if status is None:
                 unread[record.name] = reason or "the endpoint has no free slot"
-                return
-            if status.paused_term <= state.term or status.received != frozen.received:
+            elif (
+                status.paused_term <= state.term
+                or status.received != frozen.status.received
+            ):
                 running.append(record.name)
+            else:
+                frozen.read_at = clock.read()
 
         async with anyio.create_task_group() as tasks:
             for record in self.fleet.list_records(self.group):
                 frozen = self._frozen.get(record.name)
-                if frozen is not None and record.name != state.primary:
+                if frozen is None or record.name == state.primary:
+                    continue
+                if frozen.born != record.born:
+                    running.append(record.name)
+                elif frozen.read_at <= due:
                     tasks.start_soon(check, record, frozen)
-        for name in running:
+        # One that cannot be read may have restarted, and have received commits.
+        for name in (*running, *unread):
             del self._frozen[name]
         if running or unread:
             self.fleet.note(
@@ -474,7 +508,7 @@
                 endpoints=sorted(running),
                 unread=unread,
             )
-        return not running
+        return not running and not unread
 
     async def _promote(
         self, state: catalog.GroupState, target: str
@@ -544,6 +578,13 @@
         await reconcile(self.fleet, self.group, published)
 
 
+def _find_end(statuses: dict[str, ports.LogStatus]) -> positions.Position:
+    """Return the end of the longest log."""
+    return max(
+        (status.received for status in statuses.values()), default=positions.START
+    )
+
+
 async def reconcile(fleet: Fleet, group: str, state: catalog.GroupState) -> bool:
     """Resume paused replicas, and make an old primary step down.
 
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -17,6 +17,7 @@
 from sardinehold.node import ports
 from sardinehold.node import primary_lease
 from sardinehold.node import residency
+from sardinehold.node import restarts
 from sardinehold.node import selection
 from sardinehold.node import sharing
 from sardinehold.node import statements
@@ -105,6 +106,7 @@
     :param state: primary and term, as last read from the store; None while unknown.
     :param commits: those of this node's callers.
     :param removed_at: when endpoints were removed, by their names.
+    :param restarts: of the endpoints, as far as this node saw them.
     :param drains: drains of endpoints, by their names; a drain is never revoked, also
         if the store has lost it.
     :param evacuations: those of availability zones that the node knows of.
@@ -148,6 +150,7 @@
         self.commits = commits.Commits()
         self._commits_known_since = clock.read()
         self.removed_at: dict[str, float] = {}
+        self.restarts = restarts.Restarts()
         self.drains: dict[str, Drain] = {}
         self._no_primary_since: float | None = None
         self._request_expires_at = float("-inf")
@@ -231,6 +234,8 @@
         new start is empty.
         """
         known = self._warmups.get(record.name)
+        if known is not None and known.born != record.born:
+            self.restarts.record(record.name, now)
         if known is None or known.born != record.born:
             is_new = known is not None or now - self._created_at > STARTUP_GRACE
             owned_since = known.owned_since if known is not None else None
@@ -595,6 +600,7 @@
         ):
             self._wants_position = False
             self.lease.record_position(sent_at, status.received)
+            self.restarts.record_position(sent_at, status.received)
 
     def handle_rejection(
         self, endpoint: pool.Endpoint, owner_name: str, rejection: execution.Rejection
@@ -684,6 +690,8 @@
         The first one covers what this node acknowledged before a restart.
         """
         self.lease.record_position(sent_at, position)
+        if position.term == self.lease.term:
+            self.restarts.record_position(sent_at, position)
         if self.commits.newest is None and sent_at >= self._commits_known_since:
             self.commits.newest = position
 
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -628,6 +628,10 @@
         """Return when no unanswered promotion request can be executed any more."""
         return self.node.groups[group].find_request_expiry()
 
+    def find_restarted(self, group: str, end: positions.Position) -> frozenset[str]:
+        """Return the endpoints that may have lost commits when they restarted."""
+        return self.node.groups[group].restarts.find_uncovered(end)
+
     def count_departed(self, group: str, primary: str) -> int:
         """Return how many replicas left recently and may have had the only copy."""
         now = clock.read()
--- a/src/sardinehold/node/promotion.py
+++ b/src/sardinehold/node/promotion.py
@@ -81,6 +81,7 @@
     acknowledged: positions.Position | None = None,
     may_lose_commits: bool = False,
     preferred: frozenset[str] = frozenset(),
+    restarted: frozenset[str] = frozenset(),
 ) -> Plan:
     """Return the endpoint to promote, chosen from the frozen logs that were read.
 
@@ -101,6 +102,8 @@
         completeness are permanently lost.
     :param preferred: endpoints in a region that all restricting routes allow; chosen
         first if all else is equal.
+    :param restarted: endpoints that may have lost commits when they restarted; they
+        do not count among those that were read.
     """
     leader = find_later_primary(statuses, state)
     if leader:
@@ -118,7 +121,8 @@
         )
 
     best = max(sorted(replicas), key=preference, default="")
-    if best and len(replicas) >= count_required_replicas(replica_count, sync_replicas):
+    required = count_required_replicas(replica_count, sync_replicas)
+    if best and len(replicas.keys() - restarted) >= required:
         return Plan(target=best, grounds=Grounds.REPLICAS)
     if best and acknowledged is not None and replicas[best].received >= acknowledged:
         return Plan(target=best, grounds=Grounds.REPORTS)
--- /dev/null
+++ b/src/sardinehold/node/restarts.py
@@ -0,0 +1,50 @@
+"""Endpoints that started again under their names, and what they may have lost.
+
+An endpoint that restarts may hold nothing of before, and its earlier start may have had
+the only copy of a commit. A log that reaches a position which the primary reported
+later has all of these commits.
+"""
+
+from sardinehold.core import positions
+
+
+class Restart:
+    """The newest restart of an endpoint.
+
+    :param at: when this node learned of it.
+    :param position: covers all commits that were acknowledged up to then; None while
+        the primary has reported none since.
+    """
+
+    __slots__ = ("at", "position")
+
+    def __init__(self, at: float) -> None:
+        """Store the time, with the position unknown."""
+        self.at = at
+        self.position: positions.Position | None = None
+
+
+class Restarts:
+    """Restarts of one group's endpoints, by their names."""
+
+    def __init__(self) -> None:
+        """Create a record without restarts."""
+        self._by_name: dict[str, Restart] = {}
+
+    def record(self, name: str, now: float) -> None:
+        """Record that an endpoint started again."""
+        self._by_name[name] = Restart(now)
+
+    def record_position(self, sent_at: float, position: positions.Position) -> None:
+        """Record the primary's answer to a request sent at an instant."""
+        for restart in self._by_name.values():
+            if restart.position is None and sent_at >= restart.at:
+                restart.position = position
+
+    def find_uncovered(self, end: positions.Position) -> frozenset[str]:
+        """Return the endpoints that may have lost a commit beyond a log's end."""
+        return frozenset(
+            name
+            for name, restart in self._by_name.items()
+            if restart.position is None or end < restart.position
+        )
--- a/tests/test_frozen_logs.py
+++ b/tests/test_frozen_logs.py
@@ -36,6 +36,7 @@
         await write_until(world, 4.0)
         assert not cluster.promoted
         primary.is_up = True
+        replica.is_receive_blocked = lagging.is_receive_blocked = False
         await write_until(world, 4.0)
         assert_nothing_lost(cluster)
         assert (await world.open("n1", "latest").write()).error is None
