Show that a new leader does not count departed replicas (LOST)

Leader.count_departed knows what its own process saw leave. Nodes that start after a replica with the only copy of commits has left promote the log that remains. tests/test_frozen_logs.py: the promotion lacks three acknowledged commits.

--- a/tests/test_frozen_logs.py
+++ b/tests/test_frozen_logs.py
@@ -5,6 +5,7 @@
 import pytest
 
 import builders_node
+from sardinehold.node import node
 from sardinehold.node import primary_lease
 
 
@@ -62,6 +63,59 @@
     builders_node.run_scenario(monkeypatch, scenario)
 
 
+def test_leader_that_started_after_a_replica_left_counts_it(monkeypatch):
+    # The replica that left had the only copy; the one that remains lagged behind.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, replica, lagging = cluster.databases.values()
+        lagging.is_receive_blocked = True
+        for name in world.nodes:
+            assert (await world.open(name, "latest").write()).error is None
+        replica.crash()
+        world.store.put(builders_node.ENDPOINT_KIND, replica.name, None)
+        await asyncio.sleep(node.GONE_GRACE + 1.0)
+        for name in list(world.nodes):
+            world.kill_node(name)
+            world.start_node(name)
+        await asyncio.sleep(4.0)
+        assert (await world.open("n1", "latest").read()).error is None
+        primary.crash()
+        await write_until(world, 4.0)
+        assert not cluster.promoted
+        primary.is_up, lagging.is_receive_blocked = True, False
+        await write_until(world, 4.0)
+        assert (await world.open("n1", "latest").write()).error is None
+        assert_nothing_lost(cluster)
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("has_left", [True, False])
+def test_nodes_that_all_start_while_the_primary_is_gone_replace_it(
+    monkeypatch, has_left
+):
+    # They know neither what was acknowledged nor who left; the logs are complete.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        for name in world.nodes:
+            assert (await world.open(name, "latest").write()).error is None
+        await asyncio.sleep(1.0)
+        for name in list(world.nodes):
+            world.kill_node(name)
+        cluster.primary.crash()
+        if has_left:
+            world.store.put(builders_node.ENDPOINT_KIND, "g-0", None)
+        await asyncio.sleep(1.0)
+        for name in ("n0", "n1", "n2"):
+            world.start_node(name)
+        await write_until(world, 5.0)
+        assert cluster.promoted
+        assert (await world.open("n1", "latest").write()).error is None
+        assert_nothing_lost(cluster)
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
 @pytest.mark.parametrize("is_published", [True, False])
 @pytest.mark.parametrize("is_read", [True, False])
 def test_replica_that_restarted_after_the_freeze_is_not_frozen(
