Count what left before the leader's node started (LOST)

Callers lost acknowledged writes when a replica with the only copy left, all nodes started again and the primary crashed: the new leader counted one replica of one, which lagged behind. A leader now knows a log as proven by the number of replicas only from the first position on that the primary reported since the node's start; the end that counts is that of the replicas, without the old primary.

--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -93,7 +93,7 @@
     def find_restarted(self, group: str, end: positions.Position) -> frozenset[str]:
         """Return the endpoints that may have lost commits when they restarted.
 
-        :param end: of the longest frozen log; earlier commits are not lost.
+        :param end: of the longest frozen replica; it has the earlier commits.
         """
 
     def find_acknowledged(self, group: str, since: float) -> positions.Position | None:
@@ -352,7 +352,10 @@
         self._frozen_at = clock.read()
         statuses = {name: log.status for name, log in logs.items()}
         self._end_position = _find_end(statuses)
-        restarted = self.fleet.find_restarted(self.group, self._end_position)
+        replicas = {
+            name: log for name, log in statuses.items() if name != state.primary
+        }
+        restarted = self.fleet.find_restarted(self.group, _find_end(replicas))
         old = state.primary
         draining = frozenset(
             item.name
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -150,7 +150,7 @@
         self.commits = commits.Commits()
         self._commits_known_since = clock.read()
         self.removed_at: dict[str, float] = {}
-        self.restarts = restarts.Restarts()
+        self.restarts = restarts.Restarts(clock.read())
         self.drains: dict[str, Drain] = {}
         self._no_primary_since: float | None = None
         self._request_expires_at = float("-inf")
@@ -268,6 +268,16 @@
             self.removed_at[name] = clock.read()
             self._close_idle(endpoint)
 
+    def find_restarted(self, end: positions.Position) -> frozenset[str]:
+        """Return the endpoints that may have lost commits beyond a log's end.
+
+        All of them, if commits from before this node started are missing: another
+        endpoint with the only copy may have left.
+        """
+        if self.restarts.is_behind(end):
+            return frozenset(self.endpoints)
+        return self.restarts.find_uncovered(end)
+
     def assign_owners(self, owners: dict[str, list[str]], node_name: str) -> None:
         """Set the owners of the endpoints, and this node's connection limits.
 
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -630,7 +630,7 @@
 
     def find_restarted(self, group: str, end: positions.Position) -> frozenset[str]:
         """Return the endpoints that may have lost commits when they restarted."""
-        return self.node.groups[group].restarts.find_uncovered(end)
+        return self.node.groups[group].find_restarted(end)
 
     def count_departed(self, group: str, primary: str) -> int:
         """Return how many replicas left recently and may have had the only copy."""
--- a/src/sardinehold/node/restarts.py
+++ b/src/sardinehold/node/restarts.py
@@ -1,15 +1,16 @@
 """Endpoints that started again under their names, and what they may have lost.
 
 An endpoint that restarts may hold nothing of before, and its earlier start may have had
-the only copy of a commit. A log that reaches a position which the primary reported
-later has all of these commits.
+the only copy of a commit. So may an endpoint of which a node that started later knows
+nothing. A log that reaches a position which the primary reported later has all of these
+commits.
 """
 
 from sardinehold.core import positions
 
 
 class Restart:
-    """The newest restart of an endpoint.
+    """The newest restart of an endpoint, or the start of this node.
 
     :param at: when this node learned of it.
     :param position: covers all commits that were acknowledged up to then; None while
@@ -25,10 +26,15 @@
 
 
 class Restarts:
-    """Restarts of one group's endpoints, by their names."""
+    """Restarts of one group's endpoints, by their names.
 
-    def __init__(self) -> None:
+    :param now: when this node started; it does not know of earlier restarts, nor of
+        endpoints that left.
+    """
+
+    def __init__(self, now: float) -> None:
         """Create a record without restarts."""
+        self._own = Restart(now)
         self._by_name: dict[str, Restart] = {}
 
     def record(self, name: str, now: float) -> None:
@@ -37,10 +43,17 @@
 
     def record_position(self, sent_at: float, position: positions.Position) -> None:
         """Record the primary's answer to a request sent at an instant."""
-        for restart in self._by_name.values():
+        for restart in (self._own, *self._by_name.values()):
             if restart.position is None and sent_at >= restart.at:
                 restart.position = position
 
+    def is_behind(self, end: positions.Position) -> bool:
+        """Return whether a log lacks commits from before this node started.
+
+        It is not known while the primary has reported no position.
+        """
+        return self._own.position is not None and end < self._own.position
+
     def find_uncovered(self, end: positions.Position) -> frozenset[str]:
         """Return the endpoints that may have lost a commit beyond a log's end."""
         return frozenset(
