--- a/tests/test_node_roster.py
+++ b/tests/test_node_roster.py
@@ -21,7 +21,9 @@
 def leader_reports(monkeypatch):
     """Return the reports received by a leader n0 with the members n1 and n2."""
     monkeypatch.setattr(clock, "read", lambda: NOW)
-    group = types.SimpleNamespace(commits=commits.Commits())
+    group = types.SimpleNamespace(
+        commits=commits.Commits(), state=types.SimpleNamespace(stage=(1, True, 2))
+    )
     group.commits.newest = P(1, 3)
     group.commits.seal(NOW - commits.SEAL_GRACE)
     node = types.SimpleNamespace(
@@ -107,6 +109,14 @@
     assert leader_reports.find_acknowledged("g", 1000.0) is None
 
 
+@pytest.mark.parametrize("stage", [(0, True, 3), SERVING, (2, False, 0)])
+def test_commits_reported_under_another_seal_are_not_final(leader_reports, stage):
+    # The member may learn late that there was a primary since, and commit there.
+    report_all(leader_reports)
+    leader_reports.add(builders_node.make_report(node="n2", states={"g": stage}), NOW)
+    assert leader_reports.find_acknowledged("g", 1000.0) is None
+
+
 def test_leader_that_was_restarted_leaves_commits_unknown(leader_reports):
     report_all(leader_reports)
     leader_reports.node.groups["g"].commits.newest = None
