--- a/src/sardinehold/node/member_reports.py
+++ b/src/sardinehold/node/member_reports.py
@@ -188,12 +188,14 @@
         """Return the newest commit that is acknowledged to any caller.
 
         :returns: None unless every member has reported one in a report sent after
-            ``since``. It cannot while a later commit is possible, nor after a restart
-            until it has an answer of the primary.
+            ``since``, under the present seal. It cannot while a later commit is
+            possible, nor after a restart until it has an answer of the primary.
         """
-        newest = self.node.groups[group].commits.find_final(clock.read())
+        own = self.node.groups[group]
+        newest = own.commits.find_final(clock.read())
         if newest is None:
             return None
+        seal = own.state.stage[:2]
         for name in self.node.members:
             if name == self.node.settings.name:
                 continue
@@ -204,8 +206,9 @@
             sent_at = report.date(report.covered_age, self.node.incarnation)
             if sent_at is None or sent_at < since:
                 return None
+            known = report.states.get(group)
             acknowledged = report.acknowledged.get(group)
-            if acknowledged is None:
+            if known is None or known[:2] != seal or acknowledged is None:
                 return None
             newest = max(newest, acknowledged)
         return newest
