Test that a kill of all nodes during a failover loses nothing (LOST)

18 variants: a drain, a crash of the primary or of two databases, the nodes killed 0.02 to 0.8 s later, the promotion request executed at once or late.

--- a/tests/test_frozen_logs.py
+++ b/tests/test_frozen_logs.py
@@ -154,3 +154,42 @@
         assert set(cluster.acknowledged) <= cluster.promoted[0].kept
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("moment", [0.02, 0.4, 0.8])
+@pytest.mark.parametrize("fault", ["drain", "crash", "crash of all"])
+@pytest.mark.parametrize("request_delay", [0.005, 0.7])
+def test_kill_of_all_nodes_during_a_failover_loses_nothing(
+    monkeypatch, moment, fault, request_delay
+):
+    # What the nodes know of commits, leases and requests on their way is gone.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, replica, lagging = cluster.databases.values()
+        world.request_delays = [request_delay]
+        await write_until(world, 1.0)
+        lagging.is_receive_blocked = True
+        await write_until(world, 1.0)
+        if fault == "drain":
+            world.publish_endpoint(primary.name, is_draining=True)
+        else:
+            primary.crash()
+        for _ in range(round(moment / 0.02)):
+            world.tasks.start_soon(world.open("n1", "latest").write)
+            await asyncio.sleep(0.02)
+        for name in list(world.nodes):
+            world.kill_node(name)
+        if fault == "crash of all":
+            replica.crash()
+        await asyncio.sleep(0.5)
+        for name in ("n0", "n1", "n2"):
+            world.start_node(name)
+        await write_until(world, 3.0)
+        lagging.is_receive_blocked = False
+        for database in cluster.databases.values():
+            database.is_up = True
+        await write_until(world, 6.0)
+        assert (await world.open("n1", "latest").write()).error is None
+        assert_nothing_lost(cluster)
+
+    builders_node.run_scenario(monkeypatch, scenario)
