End reads by the frozen logs' position when one is not frozen

Callers of bounded routes read from a replica that lacked a commit acknowledged 3 s before, while a failover waited because a frozen replica had restarted.

--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -106,8 +106,11 @@
     def find_preferred(self, group: str) -> frozenset[str]:
         """Return the endpoints in a region that all restricting routes allow."""
 
-    def record_frozen(self, group: str, position: positions.Position) -> None:
-        """Allow reads on replicas: no commit beyond a position is acknowledged."""
+    def record_frozen(self, group: str, position: positions.Position | None) -> None:
+        """Allow reads on replicas: no commit beyond a position is acknowledged.
+
+        :param position: None to end that: one may be.
+        """
 
     def notify_nodes(self) -> None:
         """Send the state to all nodes without delay."""
@@ -255,6 +258,7 @@
             fleet.record_frozen(self.group, self._end_position)
             await self._wait_for_leases(sealed.stage)
             if not await self._check_frozen(state):
+                fleet.record_frozen(self.group, None)
                 continue
             if not self._may_request(state, plan.target):
                 await anyio.sleep(RETRY_DELAY)
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -620,8 +620,8 @@
         """Return the newest commit acknowledged to callers, None if unknown."""
         return self.member_reports.find_acknowledged(group, since)
 
-    def record_frozen(self, group: str, position: positions.Position) -> None:
-        """Allow reads on replicas: no commit after ``position`` is acknowledged."""
+    def record_frozen(self, group: str, position: positions.Position | None) -> None:
+        """Allow reads on replicas, or end that; see :class:`failover.Fleet`."""
         self.node.groups[group].frozen = position
 
     def find_request_expiry(self, group: str) -> float:
