Show that idle connections keep the leader from the logs

While all databases of a group are at their connection limits, the leader's queries are refused and no primary is promoted; the nodes' own idle connections (10, 9 and 7 of 21 each in the scenario) stay open.

--- a/tests/test_commits_in_flight.py
+++ b/tests/test_commits_in_flight.py
@@ -68,3 +68,24 @@
         assert not cluster.acknowledged
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_idle_connections_do_not_keep_the_leader_from_the_logs(monkeypatch):
+    # The databases were at their limits; the nodes' idle connections used up a third.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        callers = [
+            world.open(name, "session", key)
+            for name in world.nodes
+            for key in ("red-key", "blue-key")
+            for _ in range(10)
+        ]
+        assert (await world.open("n1", "latest").write()).error is None
+        await asyncio.gather(*(caller.read() for caller in callers))
+        for database in cluster.databases.values():
+            builders_node.fill_connections(world, database)
+        await suspect_primary(world, monkeypatch)
+        await asyncio.sleep(2.0)
+        assert cluster.promoted
+
+    builders_node.run_scenario(monkeypatch, scenario)
