Have nodes close idle connections when the leader's query is refused

A group whose databases were at their connection limits had no primary for 6 s and longer: the leader's queries were refused, and the nodes kept their idle connections, 26 of 63 in the scenario. A refused query now counts as a refused connection of a statement, which the nodes learn from the reports.

The test of commits in flight counts on a leader that cannot query; its other clients now also take the connections that nodes release.

--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -12,15 +12,18 @@
 from sardinehold.node import clock
 from sardinehold.node import failover
 from sardinehold.node import groups
+from sardinehold.node import jitter
 from sardinehold.node import member_reports
 from sardinehold.node import membership
 from sardinehold.node import ownership
+from sardinehold.node import pool
 from sardinehold.node import ports
 from sardinehold.node import primary_moves
 from sardinehold.node import promotion
 from sardinehold.node import rate_limiter
 from sardinehold.node import reports
 from sardinehold.node import residency
+from sardinehold.node import statements
 
 if typing.TYPE_CHECKING:
     from sardinehold.node import node as nodes
@@ -652,9 +655,21 @@
 
     async def open_control(self, record: catalog.EndpointRecord) -> ports.Connection:
         """Open a connection to query and control an endpoint's log."""
-        return await self.node.connector.open(
-            record, groups.PROBE_TEAM, clock.read() + failover.QUERY_TIMEOUT
-        )
+        deadline = clock.read() + failover.QUERY_TIMEOUT
+        try:
+            return await self.node.connector.open(record, groups.PROBE_TEAM, deadline)
+        except ports.OpeningFailed as error:
+            if error.failure is statements.Failure.CONNECTION_LIMIT:
+                self._relieve(record)
+            raise
+
+    def _relieve(self, record: catalog.EndpointRecord) -> None:
+        """Have all nodes close idle connections to an endpoint at its limit."""
+        endpoint = self.node.groups[record.group].endpoints.get(record.name)
+        if endpoint is not None:
+            endpoint.record_limit_reached(
+                clock.read(), jitter.spread(pool.LIMIT_RETRY_DELAY)
+            )
 
     async def request_promotion(self, group: str, endpoint: str, token: int) -> None:
         """Request the promotion of an endpoint; see :class:`ports.Duty`.
--- a/tests/test_commits_in_flight.py
+++ b/tests/test_commits_in_flight.py
@@ -33,12 +33,21 @@
         clients = [world.open(name, "latest") for name in world.nodes]
         await asyncio.gather(*(client.write() for client in clients))
         # The leader can query neither; the replica still receives from the primary.
-        others = builders_node.fill_connections(world, primary)
-        others += builders_node.fill_connections(world, replica)
+        others = []
+
+        async def fill():
+            while True:
+                for database in (primary, replica):
+                    others.extend(builders_node.fill_connections(world, database))
+                await asyncio.sleep(0.001)
+
+        filling = asyncio.create_task(fill())
+        await asyncio.sleep(0.0)
         primary.statement_seconds = 0.9
         writes = [asyncio.create_task(client.write()) for client in clients]
         await change(world, monkeypatch)
         answers = await asyncio.gather(*writes)
+        filling.cancel()
         assert any(answer.error is None for answer in answers)
         for connection in others:
             connection.close()
