Query the primary's position after a restart in a group without statements

With restarted replicas counted only once the primary has reported a position, a group without statements since the nodes' start got no other primary when its primary crashed. The leader queries the position 0.5 s after a restart unless an answer has shown it. tests/test_frozen_logs.py: the new test failed before (no promotion within 4 s); 28 pass.

--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -268,6 +268,11 @@
             self.removed_at[name] = clock.read()
             self._close_idle(endpoint)
 
+    def query_position(self, now: float) -> None:
+        """Probe the primary if it has answered nothing since a replica restarted."""
+        if self.is_serving() and self.restarts.needs_position(now):
+            self.probe(self.primary)
+
     def find_restarted(self, end: positions.Position) -> frozenset[str]:
         """Return the endpoints that may have lost commits beyond a log's end.
 
@@ -597,20 +602,23 @@
         sent_at: float,
         status: ports.LogStatus | None,
     ) -> None:
-        """Record the position in the primary's answer, if a read waits for one."""
+        """Record the position in the primary's answer.
+
+        For reads only if one waits for it.
+        """
         state = self.state
         if (
-            self._wants_position
-            and status is not None
+            status is not None
             and status.is_primary
             and endpoint is self.primary
             and state.phase is catalog.Phase.SERVING
             and status.term == state.term
             and self.lease.holds_lease(sent_at)
         ):
-            self._wants_position = False
-            self.lease.record_position(sent_at, status.received)
             self.restarts.record_position(sent_at, status.received)
+            if self._wants_position:
+                self._wants_position = False
+                self.lease.record_position(sent_at, status.received)
 
     def handle_rejection(
         self, endpoint: pool.Endpoint, owner_name: str, rejection: execution.Rejection
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -589,6 +589,8 @@
     def _maintain_group(self, group: groups.Group, now: float) -> None:
         group.close_surplus(now)
         group.refuse_unservable()
+        if self.leadership.leads(now):
+            group.query_position(now)
         for endpoint in list(group.endpoints.values()):
             if endpoint.needs_probe(now, pool.PROBE_AFTER, PROBE_RETRY_INTERVAL):
                 group.probe(endpoint)
--- a/src/sardinehold/node/restarts.py
+++ b/src/sardinehold/node/restarts.py
@@ -8,6 +8,10 @@
 
 from sardinehold.core import positions
 
+POSITION_WAIT = 0.5
+"""Seconds after a restart in which an answer to a statement may show the position; then
+the leader queries the primary."""
+
 
 class Restart:
     """The newest restart of an endpoint, or the start of this node.
@@ -47,6 +51,13 @@
             if restart.position is None and sent_at >= restart.at:
                 restart.position = position
 
+    def needs_position(self, now: float) -> bool:
+        """Return whether no answer has shown a position since a restart."""
+        return any(
+            restart.position is None and now > restart.at + POSITION_WAIT
+            for restart in self._by_name.values()
+        )
+
     def is_behind(self, end: positions.Position) -> bool:
         """Return whether a log lacks commits from before this node started.
 
--- a/tests/test_frozen_logs.py
+++ b/tests/test_frozen_logs.py
@@ -63,6 +63,21 @@
     builders_node.run_scenario(monkeypatch, scenario)
 
 
+def test_group_without_statements_is_not_kept_without_a_primary(monkeypatch):
+    # No answer of the primary shows since when the restarted replica is complete.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, replica, _ = cluster.databases.values()
+        builders_node.restart_database(world, replica)
+        await asyncio.sleep(3.0)
+        primary.crash()
+        await write_until(world, 4.0)
+        assert cluster.promoted
+        assert (await world.open("n1", "latest").write()).error is None
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
 def test_leader_that_started_after_a_replica_left_counts_it(monkeypatch):
     # The replica that left had the only copy; the one that remains lagged behind.
     async def scenario(world):
