Show that a restarted node takes the frozen end for its commits (LOST)

A node that restarts during a failover gets the end of the frozen logs as the primary's position and reports it as the newest acknowledged commit, while a replica restarted after the freeze and received a later one from it.

--- a/tests/test_frozen_logs.py
+++ b/tests/test_frozen_logs.py
@@ -173,6 +173,44 @@
     builders_node.run_scenario(monkeypatch, scenario)
 
 
+def test_node_that_restarts_after_the_freeze_does_not_know_its_commits(monkeypatch):
+    # It took the end of the frozen logs for what it had acknowledged.
+    monkeypatch.setattr(primary_lease, "LEASE", 1.5)
+
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, target, restarted = cluster.databases.values()
+        for name in ("n0", "n1"):
+            await world.open(name, "latest").write()
+        primary.unreachable |= {"n0", "n1"}
+        alone, other = world.open("n2", "latest"), world.open("n1", "latest")
+        world.tasks.start_soon(other.write)
+        while world.nodes["n1"].groups["g"].endpoints["g-0"].failing_since is None:
+            await asyncio.sleep(0.01)
+        world.store.cut.add("n2")
+        world.cuts |= {frozenset(("n2", "n0")), frozenset(("n2", "n1"))}
+        while not restarted.paused_term or not target.paused_term:
+            await asyncio.sleep(0.01)
+        builders_node.restart_database(world, restarted, True, is_published=False)
+        restarted.unreachable |= {"n0", "n1"}
+        assert (await alone.write()).error is None
+        world.kill_node("n2")
+        world.cuts.clear()
+        world.store.cut.clear()
+        primary.unreachable.add("n2")
+        world.start_node("n2", "south")
+        await asyncio.sleep(5.0)
+        for promoted in cluster.promoted:
+            assert set(cluster.acknowledged) <= promoted.kept
+        restarted.unreachable.clear()
+        primary.unreachable.clear()
+        await asyncio.sleep(4.0)
+        assert cluster.promoted
+        assert set(cluster.acknowledged) <= cluster.promoted[0].kept
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
 @pytest.mark.parametrize("moment", [0.02, 0.4, 0.8])
 @pytest.mark.parametrize("fault", ["drain", "crash", "crash of all"])
 @pytest.mark.parametrize("request_delay", [0.005, 0.7])
