Learn a restarted node's commits only from before the seal (LOST)

A node that restarted during a failover reported the end of the frozen logs as the newest commit of its earlier process.

--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -705,12 +705,17 @@
     def record_position(self, sent_at: float, position: positions.Position) -> None:
         """Record the primary's answer to a request sent under the lease.
 
-        The first one covers what this node acknowledged before a restart.
+        The first one covers what this node acknowledged before a restart, unless the
+        group is sealed: then it may be the end of frozen logs.
         """
         self.lease.record_position(sent_at, position)
         if position.term == self.lease.term:
             self.restarts.record_position(sent_at, position)
-        if self.commits.newest is None and sent_at >= self._commits_known_since:
+        is_serving = (
+            self.state is not None and self.state.phase is catalog.Phase.SERVING
+        )
+        since = self._commits_known_since
+        if is_serving and self.commits.newest is None and sent_at >= since:
             self.commits.newest = position
 
     def record_answer(
