--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -711,11 +711,9 @@
         self.lease.record_position(sent_at, position)
         if position.term == self.lease.term:
             self.restarts.record_position(sent_at, position)
-        is_serving = (
-            self.state is not None and self.state.phase is catalog.Phase.SERVING
-        )
+        is_sealed = self.state is not None and self.state.phase is catalog.Phase.SEALED
         since = self._commits_known_since
-        if is_serving and self.commits.newest is None and sent_at >= since:
+        if not is_sealed and self.commits.newest is None and sent_at >= since:
             self.commits.newest = position
 
     def record_answer(
