Log at which age a request without an answer was sent

order_lost tells now whether the owner sent a statement before or after its request had ended: sent_late can't, if the request ended while it waited there and no answer came.

--- a/src/sardinehold/node/execution.py
+++ b/src/sardinehold/node/execution.py
@@ -125,6 +125,10 @@
             return self.origin.ending
         return Ending.DEADLINE if now >= self.deadline else None
 
+    def measure_age(self) -> float | None:
+        """Return the seconds from its statement's arrival until it was sent."""
+        return None if self.sent_at is None else self.sent_at - self.origin.arrived_at
+
     def measure(self) -> int:
         """Return the characters of its statement and of the session's variables."""
         statement = self.statement
--- a/src/sardinehold/node/late_sends.py
+++ b/src/sardinehold/node/late_sends.py
@@ -67,6 +67,6 @@
             attempt=request.attempt.value,
             endpoint=request.endpoint,
             team=request.team,
-            age=request.sent_at - request.origin.arrived_at,
+            age=request.measure_age(),
             reason=ending.value,
         )
--- a/src/sardinehold/node/links.py
+++ b/src/sardinehold/node/links.py
@@ -275,7 +275,7 @@
                 self._note("order_rejected", request, error.reason)
         except ports.ConnectionLost as error:
             data = frames.pack(frames.LOST, number, error.was_sent, error.is_timeout)
-            self._note("order_lost", request, str(error))
+            self._note("order_lost", request, str(error), age=request.measure_age())
         finally:
             self.links.request_bytes -= reserved
             if stream.pooled is None:
@@ -287,7 +287,9 @@
             )
         self.send(data)
 
-    def _note(self, event: str, request: execution.Request, reason: str) -> None:
+    def _note(
+        self, event: str, request: execution.Request, reason: str, **fields: object
+    ) -> None:
         self.links.note(
             event,
             request=request.statement.request_id,
@@ -295,6 +297,7 @@
             team=request.team,
             peer=self.peer,
             reason=reason,
+            **fields,
         )
 
     def _handle_end(self, reason: str, was_up: bool) -> None:
--- a/src/sardinehold/node/occurrences.py
+++ b/src/sardinehold/node/occurrences.py
@@ -35,7 +35,7 @@
     "link_ended": "A link from another node ended; with the reason.",
     "link_refused": "A connection to this node's links was refused; with the reason.",
     "order_rejected": "This node, as owner of an endpoint, did not run a request.",
-    "order_lost": "This node, as owner of an endpoint, got no answer to a request.",
+    "order_lost": "As owner, this node got no answer to what it sent at this age.",
     "sent_late": "A statement was sent to an endpoint after its request had ended.",
     "sent_for_other_team": "A connection's team is not that of the statement on it.",
     "suspended": "This process did not run for seconds, or was busy if it computed.",
--- a/tests/test_late_sends.py
+++ b/tests/test_late_sends.py
@@ -84,6 +84,20 @@
     run(monkeypatch, scenario)
 
 
+def test_lost_order_says_at_which_age_it_was_sent(monkeypatch):
+    async def scenario(world, lines):
+        owner = world.nodes["n0"].groups["g"].endpoints["g-0"].owners[0]
+        entry = next(name for name in world.nodes if name != owner)
+        world.clusters["g"].databases["g-0"].lost_answers.add(f"r{world._requests + 1}")
+        await world.open(entry, "latest").write()
+        (lost,) = lines("order_lost")
+        assert lost["vm"] == owner
+        assert lost["age"] < 0.1
+        assert not lines("sent_late")
+
+    run(monkeypatch, scenario)
+
+
 def test_ordinary_read_has_no_further_fields(monkeypatch):
     async def scenario(world, lines):
         assert (await world.open("n1", "bounded").read()).error is None
