--- a/tests/test_commits_in_flight.py
+++ b/tests/test_commits_in_flight.py
@@ -33,12 +33,21 @@
         clients = [world.open(name, "latest") for name in world.nodes]
         await asyncio.gather(*(client.write() for client in clients))
         # The leader can query neither; the replica still receives from the primary.
-        others = builders_node.fill_connections(world, primary)
-        others += builders_node.fill_connections(world, replica)
+        others = []
+
+        async def fill():
+            while True:
+                for database in (primary, replica):
+                    others.extend(builders_node.fill_connections(world, database))
+                await asyncio.sleep(0.001)
+
+        filling = asyncio.create_task(fill())
+        await asyncio.sleep(0.0)
         primary.statement_seconds = 0.9
         writes = [asyncio.create_task(client.write()) for client in clients]
         await change(world, monkeypatch)
         answers = await asyncio.gather(*writes)
+        filling.cancel()
         assert any(answer.error is None for answer in answers)
         for connection in others:
             connection.close()
@@ -68,3 +77,24 @@
         assert not cluster.acknowledged
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_idle_connections_do_not_keep_the_leader_from_the_logs(monkeypatch):
+    # The databases were at their limits; the nodes' idle connections used up a third.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        callers = [
+            world.open(name, "session", key)
+            for name in world.nodes
+            for key in ("red-key", "blue-key")
+            for _ in range(10)
+        ]
+        assert (await world.open("n1", "latest").write()).error is None
+        await asyncio.gather(*(caller.read() for caller in callers))
+        for database in cluster.databases.values():
+            builders_node.fill_connections(world, database)
+        await suspect_primary(world, monkeypatch)
+        await asyncio.sleep(2.0)
+        assert cluster.promoted
+
+    builders_node.run_scenario(monkeypatch, scenario)
