--- a/bench/request_soak.py
+++ b/bench/request_soak.py
@@ -760,7 +760,16 @@
     ]
     last = max((run.ended_at for run in mine.values()), default=float("-inf"))
     if last < world.ended_at - 1.0:
-        found.append(f"RECOVER: no write to {group} is acknowledged after the faults")
+        state = ", ".join(
+            f"{item.name} is {'up' if item.is_up else 'down'}, "
+            f"{'primary' if item.is_primary else 'replica'}, term {item.term}, "
+            f"paused {item.paused_term}, log {len(item.log)}, {item.occupied} running"
+            for item in cluster.databases.values()
+        )
+        found.append(
+            f"RECOVER: no write to {group} is acknowledged at the end, the last one "
+            f"{world.ended_at - last:.1f} s before ({state})"
+        )
     return found, excused
 
 
