--- a/src/sardinehold_standins/group_in_memory.py
+++ b/src/sardinehold_standins/group_in_memory.py
@@ -234,7 +234,9 @@
             and not primary.is_cut_off
             and not replica.paused_term
         )
-        if is_received and primary.term == term:
+        # A log that was resumed meanwhile may be longer already.
+        is_new = replica.term < term or replica.log[: len(log)] != log
+        if is_received and primary.term == term and is_new:
             replica.is_primary = False
             replica.term = term
             replica.log = log
--- a/tests/test_group_in_memory.py
+++ b/tests/test_group_in_memory.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sardinehold.node import clock
 from sardinehold_standins import group_in_memory
 
 
@@ -52,3 +53,17 @@
         assert early.log == primary.log
 
     asyncio.run(scenario())
+
+
+def test_delivery_does_not_shorten_a_log_that_was_resumed_meanwhile(cluster):
+    async def scenario():
+        primary, early, late = cluster.databases.values()
+        await cluster.replicate(primary, "a")
+        await cluster.replicate(primary, "b")
+        connection = group_in_memory.DatabaseConnection(late, "", "")
+        await connection.resume(clock.read() + 1.0)
+        assert late.log == primary.log
+        await asyncio.sleep(0.11)
+        assert late.log == primary.log
+
+    asyncio.run(scenario())
