--- a/src/sardinehold/node/forwarding.py
+++ b/src/sardinehold/node/forwarding.py
@@ -221,6 +221,7 @@
         "_node_links",
         "_link",
         "_number",
+        "_is_closed",
         "_local_stream",
     )
 
@@ -233,6 +234,7 @@
         self._node_links = node_links
         self._link: links.Outbound | None = None
         self._number = 0
+        self._is_closed = False
         self._local_stream = executor.Stream()
 
     async def run(self, request: execution.Request) -> statements.Answer:
@@ -248,6 +250,10 @@
             if self._link is None:
                 self._link = await self._node_links.obtain(self.owner_name)
                 self._number = self._node_links.make_stream_number()
+            if self._is_closed:
+                raise execution.Rejected(
+                    execution.Rejection.AWAY, "the request was abandoned"
+                )
             if self._link is None:
                 raise execution.Rejected(
                     execution.Rejection.AWAY,
@@ -263,7 +269,11 @@
         return reply.answer
 
     def close(self) -> None:
-        """Close the stream; its open transaction is rolled back."""
+        """Close the stream; its open transaction is rolled back.
+
+        A request on it is withdrawn, unless the endpoint has received it.
+        """
+        self._is_closed = True
         if not self.owner_name:
             self._node_links.executor.abandon(self._local_stream)
         elif self._link is not None:
--- a/src/sardinehold/node/hedging.py
+++ b/src/sardinehold/node/hedging.py
@@ -1,9 +1,10 @@
 """Hedged requests: a read is sent to a second endpoint when the first is slow.
 
 Hedging covers lost answers and endpoints that became slow. The first success counts;
-the other attempt runs to its end, so that no connection is closed on which an answer
-may still arrive. A budget limits hedges to a small share of all reads, so that they
-cannot multiply an overload that causes them.
+the other attempt is sent nowhere else, but what an endpoint has received runs to its
+end, so that no connection is closed on which an answer may still arrive. A budget
+limits hedges to a small share of all reads, so that they cannot multiply an overload
+that causes them.
 """
 
 import asyncio
--- a/src/sardinehold/node/reading.py
+++ b/src/sardinehold/node/reading.py
@@ -46,6 +46,7 @@
 class ReadAttempt:
     """One attempt at a read, on one endpoint after the other until one serves it.
 
+    :param handled: the statement's handling; the attempt ends with it.
     :param assigned: done once the read has an endpoint, or none is available.
     :param endpoint: where it was sent last.
     :param avoided: endpoints that are not used.
@@ -54,6 +55,7 @@
 
     __slots__ = (
         "session",
+        "handled",
         "statement",
         "route",
         "team",
@@ -76,6 +78,7 @@
     ) -> None:
         """Create an attempt without an endpoint."""
         self.session = session
+        self.handled = session.handling
         self.statement = statement
         self.route = route
         self.team = team
@@ -106,6 +109,7 @@
         last = statements.Failure.TIMEOUT
         while clock.read() < self.deadline:
             assignment = await self.session.acquire(
+                self.handled,
                 self.route,
                 self.team,
                 self.arrived_at,
@@ -122,8 +126,9 @@
             last = answer.error
             if answer.error is None or not await self._may_go_on(answer.error):
                 return answer
-        if not self.session.trace.tries:
+        if not self.handled.trace.tries:
             raise self.session.make_refusal(
+                self.handled,
                 self.team,
                 "no owner of an endpoint accepted the read",
                 groups.RETRY_AFTER,
@@ -136,6 +141,7 @@
         """Return an endpoint's answer, None if another endpoint may give one."""
         try:
             return await self.session.run_on(
+                self.handled,
                 assignment,
                 self.statement,
                 self.route,
@@ -161,7 +167,7 @@
         is_last = self.session.is_last_allowed(self.route, self.team, avoided)
         if self.avoided or not avoided or is_last:
             raise self.session.make_refusal(
-                self.team, error.reason, error.retry_after
+                self.handled, self.team, error.reason, error.retry_after
             ) from error
         self.avoided |= avoided
 
@@ -199,7 +205,8 @@
     race.add(attempt.run)
     await asyncio.wait([attempt.assigned], timeout=deadline - arrived_at)
     answer = await race.wait(attempt.compute_hedge_delay())
-    if answer is None and session.node.hedge_budget.take():
+    is_late = answer is None and not session.handling.is_ended
+    if is_late and session.node.hedge_budget.take():
         session.node.registry.count("reads_hedged")
         second = ReadAttempt(session, statement, route, team, arrived_at, deadline)
         second.avoided = attempt.avoided | find_avoided(route, attempt.endpoint)
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -10,6 +10,7 @@
 from sardinehold.node import execution
 from sardinehold.node import groups
 from sardinehold.node import handlers
+from sardinehold.node import handling
 from sardinehold.node import outcomes
 from sardinehold.node import residency
 from sardinehold.node import statements
@@ -47,6 +48,7 @@
         self.prepared: dict[str, statements.Definition] = {}
         self.state_bytes = 0
         self.trace = outcomes.Trace()
+        self.handling = handling.Handling(self.values, self.trace)
         self.last_commit: positions.Position | None = None
         self.transaction: transactions.Transaction | None = None
         self.is_busy = False
@@ -98,6 +100,7 @@
         """Run a statement and return the caller's answer."""
         self.is_busy = True
         self.trace = outcomes.Trace()
+        self.handling = handling.Handling(self.values, self.trace)
         try:
             if statement.kind is not Kind.ROLLBACK:
                 self._check_transaction_key(statement)
@@ -122,6 +125,7 @@
             )
         finally:
             self.is_busy = False
+            self.handling.end()
             if self.is_closed:
                 self.close()
             else:
@@ -243,6 +247,7 @@
 
     async def acquire(
         self,
+        handled: handling.Handling,
         route: catalog.Route,
         team: str,
         arrived_at: float,
@@ -253,8 +258,10 @@
     ) -> waiting.Assignment:
         """Return an assignment to an endpoint that can run a statement.
 
-        :raises outcomes.StatementFailed: none is available in time.
+        :raises outcomes.StatementFailed: none is available in time, or the statement
+            has ended.
         """
+        handled.check()
         waiter = waiting.Waiter(
             team,
             route,
@@ -268,6 +275,7 @@
         )
         group = self.find_group(route)
         sent_at = clock.read()
+        handled.add(waiter.withdraw)
         try:
             return await group.acquire(waiter)
         except waiting.Refused as error:
@@ -275,9 +283,12 @@
                 self.node.evacuation_tasks.count("evacuation_refused", error.zone)
             if group.is_outside(waiter):
                 self._count_outside(waiter.regions)
-            raise self.make_refusal(team, error.reason, error.retry_after) from error
+            raise self.make_refusal(
+                handled, team, error.reason, error.retry_after
+            ) from error
         finally:
-            self.trace.waited += clock.read() - sent_at
+            handled.remove(waiter.withdraw)
+            handled.trace.waited += clock.read() - sent_at
 
     def _count_outside(self, regions: frozenset[str]) -> None:
         """Count a refusal because no endpoint is in an allowed region."""
@@ -285,10 +296,14 @@
         self.node.registry.count(metrics.label_name("region_refusals", reason=reason))
 
     def make_refusal(
-        self, team: str, reason: str, retry_after: float
+        self,
+        handled: handling.Handling,
+        team: str,
+        reason: str,
+        retry_after: float,
     ) -> outcomes.StatementFailed:
         """Return the refusal of an operation; return its token if it was never sent."""
-        if not self.trace.tries:
+        if not handled.trace.tries:
             self.node.refund_token(team)
         return outcomes.StatementFailed(
             statements.Failure.BUSY, outcomes.add_retry_hint(reason, retry_after)
@@ -296,6 +311,7 @@
 
     async def run_on(
         self,
+        handled: handling.Handling,
         assignment: waiting.Assignment,
         statement: statements.Statement,
         route: catalog.Route,
@@ -306,10 +322,12 @@
         """Run a statement on an endpoint and update the group from the answer.
 
         :param arrived_at: when its operation arrived.
-        :raises outcomes.StatementFailed: the key was withdrawn since then.
+        :raises outcomes.StatementFailed: the key was withdrawn since then, or the
+            statement has ended.
         :raises sardinehold.node.execution.Rejected: it was not sent to the endpoint.
         :raises sardinehold.node.ports.ConnectionLost: the connection to it broke.
         """
+        handled.check()
         self.check_key(team)
         stream = assignment.stream
         endpoint = stream.endpoint
@@ -320,7 +338,7 @@
                 execution.Rejection.AWAY,
                 f"the primary of group {group.name} is being replaced",
             )
-        trace = self.trace
+        trace = handled.trace
         trace.endpoint = endpoint.name
         trace.home = stream.owner_name or self.node.settings.name
         trace.after = assignment.after
@@ -332,7 +350,7 @@
             endpoint.name,
             team,
             statement,
-            self.values,
+            handled.values,
             deadline,
             arrived_at + route.target_latency,
             route.priority,
@@ -345,15 +363,17 @@
         group.commits.in_flight += proves_commit
         sent_at = clock.read()
         endpoint.view.record_sent(sent_at)
+        handled.add(stream.close)
         try:
             answer = await stream.run(request)
         except execution.Rejected as error:
             trace.tries -= 1
-            if not error.is_final:
+            if not (error.is_final or handled.is_ended):
                 group.handle_rejection(endpoint, stream.owner_name, error.rejection)
             self.node.cold_endpoints.record_rejection(group, endpoint, error)
             raise
         finally:
+            handled.remove(stream.close)
             endpoint.in_flight -= 1
             group.commits.in_flight -= proves_commit
             endpoint.view.record_ended(sent_at)
--- a/src/sardinehold/node/transactions.py
+++ b/src/sardinehold/node/transactions.py
@@ -148,7 +148,13 @@
         """Run a statement, retrying while the endpoint has no free slot."""
         while True:
             answer = await self.session.run_on(
-                assignment, statement, self.route, self.team, self.arrived_at, deadline
+                self.session.handling,
+                assignment,
+                statement,
+                self.route,
+                self.team,
+                self.arrived_at,
+                deadline,
             )
             if answer.error is not statements.Failure.BUSY:
                 return answer
@@ -173,6 +179,7 @@
         avoided: frozenset[str] = frozenset()
         while clock.read() < deadline:
             assignment = await self.session.acquire(
+                self.session.handling,
                 route,
                 self.team,
                 self.arrived_at,
@@ -183,7 +190,13 @@
             endpoint = assignment.stream.endpoint
             try:
                 answer = await self.session.run_on(
-                    assignment, self.begin, route, self.team, self.arrived_at, deadline
+                    self.session.handling,
+                    assignment,
+                    self.begin,
+                    route,
+                    self.team,
+                    self.arrived_at,
+                    deadline,
                 )
             except execution.Rejected as error:
                 if error.is_final:
@@ -217,7 +230,9 @@
 
     def _refuse(self, error: execution.Rejected) -> outcomes.StatementFailed:
         """Return the refusal of a transaction for which no endpoint has a slot."""
-        self.session.make_refusal(self.team, error.reason, error.retry_after)
+        self.session.make_refusal(
+            self.session.handling, self.team, error.reason, error.retry_after
+        )
         return outcomes.StatementFailed(
             statements.Failure.ABORTED,
             outcomes.add_retry_hint(error.reason, error.retry_after),
--- a/src/sardinehold/node/waiting.py
+++ b/src/sardinehold/node/waiting.py
@@ -67,6 +67,11 @@
         self.regions = regions
         self.future: asyncio.Future = asyncio.get_running_loop().create_future()
 
+    def withdraw(self) -> None:
+        """End the wait; the statement has ended."""
+        if not self.future.done():
+            self.future.set_exception(Refused("the statement has ended", 0.0))
+
 
 class Assignment:
     """A stream to the endpoint on which a statement is to run.
--- a/src/sardinehold/node/writing.py
+++ b/src/sardinehold/node/writing.py
@@ -24,17 +24,20 @@
     await session.node.acquire_token(
         team, deadline, route.priority, arrived_at + route.target_latency
     )
+    handled = session.handling
     group = session.find_group(route)
     while clock.read() < deadline:
-        assignment = await session.acquire(route, team, arrived_at, deadline, True)
+        assignment = await session.acquire(
+            handled, route, team, arrived_at, deadline, True
+        )
         try:
             answer = await session.run_on(
-                assignment, statement, route, team, arrived_at, deadline
+                handled, assignment, statement, route, team, arrived_at, deadline
             )
         except execution.Rejected as error:
             if error.is_final:
                 raise session.make_refusal(
-                    team, error.reason, error.retry_after
+                    handled, team, error.reason, error.retry_after
                 ) from error
             await asyncio.sleep(reading.REJECTED_RETRY_DELAY)
             continue
