--- a/src/sardinehold/node/handlers.py
+++ b/src/sardinehold/node/handlers.py
@@ -54,6 +54,7 @@
         now + route.statement_timeout,
         route.priority,
         now + route.target_latency,
+        session.handling,
     )
     idle_deadline = clock.read() + session.node.catalog.transaction_idle
     regions = session.find_regions(route, team)
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -27,6 +27,7 @@
 from sardinehold.node import executor
 from sardinehold.node import forwarding
 from sardinehold.node import groups
+from sardinehold.node import handling
 from sardinehold.node import hedging
 from sardinehold.node import journal
 from sardinehold.node import leader
@@ -326,16 +327,21 @@
         deadline: float,
         priority: int = 0,
         target_at: float | None = None,
+        handled: handling.Handling | None = None,
     ) -> None:
         """Take a token for one operation from a team's rate.
 
         :param priority: priority of the operation's route; 0 is served first.
         :param target_at: when the operation should be complete, by default its
             deadline.
-        :raises sardinehold.node.outcomes.Failed: the team has used its rate.
+        :param handled: the statement's handling; the wait ends with it.
+        :raises sardinehold.node.outcomes.StatementFailed: the team has used its rate,
+            or the statement has ended.
         """
         try:
-            await self.rate_limiter.acquire_token(team, deadline, priority, target_at)
+            await self.rate_limiter.acquire_token(
+                team, deadline, priority, target_at, handled
+            )
         except rate_limiter.RateLimitExceeded as error:
             name = metrics.label_name(
                 "rate_refusals", team=team, priority=str(priority), reason=error.reason
@@ -345,6 +351,9 @@
                 statements.Failure.BUSY,
                 outcomes.add_retry_hint(error, error.retry_after),
             ) from error
+        if handled is not None and handled.is_ended:
+            self.refund_token(team)
+            raise handling.make_failure()
 
     def _request_tokens(self, team: str) -> None:
         self.exchange.request_tokens(team)
--- a/src/sardinehold/node/rate_limiter.py
+++ b/src/sardinehold/node/rate_limiter.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import functools
 import math
 import typing
 
@@ -16,6 +17,7 @@
 from sardinehold.core import quota
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import handling
 from sardinehold.node import retry_schedule
 from sardinehold.node import sections
 from sardinehold.node import settings
@@ -213,13 +215,16 @@
         deadline: float,
         priority: int = 0,
         target_at: float | None = None,
+        handled: handling.Handling | None = None,
     ) -> None:
         """Take one token of a team, waiting for it; open routes have no rate.
 
         :param priority: priority of the operation's route; 0 is served first.
         :param target_at: when the operation should be complete, by default its
             deadline.
+        :param handled: the statement's handling; the wait ends with it.
         :raises RateLimitExceeded: no token becomes available in time.
+        :raises sardinehold.node.outcomes.StatementFailed: the statement has ended.
         """
         account = self.accounts.get(team)
         if account is None:
@@ -242,6 +247,9 @@
         )
         self._enqueue(account, waiter, now)
         self._request_soon(team)
+        withdraw = functools.partial(_withdraw, balance.waiting, waiter)
+        if handled is not None:
+            handled.add(withdraw)
         try:
             await self._wait(future, now, deadline)
             if future.done():
@@ -250,6 +258,8 @@
                 balance.waiting.remove(waiter)
                 raise RateLimitExceeded(team, self._promise_retry(account, deadline))
         finally:
+            if handled is not None:
+                handled.remove(withdraw)
             if waiter in balance.waiting:
                 balance.waiting.remove(waiter)
 
@@ -484,6 +494,13 @@
             self._request_soon(account.balance.owner)
 
 
+def _withdraw(waiting: token_queue.TokenQueue, waiter: token_queue.Waiter) -> None:
+    """End the wait of an operation that has ended, unless it has its token."""
+    if not waiter.future.done():
+        waiting.remove(waiter)
+        waiter.future.set_exception(handling.make_failure())
+
+
 def compute_wait_deadline(now: float, deadline: float, is_leader_new: bool) -> float:
     """Return until when an operation waits for a token.
 
--- a/src/sardinehold/node/reading.py
+++ b/src/sardinehold/node/reading.py
@@ -197,7 +197,11 @@
     arrived_at = clock.read()
     deadline = arrived_at + route.statement_timeout
     await session.node.acquire_token(
-        team, deadline, route.priority, arrived_at + route.target_latency
+        team,
+        deadline,
+        route.priority,
+        arrived_at + route.target_latency,
+        session.handling,
     )
     session.node.hedge_budget.record_read()
     attempt = ReadAttempt(session, statement, route, team, arrived_at, deadline)
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -161,6 +161,7 @@
         """Release what the session holds; its caller has disconnected."""
         self.is_closed = True
         if self.is_busy:
+            self.handling.end()
             return
         self._drop_transaction()
 
--- a/src/sardinehold/node/writing.py
+++ b/src/sardinehold/node/writing.py
@@ -22,7 +22,11 @@
     arrived_at = clock.read()
     deadline = arrived_at + route.statement_timeout
     await session.node.acquire_token(
-        team, deadline, route.priority, arrived_at + route.target_latency
+        team,
+        deadline,
+        route.priority,
+        arrived_at + route.target_latency,
+        session.handling,
     )
     handled = session.handling
     group = session.find_group(route)
--- a/tests/test_ended_requests.py
+++ b/tests/test_ended_requests.py
@@ -256,11 +256,12 @@
     return caller, transport
 
 
+@pytest.mark.parametrize("node", ["n0", "n1", "n2"])
 def test_caller_that_left_while_the_vm_was_suspended_is_noticed_first(
-    monkeypatch, starts
+    monkeypatch, starts, node
 ):
     async def scenario(world):
-        caller, _ = await connect(world, monkeypatch, "n1")
+        caller, _ = await connect(world, monkeypatch, node)
         # A caller's timeout is shorter than its route's here.
         suspend(monkeypatch, 0.6)
         caller.data_received(b"QUERY r2 WRITE a b\r\n")
