Send nothing to an endpoint after its deadline (UNASKED)

What was seen: a VM that was suspended sends, on waking, statements past their deadline; reads are answered TIMEOUT and writes INDOUBT, although neither had been sent.

Cause: only timers ended the wait for a slot, and they stand still with the VM; a slot that was given before them was used without a look at the clock.

Why it works: the owner compares the deadline with the clock before the session's variables are set and directly before the statement is sent.

--- a/src/sardinehold/node/executor.py
+++ b/src/sardinehold/node/executor.py
@@ -363,15 +363,11 @@
         sent_at = clock.read()
         pace = self._make_pace(group, pooled, stream, request)
         try:
+            self._check_start(group, pooled, stream, request)
             await connections.apply_session_state(pooled, request, pace)
             if pace is not None:
                 await pace()
-            if stream.is_abandoned:
-                raise self._reject_abandoned(stream, pooled)
-            if group.is_vacated(endpoint, clock.read()):
-                if stream.pooled is None:
-                    self.connections.release(pooled)
-                raise self._reject_evacuated(endpoint)
+            self._check_start(group, pooled, stream, request)
             sent_at = clock.read()
             endpoint.sent[pooled] = sent_at
             if proves_commit:
@@ -424,13 +420,32 @@
 
         return pace
 
-    def _reject_abandoned(
-        self, stream: Stream, pooled: pool.PooledConnection
-    ) -> execution.Rejected:
-        """Release the connection that was obtained for an abandoned stream."""
+    def _check_start(
+        self,
+        group: groups.Group,
+        pooled: pool.PooledConnection,
+        stream: Stream,
+        request: execution.Request,
+    ) -> None:
+        """Release the connection of a request that may not be sent any more.
+
+        :raises sardinehold.node.execution.Rejected: it may not.
+        """
+        now = clock.read()
+        if stream.is_abandoned:
+            error = execution.Rejected(
+                execution.Rejection.AWAY, "the request was abandoned"
+            )
+        elif group.is_vacated(pooled.endpoint, now):
+            error = self._reject_evacuated(pooled.endpoint)
+        elif now >= request.deadline:
+            # Timers stand still while the VM is suspended.
+            error = self._reject_full(pooled.endpoint, "its deadline passed")
+        else:
+            return
         if stream.pooled is None:
             self.connections.release(pooled)
-        return execution.Rejected(execution.Rejection.AWAY, "the request was abandoned")
+        raise error
 
     def _record_answer(
         self,
