--- a/src/sardinehold/node/handlers.py
+++ b/src/sardinehold/node/handlers.py
@@ -51,7 +51,7 @@
     now = clock.read()
     await session.node.acquire_token(
         team,
-        now + route.statement_timeout,
+        session.find_deadline(route),
         route.priority,
         now + route.target_latency,
         session.handling,
--- a/src/sardinehold/node/handling.py
+++ b/src/sardinehold/node/handling.py
@@ -15,15 +15,20 @@
 class Handling:
     """One statement that a node handles for a caller.
 
+    :param received_at: when it may have reached this node; its deadline counts from
+        then.
     :param values: the session's variables when the statement arrived.
     :param trace: how it was executed.
     :param is_ended: whether nothing of it may be sent any more.
     """
 
-    __slots__ = ("values", "trace", "is_ended", "_withdrawals")
+    __slots__ = ("received_at", "values", "trace", "is_ended", "_withdrawals")
 
-    def __init__(self, values: dict[str, str], trace: outcomes.Trace) -> None:
+    def __init__(
+        self, received_at: float, values: dict[str, str], trace: outcomes.Trace
+    ) -> None:
         """Begin to handle a statement."""
+        self.received_at = received_at
         self.values = values
         self.trace = trace
         self.is_ended = False
--- a/src/sardinehold/node/loops.py
+++ b/src/sardinehold/node/loops.py
@@ -13,6 +13,11 @@
 as a statement needs from its arrival to the endpoint."""
 
 
+SETTLE_ROUNDS = MAX_ROUNDS + 3
+"""Rounds that include a poll of the kernel, the reading of what it reports, and the
+callback for the end of a connection."""
+
+
 class Selector(selectors.DefaultSelector):
     """Selector that polls the kernel when idle, or every ``MAX_ROUNDS`` rounds."""
 
@@ -37,6 +42,15 @@
         return super().select(timeout)
 
 
+async def settle() -> None:
+    """Wait until what the kernel held has been received, such as a connection's end.
+
+    Data and the end of its connection are received in two polls.
+    """
+    for _ in range(SETTLE_ROUNDS):
+        await asyncio.sleep(0)
+
+
 def make_loop() -> asyncio.AbstractEventLoop:
     """Return a new event loop."""
     return asyncio.SelectorEventLoop(Selector())
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -60,6 +60,10 @@
 MAINTENANCE_INTERVAL = 0.05
 """Seconds between checks of idle transactions and silent endpoints."""
 
+MAX_PAUSE = 0.2
+"""Seconds without a check of maintenance after which the process counts as suspended;
+longer than a busy event loop delays one."""
+
 CONFIGURATION_TIMEOUT = 1.5
 """Seconds that a new caller waits while the node has no configuration yet; callers time
 out after two."""
@@ -161,6 +165,7 @@
         self._closes_sessions = False
         self._failing: set[str] = set()
         self._final: set[str] = set()
+        self._awake_at = clock.read()
         self._refreshed_at = float("-inf")
         self.store_readers = store_readers.StoreReaders(self)
         self.store_mirror = store_mirror.StoreMirror(self)
@@ -224,6 +229,13 @@
 
     # Serving
 
+    def date_input(self, now: float) -> float:
+        """Return when what is received now may have reached this node.
+
+        While a VM is suspended, its kernel or its peers hold what is sent to it.
+        """
+        return self._awake_at if now - self._awake_at > MAX_PAUSE else now
+
     def is_ready(self) -> bool:
         """Return whether new callers can be served."""
         return (
@@ -537,7 +549,7 @@
         while True:
             due = clock.read() + MAINTENANCE_INTERVAL
             await anyio.sleep(MAINTENANCE_INTERVAL)
-            now = clock.read()
+            now = self._awake_at = clock.read()
             self.exchange_load.observe_loop_delay(now - due)
             self.exchange_load.write_line(now, self._describe_exchange)
             for caller in list(self.callers):
--- a/src/sardinehold/node/reading.py
+++ b/src/sardinehold/node/reading.py
@@ -195,7 +195,7 @@
     """Run a read outside a transaction; hedge it if it is late."""
     route, team = session.authorize()
     arrived_at = clock.read()
-    deadline = arrived_at + route.statement_timeout
+    deadline = session.find_deadline(route)
     await session.node.acquire_token(
         team,
         deadline,
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -48,7 +48,7 @@
         self.prepared: dict[str, statements.Definition] = {}
         self.state_bytes = 0
         self.trace = outcomes.Trace()
-        self.handling = handling.Handling(self.values, self.trace)
+        self.handling = handling.Handling(clock.read(), self.values, self.trace)
         self.last_commit: positions.Position | None = None
         self.transaction: transactions.Transaction | None = None
         self.is_busy = False
@@ -80,6 +80,20 @@
         self.trace.group = route.group
         return route, team
 
+    def find_deadline(self, route: catalog.Route) -> float:
+        """Return the deadline of the statement that is handled.
+
+        :raises outcomes.StatementFailed: it has passed; nothing was sent.
+        """
+        deadline = self.handling.received_at + route.statement_timeout
+        if clock.read() >= deadline:
+            raise outcomes.StatementFailed(
+                statements.Failure.BUSY,
+                "this node was suspended, and the statement may have arrived before"
+                " its timeout: not run; retry it",
+            )
+        return deadline
+
     def check_key(self, team: str) -> None:
         """Check that the key still identifies the team that a statement runs for.
 
@@ -98,9 +112,14 @@
 
     async def handle(self, statement: statements.Statement) -> statements.Answer:
         """Run a statement and return the caller's answer."""
+        received_at = statement.received_at
         self.is_busy = True
         self.trace = outcomes.Trace()
-        self.handling = handling.Handling(self.values, self.trace)
+        self.handling = handling.Handling(
+            clock.read() if received_at is None else received_at,
+            self.values,
+            self.trace,
+        )
         try:
             if statement.kind is not Kind.ROLLBACK:
                 self._check_transaction_key(statement)
--- a/src/sardinehold/node/statements.py
+++ b/src/sardinehold/node/statements.py
@@ -27,6 +27,7 @@
     :param value: value that SET assigns to the variable.
     :param definition: definition of a PREPARE or EXECUTE, None for other kinds.
     :param arguments: arguments of EXECUTE, as sent.
+    :param received_at: when it may have reached this node, None if just now.
     """
 
     __slots__ = (
@@ -37,6 +38,7 @@
         "value",
         "definition",
         "arguments",
+        "received_at",
     )
 
     def __init__(
@@ -57,6 +59,7 @@
         self.value = value
         self.definition = definition
         self.arguments = arguments
+        self.received_at: float | None = None
 
 
 class Definition:
--- a/src/sardinehold/node/transactions.py
+++ b/src/sardinehold/node/transactions.py
@@ -105,8 +105,11 @@
         """Run a statement of the transaction."""
         self.session.trace.team = self.team
         self.session.trace.group = self.route.group
-        now = clock.read()
-        deadline = now + self.route.statement_timeout
+        try:
+            deadline = self.session.find_deadline(self.route)
+        except outcomes.StatementFailed:
+            self._mark_aborted()
+            raise
         if self.stream is None:
             await self._begin(deadline)
         assignment = waiting.Assignment(self.stream)
@@ -242,8 +245,8 @@
         """Commit; once it was sent, the outcome may be unknown."""
         self.session.trace.team = self.team
         self.session.trace.group = self.route.group
-        deadline = clock.read() + self.route.statement_timeout
         try:
+            deadline = self.session.find_deadline(self.route)
             if self.stream is None:
                 await self._begin(deadline)
             assignment = waiting.Assignment(self.stream)
--- a/src/sardinehold/node/writing.py
+++ b/src/sardinehold/node/writing.py
@@ -20,7 +20,7 @@
     """Run a write outside a transaction, at most once."""
     route, team = session.authorize()
     arrived_at = clock.read()
-    deadline = arrived_at + route.statement_timeout
+    deadline = session.find_deadline(route)
     await session.node.acquire_token(
         team,
         deadline,
--- a/src/sardinehold/platform/callers.py
+++ b/src/sardinehold/platform/callers.py
@@ -6,6 +6,7 @@
 
 from sardinehold.node import caller_limits
 from sardinehold.node import clock
+from sardinehold.node import loops
 from sardinehold.node import outcomes
 from sardinehold.node import session as sessions
 from sardinehold.node import statements
@@ -177,6 +178,8 @@
         self._unread_bytes = 0
         self._is_running = False
         self._is_sending = False
+        self._received_at: float | None = None
+        self._is_unsettled = False
         self._is_ended = False
         self._is_paused = False
         self._has_long_line = False
@@ -239,6 +242,7 @@
         elif completed or not was_unfinished:
             self._start_line()
         if self._lines.has_lines():
+            self._date_lines()
             self._start_running()
         self._update_held()
         self._pause_if_full()
@@ -257,6 +261,14 @@
         self._update_held()
         self._start_running()
 
+    def _date_lines(self) -> None:
+        """Date lines that were received after a suspension of the VM."""
+        now = clock.read()
+        received_at = self._node.date_input(now)
+        if received_at < now and self._received_at is None:
+            self._received_at = received_at
+            self._is_unsettled = True
+
     def _start_running(self) -> None:
         """Run the lines that wait."""
         if not self._is_running:
@@ -307,6 +319,11 @@
     async def _run(self) -> None:
         try:
             while self._lines.has_lines() and not self._is_ended:
+                if self._is_unsettled:
+                    # The caller may have left meanwhile.
+                    self._is_unsettled = False
+                    await loops.settle()
+                    continue
                 await self._handle_next_line()
                 await self._writable.wait()
                 self._running_bytes = 0
@@ -318,6 +335,7 @@
             if self._has_long_line and not self._is_ended:
                 self._refuse(statements.Failure.TOO_LARGE)
         finally:
+            self._received_at = None
             self._is_running = False
             self._account.is_occupied = False
             self._account.has_transaction = (
@@ -380,6 +398,7 @@
                 [], error=statements.Failure.MALFORMED, status=self.session.status
             )
         else:
+            statement.received_at = self._received_at
             answer = await self._node.serve(self.session, statement)
         await self._send_answer(answer)
         if outcomes.ends_session(answer):
