--- a/src/sardinehold/node/reading.py
+++ b/src/sardinehold/node/reading.py
@@ -65,6 +65,7 @@
         "endpoint",
         "avoided",
         "diverted",
+        "is_hedge",
     )
 
     def __init__(
@@ -75,6 +76,7 @@
         team: str,
         arrived_at: float,
         deadline: float,
+        is_hedge: bool = False,
     ) -> None:
         """Create an attempt without an endpoint."""
         self.session = session
@@ -88,6 +90,7 @@
         self.endpoint: pool.Endpoint | None = None
         self.avoided: frozenset[str] = frozenset()
         self.diverted: frozenset[str] = frozenset()
+        self.is_hedge = is_hedge
 
     def compute_hedge_delay(self) -> float:
         """Return the seconds after which the read is hedged."""
@@ -148,6 +151,7 @@
                 self.team,
                 self.arrived_at,
                 self.deadline,
+                self.is_hedge,
             )
         except execution.Rejected as error:
             if error.rejection is execution.Rejection.DIVERTED:
@@ -212,7 +216,12 @@
     is_late = answer is None and not session.handling.is_ended
     if is_late and session.node.hedge_budget.take():
         session.node.registry.count("reads_hedged")
-        second = ReadAttempt(session, statement, route, team, arrived_at, deadline)
+        session.trace.hedges += 1
+        second = ReadAttempt(
+            session, statement, route, team, arrived_at, deadline, is_hedge=True
+        )
         second.avoided = attempt.avoided | find_avoided(route, attempt.endpoint)
         race.add(second.run)
-    return answer or await race.wait()
+    answer = answer or await race.wait()
+    session.trace.unfinished = race.count_running()
+    return answer
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -120,6 +120,7 @@
             self.values,
             self.trace,
         )
+        origin = self.trace.origin
         try:
             if statement.kind is not Kind.ROLLBACK:
                 self._check_transaction_key(statement)
@@ -143,6 +144,7 @@
                 [], error=error.failure, detail=error.detail, status=self.status
             )
         finally:
+            origin.end(execution.Ending.ANSWERED)
             self.is_busy = False
             self.handling.end()
             if self.is_closed:
@@ -180,6 +182,7 @@
         """Release what the session holds; its caller has disconnected."""
         self.is_closed = True
         if self.is_busy:
+            self.trace.origin.end(execution.Ending.LEFT)
             self.handling.end()
             return
         self._drop_transaction()
@@ -338,6 +341,7 @@
         team: str,
         arrived_at: float,
         deadline: float,
+        is_hedge: bool = False,
     ) -> statements.Answer:
         """Run a statement on an endpoint and update the group from the answer.
 
@@ -365,6 +369,7 @@
         trace.skipped = assignment.skipped
         trace.tries += 1
         trace.lease_age = clock.read() - group.lease.as_of
+        origin = trace.origin
         request = execution.Request(
             route.group,
             endpoint.name,
@@ -377,7 +382,10 @@
             assignment.after,
             self.transaction is not None and self.transaction.stream is stream,
             assignment.divert_at,
+            origin,
+            execution.Attempt.HEDGE if is_hedge else origin.find_attempt(statement),
         )
+        sent_before, origin.sent = origin.sent, statement
         was_open = self.transaction is not None
         endpoint.in_flight += 1
         group.commits.in_flight += proves_commit
@@ -388,6 +396,7 @@
             answer = await stream.run(request)
         except execution.Rejected as error:
             trace.tries -= 1
+            origin.sent = sent_before
             if not (error.is_final or handled.is_ended):
                 group.handle_rejection(endpoint, stream.owner_name, error.rejection)
             self.node.cold_endpoints.record_rejection(group, endpoint, error)
@@ -397,6 +406,8 @@
             endpoint.in_flight -= 1
             group.commits.in_flight -= proves_commit
             endpoint.view.record_ended(sent_at)
+        if stream.owner_name:
+            self.node.late_sends.check_forwarded(request, sent_at)
         trace.position = answer.position
         is_done = answer.error is None and answer.status == "I"
         group.record_answer(
