--- a/src/sardinehold/node/handlers.py
+++ b/src/sardinehold/node/handlers.py
@@ -51,9 +51,10 @@
     now = clock.read()
     await session.node.acquire_token(
         team,
-        now + route.statement_timeout,
+        session.find_deadline(route),
         route.priority,
         now + route.target_latency,
+        session.handling,
     )
     idle_deadline = clock.read() + session.node.catalog.transaction_idle
     regions = session.find_regions(route, team)
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -28,6 +28,7 @@
 from sardinehold.node import executor
 from sardinehold.node import forwarding
 from sardinehold.node import groups
+from sardinehold.node import handling
 from sardinehold.node import hedging
 from sardinehold.node import journal
 from sardinehold.node import late_sends
@@ -61,6 +62,10 @@
 MAINTENANCE_INTERVAL = 0.05
 """Seconds between checks of idle transactions and silent endpoints."""
 
+MAX_PAUSE = 0.2
+"""Seconds without a check of maintenance after which the process counts as suspended;
+longer than a busy event loop delays one."""
+
 CONFIGURATION_TIMEOUT = 1.5
 """Seconds that a new caller waits while the node has no configuration yet; callers time
 out after two."""
@@ -167,6 +172,7 @@
         self._closes_sessions = False
         self._failing: set[str] = set()
         self._final: set[str] = set()
+        self._awake_at = clock.read()
         self._refreshed_at = float("-inf")
         self.store_readers = store_readers.StoreReaders(self)
         self.store_mirror = store_mirror.StoreMirror(self)
@@ -230,6 +236,13 @@
 
     # Serving
 
+    def date_input(self, now: float) -> float:
+        """Return when what is received now may have reached this node.
+
+        While a VM is suspended, its kernel or its peers hold what is sent to it.
+        """
+        return self._awake_at if now - self._awake_at > MAX_PAUSE else now
+
     def is_ready(self) -> bool:
         """Return whether new callers can be served."""
         return (
@@ -333,16 +346,21 @@
         deadline: float,
         priority: int = 0,
         target_at: float | None = None,
+        handled: handling.Handling | None = None,
     ) -> None:
         """Take a token for one operation from a team's rate.
 
         :param priority: priority of the operation's route; 0 is served first.
         :param target_at: when the operation should be complete, by default its
             deadline.
-        :raises sardinehold.node.outcomes.Failed: the team has used its rate.
+        :param handled: the statement's handling; the wait ends with it.
+        :raises sardinehold.node.outcomes.StatementFailed: the team has used its rate,
+            or the statement has ended.
         """
         try:
-            await self.rate_limiter.acquire_token(team, deadline, priority, target_at)
+            await self.rate_limiter.acquire_token(
+                team, deadline, priority, target_at, handled
+            )
         except rate_limiter.RateLimitExceeded as error:
             name = metrics.label_name(
                 "rate_refusals", team=team, priority=str(priority), reason=error.reason
@@ -352,6 +370,9 @@
                 statements.Failure.BUSY,
                 outcomes.add_retry_hint(error, error.retry_after),
             ) from error
+        if handled is not None and handled.is_ended:
+            self.refund_token(team)
+            raise handling.make_failure()
 
     def _request_tokens(self, team: str) -> None:
         self.exchange.request_tokens(team)
@@ -536,7 +557,7 @@
             due = clock.read() + MAINTENANCE_INTERVAL
             computed = time.process_time()
             await anyio.sleep(MAINTENANCE_INTERVAL)
-            now = clock.read()
+            now = self._awake_at = clock.read()
             if now - due > SUSPENDED_AFTER:
                 self.journal.note(
                     "suspended",
--- a/src/sardinehold/node/reading.py
+++ b/src/sardinehold/node/reading.py
@@ -46,15 +46,16 @@
 class ReadAttempt:
     """One attempt at a read, on one endpoint after the other until one serves it.
 
+    :param handled: the statement's handling; the attempt ends with it.
     :param assigned: done once the read has an endpoint, or none is available.
     :param endpoint: where it was sent last.
     :param avoided: endpoints that are not used.
     :param diverted: endpoints whose owners sent the read back.
-    :param origin: the arrival of the statement; the session may be at a later one.
     """
 
     __slots__ = (
         "session",
+        "handled",
         "statement",
         "route",
         "team",
@@ -64,7 +65,6 @@
         "endpoint",
         "avoided",
         "diverted",
-        "origin",
         "is_hedge",
     )
 
@@ -80,6 +80,7 @@
     ) -> None:
         """Create an attempt without an endpoint."""
         self.session = session
+        self.handled = session.handling
         self.statement = statement
         self.route = route
         self.team = team
@@ -89,7 +90,6 @@
         self.endpoint: pool.Endpoint | None = None
         self.avoided: frozenset[str] = frozenset()
         self.diverted: frozenset[str] = frozenset()
-        self.origin = session.trace.origin
         self.is_hedge = is_hedge
 
     def compute_hedge_delay(self) -> float:
@@ -112,6 +112,7 @@
         last = statements.Failure.TIMEOUT
         while clock.read() < self.deadline:
             assignment = await self.session.acquire(
+                self.handled,
                 self.route,
                 self.team,
                 self.arrived_at,
@@ -128,8 +129,9 @@
             last = answer.error
             if answer.error is None or not await self._may_go_on(answer.error):
                 return answer
-        if not self.session.trace.tries:
+        if not self.handled.trace.tries:
             raise self.session.make_refusal(
+                self.handled,
                 self.team,
                 "no owner of an endpoint accepted the read",
                 groups.RETRY_AFTER,
@@ -142,13 +144,13 @@
         """Return an endpoint's answer, None if another endpoint may give one."""
         try:
             return await self.session.run_on(
+                self.handled,
                 assignment,
                 self.statement,
                 self.route,
                 self.team,
                 self.arrived_at,
                 self.deadline,
-                self.origin,
                 self.is_hedge,
             )
         except execution.Rejected as error:
@@ -169,7 +171,7 @@
         is_last = self.session.is_last_allowed(self.route, self.team, avoided)
         if self.avoided or not avoided or is_last:
             raise self.session.make_refusal(
-                self.team, error.reason, error.retry_after
+                self.handled, self.team, error.reason, error.retry_after
             ) from error
         self.avoided |= avoided
 
@@ -197,9 +199,13 @@
     """Run a read outside a transaction; hedge it if it is late."""
     route, team = session.authorize()
     arrived_at = clock.read()
-    deadline = arrived_at + route.statement_timeout
+    deadline = session.find_deadline(route)
     await session.node.acquire_token(
-        team, deadline, route.priority, arrived_at + route.target_latency
+        team,
+        deadline,
+        route.priority,
+        arrived_at + route.target_latency,
+        session.handling,
     )
     session.node.hedge_budget.record_read()
     attempt = ReadAttempt(session, statement, route, team, arrived_at, deadline)
@@ -207,7 +213,8 @@
     race.add(attempt.run)
     await asyncio.wait([attempt.assigned], timeout=deadline - arrived_at)
     answer = await race.wait(attempt.compute_hedge_delay())
-    if answer is None and session.node.hedge_budget.take():
+    is_late = answer is None and not session.handling.is_ended
+    if is_late and session.node.hedge_budget.take():
         session.node.registry.count("reads_hedged")
         session.trace.hedges += 1
         second = ReadAttempt(
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -10,6 +10,7 @@
 from sardinehold.node import execution
 from sardinehold.node import groups
 from sardinehold.node import handlers
+from sardinehold.node import handling
 from sardinehold.node import outcomes
 from sardinehold.node import residency
 from sardinehold.node import statements
@@ -47,6 +48,7 @@
         self.prepared: dict[str, statements.Definition] = {}
         self.state_bytes = 0
         self.trace = outcomes.Trace()
+        self.handling = handling.Handling(clock.read(), self.values, self.trace)
         self.last_commit: positions.Position | None = None
         self.transaction: transactions.Transaction | None = None
         self.is_busy = False
@@ -78,6 +80,20 @@
         self.trace.group = route.group
         return route, team
 
+    def find_deadline(self, route: catalog.Route) -> float:
+        """Return the deadline of the statement that is handled.
+
+        :raises outcomes.StatementFailed: it has passed; nothing was sent.
+        """
+        deadline = self.handling.received_at + route.statement_timeout
+        if clock.read() >= deadline:
+            raise outcomes.StatementFailed(
+                statements.Failure.BUSY,
+                "this node was suspended, and the statement may have arrived before"
+                " its timeout: not run; retry it",
+            )
+        return deadline
+
     def check_key(self, team: str) -> None:
         """Check that the key still identifies the team that a statement runs for.
 
@@ -96,8 +112,14 @@
 
     async def handle(self, statement: statements.Statement) -> statements.Answer:
         """Run a statement and return the caller's answer."""
+        received_at = statement.received_at
         self.is_busy = True
         self.trace = outcomes.Trace()
+        self.handling = handling.Handling(
+            clock.read() if received_at is None else received_at,
+            self.values,
+            self.trace,
+        )
         origin = self.trace.origin
         try:
             if statement.kind is not Kind.ROLLBACK:
@@ -124,6 +146,7 @@
         finally:
             origin.end(execution.Ending.ANSWERED)
             self.is_busy = False
+            self.handling.end()
             if self.is_closed:
                 self.close()
             else:
@@ -160,6 +183,7 @@
         self.is_closed = True
         if self.is_busy:
             self.trace.origin.end(execution.Ending.LEFT)
+            self.handling.end()
             return
         self._drop_transaction()
 
@@ -246,6 +270,7 @@
 
     async def acquire(
         self,
+        handled: handling.Handling,
         route: catalog.Route,
         team: str,
         arrived_at: float,
@@ -256,8 +281,10 @@
     ) -> waiting.Assignment:
         """Return an assignment to an endpoint that can run a statement.
 
-        :raises outcomes.StatementFailed: none is available in time.
+        :raises outcomes.StatementFailed: none is available in time, or the statement
+            has ended.
         """
+        handled.check()
         waiter = waiting.Waiter(
             team,
             route,
@@ -271,6 +298,7 @@
         )
         group = self.find_group(route)
         sent_at = clock.read()
+        handled.add(waiter.withdraw)
         try:
             return await group.acquire(waiter)
         except waiting.Refused as error:
@@ -278,9 +306,12 @@
                 self.node.evacuation_tasks.count("evacuation_refused", error.zone)
             if group.is_outside(waiter):
                 self._count_outside(waiter.regions)
-            raise self.make_refusal(team, error.reason, error.retry_after) from error
+            raise self.make_refusal(
+                handled, team, error.reason, error.retry_after
+            ) from error
         finally:
-            self.trace.waited += clock.read() - sent_at
+            handled.remove(waiter.withdraw)
+            handled.trace.waited += clock.read() - sent_at
 
     def _count_outside(self, regions: frozenset[str]) -> None:
         """Count a refusal because no endpoint is in an allowed region."""
@@ -288,10 +319,14 @@
         self.node.registry.count(metrics.label_name("region_refusals", reason=reason))
 
     def make_refusal(
-        self, team: str, reason: str, retry_after: float
+        self,
+        handled: handling.Handling,
+        team: str,
+        reason: str,
+        retry_after: float,
     ) -> outcomes.StatementFailed:
         """Return the refusal of an operation; return its token if it was never sent."""
-        if not self.trace.tries:
+        if not handled.trace.tries:
             self.node.refund_token(team)
         return outcomes.StatementFailed(
             statements.Failure.BUSY, outcomes.add_retry_hint(reason, retry_after)
@@ -299,24 +334,24 @@
 
     async def run_on(
         self,
+        handled: handling.Handling,
         assignment: waiting.Assignment,
         statement: statements.Statement,
         route: catalog.Route,
         team: str,
         arrived_at: float,
         deadline: float,
-        origin: execution.Origin | None = None,
         is_hedge: bool = False,
     ) -> statements.Answer:
         """Run a statement on an endpoint and update the group from the answer.
 
         :param arrived_at: when its operation arrived.
-        :param origin: the arrival that it serves, by default that of the session's
-            current statement.
-        :raises outcomes.StatementFailed: the key was withdrawn since then.
+        :raises outcomes.StatementFailed: the key was withdrawn since then, or the
+            statement has ended.
         :raises sardinehold.node.execution.Rejected: it was not sent to the endpoint.
         :raises sardinehold.node.ports.ConnectionLost: the connection to it broke.
         """
+        handled.check()
         self.check_key(team)
         stream = assignment.stream
         endpoint = stream.endpoint
@@ -327,20 +362,20 @@
                 execution.Rejection.AWAY,
                 f"the primary of group {group.name} is being replaced",
             )
-        trace = self.trace
+        trace = handled.trace
         trace.endpoint = endpoint.name
         trace.home = stream.owner_name or self.node.settings.name
         trace.after = assignment.after
         trace.skipped = assignment.skipped
         trace.tries += 1
         trace.lease_age = clock.read() - group.lease.as_of
-        origin = origin if origin is not None else trace.origin
+        origin = trace.origin
         request = execution.Request(
             route.group,
             endpoint.name,
             team,
             statement,
-            self.values,
+            handled.values,
             deadline,
             arrived_at + route.target_latency,
             route.priority,
@@ -356,16 +391,18 @@
         group.commits.in_flight += proves_commit
         sent_at = clock.read()
         endpoint.view.record_sent(sent_at)
+        handled.add(stream.close)
         try:
             answer = await stream.run(request)
         except execution.Rejected as error:
             trace.tries -= 1
             origin.sent = sent_before
-            if not error.is_final:
+            if not (error.is_final or handled.is_ended):
                 group.handle_rejection(endpoint, stream.owner_name, error.rejection)
             self.node.cold_endpoints.record_rejection(group, endpoint, error)
             raise
         finally:
+            handled.remove(stream.close)
             endpoint.in_flight -= 1
             group.commits.in_flight -= proves_commit
             endpoint.view.record_ended(sent_at)
