Show that requests for several groups lower the fencing token (ONE)

The rule ONE forbids to send a lower token than the platform has seen, and names no group. One leader that replaces the primaries of three groups at once sends a token for each; a request that connects faster overtakes one with a lower token.

--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -111,7 +111,12 @@
     async def promote(self, group, endpoint, holder, token, deadline):
         world = self.world
         cluster = world.clusters[group]
+        if world.connect_delays:
+            await asyncio.sleep(world.connect_delays.pop(0))
+            if clock.read() >= deadline:
+                raise errors.PlatformError("It was not sent.", "It is repeated.")
         cluster.promotions.append((holder, token, endpoint))
+        world.promotions.append((group, holder, token))
         delay = world.request_delays.pop(0) if world.request_delays else 0.005
         world.tasks.start_soon(self._execute, cluster, endpoint, delay)
         world.requesting.append(holder)
@@ -251,10 +256,12 @@
     cold_rate: float = 0.0,
     cold_start: float = 0.0,
     regions: dict[str, list[str]] | None = None,
+    further: list[str] | None = None,
 ) -> catalog.Catalog:
     """Return a configuration with one route of each kind to one group.
 
     :param teams: rate and burst of each further team.
+    :param further: further groups, each with a route of its name.
     :param regions: allowed regions by the name of a route or team.
     """
     allowed = {name: frozenset(found) for name, found in (regions or {}).items()}
@@ -264,6 +271,8 @@
         "bounded": catalog.Route("bounded", "g", kinds.BOUNDED, 1.5, timeout),
         "session": catalog.Route("session", "g", kinds.SESSION, 2.5, timeout),
     }
+    for name in further or ():
+        routes[name] = catalog.Route(name, name, kinds.LATEST, 0.0, timeout)
     more = teams or {}
     found = catalog.Catalog(
         version,
@@ -274,7 +283,10 @@
             **{name: catalog.Team(name, *limits) for name, limits in more.items()},
         },
         {"red-key": "red", "blue-key": "blue"} if keys is None else keys,
-        {"g": catalog.Group("g", connections, 1, cold_rate, cold_start)},
+        {
+            name: catalog.Group(name, connections, 1, cold_rate, cold_start)
+            for name in ("g", *(further or ()))
+        },
         3.0,
     )
     for entry in (*found.routes.values(), *found.teams.values()):
@@ -313,6 +325,8 @@
 
     ``request_delays`` has the seconds after which the platform executes each of the
     next promotion requests, ``requesting`` the senders of those on their way.
+    ``connect_delays`` has the seconds that each of the next requests takes to arrive,
+    ``promotions`` the groups, senders and tokens in the order of arrival.
     """
 
     def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -327,6 +341,8 @@
         self.pipes: list[PipeTransport] = []
         self.request_delays: list[float] = []
         self.requesting: list[str] = []
+        self.connect_delays: list[float] = []
+        self.promotions: list[tuple[str, str, int]] = []
         self._requests = 0
 
     def is_delayed(self, one: str, other: str) -> bool:
@@ -477,6 +493,17 @@
         self._requests += 1
         return f"r{self._requests}"
 
+    def list_wrong_tokens(self) -> list[tuple[str, str, int]]:
+        """Return the requests whose token is lower than one that arrived before, or
+        that of another holder.
+        """
+        wrong, highest, holders = [], 0, {}
+        for group, holder, token in self.promotions:
+            if token < highest or holders.setdefault(token, holder) != holder:
+                wrong.append((group, holder, token))
+            highest = max(highest, token)
+        return wrong
+
     def find_leader(self) -> str:
         leaders = [
             name
@@ -531,6 +558,8 @@
     async def main() -> None:
         async with anyio.create_task_group() as tasks:
             world = World(tasks)
+            for name in configuration.get("further", ()):
+                world.clusters[name] = group_in_memory.Cluster(name)
             await world.start(count, **configuration)
             await scenario(world)
             tasks.cancel_scope.cancel()
