Send one fencing token for all requests of a lead (ONE)

What the platform saw: a leader that replaced the primaries of several groups at once sent a lower fencing token after a higher one. The rule names no group.

Cause: the token was the version of the group's state. Between its write and the arrival of the request lie an answer of the store, a wait for the lead and a connection, each of its own length: requests of different groups overtook each other.

Why it works: the token is the version with which the node took the lead. It is the same for all requests of the lead, so that their order does not matter, and higher than those of all earlier holders, since each took the lead by an earlier conditional write. With a new lead of the same node, requests wait until those with the earlier token have ended. While nodes with the code before run, tokens still rise: both are revisions of the same store.

Tests changed: the soaks and the restored fleets required tokens to strictly increase, for one group. They now require, over all groups, that no token is lower than one that arrived before and that no two holders share one, as the rule says; equal tokens of one holder are allowed, a lower one in another group is found now.

--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -109,7 +109,7 @@
     async def open_control(self, record: catalog.EndpointRecord) -> ports.Connection:
         """Open a connection for queries about the log."""
 
-    async def request_promotion(self, group: str, endpoint: str, token: int) -> None:
+    async def request_promotion(self, group: str, endpoint: str) -> None:
         """Request the promotion of an endpoint; see :class:`ports.Duty`."""
 
     def note(self, event: str, **fields: object) -> None:
@@ -479,13 +479,13 @@
     async def _promote(
         self, state: catalog.GroupState, target: str
     ) -> catalog.GroupState:
-        """Request a promotion with a new fencing token: the state's new version."""
+        """Store which endpoint is named, and request its promotion."""
         state = await self._write(
             state, state.term, state.primary, sealed=True, requested=target
         )
-        self.fleet.note("promote", group=self.group, target=target, token=state.version)
+        self.fleet.note("promote", group=self.group, target=target)
         try:
-            await self.fleet.request_promotion(self.group, target, state.version)
+            await self.fleet.request_promotion(self.group, target)
             self._effective_by = clock.read() + PROMOTION_TIMEOUT
             self._failed_targets.add(target)
         except errors.PlatformUnavailable as error:
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -90,6 +90,7 @@
         self._suspects: set[str] = set()
         self._started_at: float | None = None
         self._requests_running = 0
+        self._request_token = 0
         self._verified_at: dict[str, float] = {}
 
     # Reports and responses
@@ -652,21 +653,26 @@
             record, groups.PROBE_TEAM, clock.read() + failover.QUERY_TIMEOUT
         )
 
-    async def request_promotion(self, group: str, endpoint: str, token: int) -> None:
+    async def request_promotion(self, group: str, endpoint: str) -> None:
         """Request the promotion of an endpoint; see :class:`ports.Duty`.
 
+        The fencing token is the version with which this node took the lead, the same
+        for all groups: requests that overtake each other do not lower it.
+
         :raises sardinehold.errors.PlatformError: this node leads for too short a time.
         """
         holder = self.node.settings.name
+        lead = self.node.leadership
         deadline = clock.read() + REQUEST_TIMEOUT
-        while self.node.leadership.leads_until < deadline:
+        while lead.leads_until < deadline or self._has_older_request():
             if not self.leads():
                 raise errors.PlatformError(
                     "This node is no longer the leader.", "The next leader continues."
                 )
             await anyio.sleep(LEAD_CHECK_INTERVAL)
             deadline = clock.read() + REQUEST_TIMEOUT
-        lead_left = self.node.leadership.leads_until - clock.read()
+        lead_left = lead.leads_until - clock.read()
+        token = self._request_token = lead.acquired_version
         self.note(
             "request", group=group, target=endpoint, token=token, lead_left=lead_left
         )
@@ -676,6 +682,11 @@
         finally:
             self._requests_running -= 1
 
+    def _has_older_request(self) -> bool:
+        """Return whether a request with the token of an earlier lead is on its way."""
+        is_older = self._request_token != self.node.leadership.acquired_version
+        return bool(self._requests_running) and is_older
+
     async def finish_requests(self) -> None:
         """Wait until no promotion request is on its way."""
         while self._requests_running:
--- a/src/sardinehold/node/ports.py
+++ b/src/sardinehold/node/ports.py
@@ -158,9 +158,12 @@
 class Duty(typing.Protocol):
     """Requests promotions from the platform."""
 
-    async def promote(self, group: str, endpoint: str, holder: str, token: int) -> None:
+    async def promote(
+        self, group: str, endpoint: str, holder: str, token: int, deadline: float
+    ) -> None:
         """Request the promotion of an endpoint to primary.
 
-        :param token: fencing token, used for this request only.
+        :param token: fencing token, higher than those of all earlier holders.
+        :param deadline: time after which no byte of the request may be on its way.
         :raises sardinehold.errors.PlatformError: no answer came, or a refusal.
         """
--- a/src/sardinehold/platform/failover_client.py
+++ b/src/sardinehold/platform/failover_client.py
@@ -39,7 +39,7 @@
         """Promote an endpoint to primary.
 
         :param holder: name of the node that leads.
-        :param token: fencing token, used for this call only.
+        :param token: fencing token, higher than those of all earlier holders.
         :param deadline: time on the node's clock after which no byte of the request
             may be on its way.
         :raises sardinehold.errors.PlatformUnavailable: the promotion may have been
--- a/src/sardinehold_standins/group_in_memory.py
+++ b/src/sardinehold_standins/group_in_memory.py
@@ -104,6 +104,42 @@
         )
 
 
+class PromotionRequest:
+    """A request for a promotion, as it arrived at the platform.
+
+    :param holder: name of the node that sent it.
+    :param token: its fencing token.
+    """
+
+    def __init__(self, group: str, holder: str, token: int) -> None:
+        """Create a record."""
+        self.group = group
+        self.holder = holder
+        self.token = token
+
+
+def list_wrong_tokens(requests: list[PromotionRequest]) -> list[str]:
+    """Describe the requests with a token that its sender may not use.
+
+    A token may neither be lower than one that arrived before, of any group, nor be
+    that of another holder.
+
+    :param requests: in the order of arrival.
+    """
+    wrong: list[str] = []
+    highest = 0
+    holders: dict[int, str] = {}
+    for item in requests:
+        first = holders.setdefault(item.token, item.holder)
+        if item.token < highest or first != item.holder:
+            wrong.append(
+                f"{item.holder} sends token {item.token} of {first} for {item.group}"
+                f" after {highest}"
+            )
+        highest = max(highest, item.token)
+    return wrong
+
+
 DEMOTION_DELAY = 1.0
 """Seconds for which a primary continues after another one was promoted."""
 
--- a/src/sardinehold_standins/loopback.py
+++ b/src/sardinehold_standins/loopback.py
@@ -165,7 +165,7 @@
         self.clusters = clusters
         self.fault = ""
         self.port = 0
-        self.promotions: list[tuple[str, int]] = []
+        self.promotions: list[group_in_memory.PromotionRequest] = []
         self.find_delay: typing.Callable[[], float] = float
         self._tasks: set[asyncio.Task] = set()
 
@@ -275,8 +275,10 @@
     async def _promote(self, request: requests.Request) -> responses.Response:
         body = json.loads(await request.body())
         cluster = self.clusters[body["Service"]]
+        holder = request.headers["X-Duty-Holder"]
+        token = int(request.headers["X-Fencing-Token"])
         self.promotions.append(
-            (body["Service"], int(request.headers["X-Fencing-Token"]))
+            group_in_memory.PromotionRequest(body["Service"], holder, token)
         )
         answer = asyncio.get_running_loop().create_future()
         self._start_task(self._execute(cluster, body["Id"], answer))
