--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -237,8 +237,8 @@
             if not self._may_request(state, plan.target):
                 await anyio.sleep(RETRY_DELAY)
                 continue
-            state = await self._promote(state, plan.target)
-            if await self._wait_for_promotion(state, plan.target):
+            state = await self._name_target(state, plan.target)
+            if await self._promote(state, plan.target):
                 await self._publish(state, plan.target, started_at)
                 return
 
@@ -252,8 +252,8 @@
         if state.phase is not catalog.Phase.SEALED:
             state = await self._seal(state)
             primary = state.primary
-            state = await self._promote(state, primary)
-            if await self._wait_for_promotion(state, primary):
+            state = await self._name_target(state, primary)
+            if await self._promote(state, primary):
                 await self._publish(state, primary, started_at)
                 return
         await self.run()
@@ -476,13 +476,64 @@
             )
         return not running
 
-    async def _promote(
+    async def _name_target(
         self, state: catalog.GroupState, target: str
     ) -> catalog.GroupState:
-        """Store which endpoint is named, and request its promotion."""
-        state = await self._write(
+        """Store which endpoint a request that may not be answered will name."""
+        return await self._write(
             state, state.term, state.primary, sealed=True, requested=target
         )
+
+    async def _promote(self, state: catalog.GroupState, target: str) -> bool:
+        """Return whether an endpoint became primary of a later term on request."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._stop_old_primary, state, target)
+            await self._request(state, target)
+            is_promoted = await self._wait_for_promotion(state, target)
+            tasks.cancel_scope.cancel()
+        return is_promoted
+
+    async def _stop_old_primary(self, state: catalog.GroupState, target: str) -> None:
+        """Have the old primary step down, if it could not be told so before.
+
+        Until the promotion takes effect, a replica that restarts or joins receives its
+        commits, which the promoted log lacks.
+        """
+        old = state.primary
+        if old == target or old in self._frozen:
+            return
+        while self.fleet.leads():
+            record = self._find_record(old)
+            if record is None:
+                return
+            _, status = await query(
+                self.fleet,
+                record,
+                lambda connection, deadline: self._step_down(
+                    connection, state, deadline
+                ),
+            )
+            if status is not None:
+                self.fleet.note("stepped_down", group=self.group, endpoint=old)
+                return
+            await anyio.sleep(POLL_INTERVAL)
+
+    async def _step_down(
+        self,
+        connection: ports.Connection,
+        state: catalog.GroupState,
+        deadline: float,
+    ) -> ports.LogStatus | None:
+        """Have a primary step down unless it leads a later term."""
+        status = await await_log_status(connection, deadline)
+        if status is None or not self.fleet.leads():
+            return None
+        if not status.is_primary or status.term > state.term:
+            return status
+        return await connection.step_down(state.term + 1, deadline)
+
+    async def _request(self, state: catalog.GroupState, target: str) -> None:
+        """Request a promotion, and note until when it must take effect."""
         self.fleet.note("promote", group=self.group, target=target)
         try:
             await self.fleet.request_promotion(self.group, target)
@@ -496,7 +547,6 @@
             self._effective_by = clock.read() + REFUSED_DELAY
             self._failed_targets.add(target)
             self.fleet.note("promote_refused", group=self.group, reason=str(error))
-        return state
 
     async def _wait_for_promotion(self, state: catalog.GroupState, target: str) -> bool:
         """Return whether an endpoint became primary of a later term in time."""
--- a/src/sardinehold/node/occurrences.py
+++ b/src/sardinehold/node/occurrences.py
@@ -74,6 +74,7 @@
     "failover_promote": "An endpoint is to be promoted; its request follows.",
     "failover_not_frozen": "Paused logs run and are read again; unread ones may run.",
     "failover_request": "A request is sent, with a fencing token; lead_left in s.",
+    "failover_stepped_down": "The old primary accepts no writes; it was busy before.",
     "failover_promote_unanswered": "The promotion request may still be executed.",
     "failover_promote_refused": "The promotion request is not executed; with reason.",
     "failover_unexpected_primary": "An endpoint was promoted that no state names.",
