Send no waiting write to a primary that is being replaced (ONE)

What callers saw, in virtual time: an unknown outcome of writes that could have run at the new primary.

Cause: whether a commit may still be sent was asked where a statement enters the fleet only. One that waits for a slot at its owner was sent up to its timeout later, to a primary that is sealed: with a replica that is not paused it is acknowledged after the promotion.

Why it works: the owner asks again immediately before it sends a write or the COMMIT of a transaction that has written, and rejects it as not sent. Requests for an endpoint that the owner does not take for the primary, such as a new one that it has not learned of, go on.

--- a/src/sardinehold/node/executor.py
+++ b/src/sardinehold/node/executor.py
@@ -372,6 +372,13 @@
                 if stream.pooled is None:
                     self.connections.release(pooled)
                 raise self._reject_evacuated(endpoint)
+            if proves_commit and group.is_replaced(endpoint, clock.read()):
+                if stream.pooled is None:
+                    self.connections.release(pooled)
+                raise execution.Rejected(
+                    execution.Rejection.AWAY,
+                    f"primary {endpoint.name} is being replaced",
+                )
             sent_at = request.sent_at = clock.read()
             self.node.late_sends.check(request, pooled.team)
             endpoint.sent[pooled] = sent_at
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -190,6 +190,10 @@
             return float("-inf")
         return self._request_expires_at
 
+    def is_replaced(self, endpoint: pool.Endpoint, now: float) -> bool:
+        """Return whether an endpoint is a primary that may get no commit any more."""
+        return endpoint is self.primary and not self.commits.may_start(now)
+
     def is_overtaken(self) -> bool:
         """Return whether an endpoint answered in a later term than the primary's.
 
