--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -17,6 +17,7 @@
 from sardinehold.node import ports
 from sardinehold.node import primary_lease
 from sardinehold.node import residency
+from sardinehold.node import restarts
 from sardinehold.node import selection
 from sardinehold.node import sharing
 from sardinehold.node import statements
@@ -105,6 +106,7 @@
     :param state: primary and term, as last read from the store; None while unknown.
     :param commits: those of this node's callers.
     :param removed_at: when endpoints were removed, by their names.
+    :param restarts: of the endpoints, as far as this node saw them.
     :param drains: drains of endpoints, by their names; a drain is never revoked, also
         if the store has lost it.
     :param evacuations: those of availability zones that the node knows of.
@@ -148,6 +150,7 @@
         self.commits = commits.Commits()
         self._commits_known_since = clock.read()
         self.removed_at: dict[str, float] = {}
+        self.restarts = restarts.Restarts(clock.read())
         self.drains: dict[str, Drain] = {}
         self._no_primary_since: float | None = None
         self._request_expires_at = float("-inf")
@@ -235,6 +238,8 @@
         new start is empty.
         """
         known = self._warmups.get(record.name)
+        if known is not None and known.born != record.born:
+            self.restarts.record(record.name, now)
         if known is None or known.born != record.born:
             is_new = known is not None or now - self._created_at > STARTUP_GRACE
             owned_since = known.owned_since if known is not None else None
@@ -267,6 +272,21 @@
             self.removed_at[name] = clock.read()
             self._close_idle(endpoint)
 
+    def query_position(self, now: float) -> None:
+        """Probe the primary if it has answered nothing since a replica restarted."""
+        if self.is_serving() and self.restarts.needs_position(now):
+            self.probe(self.primary)
+
+    def find_restarted(self, end: positions.Position) -> frozenset[str]:
+        """Return the endpoints that may have lost commits beyond a log's end.
+
+        All of them, if commits from before this node started are missing: another
+        endpoint with the only copy may have left.
+        """
+        if self.restarts.is_behind(end):
+            return frozenset(self.endpoints)
+        return self.restarts.find_uncovered(end)
+
     def assign_owners(self, owners: dict[str, list[str]], node_name: str) -> None:
         """Set the owners of the endpoints, and this node's connection limits.
 
@@ -586,19 +606,23 @@
         sent_at: float,
         status: ports.LogStatus | None,
     ) -> None:
-        """Record the position in the primary's answer, if a read waits for one."""
+        """Record the position in the primary's answer.
+
+        For reads only if one waits for it.
+        """
         state = self.state
         if (
-            self._wants_position
-            and status is not None
+            status is not None
             and status.is_primary
             and endpoint is self.primary
             and state.phase is catalog.Phase.SERVING
             and status.term == state.term
             and self.lease.holds_lease(sent_at)
         ):
-            self._wants_position = False
-            self.lease.record_position(sent_at, status.received)
+            self.restarts.record_position(sent_at, status.received)
+            if self._wants_position:
+                self._wants_position = False
+                self.lease.record_position(sent_at, status.received)
 
     def handle_rejection(
         self, endpoint: pool.Endpoint, owner_name: str, rejection: execution.Rejection
@@ -685,10 +709,15 @@
     def record_position(self, sent_at: float, position: positions.Position) -> None:
         """Record the primary's answer to a request sent under the lease.
 
-        The first one covers what this node acknowledged before a restart.
+        The first one covers what this node acknowledged before a restart, unless the
+        group is sealed: then it may be the end of frozen logs.
         """
         self.lease.record_position(sent_at, position)
-        if self.commits.newest is None and sent_at >= self._commits_known_since:
+        if position.term == self.lease.term:
+            self.restarts.record_position(sent_at, position)
+        is_sealed = self.state is not None and self.state.phase is catalog.Phase.SEALED
+        since = self._commits_known_since
+        if not is_sealed and self.commits.newest is None and sent_at >= since:
             self.commits.newest = position
 
     def record_answer(
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -13,15 +13,18 @@
 from sardinehold.node import clock
 from sardinehold.node import failover
 from sardinehold.node import groups
+from sardinehold.node import jitter
 from sardinehold.node import member_reports
 from sardinehold.node import membership
 from sardinehold.node import ownership
+from sardinehold.node import pool
 from sardinehold.node import ports
 from sardinehold.node import primary_moves
 from sardinehold.node import promotion
 from sardinehold.node import rate_limiter
 from sardinehold.node import reports
 from sardinehold.node import residency
+from sardinehold.node import statements
 
 if typing.TYPE_CHECKING:
     from sardinehold.node import node as nodes
@@ -622,14 +625,18 @@
         """Return the newest commit acknowledged to callers, None if unknown."""
         return self.member_reports.find_acknowledged(group, since)
 
-    def record_frozen(self, group: str, position: positions.Position) -> None:
-        """Allow reads on replicas: no commit after ``position`` is acknowledged."""
+    def record_frozen(self, group: str, position: positions.Position | None) -> None:
+        """Allow reads on replicas, or end that; see :class:`failover.Fleet`."""
         self.node.groups[group].frozen = position
 
     def find_request_expiry(self, group: str) -> float:
         """Return when no unanswered promotion request can be executed any more."""
         return self.node.groups[group].find_request_expiry()
 
+    def find_restarted(self, group: str, end: positions.Position) -> frozenset[str]:
+        """Return the endpoints that may have lost commits when they restarted."""
+        return self.node.groups[group].find_restarted(end)
+
     def count_departed(self, group: str, primary: str) -> int:
         """Return how many replicas left recently and may have had the only copy."""
         now = clock.read()
@@ -650,9 +657,21 @@
 
     async def open_control(self, record: catalog.EndpointRecord) -> ports.Connection:
         """Open a connection to query and control an endpoint's log."""
-        return await self.node.connector.open(
-            record, groups.PROBE_TEAM, clock.read() + failover.QUERY_TIMEOUT
-        )
+        deadline = clock.read() + failover.QUERY_TIMEOUT
+        try:
+            return await self.node.connector.open(record, groups.PROBE_TEAM, deadline)
+        except ports.OpeningFailed as error:
+            if error.failure is statements.Failure.CONNECTION_LIMIT:
+                self._relieve(record)
+            raise
+
+    def _relieve(self, record: catalog.EndpointRecord) -> None:
+        """Have all nodes close idle connections to an endpoint at its limit."""
+        endpoint = self.node.groups[record.group].endpoints.get(record.name)
+        if endpoint is not None:
+            endpoint.record_limit_reached(
+                clock.read(), jitter.spread(pool.LIMIT_RETRY_DELAY)
+            )
 
     def count_failed_query(self, endpoint: str, reason: str) -> None:
         """Count a query about an endpoint's log without an answer."""
