--- a/src/sardinehold/node/executor.py
+++ b/src/sardinehold/node/executor.py
@@ -441,6 +441,13 @@
             )
         elif group.is_vacated(pooled.endpoint, now):
             error = self._reject_evacuated(pooled.endpoint)
+        elif _proves_commit(stream, request.statement) and (
+            group.is_replaced(pooled.endpoint, now)
+        ):
+            error = execution.Rejected(
+                execution.Rejection.AWAY,
+                f"primary {pooled.endpoint.name} is being replaced",
+            )
         elif now >= request.deadline:
             # Timers stand still while the VM is suspended.
             error = self._reject_full(pooled.endpoint, "its deadline passed")
