--- a/tests/test_late_sends.py
+++ b/tests/test_late_sends.py
@@ -11,6 +11,7 @@
 from sardinehold import metrics
 from sardinehold.node import clock
 from sardinehold.node import execution
+from sardinehold.node import handling
 from sardinehold.node import journal
 from sardinehold.node import late_sends
 
@@ -45,7 +46,13 @@
             return lines("served")[-1]
 
 
-def test_attempt_that_goes_on_after_the_answer_is_logged(monkeypatch):
+@pytest.fixture
+def broken_handling(monkeypatch):
+    """Let statements go on after their end."""
+    monkeypatch.setattr(handling.Handling, "end", lambda self: None)
+
+
+def test_attempt_that_goes_on_after_the_answer_is_logged(monkeypatch, broken_handling):
     async def scenario(world, lines):
         served = await read_hedged(world, lines)
         assert (served["hedges"], served["unfinished"]) == (1, 1)
@@ -65,7 +72,7 @@
 
 
 def test_request_whose_caller_leaves_while_it_waits_at_its_owner_is_logged(
-    monkeypatch,
+    monkeypatch, broken_handling
 ):
     async def scenario(world, lines):
         owner = world.nodes["n0"].groups["g"].endpoints["g-0"].owners[0]
