--- a/bench/request_soak.py
+++ b/bench/request_soak.py
@@ -752,12 +752,6 @@
         for name, request in world.requests.items()
         if request.outcome in fault_soak.NOT_RUN_CODES and name in kept
     ]
-    tokens = [token for name, token in world.store.promotions if name == group]
-    found += [
-        f"ONE: token {token} after {before} in {group}"
-        for before, token in zip(tokens, tokens[1:], strict=False)
-        if token <= before
-    ]
     last = max((run.ended_at for run in mine.values()), default=float("-inf"))
     if last < world.ended_at - 1.0:
         state = ", ".join(
@@ -824,6 +818,8 @@
         await asyncio.sleep(CLOSE_SECONDS)
     commits = find_commits(world)
     violations = world.violations + find_unasked(world) + find_unanswered(world)
+    wrong = group_in_memory.list_wrong_tokens(world.store.promotions)
+    violations += [f"ONE: {item}" for item in wrong]
     excused = 0
     for group in world.clusters:
         found, count = find_group_violations(world, group, commits)
