Keep the connections that froze the logs during a failover

What callers saw: a group without a primary for as long as the databases are at their connection limit. Why it works: an endpoint at its limit answers on the connection that it has, and one that restarts ends it.

--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -135,18 +135,57 @@
 """Queries an endpoint over a connection, until a deadline."""
 
 
+class KeptConnections:
+    """Connections that are kept for further queries, by start of an endpoint.
+
+    An endpoint at its connection limit refuses new ones, and one that restarts ends
+    those that it had.
+    """
+
+    __slots__ = ("_by_start",)
+
+    def __init__(self) -> None:
+        """Initialize without connections."""
+        self._by_start: dict[tuple[str, int], ports.Connection] = {}
+
+    def take(self, record: catalog.EndpointRecord) -> ports.Connection | None:
+        """Remove and return the connection to an endpoint, None if there is none."""
+        return self._by_start.pop((record.name, record.born), None)
+
+    def keep(
+        self, record: catalog.EndpointRecord, connection: ports.Connection
+    ) -> None:
+        """Keep a connection to an endpoint."""
+        self._by_start[record.name, record.born] = connection
+
+    def close(self) -> None:
+        """Close all connections."""
+        while self._by_start:
+            _, connection = self._by_start.popitem()
+            connection.close()
+
+
 async def query(
-    fleet: Fleet, record: catalog.EndpointRecord, operation: Query
+    fleet: Fleet,
+    record: catalog.EndpointRecord,
+    operation: Query,
+    kept: KeptConnections | None = None,
 ) -> tuple[str, typing.Any]:
-    """Return why an endpoint could not be queried, or ``""`` and its answer."""
+    """Return why an endpoint could not be queried, or ``""`` and its answer.
+
+    :param kept: where a connection may be taken from, and is kept if it answers.
+    """
     deadline = clock.read() + QUERY_TIMEOUT
+    connection = kept.take(record) if kept is not None else None
+    is_kept = False
     try:
         with anyio.fail_after(QUERY_TIMEOUT):
-            connection = await fleet.open_control(record)
-            try:
-                answer = await operation(connection, deadline)
-            finally:
-                connection.close()
+            if connection is None:
+                connection = await fleet.open_control(record)
+            answer = await operation(connection, deadline)
+            if kept is not None:
+                kept.keep(record, connection)
+                is_kept = True
     except TimeoutError:
         fleet.count_failed_query(record.name, NO_ANSWER)
         return NO_ANSWER, None
@@ -158,6 +197,9 @@
         failure = NO_ANSWER if error.is_timeout else "connection lost"
         fleet.count_failed_query(record.name, failure)
         return str(error), None
+    finally:
+        if connection is not None and not is_kept:
+            connection.close()
     if answer is None:
         fleet.count_failed_query(record.name, "refused")
     return "", answer
@@ -246,9 +288,16 @@
         self._failed_targets: set[str] = set()
         self._request_expires_at = fleet.find_request_expiry(group)
         self._effective_by = 0.0
+        self._kept = KeptConnections()
 
     async def run(self) -> None:
         """Replace the primary; stop when this node is no longer the leader."""
+        try:
+            await self._replace()
+        finally:
+            self._kept.close()
+
+    async def _replace(self) -> None:
         fleet = self.fleet
         state = fleet.find_state(self.group)
         started_at = clock.read()
@@ -439,6 +488,7 @@
             lambda connection, deadline: self._freeze_log(
                 record.name, connection, state, deadline
             ),
+            self._kept,
         )
         if reason:
             self._unread[record.name] = reason
@@ -498,7 +548,9 @@
         unread: dict[str, str] = {}
 
         async def check(record: catalog.EndpointRecord, frozen: FrozenLog):
-            reason, status = await query(self.fleet, record, await_log_status)
+            reason, status = await query(
+                self.fleet, record, await_log_status, self._kept
+            )
             if status is None:
                 unread[record.name] = reason or "the endpoint has no free slot"
             elif (
--- a/tests/test_frozen_logs.py
+++ b/tests/test_frozen_logs.py
@@ -248,3 +248,34 @@
         assert_nothing_lost(cluster)
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_databases_that_are_full_after_the_freeze_do_not_delay_the_promotion(
+    monkeypatch,
+):
+    # Each check opened a connection, which a database at its limit refuses.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, *replicas = cluster.databases.values()
+        for name in world.nodes:
+            assert (await world.open(name, "latest").write()).error is None
+        # A node that is out of touch may hold a lease, which the leader waits for.
+        world.store.cut.add("n2")
+        world.cuts |= {frozenset(("n2", "n0")), frozenset(("n2", "n1"))}
+        primary.crash()
+        world.tasks.start_soon(write_until, world, 2.0)
+        while not all(replica.paused_term for replica in replicas):
+            await asyncio.sleep(0.01)
+
+        async def fill():
+            while not cluster.promoted:
+                for replica in replicas:
+                    builders_node.fill_connections(world, replica)
+                await asyncio.sleep(0.001)
+
+        world.tasks.start_soon(fill)
+        await asyncio.sleep(3.0)
+        assert cluster.promoted
+        assert_nothing_lost(cluster)
+
+    builders_node.run_scenario(monkeypatch, scenario)
