--- a/tests/test_ended_requests.py
+++ b/tests/test_ended_requests.py
@@ -2,11 +2,18 @@
 
 import asyncio
 import itertools
+import os
+import signal
+import socket
+import time
+import types
 
 import pytest
 
 import builders_node
 from sardinehold.node import clock
+from sardinehold.node import loops
+from sardinehold.node import node as nodes
 from sardinehold.node import statements
 from sardinehold.platform import callers
 from sardinehold_standins import group_in_memory
@@ -288,3 +295,102 @@
         assert [start.request_id for start in starts] == ["r1", "r3"]
 
     builders_node.run_scenario(monkeypatch, scenario, timeout=0.4)
+
+
+def test_pipelined_statement_is_dated_by_its_own_arrival(monkeypatch):
+    # After a short pause, all lines of one run keep the date of the pause.
+    async def scenario(world):
+        caller, transport = await connect(world, monkeypatch, "n1")
+        for database in world.clusters["g"].databases.values():
+            database.statement_seconds = 0.1
+        suspend(monkeypatch, 0.3)
+        caller.data_received(b"QUERY s0 READ a\r\n")
+        for number in range(1, 25):
+            caller.data_received(b"QUERY s%d READ a\r\n" % number)
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(1.5)
+        assert b"suspended" not in transport.written
+        assert b"ERROR" not in transport.written, transport.written
+
+    builders_node.run_scenario(monkeypatch, scenario, timeout=1.0)
+
+
+def test_data_of_a_suspension_is_dated_although_the_event_loop_was_busy():
+    # Maintenance runs before the kernel is polled while callbacks are ready.
+    async def main():
+        one, other = socket.socketpair()
+        one.setblocking(False)
+        stub = types.SimpleNamespace(_awake_at=clock.read())
+        ages = []
+
+        async def maintain():
+            while True:
+                await asyncio.sleep(nodes.MAINTENANCE_INTERVAL)
+                stub._awake_at = clock.read()
+
+        def read():
+            one.recv(1)
+            now = clock.read()
+            ages.append(now - nodes.Node.date_input(stub, now))
+
+        asyncio.get_running_loop().add_reader(one, read)
+        task = asyncio.create_task(maintain())
+        await asyncio.sleep(2.5 * nodes.MAINTENANCE_INTERVAL)
+        other.send(b"x")
+        time.sleep(0.5)
+        for _ in range(3 * loops.MAX_ROUNDS):
+            await asyncio.sleep(0)
+        task.cancel()
+        asyncio.get_running_loop().remove_reader(one)
+        one.close()
+        other.close()
+        assert ages[0] > 0.4
+
+    with asyncio.Runner(loop_factory=loops.make_loop) as runner:
+        runner.run(main())
+
+
+def test_data_of_a_stopped_process_is_dated():
+    # A poll that is interrupted by a stop reports nothing, and the timers run first.
+    one, other = socket.socketpair()
+    child = os.fork()
+    if not child:
+        status = 1
+        try:
+            status = asyncio.Runner(loop_factory=loops.make_loop).run(report_age(one))
+        finally:
+            os._exit(status)
+    one.close()
+    time.sleep(0.5)
+    os.kill(child, signal.SIGSTOP)
+    time.sleep(0.3)
+    other.send(b"x")
+    time.sleep(0.3)
+    os.kill(child, signal.SIGCONT)
+    _, status = os.waitpid(child, 0)
+    other.close()
+    assert not status
+
+
+async def report_age(one):
+    """Return 0 if what arrives at a socket is dated as before a pause."""
+    one.setblocking(False)
+    stub = types.SimpleNamespace(_awake_at=clock.read())
+    age = asyncio.get_running_loop().create_future()
+
+    async def maintain():
+        while True:
+            await asyncio.sleep(nodes.MAINTENANCE_INTERVAL)
+            stub._awake_at = clock.read()
+
+    def read():
+        if not age.done():
+            now = clock.read()
+            age.set_result(now - nodes.Node.date_input(stub, now))
+
+    asyncio.get_running_loop().add_reader(one, read)
+    task = asyncio.create_task(maintain())
+    found = await age
+    task.cancel()
+    asyncio.get_running_loop().remove_reader(one)
+    return int(found < 0.4)
--- a/tests/test_frozen_logs.py
+++ b/tests/test_frozen_logs.py
@@ -5,6 +5,7 @@
 import pytest
 
 import builders_node
+from sardinehold.node import leader
 from sardinehold.node import node
 from sardinehold.node import primary_lease
 
@@ -279,3 +280,83 @@
         assert_nothing_lost(cluster)
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("restarts", [True, False])
+def test_group_without_statements_is_replaced_after_its_leader_left_with_its_primary(
+    monkeypatch, restarts
+):
+    # Only the earlier leader had queried the position since a replica restarted.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, replica, _ = cluster.databases.values()
+        if restarts:
+            builders_node.restart_database(world, replica, keeps_log=True)
+        await asyncio.sleep(5.0)
+        world.kill_node(world.find_leader())
+        primary.crash()
+        await write_until(world, 40.0)
+        assert cluster.promoted
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_replica_that_starts_again_proves_nothing_before_its_record_says_so(
+    monkeypatch,
+):
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, replica, lagging = cluster.databases.values()
+        for name in world.nodes:
+            assert (await world.open(name, "latest").write()).error is None
+        await asyncio.sleep(1.0)
+        lagging.is_receive_blocked = True
+        for name in world.nodes:
+            assert (await world.open(name, "latest").write()).error is None
+        replica.is_receive_blocked = True
+        builders_node.restart_database(world, replica, is_published=False)
+        primary.crash()
+        await write_until(world, 3.0)
+        assert not cluster.promoted
+        primary.is_up = True
+        replica.is_receive_blocked = lagging.is_receive_blocked = False
+        await write_until(world, 4.0)
+        assert_nothing_lost(cluster)
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("is_published", [True, False])
+def test_old_primary_that_restarted_after_it_stepped_down_is_not_frozen(
+    monkeypatch, is_published
+):
+    # It leads its term again, and n2 commits on the replica that was not read.
+    monkeypatch.setattr(primary_lease, "LEASE", 1.5)
+
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, target, unread = cluster.databases.values()
+        for name in world.nodes:
+            assert (await world.open(name, "latest").write()).error is None
+        unread.unreachable |= {"n0", "n1"}
+        alone = world.open("n2", "latest")
+        world.store.cut.add("n2")
+        world.cuts |= {frozenset(("n2", "n0")), frozenset(("n2", "n1"))}
+        while (await alone.write()).error is not None:
+            pass
+        monkeypatch.setattr(
+            leader.Leader, "_is_lost", lambda self, state, now: state.term == 1
+        )
+        while primary.is_primary or not target.paused_term:
+            await asyncio.sleep(0.01)
+        primary.crash()
+        primary.is_up = primary.is_primary = True
+        if is_published:
+            world.publish_endpoint(primary.name, born=1)
+        answer = await alone.write()
+        assert answer.error is None
+        await asyncio.sleep(6.0)
+        for promoted in cluster.promoted:
+            assert set(cluster.acknowledged) <= promoted.kept
+
+    builders_node.run_scenario(monkeypatch, scenario)
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+import types
 
 import anyio
 import pytest
@@ -723,3 +724,14 @@
     assert lead.leads(10.6)
     assert lead.is_own()
     assert lead.version == 6
+
+
+def test_frozen_end_does_not_cover_a_restart():
+    # The leader gives it out as a sample; it says nothing about the restarted log.
+    group = make_group()
+    group.lease.begin_term(1)
+    group.state = types.SimpleNamespace(phase=catalog.Phase.SEALED, term=1)
+    now = clock.read()
+    group.restarts.record("g-1", now)
+    group.record_position(now + 0.1, P(1, 5))
+    assert "g-1" in group.find_restarted(P(1, 5))
