--- a/src/sardinehold/node/loops.py
+++ b/src/sardinehold/node/loops.py
@@ -8,10 +8,15 @@
 import asyncio
 import selectors
 
+from sardinehold.node import clock
+
 MAX_ROUNDS = 8
 """Rounds of ready callbacks after which the kernel is polled in any case: about as many
 as a statement needs from its arrival to the endpoint."""
 
+MAX_PAUSE = 0.2
+"""Seconds without a poll after which the process counts as suspended; longer than a
+busy event loop delays one."""
 
 SETTLE_ROUNDS = MAX_ROUNDS + 3
 """Rounds that include a poll of the kernel, the reading of what it reports, and the
@@ -19,12 +24,16 @@
 
 
 class Selector(selectors.DefaultSelector):
-    """Selector that polls the kernel when idle, or every ``MAX_ROUNDS`` rounds."""
+    """Selector that polls the kernel when idle, or every ``MAX_ROUNDS`` rounds.
+
+    After a suspension it polls before timers run, which mark the process as awake.
+    """
 
     def __init__(self) -> None:
         """Initialize the selector."""
         super().__init__()
         self._rounds = 0
+        self._polled_at = clock.read()
 
     def select(
         self, timeout: float | None = None
@@ -35,11 +44,20 @@
             run.
         """
         is_busy = timeout is not None and timeout <= 0
-        if is_busy and self._rounds < MAX_ROUNDS:
+        if is_busy and self._rounds < MAX_ROUNDS and not self._has_paused():
             self._rounds += 1
             return []
         self._rounds = 0
-        return super().select(timeout)
+        found = super().select(timeout)
+        if not found and self._has_paused():
+            # A poll that a suspension interrupts reports nothing.
+            found = super().select(0)
+        self._polled_at = clock.read()
+        return found
+
+    def _has_paused(self) -> bool:
+        """Return whether the process counts as suspended since the last poll."""
+        return clock.read() - self._polled_at > MAX_PAUSE
 
 
 async def settle() -> None:
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -34,6 +34,7 @@
 from sardinehold.node import late_sends
 from sardinehold.node import leader
 from sardinehold.node import leadership
+from sardinehold.node import loops
 from sardinehold.node import membership
 from sardinehold.node import outcomes
 from sardinehold.node import peers
@@ -62,10 +63,6 @@
 MAINTENANCE_INTERVAL = 0.05
 """Seconds between checks of idle transactions and silent endpoints."""
 
-MAX_PAUSE = 0.2
-"""Seconds without a check of maintenance after which the process counts as suspended;
-longer than a busy event loop delays one."""
-
 CONFIGURATION_TIMEOUT = 1.5
 """Seconds that a new caller waits while the node has no configuration yet; callers time
 out after two."""
@@ -241,7 +238,7 @@
 
         While a VM is suspended, its kernel or its peers hold what is sent to it.
         """
-        return self._awake_at if now - self._awake_at > MAX_PAUSE else now
+        return self._awake_at if now - self._awake_at > loops.MAX_PAUSE else now
 
     def is_ready(self) -> bool:
         """Return whether new callers can be served."""
