Date only the lines that were received with a suspension

Callers that send statements ahead were refused BUSY for later ones behind a pause of 0.3 s: all lines of a run kept the date of the pause. Only those that waited when it was noticed keep it now. test_pipelined_statement_is_dated_by_its_own_arrival failed before.

--- a/src/sardinehold/platform/callers.py
+++ b/src/sardinehold/platform/callers.py
@@ -179,6 +179,8 @@
         self._is_running = False
         self._is_sending = False
         self._received_at: float | None = None
+        self._dated_lines = 0
+        self._line_received_at: float | None = None
         self._is_unsettled = False
         self._is_ended = False
         self._is_paused = False
@@ -265,8 +267,10 @@
         """Date lines that were received after a suspension of the VM."""
         now = clock.read()
         received_at = self._node.date_input(now)
-        if received_at < now and self._received_at is None:
-            self._received_at = received_at
+        if received_at < now:
+            if not self._dated_lines:
+                self._received_at = received_at
+            self._dated_lines = self._lines.count_lines()
             self._is_unsettled = True
 
     def _start_running(self) -> None:
@@ -335,7 +339,6 @@
             if self._has_long_line and not self._is_ended:
                 self._refuse(statements.Failure.TOO_LARGE)
         finally:
-            self._received_at = None
             self._is_running = False
             self._account.is_occupied = False
             self._account.has_transaction = (
@@ -345,6 +348,8 @@
             self._node.close_if_stopping(self)
 
     async def _handle_next_line(self) -> None:
+        self._line_received_at = self._received_at if self._dated_lines else None
+        self._dated_lines = max(0, self._dated_lines - 1)
         try:
             line = self._lines.take()
         except lines.LineTooLong:
@@ -398,7 +403,7 @@
                 [], error=statements.Failure.MALFORMED, status=self.session.status
             )
         else:
-            statement.received_at = self._received_at
+            statement.received_at = self._line_received_at
             answer = await self._node.serve(self.session, statement)
         await self._send_answer(answer)
         if outcomes.ends_session(answer):
--- a/src/sardinehold/platform/lines.py
+++ b/src/sardinehold/platform/lines.py
@@ -99,6 +99,10 @@
         """Return whether a complete line waits."""
         return self._complete > 0
 
+    def count_lines(self) -> int:
+        """Return the number of complete lines that wait."""
+        return self._complete
+
     def count_unfinished(self) -> int:
         """Return the number of bytes of the unfinished line."""
         return len(self._buffer) - self._tail
