Spread the position that covers a restart, and take no frozen end for it (LOST)

And the end of frozen logs, which the leader gives out for reads, counted as a position from after a restart. test_group_without_statements_is_replaced_after_its_leader_left_with_its_primary and test_frozen_end_does_not_cover_a_restart failed before.

--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -606,10 +606,7 @@
         sent_at: float,
         status: ports.LogStatus | None,
     ) -> None:
-        """Record the position in the primary's answer.
-
-        For reads only if one waits for it.
-        """
+        """Record the position in the primary's answer, which reports spread."""
         state = self.state
         if (
             status is not None
@@ -620,9 +617,8 @@
             and self.lease.holds_lease(sent_at)
         ):
             self.restarts.record_position(sent_at, status.received)
-            if self._wants_position:
-                self._wants_position = False
-                self.lease.record_position(sent_at, status.received)
+            self._wants_position = False
+            self.lease.record_position(sent_at, status.received)
 
     def handle_rejection(
         self, endpoint: pool.Endpoint, owner_name: str, rejection: execution.Rejection
@@ -713,9 +709,9 @@
         group is sealed: then it may be the end of frozen logs.
         """
         self.lease.record_position(sent_at, position)
-        if position.term == self.lease.term:
-            self.restarts.record_position(sent_at, position)
         is_sealed = self.state is not None and self.state.phase is catalog.Phase.SEALED
+        if not is_sealed and position.term == self.lease.term:
+            self.restarts.record_position(sent_at, position)
         since = self._commits_known_since
         if not is_sealed and self.commits.newest is None and sent_at >= since:
             self.commits.newest = position
