--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -554,8 +554,9 @@
             if status is None:
                 unread[record.name] = reason or "the endpoint has no free slot"
             elif (
-                status.paused_term <= state.term
-                or status.received != frozen.status.received
+                status.received != frozen.status.received
+                or status.is_primary
+                or (record.name != state.primary and status.paused_term <= state.term)
             ):
                 running.append(record.name)
             else:
@@ -564,7 +565,7 @@
         async with anyio.create_task_group() as tasks:
             for record in self.fleet.list_records(self.group):
                 frozen = self._frozen.get(record.name)
-                if frozen is None or record.name == state.primary:
+                if frozen is None:
                     continue
                 if frozen.born != record.born:
                     running.append(record.name)
