--- a/tests/test_fencing_tokens.py
+++ b/tests/test_fencing_tokens.py
@@ -24,6 +24,23 @@
     builders_node.run_scenario(monkeypatch, scenario, further=GROUPS[1:])
 
 
+def test_renewal_between_two_requests_does_not_change_the_token(monkeypatch):
+    # The later request, for another group, overtakes the earlier one.
+    async def scenario(world):
+        node = world.nodes[world.find_leader()]
+        version = node.leadership.version
+        world.connect_delays = [0.7, 0.0]
+        first = asyncio.create_task(node.leader.request_promotion("g", "g-0"))
+        while node.leadership.version == version:
+            await asyncio.sleep(0.01)
+        await node.leader.request_promotion("h", "h-0")
+        await first
+        assert [item.group for item in world.promotions] == ["h", "g"]
+        assert not world.list_wrong_tokens()
+
+    builders_node.run_scenario(monkeypatch, scenario, further=GROUPS[1:])
+
+
 async def send_writes(world, seconds):
     """Write to each group from each node for some time."""
     routes = ["latest", *GROUPS[1:]]
