Show that an endpoint which starts again loses its slots

Callers of a group get 'no slot in time' until the owner's process is restarted. A statement of an open transaction counts on the endpoint's new start and is released on the earlier one, whose connection the transaction has.

--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -672,3 +672,24 @@
 
 
 original_settings = builders_node.World.make_settings
+
+
+def test_transactions_on_an_endpoint_that_started_again_leave_its_slots_free(
+    monkeypatch,
+):
+    # Slots were taken on the new start and released on the earlier one.
+    async def scenario(world):
+        callers = [world.open("n0", "latest") for _ in range(6)]
+        for caller in callers:
+            await caller.send(Kind.BEGIN)
+            assert (await caller.write()).error is None
+        world.publish_endpoint("g-0", born=1)
+        await asyncio.sleep(0.1)
+        for caller in callers:
+            await caller.send(Kind.COMMIT)
+        for node in world.nodes.values():
+            assert node.groups["g"].endpoints["g-0"].running == 0
+        for name in world.nodes:
+            assert (await world.open(name, "latest").write()).error is None
+
+    builders_node.run_scenario(monkeypatch, scenario)
