Log the name and the shape of prepared statements

The lines of an EXECUTE have both now, and a line is written when a statement is prepared on a connection.

No logic is changed.

--- a/src/sardinehold/node/connections.py
+++ b/src/sardinehold/node/connections.py
@@ -162,10 +162,11 @@
 
 async def apply_session_state(
     pooled: pool.PooledConnection, request: execution.Request, pace: Pace | None = None
-) -> None:
+) -> list[statements.Definition]:
     """Apply the session's variables and prepared statement to a connection.
 
     :param pace: awaited before each statement, None if the endpoint is not cold.
+    :returns: what was prepared on it.
     :raises sardinehold.node.execution.Rejected: the pace allows no further statement
         in time; the request has not been sent.
     :raises sardinehold.node.ports.ConnectionLost: it broke, or refused; the request
@@ -201,6 +202,7 @@
             pooled.prepared_bytes += sum(len(item.shared_name) for item in to_prepare)
     except ports.ConnectionLost as error:
         raise ports.ConnectionLost(False, error.is_timeout) from error
+    return to_prepare
 
 
 def _check_answers(
--- a/src/sardinehold/node/executor.py
+++ b/src/sardinehold/node/executor.py
@@ -364,7 +364,16 @@
         pace = self._make_pace(group, pooled, stream, request)
         try:
             self._check_start(group, pooled, stream, request)
-            await connections.apply_session_state(pooled, request, pace)
+            prepared = await connections.apply_session_state(pooled, request, pace)
+            for definition in prepared:
+                self.node.journal.note_ordinary(
+                    "prepared",
+                    request=request.statement.request_id,
+                    endpoint=endpoint.name,
+                    team=pooled.team,
+                    name=definition.shared_name,
+                    shape=definition.shape,
+                )
             if pace is not None:
                 await pace()
             self._check_start(group, pooled, stream, request)
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -114,6 +114,16 @@
     return metrics.label_name("replicas_skipped", reason=reason)
 
 
+def _describe_definition(statement: statements.Statement) -> dict[str, str]:
+    """Return the log fields of an EXECUTE's prepared statement."""
+    if statement.kind is not statements.Kind.EXECUTE or statement.definition is None:
+        return {}
+    return {
+        "name": statement.definition.shared_name,
+        "shape": statement.definition.shape,
+    }
+
+
 class Node:
     """One node of the fleet.
 
@@ -284,6 +294,7 @@
                 seconds=seconds,
                 catalog=self.find_version(),
                 **session.trace.describe(),
+                **_describe_definition(statement),
             )
         elif answer.completion_tag != sessions.LOCAL_COMPLETION_TAG:
             self.journal.note_ordinary(
@@ -293,6 +304,7 @@
                 route=session.route_name,
                 seconds=seconds,
                 **session.trace.describe(),
+                **_describe_definition(statement),
             )
         return answer
 
--- a/src/sardinehold/node/occurrences.py
+++ b/src/sardinehold/node/occurrences.py
@@ -36,6 +36,7 @@
     "link_refused": "A connection to this node's links was refused; with the reason.",
     "order_rejected": "This node, as owner of an endpoint, did not run a request.",
     "order_lost": "As owner, this node got no answer to what it sent at this age.",
+    "prepared": "A statement was prepared on a connection to an endpoint.",
     "sent_late": "A statement was sent to an endpoint after its request had ended.",
     "sent_for_other_team": "A connection's team is not that of the statement on it.",
     "suspended": "This process did not run for seconds, or was busy if it computed.",
@@ -106,6 +107,8 @@
     "skipped": "for a read on the primary, why each replica was not used",
     "hedges": "number of further attempts at a slow read; absent if none",
     "unfinished": "of the attempts, how many still ran when the answer was given",
+    "name": "of an EXECUTE, the name under which the endpoint knows the statement",
+    "shape": "of an EXECUTE, the shape that the caller prepared, cut to 200 characters",
     "catalog": "version of the configuration that was applied",
 }
 """Description of the fields of ``served`` and ``failed`` events."""
