--- a/bench/request_soak.py
+++ b/bench/request_soak.py
@@ -82,8 +82,23 @@
 
 SLOTS = 3
 CONNECTION_LIMIT = 21
+ENCODING = "latin-1"
 DATA_WORDS = ("READ", "WRITE", "EXECUTE", "COMMIT")
 
+SHAPES = (
+    "q{}",
+    "q READ rinswolzm",
+    "q{} x",
+    "q{}  ",
+    " q",
+    "q\t{}",
+    "q\v\0\x85\xa0",
+    "AFTER 3.1 READ q{}",
+    "COMMIT",
+)
+"""Shapes of prepared statements, some of them of one caller: all text up to the end of
+the line."""
+
 FAULT_SHARE = 0.5
 """Share of the kinds of faults that a seed has."""
 
@@ -203,8 +218,6 @@
         answer: statements.Answer | None,
     ) -> None:
         """Record a statement that ran; rejected ones did not."""
-        if text.startswith("AFTER "):
-            text = text.split(" ", 2)[2]
         is_data = text.split(" ")[0] in DATA_WORDS
         error = None if answer is None else answer.error
         if error not in _NOT_RUN and (request != "-" or is_data):
@@ -364,10 +377,11 @@
             self.writer.transport.abort()
 
     async def _use_session(self, is_reading: bool) -> None:
-        shape = f"q{self.name}"
-        code, _ = await self._send("PREPARE s1 WRITE " + shape)
-        if code != "COMPLETE":
-            return
+        shapes = [shape.format(self.name) for shape in self.random.sample(SHAPES, 2)]
+        for name, shape in zip(("s1", "s2"), shapes, strict=True):
+            code, _ = await self._send(f"PREPARE {name} WRITE {shape}")
+            if code != "COMPLETE":
+                return
         # A caller that stays uses its session until the node closes it.
         for _ in range(10**6 if self.is_patient else self.random.randrange(3, 30)):
             chosen = 0.0 if is_reading else self.random.random()
@@ -377,7 +391,9 @@
                 await self._send(f"WRITE item {self.name}x{self.count}")
             elif chosen < 0.75:
                 data = f"item {self.name}x{self.count}"
-                await self._send(f"EXECUTE s1 {data}", f"EXECUTE w_{shape} {data}")
+                number = self.random.randrange(2)
+                expected = loopback.format_execution(True, shapes[number], data)
+                await self._send(f"EXECUTE s{number + 1} {data}", expected)
             else:
                 await self._run_transaction()
             await asyncio.sleep(0.1 * self.random.random())
@@ -400,7 +416,7 @@
         name = f"{self.name}x{self.count}"
         request = Request(expected or text, self.key, self.group, self.node)
         self.world.requests[name] = self.open = request
-        self.writer.write(f"QUERY {name} {text}\r\n".encode())
+        self.writer.write(f"QUERY {name} {text}\r\n".encode(ENCODING))
         seconds = ANSWER_SECONDS if self.is_patient else 1.0 + self.random.random()
         code = ""
         try:
@@ -694,7 +710,7 @@
         if run.ok
         and run.request in world.requests
         and world.requests[run.request].outcome == "COMPLETE"
-        and run.text.startswith(("WRITE", "EXECUTE w_", "COMMIT"))
+        and run.text.startswith(("WRITE", "EXECUTE [WRITE ", "COMMIT"))
     }
 
 
--- a/src/sardinehold_standins/group_in_memory.py
+++ b/src/sardinehold_standins/group_in_memory.py
@@ -335,6 +335,15 @@
             self.send_log(new, old)
 
 
+Form = tuple[bool, str]
+"""Whether a prepared statement writes, and its shape."""
+
+
+def describe_form(definition: statements.Definition) -> Form:
+    """Return what a statement that is prepared does, whatever its name."""
+    return definition.writes, definition.shape
+
+
 class DatabaseConnection:
     """A node's connection to a database."""
 
@@ -346,7 +355,7 @@
         self.on_lost = None
         self.is_closed = False
         self.values: dict[str, str] = {}
-        self.prepared: set[str] = set()
+        self.prepared: dict[str, Form] = {}
         self.writes: list[str] | None = None
         self._broken = asyncio.Event()
         database.connections.add(self)
@@ -423,7 +432,7 @@
             self.writes = []
             return self._succeed(statement.request_id)
         if kind is Kind.EXECUTE and (
-            statement.definition.shared_name not in self.prepared
+            describe_form(statement.definition) not in self.prepared.values()
         ):
             return self._fail(statements.Failure.UNKNOWN_STATEMENT)
         database.cluster.executions.append(
@@ -472,7 +481,7 @@
 
     async def reset(self, deadline):
         """Drop variables and prepared statements."""
-        self.values, self.prepared = {}, set()
+        self.values, self.prepared = {}, {}
         return self._succeed("-")
 
     async def set_values(self, values, deadline):
@@ -482,7 +491,9 @@
 
     async def prepare(self, definitions, deadline):
         """Prepare statements."""
-        self.prepared.update(item.shared_name for item in definitions)
+        self.prepared.update(
+            (item.shared_name, describe_form(item)) for item in definitions
+        )
         return [self._succeed("-")]
 
     async def read_status(self, deadline):
--- a/src/sardinehold_standins/loopback.py
+++ b/src/sardinehold_standins/loopback.py
@@ -48,12 +48,34 @@
 """First words of the statements that occupy a slot."""
 
 
+def describe_text(connection: group_in_memory.DatabaseConnection, text: str) -> str:
+    """Return what a text asks of a database: without AFTER, EXECUTE with its form.
+
+    The fields are found as the protocol states, not by the node's own parser.
+    """
+    word, _, rest = text.partition(" ")
+    if word == "AFTER":
+        return describe_text(connection, rest.partition(" ")[2])
+    if word != "EXECUTE":
+        return text
+    name, _, arguments = rest.partition(" ")
+    if name not in connection.prepared:
+        return text
+    return format_execution(*connection.prepared[name], arguments)
+
+
+def format_execution(writes: bool, shape: str, arguments: str) -> str:
+    """Return the text of a prepared statement that runs."""
+    return f"EXECUTE [{'WRITE' if writes else 'READ'} {shape}] {arguments}"
+
+
 class DatabaseServer:
     """Serves one database over the line protocol.
 
     :param limit: maximum number of connections.
-    :param on_run: called with the team, request and text of a statement, the time at
-        which it started, and its answer, or None without one.
+    :param on_run: called with the team, request and text of a statement as
+        :func:`describe_text` returns it, the time at which it started, and its answer,
+        or None without one.
     """
 
     def __init__(
@@ -91,7 +113,8 @@
                 except ports.ConnectionLost:
                     break
                 finally:
-                    self.on_run(connection.team, request_id, text, started_at, answer)
+                    shown = describe_text(connection, text)
+                    self.on_run(connection.team, request_id, shown, started_at, answer)
                 writer.write(callers.format_answer(answer))
         if connection is not None:
             connection.close()
@@ -155,18 +178,22 @@
             return answer
         if word == "RESET":
             return await connection.reset(deadline)
+        if word == "PREPARE":
+            name, kind, shape = rest.split(" ", 2)
+            connection.prepared[name] = (kind == "WRITE", shape)
+            return connection._succeed("-")
         statement = callers.parse_statement(request_id, text)
         if statement.kind is statements.Kind.SET:
             return (
                 await connection.set_values({statement.name: statement.value}, deadline)
             )[0]
-        if statement.kind is statements.Kind.PREPARE:
-            return (await connection.prepare([statement.definition], deadline))[0]
         if statement.kind is statements.Kind.ROLLBACK:
             return await connection.roll_back(deadline)
         if statement.kind is statements.Kind.EXECUTE:
-            writes = statement.name.startswith("w_")
-            statement.definition = statements.Definition(writes, statement.name[2:])
+            form = connection.prepared.get(rest.partition(" ")[0])
+            if form is None:
+                return connection._fail(statements.Failure.UNKNOWN_STATEMENT)
+            statement.definition = statements.Definition(*form)
         return await connection.run(statement, deadline, after)
 
 
--- a/tests/builders_lines.py
+++ b/tests/builders_lines.py
@@ -43,6 +43,7 @@
         self.runs: list[tuple[str, tuple[str, str] | None, str]] = []
         self.sizes: list[int] = []
         self.start: list[str] = []
+        self.ended = asyncio.Event()
 
     async def open(self, team: str = "desk") -> tuple[asyncio.Server, object]:
         """Listen on a free port; return the server and a node's connection to it."""
@@ -67,6 +68,7 @@
             if word != "CLOSE":
                 writer.write(b"READY I -\r\n")
         writer.close()
+        self.ended.set()
 
     def _answer(self, text: str) -> str:
         word, _, rest = text.partition(" ")
@@ -116,6 +118,7 @@
                 await scenario(Client(connection))
             finally:
                 connection.close()
+                await database.ended.wait()
 
     anyio.run(main)
     return database
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -184,7 +184,7 @@
                 connection
                 for connection in world.clusters["g"].primary.connections
                 if connection.values == {"mode": value}
-                and f"r_shape-{value}" in connection.prepared
+                and (False, f"shape-{value}") in connection.prepared.values()
             ]
             assert held
 
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -434,8 +434,8 @@
 def test_connection_is_reset_only_to_drop_state_that_the_session_lacks():
     pooled = pool.PooledConnection(None, None, "t")
     pooled.values = {"a": "1"}
-    pooled.prepared = {"r_x"}
     wanted = [statements.Definition(False, "x"), statements.Definition(True, "x")]
+    pooled.prepared = {wanted[0].shared_name}
     assert pool.find_missing_state(pooled, {"a": "1", "b": "2"}, wanted) == (
         False,
         {"b": "2"},
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -600,9 +600,10 @@
         b"COMPLETE -\r\nREADY I -\r\n",
         b"ROW a\r\nROW b\r\nCOMPLETE s\r\nREADY I 1.1\r\n",
     )
+    name = statements.Definition(True, "q2c").shared_name.encode()
     assert server.lines[1:3] == [
-        b"QUERY - PREPARE w_q2c WRITE q2c\r\n",
-        b"QUERY id7 EXECUTE w_q2c 1a4 data\r\n",
+        b"QUERY - PREPARE %s WRITE q2c\r\n" % name,
+        b"QUERY id7 EXECUTE %s 1a4 data\r\n" % name,
     ]
     assert answer.rows == ["a", "b"]
 
--- a/tests/test_requests_random.py
+++ b/tests/test_requests_random.py
@@ -63,7 +63,7 @@
         elif kind is Kind.PREPARE:
             writes = source.random() < 0.5
             statement.name = source.choice("pq")
-            shape = f"q{source.randrange(4)}"
+            shape = f"q{source.randrange(4)}" + source.choice(["", " READ x", "\t"])
             statement.definition = statements.Definition(writes, shape)
         elif kind is Kind.EXECUTE:
             statement.name = source.choice(list(self.shapes))
@@ -81,7 +81,8 @@
         if answer.error is None and kind is Kind.SET:
             self.values[statement.name] = statement.value
         if answer.error is None and kind is Kind.PREPARE:
-            self.shapes[statement.name] = statement.definition.shared_name
+            found = statement.definition
+            self.shapes[statement.name] = (found.writes, found.shape)
         return answer.status != "E"
 
 
@@ -108,7 +109,8 @@
         count += 1
         found = asked[statement.request_id]
         kind = statement.kind
-        shape = statement.definition and statement.definition.shared_name
+        definition = statement.definition
+        shape = definition and (definition.writes, definition.shape)
         if (found.team, found.text, found.shape) != (self.team, statement.text, shape):
             wrong.append(("identity", statement.request_id))
         # A BEGIN is answered first, and sent with the next statement.
