--- a/src/sardinehold/node/connections.py
+++ b/src/sardinehold/node/connections.py
@@ -199,7 +199,9 @@
                 await pace()
             _check_answers(pooled, await connection.prepare(to_prepare, deadline))
             pooled.prepared.update(item.shared_name for item in to_prepare)
-            pooled.prepared_bytes += sum(len(item.shared_name) for item in to_prepare)
+            pooled.prepared_bytes += sum(
+                len(item.shared_name) + len(item.shape) for item in to_prepare
+            )
     except ports.ConnectionLost as error:
         raise ports.ConnectionLost(False, error.is_timeout) from error
     return to_prepare
--- a/src/sardinehold/node/pool.py
+++ b/src/sardinehold/node/pool.py
@@ -79,8 +79,8 @@
 the time in which an owner detects that it is reachable again."""
 
 MAX_PREPARED = 1024 * 1024
-"""Bytes of names of prepared statements above which a connection is reset: sessions may
-prepare ever new ones."""
+"""Bytes of prepared statements above which a connection is reset: sessions may prepare
+ever new ones."""
 
 ROUND_TRIP_ESTIMATES = (0.002, 0.004, 0.02)
 """Estimated round trip in seconds to the own zone, the own region, or elsewhere."""
@@ -92,7 +92,7 @@
     :param team: the team in whose name it was opened.
     :param values: variables that are set on it.
     :param prepared: shared names of the statements that are prepared on it.
-    :param prepared_bytes: length of these names.
+    :param prepared_bytes: length of these names and their statements' shapes.
     :param idle_since: when it was returned to the pool.
     """
 
--- a/src/sardinehold/node/statements.py
+++ b/src/sardinehold/node/statements.py
@@ -1,6 +1,10 @@
 """Statements and answers, independent of the wire protocol."""
 
 import enum
+import hashlib
+
+NAME_BYTES = 16
+"""Bytes of the digest in a prepared statement's name: two texts do not share one."""
 
 
 class Kind(enum.Enum):
@@ -66,20 +70,28 @@
     """Definition of a prepared statement.
 
     :param writes: whether running it changes data.
-    :param shape: the endpoint's name for statements of this form.
+    :param shape: the endpoint's name for statements of this form; any text.
     """
 
-    __slots__ = ("writes", "shape")
+    __slots__ = ("writes", "shape", "_shared_name")
 
     def __init__(self, writes: bool, shape: str) -> None:
         """Initialize the definition."""
         self.writes = writes
         self.shape = shape
+        self._shared_name = ""
 
     @property
     def shared_name(self) -> str:
-        """Name under which it is prepared on connections, equal for equal forms."""
-        return f"{'w' if self.writes else 'r'}_{self.shape}"
+        """Name under which it is prepared on connections, equal for equal forms.
+
+        A digest, since the shape may have any characters and any length.
+        """
+        if not self._shared_name:
+            form = f"{'w' if self.writes else 'r'} {self.shape}".encode()
+            digest = hashlib.blake2b(form, digest_size=NAME_BYTES)
+            self._shared_name = f"p_{digest.hexdigest()}"
+        return self._shared_name
 
 
 class Answer:
