--- a/src/sardinehold/node/outcomes.py
+++ b/src/sardinehold/node/outcomes.py
@@ -5,6 +5,12 @@
 from sardinehold.node import execution
 from sardinehold.node import statements
 
+EXCEEDS_LIMIT = (
+    "not run: with what an endpoint must be told besides, the statement exceeds the"
+    " protocol's limit; shorten it"
+)
+"""Detail of the refusal of a statement that fits into the caller's line only."""
+
 
 class StatementFailed(Exception):
     """Raised when a statement ends with a failure."""
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -136,6 +136,10 @@
                     statements.Failure.MALFORMED,
                     "the transaction failed; end it with ROLLBACK",
                 )
+            if statement.exceeds_limit:
+                raise outcomes.StatementFailed(
+                    statements.Failure.TOO_LARGE, outcomes.EXCEEDS_LIMIT
+                )
             return await handlers.HANDLERS[statement.kind](self, statement)
         except outcomes.StatementFailed as error:
             if self.transaction is not None:
--- a/src/sardinehold/node/statements.py
+++ b/src/sardinehold/node/statements.py
@@ -6,6 +6,11 @@
 NAME_BYTES = 16
 """Bytes of the digest in a prepared statement's name: two texts do not share one."""
 
+NAME_PREFIX = "p_"
+
+NAME_LENGTH = len(NAME_PREFIX) + 2 * NAME_BYTES
+"""Characters of a prepared statement's name at endpoints."""
+
 
 class Kind(enum.Enum):
     """Kind of a statement."""
@@ -32,6 +37,7 @@
     :param definition: definition of a PREPARE or EXECUTE, None for other kinds.
     :param arguments: arguments of EXECUTE, as sent.
     :param received_at: when it may have reached this node, None if just now.
+    :param exceeds_limit: whether it is longer than what an endpoint can be sent.
     """
 
     __slots__ = (
@@ -43,6 +49,7 @@
         "definition",
         "arguments",
         "received_at",
+        "exceeds_limit",
     )
 
     def __init__(
@@ -64,6 +71,7 @@
         self.definition = definition
         self.arguments = arguments
         self.received_at: float | None = None
+        self.exceeds_limit = False
 
 
 class Definition:
@@ -90,7 +98,7 @@
         if not self._shared_name:
             form = f"{'w' if self.writes else 'r'} {self.shape}".encode()
             digest = hashlib.blake2b(form, digest_size=NAME_BYTES)
-            self._shared_name = f"p_{digest.hexdigest()}"
+            self._shared_name = NAME_PREFIX + digest.hexdigest()
         return self._shared_name
 
 
--- a/src/sardinehold/platform/callers.py
+++ b/src/sardinehold/platform/callers.py
@@ -404,6 +404,7 @@
             )
         else:
             statement.received_at = self._line_received_at
+            statement.exceeds_limit = endpoints.exceeds_limit(statement)
             answer = await self._node.serve(self.session, statement)
         await self._send_answer(answer)
         if outcomes.ends_session(answer):
--- a/src/sardinehold/platform/endpoints.py
+++ b/src/sardinehold/platform/endpoints.py
@@ -7,6 +7,7 @@
 from sardinehold.core import positions
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import outcomes
 from sardinehold.node import ports
 from sardinehold.node import statements
 from sardinehold.platform import lines
@@ -82,6 +83,43 @@
     )
 
 
+def format_query(request_id: str, *fields: str) -> bytes:
+    """Encode a query from the fields of its text.
+
+    :raises sardinehold.platform.lines.LineTooLong: it exceeds the protocol's limit.
+    """
+    return lines.format_line("QUERY", request_id, *fields)
+
+
+def format_prepare(definition: statements.Definition) -> bytes:
+    """Encode the query that prepares a statement under its shared name.
+
+    :raises sardinehold.platform.lines.LineTooLong: it exceeds the protocol's limit.
+    """
+    kind = "WRITE" if definition.writes else "READ"
+    fields = ("PREPARE", definition.shared_name, kind, definition.shape)
+    return format_query(INTERNAL_REQUEST_ID, *fields)
+
+
+def exceeds_limit(statement: statements.Statement) -> bool:
+    """Return whether a statement is too long for an endpoint, even without AFTER."""
+    if statement.kind is statements.Kind.EXECUTE:
+        request_id = statement.request_id
+    elif statement.kind is statements.Kind.PREPARE:
+        request_id = INTERNAL_REQUEST_ID
+    else:
+        return False
+    sent = len(format_query(request_id, "")) + len(statement.text)
+    return sent + statements.NAME_LENGTH - len(statement.name) > lines.MAX_LINE
+
+
+def list_fields(statement: statements.Statement) -> tuple[str, ...]:
+    """Return the fields of a statement's text, as an endpoint is sent it."""
+    if statement.kind is statements.Kind.EXECUTE:
+        return "EXECUTE", statement.definition.shared_name, statement.arguments
+    return (statement.text,)
+
+
 class Connection(asyncio.Protocol):
     """One connection to an endpoint; implements the node's connection port."""
 
@@ -95,6 +133,7 @@
         self._pending: list[asyncio.Future] = []
         self._rows: list[str] = []
         self._outcome: tuple[str, statements.Failure | None, str] = ("", None, "")
+        self._status = "I"
 
     # Callbacks of the transport
 
@@ -143,6 +182,7 @@
         )
         self._rows = []
         self._outcome = ("", None, "")
+        self._status = status
         if not self._pending:
             raise ValueError("answer without a pending statement")
         future = self._pending.pop(0)
@@ -209,64 +249,62 @@
 
         :param after: log position that the endpoint must have reached.
         """
-        text = statement.text
-        if statement.kind is statements.Kind.EXECUTE:
-            text = f"EXECUTE {statement.definition.shared_name} {statement.arguments}"
-        if after is not None:
-            text = f"AFTER {format_position(after)} {text}"
-        answers = await self._run_queries([(statement.request_id, text)], deadline)
-        return answers[0]
+        prefix = () if after is None else ("AFTER", format_position(after))
+        try:
+            query = format_query(statement.request_id, *prefix, *list_fields(statement))
+        except lines.LineTooLong:
+            return statements.Answer(
+                [],
+                error=statements.Failure.TOO_LARGE,
+                detail=outcomes.EXCEEDS_LIMIT,
+                status="I" if self._status == "I" else "E",
+            )
+        return (await self._run_queries([query], deadline))[0]
 
     async def roll_back(self, deadline: float) -> statements.Answer:
         """Roll back the open transaction, which the caller did not commit."""
-        return (await self._run_queries([(INTERNAL_REQUEST_ID, "ROLLBACK")], deadline))[
-            0
-        ]
+        return await self._run_internal("ROLLBACK", deadline=deadline)
 
     async def reset(self, deadline: float) -> statements.Answer:
         """Discard all variables and prepared statements."""
-        return (await self._run_queries([(INTERNAL_REQUEST_ID, "RESET")], deadline))[0]
+        return await self._run_internal("RESET", deadline=deadline)
 
     async def set_values(
         self, values: dict[str, str], deadline: float
     ) -> list[statements.Answer]:
         """Set variables."""
-        texts = [f"SET {name} {value}" for name, value in values.items()]
-        return await self._run_queries(
-            [(INTERNAL_REQUEST_ID, text) for text in texts], deadline
-        )
+        queries = [
+            format_query(INTERNAL_REQUEST_ID, "SET", name, value)
+            for name, value in values.items()
+        ]
+        return await self._run_queries(queries, deadline)
 
     async def prepare(
         self, definitions: list[statements.Definition], deadline: float
     ) -> list[statements.Answer]:
         """Prepare statements under their shared names."""
-        texts = [
-            f"PREPARE {item.shared_name} {'WRITE' if item.writes else 'READ'}"
-            f" {item.shape}"
-            for item in definitions
-        ]
-        return await self._run_queries(
-            [(INTERNAL_REQUEST_ID, text) for text in texts], deadline
-        )
+        return await self._run_queries(list(map(format_prepare, definitions)), deadline)
 
     async def read_status(self, deadline: float) -> ports.LogStatus | None:
         """Read the log status; return None if the endpoint refused."""
-        return await self._query_status("STATUS", deadline)
+        return await self._query_status("STATUS", deadline=deadline)
 
     async def pause(self, term: int, deadline: float) -> ports.LogStatus | None:
         """Pause replication on a replica; return None if it refused."""
-        return await self._query_status(f"PAUSE {term}", deadline)
+        return await self._query_status("PAUSE", str(term), deadline=deadline)
 
     async def resume(self, deadline: float) -> ports.LogStatus | None:
         """Resume replication; return None if the endpoint refused."""
-        return await self._query_status("RESUME", deadline)
+        return await self._query_status("RESUME", deadline=deadline)
 
     async def step_down(self, term: int, deadline: float) -> ports.LogStatus | None:
         """Demote a primary of a lower term; return None if it refused."""
-        return await self._query_status(f"STEPDOWN {term}", deadline)
+        return await self._query_status("STEPDOWN", str(term), deadline=deadline)
 
-    async def _query_status(self, text: str, deadline: float) -> ports.LogStatus | None:
-        answer = (await self._run_queries([(INTERNAL_REQUEST_ID, text)], deadline))[0]
+    async def _query_status(
+        self, *fields: str, deadline: float
+    ) -> ports.LogStatus | None:
+        answer = await self._run_internal(*fields, deadline=deadline)
         if answer.error is not None or not answer.rows:
             return None
         try:
@@ -283,18 +321,18 @@
         self._pending.append(future)
         return future
 
+    async def _run_internal(self, *fields: str, deadline: float) -> statements.Answer:
+        """Run a statement that no caller sent."""
+        query = format_query(INTERNAL_REQUEST_ID, *fields)
+        return (await self._run_queries([query], deadline))[0]
+
     async def _run_queries(
-        self, queries: list[tuple[str, str]], deadline: float
+        self, queries: list[bytes], deadline: float
     ) -> list[statements.Answer]:
         if self._closed:
             raise ports.ConnectionLost(False)
         futures = [self._add_pending() for _ in queries]
-        self._transport.write(
-            b"".join(
-                lines.format_line("QUERY", request_id, text)
-                for request_id, text in queries
-            )
-        )
+        self._transport.write(b"".join(queries))
         return await self._wait(futures, deadline)
 
     async def _wait(
--- a/src/sardinehold/platform/lines.py
+++ b/src/sardinehold/platform/lines.py
@@ -149,9 +149,22 @@
 def format_line(*parts: str) -> bytes:
     """Encode a line from its word and fields.
 
-    :raises ValueError: a field has characters that the encoding lacks.
+    All but the last end at a blank and cannot have one: whoever reads the line finds
+    the same fields.
+
+    :raises ValueError: one that is not the last is empty or has a blank, or one has
+        characters that no line can have.
+    :raises LineTooLong: the line exceeds ``MAX_LINE``.
     """
-    return " ".join(parts).encode(ENCODING) + _END
+    for part in parts[:-1]:
+        if not part or " " in part:
+            raise ValueError(f"field {part!r:.80}")
+    data = " ".join(parts).encode(ENCODING)
+    if b"\r" in data or b"\n" in data:
+        raise ValueError(f"a field of {parts[0]!r:.80} contains the end of a line")
+    if len(data) + len(_END) > MAX_LINE:
+        raise LineTooLong
+    return data + _END
 
 
 def check_field(text: str) -> str:
