--- a/src/sardinehold/node/statements.py
+++ b/src/sardinehold/node/statements.py
@@ -1,6 +1,15 @@
 """Statements and answers, independent of the wire protocol."""
 
 import enum
+import hashlib
+
+NAME_BYTES = 16
+"""Bytes of the digest in a prepared statement's name: two texts do not share one."""
+
+NAME_PREFIX = "p_"
+
+NAME_LENGTH = len(NAME_PREFIX) + 2 * NAME_BYTES
+"""Characters of a prepared statement's name at endpoints."""
 
 
 class Kind(enum.Enum):
@@ -28,6 +37,7 @@
     :param definition: definition of a PREPARE or EXECUTE, None for other kinds.
     :param arguments: arguments of EXECUTE, as sent.
     :param received_at: when it may have reached this node, None if just now.
+    :param exceeds_limit: whether it is longer than what an endpoint can be sent.
     """
 
     __slots__ = (
@@ -39,6 +49,7 @@
         "definition",
         "arguments",
         "received_at",
+        "exceeds_limit",
     )
 
     def __init__(
@@ -60,26 +71,35 @@
         self.definition = definition
         self.arguments = arguments
         self.received_at: float | None = None
+        self.exceeds_limit = False
 
 
 class Definition:
     """Definition of a prepared statement.
 
     :param writes: whether running it changes data.
-    :param shape: the endpoint's name for statements of this form.
+    :param shape: the endpoint's name for statements of this form; any text.
     """
 
-    __slots__ = ("writes", "shape")
+    __slots__ = ("writes", "shape", "_shared_name")
 
     def __init__(self, writes: bool, shape: str) -> None:
         """Initialize the definition."""
         self.writes = writes
         self.shape = shape
+        self._shared_name = ""
 
     @property
     def shared_name(self) -> str:
-        """Name under which it is prepared on connections, equal for equal forms."""
-        return f"{'w' if self.writes else 'r'}_{self.shape}"
+        """Name under which it is prepared on connections, equal for equal forms.
+
+        A digest, since the shape may have any characters and any length.
+        """
+        if not self._shared_name:
+            form = f"{'w' if self.writes else 'r'} {self.shape}".encode()
+            digest = hashlib.blake2b(form, digest_size=NAME_BYTES)
+            self._shared_name = NAME_PREFIX + digest.hexdigest()
+        return self._shared_name
 
 
 class Answer:
