Take and release a transaction's slots on the start that has its connection

Callers of an endpoint got 'no slot in time' until the owner's process was restarted. A statement of an open transaction took a slot of the object that has the endpoint's name, and released one of the object that has the connection; these differ once the endpoint has started again.

--- a/src/sardinehold/node/executor.py
+++ b/src/sardinehold/node/executor.py
@@ -109,6 +109,9 @@
             )
         self._check_stream(stream, request)
         self.node.cold_endpoints.check(group, endpoint, stream)
+        if stream.pooled is not None:
+            # A connection stays with the start for which it was opened.
+            endpoint = stream.pooled.endpoint
         self.running += 1
         stream.is_running = True
         try:
