Send no commit after the seal on an earlier start's connection to the primary

The owner's check before a COMMIT compared the connection's start with the newest start of the primary, so that a commit on a connection of an earlier start was sent although the primary was being replaced. Its acknowledgement may be later than the logs and reports on which a leader promotes. The check compares names now.

The test failed before: the COMMIT was acknowledged. Callers' nodes make the same check, so that only a COMMIT was concerned whose node knew of the seal later than the owner, or that waited there.

--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -194,8 +194,12 @@
         return self._request_expires_at
 
     def is_replaced(self, endpoint: pool.Endpoint, now: float) -> bool:
-        """Return whether an endpoint is a primary that may get no commit any more."""
-        return endpoint is self.primary and not self.commits.may_start(now)
+        """Return whether an endpoint is a primary that may get no commit any more.
+
+        :param endpoint: of any start; the earlier one may have a connection to this.
+        """
+        is_primary = self.state is not None and self.state.primary == endpoint.name
+        return is_primary and not self.commits.may_start(now)
 
     def is_overtaken(self) -> bool:
         """Return whether an endpoint answered in a later term than the primary's.
--- a/tests/test_commits_in_flight.py
+++ b/tests/test_commits_in_flight.py
@@ -5,6 +5,7 @@
 import pytest
 
 import builders_node
+from sardinehold.node import clock
 from sardinehold.node import commits
 from sardinehold.node import leader
 from sardinehold.node import statements
@@ -79,6 +80,27 @@
     builders_node.run_scenario(monkeypatch, scenario)
 
 
+def test_commit_on_an_earlier_start_of_the_primary_is_not_sent_after_the_seal(
+    monkeypatch,
+):
+    # The owner knew the primary by its newest start, the connection an earlier one.
+    async def scenario(world):
+        owners = world.nodes["n0"].groups["g"].endpoints["g-0"].owners
+        sender = next(name for name in world.nodes if name not in owners)
+        client = world.open(sender, "latest")
+        await client.send(Kind.BEGIN)
+        assert (await client.write()).error is None
+        world.publish_endpoint("g-0", born=1)
+        await asyncio.sleep(0.1)
+        for name in owners:
+            world.nodes[name].groups["g"].commits.closed_at = clock.read()
+        answer = await client.send(Kind.COMMIT)
+        assert answer.error is statements.Failure.ABORTED
+        assert not world.clusters["g"].acknowledged
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
 def test_idle_connections_do_not_keep_the_leader_from_the_logs(monkeypatch):
     # The databases were at their limits; the nodes' idle connections used up a third.
     async def scenario(world):
