Show that a statement that no line can prepare leaks its connection (RECOVER)

Callers saw: BUSY 'has no slot in time' for all statements to an endpoint.

Cause: a node of an earlier version accepts a PREPARE near the limit and forwards its EXECUTE. At the owner format_prepare raises LineTooLong, which nothing handles: the task ends without an answer, and the connection stays in the endpoint's set without being in the pool or lost.

--- a/tests/test_statement_limits.py
+++ b/tests/test_statement_limits.py
@@ -3,9 +3,12 @@
 import anyio
 
 import builders_lines
+import builders_node
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import statements
 from sardinehold.platform import endpoints
+from sardinehold_standins import group_in_memory
 
 
 def test_caller_without_a_team_is_served_on_a_public_route():
@@ -29,3 +32,31 @@
     anyio.run(main)
     assert (database.start[0], database.start[-1]) == ("db", "i-1")
     assert database.start != ["db", "desk", "i-1"]
+
+
+def test_statement_that_no_line_can_prepare_does_not_leak_its_connection(monkeypatch):
+    # Nodes of earlier versions forward such statements: LineTooLong ended the owner's
+    # task, and the connection was neither in use nor in the pool until it broke.
+    prepare = group_in_memory.DatabaseConnection.prepare
+
+    async def prepare_as_lines(connection, definitions, deadline):
+        for definition in definitions:
+            endpoints.format_prepare(definition)
+        return await prepare(connection, definitions, deadline)
+
+    async def scenario(world):
+        owners = world.nodes["n0"].groups["g"].endpoints["g-0"].owners
+        sender = next(name for name in world.nodes if name != owners[0])
+        client = world.open(sender, "latest")
+        long = statements.Definition(False, "z" * builders_lines.MAX_LINE)
+        prepared = statements.Kind.PREPARE, statements.Kind.EXECUTE
+        await client.send(prepared[0], name="s", definition=long)
+        for _ in range(5):
+            await client.send(prepared[1], name="s", arguments="1a4")
+        for node in world.nodes.values():
+            endpoint = node.groups["g"].endpoints["g-0"]
+            assert len(endpoint.idle) == len(endpoint.connections)
+            assert not node.registry.counters.get("tasks_failed")
+
+    monkeypatch.setattr(group_in_memory.DatabaseConnection, "prepare", prepare_as_lines)
+    builders_node.run_scenario(monkeypatch, scenario, count=3)
