Show that a statement within the limit fits no frame to its owner (TOOLARGE)

Callers saw: TOOLARGE for an EXECUTE of 1 MiB of bytes above 127, with a detail about variables, through nodes that do not own the endpoint; COMPLETE through the owner.

--- a/tests/test_statement_limits.py
+++ b/tests/test_statement_limits.py
@@ -3,10 +3,13 @@
 import anyio
 
 import builders_lines
+import builders_links
 import builders_node
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import frames
 from sardinehold.node import statements
+from sardinehold.platform import callers
 from sardinehold.platform import endpoints
 from sardinehold_standins import group_in_memory
 
@@ -60,3 +63,19 @@
 
     monkeypatch.setattr(group_in_memory.DatabaseConnection, "prepare", prepare_as_lines)
     builders_node.run_scenario(monkeypatch, scenario, count=3)
+
+
+def test_statement_that_an_endpoint_can_be_sent_also_fits_a_frame_to_its_owner():
+    # Its text was sent twice, each byte above 127 as two: the caller was told to
+    # shorten variables that it did not have.
+    name = "s" * statements.NAME_LENGTH
+    room = builders_lines.MAX_LINE - len(
+        f"QUERY 5c0e7a21d94b36f8 EXECUTE {name} 1a4 \r\n"
+    )
+    text = f"EXECUTE {name} 1a4 " + "\xff" * room
+    statement = callers.parse_statement("5c0e7a21d94b36f8", text)
+    statement.definition = statements.Definition(True, "q2c" + " x" * 100)
+    assert not endpoints.exceeds_limit(statement)
+    request = builders_links.make_request(statement=statement, values={})
+    frame = frames.pack_request(1, request, 0.0, 0.0, 0.0)
+    assert len(frame) <= frames.MAX_FRAME
