Escape what an error to a caller quotes, within the limit of a line

A refusal may quote the name of a zone, service or team of the configuration or of a database's entry. Where it had a letter beyond Latin-1, the caller got no answer: encoding failed, and the task that serves the session ended; with a line end in it the caller got two lines, until lines were built from checked fields. A database's ERROR of the longest line with a code that callers are not sent grew by the longer code.

format_message encodes a line whose last field is a text for people: it escapes what no line can have, and cuts what exceeds the limit. All errors to callers are built by it.

--- a/src/sardinehold/platform/callers.py
+++ b/src/sardinehold/platform/callers.py
@@ -154,15 +154,18 @@
     if answer.error is None:
         parts.append(lines.format_line("COMPLETE", answer.completion_tag))
     else:
-        detail = answer.detail or answer.error.value
-        parts.append(
-            lines.format_line("ERROR", _CODES_BY_FAILURE[answer.error], detail)
-        )
+        parts.append(format_error(answer.error, answer.detail))
     position = endpoints.format_position(answer.position)
     parts.append(lines.format_line("READY", answer.status, position))
     yield b"".join(parts)
 
 
+def format_error(failure: statements.Failure, detail: str = "") -> bytes:
+    """Encode a failure, by its code and a text."""
+    code = _CODES_BY_FAILURE[failure]
+    return lines.format_message("ERROR", code, text=detail or failure.value)
+
+
 class Caller(asyncio.Protocol):
     """One caller's connection and its session."""
 
@@ -448,14 +451,13 @@
     def _refuse(self, failure: statements.Failure, detail: str = "") -> None:
         """Send an error and close; the framing of later bytes is unknown."""
         self._node.note_refused_line(failure)
-        code = _CODES_BY_FAILURE[failure]
-        self._write(lines.format_line("ERROR", code, detail or failure.value))
+        self._write(format_error(failure, detail))
         self._end()
 
     def _refuse_session(self) -> None:
         """Send an error and close: the process has no room for the session."""
         detail = outcomes.add_retry_hint(FULL, caller_limits.REFUSE_SECONDS)
-        self._write(lines.format_line("ERROR", "BUSY", detail))
+        self._write(format_error(statements.Failure.BUSY, detail))
         self._end()
 
     def abort(self) -> None:
--- a/src/sardinehold/platform/lines.py
+++ b/src/sardinehold/platform/lines.py
@@ -167,6 +167,19 @@
     return data + _END
 
 
+def format_message(*fields: str, text: str) -> bytes:
+    """Encode a line that ends with a text for people, which may quote anything.
+
+    Characters that no line can have are escaped, and what exceeds ``MAX_LINE`` is cut.
+
+    :raises ValueError: a field is empty or has a blank.
+    """
+    room = MAX_LINE - len(format_line(*fields, ""))
+    text = text[:room].replace("\r", "\\r").replace("\n", "\\n")
+    escaped = text.encode(ENCODING, "backslashreplace").decode(ENCODING)
+    return format_line(*fields, escaped[:room])
+
+
 def check_field(text: str) -> str:
     """Return a text that can be a field of a line, other than the last.
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -17,7 +17,9 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import frames
+from sardinehold.node import outcomes
 from sardinehold.node import ports
+from sardinehold.node import session as sessions
 from sardinehold.node import statements
 from sardinehold.platform import callers
 from sardinehold.platform import endpoints
@@ -840,6 +842,15 @@
     assert b"COMPLETE signed" in found[2]
 
 
+def test_refused_start_quotes_a_reason_that_no_line_can_hold(monkeypatch):
+    def authorize(session):
+        raise outcomes.StatementFailed(statements.Failure.BUSY, "zone \u0142")
+
+    monkeypatch.setattr(sessions.Session, "authorize", authorize)
+    found = serve_callers(monkeypatch, [b"START session red-key"])
+    assert found == [b"ERROR BUSY zone \\u0142\r\n", True]
+
+
 def test_pages_are_served_over_a_keepalive_connection():
     async def main():
         loop = asyncio.get_running_loop()
--- a/tests/test_platform_lines.py
+++ b/tests/test_platform_lines.py
@@ -133,3 +133,32 @@
 def test_failure_is_sent_with_its_code_and_the_state():
     answer = statements.Answer([], error=statements.Failure.ABORTED, status="E")
     assert callers.format_answer(answer) == b"ERROR ABORTED aborted\r\nREADY E -\r\n"
+
+
+@pytest.mark.parametrize(
+    ("detail", "sent"),
+    [
+        (
+            "zone \u0142\u00f3d\u017a is evacuated",
+            "zone \\u0142\u00f3d\\u017a is evacuated",
+        ),
+        ("lost\r\nCOMPLETE 1.a\r\nREADY I -", "lost\\r\\nCOMPLETE 1.a\\r\\nREADY I -"),
+        ("\ud800", "\\ud800"),
+        (" two  blanks ", " two  blanks "),
+    ],
+)
+def test_detail_that_no_line_can_hold_is_escaped(detail, sent):
+    # The caller got no answer, and its session went on without one.
+    answer = statements.Answer([], error=statements.Failure.BUSY, detail=detail)
+    expected = f"ERROR BUSY {sent}\r\nREADY I -\r\n"
+    assert callers.format_answer(answer) == expected.encode("latin-1")
+
+
+@pytest.mark.parametrize("letter", ["x", "\u0142"])
+def test_detail_that_exceeds_the_limit_is_cut(letter):
+    # A database's error of the longest line has a longer code for the caller.
+    detail = letter * lines.MAX_LINE
+    answer = statements.Answer([], error=statements.Failure.FAILED, detail=detail)
+    first, _, rest = callers.format_answer(answer).partition(b"\r\n")
+    assert len(first) + 2 == 1024 * 1024
+    assert rest == b"READY I -\r\n"
