Close a caller's connection when its statement fails unexpectedly

An error that nothing expects, such as one of encoding an answer, ended the task that serves the session, but left its connection open: the caller waited for an answer until its own timeout, and a later line ran as if nothing had happened. A closed connection promises nothing, which is all that is known.

The error still reaches the log as task_failed. Before, the test fails: the connection stays open.

--- a/src/sardinehold/platform/callers.py
+++ b/src/sardinehold/platform/callers.py
@@ -341,6 +341,10 @@
                     await asyncio.sleep(0)
             if self._has_long_line and not self._is_ended:
                 self._refuse(statements.Failure.TOO_LARGE)
+        except Exception:
+            # Without an answer, the caller would wait for one.
+            self._end()
+            raise
         finally:
             self._is_running = False
             self._account.is_occupied = False
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -851,6 +851,21 @@
     assert found == [b"ERROR BUSY zone \\u0142\r\n", True]
 
 
+def test_caller_of_a_statement_that_failed_unexpectedly_is_closed(monkeypatch):
+    # The session went on, and its caller waited for the answer.
+    async def scenario(node, caller, transport):
+        async def serve(session, statement):
+            raise KeyError("g-9")
+
+        monkeypatch.setattr(node, "serve", serve)
+        caller.data_received(b"QUERY 1 READ a\r\n")
+        await asyncio.sleep(0.5)
+        assert transport.is_closed
+        assert node.registry.counters["tasks_failed"] == 1
+
+    run_caller(monkeypatch, scenario)
+
+
 def test_pages_are_served_over_a_keepalive_connection():
     async def main():
         loop = asyncio.get_running_loop()
