Connect to databases in nobody's name for callers without a key

A route that is open serves callers without a known key; their connections belong to the team "". START has named it as an empty field until lines were built from checked fields, which refuse one: each such statement then waited for a connection until its timeout, and was refused as BUSY. With an empty field, a database that divides a line at its blanks reads its own id as the name of who connects.

Who connects is "-" now, which stands for nothing elsewhere in the protocol. Before, the test fails: OpeningFailed(ValueError("field ''")).

--- a/src/sardinehold/platform/endpoints.py
+++ b/src/sardinehold/platform/endpoints.py
@@ -16,6 +16,9 @@
 INTERNAL_REQUEST_ID = "-"
 """Request identifier of statements that sardinehold itself sends."""
 
+NOBODY = "-"
+"""Who is connecting in the name of callers without a key."""
+
 KEEPALIVE_IDLE = 2
 """Idle seconds before the first TCP keepalive probe; ``USER_TIMEOUT_MS`` ends a
 connection that does not answer probes. An endpoint that is cut off drops its own side
@@ -228,7 +231,8 @@
             did not answer before the deadline.
         """
         future = self._add_pending()
-        self._transport.write(lines.format_line("START", group, team, name))
+        who = team or NOBODY
+        self._transport.write(lines.format_line("START", group, who, name))
         try:
             answer = await self._wait([future], deadline)
         except ports.ConnectionLost as error:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -211,6 +211,23 @@
         anyio.run(main)
 
 
+def test_connection_for_callers_without_a_key_names_nobody():
+    # Every statement on an open route of a caller without a key was refused.
+    server = builders_platform.LineServer(READY)
+
+    async def main():
+        async with await server.start():
+            record = catalog.EndpointRecord(
+                "i-1", "db", "127.0.0.1", server.port, "north"
+            )
+            connection = await endpoints.Connector().open(record, "", clock.read() + 5)
+            connection.close()
+            await server.ended.wait()
+
+    anyio.run(main)
+    assert server.lines[0] == b"START db - i-1\r\n"
+
+
 @pytest.mark.parametrize("entry", [None, "text", 7, [], {}])
 def test_endpoint_record_that_is_no_table_is_refused(entry):
     with pytest.raises(errors.DocumentError, match="i-1"):
