Refuse at once a session that no database can be told of

A tenant or service of the configuration may have a name that ends as a field of START at a blank, or that no line can hold. Callers of such a tenant were let in; each of their statements then waited for a connection until its timeout, while the node connected to the database, sent it only CLOSE, and tried again. A name of a megabyte ended the task that opens the connection with an unexpected error and left the connection open.

The adapter finds these names when it reads the configuration, the rest of which stays in force; the session is refused as BUSY, which promises truthfully that nothing ran, with the name and the remedy in the answer and in the log. START is built before the connection is opened, so that nothing is opened for it.

--- a/src/sardinehold/node/catalog.py
+++ b/src/sardinehold/node/catalog.py
@@ -133,6 +133,7 @@
     :param teams_by_key: names of the teams by key.
     :param groups: by name.
     :param transaction_idle: idle timeout of a transaction in seconds.
+    :param unnameable: names of teams and groups that endpoints cannot be told.
     """
 
     __slots__ = (
@@ -142,6 +143,7 @@
         "teams_by_key",
         "groups",
         "transaction_idle",
+        "unnameable",
     )
 
     def __init__(
@@ -152,8 +154,10 @@
         teams_by_key: dict[str, str],
         groups: dict[str, Group],
         transaction_idle: float,
+        unnameable: frozenset[str] = frozenset(),
     ) -> None:
         """Initialize the catalog."""
+        self.unnameable = unnameable
         self.version = version
         self.routes = routes
         self.teams = teams
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -405,6 +405,7 @@
             "start_refused",
             route=route,
             outcome=error.failure.value,
+            reason=error.detail,
             catalog=self.find_version(),
         )
 
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -78,6 +78,13 @@
             )
         self.trace.team = team
         self.trace.group = route.group
+        for name in (route.group, team):
+            if name in found.unnameable:
+                raise outcomes.StatementFailed(
+                    statements.Failure.BUSY,
+                    f"databases cannot be told the name {name!r:.80}: rename it in the"
+                    " configuration",
+                )
         return route, team
 
     def find_deadline(self, route: catalog.Route) -> float:
--- a/src/sardinehold/platform/endpoints.py
+++ b/src/sardinehold/platform/endpoints.py
@@ -224,15 +224,14 @@
 
     # Statements
 
-    async def start(self, group: str, team: str, name: str, deadline: float) -> None:
-        """Send START and wait until the endpoint is ready.
+    async def start(self, line: bytes, deadline: float) -> None:
+        """Send a START line and wait until the endpoint is ready.
 
         :raises sardinehold.node.ports.OpeningFailed: the endpoint refused, or
             did not answer before the deadline.
         """
         future = self._add_pending()
-        who = team or NOBODY
-        self._transport.write(lines.format_line("START", group, who, name))
+        self._transport.write(line)
         try:
             answer = await self._wait([future], deadline)
         except ports.ConnectionLost as error:
@@ -369,6 +368,13 @@
         :raises sardinehold.node.ports.OpeningFailed: the endpoint refused, did not
             answer before the deadline, or cannot be told the names.
         """
+        try:
+            start = lines.format_line(
+                "START", record.group, team or NOBODY, record.name
+            )
+        except (ValueError, lines.LineTooLong) as error:
+            # A name that no line can hold tells nothing about the endpoint.
+            raise ports.OpeningFailed(statements.Failure.BUSY, repr(error)) from error
         loop = asyncio.get_running_loop()
         timeout = max(0.0, deadline - clock.read())
         try:
@@ -378,12 +384,7 @@
                 )
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise ports.OpeningFailed(None, repr(error)) from error
-        try:
-            await connection.start(record.group, team, record.name, deadline)
-        except ValueError as error:
-            connection.close()
-            # A name that no line can hold tells nothing about the endpoint.
-            raise ports.OpeningFailed(statements.Failure.BUSY, repr(error)) from error
+        await connection.start(start, deadline)
         return connection
 
 
--- a/src/sardinehold/platform/lines.py
+++ b/src/sardinehold/platform/lines.py
@@ -189,3 +189,12 @@
         raise ValueError(f"field {text!r}")
     text.encode(ENCODING)
     return text
+
+
+def is_field(text: str) -> bool:
+    """Return whether a text can be a field of a line, other than the last."""
+    try:
+        check_field(text)
+    except ValueError:
+        return False
+    return True
--- a/src/sardinehold/platform/records.py
+++ b/src/sardinehold/platform/records.py
@@ -62,17 +62,25 @@
         for key in entry["ApiKeys"]:
             teams_by_key[key] = team.name
     idle = value.get("Limits", {}).get("TxIdleMs", _DEFAULT_TRANSACTION_IDLE_MS)
+    # "Host" is the database name in a caller's START; "Name" is only a label.
+    routes = {entry["Host"]: _parse_route(entry) for entry in value["Routes"]}
+    groups = {entry["Name"]: _parse_group(entry) for entry in value["Services"]}
     return catalog.Catalog(
         int(value["Version"]),
-        # "Host" is the database name in a caller's START; "Name" is only a label.
-        {entry["Host"]: _parse_route(entry) for entry in value["Routes"]},
+        routes,
         teams,
         teams_by_key,
-        {entry["Name"]: _parse_group(entry) for entry in value["Services"]},
+        groups,
         float(idle) * MS,
+        _find_unnameable([*teams, *groups]),
     )
 
 
+def _find_unnameable(names: typing.Iterable[str]) -> frozenset[str]:
+    """Return the names that no START line can hold."""
+    return frozenset(name for name in names if name and not lines.is_field(name))
+
+
 def _parse_route(entry: dict) -> catalog.Route:
     return catalog.Route(
         entry["Host"],
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -228,6 +228,38 @@
     assert server.lines[0] == b"START db - i-1\r\n"
 
 
+@pytest.mark.parametrize(
+    "team", ["\u0142\u00f3d\u017a", "two words", "a\r\nb", "x" * lines.MAX_LINE]
+)
+def test_database_is_not_connected_to_for_a_team_that_it_cannot_be_told(team):
+    # Each statement cost databases a connection; the longest name ended its task.
+    server = builders_platform.LineServer(READY)
+
+    async def main():
+        async with await server.start():
+            record = catalog.EndpointRecord(
+                "i-1", "db", "127.0.0.1", server.port, "north"
+            )
+            with pytest.raises(ports.OpeningFailed):
+                await endpoints.Connector().open(record, team, clock.read() + 5)
+            await asyncio.sleep(0.1)
+
+    anyio.run(main)
+    assert not server.lines
+    assert not server.ended.is_set()
+
+
+@pytest.mark.parametrize("name", ["\u0142\u00f3d\u017a", "two words", "a\nb", "a\tb"])
+@pytest.mark.parametrize("kind", ["Tenants", "Services"])
+def test_name_that_databases_cannot_be_told_leaves_the_others_usable(name, kind):
+    value = builders_platform.make_configuration()
+    (entry,) = value[kind]
+    value[kind].append({**entry, "Name": name, "ApiKeys": ["k2"]})
+    found = records.parse_catalog(value)
+    assert found.unnameable == {name}
+    assert found.teams_by_key["k1"] == "desk"
+
+
 @pytest.mark.parametrize("entry", [None, "text", 7, [], {}])
 def test_endpoint_record_that_is_no_table_is_refused(entry):
     with pytest.raises(errors.DocumentError, match="i-1"):
@@ -859,6 +891,18 @@
     assert b"COMPLETE signed" in found[2]
 
 
+@pytest.mark.parametrize("name", ["red", "g"])
+def test_session_that_no_database_can_be_told_of_is_refused_at_once(monkeypatch, name):
+    # Each of its statements waited for a connection until its timeout.
+    def prepare(world):
+        world.nodes["n1"].catalog.unnameable = frozenset({name})
+
+    found = serve_callers(monkeypatch, [b"START session red-key"], prepare)
+    assert found[0].startswith(b"ERROR BUSY")
+    assert name.encode() in found[0]
+    assert found[-1] is True
+
+
 def test_refused_start_quotes_a_reason_that_no_line_can_hold(monkeypatch):
     def authorize(session):
         raise outcomes.StatementFailed(statements.Failure.BUSY, "zone \u0142")
