Take only the states and positions of the protocol from databases

The state and the position of a database's answer were passed on as they came. An empty state, an unknown one, and a position with signs, blanks or more digits than 64 bits hold count as answers that cannot be read now, and so do status rows with such numbers or a lag that is no number.

An empty state could not be sent to the caller (ValueError), a position beyond 64 bits not to the node that waits for the answer (OverflowError); both ended the task that would have answered.

--- a/src/sardinehold/platform/endpoints.py
+++ b/src/sardinehold/platform/endpoints.py
@@ -1,6 +1,7 @@
 """Connections to endpoints over the line protocol."""
 
 import asyncio
+import math
 import socket
 import struct
 
@@ -30,6 +31,12 @@
 KEEPALIVE_COUNT = 2
 """Unanswered keepalive probes after which a connection counts as lost."""
 
+MAX_DIGITS = 18
+"""Digits of the largest number of a position; it fits into 64 bits."""
+
+STATES = frozenset({"I", "T", "E"})
+"""Transaction states after an answer."""
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """``struct linger`` with a timeout of 0 s: a close resets the connection, and the
 kernel discards the bytes that were not delivered."""
@@ -65,7 +72,18 @@
     if text == "-":
         return None
     term, _, number = text.partition(".")
-    return positions.Position(int(term), int(number))
+    return positions.Position(parse_number(term), parse_number(number))
+
+
+def parse_number(text: str) -> int:
+    """Parse a number of a term or position.
+
+    :raises ValueError: it has other characters than digits, or more digits than nodes
+        can forward to each other.
+    """
+    if not (text.isascii() and text.isdigit()) or len(text) > MAX_DIGITS:
+        raise ValueError(f"number {text!r:.80}")
+    return int(text)
 
 
 def format_position(position: positions.Position | None) -> str:
@@ -80,9 +98,12 @@
     """
     role, term, received, held, lag_ms, *_ = row.split(" ")
     position = parse_position(received) or positions.START
+    lag = float(lag_ms) * records.MS
+    if not math.isfinite(lag):
+        raise ValueError(f"lag {lag_ms!r}")
     # The field "term held" is the term of the pause in force, 0 without a pause.
     return ports.LogStatus(
-        role == "primary", int(term), position, int(held), float(lag_ms) * records.MS
+        role == "primary", parse_number(term), position, parse_number(held), lag
     )
 
 
@@ -174,6 +195,8 @@
             self._outcome = ("", failure, text)
         elif word == "READY":
             status, position = rest.split(" ", 1)
+            if status not in STATES:
+                raise ValueError(f"state {status!r:.80}")
             self._finish(status, parse_position(position))
         else:
             raise ValueError(f"unknown word {word!r}")
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -669,6 +669,47 @@
     assert status.received == positions.Position(3, 1209)
 
 
+@pytest.mark.parametrize(
+    "ready",
+    [
+        b"READY X 3.1",
+        b"READY  3.1",
+        b"READY I",
+        b"READY I 3",
+        b"READY I -1.5",
+        b"READY I 3.+5",
+        b"READY I 3. 5",
+        b"READY I 3.1_0",
+        b"READY I 3.1 5",
+        b"READY I 3." + b"9" * 19,
+        b"READY I " + b"9" * 400 + b".1",
+    ],
+)
+def test_answer_with_another_state_or_position_is_no_answer(ready):
+    # Other nodes and the caller were to be sent it, which failed unexpectedly.
+    async def scenario(connection):
+        with pytest.raises(ports.ConnectionLost):
+            await connection.run(make_statement("READ 1a4"), clock.read() + 5)
+
+    run_scenario(scenario, b"COMPLETE s\r\n" + ready + b"\r\n")
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        "replica 3 3.1209 0 nan 2 17",
+        "replica 3 3.1209 0 inf 2 17",
+        "replica 3 3.1209 " + "9" * 40 + " 12 2 17",
+        "replica 3 -3.1209 0 12 2 17",
+        "replica 3 3.1209 -1 12 2 17",
+        "replica -3 3.1209 0 12 2 17",
+    ],
+)
+def test_status_with_a_number_that_no_log_has_is_none(row):
+    with pytest.raises(ValueError):
+        endpoints.parse_status_row(row)
+
+
 def test_broken_connection_reports_that_the_statement_was_sent():
     async def scenario(connection):
         with pytest.raises(ports.ConnectionLost) as caught:
