Encode the name of an object in the path of a store call

Names of objects are made of names of groups and nodes, which come from the configuration and the settings. The path held them as they are: after a ? or # the call named another object, after a / none, and a % was read as an escape. A group of such a name could not be written after its creation, whose name is in the body.

Names are percent-encoded as one segment. Before, 8 of the 14 cases in test_platform_adapter.py fail.

--- a/src/sardinehold/platform/store.py
+++ b/src/sardinehold/platform/store.py
@@ -5,6 +5,7 @@
 """
 
 import typing
+import urllib.parse
 
 import httpx
 
@@ -116,8 +117,7 @@
         """Replace an object; raises VersionConflict if its version differs."""
         meta = {"Name": name, "Revision": objects.find_revision(version)}
         body = {"meta": meta, "spec": value}
-        path = f"/api/objects/{kind}/{name}"
-        answer, era = await self._call("PUT", path, json=body)
+        answer, era = await self._call("PUT", _make_path(kind, name), json=body)
         return _parse_object(kind, answer, era)
 
     async def delete(self, kind: str, name: str, version: int) -> None:
@@ -127,7 +127,7 @@
         """
         await self._call(
             "DELETE",
-            f"/api/objects/{kind}/{name}",
+            _make_path(kind, name),
             params={"Revision": objects.find_revision(version)},
         )
 
@@ -165,6 +165,11 @@
         self._registry.count(name)
 
 
+def _make_path(kind: str, name: str) -> str:
+    """Return the path of an object, whose name may have any characters."""
+    return f"/api/objects/{kind}/{urllib.parse.quote(name, safe='')}"
+
+
 def _build_error(status: int, call: str) -> errors.PlatformError:
     if status == 404:
         return errors.ObjectMissing(f"{call} found no object.", "Create it first.")
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -474,6 +474,34 @@
     assert recorder.read_body(0)["meta"]["Revision"] == 8
 
 
+@pytest.mark.parametrize(
+    ("name", "path"),
+    [
+        ("group.a/b", b"group.a%2Fb"),
+        ("group.a?b=1", b"group.a%3Fb%3D1"),
+        ("group.a#b", b"group.a%23b"),
+        ("group.a%2Fb", b"group.a%252Fb"),
+        ("group.a b", b"group.a%20b"),
+        ("group.\u0142", b"group.%C5%82"),
+        ("group.db-1_a~b", b"group.db-1_a~b"),
+    ],
+)
+@pytest.mark.parametrize("method", ["PUT", "DELETE"])
+def test_name_of_an_object_is_one_segment_of_its_path(name, path, method):
+    # The call named another object, or none, and the rest of it was a query.
+    recorder = builders_platform.Recorder(
+        (200, {"meta": {"Name": name, "Revision": 5}, "spec": {}})
+    )
+    version = objects.make_version(1, 4)
+    if method == "PUT":
+        run_store(recorder, lambda c: c.update("sardinehold", name, {}, version))
+    else:
+        run_store(recorder, lambda c: c.delete("sardinehold", name, version))
+    (request,) = recorder.requests
+    query = b"" if method == "PUT" else b"?Revision=4"
+    assert request.url.raw_path == b"/api/objects/sardinehold/" + path + query
+
+
 def test_versions_carry_the_era_of_the_answer():
     page = {
         "items": [builders_platform.make_object("a", 3, {})],
