Sign only nonces of the fixed length for a link, and refuse data behind a datagram

The proof of the fleet's key is the digest of the other end's nonce followed by a name, and the nonce had any length: whoever is dialled, such as a process on an address that a node had before, chose most of the signed text. A datagram has a digest with the same key, and data behind its message was ignored: the proof for a nonce that is a message was the digest of a datagram with this message.

Nodes always sent nonces of 16 bytes; others end the link now, and so does data behind a message make its datagram malformed. test_both_ends_must_prove_the_key sent a nonce of 5 bytes, which no node sends: it sends one of 16 and is as strict.

--- a/src/sardinehold/node/links.py
+++ b/src/sardinehold/node/links.py
@@ -455,6 +455,10 @@
         elif kind == frames.DRAINING:
             self.is_draining = True
         elif kind == frames.CHALLENGE:
+            if not isinstance(fields[0], bytes) or len(fields[0]) != NONCE_BYTES:
+                # A longer one would choose the name that is signed with it, or be the
+                # start of a datagram.
+                raise frames.FrameError("the challenge is no nonce")
             name = self.links.name
             proof = self._prove(fields[0], name)
             self.send(frames.pack(frames.PROOF, name, self._nonce, proof))
--- a/src/sardinehold/node/peers.py
+++ b/src/sardinehold/node/peers.py
@@ -123,10 +123,11 @@
 def unpack(data: bytes) -> bytes:
     """Decompress the output of :func:`pack`.
 
-    :raises zlib.error: the data is malformed, or exceeds ``MAX_MESSAGE`` bytes.
+    :raises zlib.error: the data is malformed, exceeds ``MAX_MESSAGE`` bytes, or is
+        followed by other data.
     """
     unpacker = zlib.decompressobj(wbits=-zlib.MAX_WBITS, zdict=COMPRESSION_DICTIONARY)
     unpacked = unpacker.decompress(data, MAX_MESSAGE)
-    if unpacker.unconsumed_tail or not unpacker.eof:
-        raise zlib.error("the message is too long or truncated")
+    if unpacker.unconsumed_tail or unpacker.unused_data or not unpacker.eof:
+        raise zlib.error("the message is too long, truncated or followed by others")
     return unpacked
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -377,11 +377,30 @@
             builders_links.RecordingTransport(),
         )
         outbound.connection_made(wire)
-        outbound.data_received(frames.pack(frames.CHALLENGE, b"nonce", NOW))
+        nonce = b"n" * links.NONCE_BYTES
+        outbound.data_received(frames.pack(frames.CHALLENGE, nonce, NOW))
         proof = wire.frames[-1][3]
-        assert proof == peers.sign(KEY, b"nonce" + b"n1")
+        assert proof == peers.sign(KEY, nonce + b"n1")
         outbound.data_received(frames.pack(frames.WELCOME, b"guessed"))
         assert wire.is_aborted
         assert not outbound.can_open_stream()
 
     run(scenario)
+
+
+@pytest.mark.parametrize(
+    "nonce",
+    [b"", b"n" * 15, b"n" * 17, "n" * 16, peers.pack(b'{"kind":"advice"}'), None],
+)
+def test_challenge_of_another_length_is_not_signed(nonce):
+    # Whoever is dialled chose the start of a signed text, such as that of a datagram.
+    async def scenario(tasks):
+        harness = LinksHarness(tasks)
+        outbound = links.Outbound(harness.links, "n2")
+        wire = builders_links.RecordingTransport()
+        outbound.connection_made(wire)
+        outbound.data_received(frames.pack(frames.CHALLENGE, nonce, NOW))
+        assert wire.frames == []
+        assert wire.is_aborted
+
+    run(scenario)
--- a/tests/test_node_messages.py
+++ b/tests/test_node_messages.py
@@ -34,7 +34,14 @@
 
 
 @pytest.mark.parametrize(
-    "body", [b"", b"{}", peers.pack(b'{"kind": 1}')[:-1], peers.pack(b"no JSON")]
+    "body",
+    [
+        b"",
+        b"{}",
+        peers.pack(b'{"kind": 1}')[:-1],
+        peers.pack(b'{"kind": 1}') + b"n1",
+        peers.pack(b"no JSON"),
+    ],
 )
 def test_malformed_datagram_is_counted_and_ignored(body):
     received = []
