Leave no connection in use when a statement fails unexpectedly at an owner

An error that nothing expects, such as one of building a line for an endpoint, left the connection neither idle nor closed: it counted against the endpoint's limit for good. The node that had sent the statement got no answer and waited until its timeout.

The owner closes the connection, whose state is unknown, and answers that the connection was lost after the statement may have been sent; the error is still logged as task_failed.

--- a/src/sardinehold/node/connections.py
+++ b/src/sardinehold/node/connections.py
@@ -116,7 +116,7 @@
         if group.endpoints.get(endpoint.name) is not endpoint or not group.accepts_work(
             endpoint
         ):
-            self._discard(pooled)
+            self.discard(pooled)
         else:
             pooled.idle_since = clock.read()
             endpoint.idle.append(pooled)
@@ -131,7 +131,8 @@
             pooled.endpoint, clock.read()
         ) or self.node.cold_endpoints.is_cold(group, pooled.endpoint)
 
-    def _discard(self, pooled: pool.PooledConnection) -> None:
+    def discard(self, pooled: pool.PooledConnection) -> None:
+        """Close a connection instead of reusing it."""
         pooled.is_lost = True
         pooled.endpoint.connections.discard(pooled)
         pooled.connection.close()
@@ -139,19 +140,19 @@
     async def roll_back(self, pooled: pool.PooledConnection) -> None:
         """Roll back an abandoned transaction, and reuse its connection if possible."""
         if self._must_discard(pooled):
-            self._discard(pooled)
+            self.discard(pooled)
             return
         try:
             deadline = clock.read() + ROLLBACK_TIMEOUT
             answer = await pooled.connection.roll_back(deadline)
         except ports.ConnectionLost:
             if not pooled.is_lost:
-                self._discard(pooled)
+                self.discard(pooled)
             return
         if answer.error is None and answer.status == "I":
             self.release(pooled)
         else:
-            self._discard(pooled)
+            self.discard(pooled)
         group = self.node.groups[pooled.endpoint.record.group]
         self._dispatch_waiting(group, pooled.endpoint)
 
--- a/src/sardinehold/node/executor.py
+++ b/src/sardinehold/node/executor.py
@@ -391,6 +391,13 @@
             if not pooled.is_lost:
                 self.connections.handle_lost(group, pooled)
             raise
+        except execution.Rejected:
+            raise
+        except Exception:
+            # What was sent, and the session state of the connection, are unknown.
+            stream.pooled = None
+            self.connections.discard(pooled)
+            raise
         finally:
             endpoint.running -= 1
             endpoint.sent.pop(pooled, None)
--- a/src/sardinehold/node/links.py
+++ b/src/sardinehold/node/links.py
@@ -276,6 +276,10 @@
         except ports.ConnectionLost as error:
             data = frames.pack(frames.LOST, number, error.was_sent, error.is_timeout)
             self._note("order_lost", request, str(error), age=request.measure_age())
+        except Exception:
+            # Without an answer, the sender would wait until the deadline.
+            self.send(frames.pack(frames.LOST, number, True, False))
+            raise
         finally:
             self.links.request_bytes -= reserved
             if stream.pooled is None:
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -13,6 +13,7 @@
 from sardinehold.node import forwarding
 from sardinehold.node import ports
 from sardinehold.node import statements
+from sardinehold_standins import group_in_memory
 
 Kind = statements.Kind
 Failure = statements.Failure
@@ -603,6 +604,37 @@
     builders_node.run_scenario(monkeypatch, scenario)
 
 
+@pytest.mark.parametrize("step", ["set_values", "prepare", "run"])
+def test_statement_that_fails_unexpectedly_leaves_no_connection_in_use(
+    monkeypatch, step
+):
+    # The connection counted as used for good, and the other node waited until the
+    # statement's timeout.
+    async def scenario(world):
+        node = world.nodes[find_owner(world)]
+        client = world.open(find_others(world)[0], "latest")
+        assert (await client.write()).error is None
+        endpoint = node.groups["g"].endpoints["g-0"]
+
+        async def fail(*_):
+            raise ValueError("no line")
+
+        definition = statements.Definition(True, "q2c")
+        await client.send(Kind.SET, name="color", value="red")
+        await client.send(Kind.PREPARE, name="s1", definition=definition)
+        with monkeypatch.context() as patch:
+            patch.setattr(group_in_memory.DatabaseConnection, step, fail)
+            began = clock.read()
+            answer = await client.send(Kind.EXECUTE, name="s1")
+            assert answer.error is Failure.IN_DOUBT
+            assert clock.read() < began + 0.5
+        assert node.registry.counters["tasks_failed"] > 0
+        assert endpoint.running == 0
+        assert set(endpoint.idle) == endpoint.connections
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
 ONE_REGION = {"north": "n", "middle": "n", "south": "n"}
 
 
