Ignore objects of the store whose name is no text

An object whose name is a number, a list or no Unicode was taken over with it: the comparison with a prefix, or sending the changes to the nodes that read from this one, failed, and with it all other changes of the kind.

Such an object now counts as one that cannot be parsed, as those whose version cannot be. Before, the 10 cases in test_platform_adapter.py fail.

--- a/src/sardinehold/platform/store.py
+++ b/src/sardinehold/platform/store.py
@@ -199,7 +199,12 @@
 def _parse_object(kind: str, value: dict, era: int) -> objects.StoredObject:
     meta = value["meta"]
     version = _parse_version(meta["Revision"], era)
-    return objects.StoredObject(kind, meta["Name"], version, value.get("spec"))
+    name = meta["Name"]
+    if not isinstance(name, str):
+        raise TypeError(f"name {name!r:.80}")
+    # Other nodes cannot be sent text that is no Unicode.
+    name.encode()
+    return objects.StoredObject(kind, name, version, value.get("spec"))
 
 
 def _parse_items(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -502,6 +502,26 @@
     assert request.url.raw_path == b"/api/objects/sardinehold/" + path + query
 
 
+@pytest.mark.parametrize("name", ["\ud800", 7, None, ["i-1"], {}])
+@pytest.mark.parametrize("is_watch", [False, True])
+def test_object_whose_name_is_no_text_does_not_hide_the_others(name, is_watch):
+    # It could not be compared with other names, or not be sent to other nodes.
+    bad = builders_platform.make_object(name, 4, {})
+    good = builders_platform.make_object("i-2", 5, {})
+    body = {
+        "items": [bad, good],
+        "events": [{"Object": bad, "IsGone": True}, {"Object": good}],
+        "StoreRevision": 6,
+    }
+    recorder = builders_platform.Recorder((200, json.dumps(body).encode()))
+    if is_watch:
+        found = run_store(recorder, lambda c: c.watch("servers", 3, 0.1))
+    else:
+        found = run_store(recorder, lambda c: c.list("servers"))
+    assert [stored.name for stored in found.objects] == ["i-2"]
+    assert frames.pack_changes(1, found)
+
+
 def test_versions_carry_the_era_of_the_answer():
     page = {
         "items": [builders_platform.make_object("a", 3, {})],
