Raise a store's answer without its fields as the error that callers expect

An answer that could be decoded but lacked its revision or object raised KeyError or ValueError, which the callers of the store do not expect: their task failed and was restarted, instead of counting the store as unavailable and a write as one that may have been done.

Before, the 12 cases in test_platform_adapter.py fail.

--- a/src/sardinehold/platform/store.py
+++ b/src/sardinehold/platform/store.py
@@ -4,6 +4,7 @@
 not answered may nevertheless have been executed.
 """
 
+import contextlib
 import typing
 import urllib.parse
 
@@ -79,8 +80,9 @@
         while True:
             answer, era = await self._call("GET", f"/api/objects/{kind}", params=params)
             items = answer.get("items") or []
-            found.extend(_parse_items(kind, items, era, unread))
-            revision = revision or _parse_version(answer["StoreRevision"], era)
+            with _refuse_malformed(f"the list of {kind}"):
+                found.extend(_parse_items(kind, items, era, unread))
+                revision = revision or _parse_version(answer["StoreRevision"], era)
             if not answer.get("HasMore") or not items:
                 return objects.Changes(found, revision, unread)
             params = {"after": _find_last_name(items)}
@@ -100,16 +102,18 @@
         )
         found = []
         unread: list[str] = []
-        for event in answer.get("events") or []:
-            found.extend(_parse_event(kind, event, era, unread))
-        current = _parse_version(answer["StoreRevision"], era)
+        with _refuse_malformed(f"the watch of {kind}"):
+            for event in answer.get("events") or []:
+                found.extend(_parse_event(kind, event, era, unread))
+            current = _parse_version(answer["StoreRevision"], era)
         return objects.Changes(found, current, unread)
 
     async def create(self, kind: str, name: str, value: dict) -> objects.StoredObject:
         """Create an object; raises VersionConflict if it exists."""
         body = {"meta": {"Name": name}, "spec": value}
         answer, era = await self._call("POST", f"/api/objects/{kind}", json=body)
-        return _parse_object(kind, answer, era)
+        with _refuse_malformed(f"the creation of {kind}/{name}"):
+            return _parse_object(kind, answer, era)
 
     async def update(
         self, kind: str, name: str, value: dict, version: int
@@ -118,7 +122,8 @@
         meta = {"Name": name, "Revision": objects.find_revision(version)}
         body = {"meta": meta, "spec": value}
         answer, era = await self._call("PUT", _make_path(kind, name), json=body)
-        return _parse_object(kind, answer, era)
+        with _refuse_malformed(f"the update of {kind}/{name}"):
+            return _parse_object(kind, answer, era)
 
     async def delete(self, kind: str, name: str, version: int) -> None:
         """Delete an object; raises VersionConflict if its version differs.
@@ -152,19 +157,26 @@
         self._count(method, str(answer.status_code))
         if answer.status_code >= 400:
             raise _build_error(answer.status_code, f"{method} {path}")
-        try:
+        with _refuse_malformed(f"{method} {path}"):
             era = int(answer.headers.get(ERA_HEADER, 0))
             return (bodies.decode(answer.content) if answer.content else {}), era
-        except ValueError as error:
-            raise errors.PlatformUnavailable(
-                f"The store's answer to {method} {path} is malformed: {error}.", _REMEDY
-            ) from error
 
     def _count(self, method: str, result: str) -> None:
         name = metrics.label_name("store_calls", method=method, result=result)
         self._registry.count(name)
 
 
+@contextlib.contextmanager
+def _refuse_malformed(call: str) -> typing.Iterator[None]:
+    """Raise the error that callers of the store expect if an answer cannot be read."""
+    try:
+        yield
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
+        raise errors.PlatformUnavailable(
+            f"The store's answer to {call} is malformed: {error!r}.", _REMEDY
+        ) from error
+
+
 def _make_path(kind: str, name: str) -> str:
     """Return the path of an object, whose name may have any characters."""
     return f"/api/objects/{kind}/{urllib.parse.quote(name, safe='')}"
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -522,6 +522,23 @@
     assert frames.pack_changes(1, found)
 
 
+@pytest.mark.parametrize("body", [{}, {"StoreRevision": "x"}, {"meta": {"Name": "a"}}])
+@pytest.mark.parametrize(
+    "call",
+    [
+        lambda c: c.list("servers"),
+        lambda c: c.watch("servers", 3, 0.1),
+        lambda c: c.create("sardinehold", "a", {}),
+        lambda c: c.update("sardinehold", "a", {}, objects.make_version(1, 4)),
+    ],
+)
+def test_answer_that_lacks_a_field_is_an_error(body, call):
+    # The error was none that callers of the store expect.
+    recorder = builders_platform.Recorder((200, body))
+    with pytest.raises(errors.PlatformUnavailable):
+        run_store(recorder, call)
+
+
 def test_versions_carry_the_era_of_the_answer():
     page = {
         "items": [builders_platform.make_object("a", 3, {})],
