--- a/src/sardinehold/node/links.py
+++ b/src/sardinehold/node/links.py
@@ -276,6 +276,10 @@
         except ports.ConnectionLost as error:
             data = frames.pack(frames.LOST, number, error.was_sent, error.is_timeout)
             self._note("order_lost", request, str(error), age=request.measure_age())
+        except Exception:
+            # Without an answer, the sender would wait until the deadline.
+            self.send(frames.pack(frames.LOST, number, True, False))
+            raise
         finally:
             self.links.request_bytes -= reserved
             if stream.pooled is None:
@@ -455,6 +459,10 @@
         elif kind == frames.DRAINING:
             self.is_draining = True
         elif kind == frames.CHALLENGE:
+            if not isinstance(fields[0], bytes) or len(fields[0]) != NONCE_BYTES:
+                # A longer one would choose the name that is signed with it, or be the
+                # start of a datagram.
+                raise frames.FrameError("the challenge is no nonce")
             name = self.links.name
             proof = self._prove(fields[0], name)
             self.send(frames.pack(frames.PROOF, name, self._nonce, proof))
--- a/src/sardinehold/platform/endpoints.py
+++ b/src/sardinehold/platform/endpoints.py
@@ -1,6 +1,7 @@
 """Connections to endpoints over the line protocol."""
 
 import asyncio
+import math
 import socket
 import struct
 
@@ -16,6 +17,9 @@
 INTERNAL_REQUEST_ID = "-"
 """Request identifier of statements that sardinehold itself sends."""
 
+NOBODY = "-"
+"""Who is connecting in the name of callers without a key."""
+
 KEEPALIVE_IDLE = 2
 """Idle seconds before the first TCP keepalive probe; ``USER_TIMEOUT_MS`` ends a
 connection that does not answer probes. An endpoint that is cut off drops its own side
@@ -27,6 +31,12 @@
 KEEPALIVE_COUNT = 2
 """Unanswered keepalive probes after which a connection counts as lost."""
 
+MAX_DIGITS = 18
+"""Digits of the largest number of a position; it fits into 64 bits."""
+
+STATES = frozenset({"I", "T", "E"})
+"""Transaction states after an answer."""
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """``struct linger`` with a timeout of 0 s: a close resets the connection, and the
 kernel discards the bytes that were not delivered."""
@@ -62,7 +72,18 @@
     if text == "-":
         return None
     term, _, number = text.partition(".")
-    return positions.Position(int(term), int(number))
+    return positions.Position(parse_number(term), parse_number(number))
+
+
+def parse_number(text: str) -> int:
+    """Parse a number of a term or position.
+
+    :raises ValueError: it has other characters than digits, or more digits than nodes
+        can forward to each other.
+    """
+    if not (text.isascii() and text.isdigit()) or len(text) > MAX_DIGITS:
+        raise ValueError(f"number {text!r:.80}")
+    return int(text)
 
 
 def format_position(position: positions.Position | None) -> str:
@@ -77,9 +98,12 @@
     """
     role, term, received, held, lag_ms, *_ = row.split(" ")
     position = parse_position(received) or positions.START
+    lag = float(lag_ms) * records.MS
+    if not math.isfinite(lag):
+        raise ValueError(f"lag {lag_ms!r}")
     # The field "term held" is the term of the pause in force, 0 without a pause.
     return ports.LogStatus(
-        role == "primary", int(term), position, int(held), float(lag_ms) * records.MS
+        role == "primary", parse_number(term), position, parse_number(held), lag
     )
 
 
@@ -171,6 +195,8 @@
             self._outcome = ("", failure, text)
         elif word == "READY":
             status, position = rest.split(" ", 1)
+            if status not in STATES:
+                raise ValueError(f"state {status!r:.80}")
             self._finish(status, parse_position(position))
         else:
             raise ValueError(f"unknown word {word!r}")
@@ -221,14 +247,14 @@
 
     # Statements
 
-    async def start(self, group: str, team: str, name: str, deadline: float) -> None:
-        """Send START and wait until the endpoint is ready.
+    async def start(self, line: bytes, deadline: float) -> None:
+        """Send a START line and wait until the endpoint is ready.
 
         :raises sardinehold.node.ports.OpeningFailed: the endpoint refused, or
             did not answer before the deadline.
         """
         future = self._add_pending()
-        self._transport.write(lines.format_line("START", group, team, name))
+        self._transport.write(line)
         try:
             answer = await self._wait([future], deadline)
         except ports.ConnectionLost as error:
@@ -365,6 +391,13 @@
         :raises sardinehold.node.ports.OpeningFailed: the endpoint refused, did not
             answer before the deadline, or cannot be told the names.
         """
+        try:
+            start = lines.format_line(
+                "START", record.group, team or NOBODY, record.name
+            )
+        except (ValueError, lines.LineTooLong) as error:
+            # A name that no line can hold tells nothing about the endpoint.
+            raise ports.OpeningFailed(statements.Failure.BUSY, repr(error)) from error
         loop = asyncio.get_running_loop()
         timeout = max(0.0, deadline - clock.read())
         try:
@@ -374,12 +407,7 @@
                 )
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise ports.OpeningFailed(None, repr(error)) from error
-        try:
-            await connection.start(record.group, team, record.name, deadline)
-        except ValueError as error:
-            connection.close()
-            # A name that no line can hold tells nothing about the endpoint.
-            raise ports.OpeningFailed(statements.Failure.BUSY, repr(error)) from error
+        await connection.start(start, deadline)
         return connection
 
 
--- a/src/sardinehold/platform/store.py
+++ b/src/sardinehold/platform/store.py
@@ -4,7 +4,9 @@
 not answered may nevertheless have been executed.
 """
 
+import contextlib
 import typing
+import urllib.parse
 
 import httpx
 
@@ -78,8 +80,9 @@
         while True:
             answer, era = await self._call("GET", f"/api/objects/{kind}", params=params)
             items = answer.get("items") or []
-            found.extend(_parse_items(kind, items, era, unread))
-            revision = revision or _parse_version(answer["StoreRevision"], era)
+            with _refuse_malformed(f"the list of {kind}"):
+                found.extend(_parse_items(kind, items, era, unread))
+                revision = revision or _parse_version(answer["StoreRevision"], era)
             if not answer.get("HasMore") or not items:
                 return objects.Changes(found, revision, unread)
             params = {"after": _find_last_name(items)}
@@ -99,16 +102,18 @@
         )
         found = []
         unread: list[str] = []
-        for event in answer.get("events") or []:
-            found.extend(_parse_event(kind, event, era, unread))
-        current = _parse_version(answer["StoreRevision"], era)
+        with _refuse_malformed(f"the watch of {kind}"):
+            for event in answer.get("events") or []:
+                found.extend(_parse_event(kind, event, era, unread))
+            current = _parse_version(answer["StoreRevision"], era)
         return objects.Changes(found, current, unread)
 
     async def create(self, kind: str, name: str, value: dict) -> objects.StoredObject:
         """Create an object; raises VersionConflict if it exists."""
         body = {"meta": {"Name": name}, "spec": value}
         answer, era = await self._call("POST", f"/api/objects/{kind}", json=body)
-        return _parse_object(kind, answer, era)
+        with _refuse_malformed(f"the creation of {kind}/{name}"):
+            return _parse_object(kind, answer, era)
 
     async def update(
         self, kind: str, name: str, value: dict, version: int
@@ -116,9 +121,9 @@
         """Replace an object; raises VersionConflict if its version differs."""
         meta = {"Name": name, "Revision": objects.find_revision(version)}
         body = {"meta": meta, "spec": value}
-        path = f"/api/objects/{kind}/{name}"
-        answer, era = await self._call("PUT", path, json=body)
-        return _parse_object(kind, answer, era)
+        answer, era = await self._call("PUT", _make_path(kind, name), json=body)
+        with _refuse_malformed(f"the update of {kind}/{name}"):
+            return _parse_object(kind, answer, era)
 
     async def delete(self, kind: str, name: str, version: int) -> None:
         """Delete an object; raises VersionConflict if its version differs.
@@ -127,7 +132,7 @@
         """
         await self._call(
             "DELETE",
-            f"/api/objects/{kind}/{name}",
+            _make_path(kind, name),
             params={"Revision": objects.find_revision(version)},
         )
 
@@ -152,19 +157,31 @@
         self._count(method, str(answer.status_code))
         if answer.status_code >= 400:
             raise _build_error(answer.status_code, f"{method} {path}")
-        try:
+        with _refuse_malformed(f"{method} {path}"):
             era = int(answer.headers.get(ERA_HEADER, 0))
             return (bodies.decode(answer.content) if answer.content else {}), era
-        except ValueError as error:
-            raise errors.PlatformUnavailable(
-                f"The store's answer to {method} {path} is malformed: {error}.", _REMEDY
-            ) from error
 
     def _count(self, method: str, result: str) -> None:
         name = metrics.label_name("store_calls", method=method, result=result)
         self._registry.count(name)
 
 
+@contextlib.contextmanager
+def _refuse_malformed(call: str) -> typing.Iterator[None]:
+    """Raise the error that callers of the store expect if an answer cannot be read."""
+    try:
+        yield
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
+        raise errors.PlatformUnavailable(
+            f"The store's answer to {call} is malformed: {error!r}.", _REMEDY
+        ) from error
+
+
+def _make_path(kind: str, name: str) -> str:
+    """Return the path of an object, whose name may have any characters."""
+    return f"/api/objects/{kind}/{urllib.parse.quote(name, safe='')}"
+
+
 def _build_error(status: int, call: str) -> errors.PlatformError:
     if status == 404:
         return errors.ObjectMissing(f"{call} found no object.", "Create it first.")
@@ -194,7 +211,12 @@
 def _parse_object(kind: str, value: dict, era: int) -> objects.StoredObject:
     meta = value["meta"]
     version = _parse_version(meta["Revision"], era)
-    return objects.StoredObject(kind, meta["Name"], version, value.get("spec"))
+    name = meta["Name"]
+    if not isinstance(name, str):
+        raise TypeError(f"name {name!r:.80}")
+    # Other nodes cannot be sent text that is no Unicode.
+    name.encode()
+    return objects.StoredObject(kind, name, version, value.get("spec"))
 
 
 def _parse_items(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -17,7 +17,9 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import frames
+from sardinehold.node import outcomes
 from sardinehold.node import ports
+from sardinehold.node import session as sessions
 from sardinehold.node import statements
 from sardinehold.platform import callers
 from sardinehold.platform import endpoints
@@ -209,6 +211,55 @@
         anyio.run(main)
 
 
+def test_connection_for_callers_without_a_key_names_nobody():
+    # Every statement on an open route of a caller without a key was refused.
+    server = builders_platform.LineServer(READY)
+
+    async def main():
+        async with await server.start():
+            record = catalog.EndpointRecord(
+                "i-1", "db", "127.0.0.1", server.port, "north"
+            )
+            connection = await endpoints.Connector().open(record, "", clock.read() + 5)
+            connection.close()
+            await server.ended.wait()
+
+    anyio.run(main)
+    assert server.lines[0] == b"START db - i-1\r\n"
+
+
+@pytest.mark.parametrize(
+    "team", ["\u0142\u00f3d\u017a", "two words", "a\r\nb", "x" * lines.MAX_LINE]
+)
+def test_database_is_not_connected_to_for_a_team_that_it_cannot_be_told(team):
+    # Each statement cost databases a connection; the longest name ended its task.
+    server = builders_platform.LineServer(READY)
+
+    async def main():
+        async with await server.start():
+            record = catalog.EndpointRecord(
+                "i-1", "db", "127.0.0.1", server.port, "north"
+            )
+            with pytest.raises(ports.OpeningFailed):
+                await endpoints.Connector().open(record, team, clock.read() + 5)
+            await asyncio.sleep(0.1)
+
+    anyio.run(main)
+    assert not server.lines
+    assert not server.ended.is_set()
+
+
+@pytest.mark.parametrize("name", ["\u0142\u00f3d\u017a", "two words", "a\nb", "a\tb"])
+@pytest.mark.parametrize("kind", ["Tenants", "Services"])
+def test_name_that_databases_cannot_be_told_leaves_the_others_usable(name, kind):
+    value = builders_platform.make_configuration()
+    (entry,) = value[kind]
+    value[kind].append({**entry, "Name": name, "ApiKeys": ["k2"]})
+    found = records.parse_catalog(value)
+    assert found.unnameable == {name}
+    assert found.teams_by_key["k1"] == "desk"
+
+
 @pytest.mark.parametrize("entry", [None, "text", 7, [], {}])
 def test_endpoint_record_that_is_no_table_is_refused(entry):
     with pytest.raises(errors.DocumentError, match="i-1"):
@@ -423,6 +474,71 @@
     assert recorder.read_body(0)["meta"]["Revision"] == 8
 
 
+@pytest.mark.parametrize(
+    ("name", "path"),
+    [
+        ("group.a/b", b"group.a%2Fb"),
+        ("group.a?b=1", b"group.a%3Fb%3D1"),
+        ("group.a#b", b"group.a%23b"),
+        ("group.a%2Fb", b"group.a%252Fb"),
+        ("group.a b", b"group.a%20b"),
+        ("group.\u0142", b"group.%C5%82"),
+        ("group.db-1_a~b", b"group.db-1_a~b"),
+    ],
+)
+@pytest.mark.parametrize("method", ["PUT", "DELETE"])
+def test_name_of_an_object_is_one_segment_of_its_path(name, path, method):
+    # The call named another object, or none, and the rest of it was a query.
+    recorder = builders_platform.Recorder(
+        (200, {"meta": {"Name": name, "Revision": 5}, "spec": {}})
+    )
+    version = objects.make_version(1, 4)
+    if method == "PUT":
+        run_store(recorder, lambda c: c.update("sardinehold", name, {}, version))
+    else:
+        run_store(recorder, lambda c: c.delete("sardinehold", name, version))
+    (request,) = recorder.requests
+    query = b"" if method == "PUT" else b"?Revision=4"
+    assert request.url.raw_path == b"/api/objects/sardinehold/" + path + query
+
+
+@pytest.mark.parametrize("name", ["\ud800", 7, None, ["i-1"], {}])
+@pytest.mark.parametrize("is_watch", [False, True])
+def test_object_whose_name_is_no_text_does_not_hide_the_others(name, is_watch):
+    # It could not be compared with other names, or not be sent to other nodes.
+    bad = builders_platform.make_object(name, 4, {})
+    good = builders_platform.make_object("i-2", 5, {})
+    body = {
+        "items": [bad, good],
+        "events": [{"Object": bad, "IsGone": True}, {"Object": good}],
+        "StoreRevision": 6,
+    }
+    recorder = builders_platform.Recorder((200, json.dumps(body).encode()))
+    if is_watch:
+        found = run_store(recorder, lambda c: c.watch("servers", 3, 0.1))
+    else:
+        found = run_store(recorder, lambda c: c.list("servers"))
+    assert [stored.name for stored in found.objects] == ["i-2"]
+    assert frames.pack_changes(1, found)
+
+
+@pytest.mark.parametrize("body", [{}, {"StoreRevision": "x"}, {"meta": {"Name": "a"}}])
+@pytest.mark.parametrize(
+    "call",
+    [
+        lambda c: c.list("servers"),
+        lambda c: c.watch("servers", 3, 0.1),
+        lambda c: c.create("sardinehold", "a", {}),
+        lambda c: c.update("sardinehold", "a", {}, objects.make_version(1, 4)),
+    ],
+)
+def test_answer_that_lacks_a_field_is_an_error(body, call):
+    # The error was none that callers of the store expect.
+    recorder = builders_platform.Recorder((200, body))
+    with pytest.raises(errors.PlatformUnavailable):
+        run_store(recorder, call)
+
+
 def test_versions_carry_the_era_of_the_answer():
     page = {
         "items": [builders_platform.make_object("a", 3, {})],
@@ -618,6 +734,47 @@
     assert status.received == positions.Position(3, 1209)
 
 
+@pytest.mark.parametrize(
+    "ready",
+    [
+        b"READY X 3.1",
+        b"READY  3.1",
+        b"READY I",
+        b"READY I 3",
+        b"READY I -1.5",
+        b"READY I 3.+5",
+        b"READY I 3. 5",
+        b"READY I 3.1_0",
+        b"READY I 3.1 5",
+        b"READY I 3." + b"9" * 19,
+        b"READY I " + b"9" * 400 + b".1",
+    ],
+)
+def test_answer_with_another_state_or_position_is_no_answer(ready):
+    # Other nodes and the caller were to be sent it, which failed unexpectedly.
+    async def scenario(connection):
+        with pytest.raises(ports.ConnectionLost):
+            await connection.run(make_statement("READ 1a4"), clock.read() + 5)
+
+    run_scenario(scenario, b"COMPLETE s\r\n" + ready + b"\r\n")
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        "replica 3 3.1209 0 nan 2 17",
+        "replica 3 3.1209 0 inf 2 17",
+        "replica 3 3.1209 " + "9" * 40 + " 12 2 17",
+        "replica 3 -3.1209 0 12 2 17",
+        "replica 3 3.1209 -1 12 2 17",
+        "replica -3 3.1209 0 12 2 17",
+    ],
+)
+def test_status_with_a_number_that_no_log_has_is_none(row):
+    with pytest.raises(ValueError):
+        endpoints.parse_status_row(row)
+
+
 def test_broken_connection_reports_that_the_statement_was_sent():
     async def scenario(connection):
         with pytest.raises(ports.ConnectionLost) as caught:
@@ -840,6 +997,42 @@
     assert b"COMPLETE signed" in found[2]
 
 
+@pytest.mark.parametrize("name", ["red", "g"])
+def test_session_that_no_database_can_be_told_of_is_refused_at_once(monkeypatch, name):
+    # Each of its statements waited for a connection until its timeout.
+    def prepare(world):
+        world.nodes["n1"].catalog.unnameable = frozenset({name})
+
+    found = serve_callers(monkeypatch, [b"START session red-key"], prepare)
+    assert found[0].startswith(b"ERROR BUSY")
+    assert name.encode() in found[0]
+    assert found[-1] is True
+
+
+def test_refused_start_quotes_a_reason_that_no_line_can_hold(monkeypatch):
+    def authorize(session):
+        raise outcomes.StatementFailed(statements.Failure.BUSY, "zone \u0142")
+
+    monkeypatch.setattr(sessions.Session, "authorize", authorize)
+    found = serve_callers(monkeypatch, [b"START session red-key"])
+    assert found == [b"ERROR BUSY zone \\u0142\r\n", True]
+
+
+def test_caller_of_a_statement_that_failed_unexpectedly_is_closed(monkeypatch):
+    # The session went on, and its caller waited for the answer.
+    async def scenario(node, caller, transport):
+        async def serve(session, statement):
+            raise KeyError("g-9")
+
+        monkeypatch.setattr(node, "serve", serve)
+        caller.data_received(b"QUERY 1 READ a\r\n")
+        await asyncio.sleep(0.5)
+        assert transport.is_closed
+        assert node.registry.counters["tasks_failed"] == 1
+
+    run_caller(monkeypatch, scenario)
+
+
 def test_pages_are_served_over_a_keepalive_connection():
     async def main():
         loop = asyncio.get_running_loop()
