Send the arguments of an EXECUTE once between nodes (TOOLARGE)

Callers saw TOOLARGE, with a detail about variables, for an EXECUTE of 1 MiB of bytes above 127 through two of three nodes, and success through the owner (found by a review). The frame had its text and its arguments, and such bytes take two each.

--- a/src/sardinehold/node/frames.py
+++ b/src/sardinehold/node/frames.py
@@ -93,6 +93,8 @@
     """
     statement = request.statement
     definition = statement.definition
+    # An EXECUTE is sent with another name: its text is not needed.
+    text = "" if statement.kind is statements.Kind.EXECUTE else statement.text
     ending = request.origin.ending
     return pack(
         REQUEST,
@@ -101,7 +103,7 @@
         request.endpoint,
         request.team,
         statement.request_id,
-        statement.text,
+        text,
         statement.kind.value,
         statement.arguments,
         None if definition is None else [definition.writes, definition.shape],
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -120,6 +120,9 @@
     expected[9] += 400.0
     expected[10] += 400.0
     expected[-1] += 400.0
+    if request.statement.kind is Kind.EXECUTE:
+        # Endpoints are sent its arguments only, under another name.
+        expected[4] = ""
     assert parts == expected
 
 
