Refuse a statement that no line can hold without losing its connection (RECOVER)

Callers of an endpoint saw BUSY for good (found by a review): a node of an earlier version forwarded an EXECUTE whose PREPARE exceeds the limit. The adapter's LineTooLong ended the owner's task, and the connection was neither used nor returned.

The connection says StatementTooLong, a part of its port; the owner answers TOOLARGE, not run, and keeps or releases the connection as after any answer.

--- a/src/sardinehold/node/executor.py
+++ b/src/sardinehold/node/executor.py
@@ -14,6 +14,7 @@
 from sardinehold.node import connections
 from sardinehold.node import execution
 from sardinehold.node import groups
+from sardinehold.node import outcomes
 from sardinehold.node import pool
 from sardinehold.node import ports
 from sardinehold.node import statements
@@ -364,6 +365,7 @@
         was_open = stream.pooled is not None
         proves_commit = _proves_commit(stream, request.statement)
         sent_at = clock.read()
+        is_sent = True
         pace = self._make_pace(group, pooled, stream, request)
         try:
             self._check_start(group, pooled, stream, request)
@@ -388,6 +390,15 @@
             answer = await pooled.connection.run(
                 request.statement, request.deadline, request.after
             )
+        except ports.StatementTooLong:
+            # The transaction on the connection is rolled back by its caller.
+            answer = statements.Answer(
+                [],
+                error=statements.Failure.TOO_LARGE,
+                detail=outcomes.EXCEEDS_LIMIT,
+                status="E" if was_open else "I",
+            )
+            is_sent = False
         except ports.ConnectionLost:
             endpoint.error_rate.record(clock.read(), True)
             stream.pooled = None
@@ -406,9 +417,10 @@
             endpoint.sent.pop(pooled, None)
             endpoint.writes.pop(pooled, None)
             self.dispatch_waiting(group, endpoint)
-        self._record_answer(
-            group, pooled, request, answer, sent_at, was_open, proves_commit
-        )
+        if is_sent:
+            self._record_answer(
+                group, pooled, request, answer, sent_at, was_open, proves_commit
+            )
         self._keep_or_release(stream, pooled, request, answer)
         self.dispatch_waiting(group, endpoint)
         ahead = endpoint.running + len(endpoint.waiters)
--- a/src/sardinehold/node/ports.py
+++ b/src/sardinehold/node/ports.py
@@ -29,6 +29,10 @@
         self.is_timeout = is_timeout
 
 
+class StatementTooLong(Exception):
+    """Raised when no message to an endpoint can hold a statement; nothing was sent."""
+
+
 class OpeningFailed(Exception):
     """Raised when a connection could not be opened.
 
@@ -84,7 +88,7 @@
         deadline: float,
         after: positions.Position | None = None,
     ) -> statements.Answer:
-        """Run a caller's statement.
+        """Run a caller's statement; may raise :class:`StatementTooLong`.
 
         :param after: position that the endpoint's log must have reached.
         """
@@ -103,7 +107,10 @@
     async def prepare(
         self, definitions: list[statements.Definition], deadline: float
     ) -> list[statements.Answer]:
-        """Prepare statements under their shared names."""
+        """Prepare statements under their shared names.
+
+        May raise :class:`StatementTooLong`.
+        """
 
     async def read_status(self, deadline: float) -> LogStatus | None:
         """Query the status of the log; None if the endpoint refused."""
--- a/src/sardinehold/platform/endpoints.py
+++ b/src/sardinehold/platform/endpoints.py
@@ -8,7 +8,6 @@
 from sardinehold.core import positions
 from sardinehold.node import catalog
 from sardinehold.node import clock
-from sardinehold.node import outcomes
 from sardinehold.node import ports
 from sardinehold.node import statements
 from sardinehold.platform import lines
@@ -110,15 +109,18 @@
 def format_query(request_id: str, *fields: str) -> bytes:
     """Encode a query from the fields of its text.
 
-    :raises sardinehold.platform.lines.LineTooLong: it exceeds the protocol's limit.
+    :raises sardinehold.node.ports.StatementTooLong: it exceeds the protocol's limit.
     """
-    return lines.format_line("QUERY", request_id, *fields)
+    try:
+        return lines.format_line("QUERY", request_id, *fields)
+    except lines.LineTooLong as error:
+        raise ports.StatementTooLong from error
 
 
 def format_prepare(definition: statements.Definition) -> bytes:
     """Encode the query that prepares a statement under its shared name.
 
-    :raises sardinehold.platform.lines.LineTooLong: it exceeds the protocol's limit.
+    :raises sardinehold.node.ports.StatementTooLong: it exceeds the protocol's limit.
     """
     kind = "WRITE" if definition.writes else "READ"
     fields = ("PREPARE", definition.shared_name, kind, definition.shape)
@@ -157,7 +159,6 @@
         self._pending: list[asyncio.Future] = []
         self._rows: list[str] = []
         self._outcome: tuple[str, statements.Failure | None, str] = ("", None, "")
-        self._status = "I"
 
     # Callbacks of the transport
 
@@ -208,7 +209,6 @@
         )
         self._rows = []
         self._outcome = ("", None, "")
-        self._status = status
         if not self._pending:
             raise ValueError("answer without a pending statement")
         future = self._pending.pop(0)
@@ -274,17 +274,10 @@
         """Run a caller's statement.
 
         :param after: log position that the endpoint must have reached.
+        :raises sardinehold.node.ports.StatementTooLong: no line can hold it.
         """
         prefix = () if after is None else ("AFTER", format_position(after))
-        try:
-            query = format_query(statement.request_id, *prefix, *list_fields(statement))
-        except lines.LineTooLong:
-            return statements.Answer(
-                [],
-                error=statements.Failure.TOO_LARGE,
-                detail=outcomes.EXCEEDS_LIMIT,
-                status="I" if self._status == "I" else "E",
-            )
+        query = format_query(statement.request_id, *prefix, *list_fields(statement))
         return (await self._run_queries([query], deadline))[0]
 
     async def roll_back(self, deadline: float) -> statements.Answer:
@@ -308,7 +301,10 @@
     async def prepare(
         self, definitions: list[statements.Definition], deadline: float
     ) -> list[statements.Answer]:
-        """Prepare statements under their shared names."""
+        """Prepare statements under their shared names.
+
+        :raises sardinehold.node.ports.StatementTooLong: no line can hold one of them.
+        """
         return await self._run_queries(list(map(format_prepare, definitions)), deadline)
 
     async def read_status(self, deadline: float) -> ports.LogStatus | None:
--- a/tests/builders_lines.py
+++ b/tests/builders_lines.py
@@ -7,6 +7,7 @@
 
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import ports
 from sardinehold.node import statements
 from sardinehold.platform import callers
 from sardinehold.platform import endpoints
@@ -104,7 +105,10 @@
             return (await self.connection.prepare([statement.definition], deadline))[0]
         if statement.kind is statements.Kind.EXECUTE:
             statement.definition = self.prepared[statement.name]
-        return await self.connection.run(statement, deadline, after)
+        try:
+            return await self.connection.run(statement, deadline, after)
+        except ports.StatementTooLong:
+            return statements.Answer([], error=statements.Failure.TOO_LARGE)
 
 
 def run_client(scenario) -> Database:
