Find the comment at the end of a text where the endpoint finds it

A caller could send "select 1 -- /*", a line end and "; delete from t -- */": the DELETE ran as a read, without waiting for its durability, and could be sent twice. And a text of 75 KB with 25,000 opened comments and "*/ */" at its end held the event loop for 64.9 s (37 KB: 15.8 s).

Cause: the comment at the end was cut off by a regular expression that began at the first "/*", also inside a line comment, and searched from each "/*" to the end of the text.

The search now begins at the end, once. Where "--" precedes the comment on its line, the whole text is classified, so that a wrong guess costs only an entry of the cache; the key is read as before.

--- a/src/sardinehold/core/classifier.py
+++ b/src/sardinehold/core/classifier.py
@@ -23,7 +23,6 @@
 MAX_PARSED_LENGTH = 16_384
 """Characters; a longer text is classified as a write without being parsed."""
 
-_COMMENT = re.compile(r"/\*((?:[^*]|\*(?!/))*)\*/\s*;?\s*$")
 _KEY = re.compile(r"sardinehold[._]idempotency_key\s*=\s*'([^']{1,200})'")
 _SESSION_STATE = re.compile(
     r"\b(temp|temporary|listen|prepare|set|declare|set_config|pg_(try_)?advisory_\w+)\b",
@@ -41,16 +40,34 @@
 
     The result may be shared between callers and must not be changed.
     """
-    comment = _COMMENT.search(text) if text.rstrip(" \t\r\n;").endswith("*/") else None
-    if comment is None:
+    start = _find_comment(text)
+    if start < 0:
         return _classify_cached(text)
-    traits = _classify_cached(text[: comment.start()])
-    key = _KEY.search(comment.group(1))
+    is_separate = not _is_behind_line_comment(text, start)
+    traits = _classify_cached(text[:start] if is_separate else text)
+    key = _KEY.search(text, start)
     if key is None:
         return traits
     return _add_key(traits, urllib.parse.unquote(key.group(1)))
 
 
+def _find_comment(text: str) -> int:
+    """Return the start of the block comment that ends a text, -1 if there is none."""
+    end = len(text.rstrip(" \t\r\n;")) - 2
+    if not text.startswith("*/", max(end, 0)):
+        return -1
+    start = text.rfind("/*", 0, end)
+    if start < 0 or text.find("*/", start + 2, end) >= 0:
+        return -1
+    return start
+
+
+def _is_behind_line_comment(text: str, start: int) -> bool:
+    """Return whether a line comment may begin before ``start`` on the same line."""
+    line = max(text.rfind("\n", 0, start), text.rfind("\r", 0, start)) + 1
+    return text.find("--", line, start) >= 0
+
+
 def _classify_cached(text: str) -> statements.Traits:
     """Return cached traits; long texts are neither parsed nor cached."""
     if len(text) > MAX_PARSED_LENGTH:
--- a/tests/test_classifier.py
+++ b/tests/test_classifier.py
@@ -115,3 +115,29 @@
     text = "insert into t values (1) /* sardinehold.idempotency_key='a%20b' */"
     assert classifier.classify(text).idempotency_key == "a b"
     assert classifier.classify("insert into t values (1)").idempotency_key == ""
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "select 1 -- /*\n; delete from t -- */",
+        "select 1 -- /*\r\n; delete from t -- */",
+        "select 1 --/**/ /*\n; delete from t -- */;",
+        "select 1 /* a */; delete from t -- */",
+    ],
+)
+def test_write_behind_a_line_comment_is_not_taken_for_a_comment(text):
+    # "/*" in a line comment opened the comment that is cut off before parsing.
+    assert classifier.classify(text).kind is Kind.WRITE
+
+
+def test_key_behind_a_line_comment_is_kept():
+    key = "/* sardinehold_idempotency_key='k' */"
+    for text in (f"insert into t values ('--') {key}", f"delete from t -- a\n{key};"):
+        traits = classifier.classify(text)
+        assert (traits.kind, traits.idempotency_key) == (Kind.WRITE, "k")
+
+
+def test_many_opened_comments_are_searched_once():
+    # Each "/*" was searched up to the end, in a time that grows with the square.
+    assert classifier.classify("/* " * 500_000 + "*/ */").kind is Kind.WRITE
