Take EXPLAIN (ANALYZE) for a write

"EXPLAIN (ANALYZE) DELETE ..." was routed as a read: it could run on the primary without waiting for its durability, and be sent twice.

Cause: options were compared word by word in a rest that the tokenizer leaves whole, so that a bracket, comma or comment became part of the word.

Evidence: the seven new forms were reads before. The word is now searched between word boundaries; an escaped identifier counts as ANALYZE.

--- a/src/sardinehold/core/classifier.py
+++ b/src/sardinehold/core/classifier.py
@@ -28,6 +28,9 @@
     r"\b(temp|temporary|listen|prepare|set|declare|set_config|pg_(try_)?advisory_\w+)\b",
     re.IGNORECASE,
 )
+_ANALYZE = re.compile(r"\banaly[sz]e\b|\bu&", re.IGNORECASE)
+"""An option of EXPLAIN that runs the statement; its name may be escaped by ``U&``."""
+
 _NO_COPY = "COPY is not supported; use INSERT with several rows"
 _NO_TWO_PHASE = "Two-phase commit is not supported; use COMMIT"
 _NO_ROLE_CHANGE = "The proxy logs in for every team; the role cannot be changed"
@@ -197,10 +200,8 @@
 
 
 def _parse_explain(words: list[tokens.Token]) -> statements.Traits:
-    kind = statements.Kind.READ
-    if {"ANALYZE", "ANALYSE"} & set(_upper(words)):
-        kind = statements.Kind.WRITE
-    return statements.Traits(kind)
+    runs = any(_ANALYZE.search(word.text) for word in words[1:])
+    return statements.Traits(statements.Kind.WRITE if runs else statements.Kind.READ)
 
 
 def _parse_set(text: str, words: list[tokens.Token]) -> statements.Traits:
--- a/tests/test_classifier.py
+++ b/tests/test_classifier.py
@@ -141,3 +141,21 @@
 def test_many_opened_comments_are_searched_once():
     # Each "/*" was searched up to the end, in a time that grows with the square.
     assert classifier.classify("/* " * 500_000 + "*/ */").kind is Kind.WRITE
+
+
+@pytest.mark.parametrize(
+    "options",
+    [
+        " (analyze)",
+        "(ANALYZE, verbose)",
+        " (format json,analyze)",
+        "/**/analyze",
+        " analyze/**/",
+        ' ("analyze")',
+        ' (U&"\\0061nalyze")',
+    ],
+)
+def test_explain_that_runs_its_statement_is_a_write(options):
+    # Only "analyze" between blanks was found.
+    text = f"explain{options} delete from t"
+    assert classifier.classify(text).kind is Kind.WRITE
