Take a text for a read only if all its words were read as PostgreSQL reads them

A caller could send "SET a.b = E'a'", a line end and "'b\' , '; delete from t; --'": the endpoint ran the DELETE, the proxy took all of it for the value of a variable, and set it again, with the DELETE, on each connection that it restored the variable on. With EXPLAIN SELECT in place of SET it was a read.

Cause: the proxy decides from the tokens of sqlglot, which ends a string with escapes at its line; in PostgreSQL it continues on the next one, where a backslash escapes too. The same holds for any other difference in quoting.

--- a/src/sardinehold/core/classifier.py
+++ b/src/sardinehold/core/classifier.py
@@ -7,14 +7,17 @@
 
 import functools
 import re
+import sys
 import typing
 import urllib.parse
 
 import sqlglot
 from sqlglot import exp
 from sqlglot import tokens
+from sqlglot.dialects import postgres
 
 from sardinehold.core import functions
+from sardinehold.core import lexemes
 from sardinehold.core import statements
 
 CACHE_ENTRIES = 4096
@@ -31,6 +34,21 @@
 _ANALYZE = re.compile(r"\banaly[sz]e\b|\bu&", re.IGNORECASE)
 """An option of EXPLAIN that runs the statement; its name may be escaped by ``U&``."""
 
+_QUOTED = frozenset(
+    [
+        tokens.TokenType.STRING,
+        tokens.TokenType.BIT_STRING,
+        tokens.TokenType.BYTE_STRING,
+        tokens.TokenType.HEX_STRING,
+        tokens.TokenType.HEREDOC_STRING,
+        tokens.TokenType.IDENTIFIER,
+        tokens.TokenType.NATIONAL_STRING,
+        tokens.TokenType.RAW_STRING,
+        tokens.TokenType.UNICODE_STRING,
+    ]
+)
+_COMMANDS = postgres.Postgres.Tokenizer.COMMANDS
+_NO_SPAN = (sys.maxsize, sys.maxsize, False)
 _NO_COPY = "COPY is not supported; use INSERT with several rows"
 _NO_TWO_PHASE = "Two-phase commit is not supported; use COMMIT"
 _NO_ROLE_CHANGE = "The proxy logs in for every team; the role cannot be changed"
@@ -83,10 +101,13 @@
 def _classify_short(text: str) -> statements.Traits:
     """Split the text into statements and merge their traits."""
     try:
-        parts = _split(sqlglot.tokenize(text, read="postgres"))
+        words = sqlglot.tokenize(text, read="postgres")
     except (sqlglot.errors.SqlglotError, RecursionError):
+        words = None
+    if words is None or not _covers_words(text, words):
         pins = _SESSION_STATE.search(text) is not None
         return statements.Traits(statements.Kind.WRITE, pins=pins)
+    parts = _split(words)
     if not parts:
         return statements.Traits(statements.Kind.EMPTY)
     found = [_classify_part(text, part) for part in parts]
@@ -95,6 +116,37 @@
     return statements.merge_traits(found)
 
 
+def _covers_words(text: str, words: list[tokens.Token]) -> bool:
+    """Return whether sqlglot reads each word and semicolon that PostgreSQL reads."""
+    spans = _find_spans(text, words)
+    start, end, is_semicolon = next(spans, _NO_SPAN)
+    for offset in lexemes.find_words(text):
+        while end <= offset:
+            start, end, is_semicolon = next(spans, _NO_SPAN)
+        if offset < start or is_semicolon != (text[offset] == ";"):
+            return False
+    return True
+
+
+def _find_spans(
+    text: str, words: list[tokens.Token]
+) -> typing.Iterator[tuple[int, int, bool]]:
+    """Yield start and end of the tokens that are no strings, and if it is a semicolon.
+
+    After some first words, sqlglot returns the rest of the statement as one string.
+    """
+    previous = None
+    for index, word in enumerate(words):
+        if word.token_type not in _QUOTED:
+            is_semicolon = word.token_type == tokens.TokenType.SEMICOLON
+            yield word.start, word.end + 1, is_semicolon
+        elif previous is not None and previous.token_type in _COMMANDS:
+            is_last = index + 1 == len(words)
+            end = len(text) if is_last else words[index + 1].start
+            yield previous.end + 1, end, False
+        previous = word
+
+
 def _split(words: list[tokens.Token]) -> list[list[tokens.Token]]:
     """Return the tokens of each statement."""
     parts: list[list[tokens.Token]] = [[]]
--- a/tests/test_classifier.py
+++ b/tests/test_classifier.py
@@ -1,6 +1,7 @@
 import pytest
 
 from sardinehold.core import classifier
+from sardinehold.core import lexemes
 from sardinehold.core import statements
 
 Kind = statements.Kind
@@ -159,3 +160,54 @@
     # Only "analyze" between blanks was found.
     text = f"explain{options} delete from t"
     assert classifier.classify(text).kind is Kind.WRITE
+
+
+@pytest.mark.parametrize("first", ["explain select", "set a.b =", "set search_path to"])
+@pytest.mark.parametrize("gap", ["\n", " \t\r\n ", " -- c\n"])
+def test_string_with_escapes_ends_where_the_endpoint_ends_it(first, gap):
+    # A string with escapes continues on the next line, where its escapes hold too.
+    text = f"{first} E'a'{gap}'b\\' , '; delete from t; --'"
+    traits = classifier.classify(text)
+    assert (traits.kind, traits.value) == (Kind.WRITE, "")
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "select 1 /* a /* b */ ; delete from t */",
+        "select $$a; b$$, $a$;$b$;$a$, $é$;$é$, a$$, $1 from t",
+        "select U&'\\0061;', E'\\';', 'é;', n'd;', b'1', x'1' from é",
+        'select "a;""b", 1e5, 0x1f, 1.5, .5, a.b::text -- ; c',
+        "select a is not distinct from b from t order by c -- ;\n limit 1",
+        "explain select 1, 'a;' /* ; */ from t",
+    ],
+)
+def test_read_with_quoted_semicolons_is_a_read(text):
+    assert classifier.classify(text).kind is Kind.READ
+
+
+@pytest.mark.parametrize(
+    ("text", "found"),
+    [
+        ("a 'b' c; d", ["a", "c", ";", "d"]),
+        ("a E'\\'b' c", ["a", "c"]),
+        ("a '\\' b 'c'", ["a", "b"]),
+        ("E'a'\n'\\'b' c", ["c"]),
+        ("E'a' '\\' b", ["b"]),
+        ("e$$a$$ b", ["e$$a$$", "b"]),
+        ("$$a$$ b $x$ c $$ $x$ d", ["b", "d"]),
+        ("/* a /* b */ c */ d", ["d"]),
+        ("-- a\nb -- c\rd", ["b", "d"]),
+        ('"a""b" c', ["c"]),
+        ("$1 a $2b", ["a", "b"]),
+        ("U&'\\' a U&\"b\" c", ["a", "c"]),
+        ("a/* b", ["a"]),
+        ("a $$ b", ["a"]),
+        ("é1 b", ["é1", "b"]),
+    ],
+)
+def test_words_outside_strings_and_comments(text, found):
+    offsets = lexemes.find_words(text)
+    assert len(offsets) == len(found)
+    for word, offset in zip(found, offsets, strict=True):
+        assert text.startswith(word, offset)
