Drop settings and prepared statements only after DISCARD ALL

After "DISCARD PLANS" in a transaction that had SET a variable, the connection went back to the pool with that variable, marked as unchanged: the next session, of any team, ran with it (search_path, for example). Prepared statements of the session were unknown after DISCARD PLANS, TEMP or SEQUENCES, and the endpoint answered 42P05 when they were parsed again.

Cause: the word DISCARD was compared, not what it discards.

Evidence: the seven new tests failed before. The fake endpoint of the tests dropped its statements after each DISCARD as well, as the proxy did; it now does what the documentation of DISCARD says.

--- a/src/sardinehold/callers.py
+++ b/src/sardinehold/callers.py
@@ -24,7 +24,6 @@
 connection is not read (back-pressure)."""
 
 _DEALLOCATE = statements.Kind.DEALLOCATE
-_DISCARD = statements.Kind.DISCARD
 _QUERY = ord("Q")
 _SYNC = ord("S")
 _FLUSH = ord("H")
@@ -262,7 +261,7 @@
         if kind is _DEALLOCATE:
             if self._deallocate(content.traits.setting):
                 return
-        elif kind is _DISCARD:
+        elif content.traits.discards_all:
             self.statements.clear()
         self.path.start_request(self, content)
 
--- a/src/sardinehold/core/statements.py
+++ b/src/sardinehold/core/statements.py
@@ -70,6 +70,11 @@
         self.idempotency_key = idempotency_key
         self.refusal = refusal
 
+    @property
+    def discards_all(self) -> bool:
+        """Whether it drops all prepared statements and settings of its session."""
+        return self.kind is Kind.DISCARD and self.setting == "all"
+
 
 _NOT_COMBINABLE = "Settings of sardinehold must be sent in a statement of their own"
 
--- a/src/sardinehold/core/variables.py
+++ b/src/sardinehold/core/variables.py
@@ -109,7 +109,7 @@
         return False
     kind = request.traits.kind
     name = request.traits.setting
-    if kind is statements.Kind.DISCARD and name == "all":
+    if request.traits.discards_all:
         session.settings = pool.NO_SETTINGS
     tag = kind.name
     if name == "all" or kind is statements.Kind.DISCARD:
@@ -146,7 +146,7 @@
     if kind is statements.Kind.SET or kind is statements.Kind.RESET:
         if not event.sqlstate and not request.traits.local:
             _track(session, request.traits, connection)
-    elif kind is statements.Kind.DISCARD and not event.sqlstate:
+    elif request.traits.discards_all and not event.sqlstate:
         session.settings = connection.settings = pool.NO_SETTINGS
     if event.status == "I":
         _restore_settings(session, connection, request)
--- a/src/sardinehold/sequences.py
+++ b/src/sardinehold/sequences.py
@@ -22,7 +22,6 @@
 """Bytes of the longest message whose traits are cached."""
 
 _LOCAL = statements.Traits(statements.Kind.EMPTY)
-_DISCARD = statements.Kind.DISCARD
 _READ = statements.Traits(statements.Kind.READ)
 _WRITE = statements.Traits(statements.Kind.WRITE)
 
@@ -54,7 +53,7 @@
         self, known: prepared.ConnectionStatements
     ) -> sequence_messages.Outgoing:
         """Return the bytes to send to a connection that has parsed ``known``."""
-        if self.traits.kind is _DISCARD:
+        if self.traits.discards_all:
             known.clear()
         return sequence_messages.Outgoing(self.raw, None)
 
--- a/tests/builders_wire.py
+++ b/tests/builders_wire.py
@@ -302,7 +302,7 @@
             columns, rows = ["text"], [("x" * size,)] * count
         else:
             columns, rows = ["text"], [(sql,)]
-        if words[0] == "DISCARD":
+        if words[:2] == ["DISCARD", "ALL"]:
             self.prepared.clear()
         if words[0] == "BEGIN":
             self.status = b"T"
--- a/tests/test_prepared.py
+++ b/tests/test_prepared.py
@@ -213,6 +213,17 @@
         assert builders.kinds(frames) == "1Z"
 
 
+@pytest.mark.parametrize("what", ["PLANS", "TEMP", "SEQUENCES"])
+async def test_statements_stay_prepared_after_other_discards(what):
+    # Every DISCARD was taken for DISCARD ALL.
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        await caller.send(builders.parse("s", "SELECT 1"))
+        await caller.ask(f"DISCARD {what}")
+        frames = await caller.send(builders.bind("s"), EXECUTE)
+        assert builders.kinds(frames) == "2DCZ"
+
+
 async def test_connection_closes_its_least_recently_used_statement(monkeypatch):
     monkeypatch.setattr(prepared, "MAX_CONNECTION_STATEMENTS", 3)
     async with builders.run_path() as fleet:
--- a/tests/test_transaction.py
+++ b/tests/test_transaction.py
@@ -3,7 +3,9 @@
 import builders_engine as builders
 from sardinehold import errors
 from sardinehold.core import actions
+from sardinehold.core import dispatch
 from sardinehold.core import events
+from sardinehold.core import pool
 from sardinehold.core import view as views
 
 WRITE = "insert into t values (1)"
@@ -139,6 +141,20 @@
     assert driver.node.sessions[session].settings == {"search_path": "a"}
 
 
+@pytest.mark.parametrize("what", ["plans", "temp", "temporary", "sequences"])
+def test_settings_that_stay_after_discard_do_not_reach_other_sessions(what):
+    # Every DISCARD was taken for DISCARD ALL.
+    driver, session = begin()
+    driver.answer(driver.ask(session, "set search_path to a"), status="T")
+    driver.answer(driver.ask(session, f"discard {what}"), status="T")
+    connection = driver.node.sessions[session].connection
+    driver.offsets.update({"letters-0": 3, "letters-1": 3})
+    driver.answer(driver.ask(session, "commit"), 3)
+    assert driver.node.sessions[session].settings == {"search_path": "a"}
+    setup = dispatch.make_setup(connection.settings, pool.NO_SETTINGS)
+    assert setup == ("RESET search_path",)
+
+
 def test_draining_lets_transactions_finish_and_starts_none():
     driver, session = begin()
     state = views.GroupState("letters", 1, "letters-0", views.Phase.DRAINING)
