Leave the prepared statements of a connection when a value reads "deallocate"

With "SET application_name TO 'deallocate'" (any case, also "discard all"), prepared statements of other sessions on the same connection failed with 42P05.

Cause: the text of the statements that restore variables was searched for the words; it contains the values of callers. Those statements are SET and RESET only (core/dispatch.py, make_setup), so there is nothing to search for.

Evidence: both new tests failed before.

--- a/src/sardinehold/request_actions.py
+++ b/src/sardinehold/request_actions.py
@@ -84,9 +84,6 @@
         elif not request.finished:
             request.send(action.want_position)
 
-    for sql in action.setup:
-        if "DISCARD ALL" in sql.upper() or "DEALLOCATE" in sql.upper():
-            connection.statements.clear()
     payload = b"".join([wire.build_query(sql) for sql in action.setup])
     connection.send(payload, *[answers.Collector(finish) for _ in action.setup])
 
--- a/tests/test_prepared.py
+++ b/tests/test_prepared.py
@@ -224,6 +224,18 @@
         assert builders.kinds(frames) == "2DCZ"
 
 
+@pytest.mark.parametrize("value", ["'deallocate'", "'Discard All'"])
+async def test_value_of_a_setting_is_not_taken_for_a_command(value):
+    # The connection's statements were forgotten, so that Parse failed with 42P05.
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        await caller.send(builders.parse("s", "SELECT 1"))
+        fleet.engine.setup = (f"SET application_name TO {value}",)
+        frames = await caller.send(builders.bind("s"), EXECUTE)
+        assert builders.kinds(frames) == "2DCZ"
+        assert len(list_messages(fleet, b"P")) == 1
+
+
 async def test_connection_closes_its_least_recently_used_statement(monkeypatch):
     monkeypatch.setattr(prepared, "MAX_CONNECTION_STATEMENTS", 3)
     async with builders.run_path() as fleet:
