Restore only variables whose name means the same without quotes

To give a session its variables on another connection, the proxy sends "SET name TO value" with the name without the quotes that the caller wrote: SET "x to 1; delete from t; --".y = 1 became a DELETE that nobody had sent, on endpoints whose version accepts such names. RESET "search_path" was stored under another name, so that the old value came back on the next connection, and SET session_authorization was allowed where SET SESSION AUTHORIZATION is refused.

Names with other characters pin the session instead; quoted names lose their quotes when they are read.

--- a/src/sardinehold/core/classifier.py
+++ b/src/sardinehold/core/classifier.py
@@ -49,6 +49,10 @@
 )
 _COMMANDS = postgres.Postgres.Tokenizer.COMMANDS
 _NO_SPAN = (sys.maxsize, sys.maxsize, False)
+_SETTING_NAME = re.compile(r"[a-z_][a-z0-9_$]*(\.[a-z_][a-z0-9_$]*)*")
+"""Names in lower case that mean the same with and without quotes."""
+
+_ROLE_SETTINGS = frozenset(["role", "session_authorization"])
 _NO_COPY = "COPY is not supported; use INSERT with several rows"
 _NO_TWO_PHASE = "Two-phase commit is not supported; use COMMIT"
 _NO_ROLE_CHANGE = "The proxy logs in for every team; the role cannot be changed"
@@ -276,7 +280,9 @@
         name, values = "client_encoding", rest[1:]
     else:
         name, values = _parse_name(rest)
-    if not name or not values:
+    if name in _ROLE_SETTINGS:
+        return _refuse(_NO_ROLE_CHANGE)
+    if not _SETTING_NAME.fullmatch(name) or not values:
         return statements.Traits(statements.Kind.WRITE, pins=True)
     value = text[values[0].start : values[-1].end + 1]
     if name.startswith("sardinehold."):
@@ -298,7 +304,14 @@
 def _parse_setting(words: list[tokens.Token]) -> statements.Traits:
     """Return the traits of RESET, SHOW, DISCARD and DEALLOCATE."""
     kind = statements.Kind[words[0].text.upper()]
-    name = "".join(word.text for word in words[1:]).lower().replace(" ", "")
+    rest = " ".join(word.text for word in words[1:])
+    try:
+        found = sqlglot.tokenize(rest, read="postgres")
+    except sqlglot.errors.SqlglotError:
+        found = []
+    name = "".join(word.text for word in found).lower()
+    if kind is statements.Kind.RESET and not _SETTING_NAME.fullmatch(name):
+        return statements.Traits(statements.Kind.WRITE, pins=True)
     return statements.Traits(kind, setting=name)
 
 
--- a/tests/test_classifier.py
+++ b/tests/test_classifier.py
@@ -211,3 +211,41 @@
     assert len(offsets) == len(found)
     for word, offset in zip(found, offsets, strict=True):
         assert text.startswith(word, offset)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        'set "a b".c = 1',
+        'set "x to 1; delete from t; --".y = 1',
+        "set é = 1",
+        'reset "a b".c',
+        'reset "x; delete from t; --"',
+    ],
+)
+def test_variable_with_another_name_is_not_restored(text):
+    # The name was sent without its quotes to restore the variable elsewhere.
+    traits = classifier.classify(text)
+    assert (traits.kind, traits.pins, traits.setting) == (Kind.WRITE, True, "")
+
+
+@pytest.mark.parametrize(
+    ("text", "setting"),
+    [
+        ('reset "search_path"', "search_path"),
+        ('RESET "Search_Path"', "search_path"),
+        ("reset/**/search_path -- a", "search_path"),
+        ('set "Search_Path" to a', "search_path"),
+        ("reset a.B", "a.b"),
+        ("reset time zone", "timezone"),
+        ('show "sardinehold.session"', "sardinehold.session"),
+    ],
+)
+def test_variable_has_one_name_with_and_without_quotes(text, setting):
+    # A variable that was reset by its quoted name was restored later.
+    assert classifier.classify(text).setting == setting
+
+
+@pytest.mark.parametrize("text", ["set session_authorization = a", 'set "role" to a'])
+def test_role_cannot_be_changed_by_its_variable(text):
+    assert classifier.classify(text).refusal
