Drop the prepared statement that DEALLOCATE names

DEALLOCATE "S" dropped the statement s of the session, DEALLOCATE "all" all of them, DEALLOCATE PREPARE s none. Where DEALLOCATE ALL reached the endpoint (in a transaction by the extended protocol, or behind another statement) the connection returned to the pool as if it still had its statements: other sessions got SQLSTATE 26000 for theirs.

Cause: the rest of the text was joined and put into lower case to give a name.

Quoted names are kept as they are, and DEALLOCATE at an endpoint pins the session, so that no other gets its connection.

--- a/src/sardinehold/callers.py
+++ b/src/sardinehold/callers.py
@@ -259,19 +259,20 @@
         content = sequences.SimpleQuery(raw)
         kind = content.traits.kind
         if kind is _DEALLOCATE:
-            if self._deallocate(content.traits.setting):
+            if self._deallocate(content.traits):
                 return
         elif content.traits.discards_all:
             self.statements.clear()
         self.path.start_request(self, content)
 
-    def _deallocate(self, name: str) -> bool:
+    def _deallocate(self, traits: statements.Traits) -> bool:
         """Answer DEALLOCATE of a statement that the proxy holds; False for others."""
-        if name == "all":
+        drops_all = traits.setting == "all"
+        if drops_all:
             self.statements.clear()
-        elif not self.statements.drop(name.encode()):
+        elif not self.statements.drop(traits.value.encode()):
             return False
-        tag = "DEALLOCATE ALL" if name == "all" else "DEALLOCATE"
+        tag = "DEALLOCATE ALL" if drops_all else "DEALLOCATE"
         self.transport.write(wire.build_complete(tag) + wire.build_ready(self.status))
         return True
 
--- a/src/sardinehold/core/classifier.py
+++ b/src/sardinehold/core/classifier.py
@@ -302,7 +302,7 @@
 
 
 def _parse_setting(words: list[tokens.Token]) -> statements.Traits:
-    """Return the traits of RESET, SHOW, DISCARD and DEALLOCATE."""
+    """Return the traits of RESET, SHOW and DISCARD."""
     kind = statements.Kind[words[0].text.upper()]
     rest = " ".join(word.text for word in words[1:])
     try:
@@ -315,6 +315,26 @@
     return statements.Traits(kind, setting=name)
 
 
+def _parse_deallocate(words: list[tokens.Token]) -> statements.Traits:
+    """Return the traits of DEALLOCATE: ``setting`` is ``all``, or ``value`` the name.
+
+    At an endpoint it changes what the connection has prepared, so it pins.
+    """
+    rest = words[1:]
+    if rest[:1] and rest[0].text.upper() == "PREPARE" and len(rest) > 1:
+        rest = rest[1:]
+    if len(rest) != 1:
+        return statements.Traits(statements.Kind.WRITE, pins=True)
+    name = rest[0].text
+    if rest[0].token_type != tokens.TokenType.IDENTIFIER:
+        name = name.lower()
+        if name == "all":
+            return statements.Traits(
+                statements.Kind.DEALLOCATE, pins=True, setting="all"
+            )
+    return statements.Traits(statements.Kind.DEALLOCATE, pins=True, value=name)
+
+
 def _refuse(reason: str) -> statements.Traits:
     return statements.Traits(statements.Kind.WRITE, refusal=reason)
 
@@ -351,5 +371,5 @@
     "RESET": _parse_setting,
     "SHOW": _parse_setting,
     "DISCARD": _parse_setting,
-    "DEALLOCATE": _parse_setting,
+    "DEALLOCATE": _parse_deallocate,
 }
--- a/src/sardinehold/core/statements.py
+++ b/src/sardinehold/core/statements.py
@@ -28,8 +28,9 @@
     :param ends: whether it ends the transaction that was open before it.
     :param pins: whether it leaves state on the connection that no other
         session may see (temporary table, advisory lock, LISTEN, cursor).
-    :param setting: name of the variable that SET, RESET or SHOW names.
-    :param value: the value that SET gives, as text.
+    :param setting: name of the variable that SET, RESET or SHOW names; what
+        DISCARD drops; ``all`` for DEALLOCATE ALL.
+    :param value: the value that SET gives, as text; the name that DEALLOCATE gives.
     :param local: whether SET is LOCAL to the transaction.
     :param idempotency_key: the key that a sqlcommenter comment carries.
     :param refusal: reason why the statement is not supported, or ``""``.
--- a/tests/test_classifier.py
+++ b/tests/test_classifier.py
@@ -83,6 +83,9 @@
         "select pg_advisory_lock(1)",
         "prepare a as select 1",
         "declare c cursor with hold for select 1",
+        "deallocate all",
+        "select 1; deallocate all",
+        "deallocate a",
         "set x = 1; select 1",
         "insert into t values ('" + "x" * 20_000 + "'); set a = 1",
     ],
@@ -249,3 +252,23 @@
 @pytest.mark.parametrize("text", ["set session_authorization = a", 'set "role" to a'])
 def test_role_cannot_be_changed_by_its_variable(text):
     assert classifier.classify(text).refusal
+
+
+@pytest.mark.parametrize(
+    ("text", "setting", "value"),
+    [
+        ("deallocate S", "", "s"),
+        ('deallocate "S"', "", "S"),
+        ("deallocate prepare s", "", "s"),
+        ("deallocate all", "all", ""),
+        ("DEALLOCATE PREPARE ALL", "all", ""),
+        ('deallocate "all"', "", "all"),
+        ("deallocate prepare", "", "prepare"),
+        ("deallocate/**/s", "", "s"),
+    ],
+)
+def test_deallocate_drops_the_statement_that_it_names(text, setting, value):
+    # Quoted names were compared in lower case, and "all" was taken for ALL.
+    traits = classifier.classify(text)
+    assert traits.kind is Kind.DEALLOCATE
+    assert (traits.setting, traits.value) == (setting, value)
--- a/tests/test_prepared.py
+++ b/tests/test_prepared.py
@@ -199,6 +199,7 @@
         lambda caller: caller.send(builders.close("s")),
         lambda caller: caller.ask("DEALLOCATE s"),
         lambda caller: caller.ask("DEALLOCATE ALL"),
+        lambda caller: caller.ask("DEALLOCATE PREPARE S"),
         lambda caller: caller.ask("DISCARD ALL"),
     ],
 )
@@ -213,6 +214,16 @@
         assert builders.kinds(frames) == "1Z"
 
 
+@pytest.mark.parametrize("name", ['"S"', '"all"'])
+async def test_statement_outlives_deallocate_of_another_name(name):
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect()
+        await caller.send(builders.parse("s", "SELECT 1"))
+        await caller.ask(f"DEALLOCATE {name}")
+        frames = await caller.send(builders.bind("s"), EXECUTE)
+        assert builders.kinds(frames) == "2DCZ"
+
+
 @pytest.mark.parametrize("what", ["PLANS", "TEMP", "SEQUENCES"])
 async def test_statements_stay_prepared_after_other_discards(what):
     # Every DISCARD was taken for DISCARD ALL.
--- a/tests/test_transaction.py
+++ b/tests/test_transaction.py
@@ -155,6 +155,16 @@
     assert setup == ("RESET search_path",)
 
 
+def test_connection_whose_statements_were_deallocated_is_not_shared():
+    # Other sessions' statements were unknown on it (SQLSTATE 26000).
+    driver, session = begin()
+    number = driver.node.sessions[session].connection.connection_id
+    driver.answer(driver.ask(session, "deallocate all"), status="T")
+    driver.answer(driver.ask(session, "rollback"))
+    driver.send(events.SessionClosed(session))
+    assert number in closed(driver)
+
+
 def test_draining_lets_transactions_finish_and_starts_none():
     driver, session = begin()
     state = views.GroupState("letters", 1, "letters-0", views.Phase.DRAINING)
