Read the status of ReadyForQuery within its message

If an endpoint sent a ReadyForQuery without a status, the data path raised IndexError, or took the first byte of the next message for the status of the transaction.

Cause: the length of the message was not compared with its fixed size.

The four new cases failed before. Another length is now a violation of the protocol, which closes the connection.

--- a/src/sardinehold/answers.py
+++ b/src/sardinehold/answers.py
@@ -216,7 +216,7 @@
             elif stop > end:
                 break
             elif kind == _READY:
-                self._end(data, start)
+                self._end(data, start, stop)
                 return stop
             elif kind in _TERMINAL:
                 self._note_terminal(kind, data, start, stop, base + start)
@@ -225,7 +225,9 @@
             start = stop
         return start
 
-    def _end(self, data: wire.Buffer, start: int) -> None:
+    def _end(self, data: wire.Buffer, start: int, stop: int) -> None:
+        if stop - start != wire.READY_SIZE:
+            raise _build_violation()
         self.status = chr(data[start + wire.HEADER])
         self.done = True
 
@@ -255,7 +257,7 @@
             elif stop > end:
                 break
             elif kind == _READY:
-                self._end(data, start)
+                self._end(data, start, stop)
             elif kind in _TERMINAL:
                 self._note_terminal(kind, data, start, stop, len(self.held))
             elif kind not in _ASYNCHRONOUS:
--- a/tests/test_fuzz_wire.py
+++ b/tests/test_fuzz_wire.py
@@ -132,6 +132,15 @@
     assert bytes(answer.held).endswith(forwarded[-wire.READY_SIZE :])
 
 
+@pytest.mark.parametrize("steps", [None, []])
+@pytest.mark.parametrize("payload", [b"", b"II"])
+def test_ready_message_of_another_length_is_a_violation(payload, steps):
+    # The status was read behind the end of the message.
+    data = wire.build_frame(b"Z", payload)
+    with pytest.raises(errors.ProtocolViolation):
+        read_answer(data, [], steps=steps)
+
+
 @fixed
 @given(st.binary(max_size=300), SPLIT_POINTS)
 def test_random_answer_is_forwarded_or_refused(data, split_points):
