Read start-up options as PostgreSQL reads them

Cause: the options were split as by a shell, which removes quotes; in PostgreSQL only a backslash quotes, and "-" stands for "_" in names only.

--- a/src/sardinehold/startup_packets.py
+++ b/src/sardinehold/startup_packets.py
@@ -1,7 +1,6 @@
 """Parsers of start-up packets: TLS and cancel requests, start-up messages."""
 
 import re
-import shlex
 
 from sardinehold import errors
 from sardinehold import wire
@@ -9,6 +8,8 @@
 TOKEN_SETTING = "sardinehold.session"
 AGE_SETTING = "sardinehold.max_age"
 
+_WORD = re.compile(r"(?:\\.|[^\\\s])+", re.DOTALL | re.ASCII)
+_ESCAPE = re.compile(r"\\(.)", re.DOTALL)
 _AGE = re.compile(r"\s*(\d+(?:\.\d+)?)\s*(us|ms|s|min|h)?\s*", re.ASCII)
 _UNITS = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "min": 60.0, "h": 3600.0, None: 1.0}
 
@@ -153,26 +154,23 @@
 def parse_options(text: str) -> dict[str, str]:
     """Parse settings from ``-c name=value`` and ``--name=value`` options.
 
+    As in PostgreSQL, only a backslash quotes, and it quotes the next character.
+
     :raises sardinehold.errors.ProtocolViolation: an option has another form.
     """
     settings = {}
-    try:
-        words = iter(shlex.split(text))
-    except ValueError as error:
-        raise _build_option_error(text) from error
+    words = iter(_ESCAPE.sub(r"\1", word) for word in _WORD.findall(text))
     for word in words:
         if word == "-c":
             word = next(words, "")
-        elif word.startswith("-c"):
+        elif word.startswith(("-c", "--")):
             word = word[2:]
-        elif word.startswith("--"):
-            word = word[2:].replace("-", "_")
         else:
             raise _build_option_error(word)
         name, equals, value = word.partition("=")
         if not name or not equals:
             raise _build_option_error(word)
-        settings[name] = value
+        settings[name.replace("-", "_")] = value
     return settings
 
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -102,6 +102,22 @@
         assert await caller.reader.readexactly(1) == b"N"
 
 
+@pytest.mark.parametrize(
+    ("options", "sql"),
+    [
+        ('-c search_path="Letters"', """SET search_path = '"Letters"'"""),
+        (r"-c a.b=x\ y\\z", r"SET a.b = 'x y\z'"),
+        (r"-ca.b=it\'s", "SET a.b = 'it''s'"),
+        ("--statement-timeout=a-b", "SET statement_timeout = 'a-b'"),
+    ],
+)
+async def test_startup_options_are_read_as_by_postgresql(options, sql):
+    # Quotes were removed as in a shell, and "-" in a value became "_".
+    async with builders.run_path() as fleet:
+        await fleet.connect(options=options)
+        assert fleet.server.statements_run == [sql]
+
+
 async def test_startup_settings_are_set_before_the_greeting():
     async with builders.run_path() as fleet:
         caller = await fleet.connect(search_path="letters", application_name="psql")
