Compare the names of start-up settings in any case

A caller whose start-up message had Client_Encoding=latin1 was accepted, and its texts were then read as UTF-8 here and as Latin-1 at the endpoint; with the usual spelling it is refused. DateStyle in another case was set again for each session.

Cause: names of settings, which PostgreSQL compares without regard to case, were compared as written.

Evidence: both new cases failed before.

--- a/src/sardinehold/caller_handshake.py
+++ b/src/sardinehold/caller_handshake.py
@@ -108,6 +108,9 @@
 
     def _store_settings(self, settings: dict[str, str]) -> None:
         """Store the settings that must be applied before the session starts."""
+        settings = {name.lower(): value for name, value in settings.items()}
+        reported = self.caller.path.parameters
+        reported = {name.lower(): value for name, value in reported.items()}
         encoding = settings.pop("client_encoding", "utf8")
         if encoding.strip("'\" ").lower() not in _ENCODINGS:
             raise errors.Unsupported(
@@ -122,7 +125,7 @@
                     f"{name[:40]!r} is not a valid name of a setting.",
                     "Remove it from the connection's options.",
                 )
-            if self.caller.path.parameters.get(name) != value:
+            if reported.get(name) != value:
                 self.settings.append((name, value))
 
     def read_password(self, data: wire.Buffer, size: int) -> int:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -118,6 +118,14 @@
         assert fleet.server.statements_run == [sql]
 
 
+@pytest.mark.parametrize("name", ["Client_Encoding", "CLIENT_ENCODING"])
+async def test_encoding_is_refused_in_any_case_of_its_name(name):
+    async with builders.run_path() as fleet:
+        caller = await fleet.connect("public", **{name: "latin1"})
+        assert caller.greeting[-1][0] == b"E"
+        assert fleet.server.statements_run == []
+
+
 async def test_startup_settings_are_set_before_the_greeting():
     async with builders.run_path() as fleet:
         caller = await fleet.connect(search_path="letters", application_name="psql")
