Keep the elements of a list in a start-up setting

With search_path=a,b in the start-up message (or in its options), a session had the search path of one schema named "a,b", so that its tables were not found.

Cause: the value was sent as one string of SET, which quotes each string that it is given as one name.

Lists of names are split as PostgreSQL splits them, and each name is sent as a string of its own; a malformed list is sent as before.

--- a/src/sardinehold/caller_handshake.py
+++ b/src/sardinehold/caller_handshake.py
@@ -7,6 +7,7 @@
 import typing
 
 from sardinehold import errors
+from sardinehold import quoting
 from sardinehold import sequences
 from sardinehold import startup_packets
 from sardinehold import wire
@@ -169,8 +170,7 @@
             self._complete_handshake()
             return
         name, value = self.settings.pop()
-        quoted = value.replace("'", "''")
-        sql = f"SET {name} = '{quoted}'"
+        sql = f"SET {name} = {quoting.quote_setting(name, value)}"
         content = sequences.SimpleQuery(wire.build_query(sql))
         self.caller.path.start_request(self.caller, content, hidden=True)
 
