Refuse settings that change how endpoints read texts

After SET standard_conforming_strings = off, the text "select 'a\' , ' ; delete from t --'" is a SELECT and a DELETE at the endpoint, and one read here: the DELETE was not made durable and could be sent twice. After SET client_encoding (or SET NAMES) the same holds for multi-byte encodings whose second byte may be a backslash; start-up messages already refuse them.

Cause: the classifier reads texts as UTF-8 with the setting on.

Evidence: the six refused forms were accepted before. Setting them to the values that hold anyway stays possible.

--- a/src/sardinehold/core/classifier.py
+++ b/src/sardinehold/core/classifier.py
@@ -57,6 +57,12 @@
 _NO_TWO_PHASE = "Two-phase commit is not supported; use COMMIT"
 _NO_ROLE_CHANGE = "The proxy logs in for every team; the role cannot be changed"
 _NO_SEQUENCE_STATE = "The last sequence value is not available; use RETURNING"
+_NO_ENCODING = "Only client_encoding UTF8 is supported"
+_NO_BACKSLASHES = (
+    "standard_conforming_strings cannot be off; write E'...' for strings with escapes"
+)
+_ENCODINGS = frozenset(["utf8", "utf-8", "unicode", "default"])
+_ON = frozenset(["on", "true", "yes", "1", "t", "y", "default"])
 _NO_LOAD = "Loading a library is not supported"
 
 
@@ -285,6 +291,9 @@
     if not _SETTING_NAME.fullmatch(name) or not values:
         return statements.Traits(statements.Kind.WRITE, pins=True)
     value = text[values[0].start : values[-1].end + 1]
+    refusal = _find_unreadable(name, value)
+    if refusal:
+        return _refuse(refusal)
     if name.startswith("sardinehold."):
         value = value.strip("'")
     return statements.Traits(
@@ -292,6 +301,16 @@
     )
 
 
+def _find_unreadable(name: str, value: str) -> str:
+    """Return why a setting would let endpoints read later texts in another way."""
+    plain = value.strip("'\"").lower()
+    if name == "client_encoding" and plain not in _ENCODINGS:
+        return _NO_ENCODING
+    if name == "standard_conforming_strings" and plain not in _ON:
+        return _NO_BACKSLASHES
+    return ""
+
+
 def _parse_name(words: list[tokens.Token]) -> tuple[str, list[tokens.Token]]:
     """Return name and value tokens of ``name = value`` or ``name TO value``."""
     for index, word in enumerate(words):
--- a/tests/test_classifier.py
+++ b/tests/test_classifier.py
@@ -272,3 +272,33 @@
     traits = classifier.classify(text)
     assert traits.kind is Kind.DEALLOCATE
     assert (traits.setting, traits.value) == (setting, value)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "set standard_conforming_strings = off",
+        'set local "Standard_Conforming_Strings" to false',
+        "set session standard_conforming_strings to 'off'",
+        "set client_encoding = 'sjis'",
+        "set names 'latin1'",
+        "set client_encoding to gbk; select 1",
+    ],
+)
+def test_setting_that_changes_how_texts_are_read_is_refused(text):
+    # "select 'a\\' , ' ; delete from t --'" is a read only with the setting on.
+    assert classifier.classify(text).refusal
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "set standard_conforming_strings = on",
+        "set standard_conforming_strings to default",
+        "set client_encoding to 'UTF8'",
+        "set names 'utf-8'",
+    ],
+)
+def test_setting_that_keeps_how_texts_are_read_is_allowed(text):
+    traits = classifier.classify(text)
+    assert (traits.kind, traits.refusal) == (Kind.SET, "")
