--- a/src/sardinehold/core/classifier.py
+++ b/src/sardinehold/core/classifier.py
@@ -7,14 +7,17 @@
 
 import functools
 import re
+import sys
 import typing
 import urllib.parse
 
 import sqlglot
 from sqlglot import exp
 from sqlglot import tokens
+from sqlglot.dialects import postgres
 
 from sardinehold.core import functions
+from sardinehold.core import lexemes
 from sardinehold.core import statements
 
 CACHE_ENTRIES = 4096
@@ -23,16 +26,43 @@
 MAX_PARSED_LENGTH = 16_384
 """Characters; a longer text is classified as a write without being parsed."""
 
-_COMMENT = re.compile(r"/\*((?:[^*]|\*(?!/))*)\*/\s*;?\s*$")
 _KEY = re.compile(r"sardinehold[._]idempotency_key\s*=\s*'([^']{1,200})'")
 _SESSION_STATE = re.compile(
     r"\b(temp|temporary|listen|prepare|set|declare|set_config|pg_(try_)?advisory_\w+)\b",
     re.IGNORECASE,
 )
+_ANALYZE = re.compile(r"\banaly[sz]e\b|\bu&", re.IGNORECASE)
+"""An option of EXPLAIN that runs the statement; its name may be escaped by ``U&``."""
+
+_QUOTED = frozenset(
+    [
+        tokens.TokenType.STRING,
+        tokens.TokenType.BIT_STRING,
+        tokens.TokenType.BYTE_STRING,
+        tokens.TokenType.HEX_STRING,
+        tokens.TokenType.HEREDOC_STRING,
+        tokens.TokenType.IDENTIFIER,
+        tokens.TokenType.NATIONAL_STRING,
+        tokens.TokenType.RAW_STRING,
+        tokens.TokenType.UNICODE_STRING,
+    ]
+)
+_COMMANDS = postgres.Postgres.Tokenizer.COMMANDS
+_NO_SPAN = (sys.maxsize, sys.maxsize, False)
+_SETTING_NAME = re.compile(r"[a-z_][a-z0-9_$]*(\.[a-z_][a-z0-9_$]*)*")
+"""Names in lower case that mean the same with and without quotes."""
+
+_ROLE_SETTINGS = frozenset(["role", "session_authorization"])
 _NO_COPY = "COPY is not supported; use INSERT with several rows"
 _NO_TWO_PHASE = "Two-phase commit is not supported; use COMMIT"
 _NO_ROLE_CHANGE = "The proxy logs in for every team; the role cannot be changed"
 _NO_SEQUENCE_STATE = "The last sequence value is not available; use RETURNING"
+_NO_ENCODING = "Only client_encoding UTF8 is supported"
+_NO_BACKSLASHES = (
+    "standard_conforming_strings cannot be off; write E'...' for strings with escapes"
+)
+_ENCODINGS = frozenset(["utf8", "utf-8", "unicode", "default"])
+_ON = frozenset(["on", "true", "yes", "1", "t", "y", "default"])
 _NO_LOAD = "Loading a library is not supported"
 
 
@@ -41,16 +71,34 @@
 
     The result may be shared between callers and must not be changed.
     """
-    comment = _COMMENT.search(text) if text.rstrip(" \t\r\n;").endswith("*/") else None
-    if comment is None:
+    start = _find_comment(text)
+    if start < 0:
         return _classify_cached(text)
-    traits = _classify_cached(text[: comment.start()])
-    key = _KEY.search(comment.group(1))
+    is_separate = not _is_behind_line_comment(text, start)
+    traits = _classify_cached(text[:start] if is_separate else text)
+    key = _KEY.search(text, start)
     if key is None:
         return traits
     return _add_key(traits, urllib.parse.unquote(key.group(1)))
 
 
+def _find_comment(text: str) -> int:
+    """Return the start of the block comment that ends a text, -1 if there is none."""
+    end = len(text.rstrip(" \t\r\n;")) - 2
+    if not text.startswith("*/", max(end, 0)):
+        return -1
+    start = text.rfind("/*", 0, end)
+    if start < 0 or text.find("*/", start + 2, end) >= 0:
+        return -1
+    return start
+
+
+def _is_behind_line_comment(text: str, start: int) -> bool:
+    """Return whether a line comment may begin before ``start`` on the same line."""
+    line = max(text.rfind("\n", 0, start), text.rfind("\r", 0, start)) + 1
+    return text.find("--", line, start) >= 0
+
+
 def _classify_cached(text: str) -> statements.Traits:
     """Return cached traits; long texts are neither parsed nor cached."""
     if len(text) > MAX_PARSED_LENGTH:
@@ -63,10 +111,13 @@
 def _classify_short(text: str) -> statements.Traits:
     """Split the text into statements and merge their traits."""
     try:
-        parts = _split(sqlglot.tokenize(text, read="postgres"))
+        words = sqlglot.tokenize(text, read="postgres")
     except (sqlglot.errors.SqlglotError, RecursionError):
+        words = None
+    if words is None or not _covers_words(text, words):
         pins = _SESSION_STATE.search(text) is not None
         return statements.Traits(statements.Kind.WRITE, pins=pins)
+    parts = _split(words)
     if not parts:
         return statements.Traits(statements.Kind.EMPTY)
     found = [_classify_part(text, part) for part in parts]
@@ -75,6 +126,37 @@
     return statements.merge_traits(found)
 
 
+def _covers_words(text: str, words: list[tokens.Token]) -> bool:
+    """Return whether sqlglot reads each word and semicolon that PostgreSQL reads."""
+    spans = _find_spans(text, words)
+    start, end, is_semicolon = next(spans, _NO_SPAN)
+    for offset in lexemes.find_words(text):
+        while end <= offset:
+            start, end, is_semicolon = next(spans, _NO_SPAN)
+        if offset < start or is_semicolon != (text[offset] == ";"):
+            return False
+    return True
+
+
+def _find_spans(
+    text: str, words: list[tokens.Token]
+) -> typing.Iterator[tuple[int, int, bool]]:
+    """Yield start and end of the tokens that are no strings, and if it is a semicolon.
+
+    After some first words, sqlglot returns the rest of the statement as one string.
+    """
+    previous = None
+    for index, word in enumerate(words):
+        if word.token_type not in _QUOTED:
+            is_semicolon = word.token_type == tokens.TokenType.SEMICOLON
+            yield word.start, word.end + 1, is_semicolon
+        elif previous is not None and previous.token_type in _COMMANDS:
+            is_last = index + 1 == len(words)
+            end = len(text) if is_last else words[index + 1].start
+            yield previous.end + 1, end, False
+        previous = word
+
+
 def _split(words: list[tokens.Token]) -> list[list[tokens.Token]]:
     """Return the tokens of each statement."""
     parts: list[list[tokens.Token]] = [[]]
@@ -180,10 +262,8 @@
 
 
 def _parse_explain(words: list[tokens.Token]) -> statements.Traits:
-    kind = statements.Kind.READ
-    if {"ANALYZE", "ANALYSE"} & set(_upper(words)):
-        kind = statements.Kind.WRITE
-    return statements.Traits(kind)
+    runs = any(_ANALYZE.search(word.text) for word in words[1:])
+    return statements.Traits(statements.Kind.WRITE if runs else statements.Kind.READ)
 
 
 def _parse_set(text: str, words: list[tokens.Token]) -> statements.Traits:
@@ -206,9 +286,14 @@
         name, values = "client_encoding", rest[1:]
     else:
         name, values = _parse_name(rest)
-    if not name or not values:
+    if name in _ROLE_SETTINGS:
+        return _refuse(_NO_ROLE_CHANGE)
+    if not _SETTING_NAME.fullmatch(name) or not values:
         return statements.Traits(statements.Kind.WRITE, pins=True)
     value = text[values[0].start : values[-1].end + 1]
+    refusal = _find_unreadable(name, value)
+    if refusal:
+        return _refuse(refusal)
     if name.startswith("sardinehold."):
         value = value.strip("'")
     return statements.Traits(
@@ -216,6 +301,16 @@
     )
 
 
+def _find_unreadable(name: str, value: str) -> str:
+    """Return why a setting would let endpoints read later texts in another way."""
+    plain = value.strip("'\"").lower()
+    if name == "client_encoding" and plain not in _ENCODINGS:
+        return _NO_ENCODING
+    if name == "standard_conforming_strings" and plain not in _ON:
+        return _NO_BACKSLASHES
+    return ""
+
+
 def _parse_name(words: list[tokens.Token]) -> tuple[str, list[tokens.Token]]:
     """Return name and value tokens of ``name = value`` or ``name TO value``."""
     for index, word in enumerate(words):
@@ -226,12 +321,39 @@
 
 
 def _parse_setting(words: list[tokens.Token]) -> statements.Traits:
-    """Return the traits of RESET, SHOW, DISCARD and DEALLOCATE."""
+    """Return the traits of RESET, SHOW and DISCARD."""
     kind = statements.Kind[words[0].text.upper()]
-    name = "".join(word.text for word in words[1:]).lower().replace(" ", "")
+    rest = " ".join(word.text for word in words[1:])
+    try:
+        found = sqlglot.tokenize(rest, read="postgres")
+    except sqlglot.errors.SqlglotError:
+        found = []
+    name = "".join(word.text for word in found).lower()
+    if kind is statements.Kind.RESET and not _SETTING_NAME.fullmatch(name):
+        return statements.Traits(statements.Kind.WRITE, pins=True)
     return statements.Traits(kind, setting=name)
 
 
+def _parse_deallocate(words: list[tokens.Token]) -> statements.Traits:
+    """Return the traits of DEALLOCATE: ``setting`` is ``all``, or ``value`` the name.
+
+    At an endpoint it changes what the connection has prepared, so it pins.
+    """
+    rest = words[1:]
+    if rest[:1] and rest[0].text.upper() == "PREPARE" and len(rest) > 1:
+        rest = rest[1:]
+    if len(rest) != 1:
+        return statements.Traits(statements.Kind.WRITE, pins=True)
+    name = rest[0].text
+    if rest[0].token_type != tokens.TokenType.IDENTIFIER:
+        name = name.lower()
+        if name == "all":
+            return statements.Traits(
+                statements.Kind.DEALLOCATE, pins=True, setting="all"
+            )
+    return statements.Traits(statements.Kind.DEALLOCATE, pins=True, value=name)
+
+
 def _refuse(reason: str) -> statements.Traits:
     return statements.Traits(statements.Kind.WRITE, refusal=reason)
 
@@ -268,5 +390,5 @@
     "RESET": _parse_setting,
     "SHOW": _parse_setting,
     "DISCARD": _parse_setting,
-    "DEALLOCATE": _parse_setting,
+    "DEALLOCATE": _parse_deallocate,
 }
--- a/tests/test_classifier.py
+++ b/tests/test_classifier.py
@@ -1,6 +1,7 @@
 import pytest
 
 from sardinehold.core import classifier
+from sardinehold.core import lexemes
 from sardinehold.core import statements
 
 Kind = statements.Kind
@@ -82,6 +83,9 @@
         "select pg_advisory_lock(1)",
         "prepare a as select 1",
         "declare c cursor with hold for select 1",
+        "deallocate all",
+        "select 1; deallocate all",
+        "deallocate a",
         "set x = 1; select 1",
         "insert into t values ('" + "x" * 20_000 + "'); set a = 1",
     ],
@@ -115,3 +119,186 @@
     text = "insert into t values (1) /* sardinehold.idempotency_key='a%20b' */"
     assert classifier.classify(text).idempotency_key == "a b"
     assert classifier.classify("insert into t values (1)").idempotency_key == ""
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "select 1 -- /*\n; delete from t -- */",
+        "select 1 -- /*\r\n; delete from t -- */",
+        "select 1 --/**/ /*\n; delete from t -- */;",
+        "select 1 /* a */; delete from t -- */",
+    ],
+)
+def test_write_behind_a_line_comment_is_not_taken_for_a_comment(text):
+    # "/*" in a line comment opened the comment that is cut off before parsing.
+    assert classifier.classify(text).kind is Kind.WRITE
+
+
+def test_key_behind_a_line_comment_is_kept():
+    key = "/* sardinehold_idempotency_key='k' */"
+    for text in (f"insert into t values ('--') {key}", f"delete from t -- a\n{key};"):
+        traits = classifier.classify(text)
+        assert (traits.kind, traits.idempotency_key) == (Kind.WRITE, "k")
+
+
+def test_many_opened_comments_are_searched_once():
+    # Each "/*" was searched up to the end, in a time that grows with the square.
+    assert classifier.classify("/* " * 500_000 + "*/ */").kind is Kind.WRITE
+
+
+@pytest.mark.parametrize(
+    "options",
+    [
+        " (analyze)",
+        "(ANALYZE, verbose)",
+        " (format json,analyze)",
+        "/**/analyze",
+        " analyze/**/",
+        ' ("analyze")',
+        ' (U&"\\0061nalyze")',
+    ],
+)
+def test_explain_that_runs_its_statement_is_a_write(options):
+    # Only "analyze" between blanks was found.
+    text = f"explain{options} delete from t"
+    assert classifier.classify(text).kind is Kind.WRITE
+
+
+@pytest.mark.parametrize("first", ["explain select", "set a.b =", "set search_path to"])
+@pytest.mark.parametrize("gap", ["\n", " \t\r\n ", " -- c\n"])
+def test_string_with_escapes_ends_where_the_endpoint_ends_it(first, gap):
+    # A string with escapes continues on the next line, where its escapes hold too.
+    text = f"{first} E'a'{gap}'b\\' , '; delete from t; --'"
+    traits = classifier.classify(text)
+    assert (traits.kind, traits.value) == (Kind.WRITE, "")
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "select 1 /* a /* b */ ; delete from t */",
+        "select $$a; b$$, $a$;$b$;$a$, $é$;$é$, a$$, $1 from t",
+        "select U&'\\0061;', E'\\';', 'é;', n'd;', b'1', x'1' from é",
+        'select "a;""b", 1e5, 0x1f, 1.5, .5, a.b::text -- ; c',
+        "select a is not distinct from b from t order by c -- ;\n limit 1",
+        "explain select 1, 'a;' /* ; */ from t",
+    ],
+)
+def test_read_with_quoted_semicolons_is_a_read(text):
+    assert classifier.classify(text).kind is Kind.READ
+
+
+@pytest.mark.parametrize(
+    ("text", "found"),
+    [
+        ("a 'b' c; d", ["a", "c", ";", "d"]),
+        ("a E'\\'b' c", ["a", "c"]),
+        ("a '\\' b 'c'", ["a", "b"]),
+        ("E'a'\n'\\'b' c", ["c"]),
+        ("E'a' '\\' b", ["b"]),
+        ("e$$a$$ b", ["e$$a$$", "b"]),
+        ("$$a$$ b $x$ c $$ $x$ d", ["b", "d"]),
+        ("/* a /* b */ c */ d", ["d"]),
+        ("-- a\nb -- c\rd", ["b", "d"]),
+        ('"a""b" c', ["c"]),
+        ("$1 a $2b", ["a", "b"]),
+        ("U&'\\' a U&\"b\" c", ["a", "c"]),
+        ("a/* b", ["a"]),
+        ("a $$ b", ["a"]),
+        ("é1 b", ["é1", "b"]),
+    ],
+)
+def test_words_outside_strings_and_comments(text, found):
+    offsets = lexemes.find_words(text)
+    assert len(offsets) == len(found)
+    for word, offset in zip(found, offsets, strict=True):
+        assert text.startswith(word, offset)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        'set "a b".c = 1',
+        'set "x to 1; delete from t; --".y = 1',
+        "set é = 1",
+        'reset "a b".c',
+        'reset "x; delete from t; --"',
+    ],
+)
+def test_variable_with_another_name_is_not_restored(text):
+    # The name was sent without its quotes to restore the variable elsewhere.
+    traits = classifier.classify(text)
+    assert (traits.kind, traits.pins, traits.setting) == (Kind.WRITE, True, "")
+
+
+@pytest.mark.parametrize(
+    ("text", "setting"),
+    [
+        ('reset "search_path"', "search_path"),
+        ('RESET "Search_Path"', "search_path"),
+        ("reset/**/search_path -- a", "search_path"),
+        ('set "Search_Path" to a', "search_path"),
+        ("reset a.B", "a.b"),
+        ("reset time zone", "timezone"),
+        ('show "sardinehold.session"', "sardinehold.session"),
+    ],
+)
+def test_variable_has_one_name_with_and_without_quotes(text, setting):
+    # A variable that was reset by its quoted name was restored later.
+    assert classifier.classify(text).setting == setting
+
+
+@pytest.mark.parametrize("text", ["set session_authorization = a", 'set "role" to a'])
+def test_role_cannot_be_changed_by_its_variable(text):
+    assert classifier.classify(text).refusal
+
+
+@pytest.mark.parametrize(
+    ("text", "setting", "value"),
+    [
+        ("deallocate S", "", "s"),
+        ('deallocate "S"', "", "S"),
+        ("deallocate prepare s", "", "s"),
+        ("deallocate all", "all", ""),
+        ("DEALLOCATE PREPARE ALL", "all", ""),
+        ('deallocate "all"', "", "all"),
+        ("deallocate prepare", "", "prepare"),
+        ("deallocate/**/s", "", "s"),
+    ],
+)
+def test_deallocate_drops_the_statement_that_it_names(text, setting, value):
+    # Quoted names were compared in lower case, and "all" was taken for ALL.
+    traits = classifier.classify(text)
+    assert traits.kind is Kind.DEALLOCATE
+    assert (traits.setting, traits.value) == (setting, value)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "set standard_conforming_strings = off",
+        'set local "Standard_Conforming_Strings" to false',
+        "set session standard_conforming_strings to 'off'",
+        "set client_encoding = 'sjis'",
+        "set names 'latin1'",
+        "set client_encoding to gbk; select 1",
+    ],
+)
+def test_setting_that_changes_how_texts_are_read_is_refused(text):
+    # "select 'a\\' , ' ; delete from t --'" is a read only with the setting on.
+    assert classifier.classify(text).refusal
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "set standard_conforming_strings = on",
+        "set standard_conforming_strings to default",
+        "set client_encoding to 'UTF8'",
+        "set names 'utf-8'",
+    ],
+)
+def test_setting_that_keeps_how_texts_are_read_is_allowed(text):
+    traits = classifier.classify(text)
+    assert (traits.kind, traits.refusal) == (Kind.SET, "")
