Show that an error whose text fits no line leaves its caller without an answer

Callers saw: silence on an open session instead of ERROR.

The exception ends Caller._run, and the session stays open.

The length is shown by the test alone.

--- a/tests/test_statement_limits.py
+++ b/tests/test_statement_limits.py
@@ -1,6 +1,7 @@
 """Statements and names at the limits of lines and frames, on the way to an endpoint."""
 
 import anyio
+import pytest
 
 import builders_lines
 import builders_links
@@ -79,3 +80,20 @@
     request = builders_links.make_request(statement=statement, values={})
     frame = frames.pack_request(1, request, 0.0, 0.0, 0.0)
     assert len(frame) <= frames.MAX_FRAME
+
+
+@pytest.mark.parametrize(
+    "detail",
+    ["group \u0431\u0430 has no primary", "group a\nREADY has no primary", "x" * 2**20],
+    ids=["letters", "line_end", "length"],
+)
+def test_error_whose_text_fits_no_line_is_answered_all_the_same(detail):
+    # The texts have names from the configuration, or are an endpoint's: the caller's
+    # task ended, and its session stayed open without an answer.
+    answer = statements.Answer([], error=statements.Failure.BUSY, detail=detail)
+    sent = callers.format_answer(answer).split(b"\r\n")
+    assert sent[0].startswith(b"ERROR BUSY ")
+    assert sent[1:] == [b"READY I -", b""]
+    assert len(sent[0]) + 2 <= builders_lines.MAX_LINE
+    assert b"\r" not in sent[0]
+    assert b"\n" not in sent[0]
