Close connections whose endpoint reads texts in another way

set_config() and other functions, or the defaults of a role, could turn standard_conforming_strings off or change client_encoding without a SET that the proxy refuses: writes were then taken for reads, as after SET.

Cause: ParameterStatus messages, in which endpoints report both settings, were only forwarded.

Evidence: the new cases of tests/test_fuzz_wire.py failed before. The connection is now closed, so that a session which changed a setting ends, and an endpoint with other defaults counts as unavailable, with a remedy.

--- a/src/sardinehold/answers.py
+++ b/src/sardinehold/answers.py
@@ -24,6 +24,7 @@
 _READY = ord("Z")
 _ROW = ord("D")
 _ERROR = ord("E")
+_PARAMETER = ord("S")
 _TERMINAL = frozenset(b"CEIs")
 _ASYNCHRONOUS = frozenset(b"NSA")
 _COPY = frozenset(b"GHW")
@@ -220,6 +221,8 @@
                 return stop
             elif kind in _TERMINAL:
                 self._note_terminal(kind, data, start, stop, base + start)
+            elif kind == _PARAMETER:
+                _check_parameter(data, start, stop)
             elif kind not in _ASYNCHRONOUS:
                 self.tail_start = -1
             start = stop
@@ -260,6 +263,8 @@
                 self._end(data, start, stop)
             elif kind in _TERMINAL:
                 self._note_terminal(kind, data, start, stop, len(self.held))
+            elif kind == _PARAMETER:
+                _check_parameter(data, start, stop)
             elif kind not in _ASYNCHRONOUS:
                 self.tail_start = -1
             if kind not in _COMPLETING or not rewriter.complete():
@@ -291,6 +296,11 @@
         self.tail_start = 0 if self.tail_start >= 0 and held else -1
 
 
+def _check_parameter(data: wire.Buffer, start: int, stop: int) -> None:
+    if not wire.keeps_reading(data[start + wire.HEADER : stop]):
+        raise _build_violation()
+
+
 def _build_violation() -> errors.ProtocolViolation:
     return errors.ProtocolViolation(
         "An endpoint sent an unexpected message.",
--- a/src/sardinehold/endpoint_handshake.py
+++ b/src/sardinehold/endpoint_handshake.py
@@ -65,6 +65,14 @@
                 )
             )
         elif kind == ord("S"):
+            if not wire.keeps_reading(payload):
+                self._fail(
+                    errors.EndpointUnavailable(
+                        "An endpoint reads texts in another way than the proxy.",
+                        "Leave standard_conforming_strings on, and client_encoding as"
+                        " the proxy requests it.",
+                    )
+                )
             name, _, value = payload.partition(b"\0")
             text = value.rstrip(b"\0").decode(errors="replace")
             self.connection.parameters[name.decode(errors="replace")] = text
--- a/src/sardinehold/wire.py
+++ b/src/sardinehold/wire.py
@@ -210,6 +210,22 @@
     return Fields(severity, found.get(b"C", ""), found.get(b"M", ""))
 
 
+_READING_PARAMETERS = {
+    b"client_encoding": b"UTF8",
+    b"standard_conforming_strings": b"on",
+}
+"""Parameters that determine how an endpoint reads texts, with the required values."""
+
+
+def keeps_reading(payload: Buffer) -> bool:
+    """Return whether an endpoint reads texts as the proxy does after a ParameterStatus.
+
+    Functions may change such a parameter without the proxy's knowledge.
+    """
+    name, _, value = bytes(payload).partition(b"\0")
+    return value.rstrip(b"\0") == _READING_PARAMETERS.get(name, value.rstrip(b"\0"))
+
+
 def parse_row(payload: Buffer) -> tuple[str | None, ...]:
     """Parse the text values of a DataRow.
 
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -81,7 +81,16 @@
 PASSWORD = wire.build_authentication(wire.CLEARTEXT_PASSWORD)
 
 
-@pytest.mark.parametrize("data", [b"", PASSWORD, b"\0" * 64, b"Z\xff\xff\xff\xff"])
+OTHER_STRINGS = (
+    wire.build_authentication(0)
+    + wire.build_parameter("standard_conforming_strings", "off")
+    + wire.build_ready("I")
+)
+
+
+@pytest.mark.parametrize(
+    "data", [b"", PASSWORD, OTHER_STRINGS, b"\0" * 64, b"Z\xff\xff\xff\xff"]
+)
 async def test_endpoint_that_refuses_is_unavailable_and_not_run(data):
     async with serve(lambda: CannedServer(data)) as port:
         with pytest.raises(errors.EndpointUnavailable) as caught:
--- a/tests/test_fuzz_wire.py
+++ b/tests/test_fuzz_wire.py
@@ -141,6 +141,21 @@
         read_answer(data, [], steps=steps)
 
 
+@pytest.mark.parametrize("steps", [None, []])
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [("standard_conforming_strings", "off"), ("client_encoding", "SJIS")],
+)
+def test_endpoint_that_reads_texts_in_another_way_is_a_violation(name, value, steps):
+    # set_config() and other functions change these settings as SET does.
+    end = wire.build_complete("SELECT 1") + wire.build_ready("I")
+    with pytest.raises(errors.ProtocolViolation):
+        read_answer(wire.build_parameter(name, value) + end, [], steps=steps)
+    for harmless in ("on", "UTF8"):
+        data = wire.build_parameter("application_name", harmless) + end
+        assert read_answer(data, [], steps=steps)[0].done
+
+
 @fixed
 @given(st.binary(max_size=300), SPLIT_POINTS)
 def test_random_answer_is_forwarded_or_refused(data, split_points):
