Take only known built-in functions for functions without side effects

The name is now compared as it was written, with its schema, which may be pg_catalog, in the list of built-in functions. A function of the same name earlier in the search path is still taken for the built-in one.

--- a/src/sardinehold/core/classifier.py
+++ b/src/sardinehold/core/classifier.py
@@ -193,12 +193,12 @@
     pins = False
     refusal = ""
     for node in tree.walk():
-        if isinstance(node, exp.Anonymous):
-            name = node.name.lower()
-            pins = pins or functions.leaves_state(name)
-            if functions.reads_sequence_state(name):
+        if isinstance(node, exp.Func):
+            name = _find_name(source, node)
+            pins = pins or functions.leaves_state(name.lower())
+            if functions.reads_sequence_state(name.lower()):
                 refusal = _NO_SEQUENCE_STATE
-            if not functions.is_safe(name):
+            if name and not functions.is_safe(name, _find_schema(node)):
                 kind = statements.Kind.WRITE
         elif isinstance(node, functions.WRITING_NODES):
             kind = statements.Kind.WRITE
@@ -206,6 +206,33 @@
     return statements.Traits(kind, pins=pins, refusal=refusal)
 
 
+def _find_name(source: str, node: exp.Func) -> str:
+    """Return the name of a function as it was written, ``""`` for other syntax.
+
+    sqlglot replaces the names that it knows from any dialect.
+    """
+    start = node.meta.get("start")
+    if start is None:
+        return node.name.lower() if isinstance(node, exp.Anonymous) else ""
+    name = source[start : node.meta["end"] + 1]
+    return name.strip('"') if name.startswith('"') else name.lower()
+
+
+def _find_schema(node: exp.Func) -> str:
+    """Return the schema that a function's name is qualified with."""
+    parent = node.parent
+    owner = None
+    if isinstance(parent, exp.Table):
+        owner = parent.args.get("db")
+    elif isinstance(parent, exp.Dot) and parent.expression is node:
+        owner = parent.this
+    if owner is None:
+        return ""
+    if not isinstance(owner, exp.Identifier):
+        return "?"
+    return owner.name if owner.args.get("quoted") else owner.name.lower()
+
+
 def _upper(words: list[tokens.Token]) -> list[str]:
     """Return the words in upper case.
 
--- a/tests/test_classifier.py
+++ b/tests/test_classifier.py
@@ -302,3 +302,44 @@
 def test_setting_that_keeps_how_texts_are_read_is_allowed(text):
     traits = classifier.classify(text)
     assert (traits.kind, traits.refusal) == (Kind.SET, "")
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "select letters.lower('x')",
+        "select public.now()",
+        "select * from letters.now() x",
+        "select * from letters.generate_series(1, 2)",
+        "select a.b.now()",
+        'select "Lower"(1)',
+        "select pg_catalog.archive_letters()",
+    ],
+)
+def test_function_of_another_schema_is_a_write(text):
+    # Only the last part of a function's name was compared.
+    assert classifier.classify(text).kind is Kind.WRITE
+
+
+@pytest.mark.parametrize("name", ["json_import", "to_archive", "date_close", "flatten"])
+def test_function_with_a_similar_name_is_a_write(name):
+    # Names that begin like built-in ones, or that other databases have, were reads.
+    assert classifier.classify(f"select {name}(1)").kind is Kind.WRITE
+    assert classifier.classify(f"select * from {name}(1)").kind is Kind.WRITE
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "select PG_CATALOG.lower('x'), pg_catalog.now(), \"lower\"('x')",
+        "select * from generate_series(1, 2) g, unnest(array[1]) u(a)",
+        "select jsonb_path_query(a, '$'), to_char(b, 'x'), date_trunc('day', b) from t",
+        "select array(select 1), row(1, 2), a in (1, 2), a = any(array[1]) from t",
+        "select count(*) filter (where a), sum(b) over (partition by c) from t",
+        "select substring('a' from 1), extract(year from a), trim(b), a::date from t",
+        "select current_user, current_timestamp(3), now() at time zone 'utc'",
+        "select * from json_to_recordset('x') as x(a int)",
+    ],
+)
+def test_function_without_side_effects_is_a_read(text):
+    assert classifier.classify(text).kind is Kind.READ
