Read each event of a timeline from one line

An event with U+2028, U+0085 or another line end in a text (the reason of a change, an error of an endpoint) made `sardinehold timeline` refuse the whole file; a lone surrogate raised an error in the process that recorded it; and a line feed in a text looked like another event where events are printed.

Cause: the file is divided at every line end that Unicode knows, while JSON escapes only the ASCII ones.

Evidence: the new cases failed before. Files are divided at line feeds, surrogates are written as escapes, and texts with control characters are printed as JSON.

--- a/src/sardinehold/timeline.py
+++ b/src/sardinehold/timeline.py
@@ -181,7 +181,8 @@
 
 
 def _format_record(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
-    return json.dumps(dict(record.extra), ensure_ascii=False)
+    text = json.dumps(dict(record.extra), ensure_ascii=False)
+    return text.encode(errors="backslashreplace").decode()
 
 
 def redact_fields(fields: dict[str, typing.Any]) -> dict[str, typing.Any]:
@@ -243,11 +244,19 @@
 
         :param start: wall time in microseconds.
         """
-        fields = " ".join(f"{name}={value}" for name, value in self.fields.items())
+        fields = " ".join(
+            f"{name}={_format_value(value)}" for name, value in self.fields.items()
+        )
         seconds = (self.wall - start) / 1e6
         return f"{seconds:12.6f}  {self.vm:<14} {self.kind:<24} {fields}".rstrip()
 
 
+def _format_value(value: typing.Any) -> str:
+    """Return a value as text without line ends and other control characters."""
+    text = str(value)
+    return text if text.isprintable() else json.dumps(text)
+
+
 class EventFilter:
     """Conditions that selected events meet; an empty condition is always met.
 
@@ -313,12 +322,14 @@
 
 def _read_file(path: pathlib.Path) -> list[Event]:
     try:
-        lines = path.read_text(encoding="utf-8", errors="replace").splitlines()
+        lines = path.read_text(encoding="utf-8", errors="replace").split("\n")
     except OSError as error:
         raise errors.SettingsError(
             f"{path} cannot be read ({error.strerror}).",
             "Give the events files of [timeline] path in the settings of each process.",
         ) from error
+    if not lines[-1]:
+        lines.pop()
     events = []
     for number, line in enumerate(lines, 1):
         try:
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -63,6 +63,19 @@
     assert len(timeline.redact_fields({"detail": "x" * 9999})["detail"]) == 200
 
 
+@pytest.mark.parametrize("text", ["a\u2028b", "a\x85b", "a\nb\r\x0bc", "a\ud800b"])
+def test_event_with_line_ends_in_a_text_is_one_event(tmp_path, text):
+    # Other line ends than "\n" ended the line of the event when it was read.
+    recorder = open_recorder(tmp_path)
+    recorder.record("document_changed", reason=text)
+    recorder.record("process_stopped")
+    recorder.close()
+    first, second = read(tmp_path, "vm-1")
+    assert first.fields["reason"] == text
+    assert second.kind == "process_stopped"
+    assert len(first.format(0).splitlines()) == 1
+
+
 def test_recorder_without_a_path_advances_its_clock():
     recorder = timeline.Recorder("", "vm-1", "dallas")
     recorder.record("anything")
