Quote the names of objects in the paths of the object API

GET /api/v1/handovers/x%3Fy of the console read another object than the one named: the name of the group, from the path of the request, became a part of the path of the call to the platform, where "?" and "#" end it and "%2f" separates it.

--- a/src/sardinehold/platform_client.py
+++ b/src/sardinehold/platform_client.py
@@ -8,6 +8,7 @@
 import random
 import ssl
 import typing
+import urllib.parse
 
 import anyio
 import httpx
@@ -148,7 +149,7 @@
 
     async def get(self, kind: str, name: str) -> objects.StoredObject:
         """Read one object; raises ObjectMissing if it does not exist."""
-        answer = await self._call("GET", f"/v1/objects/{kind}/{name}")
+        answer = await self._call("GET", _make_path(kind, name))
         return _parse_object(_read_body(answer), _read_era(answer))
 
     async def list(self, kinds: tuple[str, ...]) -> objects.Changes:
@@ -172,7 +173,7 @@
     async def delete(self, kind: str, name: str, version: int) -> None:
         """Delete an object; raises VersionConflict if its version differs."""
         headers = self._make_condition(version)
-        await self._call("DELETE", f"/v1/objects/{kind}/{name}", headers=headers)
+        await self._call("DELETE", _make_path(kind, name), headers=headers)
 
     def _make_condition(self, version: int) -> dict[str, str]:
         """Return the header of a conditional write; raises VersionConflict."""
@@ -212,7 +213,7 @@
         self, kind: str, name: str, value: dict, headers: dict[str, str]
     ) -> objects.StoredObject:
         answer = await self._call(
-            "PUT", f"/v1/objects/{kind}/{name}", headers=headers, json=value
+            "PUT", _make_path(kind, name), headers=headers, json=value
         )
         revision = _read_body(answer).get("version") or 0
         version = objects.make_version(_read_era(answer), revision)
@@ -264,6 +265,11 @@
         raise _build_error(status, call)
 
 
+def _make_path(kind: str, name: str) -> str:
+    """Return the path of an object; a name may contain any characters."""
+    return f"/v1/objects/{kind}/{urllib.parse.quote(name, safe='')}"
+
+
 def _build_error(status: int, call: str) -> errors.PlatformError:
     if status == 404:
         return errors.ObjectMissing(f"{call} found no object.", "Create it first.")
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,3 +1,5 @@
+import urllib.parse
+
 import anyio
 import httpx
 import pytest
@@ -209,6 +211,37 @@
     run(check)
 
 
+@pytest.mark.parametrize(
+    "name", ["handover-x?y", "x#y", "../document/current", "%2e%2e%2fx", "a b", "é"]
+)
+def test_object_name_stays_one_part_of_the_path(name):
+    # "?" and "#" ended the path, and "%2f" was a separator to the platform.
+    paths = []
+
+    def answer(request):
+        paths.append(request.url.raw_path.decode())
+        return httpx.Response(404)
+
+    async def run():
+        transport = httpx.MockTransport(answer)
+        client = platform_client.HttpObjectClient("http://p", "a", transport=transport)
+        calls = [
+            lambda: client.get("audit", name),
+            lambda: client.create("audit", name, {}),
+            lambda: client.delete("audit", name, 1),
+        ]
+        for call in calls:
+            with pytest.raises(errors.ObjectMissing):
+                await call()
+
+    anyio.run(run)
+    for path in paths:
+        prefix, _, part = path.rpartition("/")
+        assert prefix == "/v1/objects/audit"
+        assert urllib.parse.unquote(part) == name
+        assert not {"?", "#"} & set(part)
+
+
 def test_calls_carry_the_caller_and_condition():
     async def check():
         seen = []
