Keep session tokens within the length that is accepted

A session that had used 32 groups with long names got a token of up to 5,868 characters; with it, no session could be opened, because 4,096 are accepted.

Cause: the number of groups was limited, not the length of what they add up to.

Evidence: the new test failed before with 5868 <= 4096. The floors of the oldest groups are left out, as beyond the maximum number of groups.

--- a/src/sardinehold/core/tokens.py
+++ b/src/sardinehold/core/tokens.py
@@ -24,6 +24,7 @@
 MAX_LENGTH = 4096
 """Maximum length of a token in characters."""
 
+_MAX_BODY_BYTES = MAX_LENGTH // 4 * 3 - MAC_BYTES
 _FORMAT = 1
 _REMEDY = "Connect without sardinehold.session to start a new session."
 
@@ -54,21 +55,33 @@
 
 
 def sign_token(floors: dict[str, Floor], owner: str, key: bytes) -> str:
-    """Return the signed token of a session.
+    """Return the signed token of a session, which is within ``MAX_LENGTH``.
+
+    The floors of the oldest groups are left out if they do not fit.
 
     :param floors: read floors by group.
     :param owner: the team's name, or ``route:NAME``.
     """
-    body = bytearray([_FORMAT])
-    for group, floor in floors.items():
-        _write_text(body, group)
-        _write_number(body, floor.position.term)
-        _write_number(body, floor.position.offset)
-        _write_text(body, floor.endpoint)
-    mac = _compute_mac(key, owner, bytes(body))
+    parts = [_encode_floor(group, floor) for group, floor in floors.items()]
+    size = 1 + sum(map(len, parts))
+    first = 0
+    while size > _MAX_BODY_BYTES:
+        size -= len(parts[first])
+        first += 1
+    body = bytes([_FORMAT]) + b"".join(parts[first:])
+    mac = _compute_mac(key, owner, body)
     return base64.urlsafe_b64encode(body + mac).rstrip(b"=").decode()
 
 
+def _encode_floor(group: str, floor: Floor) -> bytes:
+    part = bytearray()
+    _write_text(part, group)
+    _write_number(part, floor.position.term)
+    _write_number(part, floor.position.offset)
+    _write_text(part, floor.endpoint)
+    return bytes(part)
+
+
 def read_token(
     text: str, owner: str, keys: tuple[bytes, ...], now: float
 ) -> dict[str, Floor]:
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -29,6 +29,20 @@
     assert len(text) < 100
 
 
+def test_token_of_many_long_names_can_be_read():
+    # A token of 32 groups had up to 5,868 characters; 4,096 are accepted.
+    position = positions.Position(2**20, 2**40)
+    floors = {
+        f"{number:02}{'g' * 61}": tokens.Floor(position, "e" * 63)
+        for number in range(tokens.MAX_GROUPS)
+    }
+    text = tokens.sign_token(floors, "desk", KEY)
+    assert len(text) <= tokens.MAX_LENGTH
+    found = tokens.read_token(text, "desk", (KEY,), 0.0)
+    assert list(found) == list(floors)[-len(found) :]
+    assert len(found) >= 20
+
+
 @pytest.mark.parametrize(
     ("owner", "keys"), [("print", (KEY,)), ("route:desk", (KEY,)), ("desk", (OTHER,))]
 )
