Let COMMIT end a transaction that was rolled back while idle

A caller whose transaction was rolled back while it was idle (idle timeout, stop of the node, evacuation) and who sent COMMIT next was answered ABORTED in state E: the transaction stayed open in the session, and callers close their session when an operation ends outside I. A COMMIT in state E ends the transaction, and so does one after the key was withdrawn.

Cause: the answer that reports the rollback was raised before COMMIT's handler, which ends the transaction. Now the transaction ends with it; the answer is ABORTED as before, nothing is committed, and the state is I.

Evidence: the new test fails without the change (state E instead of I).

--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -127,10 +127,10 @@
             if self.transaction is not None and self.transaction.is_expired:
                 self.transaction.is_expired = False
                 if statement.kind is not Kind.ROLLBACK:
-                    raise outcomes.StatementFailed(
-                        statements.Failure.ABORTED,
-                        self.transaction.expiry_reason,
-                    )
+                    reason = self.transaction.expiry_reason
+                    if statement.kind is Kind.COMMIT:
+                        self.transaction.roll_back()
+                    raise outcomes.StatementFailed(statements.Failure.ABORTED, reason)
             if self.status == "E" and statement.kind not in handlers.END_KINDS:
                 raise outcomes.StatementFailed(
                     statements.Failure.MALFORMED,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -157,6 +157,21 @@
     builders_node.run_scenario(monkeypatch, scenario)
 
 
+def test_commit_ends_a_transaction_that_was_idle_for_too_long(monkeypatch):
+    async def scenario(world):
+        client = world.open("n1", "latest")
+        await client.send(Kind.BEGIN)
+        assert (await client.write()).status == "T"
+        await asyncio.sleep(3.5)
+        answer = await client.send(Kind.COMMIT)
+        assert answer.error is Failure.ABORTED
+        # Callers close their session if an operation ends in another state.
+        assert answer.status == "I"
+        assert (await client.write()).error is None
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
 def test_transaction_idle_for_too_long_is_rolled_back_and_reported(monkeypatch):
     async def scenario(world):
         client = world.open("n1", "latest")
