Let the request soak use texts of any form, and check names and variables (UNASKED, PINNED)

The soak prepared shapes of a few forms at the start of a session, as WRITE only, and set no variables. Now shapes, arguments, data, items, names and values have several blanks, control characters, Latin-1 characters and words of the protocol, a few of them 16 to 600 KiB; shapes of all sessions differ in what a cut, a strip or a prefix would lose.

Expected is what was last acknowledged to the caller: the form of its last PREPARE, its variables at the moment of sending (for BEGIN, which waits for the first statement, also later ones of the transaction). The databases' stand-in reads statements itself, hands each one to on_run with the connection's variables and the bytes of its line, and strips one AFTER only. New: UNASKED and PINNED for forms, names and variables (NOSTMT for a name that was acknowledged, success for one that was deallocated), FORM for valid texts that are refused, lines above 1 MiB at a database, and a COMMIT or ROLLBACK that leaves another state than I. A run of a PREPARE with a caller's id is no longer excused from the comparison of texts.

--- a/bench/request_soak.py
+++ b/bench/request_soak.py
@@ -9,17 +9,25 @@
 and moves keys throughout. Some callers stay until their connection ends, others give up
 after a second or two.
 
+Texts have any form: shapes, arguments, data, names and values with blanks, control
+characters and words of the protocol, some of them long. Sessions prepare statements
+again under the same name, deallocate them, and set variables throughout.
+
 Checked from the view of callers and databases: UNASKED, no statement runs that no
-caller sent, or with another text or in another team's name; LOST, no promoted log and
-no log at the end lacks an acknowledged write, and planned stops leave no request
-without an answer; ONE, fencing tokens increase, and no write is acknowledged that the
-old primary committed after a promotion; TWICE; REFUSED; and all groups accept writes
-after the faults. Statements that start after their caller was answered or had left are
-reported, not violations.
+caller sent, or with another text or in another team's name; PINNED, the prepared
+statement and the connection's variables are those that were last acknowledged to the
+caller; FORM, no valid text is refused for its form, no line exceeds the limit, and the
+end of a transaction is the end of its state; LOST, no promoted log and no log at the
+end lacks an acknowledged write, and planned stops leave no request without an answer;
+ONE, fencing tokens increase, and no write is acknowledged that the old primary
+committed after a promotion; TWICE; REFUSED; and all groups accept writes after the
+faults. Statements that start after their caller was answered or had left are reported,
+not violations.
 """
 
 import asyncio
 import bisect
+import collections
 import contextlib
 import functools
 import pathlib
@@ -30,6 +38,7 @@
 
 import fault_soak
 import promotion_soak
+import statement_texts
 from sardinehold.node import clock
 from sardinehold.node import statements
 from sardinehold_standins import group_in_memory
@@ -83,21 +92,19 @@
 SLOTS = 3
 CONNECTION_LIMIT = 21
 ENCODING = "latin-1"
+FORM_CODES = ("MALFORMED", "TOOLARGE")
 DATA_WORDS = ("READ", "WRITE", "EXECUTE", "COMMIT")
 
-SHAPES = (
-    "q{}",
-    "q READ rinswolzm",
-    "q{} x",
-    "q{}  ",
-    " q",
-    "q\t{}",
-    "q\v\0\x85\xa0",
-    "AFTER 3.1 READ q{}",
-    "COMMIT",
-)
-"""Shapes of prepared statements, some of them of one caller: all text up to the end of
-the line."""
+LINE_LIMIT = 1024 * 1024
+"""Bytes of a line, as the protocol states."""
+
+STATE_SHARE = 0.15
+"""Share of the statements before which a session's variables or prepared statements
+change."""
+
+VALUE_SHARES = (0.1, 0.3, 1.0)
+"""Shares of the sessions that set variables, by seed: connections whose sessions have
+other variables are reset, and then hold no prepared statement of another session."""
 
 FAULT_SHARE = 0.5
 """Share of the kinds of faults that a seed has."""
@@ -114,15 +121,29 @@
     """A statement that a caller sent.
 
     :param text: how a database must receive it.
+    :param values: the variables with which it may run. BEGIN may wait for the first
+        statement of its transaction, and has those of that time, too.
     :param ended_at: when the caller had its answer or had left; infinite before.
     :param outcome: ``COMPLETE``, a code, ``left`` or ``closed``; empty before.
     """
 
-    __slots__ = ("text", "key", "group", "node", "sent_at", "ended_at", "outcome")
+    __slots__ = (
+        "text",
+        "key",
+        "group",
+        "node",
+        "values",
+        "sent_at",
+        "ended_at",
+        "outcome",
+    )
 
-    def __init__(self, text: str, key: str, group: str, node: int) -> None:
+    def __init__(
+        self, text: str, key: str, group: str, node: int, values: dict[str, str]
+    ) -> None:
         """Record that the statement is sent now."""
-        self.text = text
+        self.text = statement_texts.shorten(text)
+        self.values = [values]
         self.key = key
         self.group = group
         self.node = node
@@ -141,28 +162,43 @@
     """A statement that a database ran.
 
     :param term: the database's term when it ended.
+    :param wrong_values: the connection's variables, if they were not the caller's.
     """
 
-    __slots__ = ("database", "term", "team", "request", "text", "at", "ended_at", "ok")
+    __slots__ = (
+        "database",
+        "term",
+        "team",
+        "request",
+        "text",
+        "at",
+        "ended_at",
+        "ok",
+        "wrong_values",
+    )
 
     def __init__(
-        self,
-        database: group_in_memory.Database,
-        team: str,
-        request: str,
-        text: str,
-        at: float,
-        ok: bool,
+        self, database: group_in_memory.Database, received: loopback.Received
     ) -> None:
         """Record that the run ends now."""
         self.database = database.name
         self.term = database.term
-        self.team = team
-        self.request = request
-        self.text = text
-        self.at = at
+        self.team = received.team
+        self.request = received.request
+        self.text = statement_texts.shorten(received.text)
+        self.at = received.at
         self.ended_at = clock.read()
-        self.ok = ok
+        self.ok = received.answer is not None and received.answer.error is None
+        self.wrong_values = ""
+
+    def compare(self, request: Request, received: loopback.Received) -> None:
+        """Compare what ran with what was sent; equal texts are kept once."""
+        if request.text == self.text:
+            self.text = request.text
+        if received.values not in request.values:
+            expected = statement_texts.describe_values(request.values[-1])
+            found = statement_texts.describe_values(received.values)
+            self.wrong_values = f"{found} instead of {expected}"
 
 
 class World(promotion_soak.World):
@@ -172,6 +208,7 @@
         """Create the stand-ins; nothing is started."""
         self.teams: dict[str, list[tuple[float, str]]] = {}
         super().__init__(seed, folder, lane, nodes)
+        self.value_share = VALUE_SHARES[seed % len(VALUE_SHARES)]
         self.requests: dict[str, Request] = {}
         self.runs: list[Run] = []
         self.usual_delays: dict[str, float] = {}
@@ -209,20 +246,22 @@
         return loopback.DatabaseServer(database, CONNECTION_LIMIT, on_run)
 
     def record_run(
-        self,
-        database: group_in_memory.Database,
-        team: str,
-        request: str,
-        text: str,
-        at: float,
-        answer: statements.Answer | None,
+        self, database: group_in_memory.Database, received: loopback.Received
     ) -> None:
         """Record a statement that ran; rejected ones did not."""
-        is_data = text.split(" ")[0] in DATA_WORDS
-        error = None if answer is None else answer.error
-        if error not in _NOT_RUN and (request != "-" or is_data):
-            ok = answer is not None and error is None
-            self.runs.append(Run(database, team, request, text, at, ok))
+        if received.size > LINE_LIMIT:
+            self.violations.append(
+                f"FORM: {database.name} received a line of {received.size} bytes for "
+                f"{received.request}"
+            )
+        is_data = received.text.split(" ")[0] in DATA_WORDS
+        error = None if received.answer is None else received.answer.error
+        if error in _NOT_RUN or (received.request == "-" and not is_data):
+            return
+        run = Run(database, received)
+        self.runs.append(run)
+        if received.request in self.requests:
+            run.compare(self.requests[received.request], received)
 
     def make_configuration(self) -> dict:
         """Return the present version; one key moves, one is withdrawn at times."""
@@ -362,6 +401,11 @@
         host = self.world.find_address(self.node)
         self.open: Request | None = None
         self.is_leaving = False
+        self.forms: dict[str, statement_texts.Form] = {}
+        self.values: dict[str, str] = {}
+        self.begin: Request | None = None
+        self.sets_values = self.random.random() < self.world.value_share
+        self.state = "I"
         async with asyncio.timeout(2.0):
             self.reader, self.writer = await asyncio.open_connection(host, 6432)
         try:
@@ -377,44 +421,147 @@
             self.writer.transport.abort()
 
     async def _use_session(self, is_reading: bool) -> None:
-        shapes = [shape.format(self.name) for shape in self.random.sample(SHAPES, 2)]
-        for name, shape in zip(("s1", "s2"), shapes, strict=True):
-            code, _ = await self._send(f"PREPARE {name} WRITE {shape}")
-            if code != "COMPLETE":
+        for _ in range(self.random.randrange(3) if self.sets_values else 0):
+            if not await self._set_value():
+                return
+        for name in self.random.sample(statement_texts.STATEMENT_NAMES, 2):
+            if not await self._prepare(name):
                 return
         # A caller that stays uses its session until the node closes it.
         for _ in range(10**6 if self.is_patient else self.random.randrange(3, 30)):
-            chosen = 0.0 if is_reading else self.random.random()
-            if chosen < 0.3:
-                await self._send(f"READ i{self.name}x{self.count}")
-            elif chosen < 0.6:
-                await self._send(f"WRITE item {self.name}x{self.count}")
+            if not await self._change_state():
+                return
+            chosen = 0.3 * self.random.random() if is_reading else self.random.random()
+            if chosen < 0.25:
+                await self._read()
+            elif chosen < 0.3:
+                await self._execute(may_write=not is_reading)
+            elif chosen < 0.55:
+                await self._write()
             elif chosen < 0.75:
-                data = f"item {self.name}x{self.count}"
-                number = self.random.randrange(2)
-                expected = loopback.format_execution(True, shapes[number], data)
-                await self._send(f"EXECUTE s{number + 1} {data}", expected)
-            else:
-                await self._run_transaction()
+                await self._execute(may_write=True)
+            elif not await self._run_transaction():
+                return
+            if self.state != "I":
+                return
             await asyncio.sleep(0.1 * self.random.random())
 
-    async def _run_transaction(self) -> None:
+    async def _run_transaction(self) -> bool:
+        """Run a transaction; return whether the session can be used."""
         code, state = await self._send("BEGIN")
         for _ in range(self.random.randrange(1, 4)):
             if code != "COMPLETE":
                 break
-            code, state = await self._send(f"WRITE item {self.name}x{self.count}")
+            if not await self._change_state():
+                return False
+            chosen = self.random.random()
+            if chosen < 0.6:
+                code, state = await self._write()
+            elif chosen < 0.9:
+                code, state = await self._execute(may_write=True)
+            else:
+                code, state = await self._read()
+            self.begin = None
             await asyncio.sleep(0.1 * self.random.random())
+        self.begin = None
         if state == "I":
-            return
+            return True
         is_kept = code == "COMPLETE" and self.random.random() < 0.9
-        await self._send("COMMIT" if is_kept else "ROLLBACK")
+        code, state = await self._send("COMMIT" if is_kept else "ROLLBACK")
+        if state != "I":
+            self.world.violations.append(
+                f"FORM: {self.name}x{self.count}, the end of a transaction, was "
+                f"answered {code} in state {state}"
+            )
+        return True
+
+    async def _read(self) -> tuple[str, str]:
+        item = f"i{self.name}x{self.count}"
+        if self.random.random() < 0.5:
+            item += statement_texts.make_field(self.random)
+        return await self._send(f"READ {item}")
+
+    async def _write(self) -> tuple[str, str]:
+        return await self._send(f"WRITE {self._make_data()}")
+
+    async def _execute(self, may_write: bool) -> tuple[str, str]:
+        """Run a prepared statement, or now and then one that is not prepared."""
+        names = [
+            name for name, form in self.forms.items() if may_write or not form[0]
+        ] or [self.random.choice(statement_texts.STATEMENT_NAMES)]
+        if self.random.random() < 0.05:
+            names = statement_texts.STATEMENT_NAMES
+        name = self.random.choice(names)
+        form = self.forms.get(name)
+        if form is not None and form[0] and not may_write:
+            return await self._read()
+        data = self._make_data()
+        expected = statement_texts.expect_execution(form, data)
+        code, state = await self._send(f"EXECUTE {name} {data}", expected)
+        if (code == "NOSTMT" and form is not None) or (
+            code == "COMPLETE" and form is None
+        ):
+            self.world.violations.append(
+                f"PINNED: {self.name}x{self.count} was answered {code}, "
+                f"{expected!r:.200}"
+            )
+        return code, state
+
+    def _make_data(self) -> str:
+        """Return an item and data; the number tells the statements apart."""
+        item = self.random.choice(("item", statement_texts.make_field(self.random)))
+        data = f"{self.name}x{self.count}"
+        if self.random.random() < 0.5:
+            data += " " + statement_texts.make_text(self.random)
+        return f"{item} {data}"
+
+    async def _change_state(self) -> bool:
+        """Change a variable or a prepared statement now and then.
+
+        :returns: whether the session can be used: callers close it after an error.
+        """
+        if self.random.random() > STATE_SHARE:
+            return True
+        chosen = self.random.random()
+        if chosen < 0.3 and self.sets_values:
+            return await self._set_value()
+        if chosen < 0.5 and self.forms:
+            name = self.random.choice(list(self.forms))
+            code, _ = await self._send(f"DEALLOC {name}")
+            if code == "COMPLETE":
+                del self.forms[name]
+            return code == "COMPLETE"
+        return await self._prepare(self.random.choice(statement_texts.STATEMENT_NAMES))
+
+    async def _prepare(self, name: str) -> bool:
+        """Prepare a statement, maybe under a name that is in use."""
+        writes, shape = statement_texts.make_form(self.random, self.name)
+        kind = "WRITE" if writes else "READ"
+        code, _ = await self._send(f"PREPARE {name} {kind} {shape}")
+        if code == "COMPLETE":
+            self.forms[name] = (writes, shape)
+        return code == "COMPLETE"
+
+    async def _set_value(self) -> bool:
+        """Set a variable."""
+        name = self.random.choice(statement_texts.VALUE_NAMES)
+        value = statement_texts.make_value(self.random)
+        code, _ = await self._send(f"SET {name} {value}")
+        if code == "COMPLETE":
+            self.values = {**self.values, name: value}
+            if self.begin is not None:
+                self.begin.values.append(self.values)
+        return code == "COMPLETE"
 
     async def _send(self, text: str, expected: str = "") -> tuple[str, str]:
         """Send a statement; return the answer's code and the session's state."""
         self.count += 1
         name = f"{self.name}x{self.count}"
-        request = Request(expected or text, self.key, self.group, self.node)
+        request = Request(
+            expected or text, self.key, self.group, self.node, self.values
+        )
+        if text == "BEGIN":
+            self.begin = request
         self.world.requests[name] = self.open = request
         self.writer.write(f"QUERY {name} {text}\r\n".encode(ENCODING))
         seconds = ANSWER_SECONDS if self.is_patient else 1.0 + self.random.random()
@@ -423,7 +570,7 @@
             async with asyncio.timeout(seconds):
                 while True:
                     line = await self.reader.readuntil(b"\r\n")
-                    word, *rest = line.decode().split()
+                    word, *rest = line[:-2].decode(ENCODING).split(" ")
                     if word == "READY":
                         break
                     if word != "ROW":
@@ -435,6 +582,12 @@
             raise
         request.end(code)
         self.open = None
+        if code in FORM_CODES:
+            self.world.violations.append(
+                f"FORM: {name} was answered {code} in state {self.state}: "
+                f"{request.text!r:.200}"
+            )
+        self.state = rest[0]
         if code == "COMPLETE" and text.startswith(("WRITE", "EXECUTE", "COMMIT")):
             self.world.note_moment("answer")
         return code, rest[0]
@@ -675,8 +828,10 @@
         shown = f"{run.request} {run.text!r} at {run.database}"
         if request is None:
             found.append(f"UNASKED: nobody sent {shown}")
-        elif run.text != request.text and not run.text.startswith("PREPARE"):
+        elif run.text != request.text:
             found.append(f"UNASKED: {shown} was sent as {request.text!r}")
+        elif run.wrong_values:
+            found.append(f"PINNED: {shown} ran with {run.wrong_values}")
         elif run.team not in world.find_teams(
             request.key, request.sent_at - STALE_SECONDS, run.at
         ):
@@ -843,9 +998,11 @@
         excused += count
     changes = sum(len(cluster.promoted) for cluster in world.clusters.values())
     counts = ", ".join(f"{count} {name}" for name, count in world.counts.items())
+    kinds = collections.Counter(run.text.split(" ")[0] for run in world.runs)
     return (
         violations,
-        f"{len(commits)} writes, {len(world.store.promotions)} requests, "
+        f"{len(commits)} writes, {kinds['EXECUTE']} prepared, "
+        f"{len(world.store.promotions)} requests, "
         f"{changes} promotions, {counts}, {excused} late commits beside suspensions, "
         f"{count_late(world)}, the soak itself ran late by {world.stall:.1f} s",
     )
--- a/src/sardinehold_standins/loopback.py
+++ b/src/sardinehold_standins/loopback.py
@@ -36,11 +36,46 @@
 
 READ_BYTES = 65536
 
+READ_LIMIT = 4 * 1024 * 1024
+"""Bytes of a line that a database reads, so that it sees lines above the protocol's
+limit."""
+
+ENCODING = "latin-1"
+
 HOLD_CHECK_INTERVAL = 0.005
 """Seconds between checks whether a held connection was reset."""
 
 
-OnRun = typing.Callable[[str, str, str, float, statements.Answer | None], None]
+class Received:
+    """A statement that a database received, as it reads the line itself.
+
+    :param text: as :func:`describe_text` returns it.
+    :param size: bytes of the line.
+    :param values: the connection's variables as the statement started.
+    :param at: time at which it started.
+    :param answer: its answer, None without one.
+    """
+
+    __slots__ = ("team", "request", "text", "size", "values", "at", "answer")
+
+    def __init__(
+        self,
+        connection: group_in_memory.DatabaseConnection,
+        request: str,
+        text: str,
+        size: int,
+    ) -> None:
+        """Record that the statement starts now."""
+        self.team = connection.team
+        self.request = request
+        self.text = describe_text(connection, text)
+        self.size = size
+        self.values = dict(connection.values)
+        self.at = clock.read()
+        self.answer: statements.Answer | None = None
+
+
+OnRun = typing.Callable[[Received], None]
 
 SLOT_WORDS = frozenset(
     ("READ", "WRITE", "EXECUTE", "COMMIT", "STATUS", "PAUSE", "RESUME", "STEPDOWN")
@@ -55,7 +90,8 @@
     """
     word, _, rest = text.partition(" ")
     if word == "AFTER":
-        return describe_text(connection, rest.partition(" ")[2])
+        text = rest.partition(" ")[2]
+        word, _, rest = text.partition(" ")
     if word != "EXECUTE":
         return text
     name, _, arguments = rest.partition(" ")
@@ -73,16 +109,14 @@
     """Serves one database over the line protocol.
 
     :param limit: maximum number of connections.
-    :param on_run: called with the team, request and text of a statement as
-        :func:`describe_text` returns it, the time at which it started, and its answer,
-        or None without one.
+    :param on_run: called with each statement after it ended.
     """
 
     def __init__(
         self,
         database: group_in_memory.Database,
         limit: int = 21,
-        on_run: OnRun = lambda team, request, text, at, answer: None,
+        on_run: OnRun = lambda received: None,
     ) -> None:
         """Create the server; :meth:`start` assigns the port."""
         self.database = database
@@ -92,7 +126,9 @@
 
     async def start(self) -> None:
         """Listen on a free port."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        server = await asyncio.start_server(
+            self._serve, "127.0.0.1", 0, limit=READ_LIMIT
+        )
         self.port = server.sockets[0].getsockname()[1]
 
     async def _serve(
@@ -102,20 +138,21 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             connection = await self._handshake(reader, writer)
             while connection is not None and not connection.is_closed:
-                line = (await reader.readuntil(b"\r\n"))[:-2].decode(lines.ENCODING)
+                data = await reader.readuntil(b"\r\n")
+                line = data[:-2].decode(ENCODING)
                 if line == "CLOSE":
                     break
                 _, request_id, text = line.split(" ", 2)
-                started_at = clock.read()
-                answer = None
+                received = Received(connection, request_id, text, len(data))
                 try:
-                    answer = await self._take_slot(connection, request_id, text)
+                    received.answer = await self._take_slot(
+                        connection, request_id, text
+                    )
                 except ports.ConnectionLost:
                     break
                 finally:
-                    shown = describe_text(connection, text)
-                    self.on_run(connection.team, request_id, shown, started_at, answer)
-                writer.write(callers.format_answer(answer))
+                    self.on_run(received)
+                writer.write(callers.format_answer(received.answer))
         if connection is not None:
             connection.close()
         writer.transport.abort()
@@ -124,7 +161,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> group_in_memory.DatabaseConnection | None:
         database = self.database
-        line = (await reader.readuntil(b"\r\n"))[:-2].decode(lines.ENCODING)
+        line = (await reader.readuntil(b"\r\n"))[:-2].decode(ENCODING)
         _, group, team, name = line.split(" ")
         if not database.is_up:
             return None
@@ -182,13 +219,15 @@
             name, kind, shape = rest.split(" ", 2)
             connection.prepared[name] = (kind == "WRITE", shape)
             return connection._succeed("-")
-        statement = callers.parse_statement(request_id, text)
-        if statement.kind is statements.Kind.SET:
-            return (
-                await connection.set_values({statement.name: statement.value}, deadline)
-            )[0]
-        if statement.kind is statements.Kind.ROLLBACK:
+        if word == "SET":
+            name, _, value = rest.partition(" ")
+            return (await connection.set_values({name: value}, deadline))[0]
+        if word == "ROLLBACK":
             return await connection.roll_back(deadline)
+        kind = _KINDS.get(text if word == "BEGIN" else word)
+        if kind is None:
+            return connection._fail(statements.Failure.MALFORMED)
+        statement = statements.Statement(request_id, text, kind)
         if statement.kind is statements.Kind.EXECUTE:
             form = connection.prepared.get(rest.partition(" ")[0])
             if form is None:
@@ -197,6 +236,17 @@
         return await connection.run(statement, deadline, after)
 
 
+_KINDS = {
+    "BEGIN": statements.Kind.BEGIN,
+    "BEGIN READ": statements.Kind.BEGIN_READ,
+    "COMMIT": statements.Kind.COMMIT,
+    "READ": statements.Kind.READ,
+    "WRITE": statements.Kind.WRITE,
+    "EXECUTE": statements.Kind.EXECUTE,
+}
+"""Kinds of the statements that callers' requests become, by their words: the stand-in
+reads them itself, since the soaks check what the node's own parser has read."""
+
 _CONTROL: dict[str, typing.Callable] = {
     "STATUS": lambda connection, rest, deadline: connection.read_status(deadline),
     "PAUSE": lambda connection, rest, deadline: connection.pause(int(rest), deadline),
