Keep a connection whose settings were reverted to a savepoint

BEGIN, SAVEPOINT a, SET search_path TO b, ROLLBACK TO a, COMMIT: the connection returned to the pool as if search_path were b. Another session with that setting got it without a SET and ran in the default schemas.

Cause: settings are saved at BEGIN and restored after a rollback of the whole transaction only.

A session that changed settings in a transaction, a part of which was rolled back, keeps its connection, which is closed with it; savepoints without SET pin nothing.

--- a/src/sardinehold/core/classifier.py
+++ b/src/sardinehold/core/classifier.py
@@ -251,7 +251,7 @@
     if "PREPARED" in upper:
         return _refuse(_NO_TWO_PHASE)
     if "TO" in upper:
-        return statements.Traits(statements.Kind.WRITE)
+        return statements.Traits(statements.Kind.WRITE, reverts=True)
     chains = "CHAIN" in upper and "NO" not in upper
     kind = statements.Kind.COMMIT
     if upper[0] in ("ROLLBACK", "ABORT"):
@@ -397,6 +397,7 @@
         local=traits.local,
         idempotency_key=key,
         refusal=traits.refusal,
+        reverts=traits.reverts,
     )
 
 
--- a/src/sardinehold/core/statements.py
+++ b/src/sardinehold/core/statements.py
@@ -26,6 +26,7 @@
         one of several statements is not a read.
     :param begins: whether it leaves a transaction open that it began.
     :param ends: whether it ends the transaction that was open before it.
+    :param reverts: whether it undoes a part of the open transaction.
     :param pins: whether it leaves state on the connection that no other
         session may see (temporary table, advisory lock, LISTEN, cursor).
     :param setting: name of the variable that SET, RESET or SHOW names; what
@@ -40,6 +41,7 @@
         "kind",
         "begins",
         "ends",
+        "reverts",
         "pins",
         "setting",
         "value",
@@ -59,11 +61,13 @@
         local: bool = False,
         idempotency_key: str = "",
         refusal: str = "",
+        reverts: bool = False,
     ) -> None:
         """Store the traits."""
         self.kind = kind
         self.begins = begins
         self.ends = ends
+        self.reverts = reverts
         self.pins = pins
         self.setting = setting
         self.value = value
@@ -85,7 +89,7 @@
     if len(found) == 1:
         return found[0]
     kind = Kind.READ
-    is_open = ends = pins = False
+    is_open = ends = pins = reverts = False
     refusal = ""
     for traits in found:
         if traits.kind is not Kind.READ:
@@ -94,9 +98,17 @@
             ends = ends or not is_open
             is_open = traits.begins
         is_open = is_open or traits.begins
+        reverts = reverts or traits.reverts
         pins = pins or traits.pins or _leaves_state(traits)
         refusal = refusal or traits.refusal or _find_misplaced(traits)
-    return Traits(kind, begins=is_open, ends=ends, pins=pins, refusal=refusal)
+    return Traits(
+        kind,
+        begins=is_open,
+        ends=ends,
+        pins=pins,
+        refusal=refusal,
+        reverts=reverts,
+    )
 
 
 def _leaves_state(traits: Traits) -> bool:
--- a/src/sardinehold/core/variables.py
+++ b/src/sardinehold/core/variables.py
@@ -148,6 +148,10 @@
             _track(session, request.traits, connection)
     elif request.traits.discards_all and not event.sqlstate:
         session.settings = connection.settings = pool.NO_SETTINGS
+    before = session.saved_settings
+    if request.traits.reverts and before is not None and before is not session.settings:
+        # Which settings were reverted is known to the endpoint only.
+        session.is_pinned = True
     if event.status == "I":
         _restore_settings(session, connection, request)
     elif session.saved_settings is None:
--- a/tests/test_transaction.py
+++ b/tests/test_transaction.py
@@ -155,6 +155,32 @@
     assert setup == ("RESET search_path",)
 
 
+@pytest.mark.parametrize(
+    "text", ["rollback to a", "ROLLBACK WORK TO SAVEPOINT a", "rollback to a; select 1"]
+)
+def test_settings_reverted_to_a_savepoint_are_not_assumed(text):
+    # A session with the same settings ran without them on this connection.
+    driver, session = begin()
+    number = driver.node.sessions[session].connection.connection_id
+    for statement in ("savepoint a", "set search_path to a", text):
+        driver.answer(driver.ask(session, statement), status="T")
+    driver.advance(0.05)
+    driver.offsets.update({"letters-0": 3, "letters-1": 3})
+    driver.answer(driver.ask(session, "commit"), 3)
+    driver.send(events.SessionClosed(session))
+    assert number in closed(driver)
+
+
+def test_savepoint_without_settings_does_not_pin():
+    driver, session = begin()
+    for statement in ("savepoint a", "rollback to a"):
+        driver.answer(driver.ask(session, statement), status="T")
+    driver.advance(0.05)
+    driver.offsets.update({"letters-0": 3, "letters-1": 3})
+    driver.answer(driver.ask(session, "commit"), 3)
+    assert driver.node.sessions[session].connection is None
+
+
 def test_connection_whose_statements_were_deallocated_is_not_shared():
     # Other sessions' statements were unknown on it (SQLSTATE 26000).
     driver, session = begin()
