Restore time zones in the form that the endpoint accepts

After SET TIME ZONE INTERVAL ... or LOCAL, the session could not get another connection: the proxy sent "SET timezone TO interval ...", a syntax error, or the name LOCAL, closed the connection and tried the next.

Cause: two forms of SET TIME ZONE have no counterpart in SET name TO value.

Evidence: the new test failed before. LOCAL is stored as DEFAULT, which it means; an interval pins the session.

--- a/src/sardinehold/core/classifier.py
+++ b/src/sardinehold/core/classifier.py
@@ -318,6 +318,10 @@
     if not _SETTING_NAME.fullmatch(name) or not values:
         return statements.Traits(statements.Kind.WRITE, pins=True)
     value = text[values[0].start : values[-1].end + 1]
+    if name == "timezone" and values[0].token_type == tokens.TokenType.INTERVAL:
+        return statements.Traits(statements.Kind.WRITE, pins=True)
+    if name == "timezone" and value.upper() == "LOCAL":
+        value = "DEFAULT"
     refusal = _find_unreadable(name, value)
     if refusal:
         return _refuse(refusal)
--- a/tests/test_classifier.py
+++ b/tests/test_classifier.py
@@ -343,3 +343,11 @@
 )
 def test_function_without_side_effects_is_a_read(text):
     assert classifier.classify(text).kind is Kind.READ
+
+
+def test_time_zone_that_set_to_cannot_restore():
+    # "SET timezone TO interval ..." is a syntax error, and LOCAL no time zone there.
+    traits = classifier.classify("set time zone interval '1' hour to minute")
+    assert (traits.kind, traits.pins) == (Kind.WRITE, True)
+    traits = classifier.classify("set time zone local")
+    assert (traits.kind, traits.value) == (Kind.SET, "DEFAULT")
