End a log line that was written in part before the next one

A pipe that is almost full takes a line of more than its atomic size (4 KiB) in part. The rest was lost uncounted, and the next line was appended to the start, so that both could not be read.

Before, the test fails: the line is not counted as dropped.

--- a/src/sardinehold/node/journal.py
+++ b/src/sardinehold/node/journal.py
@@ -37,14 +37,23 @@
         super().__init__(level=logbook.INFO)
         self._descriptor = sys.stdout.fileno() if descriptor is None else descriptor
         os.set_blocking(self._descriptor, False)
+        self._is_cut = False
         self.dropped = 0
 
     def emit(self, record: logbook.LogRecord) -> None:
-        """Write a record; count it as dropped if the descriptor is not writable."""
+        """Write a record; count it as dropped if the descriptor does not take it.
+
+        A pipe may take the start of a long line: the next one ends it.
+        """
+        end = b"\n" if self._is_cut else b""
+        data = end + record.message.encode() + b"\n"
         try:
-            os.write(self._descriptor, record.message.encode() + b"\n")
+            written = os.write(self._descriptor, data)
         except OSError:
             self.dropped += 1
+            return
+        self._is_cut = written < len(data)
+        self.dropped += self._is_cut
 
 
 class Journal:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1,5 +1,6 @@
 """Explaining a request from log lines, and the limits of logging."""
 
+import contextlib
 import json
 import os
 
@@ -125,6 +126,31 @@
     os.close(write)
 
 
+def test_line_that_is_written_in_part_does_not_garble_the_next_one():
+    # A pipe takes a line of more than its atomic size in part when it is almost full.
+    def emit(text):
+        record = logbook.LogRecord("x", logbook.INFO, text)
+        record.pull_information()
+        handler.emit(record)
+
+    read, write = os.pipe()
+    handler = journal.Handler(write)
+    while not handler.dropped:
+        emit("x" * 4095)
+    os.read(read, 8192)
+    emit("y" * 20_000)
+    assert handler.dropped == 2
+    os.set_blocking(read, False)
+    with contextlib.suppress(BlockingIOError):
+        while os.read(read, 65536):
+            pass
+    emit("later")
+    emit("last")
+    assert os.read(read, 65536).endswith(b"\nlater\nlast\n")
+    os.close(read)
+    os.close(write)
+
+
 def test_unread_lines_are_counted_when_the_reader_resumes(monkeypatch):
     now = [100.0]
     monkeypatch.setattr(journal.time, "time", lambda: now[0])
