Refuse a read whose answer fits no frame between nodes

A row fits into a frame between two nodes, an answer of several rows of a megabyte does not.

The owner answers such a read with TOOLARGE, with the state of its transaction. A write is still reported as in doubt, since it ran. Callers of a node that sends to the endpoint itself get such answers; that others cannot is left open.

Before, the case of the read fails (TIMEOUT).

--- a/src/sardinehold/node/links.py
+++ b/src/sardinehold/node/links.py
@@ -50,6 +50,11 @@
 """Seconds after which a request that found no room may be sent again: some statements
 have ended by then."""
 
+ANSWER_TOO_LONG = (
+    "the answer is too long to be sent between nodes; read less, or use another node"
+)
+"""Detail of the refusal of a read whose answer fits no frame."""
+
 MAX_STREAMS = 512
 """Maximum pending requests on one link; above it no more are sent."""
 
@@ -261,7 +266,7 @@
             self._reserve(size)
             reserved = size
             reply = await self.links.executor.run(stream, request)
-            data = frames.pack_reply(number, reply, clock.read())
+            data = self._pack_reply(number, request, reply)
         except execution.Rejected as error:
             data = frames.pack(
                 frames.REJECTED,
@@ -284,13 +289,31 @@
             self.links.request_bytes -= reserved
             if stream.pooled is None:
                 self._streams.pop(number, None)
-        if len(data) > frames.MAX_FRAME:
-            data = frames.pack(frames.LOST, number, True, False)
-            self._note(
-                "order_lost", request, f"frame of {len(data)} bytes is too large"
-            )
         self.send(data)
 
+    def _pack_reply(
+        self, number: int, request: execution.Request, reply: execution.Reply
+    ) -> bytes:
+        """Return the frame of a reply; one that is too long is replaced.
+
+        A read is refused, since it would run again where an answer is lost. That a
+        write ran must not be denied.
+        """
+        data = frames.pack_reply(number, reply, clock.read())
+        if len(data) <= frames.MAX_FRAME:
+            return data
+        self._note("order_lost", request, f"frame of {len(data)} bytes is too large")
+        if statements.is_write(request.statement):
+            return frames.pack(frames.LOST, number, True, False)
+        reply.answer = statements.Answer(
+            [],
+            error=statements.Failure.TOO_LARGE,
+            detail=ANSWER_TOO_LONG,
+            status=reply.answer.status,
+            position=reply.answer.position,
+        )
+        return frames.pack_reply(number, reply, clock.read())
+
     def _note(
         self, event: str, request: execution.Request, reason: str, **fields: object
     ) -> None:
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -635,6 +635,31 @@
     builders_node.run_scenario(monkeypatch, scenario)
 
 
+@pytest.mark.parametrize("kind", [Kind.READ, Kind.WRITE])
+def test_answer_that_fits_no_frame_is_not_asked_for_again(monkeypatch, kind):
+    # A read ran 207 times until its timeout, while its answers were lost.
+    succeed = group_in_memory.DatabaseConnection._succeed
+    answered = []
+
+    def answer_long(connection, request_id):
+        answered.append(request_id)
+        answer = succeed(connection, request_id)
+        answer.rows = ["x" * 1_000_000] * 5
+        return answer
+
+    async def scenario(world):
+        client = world.open(find_others(world)[0], "latest")
+        assert (await client.write()).error is None
+        monkeypatch.setattr(group_in_memory.DatabaseConnection, "_succeed", answer_long)
+        answer = await client.send(kind)
+        is_read = kind is Kind.READ
+        assert answer.error is (Failure.TOO_LARGE if is_read else Failure.IN_DOUBT)
+        assert answer.status == "I"
+        assert len(answered) == 1
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
 ONE_REGION = {"north": "n", "middle": "n", "south": "n"}
 
 
