Promote no log that lacks what an acknowledged commit proves to be received

Callers lost acknowledged writes: a replica with the only copy restarted empty, the platform's record still showed its earlier start, the primary crashed, and a lagging log was promoted because enough logs had been read.

An acknowledged commit follows what the primary had shown before it was sent, so that the replicas have received at least the next position. If the longest log ends before it, one of those that were read was lost: their number proves nothing, and the leader waits for the old primary, as with a known restart. Nodes report the position for sealed groups, aggregators pass on the newest, and the leader looks again once all nodes know of the seal. The position in the answer of a commit is not used: it may include commits in flight that no replica has.

--- a/src/sardinehold/node/aggregation.py
+++ b/src/sardinehold/node/aggregation.py
@@ -158,6 +158,10 @@
             for name, position in report.acknowledged.items()
             if all(name in item.acknowledged for item in covered)
         }
+        for item in covered:
+            for name, position in item.replicated.items():
+                known = report.replicated.get(name, position)
+                report.replicated[name] = max(known, position)
         margin = 1 - clock.RATE_MARGIN
         report.contact_age = min(
             report.contact_age,
--- a/src/sardinehold/node/commits.py
+++ b/src/sardinehold/node/commits.py
@@ -16,19 +16,38 @@
     """Commits of this node's callers to the primary of one group.
 
     :param newest: position of the newest one that was acknowledged; None if unknown.
+    :param replicated: position that the logs of the replicas have reached, as many of
+        them as a commit needs; None if no commit has shown one.
     :param in_flight: number of those that were sent and not answered.
     :param closed_at: when no further one may start, infinite unless the group is
         sealed.
     """
 
-    __slots__ = ("newest", "in_flight", "closed_at")
+    __slots__ = ("newest", "replicated", "in_flight", "closed_at")
 
     def __init__(self) -> None:
         """Initialize for a group that is not sealed, with the newest commit unknown."""
         self.newest: positions.Position | None = None
+        self.replicated: positions.Position | None = None
         self.in_flight = 0
         self.closed_at = math.inf
 
+    def record_replicated(
+        self, before: positions.Position | None, after: positions.Position | None
+    ) -> None:
+        """Record a commit that was acknowledged.
+
+        The answer may show later commits that no replica has. This one follows what the
+        primary had shown before it was sent.
+
+        :param before: position of the primary that was known when it was sent.
+        :param after: that of the answer.
+        """
+        if before is None or after is None or before.term != after.term:
+            return
+        position = positions.Position(before.term, before.offset + 1)
+        self.replicated = max(self.replicated or position, position)
+
     def seal(self, now: float) -> None:
         """Let no commit start after ``SEAL_GRACE``; the primary is being replaced."""
         self.closed_at = min(self.closed_at, now + SEAL_GRACE)
--- a/src/sardinehold/node/exchange.py
+++ b/src/sardinehold/node/exchange.py
@@ -342,6 +342,7 @@
             tuple(
                 name for name, group in self.node.groups.items() if group.is_overtaken()
             ),
+            replicated=self.node.find_replicated(),
         )
         if target == self.node.settings.name:
             response = self.node.leader.handle_report(report)
--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -103,6 +103,9 @@
         :returns: None if it is not known, or if a later one may be acknowledged.
         """
 
+    def find_replicated(self, group: str) -> positions.Position:
+        """Return what replicas have received in the group's term, as far as known."""
+
     def find_preferred(self, group: str) -> frozenset[str]:
         """Return the endpoints in a region that all restricting routes allow."""
 
@@ -283,6 +286,7 @@
         self._reuse_since = clock.read()
         self._first_frozen_at = clock.read()
         self._end_position = positions.START
+        self._replicated = positions.START
         self._reinstate_at = clock.read() + REINSTATE_AFTER
         self._accept_loss_at = clock.read() + LOSS_ACCEPTED_AFTER
         self._failed_targets: set[str] = set()
@@ -319,7 +323,7 @@
                 continue
             fleet.record_frozen(self.group, self._end_position)
             await self._wait_for_leases(sealed.stage)
-            if not await self._check_frozen(state):
+            if not await self._check_frozen(state) or self._lacks_commits(plan):
                 fleet.record_frozen(self.group, None)
                 continue
             if not self._may_request(state, plan.target):
@@ -330,6 +334,17 @@
                 await self._publish(state, plan.target, started_at)
                 return
 
+    def _lacks_commits(self, plan: promotion.Plan) -> bool:
+        """Return whether reports that arrived since show that a log was lost."""
+        self._update_replicated()
+        end = self._frozen[plan.target].status.received
+        return plan.grounds is promotion.Grounds.REPLICAS and end < self._replicated
+
+    def _update_replicated(self) -> None:
+        """Learn what replicas have received; nodes that know it may leave."""
+        known = self.fleet.find_replicated(self.group)
+        self._replicated = max(self._replicated, known)
+
     async def reinstate(self) -> None:
         """Promote the published primary again, before it follows a later one.
 
@@ -429,6 +444,7 @@
             if item.is_draining or item.name in self._evacuated
         )
         acknowledged = self.fleet.find_acknowledged(self.group, self._first_frozen_at)
+        self._update_replicated()
         plan = promotion.choose_target(
             statuses,
             state,
@@ -442,6 +458,7 @@
             self._frozen_at > self._accept_loss_at and self._find_record(old) is None,
             self.fleet.find_preferred(self.group),
             restarted,
+            self._replicated,
         )
         self.fleet.note(
             "frozen",
@@ -453,6 +470,7 @@
             replicas=replica_count,
             required=enough,
             acknowledged=None if acknowledged is None else list(acknowledged),
+            replicated=list(self._replicated),
             target=plan.target,
             grounds=None if plan.grounds is None else plan.grounds.value,
             leader=plan.leader,
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -625,6 +625,10 @@
         """Return the newest commit acknowledged to callers, None if unknown."""
         return self.member_reports.find_acknowledged(group, since)
 
+    def find_replicated(self, group: str) -> positions.Position:
+        """Return what replicas have received in the group's term, as far as known."""
+        return self.member_reports.find_replicated(group)
+
     def record_frozen(self, group: str, position: positions.Position | None) -> None:
         """Allow reads on replicas, or end that; see :class:`failover.Fleet`."""
         self.node.groups[group].frozen = position
--- a/src/sardinehold/node/member_reports.py
+++ b/src/sardinehold/node/member_reports.py
@@ -213,6 +213,20 @@
             newest = max(newest, acknowledged)
         return newest
 
+    def find_replicated(self, group: str) -> positions.Position:
+        """Return what replicas have received in a group's term, as far as known.
+
+        Old reports count: what a replica has received in a term, it keeps.
+        """
+        own = self.node.groups[group]
+        found = [own.commits.replicated]
+        for received in self._by_member.values():
+            found.append(received.report.replicated.get(group))
+        return max(
+            (item for item in found if item and item.term == own.state.term),
+            default=positions.START,
+        )
+
 
 def apply(node: "nodes.Node", report: reports.Report) -> None:
     """Apply what another node knows: positions, states and configuration."""
--- a/src/sardinehold/node/node.py
+++ b/src/sardinehold/node/node.py
@@ -621,6 +621,16 @@
         }
         return {name: newest for name, newest in found.items() if newest is not None}
 
+    def find_replicated(self) -> dict[str, positions.Position]:
+        """Return what the replicas of sealed groups have received for certain."""
+        return {
+            name: group.commits.replicated
+            for name, group in self.groups.items()
+            if group.commits.replicated is not None
+            and group.state is not None
+            and group.state.phase is catalog.Phase.SEALED
+        }
+
     def _note_failing(self, failing: typing.Collection[str]) -> None:
         """Log each endpoint that became unreachable or reachable."""
         for group in self.groups.values():
--- a/src/sardinehold/node/promotion.py
+++ b/src/sardinehold/node/promotion.py
@@ -82,6 +82,7 @@
     may_lose_commits: bool = False,
     preferred: frozenset[str] = frozenset(),
     restarted: frozenset[str] = frozenset(),
+    replicated: positions.Position = positions.START,
 ) -> Plan:
     """Return the endpoint to promote, chosen from the frozen logs that were read.
 
@@ -104,6 +105,8 @@
         first if all else is equal.
     :param restarted: endpoints that may have lost commits when they restarted; they
         do not count among those that were read.
+    :param replicated: position that as many replicas as a commit needs have received.
+        If the longest log ends before it, one of those that were read has lost its log.
     """
     leader = find_later_primary(statuses, state)
     if leader:
@@ -122,7 +125,8 @@
 
     best = max(sorted(replicas), key=preference, default="")
     required = count_required_replicas(replica_count, sync_replicas)
-    if best and len(replicas.keys() - restarted) >= required:
+    is_lost = bool(best) and replicas[best].received < replicated
+    if best and not is_lost and len(replicas.keys() - restarted) >= required:
         return Plan(target=best, grounds=Grounds.REPLICAS)
     if best and acknowledged is not None and replicas[best].received >= acknowledged:
         return Plan(target=best, grounds=Grounds.REPORTS)
--- a/src/sardinehold/node/reports.py
+++ b/src/sardinehold/node/reports.py
@@ -39,6 +39,8 @@
     :param covered_age: seconds since the first of these reports was sent.
     :param covered_failing: endpoints that covered members cannot reach, as in
         ``failing``, by member.
+    :param replicated: positions that the replicas of sealed groups have received, as
+        acknowledged commits show.
 
     A summary has the earliest stages, the newest commits (for groups of which every
     covered member reported one) and the latest contact with the store.
@@ -67,6 +69,7 @@
         "covered",
         "covered_age",
         "covered_failing",
+        "replicated",
     )
 
     def __init__(
@@ -93,6 +96,7 @@
         covered: dict[str, tuple[str, float]] | None = None,
         covered_age: float = 0.0,
         covered_failing: dict[str, dict[str, float]] | None = None,
+        replicated: dict[str, positions.Position] | None = None,
     ) -> None:
         """Store the fields of the report."""
         self.node = node
@@ -117,6 +121,7 @@
         self.covered = covered or {}
         self.covered_age = covered_age
         self.covered_failing = covered_failing or {}
+        self.replicated = replicated or {}
 
     def list_members(self) -> list[str]:
         """Return the members whose state the report tells."""
@@ -172,6 +177,7 @@
             "era": self.era,
             "later": _dump_states(self.later),
             "overtaken": self.overtaken,
+            **({"replicated": self.replicated} if self.replicated else {}),
             **self._dump_urgent(),
             **self._dump_covered(),
         }
@@ -490,10 +496,7 @@
         float(message["at"]),
         {name: _parse_stage(stage) for name, stage in message["states"].items()},
         _parse_samples(message["samples"]),
-        {
-            name: positions.Position(int(term), int(offset))
-            for name, (term, offset) in message["acknowledged"].items()
-        },
+        _parse_positions(message["acknowledged"]),
         _parse_ages(message["failing"]),
         int(message["seq"]),
         _parse_usages(message),
@@ -516,9 +519,17 @@
             name: _parse_ages(failing)
             for name, failing in message.get("covered_failing", {}).items()
         },
+        _parse_positions(message.get("replicated", {})),
     )
 
 
+def _parse_positions(value: dict) -> dict[str, positions.Position]:
+    return {
+        name: positions.Position(int(term), int(offset))
+        for name, (term, offset) in value.items()
+    }
+
+
 def _parse_usages(message: dict) -> list[quota.Usage]:
     usages = [quota.Usage(*usage) for usage in message["usages"]]
     urgent = message.get("urgent", {})
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -393,6 +393,7 @@
         was_open = self.transaction is not None
         endpoint.in_flight += 1
         group.commits.in_flight += proves_commit
+        known = group.lease.latest
         sent_at = clock.read()
         endpoint.view.record_sent(sent_at)
         handled.add(stream.close)
@@ -417,6 +418,8 @@
         group.record_answer(
             endpoint, sent_at, answer, not was_open, is_done and proves_commit
         )
+        if is_done and proves_commit and known is not None:
+            group.commits.record_replicated(known.position, answer.position)
         if answer.error is statements.Failure.LAGGING and assignment.after is not None:
             endpoint.lag.record_refusal(assignment.after, clock.read())
         return answer
--- a/tests/test_aggregation.py
+++ b/tests/test_aggregation.py
@@ -276,6 +276,13 @@
     assert report.covered_age == pytest.approx(0.0, abs=0.02)
 
 
+def test_summary_has_what_any_node_knows_of_the_replicas(summary):
+    other = builders_node.make_report(node="n2", replicated={"g": P(1, 5)})
+    assert summary(other).replicated == {"g": P(1, 5)}
+    assert summary(other, replicated={"g": P(1, 4)}).replicated == {"g": P(1, 5)}
+    assert summary(other, replicated={"g": P(1, 6)}).replicated == {"g": P(1, 6)}
+
+
 @pytest.mark.parametrize("changes", [{"acknowledged": {}}, {"states": {}}])
 def test_summary_leaves_out_what_a_node_does_not_know(summary, changes):
     report = summary(builders_node.make_report(node="n2", **changes))
--- a/tests/test_frozen_logs.py
+++ b/tests/test_frozen_logs.py
@@ -326,6 +326,56 @@
     builders_node.run_scenario(monkeypatch, scenario)
 
 
+@pytest.mark.parametrize("writer", ["n0", "n1", "n2"])
+def test_log_that_lacks_a_commit_of_any_node_is_not_promoted(monkeypatch, writer):
+    # Its only copy was on an endpoint that restarted empty, unknown to the record.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, replica, lagging = cluster.databases.values()
+        for name in world.nodes:
+            assert (await world.open(name, "latest").write()).error is None
+        await asyncio.sleep(1.0)
+        lagging.is_receive_blocked = True
+        assert (await world.open(writer, "latest").write()).error is None
+        replica.is_receive_blocked = True
+        builders_node.restart_database(world, replica, is_published=False)
+        primary.crash()
+        await write_until(world, 3.0)
+        assert not cluster.promoted
+        primary.is_up = True
+        replica.is_receive_blocked = lagging.is_receive_blocked = False
+        await write_until(world, 4.0)
+        assert_nothing_lost(cluster)
+        assert (await world.open("n1", "latest").write()).error is None
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_commits_in_flight_do_not_keep_a_complete_log_from_its_promotion(monkeypatch):
+    # Answers show the commits of others that no replica has received.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, *replicas = cluster.databases.values()
+        for _ in range(3):
+            for name in world.nodes:
+                assert (await world.open(name, "latest").write()).error is None
+        for replica in replicas:
+            replica.is_receive_blocked = True
+        for name in world.nodes:
+            for _ in range(2):
+                world.tasks.start_soon(world.open(name, "latest").write)
+        await asyncio.sleep(0.2)
+        assert len(primary.log) > len(replicas[0].log)
+        for name in world.nodes:
+            assert (await world.open(name, "latest").read()).error is None
+        primary.crash()
+        await write_until(world, 3.0)
+        assert cluster.promoted
+        assert_nothing_lost(cluster)
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
 @pytest.mark.parametrize("is_published", [True, False])
 def test_old_primary_that_restarted_after_it_stepped_down_is_not_frozen(
     monkeypatch, is_published
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -16,6 +16,7 @@
 from sardinehold.node import admission
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import commits
 from sardinehold.node import grading
 from sardinehold.node import groups
 from sardinehold.node import hedging
@@ -117,11 +118,13 @@
         covered={"n2": ("b", 0.25)},
         covered_age=0.3,
         covered_failing={"n2": {"e": 0.5}},
+        replicated={"g": P(2, 5)},
     )
     again = reports.parse(json.loads(json.dumps(report.dump())))
     assert again.dump() == report.dump()
     assert again.states == report.states
     assert again.covered == report.covered
+    assert again.replicated == report.replicated
     advice = reports.LeaderResponse(
         "n0",
         "a",
@@ -193,6 +196,30 @@
     assert plan.target == "r1"
 
 
+def test_replicas_that_lack_what_a_commit_proves_are_not_promoted():
+    # One of them has lost its log; no restart of it is known.
+    logs = {"r1": make_status(0), "r2": make_status(5)}
+    assert promotion.choose_target(logs, STATE, 2, 1).target == "r2"
+    lost = {"replicated": P(1, 6)}
+    assert promotion.choose_target(logs, STATE, 2, 1, **lost).target == ""
+    logs["p"] = make_status(9)
+    plan = promotion.choose_target(logs, STATE, 2, 1, may_reinstate=True, **lost)
+    assert plan.target == "p"
+    assert promotion.choose_target(logs, STATE, 2, 1, replicated=P(1, 5)).target == "r2"
+
+
+def test_commit_does_not_prove_that_later_ones_have_been_received():
+    # A replica that crashed with its primary is not waited for.
+    found = commits.Commits()
+    found.record_replicated(P(1, 5), P(1, 9))
+    assert found.replicated == P(1, 6)
+    found.record_replicated(P(1, 3), P(1, 9))
+    found.record_replicated(P(1, 8), P(2, 9))
+    found.record_replicated(None, P(1, 9))
+    found.record_replicated(P(1, 8), None)
+    assert found.replicated == P(1, 6)
+
+
 def test_endpoint_that_is_primary_of_a_later_term_is_published():
     logs = {"r1": make_status(7, primary=True, term=2)}
     assert promotion.choose_target(logs, STATE, 2, 1).leader == "r1"
