Test the refusal on arrival and names of long shapes, and check lines at less cost

A reviewer's mutations passed the tests: the refusal on arrival taken out, and names made of the first characters of a shape. Both fail now, and a name is compared with a literal.

--- a/src/sardinehold/node/statements.py
+++ b/src/sardinehold/node/statements.py
@@ -78,7 +78,7 @@
     """Definition of a prepared statement.
 
     :param writes: whether running it changes data.
-    :param shape: the endpoint's name for statements of this form; any text.
+    :param shape: what it does, in the endpoint's own words: any text.
     """
 
     __slots__ = ("writes", "shape", "_shared_name")
--- a/src/sardinehold/platform/endpoints.py
+++ b/src/sardinehold/platform/endpoints.py
@@ -135,8 +135,9 @@
         request_id = INTERNAL_REQUEST_ID
     else:
         return False
-    sent = len(format_query(request_id, "")) + len(statement.text)
-    return sent + statements.NAME_LENGTH - len(statement.name) > lines.MAX_LINE
+    added = statements.NAME_LENGTH - len(statement.name)
+    sent = EMPTY_QUERY_BYTES + len(request_id) + len(statement.text) + added
+    return sent > lines.MAX_LINE
 
 
 def list_fields(statement: statements.Statement) -> tuple[str, ...]:
@@ -146,6 +147,10 @@
     return (statement.text,)
 
 
+EMPTY_QUERY_BYTES = len(lines.format_line("QUERY", "-", "")) - 1
+"""Bytes of a query without its identifier and text."""
+
+
 class Connection(asyncio.Protocol):
     """One connection to an endpoint; implements the node's connection port."""
 
--- a/src/sardinehold/platform/lines.py
+++ b/src/sardinehold/platform/lines.py
@@ -22,6 +22,10 @@
     """A line contains a stray CR or LF, or a field is missing or empty."""
 
 
+class InvalidField(ValueError):
+    """A text would not be read as the field that it is written as."""
+
+
 class LineReader:
     """Splits a byte stream into lines."""
 
@@ -152,19 +156,20 @@
     All but the last end at a blank and cannot have one: whoever reads the line finds
     the same fields.
 
-    :raises ValueError: one that is not the last is empty or has a blank, or one has
-        characters that no line can have.
+    :raises InvalidField: one that is not the last is empty or has a blank, or one
+        contains the end of a line.
+    :raises ValueError: one has letters beyond Latin-1.
     :raises LineTooLong: the line exceeds ``MAX_LINE``.
     """
-    for part in parts[:-1]:
-        if not part or " " in part:
-            raise ValueError(f"field {part!r:.80}")
-    data = " ".join(parts).encode(ENCODING)
-    if b"\r" in data or b"\n" in data:
-        raise ValueError(f"a field of {parts[0]!r:.80} contains the end of a line")
-    if len(data) + len(_END) > MAX_LINE:
+    text = " ".join(parts)
+    last = len(text) - len(parts[-1])
+    if text.count(" ", 0, last) != len(parts) - 1 or "" in parts[:-1]:
+        raise InvalidField(f"one of the fields {text[:last]!r:.80} has a blank")
+    if "\r" in text or "\n" in text:
+        raise InvalidField(f"a field of {parts[0]!r:.80} contains the end of a line")
+    if len(text) + len(_END) > MAX_LINE:
         raise LineTooLong
-    return data + _END
+    return text.encode(ENCODING) + _END
 
 
 def format_message(*fields: str, text: str) -> bytes:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -828,7 +828,7 @@
     assert anyio.run(main).failure is statements.Failure.WRONG_ENDPOINT
 
 
-def serve_callers(monkeypatch, lines_sent, prepare=lambda world: None):
+def serve_callers(monkeypatch, lines_sent, prepare=lambda world: None, may_pause=False):
     """Send lines to a simulated node; return the answers and whether it closed."""
     found = []
 
@@ -846,7 +846,10 @@
                 self.closed = True
 
             def pause_reading(self):
-                raise AssertionError("reading paused below the limit of pending lines")
+                assert may_pause, "reading paused below the limit of pending lines"
+
+            def resume_reading(self):
+                assert may_pause
 
             def get_extra_info(self, name):
                 return None
@@ -943,6 +946,34 @@
     assert found[-1] is False
 
 
+def test_prepare_that_no_endpoint_can_be_sent_is_refused_on_arrival(monkeypatch):
+    # Its line fits the limit, the line to an endpoint with a longer name does not.
+    room = lines.MAX_LINE - len(b"QUERY 1 PREPARE s READ \r\n")
+    long = b"PREPARE s READ " + b"x" * room
+    found = serve_callers(
+        monkeypatch,
+        [
+            b"START session red-key",
+            b"QUERY 1 " + long,
+            b"QUERY 2 EXECUTE s 1a4",
+            b"QUERY 3 BEGIN",
+            b"QUERY 4 " + long,
+            b"QUERY 5 COMMIT",
+            b"QUERY 6 READ a",
+        ],
+        may_pause=True,
+    )
+    codes = [answer.split(b"\r\n") for answer in found[1:-1]]
+    assert codes[0][0].startswith(b"ERROR TOOLARGE not run")
+    assert codes[0][1] == b"READY I -"
+    assert codes[1][0].startswith(b"ERROR NOSTMT")
+    assert codes[3][0].startswith(b"ERROR TOOLARGE not run")
+    assert codes[3][1].startswith(b"READY E")
+    assert codes[4][0].startswith(b"ERROR ABORTED")
+    assert codes[5][1].startswith(b"COMPLETE signed")
+    assert found[-1] is False
+
+
 @pytest.mark.parametrize(
     ("start", "code"),
     [
--- a/tests/test_prepared_names.py
+++ b/tests/test_prepared_names.py
@@ -40,11 +40,18 @@
             await client.send(f"EXECUTE s{number} 1a4")
 
     shapes = ["x", "x ", "x READ y", "READ x", "r_x", "w_x", "X"]
+    shapes += ["x" * 2000 + end for end in ("", "a", "b")]
     forms = list(itertools.product(["READ", "WRITE"], shapes))
     database = builders_lines.run_client(scenario)
     assert [form for word, form, _ in database.runs if word == "EXECUTE"] == forms
 
 
+def test_name_does_not_depend_on_the_process():
+    # Owners and nodes that start again must find what is prepared on a connection.
+    found = statements.Definition(True, "q2c").shared_name
+    assert found == "p_144f79e09ecfd21b41f106e875201faf"
+
+
 def test_statement_that_outgrows_the_limit_is_not_sent():
     # The name at the endpoint and AFTER are longer than what the caller sent.
     answers = []
