Show that a table of a caller stands for the log status

A caller whose session has a temporary table cluster_log_status gets the position of its writes from that table: offset 1000000 in the signed token, where the log is at 4.

Cause: the position is read on the caller's connection, after its statement, by a name without a schema, which is looked up among the temporary tables and in the search path of the session.

Not mended: the interface gives the view no schema, and reading on a connection of the proxy changes when writes are acknowledged.

--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import base64
 import pathlib
 import re
 
@@ -116,3 +117,21 @@
 
 def test_asyncpg_reads_cursors_and_continues_after_errors(fleet):
     asyncio.run(use_asyncpg(fleet))
+
+
+def test_table_of_a_caller_does_not_stand_for_the_log_status(session):
+    # The position of a write is read with the names of its caller's session.
+    offset, varint = 1_000_000, b"\xc0\x84\x3d"
+    session.execute(
+        "CREATE TEMP TABLE cluster_log_status"
+        " (endpoint text, role text, term int8, received int8, applied int8)"
+    )
+    with session.transaction():
+        for name, role in (("e0", "primary"), ("e1", "replica"), ("e2", "replica")):
+            session.execute(
+                "INSERT INTO cluster_log_status VALUES (%s, %s, 1, %s, %s)",
+                (name, role, offset, offset),
+            )
+    token = session.execute("SHOW sardinehold.session").fetchone()[0]
+    floors = base64.urlsafe_b64decode(token + "=" * (-len(token) % 4))
+    assert varint not in floors
