--- a/src/sardinehold/node/commits.py
+++ b/src/sardinehold/node/commits.py
@@ -21,9 +21,10 @@
     :param in_flight: number of those that were sent and not answered.
     :param closed_at: when no further one may start, infinite unless the group is
         sealed.
+    :param sealed_at: when this node learned of the seal, infinite without one.
     """
 
-    __slots__ = ("newest", "replicated", "in_flight", "closed_at")
+    __slots__ = ("newest", "replicated", "in_flight", "closed_at", "sealed_at")
 
     def __init__(self) -> None:
         """Initialize for a group that is not sealed, with the newest commit unknown."""
@@ -31,6 +32,7 @@
         self.replicated: positions.Position | None = None
         self.in_flight = 0
         self.closed_at = math.inf
+        self.sealed_at = math.inf
 
     def record_replicated(
         self, before: positions.Position | None, after: positions.Position | None
@@ -51,10 +53,12 @@
     def seal(self, now: float) -> None:
         """Let no commit start after ``SEAL_GRACE``; the primary is being replaced."""
         self.closed_at = min(self.closed_at, now + SEAL_GRACE)
+        self.sealed_at = min(self.sealed_at, now)
 
     def unseal(self) -> None:
         """Let commits start again; there is a primary."""
         self.closed_at = math.inf
+        self.sealed_at = math.inf
 
     def may_start(self, now: float) -> bool:
         """Return whether a commit may be sent."""
--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -293,6 +293,7 @@
         self._request_expires_at = fleet.find_request_expiry(group)
         self._effective_by = 0.0
         self._kept = KeptConnections()
+        self._requests: list[tuple[str, float]] = []
 
     async def run(self) -> None:
         """Replace the primary; stop when this node is no longer the leader."""
@@ -468,6 +469,7 @@
             unread=self._unread,
             restarted=sorted(restarted),
             replicas=replica_count,
+            departed=self.fleet.count_departed(self.group, state.primary),
             required=enough,
             acknowledged=None if acknowledged is None else list(acknowledged),
             replicated=list(self._replicated),
@@ -659,7 +661,14 @@
 
     async def _request(self, state: catalog.GroupState, target: str) -> None:
         """Request a promotion, and note until when it must take effect."""
-        self.fleet.note("promote", group=self.group, target=target)
+        self.fleet.note(
+            "promote",
+            group=self.group,
+            target=target,
+            earlier=self._list_requests(),
+        )
+        self._note_unfrozen()
+        self._requests.append((target, clock.read()))
         try:
             await self.fleet.request_promotion(self.group, target)
             self._effective_by = clock.read() + PROMOTION_TIMEOUT
@@ -673,6 +682,25 @@
             self._failed_targets.add(target)
             self.fleet.note("promote_refused", group=self.group, reason=str(error))
 
+    def _list_requests(self) -> list[list]:
+        """Return the targets of the requests so far, with their ages in seconds."""
+        now = clock.read()
+        return [[target, round(now - at, 3)] for target, at in self._requests]
+
+    def _note_unfrozen(self) -> None:
+        """Log the endpoints of which no log was frozen, or that of an earlier start."""
+        for record in self.fleet.list_records(self.group):
+            frozen = self._frozen.get(record.name)
+            if frozen is None or frozen.born != record.born:
+                self.fleet.note(
+                    "unfrozen",
+                    group=self.group,
+                    endpoint=record.name,
+                    born=record.born,
+                    frozen=None if frozen is None else frozen.born,
+                    unread=self._unread.get(record.name),
+                )
+
     async def _wait_for_promotion(self, state: catalog.GroupState, target: str) -> bool:
         """Return whether an endpoint became primary of a later term in time."""
         while clock.read() < self._effective_by and self.fleet.leads():
@@ -709,11 +737,14 @@
             requested=self._find_requested(state),
         )
         self.fleet.notify_nodes()
+        self._note_unfrozen()
         self.fleet.note(
             "published",
             group=self.group,
             term=published.term,
             primary=primary,
+            end=list(status.received),
+            requests=self._list_requests(),
             gap_ms=round((clock.read() - started_at) * 1000),
         )
         await reconcile(self.fleet, self.group, published)
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -328,6 +328,17 @@
             return None
         return self.endpoints.get(self.state.primary)
 
+    def measure_lateness(self, now: float) -> tuple[float, float] | None:
+        """Return the seconds since the seal and since the last contact.
+
+        :returns: None if the group is not sealed and the node is connected.
+        """
+        sealed_for = now - self.commits.sealed_at
+        isolated_for = self._measure_isolation(now)
+        if sealed_for < 0 and isolated_for < primary_lease.DISCONNECTED_AFTER:
+            return None
+        return sealed_for, isolated_for
+
     def is_serving(self) -> bool:
         """Return whether a primary accepts statements."""
         if self.state is None or self.state.phase is not catalog.Phase.SERVING:
