--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -530,6 +530,47 @@
         world.publish_endpoint(database.name, born=1)
 
 
+def join_database(world: World, cluster: group_in_memory.Cluster) -> None:
+    """Add a replica with the primary's log, and publish it."""
+    database = group_in_memory.Database(
+        cluster, f"{cluster.group}-{len(cluster.databases)}", "north"
+    )
+    cluster.databases[database.name] = database
+    world.publish_endpoint(database.name)
+
+
+def replace_database(world: World, database: group_in_memory.Database) -> None:
+    """Replace a replica by an empty one of another name."""
+    database.crash()
+    world.store.put(ENDPOINT_KIND, database.name, None)
+    join_database(world, database.cluster)
+
+
+def cut_off_primary(
+    world: World, database: group_in_memory.Database, reached_by: str
+) -> None:
+    """Let one node only reach a primary, which goes on."""
+    database.unreachable |= world.nodes.keys() - {reached_by}
+    for connection in list(database.connections):
+        if connection.node != reached_by:
+            connection.abort()
+
+
+def isolate_node(world: World, name: str) -> None:
+    """Partition a node from the others and from the store."""
+    world.store.cut.add(name)
+    world.store.abort_watches()
+    world.cuts |= {frozenset((name, other)) for other in world.nodes}
+
+
+async def await_seal(world: World, group: str) -> None:
+    """Wait until the leader has sealed a group."""
+    async with asyncio.timeout(5.0):
+        node = world.nodes[world.find_leader()]
+        while node.groups[group].state.phase is not catalog.Phase.SEALED:
+            await asyncio.sleep(0.005)
+
+
 class Client:
     """A caller connected to one node."""
 
@@ -557,6 +598,16 @@
     async def write(self) -> statements.Answer:
         return await self.send(Kind.WRITE)
 
+    async def write_until_cancelled(self, told: list[str]) -> None:
+        """Write again and again, and note the requests that were acknowledged."""
+        while True:
+            request_id = self.world.make_id()
+            statement = statements.Statement(request_id, "write", Kind.WRITE)
+            answer = await self.session.node.serve(self.session, statement)
+            if answer.error is None:
+                told.append(request_id)
+            await asyncio.sleep(0.01)
+
 
 def run_scenario(
     monkeypatch, scenario, count: int = 3, **configuration: object
