Acknowledge no commit after the logs were compared

Callers saw: a success for a write that the next primary lacks, when a replica had joined, started again or been replaced between the freeze of the logs and the promotion, and the old primary went on out of the leader's reach.

Cause: the proof that a log is complete covers a set of replicas, and nothing fixed the set of acknowledged commits before it was used. A replica that appears later takes the old primary's log, so commits on their way at the seal were acknowledged; and a commit renewed the lease of the node that sent it, on the ground that commits prove unpaused replicas, so that a node without contact went on for 3 s, while the leader waits for 1.1 s.

Now a node tells a success only if its lease, confirmed by a leader or the store and never by a commit, holds when the answer comes and no target was named; otherwise the commit is in doubt. The leader names the target first, waits until all nodes know it or every lease has expired, and then looks again for endpoints that joined or run again. Whatever was told to a caller is in the logs by then. The end of the frozen logs is given out for reads only after that. Commits that are acknowledged after a complete set was frozen can only be in the logs of endpoints that joined or started since: with these frozen as well, the group gets its primary, where it waited for the node that was cut off.

--- a/src/sardinehold/node/commits.py
+++ b/src/sardinehold/node/commits.py
@@ -22,9 +22,18 @@
     :param closed_at: when no further one may start, infinite unless the group is
         sealed.
     :param sealed_at: when this node learned of the seal, infinite without one.
+    :param settled_at: from when on no answer is told as a success; infinite unless the
+        group is sealed.
     """
 
-    __slots__ = ("newest", "replicated", "in_flight", "closed_at", "sealed_at")
+    __slots__ = (
+        "newest",
+        "replicated",
+        "in_flight",
+        "closed_at",
+        "sealed_at",
+        "settled_at",
+    )
 
     def __init__(self) -> None:
         """Initialize for a group that is not sealed, with the newest commit unknown."""
@@ -33,6 +42,7 @@
         self.in_flight = 0
         self.closed_at = math.inf
         self.sealed_at = math.inf
+        self.settled_at = math.inf
 
     def record_replicated(
         self, before: positions.Position | None, after: positions.Position | None
@@ -50,15 +60,25 @@
         position = positions.Position(before.term, before.offset + 1)
         self.replicated = max(self.replicated or position, position)
 
-    def seal(self, now: float) -> None:
-        """Let no commit start after ``SEAL_GRACE``; the primary is being replaced."""
+    def seal(self, now: float, lease_until: float = -math.inf) -> None:
+        """Let no commit start after ``SEAL_GRACE``; the primary is being replaced.
+
+        :param lease_until: when this node's lease expires, for which the leader waits.
+        """
+        if self.sealed_at > now:
+            self.settled_at = lease_until
         self.closed_at = min(self.closed_at, now + SEAL_GRACE)
         self.sealed_at = min(self.sealed_at, now)
 
+    def settle(self, now: float) -> None:
+        """Tell no caller of a success any more: the logs are about to be compared."""
+        self.settled_at = min(self.settled_at, now)
+
     def unseal(self) -> None:
         """Let commits start again; there is a primary."""
         self.closed_at = math.inf
         self.sealed_at = math.inf
+        self.settled_at = math.inf
 
     def may_start(self, now: float) -> bool:
         """Return whether a commit may be sent."""
--- a/src/sardinehold/node/executor.py
+++ b/src/sardinehold/node/executor.py
@@ -504,40 +504,11 @@
         endpoint.record_service_time(now - sent_at)
         endpoint.error_rate.record(now, answer.error in ENDPOINT_FAILURES)
         is_done = answer.error is None and answer.status == "I"
-        if is_done and proves_commit:
-            self._note_lateness(group, endpoint, request, answer, now - sent_at)
         was_autocommit = not was_open and answer.status == "I"
         group.record_answer(
             endpoint, sent_at, answer, was_autocommit, is_done and proves_commit
         )
 
-    def _note_lateness(
-        self,
-        group: groups.Group,
-        endpoint: pool.Endpoint,
-        request: execution.Request,
-        answer: statements.Answer,
-        age: float,
-    ) -> None:
-        """Log a commit that is acknowledged after the seal, or without contact.
-
-        :param age: seconds since it was sent.
-        """
-        lateness = group.measure_lateness(clock.read())
-        if lateness is None:
-            return
-        sealed_for, isolated_for = lateness
-        self.node.journal.note(
-            "late_commit",
-            request=request.statement.request_id,
-            group=group.name,
-            endpoint=endpoint.name,
-            position=None if answer.position is None else list(answer.position),
-            age=round(age, 3),
-            sealed=round(sealed_for, 3) if sealed_for >= 0 else None,
-            isolated=round(isolated_for, 3),
-        )
-
     def _keep_or_release(
         self,
         stream: Stream,
--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -17,7 +17,6 @@
 from sardinehold.node import clock
 from sardinehold.node import commits
 from sardinehold.node import ports
-from sardinehold.node import primary_lease
 from sardinehold.node import promotion
 
 QUERY_TIMEOUT = 0.6
@@ -84,6 +83,9 @@
     def is_seal_known(self, group: str, stage: catalog.Stage) -> bool:
         """Return whether every node has stopped using the old primary."""
 
+    def find_lease_expiry(self, group: str) -> float:
+        """Return when all leases on the primary of a sealed group have expired."""
+
     def find_request_expiry(self, group: str) -> float:
         """Return when no unanswered promotion request can be executed any more."""
 
@@ -265,6 +267,29 @@
         self.read_at = read_at
 
 
+class FrozenSet:
+    """Frozen logs that together had every commit that was acknowledged by then.
+
+    :param end: of the longest one.
+    :param names: of their endpoints. A later commit can only be acknowledged through
+        an endpoint that joined or started again, which has the log up to it.
+    :param departed: number of replicas that had left by then.
+    """
+
+    __slots__ = ("end", "names", "departed")
+
+    def __init__(
+        self,
+        end: positions.Position,
+        names: frozenset[str],
+        departed: int,
+    ) -> None:
+        """Initialize the set as it was frozen."""
+        self.end = end
+        self.names = names
+        self.departed = departed
+
+
 class Failover:
     """One replacement of a group's primary.
 
@@ -293,6 +318,8 @@
         self._request_expires_at = fleet.find_request_expiry(group)
         self._effective_by = 0.0
         self._kept = KeptConnections()
+        self._known_names: frozenset[str] = frozenset()
+        self._complete: FrozenSet | None = None
         self._requests: list[tuple[str, float]] = []
 
     async def run(self) -> None:
@@ -315,22 +342,23 @@
         while fleet.leads():
             plan = await self._freeze(state)
             if plan.leader:
-                if sealed.attempt < catalog.FIRST_REQUEST:
-                    await self._wait_for_leases(sealed.stage)
+                await self._wait_for_leases(sealed.stage)
                 await self._publish(state, plan.leader, started_at)
                 return
             if not plan.target:
                 await anyio.sleep(RETRY_DELAY)
                 continue
-            fleet.record_frozen(self.group, self._end_position)
-            await self._wait_for_leases(sealed.stage)
-            if not await self._check_frozen(state) or self._lacks_commits(plan):
-                fleet.record_frozen(self.group, None)
-                continue
             if not self._may_request(state, plan.target):
                 await anyio.sleep(RETRY_DELAY)
                 continue
+            # Nodes that know of it tell no caller of a success any more.
             state = await self._name_target(state, plan.target)
+            fleet.notify_nodes()
+            await self._wait_for_leases(state.stage)
+            if not await self._check_frozen(state, plan) or self._lacks_commits(plan):
+                fleet.record_frozen(self.group, None)
+                continue
+            fleet.record_frozen(self.group, self._end_position)
             if await self._promote(state, plan.target):
                 await self._publish(state, plan.target, started_at)
                 return
@@ -422,6 +450,7 @@
         replica_count += self.fleet.count_departed(self.group, state.primary)
         enough = promotion.count_required_replicas(replica_count, self.sync_replicas)
         self._unread = {}
+        self._known_names = frozenset(record.name for record in records)
         async with anyio.create_task_group() as tasks:
             for record in records:
                 if record.name not in logs:
@@ -438,6 +467,9 @@
             name: log for name, log in statuses.items() if name != state.primary
         }
         restarted = self.fleet.find_restarted(self.group, _find_end(replicas))
+        others = [record for record in records if record.name != state.primary]
+        if self._has_all_since(others, replicas):
+            replica_count, restarted = len(replicas), frozenset()
         old = state.primary
         draining = frozenset(
             item.name
@@ -461,6 +493,12 @@
             restarted,
             self._replicated,
         )
+        if self._complete is None and plan.grounds is promotion.Grounds.REPLICAS:
+            self._complete = FrozenSet(
+                _find_end(replicas),
+                frozenset(replicas),
+                self.fleet.count_departed(self.group, ""),
+            )
         self.fleet.note(
             "frozen",
             group=self.group,
@@ -550,19 +588,24 @@
     # Promoting
 
     async def _wait_for_leases(self, sealed: catalog.Stage) -> None:
-        """Wait until no node holds a lease on the old primary."""
-        expires_at = self._frozen_at + primary_lease.LEASE * (1 + 2 * clock.RATE_MARGIN)
+        """Wait until no node may tell a caller of a commit of the old primary."""
+        expires_at = self.fleet.find_lease_expiry(self.group)
         while clock.read() < expires_at:
             if self.fleet.is_seal_known(self.group, sealed):
                 return
             await anyio.sleep(CHECK_INTERVAL)
 
-    async def _check_frozen(self, state: catalog.GroupState) -> bool:
+    async def _check_frozen(
+        self, state: catalog.GroupState, plan: promotion.Plan
+    ) -> bool:
         """Return whether all logs are still frozen; discard those that are not.
 
         A replica that restarts loses its pause, and receives commits that
-        disconnected nodes still wrote under their leases.
+        disconnected nodes still wrote under their leases. So does one that joins, which
+        matters if the number of frozen replicas is what proves the target's log.
         """
+        if plan.grounds is promotion.Grounds.REPLICAS and self._list_joined():
+            return False
         due = clock.read() - RECHECK_AFTER
         running = []
         unread: dict[str, str] = {}
@@ -603,6 +646,33 @@
             )
         return not running and not unread
 
+    def _list_joined(self) -> list[str]:
+        """Return the endpoints that were not there when the logs were frozen."""
+        return [
+            record.name
+            for record in self.fleet.list_records(self.group)
+            if record.name not in self._known_names
+        ]
+
+    def _has_all_since(
+        self,
+        records: list[catalog.EndpointRecord],
+        replicas: dict[str, ports.LogStatus],
+    ) -> bool:
+        """Return whether the frozen logs have all commits, though some started since.
+
+        A complete set was frozen before. What was acknowledged later is in the logs of
+        endpoints that joined or started again. All that are there have to be frozen
+        now: a record may not show a restart yet.
+        """
+        complete = self._complete
+        if complete is None or _find_end(replicas) < complete.end:
+            return False
+        names = {record.name for record in records}
+        gone = len(complete.names - names)
+        departed = self.fleet.count_departed(self.group, "")
+        return departed - complete.departed <= gone and names <= replicas.keys()
+
     async def _name_target(
         self, state: catalog.GroupState, target: str
     ) -> catalog.GroupState:
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -177,8 +177,10 @@
             self._no_primary_since = None
             self.commits.unseal()
         if state.phase is catalog.Phase.SEALED:
+            self.commits.seal(clock.read(), self.lease.until)
             self.lease.revoke()
-            self.commits.seal(clock.read())
+            if state.attempt >= catalog.FIRST_REQUEST:
+                self.commits.settle(clock.read())
         if before is None or before.term != state.term:
             self.lease.begin_term(state.term)
         self.dispatch_waiting()
@@ -201,6 +203,20 @@
         is_primary = self.state is not None and self.state.primary == endpoint.name
         return is_primary and not self.commits.may_start(now)
 
+    def may_acknowledge(self, term: int, now: float) -> bool:
+        """Return whether a commit that was answered just now may count as successful.
+
+        Every log that may be promoted is read after the time for which the leader waits
+        for this node. Thus it has the commits that were answered until then.
+
+        :param term: of the primary when the commit was sent.
+        """
+        if self.state is None or self.state.term != term:
+            return False
+        if self.state.phase is catalog.Phase.SEALED:
+            return now < self.commits.settled_at
+        return self.lease.holds_lease(now)
+
     def is_overtaken(self) -> bool:
         """Return whether an endpoint answered in a later term than the primary's.
 
@@ -764,12 +780,6 @@
             or state.phase is not catalog.Phase.SERVING
         ):
             return
-        is_connected = self._measure_isolation(now) < primary_lease.COMMIT_RENEWAL_LIMIT
-        is_replicated = self.config is not None and self.config.sync_replicas
-        if committed and is_replicated and is_connected:
-            # Before a primary is replaced, its replicas are paused or it has
-            # stepped down: a commit proves that neither had happened.
-            self.lease.confirm(sent_at)
         if self.lease.holds_lease(sent_at):
             self.record_position(sent_at, position)
 
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -19,6 +19,7 @@
 from sardinehold.node import ownership
 from sardinehold.node import pool
 from sardinehold.node import ports
+from sardinehold.node import primary_lease
 from sardinehold.node import primary_moves
 from sardinehold.node import promotion
 from sardinehold.node import rate_limiter
@@ -633,6 +634,11 @@
         """Allow reads on replicas, or end that; see :class:`failover.Fleet`."""
         self.node.groups[group].frozen = position
 
+    def find_lease_expiry(self, group: str) -> float:
+        """Return when all leases on the primary of a sealed group have expired."""
+        sealed_at = self.node.groups[group].commits.sealed_at
+        return sealed_at + primary_lease.LEASE * (1 + 2 * clock.RATE_MARGIN)
+
     def find_request_expiry(self, group: str) -> float:
         """Return when no unanswered promotion request can be executed any more."""
         return self.node.groups[group].find_request_expiry()
--- a/src/sardinehold/node/member_reports.py
+++ b/src/sardinehold/node/member_reports.py
@@ -175,7 +175,8 @@
         now = clock.read()
         if not self.node.removals.are_leases_expired(now):
             return False
-        for name in self.node.members:
+        # A node whose entry was removed may hold a lease again before it is restored.
+        for name in {*self.node.members, *self.list_names(now)}:
             received = self._find_current(name, now)
             if received is None:
                 return False
--- a/src/sardinehold/node/membership.py
+++ b/src/sardinehold/node/membership.py
@@ -19,9 +19,10 @@
 STATEMENT_LIMIT = 4.0
 """Maximum seconds that a statement takes, from the longest timeout of the routes."""
 
-LEASE_EXPIRY_DELAY = (primary_lease.COMMIT_RENEWAL_LIMIT + primary_lease.LEASE) * (
-    1 + 2 * clock.RATE_MARGIN
-)
+CONTACT_LIMIT = 3.0
+"""Maximum seconds for which a removed node may still be in contact with others."""
+
+LEASE_EXPIRY_DELAY = (CONTACT_LIMIT + primary_lease.LEASE) * (1 + 2 * clock.RATE_MARGIN)
 """Seconds after a removal during which the removed node may still hold a lease: it
 reads of the removal in the store, or has no contact with any node."""
 
--- a/src/sardinehold/node/occurrences.py
+++ b/src/sardinehold/node/occurrences.py
@@ -36,7 +36,7 @@
     "link_refused": "A connection to this node's links was refused; with the reason.",
     "order_rejected": "This node, as owner of an endpoint, did not run a request.",
     "order_lost": "As owner, this node got no answer to what it sent at this age.",
-    "late_commit": "A commit was acknowledged after a seal or without contact; ages.",
+    "late_commit": "A commit was answered after a seal or without contact; with ages.",
     "prepared": "A statement was prepared on a connection to an endpoint.",
     "sent_late": "A statement was sent to an endpoint after its request had ended.",
     "sent_for_other_team": "A connection's team is not that of the statement on it.",
--- a/src/sardinehold/node/primary_lease.py
+++ b/src/sardinehold/node/primary_lease.py
@@ -22,10 +22,6 @@
 """Seconds without a message of the leader and without the store after which a node
 counts as disconnected: every lease that they confirmed has expired by then."""
 
-COMMIT_RENEWAL_LIMIT = 3.0
-"""Seconds without either for which a commit still renews the lease. Bounds how long an
-isolated node keeps serving by a configuration that may have changed."""
-
 SAMPLE_RETENTION = 4.0
 """Seconds for which samples are kept; longer than any route's staleness bound."""
 
@@ -75,9 +71,14 @@
         """Revoke the lease: the group is being sealed."""
         self.as_of = float("-inf")
 
+    @property
+    def until(self) -> float:
+        """When the lease expires."""
+        return self.as_of + LEASE * (1 - clock.RATE_MARGIN)
+
     def holds_lease(self, now: float) -> bool:
         """Return whether the primary cannot have been replaced yet."""
-        return now < self.as_of + LEASE * (1 - clock.RATE_MARGIN)
+        return now < self.until
 
     def record_position(self, sent_at: float, position: positions.Position) -> None:
         """Record the position of an answer to a request sent under the lease."""
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -401,6 +401,7 @@
         endpoint.in_flight += 1
         group.commits.in_flight += proves_commit
         known = group.lease.latest
+        term = group.lease.term
         sent_at = clock.read()
         endpoint.view.record_sent(sent_at)
         handled.add(stream.close)
@@ -427,10 +428,48 @@
         )
         if is_done and proves_commit and known is not None:
             group.commits.record_replicated(known.position, answer.position)
+        if is_done and proves_commit:
+            answer = self._check_acknowledgement(group, request, answer, term)
         if answer.error is statements.Failure.LAGGING and assignment.after is not None:
             endpoint.lag.record_refusal(assignment.after, clock.read())
         return answer
 
+    def _check_acknowledgement(
+        self,
+        group: groups.Group,
+        request: execution.Request,
+        answer: statements.Answer,
+        term: int,
+    ) -> statements.Answer:
+        """Return the answer to a commit, in doubt if a promoted log may lack it.
+
+        :param term: of the primary when it was sent.
+        """
+        now = clock.read()
+        is_told = group.may_acknowledge(term, now)
+        lateness = group.measure_lateness(now)
+        if lateness is not None:
+            sealed_for, isolated_for = lateness
+            self.node.journal.note(
+                "late_commit",
+                request=request.statement.request_id,
+                group=group.name,
+                endpoint=request.endpoint,
+                position=None if answer.position is None else list(answer.position),
+                told=is_told,
+                age=round(now - request.origin.arrived_at, 3),
+                sealed=round(sealed_for, 3) if sealed_for >= 0 else None,
+                isolated=round(isolated_for, 3),
+            )
+        if is_told:
+            return answer
+        return statements.Answer(
+            [],
+            error=statements.Failure.IN_DOUBT,
+            detail=f"the primary of group {group.name} is being replaced",
+            position=answer.position,
+        )
+
     def _proves_commit(self, statement: statements.Statement) -> bool:
         """Return whether a success proves that a replica has received a commit.
 
