Name no other target while an answered promotion request may be executed

What callers saw: a success for a write that the next promoted log lacks; no primary for some 7 s; writes that stop again and again.

Cause: an answered request counted as executed within 3 s, and only unanswered ones kept another target from being named. With an effect later than that, two requests for different targets were outstanding. The first was published and acknowledged writes; the second took effect over it.

Now a request is outstanding until it was seen in effect or REQUEST_LIFETIME has passed since it was sent, answered or not, and only its target is named meanwhile. An answered one is awaited, and repeated only if the target started again. If exactly one was sent and its effect is seen, it is settled, and the next change isn't held up (also for an unanswered one); after a repeat or a change of leader the number is not known, and the time is waited for.

Its missing record settles nothing: it may be cut off from the store only, or start again under its name, and the request can't be recalled.

test_target_that_stays_away_is_replaced_once_its_request_has_expired and test_target_that_started_again_is_requested_again fail on the code before, too. test_request_that_took_effect_late_does_not_hold_up_the_next_change passes there.

--- a/src/sardinehold/node/catalog.py
+++ b/src/sardinehold/node/catalog.py
@@ -263,7 +263,7 @@
     :param is_stored: whether the object holds this state and was written in the era of
         its version; otherwise the leader has to write it again.
     :param requested: the endpoint whose promotion was last requested, if the platform
-        may still execute the request, otherwise ``""``.
+        may still execute a request, answered or not, otherwise ``""``.
     """
 
     __slots__ = (
--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -34,10 +34,6 @@
 POLL_INTERVAL = 0.05
 """Seconds between status queries to an endpoint that is being promoted."""
 
-PROMOTION_TIMEOUT = 3.0
-"""Seconds within which a promotion must take effect; the slowest one that endpoints are
-specified to need takes 1 s."""
-
 UNANSWERED_TIMEOUT = 1.2
 """Seconds to wait for the effect of a request without an answer before it is repeated:
 the slowest promotion, and a query."""
@@ -85,7 +81,7 @@
         """Return whether every node has stopped using the old primary."""
 
     def find_request_expiry(self, group: str) -> float:
-        """Return when no unanswered promotion request can be executed any more."""
+        """Return when no promotion request can be executed any more."""
 
     def count_departed(self, group: str, primary: str) -> int:
         """Return how many replicas left recently, possibly with the only copy."""
@@ -290,7 +286,8 @@
         self._reinstate_at = clock.read() + REINSTATE_AFTER
         self._accept_loss_at = clock.read() + LOSS_ACCEPTED_AFTER
         self._failed_targets: set[str] = set()
-        self._request_expires_at = fleet.find_request_expiry(group)
+        self._inherited_until = fleet.find_request_expiry(group)
+        self._outstanding: list[float] = []
         self._effective_by = 0.0
         self._kept = KeptConnections()
         self._requests: list[tuple[str, float]] = []
@@ -378,11 +375,31 @@
     def _may_request(self, state: catalog.GroupState, target: str) -> bool:
         """Return whether no earlier request can promote another endpoint afterwards.
 
-        The platform may execute a request that it did not answer, which replaces the
-        primary by a log without the commits since. For the present primary it changes
-        nothing.
+        The platform may execute a request late, whether it answered or not, which
+        replaces the primary by a log without the commits since. For the present primary
+        it changes nothing.
         """
-        return target == state.requested or clock.read() >= self._request_expires_at
+        return target == state.requested or not self._is_outstanding()
+
+    def _is_outstanding(self) -> bool:
+        """Return whether a request may still be executed; all name one endpoint."""
+        return clock.read() < max([self._inherited_until, *self._outstanding])
+
+    def _note_outstanding(self) -> float:
+        """Return until when the request that was just sent may be executed."""
+        expires_at = self.fleet.find_request_expiry(self.group)
+        self._outstanding.append(expires_at)
+        return expires_at
+
+    def _settle_request(self) -> None:
+        """Note that a request was executed; others may still be.
+
+        How many an earlier leader sent is not known.
+        """
+        now = clock.read()
+        count = sum(now < expires_at for expires_at in self._outstanding)
+        if now >= self._inherited_until and count == 1:
+            self._outstanding.clear()
 
     async def _write(
         self,
@@ -406,8 +423,8 @@
         return await self.fleet.write_state(new)
 
     def _find_requested(self, state: catalog.GroupState) -> str:
-        """Return the endpoint that an unanswered request may still promote."""
-        return state.requested if clock.read() < self._request_expires_at else ""
+        """Return the endpoint that a request may still promote."""
+        return state.requested if self._is_outstanding() else ""
 
     # Freezing
 
@@ -606,17 +623,19 @@
     async def _name_target(
         self, state: catalog.GroupState, target: str
     ) -> catalog.GroupState:
-        """Store which endpoint a request that may not be answered will name."""
+        """Store which endpoint the next request will name."""
         return await self._write(
             state, state.term, state.primary, sealed=True, requested=target
         )
 
     async def _promote(self, state: catalog.GroupState, target: str) -> bool:
         """Return whether an endpoint became primary of a later term on request."""
+        record = self._find_record(target)
+        born = record.born if record is not None else None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._stop_old_primary, state, target)
             await self._request(state, target)
-            is_promoted = await self._wait_for_promotion(state, target)
+            is_promoted = await self._wait_for_promotion(state, target, born)
             tasks.cancel_scope.cancel()
         return is_promoted
 
@@ -671,10 +690,10 @@
         self._requests.append((target, clock.read()))
         try:
             await self.fleet.request_promotion(self.group, target)
-            self._effective_by = clock.read() + PROMOTION_TIMEOUT
+            self._effective_by = self._note_outstanding()
             self._failed_targets.add(target)
         except errors.PlatformUnavailable as error:
-            self._request_expires_at = self.fleet.find_request_expiry(self.group)
+            self._note_outstanding()
             self._effective_by = clock.read() + UNANSWERED_TIMEOUT
             self.fleet.note("promote_unanswered", group=self.group, reason=str(error))
         except errors.PlatformError as error:
@@ -701,15 +720,24 @@
                     unread=self._unread.get(record.name),
                 )
 
-    async def _wait_for_promotion(self, state: catalog.GroupState, target: str) -> bool:
-        """Return whether an endpoint became primary of a later term in time."""
+    async def _wait_for_promotion(
+        self, state: catalog.GroupState, target: str, born: int | None
+    ) -> bool:
+        """Return whether an endpoint became primary of a later term in time.
+
+        Without a record it may still be promoted: a missing one says that it does not
+        reach the store.
+
+        :param born: its start when the request was sent; the platform may have found
+            it not running if there is a later one.
+        """
         while clock.read() < self._effective_by and self.fleet.leads():
             record = self._find_record(target)
-            if record is None:
-                return False
-            status = await read_status(self.fleet, record)
+            status = await read_status(self.fleet, record) if record else None
             if status is not None and status.is_primary and status.term > state.term:
                 return True
+            if record is not None and record.born != born:
+                return False
             await anyio.sleep(POLL_INTERVAL)
         return False
 
@@ -729,6 +757,8 @@
             raise errors.PlatformUnavailable(
                 f"{primary} is no longer primary.", "The failover restarts."
             )
+        if primary == state.requested:
+            self._settle_request()
         published = await self._write(
             state,
             status.term,
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -56,8 +56,8 @@
 the records of the running ones arrive within a few seconds of the node's start."""
 
 REQUEST_LIFETIME = 8.0
-"""Seconds after which the platform no longer executes a promotion request that it has
-not answered."""
+"""Seconds after which the platform no longer executes a promotion request, whether it
+answered or not."""
 
 
 OpenStream = typing.Callable[
@@ -183,11 +183,14 @@
             self.lease.begin_term(state.term)
         self.dispatch_waiting()
 
+    def record_request(self, now: float) -> None:
+        """Record that this node has sent a promotion request."""
+        self._request_expires_at = now + REQUEST_LIFETIME
+
     def find_request_expiry(self) -> float:
-        """Return when the platform cannot execute an unanswered request any more.
+        """Return when the platform cannot execute a promotion request any more.
 
-        A promotion request of this or of an earlier leader, for the endpoint that the
-        state names.
+        One of this or of an earlier leader, for the endpoint that the state names.
         """
         if self.state is None or not self.state.requested:
             return float("-inf")
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -634,7 +634,7 @@
         self.node.groups[group].frozen = position
 
     def find_request_expiry(self, group: str) -> float:
-        """Return when no unanswered promotion request can be executed any more."""
+        """Return when no promotion request can be executed any more."""
         return self.node.groups[group].find_request_expiry()
 
     def find_restarted(self, group: str, end: positions.Position) -> frozenset[str]:
@@ -713,6 +713,7 @@
             await self.node.duty.promote(group, endpoint, holder, token, deadline)
         finally:
             self._requests_running -= 1
+            self.node.groups[group].record_request(clock.read())
 
     def _has_older_request(self) -> bool:
         """Return whether a request with the token of an earlier lead is on its way."""
--- a/src/sardinehold/node/promotion.py
+++ b/src/sardinehold/node/promotion.py
@@ -94,7 +94,7 @@
     :param draining: endpoints about to leave, or in an evacuated availability zone,
         chosen only if no other qualifies.
     :param failed: endpoints whose promotion failed, likewise.
-    :param requested: an endpoint that a request which is not answered may promote,
+    :param requested: an endpoint that an earlier request may still promote,
         chosen first among equals: repeating a request changes nothing.
     :param may_reinstate: whether the old primary may be promoted if no other qualifies.
     :param acknowledged: newest commit that was acknowledged to any caller, None unless
--- a/tests/builders_late.py
+++ b/tests/builders_late.py
@@ -4,6 +4,7 @@
 import typing
 
 import builders_node
+from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import statements
 from sardinehold_standins import group_in_memory
@@ -64,7 +65,39 @@
 HoldBack = typing.Callable[[group_in_memory.Cluster, str], None]
 
 
-async def _write(world: builders_node.World, name: str, result: Result) -> None:
+async def ignore(name: str) -> None:
+    """Forget a promotion request that was answered."""
+
+
+async def await_target(
+    world: builders_node.World, earlier: str = ""
+) -> tuple[str, float]:
+    """Wait for a promotion request; return its target and the time.
+
+    :param earlier: target of the requests that do not count.
+    """
+    async with asyncio.timeout(20.0):
+        while True:
+            for _, _, target in world.clusters["g"].promotions:
+                if target != earlier:
+                    return target, clock.read()
+            await asyncio.sleep(0.005)
+
+
+async def await_publication(
+    world: builders_node.World, earlier: str
+) -> catalog.GroupState:
+    """Wait until another primary than an earlier one is published."""
+    async with asyncio.timeout(20.0):
+        while True:
+            state = world.nodes[world.find_leader()].groups["g"].state
+            is_serving = state.phase is catalog.Phase.SERVING
+            if is_serving and state.primary != earlier:
+                return state
+            await asyncio.sleep(0.005)
+
+
+async def write(world: builders_node.World, name: str, result: Result) -> None:
     """Write through a node while it runs."""
     while True:
         node = world.nodes.get(name)
@@ -79,6 +112,16 @@
         await asyncio.sleep(0.02)
 
 
+async def crash_primary(world: builders_node.World) -> tuple[str, float]:
+    """Crash the primary beside writes; return the next target and when it was named."""
+    cluster = world.clusters["g"]
+    for name in world.nodes:
+        world.tasks.start_soon(write, world, name, Result(cluster))
+    await asyncio.sleep(0.5)
+    cluster.primary.crash()
+    return await await_target(world)
+
+
 async def change_primary(
     world: builders_node.World,
     delay: float,
@@ -103,16 +146,13 @@
     result = Result(cluster)
     old = cluster.primary
     writers = [
-        asyncio.create_task(_write(world, name, result)) for name in list(world.nodes)
+        asyncio.create_task(write(world, name, result)) for name in list(world.nodes)
     ]
     await asyncio.sleep(1.0)
     cluster.promote_delay = delay
     old.crash()
     until = clock.read() + seconds
-    while not cluster.promotions:
-        await asyncio.sleep(0.005)
-    target = cluster.promotions[0][2]
-    asked_at = clock.read()
+    target, asked_at = await await_target(world)
     other = next(name for name in cluster.databases if name not in (old.name, target))
     held_back(cluster, other)
     steps = []
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -1,9 +1,13 @@
 """Promotion requests that are answered and take effect seconds later."""
 
+import asyncio
+
 import pytest
 
 import builders_late
 import builders_node
+from sardinehold.node import clock
+from sardinehold.node import groups
 
 
 @pytest.mark.parametrize("delay", [4.0, 7.0])
@@ -31,3 +35,52 @@
         assert not result.list_lost()
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_request_that_took_effect_late_does_not_hold_up_the_next_change(monkeypatch):
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        cluster.promote_delay = 4.0
+        world.publish_endpoint("g-0", is_draining=True)
+        state = await builders_late.await_publication(world, "g-0")
+        cluster.promote_delay = 0.6
+        world.publish_endpoint(state.primary, is_draining=True)
+        began = clock.read()
+        await builders_late.await_publication(world, state.primary)
+        assert clock.read() - began < 2.0
+        assert [item.term for item in cluster.promoted] == [2, 3]
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_target_that_stays_away_is_replaced_once_its_request_has_expired(monkeypatch):
+    # Until then the platform may promote it: it may start again under its name.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        monkeypatch.setattr(cluster, "promote", builders_late.ignore)
+        target, began = await builders_late.crash_primary(world)
+        await asyncio.sleep(0.3)
+        cluster.databases[target].crash()
+        world.store.put(builders_node.ENDPOINT_KIND, target, None)
+        _, changed_at = await builders_late.await_target(world, target)
+        waited = changed_at - began
+        assert groups.REQUEST_LIFETIME <= waited < groups.REQUEST_LIFETIME + 0.5
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_target_that_started_again_is_requested_again(monkeypatch):
+    # The platform had found it not running, or had forgotten the first request.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        with monkeypatch.context() as patch:
+            patch.setattr(cluster, "promote", builders_late.ignore)
+            target, _ = await builders_late.crash_primary(world)
+            await asyncio.sleep(1.0)
+        builders_node.restart_database(world, cluster.databases[target], keeps_log=True)
+        began = clock.read()
+        await builders_late.await_publication(world, "g-0")
+        assert clock.read() - began < 2.0
+        assert [item[2] for item in cluster.promotions] == [target, target]
+
+    builders_node.run_scenario(monkeypatch, scenario)
