--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -84,3 +84,20 @@
         assert [item[2] for item in cluster.promotions] == [target, target]
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_next_leader_counts_from_when_a_request_can_have_been_sent(monkeypatch):
+    # It counted from when it learned of the target, some time before the request.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        old = cluster.primary
+        monkeypatch.setattr(cluster, "promote", builders_late.ignore)
+        world.connect_delays = [0.7]
+        target, sent_at = await builders_late.crash_primary(world)
+        cluster.databases[target].crash()
+        old.is_up = True
+        world.kill_node(world.find_leader())
+        _, changed_at = await builders_late.await_target(world, target)
+        assert changed_at - sent_at >= groups.REQUEST_LIFETIME
+
+    builders_node.run_scenario(monkeypatch, scenario)
