Count an earlier leader's request from the end of its lead

A next leader counted REQUEST_LIFETIME from when it learned of the target. The former leader can send the request up to the end of its lead. The next one counts from its own start now, which is later.

--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -187,6 +187,14 @@
         """Record that this node has sent a promotion request."""
         self._request_expires_at = now + REQUEST_LIFETIME
 
+    def inherit_request(self, now: float) -> None:
+        """Count an earlier leader's request from the end of its lead.
+
+        It may have been sent long after this node learned of its target.
+        """
+        if self.state is not None and self.state.requested:
+            self.record_request(now)
+
     def find_request_expiry(self) -> float:
         """Return when the platform cannot execute a promotion request any more.
 
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -103,6 +103,8 @@
         """Start leading; the tokens of the previous leader must expire first."""
         now = clock.read()
         self._connected_share = 1.0
+        for group in self.node.groups.values():
+            group.inherit_request(now)
         self._started_at = now
         self._absences = membership.Absences()
         margin = 1 + 2 * clock.RATE_MARGIN
