--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -104,6 +104,8 @@
         """Start leading; the tokens of the previous leader must expire first."""
         now = clock.read()
         self._connected_share = 1.0
+        for group in self.node.groups.values():
+            group.inherit_request(now)
         self._started_at = now
         self._absences = membership.Absences()
         margin = 1 + 2 * clock.RATE_MARGIN
@@ -649,7 +651,7 @@
         return sealed_at + primary_lease.LEASE * (1 + 2 * clock.RATE_MARGIN)
 
     def find_request_expiry(self, group: str) -> float:
-        """Return when no unanswered promotion request can be executed any more."""
+        """Return when no promotion request can be executed any more."""
         return self.node.groups[group].find_request_expiry()
 
     def find_restarted(self, group: str, end: positions.Position) -> frozenset[str]:
@@ -728,6 +730,7 @@
             await self.node.duty.promote(group, endpoint, holder, token, deadline)
         finally:
             self._requests_running -= 1
+            self.node.groups[group].record_request(clock.read())
 
     def _has_older_request(self) -> bool:
         """Return whether a request with the token of an earlier lead is on its way."""
