Keep in the store which endpoints may hold a commit

What callers saw: acknowledged writes were missing after all nodes had started anew, the replica with the only copy had left, and the primary had crashed.

Cause: the nodes alone remembered which replicas had left (`Group.removed_at`, 60 s). Nodes that all start anew took the replicas with a record for the whole group.

Why the fix works: the leader keeps a list of each group's endpoints in the store, `endpoints.NAME`: those with a record, and those that left less than 60 s ago. A new leader lists the fleet's objects before it acts; an endpoint that is listed and has no record counts as departed from when the node learned of it, so that the replicas that remain no longer suffice. The list is an object of its own, not a part of the group's state: the state travels in each response of the leader and its version is the condition of each step of a change of primary; neither changes here, and a change of primary doesn't wait for the list. No datagram grows.

Writes to the store: one per group at its creation, none for a replica that is away for 20 s, a change of primary or a start of all nodes, one for a join, one 60 s after a departure.

--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -105,7 +105,10 @@
     :param may_probe: returns whether an endpoint of the group may be probed now.
     :param state: primary and term, as last read from the store; None while unknown.
     :param commits: those of this node's callers.
-    :param removed_at: when endpoints were removed, by their names.
+    :param removed_at: when endpoints were removed, by their names, or when this node
+        learned that they had been.
+    :param listed: endpoints that the store lists; see :mod:`.endpoint_lists`.
+    :param list_version: version of that list, with revision 0 if there is none.
     :param restarts: of the endpoints, as far as this node saw them.
     :param drains: drains of endpoints, by their names; a drain is never revoked, also
         if the store has lost it.
@@ -150,6 +153,8 @@
         self.commits = commits.Commits()
         self._commits_known_since = clock.read()
         self.removed_at: dict[str, float] = {}
+        self.listed: frozenset[str] = frozenset()
+        self.list_version = 0
         self.restarts = restarts.Restarts(clock.read())
         self.drains: dict[str, Drain] = {}
         self._no_primary_since: float | None = None
@@ -276,6 +281,17 @@
             self.removed_at[name] = clock.read()
             self._close_idle(endpoint)
 
+    def apply_list(self, names: frozenset[str], version: int, now: float) -> None:
+        """Apply the list of the endpoints in the store.
+
+        Those without a record have left, perhaps before this node started.
+        """
+        if version < self.list_version:
+            return
+        self.listed, self.list_version = names, version
+        for name in names - self.endpoints.keys():
+            self.removed_at.setdefault(name, now)
+
     def query_position(self, now: float) -> None:
         """Probe the primary if it has answered nothing since a replica restarted."""
         if self.is_serving() and self.restarts.needs_position(now):
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -11,6 +11,7 @@
 from sardinehold.core import quota
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import endpoint_lists
 from sardinehold.node import failover
 from sardinehold.node import groups
 from sardinehold.node import jitter
@@ -40,10 +41,6 @@
 """Seconds to wait for a primary whose entry is missing: entries that were lost with the
 store are back within two."""
 
-DEPARTED_RETENTION = 60.0
-"""Seconds for which a removed endpoint counts as one that may have had the only copy of
-a commit: longer than any replica was seen to be behind."""
-
 ANNOUNCE_INTERVAL = 0.5
 """Seconds between announcements to members that do not report."""
 
@@ -83,6 +80,7 @@
         self.member_reports = member_reports.MemberReports(node)
         self.allocator: quota.Allocator | None = None
         self.primary_moves = primary_moves.PrimaryMoves(self)
+        self.endpoint_lists = endpoint_lists.EndpointLists(self)
         self._busy: set[str] = set()
         self._retry_at: dict[str, float] = {}
         self._aligned: dict[str, catalog.Stage] = {}
@@ -336,6 +334,7 @@
                 for name, group in list(self.node.groups.items()):
                     if name not in self._busy:
                         self._schedule_work(tasks, name, group.state)
+                self.endpoint_lists.write_changed(tasks)
             await anyio.sleep(CHECK_INTERVAL)
 
     def _resign_without_store(self) -> None:
@@ -643,13 +642,8 @@
 
     def count_departed(self, group: str, primary: str) -> int:
         """Return how many replicas left recently and may have had the only copy."""
-        now = clock.read()
-        removed_at = self.node.groups[group].removed_at
-        return sum(
-            now - at < DEPARTED_RETENTION
-            for name, at in removed_at.items()
-            if name != primary
-        )
+        departed = endpoint_lists.find_departed(self.node.groups[group], clock.read())
+        return len(departed - {primary})
 
     def notify_nodes(self) -> None:
         """Send the state to all nodes without delay, through their aggregators."""
--- a/src/sardinehold/node/store_mirror.py
+++ b/src/sardinehold/node/store_mirror.py
@@ -9,16 +9,19 @@
 from sardinehold import objects
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import endpoint_lists
 from sardinehold.node import leadership
 from sardinehold.node import membership
 from sardinehold.node import ownership
 from sardinehold.node import store_watch
 
 if typing.TYPE_CHECKING:
+    from sardinehold.node import groups
     from sardinehold.node import node as nodes
 
 FLEET_KIND = "sardinehold"
-"""Kind of the fleet's own objects in the store: groups, members, the secret."""
+"""Kind of the fleet's own objects in the store: groups, their endpoints, members, the
+secret."""
 
 LEADER_KIND = "sardinehold-leader"
 """Kind of the leader's object. It is separate because it changes with every renewal:
@@ -26,6 +29,7 @@
 
 GROUP_PREFIX = "group."
 MEMBER_PREFIX = "member."
+ENDPOINTS_PREFIX = "endpoints."
 SECRET_NAME = "secret"
 
 LEADER_CHECK_INTERVAL = 0.1
@@ -339,6 +343,7 @@
         self.fleet_listed.set()
         names = {stored.name for stored in changes.objects}
         self._note_lost_states(names, objects.find_era(changes.revision))
+        self._note_lost_lists(names, changes.revision)
         self.is_secret_stored = SECRET_NAME in names
         member = self.node.members.get(self.node.settings.name)
         is_current = member is not None and member.incarnation == self.node.incarnation
@@ -360,6 +365,19 @@
             if group.state is not None and f"{GROUP_PREFIX}{name}" not in names:
                 group.state = group.state.move(objects.make_version(era, 0), False)
 
+    def _note_lost_lists(self, names: set[str], version: int) -> None:
+        """Forget the lists of endpoints that a complete list of objects lacks."""
+        for name, group in self.node.groups.items():
+            if f"{ENDPOINTS_PREFIX}{name}" not in names:
+                self._drop_list(group, version)
+
+    def _drop_list(self, group: "groups.Group", version: int) -> None:
+        """Have the leader write a group's list again, unless a newer one is known."""
+        if version > group.list_version:
+            era = objects.find_era(version)
+            group.listed = frozenset()
+            group.list_version = objects.make_version(era, 0)
+
     def _apply_fleet_changes(self, changes: objects.Changes, sent_at: float) -> None:
         # Apply all members before shares are computed from their number.
         for stored in changes.objects:
@@ -371,6 +389,8 @@
                 self._apply_one(self._apply_secret, stored)
             elif stored.name.startswith(GROUP_PREFIX) and stored.value is not None:
                 self._apply_one(self._apply_state, stored)
+            elif stored.name.startswith(ENDPOINTS_PREFIX):
+                self._apply_one(self._apply_list, stored)
 
     async def confirm_leases(self) -> None:
         """Renew the leases by listing the fleet objects while the leader is silent.
@@ -490,6 +510,20 @@
             return
         self.take_state(state)
 
+    def _apply_list(self, stored: objects.StoredObject) -> None:
+        group = self.node.find_group(stored.name.removeprefix(ENDPOINTS_PREFIX))
+        if stored.value is None:
+            # The change has no version; if the list exists, it is read again.
+            group.listed = frozenset()
+            group.list_version = objects.make_version(self.node.store.era, 0)
+            return
+        try:
+            names = endpoint_lists.parse(stored.value)
+        except (KeyError, TypeError, AttributeError) as error:
+            self.node.journal.note("list_refused", group=group.name, reason=repr(error))
+            names = frozenset()
+        group.apply_list(names, stored.version, clock.read())
+
     def take_state(self, state: catalog.GroupState) -> None:
         """Apply a group's state, unless a later one is known."""
         group = self.node.find_group(state.group)
--- a/src/sardinehold/node/store_writer.py
+++ b/src/sardinehold/node/store_writer.py
@@ -9,12 +9,14 @@
 from sardinehold import objects
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import endpoint_lists
 from sardinehold.node import jitter
 from sardinehold.node import leadership
 from sardinehold.node import membership
 from sardinehold.node import store_mirror
 
 if typing.TYPE_CHECKING:
+    from sardinehold.node import groups
     from sardinehold.node import node as nodes
 
 LEAD_TIMEOUT = 0.6
@@ -73,6 +75,22 @@
         self.node.store_mirror.take_state(written)
         return written
 
+    async def write_endpoints(
+        self, group: "groups.Group", names: frozenset[str]
+    ) -> None:
+        """Write the list of a group's endpoints; see :mod:`.endpoint_lists`.
+
+        :raises sardinehold.errors.PlatformError: as for :meth:`write_state`.
+        """
+        name = f"{store_mirror.ENDPOINTS_PREFIX}{group.name}"
+        kind, version = store_mirror.FLEET_KIND, group.list_version
+        value = endpoint_lists.dump(names)
+        if objects.find_revision(version):
+            stored = await self.node.store.update(kind, name, value, version)
+        else:
+            stored = await self.node.store.create(kind, name, value)
+        group.apply_list(names, stored.version, clock.read())
+
     async def maintain_entry(self) -> None:
         """Keep this node's entry in the store, and create the secret if needed."""
         loaded = self.node.settings
--- a/tests/test_departed_replicas.py
+++ b/tests/test_departed_replicas.py
@@ -5,6 +5,12 @@
 import pytest
 
 import builders_node
+from sardinehold.node import endpoint_lists
+from sardinehold.node import failover
+from sardinehold.node import store_mirror
+from sardinehold_standins import group_in_memory
+
+LIST = store_mirror.FLEET_KIND, "endpoints.g"
 
 
 async def write_for(world, seconds: float) -> None:
@@ -62,3 +68,89 @@
         assert_nothing_lost(cluster)
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def publish_replica(world, name: str) -> None:
+    """Add an empty replica to the group, and publish it."""
+    cluster = world.clusters["g"]
+    cluster.databases[name] = group_in_memory.Database(cluster, name, "north")
+    world.publish_endpoint(name)
+
+
+def find_list(world) -> list[str]:
+    return world.store.objects[LIST].value["endpoints"]
+
+
+def count_writes(world) -> int:
+    return sum((item.kind, item.name) == LIST for item in world.store.history)
+
+
+def test_list_of_endpoints_is_written_only_when_it_changes(monkeypatch):
+    async def scenario(world):
+        assert (find_list(world), count_writes(world)) == (["g-0", "g-1", "g-2"], 1)
+        await write_for(world, 2.0)
+        # A replica whose record is away for some time is no change.
+        world.store.put(builders_node.ENDPOINT_KIND, "g-1", None)
+        await asyncio.sleep(20.0)
+        world.publish_endpoint("g-1", born=1)
+        # Neither is a change of primary, nor a start of the nodes.
+        world.clusters["g"].primary.crash()
+        await write_for(world, 4.0)
+        await restart_nodes(world)
+        await asyncio.sleep(endpoint_lists.DEPARTED_RETENTION + 10.0)
+        assert world.clusters["g"].promoted
+        assert count_writes(world) == 1
+        publish_replica(world, "g-3")
+        await asyncio.sleep(1.0)
+        assert count_writes(world) == 2
+        assert find_list(world) == ["g-0", "g-1", "g-2", "g-3"]
+        world.store.put(builders_node.ENDPOINT_KIND, "g-3", None)
+        await asyncio.sleep(endpoint_lists.DEPARTED_RETENTION)
+        assert count_writes(world) == 2
+        await asyncio.sleep(5.0)
+        assert (find_list(world), count_writes(world)) == (["g-0", "g-1", "g-2"], 3)
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("value", [None, {}, {"endpoints": 3}, {"endpoints": [3]}])
+def test_list_of_endpoints_that_is_lost_or_malformed_is_written_again(
+    monkeypatch, value
+):
+    async def scenario(world):
+        world.store.put(*LIST, value)
+        await asyncio.sleep(3.0)
+        assert find_list(world) == ["g-0", "g-1", "g-2"]
+        assert count_writes(world) == 3
+        await restart_nodes(world)
+        await asyncio.sleep(5.0)
+        assert (await world.open("n1", "latest").write()).error is None
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_list_that_a_restore_brought_back_is_written_again(monkeypatch):
+    async def scenario(world):
+        copy = world.store.save()
+        publish_replica(world, "g-3")
+        await asyncio.sleep(3.0)
+        await world.restore_store(copy)
+        world.publish_endpoint("g-3")
+        await asyncio.sleep(12.0)
+        assert find_list(world) == ["g-0", "g-1", "g-2", "g-3"]
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_group_whose_primary_is_gone_too_has_a_primary_again(monkeypatch):
+    # The logs that could prove completeness are lost: the best one is promoted.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, _, lagging = cluster.databases.values()
+        await lose_replica(world, 0.0)
+        world.store.put(builders_node.ENDPOINT_KIND, primary.name, None)
+        await restart_nodes(world)
+        await write_for(world, failover.LOSS_ACCEPTED_AFTER + 10.0)
+        assert [item.name for item in cluster.promoted] == [lagging.name]
+
+    builders_node.run_scenario(monkeypatch, scenario)
