Show that a departed replica is forgotten while there is no primary

The primary stays away with its record in the store (a partition of the nodes from it), the replica with the only copy has left, all nodes start again. After DEPARTED_RETENTION the departed one doesn't count any more, and the log that lags is promoted.

--- a/tests/test_departed_replicas.py
+++ b/tests/test_departed_replicas.py
@@ -154,3 +154,24 @@
         assert [item.name for item in cluster.promoted] == [lagging.name]
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_departed_replica_counts_as_long_as_the_group_has_no_primary(monkeypatch):
+    # No log catches up meanwhile; the one that lags was promoted after 60 s.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, _, lagging = cluster.databases.values()
+        await lose_replica(world, 0.0)
+        acknowledged = set(cluster.acknowledged)
+        await restart_nodes(world)
+        await write_for(world, endpoint_lists.DEPARTED_RETENTION + 15.0)
+        assert [len(acknowledged - item.kept) for item in cluster.promoted] == []
+        await restart_nodes(world)
+        await write_for(world, 5.0)
+        assert [len(acknowledged - item.kept) for item in cluster.promoted] == []
+        primary.is_up, lagging.is_receive_blocked = True, False
+        await write_for(world, 5.0)
+        assert (await world.open("n1", "latest").write()).error is None
+        assert_nothing_lost(cluster)
+
+    builders_node.run_scenario(monkeypatch, scenario)
