Count departed replicas as long as the group has no primary

What callers saw: acknowledged writes missing 60 s after the primary had gone.

Cause: a departed replica counts for DEPARTED_RETENTION, "longer than any replica was seen to be behind". While there is no primary no replica catches up, so that this doesn't hold.

Why the fix works: the retention is compared with the time of the seal once the group is sealed; the bound itself is unchanged.

--- a/src/sardinehold/node/endpoint_lists.py
+++ b/src/sardinehold/node/endpoint_lists.py
@@ -26,9 +26,13 @@
 
 
 def find_departed(group: "groups.Group", now: float) -> frozenset[str]:
-    """Return the endpoints that left recently, as far as this node knows."""
+    """Return the endpoints that left recently, as far as this node knows.
+
+    While the group is sealed, no replica catches up: none is dropped.
+    """
+    end = min(now, group.commits.sealed_at)
     return frozenset(
-        name for name, at in group.removed_at.items() if now - at < DEPARTED_RETENTION
+        name for name, at in group.removed_at.items() if end - at < DEPARTED_RETENTION
     )
 
 
--- a/tests/test_departed_replicas.py
+++ b/tests/test_departed_replicas.py
@@ -5,8 +5,10 @@
 import pytest
 
 import builders_node
+from sardinehold.node import clock
 from sardinehold.node import endpoint_lists
 from sardinehold.node import failover
+from sardinehold.node import groups
 from sardinehold.node import store_mirror
 from sardinehold_standins import group_in_memory
 
@@ -175,3 +177,32 @@
         assert_nothing_lost(cluster)
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("fault", ["drain", "crash"])
+def test_group_whose_databases_were_all_replaced_has_a_primary_soon(monkeypatch, fault):
+    # Replicas left while their logs were transferred, and all nodes started again.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, *replicas = cluster.databases.values()
+        for index, replica in enumerate(replicas):
+            world.publish_endpoint(replica.name, is_draining=True)
+            await write_for(world, 1.0)
+            publish_replica(world, f"g-{3 + index}")
+            await write_for(world, 1.0)
+            replica.crash()
+            world.store.put(builders_node.ENDPOINT_KIND, replica.name, None)
+            await write_for(world, 4.0)
+        await restart_nodes(world)
+        await write_for(world, 4.0)
+        began = clock.read()
+        if fault == "drain":
+            world.publish_endpoint(primary.name, is_draining=True)
+        else:
+            primary.crash()
+        while not cluster.promoted and clock.read() < began + 70.0:
+            await write_for(world, 0.1)
+        assert cluster.promoted[0].at - began < groups.NO_PRIMARY_TIMEOUT
+        assert_nothing_lost(cluster)
+
+    builders_node.run_scenario(monkeypatch, scenario)
