Don't count replicas whose logs were transferred to new ones

What callers saw: no primary for longer than before the list was stored, if all databases of a group were just replaced, and the primary crashed as all nodes started.

Cause: a node that learned of departed replicas from the list counted them all, though the platform transfers the log of a database that drained to a new one at its address.

Why the fix works: the list has the address of an endpoint that drains. One that was learned from the list doesn't count once another endpoint is at that address. What a node saw leave itself counts as before, so that nothing is less strict than before the list was stored.

test_log_that_was_not_transferred_still_counts guards the other direction: no successor yet, or an empty one behind a crash. A value of the test of malformed lists follows the new form.

--- a/src/sardinehold/node/endpoint_lists.py
+++ b/src/sardinehold/node/endpoint_lists.py
@@ -11,6 +11,7 @@
 import anyio.abc
 
 from sardinehold import errors
+from sardinehold.node import catalog
 from sardinehold.node import clock
 
 if typing.TYPE_CHECKING:
@@ -24,6 +25,10 @@
 RETRY_DELAY = 0.5
 """Seconds before a list that could not be written is written again."""
 
+Listed = dict[str, str]
+"""Endpoints by their names; of one that drains, the address at which another one gets
+its log, otherwise ``""``."""
+
 
 def find_departed(group: "groups.Group", now: float) -> frozenset[str]:
     """Return the endpoints that left recently, as far as this node knows.
@@ -36,20 +41,49 @@
     )
 
 
-def dump(names: frozenset[str]) -> dict:
+def count_departed(group: "groups.Group", primary: str, now: float) -> int:
+    """Return how many replicas left recently and may have had the only copy.
+
+    A log that was transferred is that of the endpoint at its address now.
+
+    :param primary: the one that is replaced, which is no replica.
+    """
+    records = [endpoint.record for endpoint in group.endpoints.values()]
+    addresses = {make_address(record) for record in records}
+    return sum(
+        name != primary and group.transfers.get(name) not in addresses
+        for name in find_departed(group, now)
+    )
+
+
+def make_address(record: catalog.EndpointRecord) -> str:
+    """Return the address of an endpoint."""
+    return f"{record.host}:{record.port}"
+
+
+def make_list(group: "groups.Group", now: float) -> Listed:
+    """Return the list that the store should hold."""
+    found = {name: group.listed.get(name, "") for name in find_departed(group, now)}
+    for name, endpoint in group.endpoints.items():
+        drains = endpoint.draining_since is not None
+        found[name] = make_address(endpoint.record) if drains else ""
+    return found
+
+
+def dump(listed: Listed) -> dict:
     """Return the value that is stored."""
-    return {"endpoints": sorted(names)}
+    return {"endpoints": dict(sorted(listed.items()))}
 
 
-def parse(value: dict) -> frozenset[str]:
+def parse(value: dict) -> Listed:
     """Return the endpoints that a stored value lists.
 
     :raises KeyError, TypeError, AttributeError: the value is malformed.
     """
     found = value["endpoints"]
-    if not isinstance(found, list) or not all(isinstance(name, str) for name in found):
+    if not all(isinstance(item, str) for pair in found.items() for item in pair):
         raise TypeError(f"The endpoints are {found!r:.100}.")
-    return frozenset(found)
+    return found
 
 
 class EndpointLists:
@@ -76,16 +110,15 @@
                 continue
             if name not in self._leader.node.catalog.groups or group.state is None:
                 continue
-            if group.listed != find_departed(group, now) | group.endpoints.keys():
+            if group.listed != make_list(group, now):
                 self._writing.add(name)
                 tasks.start_soon(self._write, group)
 
     async def _write(self, group: "groups.Group") -> None:
         node = self._leader.node
-        names = find_departed(group, clock.read()) | group.endpoints.keys()
+        listed = make_list(group, clock.read())
         try:
-            await node.store_writer.write_endpoints(group, names)
-            listed = sorted(names)
+            await node.store_writer.write_endpoints(group, listed)
             node.journal.note("endpoints_listed", group=group.name, endpoints=listed)
         except errors.PlatformError as error:
             reason = str(error)
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -109,6 +109,8 @@
         learned that they had been.
     :param listed: endpoints that the store lists; see :mod:`.endpoint_lists`.
     :param list_version: version of that list, with revision 0 if there is none.
+    :param transfers: addresses at which others get the logs of endpoints that drained
+        and left, by their names, as far as this node learned from that list.
     :param restarts: of the endpoints, as far as this node saw them.
     :param drains: drains of endpoints, by their names; a drain is never revoked, also
         if the store has lost it.
@@ -153,8 +155,9 @@
         self.commits = commits.Commits()
         self._commits_known_since = clock.read()
         self.removed_at: dict[str, float] = {}
-        self.listed: frozenset[str] = frozenset()
+        self.listed: dict[str, str] = {}
         self.list_version = 0
+        self.transfers: dict[str, str] = {}
         self.restarts = restarts.Restarts(clock.read())
         self.drains: dict[str, Drain] = {}
         self._no_primary_since: float | None = None
@@ -234,6 +237,7 @@
         endpoint.record = record
         endpoint.missing_since = None
         self.removed_at.pop(record.name, None)
+        self.transfers.pop(record.name, None)
         was_draining = endpoint.draining_since is not None
         endpoint.draining_since = self._find_drain(record, now)
         if endpoint.draining_since is not None and not was_draining:
@@ -281,16 +285,17 @@
             self.removed_at[name] = clock.read()
             self._close_idle(endpoint)
 
-    def apply_list(self, names: frozenset[str], version: int, now: float) -> None:
+    def apply_list(self, listed: dict[str, str], version: int, now: float) -> None:
         """Apply the list of the endpoints in the store.
 
         Those without a record have left, perhaps before this node started.
         """
         if version < self.list_version:
             return
-        self.listed, self.list_version = names, version
-        for name in names - self.endpoints.keys():
-            self.removed_at.setdefault(name, now)
+        self.listed, self.list_version = listed, version
+        for name in listed.keys() - self.endpoints.keys() - self.removed_at.keys():
+            self.removed_at[name] = now
+            self.transfers[name] = listed[name]
 
     def query_position(self, now: float) -> None:
         """Probe the primary if it has answered nothing since a replica restarted."""
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -642,8 +642,8 @@
 
     def count_departed(self, group: str, primary: str) -> int:
         """Return how many replicas left recently and may have had the only copy."""
-        departed = endpoint_lists.find_departed(self.node.groups[group], clock.read())
-        return len(departed - {primary})
+        found = self.node.groups[group]
+        return endpoint_lists.count_departed(found, primary, clock.read())
 
     def notify_nodes(self) -> None:
         """Send the state to all nodes without delay, through their aggregators."""
--- a/src/sardinehold/node/store_mirror.py
+++ b/src/sardinehold/node/store_mirror.py
@@ -375,7 +375,7 @@
         """Have the leader write a group's list again, unless a newer one is known."""
         if version > group.list_version:
             era = objects.find_era(version)
-            group.listed = frozenset()
+            group.listed = {}
             group.list_version = objects.make_version(era, 0)
 
     def _apply_fleet_changes(self, changes: objects.Changes, sent_at: float) -> None:
@@ -514,15 +514,15 @@
         group = self.node.find_group(stored.name.removeprefix(ENDPOINTS_PREFIX))
         if stored.value is None:
             # The change has no version; if the list exists, it is read again.
-            group.listed = frozenset()
+            group.listed = {}
             group.list_version = objects.make_version(self.node.store.era, 0)
             return
         try:
-            names = endpoint_lists.parse(stored.value)
+            listed = endpoint_lists.parse(stored.value)
         except (KeyError, TypeError, AttributeError) as error:
             self.node.journal.note("list_refused", group=group.name, reason=repr(error))
-            names = frozenset()
-        group.apply_list(names, stored.version, clock.read())
+            listed = {}
+        group.apply_list(listed, stored.version, clock.read())
 
     def take_state(self, state: catalog.GroupState) -> None:
         """Apply a group's state, unless a later one is known."""
--- a/src/sardinehold/node/store_writer.py
+++ b/src/sardinehold/node/store_writer.py
@@ -76,7 +76,7 @@
         return written
 
     async def write_endpoints(
-        self, group: "groups.Group", names: frozenset[str]
+        self, group: "groups.Group", listed: endpoint_lists.Listed
     ) -> None:
         """Write the list of a group's endpoints; see :mod:`.endpoint_lists`.
 
@@ -84,12 +84,12 @@
         """
         name = f"{store_mirror.ENDPOINTS_PREFIX}{group.name}"
         kind, version = store_mirror.FLEET_KIND, group.list_version
-        value = endpoint_lists.dump(names)
+        value = endpoint_lists.dump(listed)
         if objects.find_revision(version):
             stored = await self.node.store.update(kind, name, value, version)
         else:
             stored = await self.node.store.create(kind, name, value)
-        group.apply_list(names, stored.version, clock.read())
+        group.apply_list(listed, stored.version, clock.read())
 
     async def maintain_entry(self) -> None:
         """Keep this node's entry in the store, and create the secret if needed."""
--- a/tests/test_departed_replicas.py
+++ b/tests/test_departed_replicas.py
@@ -72,11 +72,11 @@
     builders_node.run_scenario(monkeypatch, scenario)
 
 
-def publish_replica(world, name: str) -> None:
+def publish_replica(world, name: str, **changes: object) -> None:
     """Add an empty replica to the group, and publish it."""
     cluster = world.clusters["g"]
     cluster.databases[name] = group_in_memory.Database(cluster, name, "north")
-    world.publish_endpoint(name)
+    world.publish_endpoint(name, **changes)
 
 
 def transfer_log(world, left, name: str) -> None:
@@ -88,7 +88,7 @@
 
 
 def find_list(world) -> list[str]:
-    return world.store.objects[LIST].value["endpoints"]
+    return list(world.store.objects[LIST].value["endpoints"])
 
 
 def count_writes(world) -> int:
@@ -123,7 +123,9 @@
     builders_node.run_scenario(monkeypatch, scenario)
 
 
-@pytest.mark.parametrize("value", [None, {}, {"endpoints": 3}, {"endpoints": [3]}])
+@pytest.mark.parametrize(
+    "value", [None, {}, {"endpoints": 3}, {"endpoints": {"g-1": 3}}]
+)
 def test_list_of_endpoints_that_is_lost_or_malformed_is_written_again(
     monkeypatch, value
 ):
@@ -213,3 +215,29 @@
         assert_nothing_lost(cluster)
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("drains", [True, False])
+def test_log_that_was_not_transferred_still_counts(monkeypatch, drains):
+    # Its endpoint drained and has no successor yet, or crashed and has an empty one.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, replica, lagging = cluster.databases.values()
+        lagging.is_receive_blocked = True
+        world.publish_endpoint(replica.name, is_draining=drains)
+        await write_for(world, 2.0)
+        acknowledged = set(cluster.acknowledged)
+        primary.crash()
+        replica.crash()
+        world.store.put(builders_node.ENDPOINT_KIND, replica.name, None)
+        await restart_nodes(world)
+        if not drains:
+            publish_replica(world, "g-3", host=replica.name)
+        await write_for(world, 10.0)
+        assert not cluster.promoted
+        transfer_log(world, replica, "g-4")
+        await write_for(world, 4.0)
+        assert bool(cluster.promoted) is drains
+        assert [len(acknowledged - item.kept) for item in cluster.promoted] in ([], [0])
+
+    builders_node.run_scenario(monkeypatch, scenario)
