Show that a fleet that starts anew forgets a replica that started empty

What callers see: acknowledged writes are missing after a change of primary. The replica with the only copy starts again under its name without its log, the primary crashes at that moment or 3 s later, all nodes start again. The list in the store names endpoints, not their starts.

--- a/tests/test_departed_replicas.py
+++ b/tests/test_departed_replicas.py
@@ -241,3 +241,32 @@
         assert [len(acknowledged - item.kept) for item in cluster.promoted] in ([], [0])
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("restarted_at", [-3.0, 0.0])
+def test_nodes_that_all_start_after_a_replica_started_empty_know_of_its_earlier_start(
+    monkeypatch, restarted_at
+):
+    # Its earlier start had the only copy; the log that lagged behind was promoted.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        primary, replica, lagging = cluster.databases.values()
+        await write_for(world, 1.0)
+        lagging.is_receive_blocked = True
+        await write_for(world, 1.0)
+        replica.is_receive_blocked = True
+        acknowledged = set(cluster.acknowledged)
+        builders_node.restart_database(world, replica)
+        await write_for(world, -restarted_at)
+        primary.crash()
+        await write_for(world, 0.5)
+        await restart_nodes(world)
+        await write_for(world, 10.0)
+        assert [len(acknowledged - item.kept) for item in cluster.promoted] == []
+        primary.is_up = True
+        replica.is_receive_blocked = lagging.is_receive_blocked = False
+        await write_for(world, 4.0)
+        assert (await world.open("n1", "latest").write()).error is None
+        assert_nothing_lost(cluster)
+
+    builders_node.run_scenario(monkeypatch, scenario)
