Keep in the store with which start an endpoint may hold a commit

What callers saw: acknowledged writes were missing after a replica with the only copy had started empty under its name, the primary had crashed, and all nodes had started.

A node that finds another start in the record than in the list notes a restart, so that the log proves nothing until it reaches a position that the primary reported afterwards; the members' reports, the old primary's log and LOSS_ACCEPTED_AFTER end the wait as for any restart.

Changed test: test_list_of_endpoints_is_written_only_when_it_changes had a restart where it says that a record is away; it has both cases now, with 0 and 1 writes.

--- a/src/sardinehold/node/endpoint_lists.py
+++ b/src/sardinehold/node/endpoint_lists.py
@@ -25,22 +25,29 @@
 RETRY_DELAY = 0.5
 """Seconds before a list that could not be written is written again."""
 
-Listed = dict[str, str]
-"""Endpoints by their names; of one that drains, the address at which another one gets
-its log, otherwise ``""``."""
+Listed = dict[str, tuple[int, str]]
+"""Start of each endpoint that may hold a commit, by its name; of one that drains, the
+address at which another one gets its log, otherwise ``""``."""
 
+UNKNOWN = (0, "")
+"""Entry of an endpoint that left before it was listed."""
 
-def find_departed(group: "groups.Group", now: float) -> frozenset[str]:
-    """Return the endpoints that left recently, as far as this node knows.
 
-    While the group is sealed, no replica catches up: none is dropped.
-    """
-    end = min(now, group.commits.sealed_at)
+def find_departed(group: "groups.Group", now: float) -> frozenset[str]:
+    """Return the endpoints that left recently, as far as this node knows."""
     return frozenset(
-        name for name, at in group.removed_at.items() if end - at < DEPARTED_RETENTION
+        name for name, at in group.removed_at.items() if _is_recent(group, at, now)
     )
 
 
+def _is_recent(group: "groups.Group", at: float, now: float) -> bool:
+    """Return whether logs may lag since an instant.
+
+    While the group is sealed, no replica catches up: that time does not count.
+    """
+    return min(now, group.commits.sealed_at) - at < DEPARTED_RETENTION
+
+
 def count_departed(group: "groups.Group", primary: str, now: float) -> int:
     """Return how many replicas left recently and may have had the only copy.
 
@@ -62,35 +69,44 @@
 
 
 def make_list(group: "groups.Group", now: float) -> Listed:
-    """Return the list that the store should hold."""
-    found = {name: group.listed.get(name, "") for name in find_departed(group, now)}
+    """Return the list that the store should hold.
+
+    An endpoint that started again is listed with its earlier start for as long as one
+    that left.
+    """
+    listed = group.listed
+    found = {name: listed.get(name, UNKNOWN) for name in find_departed(group, now)}
     for name, endpoint in group.endpoints.items():
         drains = endpoint.draining_since is not None
-        found[name] = make_address(endpoint.record) if drains else ""
+        born = endpoint.record.born
+        at = group.restarts.find_newest(name)
+        if name in listed and at is not None and _is_recent(group, at, now):
+            born, _ = listed[name]
+        found[name] = (born, make_address(endpoint.record) if drains else "")
     return found
 
 
 def dump(listed: Listed) -> dict:
     """Return the value that is stored."""
-    return {"endpoints": dict(sorted(listed.items()))}
+    return {"endpoints": {name: list(item) for name, item in sorted(listed.items())}}
 
 
 def parse(value: dict) -> Listed:
     """Return the endpoints that a stored value lists.
 
-    :raises KeyError, TypeError, AttributeError: the value is malformed.
+    :raises KeyError, TypeError, ValueError, AttributeError: the value is malformed.
     """
-    found = value["endpoints"]
-    if not all(isinstance(item, str) for pair in found.items() for item in pair):
-        raise TypeError(f"The endpoints are {found!r:.100}.")
-    return found
+    return {
+        name: (int(born), str(address))
+        for name, (born, address) in value["endpoints"].items()
+    }
 
 
 class EndpointLists:
     """Keeps the lists in the store complete while a node leads.
 
     An endpoint is listed from when the leader learns of it, until it has been gone for
-    ``DEPARTED_RETENTION``: a start within that time changes nothing.
+    ``DEPARTED_RETENTION``: one that is back within that time changes nothing.
     """
 
     def __init__(self, fleet_leader: "leader.Leader") -> None:
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -155,7 +155,7 @@
         self.commits = commits.Commits()
         self._commits_known_since = clock.read()
         self.removed_at: dict[str, float] = {}
-        self.listed: dict[str, str] = {}
+        self.listed: dict[str, tuple[int, str]] = {}
         self.list_version = 0
         self.transfers: dict[str, str] = {}
         self.restarts = restarts.Restarts(clock.read())
@@ -238,6 +238,7 @@
         endpoint.missing_since = None
         self.removed_at.pop(record.name, None)
         self.transfers.pop(record.name, None)
+        self._compare_start(record, now)
         was_draining = endpoint.draining_since is not None
         endpoint.draining_since = self._find_drain(record, now)
         if endpoint.draining_since is not None and not was_draining:
@@ -285,7 +286,9 @@
             self.removed_at[name] = clock.read()
             self._close_idle(endpoint)
 
-    def apply_list(self, listed: dict[str, str], version: int, now: float) -> None:
+    def apply_list(
+        self, listed: dict[str, tuple[int, str]], version: int, now: float
+    ) -> None:
         """Apply the list of the endpoints in the store.
 
         Those without a record have left, perhaps before this node started.
@@ -295,7 +298,15 @@
         self.listed, self.list_version = listed, version
         for name in listed.keys() - self.endpoints.keys() - self.removed_at.keys():
             self.removed_at[name] = now
-            self.transfers[name] = listed[name]
+            _, self.transfers[name] = listed[name]
+        for endpoint in self.endpoints.values():
+            self._compare_start(endpoint.record, now)
+
+    def _compare_start(self, record: catalog.EndpointRecord, now: float) -> None:
+        """Record that an endpoint started again, perhaps before this node did."""
+        born, _ = self.listed.get(record.name, (record.born, ""))
+        if born != record.born and self.restarts.find_newest(record.name) is None:
+            self.restarts.record(record.name, now)
 
     def query_position(self, now: float) -> None:
         """Probe the primary if it has answered nothing since a replica restarted."""
--- a/src/sardinehold/node/restarts.py
+++ b/src/sardinehold/node/restarts.py
@@ -45,6 +45,11 @@
         """Record that an endpoint started again."""
         self._by_name[name] = Restart(now)
 
+    def find_newest(self, name: str) -> float | None:
+        """Return when this node learned of an endpoint's newest restart."""
+        restart = self._by_name.get(name)
+        return restart.at if restart is not None else None
+
     def record_position(self, sent_at: float, position: positions.Position) -> None:
         """Record the primary's answer to a request sent at an instant."""
         for restart in (self._own, *self._by_name.values()):
--- a/src/sardinehold/node/store_mirror.py
+++ b/src/sardinehold/node/store_mirror.py
@@ -519,7 +519,7 @@
             return
         try:
             listed = endpoint_lists.parse(stored.value)
-        except (KeyError, TypeError, AttributeError) as error:
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
             self.node.journal.note("list_refused", group=group.name, reason=repr(error))
             listed = {}
         group.apply_list(listed, stored.version, clock.read())
--- a/tests/test_departed_replicas.py
+++ b/tests/test_departed_replicas.py
@@ -102,7 +102,7 @@
         # A replica whose record is away for some time is no change.
         world.store.put(builders_node.ENDPOINT_KIND, "g-1", None)
         await asyncio.sleep(20.0)
-        world.publish_endpoint("g-1", born=1)
+        world.publish_endpoint("g-1")
         # Neither is a change of primary, nor a start of the nodes.
         world.clusters["g"].primary.crash()
         await write_for(world, 4.0)
@@ -119,12 +119,27 @@
         assert count_writes(world) == 2
         await asyncio.sleep(5.0)
         assert (find_list(world), count_writes(world)) == (["g-0", "g-1", "g-2"], 3)
+        # A start under the same name is written once.
+        world.store.put(builders_node.ENDPOINT_KIND, "g-1", None)
+        await asyncio.sleep(10.0)
+        world.publish_endpoint("g-1", born=1)
+        await asyncio.sleep(endpoint_lists.DEPARTED_RETENTION - 1.0)
+        assert count_writes(world) == 3
+        await asyncio.sleep(100.0)
+        assert count_writes(world) == 4
 
     builders_node.run_scenario(monkeypatch, scenario)
 
 
 @pytest.mark.parametrize(
-    "value", [None, {}, {"endpoints": 3}, {"endpoints": {"g-1": 3}}]
+    "value",
+    [
+        None,
+        {},
+        {"endpoints": 3},
+        {"endpoints": {"g-1": 3}},
+        {"endpoints": {"g-1": ["x", ""]}},
+    ],
 )
 def test_list_of_endpoints_that_is_lost_or_malformed_is_written_again(
     monkeypatch, value
