--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -105,7 +105,12 @@
     :param may_probe: returns whether an endpoint of the group may be probed now.
     :param state: primary and term, as last read from the store; None while unknown.
     :param commits: those of this node's callers.
-    :param removed_at: when endpoints were removed, by their names.
+    :param removed_at: when endpoints were removed, by their names, or when this node
+        learned that they had been.
+    :param listed: endpoints that the store lists; see :mod:`.endpoint_lists`.
+    :param list_version: version of that list, with revision 0 if there is none.
+    :param transfers: addresses at which others get the logs of endpoints that drained
+        and left, by their names, as far as this node learned from that list.
     :param restarts: of the endpoints, as far as this node saw them.
     :param drains: drains of endpoints, by their names; a drain is never revoked, also
         if the store has lost it.
@@ -150,6 +155,9 @@
         self.commits = commits.Commits()
         self._commits_known_since = clock.read()
         self.removed_at: dict[str, float] = {}
+        self.listed: dict[str, tuple[int, str]] = {}
+        self.list_version = 0
+        self.transfers: dict[str, str] = {}
         self.restarts = restarts.Restarts(clock.read())
         self.drains: dict[str, Drain] = {}
         self._no_primary_since: float | None = None
@@ -258,6 +266,8 @@
         endpoint.record = record
         endpoint.missing_since = None
         self.removed_at.pop(record.name, None)
+        self.transfers.pop(record.name, None)
+        self._compare_start(record, now)
         was_draining = endpoint.draining_since is not None
         endpoint.draining_since = self._find_drain(record, now)
         if endpoint.draining_since is not None and not was_draining:
@@ -305,6 +315,28 @@
             self.removed_at[name] = clock.read()
             self._close_idle(endpoint)
 
+    def apply_list(
+        self, listed: dict[str, tuple[int, str]], version: int, now: float
+    ) -> None:
+        """Apply the list of the endpoints in the store.
+
+        Those without a record have left, perhaps before this node started.
+        """
+        if version < self.list_version:
+            return
+        self.listed, self.list_version = listed, version
+        for name in listed.keys() - self.endpoints.keys() - self.removed_at.keys():
+            self.removed_at[name] = now
+            _, self.transfers[name] = listed[name]
+        for endpoint in self.endpoints.values():
+            self._compare_start(endpoint.record, now)
+
+    def _compare_start(self, record: catalog.EndpointRecord, now: float) -> None:
+        """Record that an endpoint started again, perhaps before this node did."""
+        born, _ = self.listed.get(record.name, (record.born, ""))
+        if born != record.born and self.restarts.find_newest(record.name) is None:
+            self.restarts.record(record.name, now)
+
     def query_position(self, now: float) -> None:
         """Probe the primary if it has answered nothing since a replica restarted."""
         if self.is_serving() and self.restarts.needs_position(now):
