Show where the supervisor promotes a log that lacks a commit

The proxies' supervisor has the same class of fault: the log to promote, or the right to acknowledge, is decided on something that isn't final.

--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -47,6 +47,7 @@
         self.log = []
         self.dead = self.cut = False
         self.held_until = 0.0
+        self.promote_refused_until = 0.0
 
     def describe(self):
         length = str(len(self.log))
@@ -353,7 +354,7 @@
             return answered(action.call_id, endpoint.describe())
         term = int(sql.split("(")[1].split(",")[0].rstrip(")"))
         if "cluster_promote" in sql:
-            if term < endpoint.term:
+            if term < endpoint.term or self.now < endpoint.promote_refused_until:
                 return agent_events.EndpointFailed(action.call_id)
             if term > endpoint.term:
                 endpoint.role, endpoint.term = "primary", term
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -139,3 +139,23 @@
     driver, request = start(Durability.ALL)
     driver.answer(request, 5, sqlstate="23505")
     assert driver.find(actions.Acknowledge, request)
+
+
+@pytest.mark.parametrize(
+    "text", ["commit and chain", "commit; begin"], ids=["chain", "batch"]
+)
+@pytest.mark.parametrize("is_sealed", [True, False], ids=["sealed", "serving"])
+def test_commit_that_begins_a_transaction_is_held_like_any_other(text, is_sealed):
+    # With a transaction open behind it, a commit was acknowledged without a check.
+    driver, request = start(Durability.REPLICA)
+    driver.answer(request, 5, status="T")
+    request = driver.ask(1, text)
+    if is_sealed:
+        change(driver, phase=views.Phase.SEALED)
+    driver.answer(request, 6, status="T")
+    driver.offsets["letters-0"] = 6
+    assert driver.find(actions.Acknowledge, request) is None
+    if not is_sealed:
+        driver.offsets["letters-1"] = 6
+        driver.advance(0.1)
+        assert driver.find(actions.Acknowledge, request)
