Prefer the longest log to an endpoint that was not replaced lately

Callers' acknowledged writes were gone after a promotion although an endpoint that had them answered. Cause: candidates.choose_replica left out the endpoints to avoid (replaced as primary in the last 60 s, or failed to take two orders) before it compared the logs, so that a shorter log was promoted. Avoided endpoints now lose only against a log of the same length.

One check of tests/test_failover.py asserted the fault (avoided "c" at 12, "b" at 10 was to be chosen); it asserts "c" now, and with equal logs that the avoided one loses, both ways.

--- a/src/sardinehold/core/candidates.py
+++ b/src/sardinehold/core/candidates.py
@@ -47,16 +47,19 @@
 ) -> str:
     """Return the most advanced replica of the sealed term, ``""`` for none.
 
-    :param avoided: endpoints to choose only if there is no other.
+    :param avoided: endpoints to choose only if no other log is as long; a shorter
+        one may lack acknowledged writes.
     """
     eligible = {
         name: status
         for name, status in statuses.items()
         if status.term == state.term and name != state.primary
     }
-    preferred = {name: item for name, item in eligible.items() if name not in avoided}
-    eligible = preferred or eligible
-    return max(sorted(eligible), key=lambda name: eligible[name].received, default="")
+    return max(
+        sorted(eligible),
+        key=lambda name: (eligible[name].received, name not in avoided),
+        default="",
+    )
 
 
 def can_resume(state: core_view.GroupState, statuses: dict[str, LogStatus]) -> bool:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -269,5 +269,8 @@
         "d": make_status("d", 50, term=2),
     }
     assert candidates.choose_replica(state, statuses) == "c"
+    assert candidates.choose_replica(state, statuses, frozenset("c")) == "c"
+    statuses["b"] = make_status("b", 12)
+    assert candidates.choose_replica(state, statuses, frozenset("b")) == "c"
     assert candidates.choose_replica(state, statuses, frozenset("c")) == "b"
     assert candidates.choose_replica(state, {"d": statuses["d"]}) == ""
