Choose the log that a late order has promoted

Callers' acknowledged writes were gone when the supervisor's first order took effect after it had named another endpoint. Cause: an endpoint counted only in the term of the seal, so the one that the late order had promoted, with the only copy, could not be chosen any more. It now counts up to the newest term that the group's object names (promoting): nobody writes to such an endpoint before it is published, so its log is one of the sealed term. Later terms, as after a restore of the store, stay out as before.

The unit check names the newest order now, and asserts that without one the endpoint stays out.

--- a/src/sardinehold/core/candidates.py
+++ b/src/sardinehold/core/candidates.py
@@ -44,16 +44,21 @@
     state: core_view.GroupState,
     statuses: dict[str, LogStatus],
     avoided: frozenset[str] = frozenset(),
+    last_term: int = 0,
 ) -> str:
     """Return the most advanced replica of the sealed term, ``""`` for none.
 
     :param avoided: endpoints to choose only if no other log is as long; a shorter
         one may lack acknowledged writes.
+    :param last_term: newest term that was ordered since the seal. An endpoint that
+        such an order has promoted has a log of the sealed term: nobody has written
+        to it since.
     """
     eligible = {
         name: status
         for name, status in statuses.items()
-        if status.term == state.term and name != state.primary
+        if state.term <= status.term <= max(state.term, last_term)
+        and name != state.primary
     }
     return max(
         sorted(eligible),
--- a/src/sardinehold/core/failover.py
+++ b/src/sardinehold/core/failover.py
@@ -245,7 +245,10 @@
             self._failures = 0
             return
         target = candidates.choose_replica(
-            self.group, self._statuses, self._list_avoided(now, intent)
+            self.group,
+            self._statuses,
+            self._list_avoided(now, intent),
+            intent["term"] if intent is not None else 0,
         )
         if target:
             self._write_phase(core_view.Phase.SEALED, self._make_intent(target))
--- a/tests/test_promotion_decision.py
+++ b/tests/test_promotion_decision.py
@@ -77,7 +77,32 @@
         "b": make_status("b", 12, term=4, role="primary"),
         "c": make_status("c", 10),
     }
-    assert candidates.choose_replica(state, statuses) == "b"
+    assert candidates.choose_replica(state, statuses, last_term=4) == "b"
+    assert candidates.choose_replica(state, statuses) == "c"
+
+
+def test_log_that_a_late_order_promoted_is_ordered_again():
+    # The shorter log was ordered next, and stayed the only one to be chosen.
+    world = make_busy_world(seed=2)
+    world.endpoints["db-3"].held_until = world.now + 60.0
+    world.run(1.0)
+    late = world.endpoints["db-2"]
+    late.promote_refused_until = world.now + 60.0
+    world.endpoints["db-3"].promote_refused_until = world.now + 60.0
+    world.endpoints["db-1"].dead = True
+    named = lambda name: (  # noqa: E731
+        world.read_group().get("promoting", {}).get("endpoint") == name
+    )
+    assert world.run_until(lambda: named("db-2"), 3.0)
+    late.dead = True
+    assert world.run_until(lambda: named("db-3"), 5.0)
+    late.dead = False
+    late.role, late.term, late.promoted_at = "primary", 2, len(late.log)
+    late.promote_refused_until = 0.0
+    world.run(3.0)
+    world.endpoints["db-3"].promote_refused_until = 0.0
+    assert world.run_until(lambda: serves_term(world, 3), 5.0)
+    assert world.list_lost() == []
 
 
 def test_target_replaced_before_the_order_is_not_published():
