Publish no endpoint whose log got shorter since it was chosen

All writes were gone for callers when the endpoint that the stored intent named was replaced by an empty one before the order: the order (also one by the next supervisor, after any time) isn't preceded by another look at the log. The intent holds the end of the log now, and the answer of cluster_promote tells where the new term begins: if that is earlier, the order counts as failed, the logs are read again, and the longest one is ordered with a later term. An intent without the field, from an earlier release, is handled as before.

--- a/src/sardinehold/core/failover.py
+++ b/src/sardinehold/core/failover.py
@@ -2,9 +2,9 @@
 
 Each step stores what the next one needs in the group's object, so that any
 supervisor can resume from there: ``phase`` states whether writes are accepted,
-and ``promoting`` names the endpoint and the term of a promotion before it is
-requested. A promotion that cannot be completed is followed by one with a later
-term, never with the same term.
+and ``promoting`` names the endpoint, its log's end and the term of a promotion
+before it is requested. A promotion that cannot be completed is followed by one with
+a later term, never with the same term.
 """
 
 from sardinehold import views
@@ -204,7 +204,9 @@
         target = self._find_target()
         if candidates.has_caught_up(self._statuses, self.group.primary, target):
             self._transition("caught_up", target=target)
-            self._write_phase(core_view.Phase.SEALED, self._make_intent(target))
+            received = self._statuses[target].received
+            intent = self._make_intent(target, received)
+            self._write_phase(core_view.Phase.SEALED, intent)
         elif not self._pending & {self.group.primary, target or self.group.primary}:
             self._query_statuses(now)
 
@@ -251,7 +253,9 @@
             intent["term"] if intent is not None else 0,
         )
         if target:
-            self._write_phase(core_view.Phase.SEALED, self._make_intent(target))
+            received = self._statuses[target].received
+            new = self._make_intent(target, received)
+            self._write_phase(core_view.Phase.SEALED, new)
         elif not self._pending:
             self._handle_no_candidate(now, intent)
 
@@ -270,6 +274,8 @@
         status = self._statuses.get(intent["endpoint"])
         if status is None or status.role != "primary":
             return False
+        if status.received < intent.get("received", 0):
+            return False
         return status.term == intent["term"]
 
     def _list_avoided(self, now: float, intent: dict | None) -> frozenset[str]:
@@ -289,7 +295,7 @@
         deadline = now + PROMOTE_TIMEOUT
         version = self._version
         call_id = self.node.start_call(
-            lambda later, event: self._finish_promotion(later, event, version)
+            lambda later, event: self._finish_promotion(later, event, version, intent)
         )
         self.node.emit(
             agent_actions.QueryEndpoint(
@@ -299,15 +305,18 @@
         return deadline
 
     def _finish_promotion(
-        self, now: float, event: agent_events.AgentEvent, version: int
+        self, now: float, event: agent_events.AgentEvent, version: int, intent: dict
     ) -> None:
         if version != self._version:
             return
         self._busy = False
         if isinstance(event, agent_events.EndpointAnswered) and event.rows:
             self._offset = int(event.rows[0][0])
-            self._transition("promoted", offset=self._offset)
-            return
+            # An endpoint that was replaced since it was chosen has a shorter log.
+            if self._offset >= intent.get("received", 0):
+                self._transition("promoted", offset=self._offset)
+                return
+            self._failures = PROMOTE_ATTEMPTS
         self._failures += 1
         self._statuses = {}
         self._transition("failed")
@@ -347,10 +356,14 @@
         stored = self.node.snapshot.find("group-state", self.name)
         return stored.value.get("promoting")
 
-    def _make_intent(self, target: str) -> dict:
+    def _make_intent(self, target: str, received: int) -> dict:
+        """Return the promotion to store.
+
+        :param received: end of the target's log when it was chosen.
+        """
         held = self._read_intent()
         term = max(self.group.term, held["term"] if held else 0) + 1
-        return {"endpoint": target, "term": term}
+        return {"endpoint": target, "term": term, "received": received}
 
     def _query_statuses(self, now: float) -> None:
         self._statuses = {}
