Let a node that refuses a document follow the groups

Callers were told success by the old primary after a promotion, through a node that could not parse the newest document (of a later release, or written past the checks). The document before stays in force now, and groups, members and roles move on with it. documents_refused counts each version once. What a withdrawn key in a refused document means for that node is as before.

--- a/src/sardinehold/core/fleet_node.py
+++ b/src/sardinehold/core/fleet_node.py
@@ -3,7 +3,6 @@
 import typing
 import zlib
 
-from sardinehold import errors
 from sardinehold import objects
 from sardinehold import views
 from sardinehold.core import agent_actions
@@ -188,11 +187,10 @@
 
     def _publish(self) -> None:
         self._read_members()
-        try:
-            view = self.builder.build(self.snapshot)
-        except errors.DocumentError:
+        refused = self.builder.refused
+        view = self.builder.build(self.snapshot)
+        if self.builder.refused > refused:
             self.emit(agent_actions.Count("documents_refused"))
-            return
         if view is None:
             return
         self.view = view
--- a/src/sardinehold/views.py
+++ b/src/sardinehold/views.py
@@ -1,32 +1,43 @@
 """Conversion between the view and the platform's objects."""
 
 from sardinehold import document
+from sardinehold import errors
 from sardinehold import objects
 from sardinehold.core import snapshot as snapshots
 from sardinehold.core import view as views
 
 
 class ViewBuilder:
-    """Builder of views from snapshots that parses each document version only once."""
+    """Builder of views from snapshots that parses each document version only once.
 
-    __slots__ = ("_version", "_document")
+    :param refused: number of document versions that could not be parsed.
+    """
+
+    __slots__ = ("refused", "_version", "_document")
 
     def __init__(self) -> None:
         """Start without a document."""
+        self.refused = 0
         self._version = 0
         self._document: document.Document | None = None
 
     def build(self, snapshot: snapshots.Snapshot) -> views.View | None:
-        """Return the view of ``snapshot``, None if it has no document.
+        """Return the view of ``snapshot``, None if there is no valid document yet.
 
-        :raises sardinehold.errors.DocumentError: the document is not valid.
+        A document that is not valid leaves the one before in force, so that a node
+        that acknowledges the version acts on its groups and members.
         """
         stored = snapshot.find("document", "current")
         if stored is None:
             return None
         if stored.version != self._version:
-            self._document = document.parse_document(stored.value, strict=False)
             self._version = stored.version
+            try:
+                self._document = document.parse_document(stored.value, strict=False)
+            except errors.DocumentError:
+                self.refused += 1
+        if self._document is None:
+            return None
         return views.View(
             version=snapshot.version,
             document=self._document,
