Begin no hand-over while a removed node may hold a lease

Callers' writes through a node that had just been removed were gone after a planned hand-over. Cause: the target of a hand-over is chosen, and its log compared, once all members are quiet, before the fence; a removed incarnation is no member, isn't asked, and may acknowledge until its lease ends. The fence then waited for that lease, but promoted the target named before. A hand-over now waits for the members' object to name no removed incarnation, and none that appears while writes are held back counts as quiet (the request is then given up after 2 s, as ever).

Evidence: tests/test_promotion_decision.py: 84 acknowledged writes lost before, 0 after, and the requested endpoint is primary (virtual time).

--- a/src/sardinehold/core/failover.py
+++ b/src/sardinehold/core/failover.py
@@ -174,11 +174,21 @@
         if suspected and self._may_promote(now):
             self._transition("suspect", primary=self.group.primary)
             self._write_phase(core_view.Phase.SEALED)
-        elif self.node.snapshot.find("handover", self.name) is not None:
+        elif self._may_hand_over():
             self._transition("hand_over")
             self._write_phase(core_view.Phase.DRAINING)
         return now + IDLE_INTERVAL
 
+    def _may_hand_over(self) -> bool:
+        """Return whether a switchover is requested and no removed node holds a lease.
+
+        Such a node is not asked whether it is quiet, and the logs are compared
+        before its lease has expired.
+        """
+        if self.node.record.removed:
+            return False
+        return self.node.snapshot.find("handover", self.name) is not None
+
     def _step_draining(self, now: float, suspected: bool) -> float:
         if suspected:
             self._transition("suspect", primary=self.group.primary)
@@ -197,6 +207,8 @@
         return now > self._draining_since + DRAIN_TIMEOUT
 
     def _is_quiesced(self, now: float) -> bool:
+        if self.node.record.removed:
+            return False
         members = set(self.node.record.members)
         return members <= self.relay_server.list_quiesced(now, self.name)
 
--- a/tests/test_promotion_decision.py
+++ b/tests/test_promotion_decision.py
@@ -171,7 +171,8 @@
     if world.run_until(decided, 1.0):
         world.endpoints["db-3"].held_until = world.now + 20.0
     world.run(8.0)
-    assert world.read_group()["phase"] == "serving"
+    state = world.read_group()
+    assert (state["phase"], state["primary"]) == ("serving", "db-3")
     assert world.list_lost() == []
 
 
