Hold a commit that begins another transaction until it is durable

Callers were told success for COMMIT AND CHAIN, or COMMIT; BEGIN in one text, although no replica had the commit, the lease had ended or the group was sealed; a promotion then lost it. Cause: an answer was held only when no transaction was open behind it. The traits of a text say now whether it contains a COMMIT (a text that is not parsed: the word COMMIT or END), and such an answer is held whatever follows. If it can't be acknowledged, the session ends with outcome unknown, since the transaction behind it is open on a connection of the old primary.

The case of a text that is not parsed came with the fix.

--- a/src/sardinehold/core/answers.py
+++ b/src/sardinehold/core/answers.py
@@ -83,7 +83,7 @@
 ) -> None:
     """Acknowledge a request now, or hold it until its write is durable."""
     session = request.session
-    if event.status == "I" and not request.is_read and _may_have_written(request):
+    if not request.is_read and _may_have_committed(request, event.status):
         if not event.sqlstate:
             durability.hold(node, request)
             return
@@ -99,8 +99,14 @@
     requests.finish(node, request)
 
 
-def _may_have_written(request: requests.Request) -> bool:
-    """Return whether the request may have committed a change."""
+def _may_have_committed(request: requests.Request, status: str) -> bool:
+    """Return whether the request may have committed a change.
+
+    :param status: status behind it; with a transaction open, only what precedes
+        that transaction is committed.
+    """
+    if status != "I":
+        return request.traits.commits
     kind = request.traits.kind
     return kind is statements.Kind.WRITE or kind is statements.Kind.COMMIT
 
--- a/src/sardinehold/core/classifier.py
+++ b/src/sardinehold/core/classifier.py
@@ -31,6 +31,9 @@
     r"\b(temp|temporary|listen|prepare|set|declare|set_config|pg_(try_)?advisory_\w+)\b",
     re.IGNORECASE,
 )
+_COMMIT = re.compile(r"\b(commit|end)\b", re.IGNORECASE)
+"""Words that may commit, searched for in texts that are not parsed."""
+
 _ANALYZE = re.compile(r"\banaly[sz]e\b|\bu&", re.IGNORECASE)
 """An option of EXPLAIN that runs the statement; its name may be escaped by ``U&``."""
 
@@ -102,8 +105,7 @@
 def _classify_cached(text: str) -> statements.Traits:
     """Return cached traits; long texts are neither parsed nor cached."""
     if len(text) > MAX_PARSED_LENGTH:
-        pins = _SESSION_STATE.search(text) is not None
-        return statements.Traits(statements.Kind.WRITE, pins=pins)
+        return _classify_unparsed(text)
     return _classify_short(text)
 
 
@@ -115,8 +117,7 @@
     except (sqlglot.errors.SqlglotError, RecursionError):
         words = None
     if words is None or not _covers_words(text, words):
-        pins = _SESSION_STATE.search(text) is not None
-        return statements.Traits(statements.Kind.WRITE, pins=pins)
+        return _classify_unparsed(text)
     parts = _split(words)
     if not parts:
         return statements.Traits(statements.Kind.EMPTY)
@@ -126,6 +127,12 @@
     return statements.merge_traits(found)
 
 
+def _classify_unparsed(text: str) -> statements.Traits:
+    pins = _SESSION_STATE.search(text) is not None
+    commits = _COMMIT.search(text) is not None
+    return statements.Traits(statements.Kind.WRITE, pins=pins, commits=commits)
+
+
 def _covers_words(text: str, words: list[tokens.Token]) -> bool:
     """Return whether sqlglot reads each word and semicolon that PostgreSQL reads."""
     spans = _find_spans(text, words)
@@ -256,7 +263,8 @@
     kind = statements.Kind.COMMIT
     if upper[0] in ("ROLLBACK", "ABORT"):
         kind = statements.Kind.ROLLBACK
-    return statements.Traits(kind, begins=chains, ends=True)
+    commits = kind is statements.Kind.COMMIT
+    return statements.Traits(kind, begins=chains, ends=True, commits=commits)
 
 
 def _parse_prepare(words: list[tokens.Token]) -> statements.Traits:
@@ -402,6 +410,7 @@
         idempotency_key=key,
         refusal=traits.refusal,
         reverts=traits.reverts,
+        commits=traits.commits,
     )
 
 
--- a/src/sardinehold/core/durability.py
+++ b/src/sardinehold/core/durability.py
@@ -14,6 +14,7 @@
 from sardinehold.core import positions
 from sardinehold.core import probing
 from sardinehold.core import request as requests
+from sardinehold.core import transaction
 from sardinehold.core import view as views
 
 _CHECK_REMEDY = "Check whether the write took effect before repeating it."
@@ -124,12 +125,16 @@
 def end_unknown(
     node: nodes.Node, request: requests.Request, error: errors.RequestError
 ) -> None:
-    """End a sent request whose effect is unknown."""
-    if request.session.is_closed:
+    """End a sent request whose effect is unknown, with a transaction behind it."""
+    session = request.session
+    if session.is_closed:
         node.count("writes_unknown_without_caller")
         requests.drop(node, request)
         return
-    requests.refuse(node, request, error)
+    has_begun = request.state == "held" and session.status != "I"
+    requests.refuse(node, request, error, fatal=has_begun)
+    if has_begun:
+        transaction.end_session(node, session, error=None)
 
 
 def review(node: nodes.Node, group: groups.Group) -> None:
--- a/src/sardinehold/core/statements.py
+++ b/src/sardinehold/core/statements.py
@@ -35,6 +35,7 @@
     :param local: whether SET is LOCAL to the transaction.
     :param idempotency_key: the key that a sqlcommenter comment carries.
     :param refusal: reason why the statement is not supported, or ``""``.
+    :param commits: whether it contains a COMMIT, whatever follows.
     """
 
     __slots__ = (
@@ -48,6 +49,7 @@
         "local",
         "idempotency_key",
         "refusal",
+        "commits",
     )
 
     def __init__(
@@ -62,6 +64,7 @@
         idempotency_key: str = "",
         refusal: str = "",
         reverts: bool = False,
+        commits: bool = False,
     ) -> None:
         """Store the traits."""
         self.kind = kind
@@ -74,6 +77,7 @@
         self.local = local
         self.idempotency_key = idempotency_key
         self.refusal = refusal
+        self.commits = commits
 
     @property
     def discards_all(self) -> bool:
@@ -108,6 +112,7 @@
         pins=pins,
         refusal=refusal,
         reverts=reverts,
+        commits=any(traits.commits for traits in found),
     )
 
 
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -142,7 +142,9 @@
 
 
 @pytest.mark.parametrize(
-    "text", ["commit and chain", "commit; begin"], ids=["chain", "batch"]
+    "text",
+    ["commit and chain", "commit; begin", f"commit; begin; select '{'a' * 20_000}'"],
+    ids=["chain", "batch", "long"],
 )
 @pytest.mark.parametrize("is_sealed", [True, False], ids=["sealed", "serving"])
 def test_commit_that_begins_a_transaction_is_held_like_any_other(text, is_sealed):
