--- a/tests/test_promotion_decision.py
+++ b/tests/test_promotion_decision.py
@@ -3,9 +3,12 @@
 import builders_fleet
 from sardinehold import document
 from sardinehold import errors
+from sardinehold import objects
+from sardinehold import views
 from sardinehold.core import agent
 from sardinehold.core import candidates
 from sardinehold.core import membership
+from sardinehold.core import snapshot as snapshots
 from sardinehold.core import view
 
 GROUP = builders_fleet.GROUP
@@ -187,3 +190,23 @@
     world.change("document", "current", value)
     world.run(6.0)
     assert world.list_lost() == []
+
+
+def test_older_document_does_not_hide_a_seal():
+    # The engine ignores a view with an older document, and with it the seal.
+    builder = views.ViewBuilder()
+    phases = []
+    for revision, version, phase in [(1, 5, "serving"), (2, 4, "sealed")]:
+        content = builders_fleet.make_document_value(version)
+        state = view.GroupState(GROUP, 1, "db-1", view.Phase(phase))
+        listed = [
+            objects.StoredObject("document", "current", revision, content),
+            objects.StoredObject(
+                "group-state", GROUP, revision, views.dump_group_state(state)
+            ),
+        ]
+        snapshot = snapshots.Snapshot()
+        snapshot.replace(objects.Changes(listed, revision))
+        built = builder.build(snapshot)
+        phases.append((built.document.version, built.groups[GROUP].phase))
+    assert phases == [(5, view.Phase.SERVING), (5, view.Phase.SEALED)]
