Keep the newer document, and follow the groups beside an older one

With an older document in the platform, a proxy's engine ignored the whole view, also a seal, while its agent acknowledged the version: callers could be told success by an old primary behind the fence. The document in force stays (an accepted one never reverts), and the view has the groups of the newer revision. documents_refused counts it.

--- a/src/sardinehold/views.py
+++ b/src/sardinehold/views.py
@@ -10,7 +10,7 @@
 class ViewBuilder:
     """Builder of views from snapshots that parses each document version only once.
 
-    :param refused: number of document versions that could not be parsed.
+    :param refused: number of documents that were not valid, or older.
     """
 
     __slots__ = ("refused", "_version", "_document")
@@ -24,18 +24,15 @@
     def build(self, snapshot: snapshots.Snapshot) -> views.View | None:
         """Return the view of ``snapshot``, None if there is no valid document yet.
 
-        A document that is not valid leaves the one before in force, so that a node
-        that acknowledges the version acts on its groups and members.
+        A document that is not valid, or older than the one in force, changes nothing,
+        so that a node that acknowledges the version acts on its groups and members.
         """
         stored = snapshot.find("document", "current")
         if stored is None:
             return None
         if stored.version != self._version:
             self._version = stored.version
-            try:
-                self._document = document.parse_document(stored.value, strict=False)
-            except errors.DocumentError:
-                self.refused += 1
+            self._read_document(stored.value)
         if self._document is None:
             return None
         return views.View(
@@ -54,6 +51,18 @@
             token_keys=parse_token_keys(snapshot.find("secret", "token-keys")),
         )
 
+    def _read_document(self, value: dict) -> None:
+        held = self._document
+        try:
+            read = document.parse_document(value, strict=False)
+        except errors.DocumentError:
+            self.refused += 1
+            return
+        if held is not None and read.version < held.version:
+            self.refused += 1
+            return
+        self._document = read
+
 
 def parse_group_state(name: str, value: dict) -> views.GroupState:
     """Return the state in the value of an object of kind ``group-state``."""
