Read a write's position apart where a caller's name may hide the log status

Callers could be told success before a replica had their write: the query of the log status runs in the caller's session behind the write, and a temporary table cluster_log_status, or one in the search path, answered it. In a session that is pinned (as temporary tables pin it), by a statement that pins, or with a search_path of its own, the position now comes from the next probe, which has a connection of the proxy's own. The answer is held and buffered as before.

--- a/src/sardinehold/core/actions.py
+++ b/src/sardinehold/core/actions.py
@@ -61,6 +61,8 @@
         discarded.
     :param want_position: read the log status after the request, and hold
         the tail of its answer until ``Acknowledge`` or ``Refuse``.
+    :param hides_status: do not read it there, since a name of the caller's own may
+        hide it; a probe on another connection will.
     """
 
     __slots__ = (
@@ -70,6 +72,7 @@
         "endpoint",
         "setup",
         "want_position",
+        "hides_status",
     )
 
     def __init__(
@@ -80,6 +83,7 @@
         endpoint: str,
         setup: tuple[str, ...] = (),
         want_position: bool = False,
+        hides_status: bool = False,
     ) -> None:
         """Store the fields of the action."""
         self.request_id = request_id
@@ -88,6 +92,7 @@
         self.endpoint = endpoint
         self.setup = setup
         self.want_position = want_position
+        self.hides_status = hides_status
 
 
 class AnswerLocally(Action):
--- a/src/sardinehold/core/dispatch.py
+++ b/src/sardinehold/core/dispatch.py
@@ -215,6 +215,7 @@
             endpoint.name,
             setup,
             needs_position(request),
+            may_hide_status(request),
         )
     )
 
@@ -260,6 +261,14 @@
     return request.traits.kind is statements.Kind.WRITE
 
 
+def may_hide_status(request: requests.Request) -> bool:
+    """Return whether a temporary table or a search path may hide the log status."""
+    session = request.session
+    if session.is_pinned or request.traits.pins:
+        return True
+    return "search_path" in session.settings
+
+
 def make_setup(old: dict[str, str], new: dict[str, str]) -> tuple[str, ...]:
     """Return the statements that change a connection's settings to a session's."""
     resets = [f"RESET {name}" for name in old if name not in new]
--- a/src/sardinehold/request_actions.py
+++ b/src/sardinehold/request_actions.py
@@ -32,7 +32,7 @@
     if action.setup:
         _prepare_connection(path, request, connection, action)
     else:
-        request.send(action.want_position)
+        request.send(action.want_position, action.hides_status)
 
 
 def _may_send(
@@ -82,7 +82,7 @@
             path.registry.count("setups_failed")
             _report_unsent(path, action)
         elif not request.finished:
-            request.send(action.want_position)
+            request.send(action.want_position, action.hides_status)
 
     payload = b"".join([wire.build_query(sql) for sql in action.setup])
     connection.send(payload, *[answers.Collector(finish) for _ in action.setup])
--- a/src/sardinehold/requests.py
+++ b/src/sardinehold/requests.py
@@ -125,13 +125,15 @@
         """Whether the caller has received only a part of a message."""
         return self.answer is not None and self.answer.ends_inside_message
 
-    def send(self, want_position: bool) -> None:
+    def send(self, want_position: bool, hides_status: bool = False) -> None:
         """Send the request on its connection.
 
-        :param want_position: whether the log status is read after it.
+        :param want_position: whether its answer waits for the position in the log.
+        :param hides_status: whether the position is not read on this connection.
         """
+        reads_status = want_position and not hides_status
         if self.was_open:
-            self._send_open(want_position)
+            self._send_open(reads_status)
             return
         connection = self.connection
         payload, expected_answers = self.content.compose(connection.statements)
@@ -144,7 +146,7 @@
             self, want_position or self.hidden, answer_rewriter
         )
         self.status = None
-        if not want_position:
+        if not reads_status:
             connection.readers.append(self.answer)
             connection.transport.write(payload)
             return
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -161,3 +161,23 @@
         driver.offsets["letters-1"] = 6
         driver.advance(0.1)
         assert driver.find(actions.Acknowledge, request)
+
+
+@pytest.mark.parametrize(
+    "text", ["create temp table cluster_log_status (a int)", "set search_path to a"]
+)
+def test_position_is_not_read_where_the_caller_may_hide_it(text):
+    driver, request = start(Durability.REPLICA)
+    driver.answer(request, 5)
+    driver.offsets["letters-1"] = 5
+    driver.advance(0.1)
+    assert not driver.find(actions.Dispatch, request).hides_status
+    driver.answer(driver.ask(1, text), 5)
+    request = driver.ask(1, "insert into t values (1)")
+    dispatch = driver.find(actions.Dispatch, request)
+    assert dispatch.hides_status
+    assert dispatch.want_position
+    driver.answer(request)
+    driver.offsets.update({"letters-0": 6, "letters-1": 6})
+    driver.advance(0.1)
+    assert driver.find(actions.Acknowledge, request)
