Pause between orders to an endpoint that refuses its promotion

Since the longest log is no longer passed over, an endpoint that has it and refuses was ordered again at once: 148 terms, each a write to the platform, in 10 s (virtual time). After two failed orders the supervisor now waits RETRY_DELAY, as it does without a replica; the test allows 50 in 10 s.

Evidence: tests/test_promotion_decision.py, red with the code before (148), passes.

--- a/src/sardinehold/core/failover.py
+++ b/src/sardinehold/core/failover.py
@@ -330,6 +330,8 @@
                 return
             self._failures = PROMOTE_ATTEMPTS
         self._failures += 1
+        if self._failures >= PROMOTE_ATTEMPTS:
+            self._due = now + RETRY_DELAY
         self._statuses = {}
         self._transition("failed")
 
--- a/tests/test_promotion_decision.py
+++ b/tests/test_promotion_decision.py
@@ -7,6 +7,7 @@
 from sardinehold import views
 from sardinehold.core import agent
 from sardinehold.core import candidates
+from sardinehold.core import failover
 from sardinehold.core import membership
 from sardinehold.core import snapshot as snapshots
 from sardinehold.core import view
@@ -73,6 +74,20 @@
     assert world.list_lost() == []
 
 
+def test_endpoint_that_refuses_its_promotion_is_not_ordered_without_a_pause():
+    # Fifteen orders and writes to the platform a second, for as long as it refuses.
+    world = make_busy_world(seed=2)
+    world.endpoints["db-3"].held_until = world.now + 60.0
+    world.run(1.0)
+    world.endpoints["db-2"].promote_refused_until = world.now + 60.0
+    world.endpoints["db-1"].dead = True
+    world.run(2.0)
+    before = world.read_group()["promoting"]["term"]
+    world.run(10.0)
+    terms = world.read_group()["promoting"]["term"] - before
+    assert 0 < terms <= 10.0 / failover.RETRY_DELAY
+
+
 def test_late_order_does_not_hide_the_log_that_it_promoted():
     # The first order took effect late; its log then counted as one of another term.
     state = view.GroupState(GROUP, 3, "a", view.Phase.SEALED)
