--- a/src/sardinehold/core/failover.py
+++ b/src/sardinehold/core/failover.py
@@ -2,9 +2,9 @@
 
 Each step stores what the next one needs in the group's object, so that any
 supervisor can resume from there: ``phase`` states whether writes are accepted,
-and ``promoting`` names the endpoint and the term of a promotion before it is
-requested. A promotion that cannot be completed is followed by one with a later
-term, never with the same term.
+and ``promoting`` names the endpoint, its log's end and the term of a promotion
+before it is requested. A promotion that cannot be completed is followed by one with
+a later term, never with the same term.
 """
 
 from sardinehold import views
@@ -174,11 +174,21 @@
         if suspected and self._may_promote(now):
             self._transition("suspect", primary=self.group.primary)
             self._write_phase(core_view.Phase.SEALED)
-        elif self.node.snapshot.find("handover", self.name) is not None:
+        elif self._may_hand_over():
             self._transition("hand_over")
             self._write_phase(core_view.Phase.DRAINING)
         return now + IDLE_INTERVAL
 
+    def _may_hand_over(self) -> bool:
+        """Return whether a switchover is requested and no removed node holds a lease.
+
+        Such a node is not asked whether it is quiet, and the logs are compared
+        before its lease has expired.
+        """
+        if self.node.record.removed:
+            return False
+        return self.node.snapshot.find("handover", self.name) is not None
+
     def _step_draining(self, now: float, suspected: bool) -> float:
         if suspected:
             self._transition("suspect", primary=self.group.primary)
@@ -197,6 +207,8 @@
         return now > self._draining_since + DRAIN_TIMEOUT
 
     def _is_quiesced(self, now: float) -> bool:
+        if self.node.record.removed:
+            return False
         members = set(self.node.record.members)
         return members <= self.relay_server.list_quiesced(now, self.name)
 
@@ -204,7 +216,9 @@
         target = self._find_target()
         if candidates.has_caught_up(self._statuses, self.group.primary, target):
             self._transition("caught_up", target=target)
-            self._write_phase(core_view.Phase.SEALED, self._make_intent(target))
+            received = self._statuses[target].received
+            intent = self._make_intent(target, received)
+            self._write_phase(core_view.Phase.SEALED, intent)
         elif not self._pending & {self.group.primary, target or self.group.primary}:
             self._query_statuses(now)
 
@@ -245,10 +259,15 @@
             self._failures = 0
             return
         target = candidates.choose_replica(
-            self.group, self._statuses, self._list_avoided(now, intent)
+            self.group,
+            self._statuses,
+            self._list_avoided(now, intent),
+            intent["term"] if intent is not None else 0,
         )
         if target:
-            self._write_phase(core_view.Phase.SEALED, self._make_intent(target))
+            received = self._statuses[target].received
+            new = self._make_intent(target, received)
+            self._write_phase(core_view.Phase.SEALED, new)
         elif not self._pending:
             self._handle_no_candidate(now, intent)
 
@@ -267,6 +286,8 @@
         status = self._statuses.get(intent["endpoint"])
         if status is None or status.role != "primary":
             return False
+        if status.received < intent.get("received", 0):
+            return False
         return status.term == intent["term"]
 
     def _list_avoided(self, now: float, intent: dict | None) -> frozenset[str]:
@@ -286,7 +307,7 @@
         deadline = now + PROMOTE_TIMEOUT
         version = self._version
         call_id = self.node.start_call(
-            lambda later, event: self._finish_promotion(later, event, version)
+            lambda later, event: self._finish_promotion(later, event, version, intent)
         )
         self.node.emit(
             agent_actions.QueryEndpoint(
@@ -296,16 +317,21 @@
         return deadline
 
     def _finish_promotion(
-        self, now: float, event: agent_events.AgentEvent, version: int
+        self, now: float, event: agent_events.AgentEvent, version: int, intent: dict
     ) -> None:
         if version != self._version:
             return
         self._busy = False
         if isinstance(event, agent_events.EndpointAnswered) and event.rows:
             self._offset = int(event.rows[0][0])
-            self._transition("promoted", offset=self._offset)
-            return
+            # An endpoint that was replaced since it was chosen has a shorter log.
+            if self._offset >= intent.get("received", 0):
+                self._transition("promoted", offset=self._offset)
+                return
+            self._failures = PROMOTE_ATTEMPTS
         self._failures += 1
+        if self._failures >= PROMOTE_ATTEMPTS:
+            self._due = now + RETRY_DELAY
         self._statuses = {}
         self._transition("failed")
 
@@ -344,10 +370,14 @@
         stored = self.node.snapshot.find("group-state", self.name)
         return stored.value.get("promoting")
 
-    def _make_intent(self, target: str) -> dict:
+    def _make_intent(self, target: str, received: int) -> dict:
+        """Return the promotion to store.
+
+        :param received: end of the target's log when it was chosen.
+        """
         held = self._read_intent()
         term = max(self.group.term, held["term"] if held else 0) + 1
-        return {"endpoint": target, "term": term}
+        return {"endpoint": target, "term": term, "received": received}
 
     def _query_statuses(self, now: float) -> None:
         self._statuses = {}
--- a/tests/test_durability.py
+++ b/tests/test_durability.py
@@ -139,3 +139,45 @@
     driver, request = start(Durability.ALL)
     driver.answer(request, 5, sqlstate="23505")
     assert driver.find(actions.Acknowledge, request)
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["commit and chain", "commit; begin", f"commit; begin; select '{'a' * 20_000}'"],
+    ids=["chain", "batch", "long"],
+)
+@pytest.mark.parametrize("is_sealed", [True, False], ids=["sealed", "serving"])
+def test_commit_that_begins_a_transaction_is_held_like_any_other(text, is_sealed):
+    # With a transaction open behind it, a commit was acknowledged without a check.
+    driver, request = start(Durability.REPLICA)
+    driver.answer(request, 5, status="T")
+    request = driver.ask(1, text)
+    if is_sealed:
+        change(driver, phase=views.Phase.SEALED)
+    driver.answer(request, 6, status="T")
+    driver.offsets["letters-0"] = 6
+    assert driver.find(actions.Acknowledge, request) is None
+    if not is_sealed:
+        driver.offsets["letters-1"] = 6
+        driver.advance(0.1)
+        assert driver.find(actions.Acknowledge, request)
+
+
+@pytest.mark.parametrize(
+    "text", ["create temp table cluster_log_status (a int)", "set search_path to a"]
+)
+def test_position_is_not_read_where_the_caller_may_hide_it(text):
+    driver, request = start(Durability.REPLICA)
+    driver.answer(request, 5)
+    driver.offsets["letters-1"] = 5
+    driver.advance(0.1)
+    assert not driver.find(actions.Dispatch, request).hides_status
+    driver.answer(driver.ask(1, text), 5)
+    request = driver.ask(1, "insert into t values (1)")
+    dispatch = driver.find(actions.Dispatch, request)
+    assert dispatch.hides_status
+    assert dispatch.want_position
+    driver.answer(request)
+    driver.offsets.update({"letters-0": 6, "letters-1": 6})
+    driver.advance(0.1)
+    assert driver.find(actions.Acknowledge, request)
