Settle a seal's commits in a step of its own, before a target is named

The leader named the target, then waited for the nodes, and requested. The state's second attempt says now that no success is told any more; the target is named immediately before its request, as before. Without the target's name nothing else holds a change up.

--- a/src/sardinehold/node/catalog.py
+++ b/src/sardinehold/node/catalog.py
@@ -240,10 +240,10 @@
     SEALED = "sealed"
 
 
-FIRST_REQUEST = 2
-"""First attempt of a seal under which a promotion was requested, when all leases on the
-old primary had expired. A primary of a later term under an earlier attempt was promoted
-under a seal that the store has lost."""
+FIRST_SETTLED = 2
+"""First attempt of a seal under which nodes tell no caller of a commit's success any
+more. Later ones request a promotion, once all nodes know of it or their leases have
+expired."""
 
 Stage = tuple[int, bool, int]
 """Term, whether the group is sealed, and attempt of a state. Every step of every change
@@ -258,8 +258,8 @@
     :param phase: ``SEALED`` while the primary is being replaced.
     :param version: version of the group's object in the store, with revision 0 if there
         is none.
-    :param attempt: number of promotions requested under this seal; the version that
-        the state gets with the new count is the fencing token of the request.
+    :param attempt: number of steps under this seal: the seal, ``FIRST_SETTLED``, and
+        each promotion that is requested.
     :param is_stored: whether the object holds this state and was written in the era of
         its version; otherwise the leader has to write it again.
     :param requested: the endpoint whose promotion was last requested, if the platform
--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -349,14 +349,14 @@
             if not self._may_request(state, plan.target):
                 await anyio.sleep(RETRY_DELAY)
                 continue
-            # Nodes that know of it tell no caller of a success any more.
-            state = await self._name_target(state, plan.target)
-            fleet.notify_nodes()
-            await self._wait_for_leases(state.stage)
+            if state.attempt < catalog.FIRST_SETTLED:
+                state = await self._settle(state)
+            await self._wait_for_leases((*sealed.stage[:2], catalog.FIRST_SETTLED))
             if not await self._check_frozen(state, plan) or self._lacks_commits(plan):
                 fleet.record_frozen(self.group, None)
                 continue
             fleet.record_frozen(self.group, self._end_position)
+            state = await self._name_target(state, plan.target)
             if await self._promote(state, plan.target):
                 await self._publish(state, plan.target, started_at)
                 return
@@ -401,6 +401,18 @@
         self.fleet.notify_nodes()
         return sealed
 
+    async def _settle(self, state: catalog.GroupState) -> catalog.GroupState:
+        """Have the nodes tell no caller of a commit's success any more."""
+        settled = await self._write(
+            state,
+            state.term,
+            state.primary,
+            sealed=True,
+            requested=self._find_requested(state),
+        )
+        self.fleet.notify_nodes()
+        return settled
+
     def _may_request(self, state: catalog.GroupState, target: str) -> bool:
         """Return whether no earlier request can promote another endpoint afterwards.
 
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -189,7 +189,7 @@
         if state.phase is catalog.Phase.SEALED:
             self.commits.seal(clock.read(), self.lease.until)
             self.lease.revoke()
-            if state.attempt >= catalog.FIRST_REQUEST:
+            if state.attempt >= catalog.FIRST_SETTLED:
                 self.commits.settle(clock.read())
         if before is None or before.term != state.term:
             self.lease.begin_term(state.term)
@@ -838,5 +838,5 @@
     return (
         before is None
         or before.requested != state.requested
-        or before.attempt < state.attempt >= catalog.FIRST_REQUEST
+        or before.attempt < state.attempt > catalog.FIRST_SETTLED
     )
