--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -620,7 +620,7 @@
     async def _wait_for_leases(self, sealed: catalog.Stage) -> None:
         """Wait until no node may tell a caller of a commit of the old primary."""
         expires_at = self.fleet.find_lease_expiry(self.group)
-        while clock.read() < expires_at:
+        while clock.read() < expires_at and self.fleet.leads():
             if self.fleet.is_seal_known(self.group, sealed):
                 return
             await anyio.sleep(CHECK_INTERVAL)
