--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -350,7 +350,8 @@
                 await anyio.sleep(RETRY_DELAY)
                 continue
             if state.attempt < catalog.FIRST_SETTLED:
-                state = await self._settle(state)
+                # From here on, nodes tell no caller of a commit's success.
+                state = await self._advance_seal(state)
             await self._wait_for_leases((*sealed.stage[:2], catalog.FIRST_SETTLED))
             if not await self._check_frozen(state, plan) or self._lacks_commits(plan):
                 fleet.record_frozen(self.group, None)
@@ -391,6 +392,10 @@
     async def _seal(self, state: catalog.GroupState) -> catalog.GroupState:
         """Store that the primary is being replaced, and tell the nodes."""
         self.fleet.note("seal", group=self.group, term=state.term, old=state.primary)
+        return await self._advance_seal(state)
+
+    async def _advance_seal(self, state: catalog.GroupState) -> catalog.GroupState:
+        """Store the next attempt of a seal, and tell the nodes."""
         sealed = await self._write(
             state,
             state.term,
@@ -401,18 +406,6 @@
         self.fleet.notify_nodes()
         return sealed
 
-    async def _settle(self, state: catalog.GroupState) -> catalog.GroupState:
-        """Have the nodes tell no caller of a commit's success any more."""
-        settled = await self._write(
-            state,
-            state.term,
-            state.primary,
-            sealed=True,
-            requested=self._find_requested(state),
-        )
-        self.fleet.notify_nodes()
-        return settled
-
     def _may_request(self, state: catalog.GroupState, target: str) -> bool:
         """Return whether no earlier request can promote another endpoint afterwards.
 
