--- a/bench/fault_soak.py
+++ b/bench/fault_soak.py
@@ -113,7 +113,12 @@
 
 
 class World:
-    """Database and store stand-ins, links and node processes of one seed."""
+    """Database and store stand-ins, links and node processes of one seed.
+
+    :cvar program: starts a node.
+    """
+
+    program = ROOT / "deploy" / "node.py"
 
     def __init__(self, seed: int, folder: pathlib.Path, lane: int, nodes: int) -> None:
         """Create the stand-ins; nothing is started."""
@@ -202,7 +207,7 @@
         with (self.folder / f"node-{index}.log").open("ab") as log:
             self.processes[index] = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(ROOT / "deploy" / "node.py"),
+                str(self.program),
                 env={**os.environ, settings_file.SETTINGS_VARIABLE: str(path)},
                 stdout=log,
                 stderr=log,
--- a/bench/promotion_soak.py
+++ b/bench/promotion_soak.py
@@ -86,15 +86,23 @@
         """Return the server of a database."""
         return loopback.DatabaseServer(database)
 
+    def make_link(self, port: int) -> loopback.Link:
+        """Return the link to a database's port."""
+        return loopback.Link(port)
+
+    async def serve_database(self, database: group_in_memory.Database) -> None:
+        """Start the server of a database, and the link to it."""
+        server = self.make_server(database)
+        await server.start()
+        link = self.links[database.name] = self.make_link(server.port)
+        await link.start()
+
     async def start(self) -> None:
         """Start all servers, links and nodes, and wait until the nodes are ready."""
         await self.store.start()
         for cluster in self.clusters.values():
-            for name, database in cluster.databases.items():
-                server = self.make_server(database)
-                await server.start()
-                self.links[name] = loopback.Link(server.port)
-                await self.links[name].start()
+            for database in cluster.databases.values():
+                await self.serve_database(database)
         self.publish_all()
         self.change_configuration()
         for index in range(self.nodes):
--- a/bench/request_soak.py
+++ b/bench/request_soak.py
@@ -395,9 +395,13 @@
                 await self._run_session()
             await asyncio.sleep(0.05)
 
+    def choose_node(self) -> int:
+        """Return the node of the next session."""
+        return self.random.randrange(self.world.nodes)
+
     async def _run_session(self) -> None:
         self.key = self.random.choice([*FIXED_KEYS, MOVING_KEY, WITHDRAWN_KEY])
-        self.node = self.random.randrange(self.world.nodes)
+        self.node = self.choose_node()
         host = self.world.find_address(self.node)
         self.open: Request | None = None
         self.is_leaving = False
--- a/src/sardinehold_standins/group_in_memory.py
+++ b/src/sardinehold_standins/group_in_memory.py
@@ -229,16 +229,19 @@
     async def _replicate_separately(self, primary: Database) -> bool:
         """Send the log to each replica; return whether one received its last entry."""
         term, length, entry = primary.term, len(primary.log), primary.log[-1]
-        replicas = [item for item in self.databases.values() if item is not primary]
-        for replica in replicas:
+        for replica in self._list_others(primary):
             self.send_log(primary, replica)
         while primary.is_up and primary.is_primary and primary.term == term:
-            for replica in replicas:
+            for replica in self._list_others(primary):
                 if len(replica.log) >= length and replica.log[length - 1] == entry:
                     return True
             await asyncio.sleep(DELIVERY_CHECK_INTERVAL)
         return False
 
+    def _list_others(self, primary: Database) -> list[Database]:
+        """Return the other databases; some may have joined or left."""
+        return [item for item in self.databases.values() if item is not primary]
+
     def send_log(self, primary: Database, replica: Database) -> None:
         """Send the primary's log to a replica, unless it is on its way."""
         if self.find_delivery_delay is None or (primary, replica) in self._deliveries:
@@ -261,6 +264,8 @@
         log: list[tuple[int, str]],
     ) -> None:
         self._deliveries.discard((primary, replica))
+        if self.databases.get(replica.name) is not replica:
+            return
         if not primary.is_up or not primary.is_primary or replica.term > term:
             return
         is_received = (
@@ -303,6 +308,8 @@
         if target.is_primary and target.term == max(terms):
             return
         await asyncio.sleep(self.promote_delay)
+        if self.databases.get(name) is not target:
+            return
         target.term = max(item.term for item in self.databases.values()) + 1
         target.is_primary = True
         target.paused_term = 0
--- a/src/sardinehold_standins/loopback.py
+++ b/src/sardinehold_standins/loopback.py
@@ -405,7 +405,8 @@
     ) -> None:
         """Execute a promotion request, and set the status of its answer."""
         await asyncio.sleep(self.find_delay())
-        is_up = cluster.databases[name].is_up
+        database = cluster.databases.get(name)
+        is_up = database is not None and database.is_up
         if not answer.done():
             answer.set_result(200 if is_up else 409)
         if is_up:
