--- a/bench/membership_soak.py
+++ b/bench/membership_soak.py
@@ -56,6 +56,9 @@
 FIRST_OWNER_SHARE = 0.8
 """Share of the cuts at which the first owner of the connections reaches the primary."""
 
+RESET_SHARE = 0.5
+"""Share of the cuts at which open connections are reset; else their data are held."""
+
 STAY_SHARE = 0.7
 """Share of the sessions that begin at a node that reaches a primary that is cut off."""
 
@@ -148,6 +151,13 @@
         super().__init__(target)
         self.blocked: set[str] = set()
         self._near: dict[asyncio.StreamReader, str] = {}
+        self._far: dict[asyncio.StreamWriter, str] = {}
+
+    def reset_blocked(self) -> None:
+        """Abort the connections of the nodes that are blocked."""
+        for writer, host in list(self._far.items()):
+            if host in self.blocked:
+                writer.transport.abort()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -160,11 +170,13 @@
             return
         self._writers |= {writer, target[1]}
         self._near |= {reader: host, target[0]: host}
+        self._far[writer] = host
         await asyncio.gather(
             self._forward(reader, target[1], True),
             self._forward(target[0], writer, False),
         )
         self._writers -= {writer, target[1]}
+        del self._far[writer]
         for item in (reader, target[0]):
             del self._near[item]
 
@@ -499,6 +511,8 @@
     link = world.links[primary.name]
     others = {world.find_address(item) for item in range(world.nodes) if item != index}
     link.blocked |= others
+    if world.random.random() < RESET_SHARE:
+        link.reset_blocked()
     if is_isolated:
         world.isolate(index)
     world.counts["cuts"] += 1
