--- a/bench/membership_soak.py
+++ b/bench/membership_soak.py
@@ -74,7 +74,7 @@
 CHANGE_DELAY = 1.0
 """Maximum seconds from a pause of a log until the group's members change."""
 
-MAX_DATABASES = 5
+MAX_DATABASES = 6
 """Databases of a group above which none joins."""
 
 MIN_DATABASES = 3
@@ -451,8 +451,14 @@
         world.publish_database(database)
 
 
-CHANGES = (join, leave, restart, empty, replace)
-CHANGE_SETS = (CHANGES, CHANGES, (join, leave), (restart, empty), (restart, replace))
+CHANGES = (join, join, leave, restart, empty, replace)
+CHANGE_SETS = (
+    CHANGES,
+    CHANGES,
+    (join, replace, leave),
+    (restart, empty),
+    (restart, replace),
+)
 """Kinds of changes of a seed: some hide others."""
 
 
