--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 MINUTES ?= 5
 SEED ?= 1
 
-.PHONY: test lint demo up bench chaos soak fault-soak promotion-soak request-soak browser docs
+.PHONY: test lint demo up bench chaos soak fault-soak promotion-soak request-soak membership-soak browser docs
 
 $(VENV)/installed: pyproject.toml constraints.txt
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -43,6 +43,9 @@
 request-soak: $(VENV)/installed
 	$(PY) bench/request_soak.py --seeds $(SEEDS) --seed $(SEED)
 
+membership-soak: $(VENV)/installed
+	$(PY) bench/membership_soak.py --seeds $(SEEDS) --seed $(SEED)
+
 # The browser test needs Debian's packages chromium and chromium-driver.
 browser: $(VENV)/installed
 	$(PY) -m pytest tests/browser/forms_browser.py tests/browser/fleet_browser.py
