--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -33,10 +33,6 @@
 POLL_INTERVAL = 0.05
 """Seconds between status queries to an endpoint that is being promoted."""
 
-PROMOTION_TIMEOUT = 3.0
-"""Seconds within which a promotion must take effect; the slowest one that endpoints are
-specified to need takes 1 s."""
-
 UNANSWERED_TIMEOUT = 1.2
 """Seconds to wait for the effect of a request without an answer before it is repeated:
 the slowest promotion, and a query."""
@@ -52,11 +48,6 @@
 """Seconds for which a frozen log is not queried again: a replica that restarts resumes
 replication."""
 
-RECHECK_AFTER = 0.3
-"""Seconds since a log was read after which it is checked again before the promotion:
-a replica that restarted meanwhile, lost its pause and received a commit would otherwise
-go unnoticed."""
-
 REINSTATE_AFTER = 1.5
 """Seconds after which an old primary that stepped down may be promoted again, if too
 few replicas can be read to replace it."""
@@ -71,6 +62,12 @@
     def list_records(self, group: str) -> list[catalog.EndpointRecord]:
         """Return the endpoints of a group that may hold a log."""
 
+    async def refresh_records(self) -> None:
+        """Read the endpoints' records from the store: a watch may be silent.
+
+        :raises sardinehold.errors.PlatformUnavailable: the store does not answer.
+        """
+
     def is_evacuated(self, record: catalog.EndpointRecord) -> bool:
         """Return whether an endpoint's zone is evacuated; others are preferred."""
 
@@ -87,7 +84,7 @@
         """Return when all leases on the primary of a sealed group have expired."""
 
     def find_request_expiry(self, group: str) -> float:
-        """Return when no unanswered promotion request can be executed any more."""
+        """Return when no promotion request can be executed any more."""
 
     def count_departed(self, group: str, primary: str) -> int:
         """Return how many replicas left recently, possibly with the only copy."""
@@ -315,7 +312,8 @@
         self._reinstate_at = clock.read() + REINSTATE_AFTER
         self._accept_loss_at = clock.read() + LOSS_ACCEPTED_AFTER
         self._failed_targets: set[str] = set()
-        self._request_expires_at = fleet.find_request_expiry(group)
+        self._inherited_until = fleet.find_request_expiry(group)
+        self._outstanding: list[float] = []
         self._effective_by = 0.0
         self._kept = KeptConnections()
         self._known_names: frozenset[str] = frozenset()
@@ -351,14 +349,14 @@
             if not self._may_request(state, plan.target):
                 await anyio.sleep(RETRY_DELAY)
                 continue
-            # Nodes that know of it tell no caller of a success any more.
-            state = await self._name_target(state, plan.target)
-            fleet.notify_nodes()
-            await self._wait_for_leases(state.stage)
+            if state.attempt < catalog.FIRST_SETTLED:
+                state = await self._settle(state)
+            await self._wait_for_leases((*sealed.stage[:2], catalog.FIRST_SETTLED))
             if not await self._check_frozen(state, plan) or self._lacks_commits(plan):
                 fleet.record_frozen(self.group, None)
                 continue
             fleet.record_frozen(self.group, self._end_position)
+            state = await self._name_target(state, plan.target)
             if await self._promote(state, plan.target):
                 await self._publish(state, plan.target, started_at)
                 return
@@ -403,14 +401,46 @@
         self.fleet.notify_nodes()
         return sealed
 
+    async def _settle(self, state: catalog.GroupState) -> catalog.GroupState:
+        """Have the nodes tell no caller of a commit's success any more."""
+        settled = await self._write(
+            state,
+            state.term,
+            state.primary,
+            sealed=True,
+            requested=self._find_requested(state),
+        )
+        self.fleet.notify_nodes()
+        return settled
+
     def _may_request(self, state: catalog.GroupState, target: str) -> bool:
         """Return whether no earlier request can promote another endpoint afterwards.
 
-        The platform may execute a request that it did not answer, which replaces the
-        primary by a log without the commits since. For the present primary it changes
-        nothing.
+        The platform may execute a request late, whether it answered or not, which
+        replaces the primary by a log without the commits since. For the present primary
+        it changes nothing.
         """
-        return target == state.requested or clock.read() >= self._request_expires_at
+        return target == state.requested or not self._is_outstanding()
+
+    def _is_outstanding(self) -> bool:
+        """Return whether a request may still be executed; all name one endpoint."""
+        return clock.read() < max([self._inherited_until, *self._outstanding])
+
+    def _note_outstanding(self) -> float:
+        """Return until when the request that was just sent may be executed."""
+        expires_at = self.fleet.find_request_expiry(self.group)
+        self._outstanding.append(expires_at)
+        return expires_at
+
+    def _settle_request(self) -> None:
+        """Note that a request was executed; others may still be.
+
+        How many an earlier leader sent is not known.
+        """
+        now = clock.read()
+        count = sum(now < expires_at for expires_at in self._outstanding)
+        if now >= self._inherited_until and count == 1:
+            self._outstanding.clear()
 
     async def _write(
         self,
@@ -434,8 +464,8 @@
         return await self.fleet.write_state(new)
 
     def _find_requested(self, state: catalog.GroupState) -> str:
-        """Return the endpoint that an unanswered request may still promote."""
-        return state.requested if clock.read() < self._request_expires_at else ""
+        """Return the endpoint that a request may still promote."""
+        return state.requested if self._is_outstanding() else ""
 
     # Freezing
 
@@ -468,7 +498,7 @@
         }
         restarted = self.fleet.find_restarted(self.group, _find_end(replicas))
         others = [record for record in records if record.name != state.primary]
-        if self._has_all_since(others, replicas):
+        if self._has_all_since(others, replicas, restarted):
             replica_count, restarted = len(replicas), frozenset()
         old = state.primary
         draining = frozenset(
@@ -590,7 +620,7 @@
     async def _wait_for_leases(self, sealed: catalog.Stage) -> None:
         """Wait until no node may tell a caller of a commit of the old primary."""
         expires_at = self.fleet.find_lease_expiry(self.group)
-        while clock.read() < expires_at:
+        while clock.read() < expires_at and self.fleet.leads():
             if self.fleet.is_seal_known(self.group, sealed):
                 return
             await anyio.sleep(CHECK_INTERVAL)
@@ -604,10 +634,10 @@
         disconnected nodes still wrote under their leases. So does one that joins, which
         matters if the number of frozen replicas is what proves the target's log.
         """
-        if plan.grounds is promotion.Grounds.REPLICAS and self._list_joined():
-            return False
-        due = clock.read() - RECHECK_AFTER
         running = []
+        if plan.grounds is promotion.Grounds.REPLICAS:
+            await self.fleet.refresh_records()
+            running = self._list_joined()
         unread: dict[str, str] = {}
 
         async def check(record: catalog.EndpointRecord, frozen: FrozenLog):
@@ -632,11 +662,11 @@
                     continue
                 if frozen.born != record.born:
                     running.append(record.name)
-                elif frozen.read_at <= due:
+                else:
                     tasks.start_soon(check, record, frozen)
         # One that cannot be read may have restarted, and have received commits.
         for name in (*running, *unread):
-            del self._frozen[name]
+            self._frozen.pop(name, None)
         if running or unread:
             self.fleet.note(
                 "not_frozen",
@@ -658,35 +688,39 @@
         self,
         records: list[catalog.EndpointRecord],
         replicas: dict[str, ports.LogStatus],
+        restarted: frozenset[str],
     ) -> bool:
         """Return whether the frozen logs have all commits, though some started since.
 
         A complete set was frozen before. What was acknowledged later is in the logs of
         endpoints that joined or started again. All that are there have to be frozen
-        now: a record may not show a restart yet.
+        now, as a record may not show a restart yet, and none of them may have left.
         """
         complete = self._complete
         if complete is None or _find_end(replicas) < complete.end:
             return False
         names = {record.name for record in records}
-        gone = len(complete.names - names)
-        departed = self.fleet.count_departed(self.group, "")
-        return departed - complete.departed <= gone and names <= replicas.keys()
+        gone = complete.names - names
+        departed = self.fleet.count_departed(self.group, "") - complete.departed
+        has_lost_none = departed <= len(gone) and not gone & restarted
+        return has_lost_none and names <= replicas.keys()
 
     async def _name_target(
         self, state: catalog.GroupState, target: str
     ) -> catalog.GroupState:
-        """Store which endpoint a request that may not be answered will name."""
+        """Store which endpoint the next request will name."""
         return await self._write(
             state, state.term, state.primary, sealed=True, requested=target
         )
 
     async def _promote(self, state: catalog.GroupState, target: str) -> bool:
         """Return whether an endpoint became primary of a later term on request."""
+        record = self._find_record(target)
+        born = record.born if record is not None else None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._stop_old_primary, state, target)
             await self._request(state, target)
-            is_promoted = await self._wait_for_promotion(state, target)
+            is_promoted = await self._wait_for_promotion(state, target, born)
             tasks.cancel_scope.cancel()
         return is_promoted
 
@@ -741,10 +775,10 @@
         self._requests.append((target, clock.read()))
         try:
             await self.fleet.request_promotion(self.group, target)
-            self._effective_by = clock.read() + PROMOTION_TIMEOUT
+            self._effective_by = self._note_outstanding()
             self._failed_targets.add(target)
         except errors.PlatformUnavailable as error:
-            self._request_expires_at = self.fleet.find_request_expiry(self.group)
+            self._note_outstanding()
             self._effective_by = clock.read() + UNANSWERED_TIMEOUT
             self.fleet.note("promote_unanswered", group=self.group, reason=str(error))
         except errors.PlatformError as error:
@@ -771,15 +805,24 @@
                     unread=self._unread.get(record.name),
                 )
 
-    async def _wait_for_promotion(self, state: catalog.GroupState, target: str) -> bool:
-        """Return whether an endpoint became primary of a later term in time."""
+    async def _wait_for_promotion(
+        self, state: catalog.GroupState, target: str, born: int | None
+    ) -> bool:
+        """Return whether an endpoint became primary of a later term in time.
+
+        Without a record it may still be promoted: a missing one says that it does not
+        reach the store.
+
+        :param born: its start when the request was sent; the platform may have found
+            it not running if there is a later one.
+        """
         while clock.read() < self._effective_by and self.fleet.leads():
             record = self._find_record(target)
-            if record is None:
-                return False
-            status = await read_status(self.fleet, record)
+            status = await read_status(self.fleet, record) if record else None
             if status is not None and status.is_primary and status.term > state.term:
                 return True
+            if record is not None and record.born != born:
+                return False
             await anyio.sleep(POLL_INTERVAL)
         return False
 
@@ -799,6 +842,8 @@
             raise errors.PlatformUnavailable(
                 f"{primary} is no longer primary.", "The failover restarts."
             )
+        if primary == state.requested:
+            self._settle_request()
         published = await self._write(
             state,
             status.term,
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -56,8 +56,8 @@
 the records of the running ones arrive within a few seconds of the node's start."""
 
 REQUEST_LIFETIME = 8.0
-"""Seconds after which the platform no longer executes a promotion request that it has
-not answered."""
+"""Seconds after which the platform no longer executes a promotion request, whether it
+answered or not."""
 
 
 OpenStream = typing.Callable[
@@ -105,7 +105,12 @@
     :param may_probe: returns whether an endpoint of the group may be probed now.
     :param state: primary and term, as last read from the store; None while unknown.
     :param commits: those of this node's callers.
-    :param removed_at: when endpoints were removed, by their names.
+    :param removed_at: when endpoints were removed, by their names, or when this node
+        learned that they had been.
+    :param listed: endpoints that the store lists; see :mod:`.endpoint_lists`.
+    :param list_version: version of that list, with revision 0 if there is none.
+    :param transfers: addresses at which others get the logs of endpoints that drained
+        and left, by their names, as far as this node learned from that list.
     :param restarts: of the endpoints, as far as this node saw them.
     :param drains: drains of endpoints, by their names; a drain is never revoked, also
         if the store has lost it.
@@ -150,6 +155,9 @@
         self.commits = commits.Commits()
         self._commits_known_since = clock.read()
         self.removed_at: dict[str, float] = {}
+        self.listed: dict[str, tuple[int, str]] = {}
+        self.list_version = 0
+        self.transfers: dict[str, str] = {}
         self.restarts = restarts.Restarts(clock.read())
         self.drains: dict[str, Drain] = {}
         self._no_primary_since: float | None = None
@@ -172,6 +180,8 @@
         before, self.state = self.state, state
         if _names_request(before, state):
             self._request_expires_at = clock.read() + REQUEST_LIFETIME
+        if before is not None and before.term != state.term:
+            self.commits.unseal()
         if state.phase is catalog.Phase.SERVING:
             self.frozen = None
             self._no_primary_since = None
@@ -179,17 +189,28 @@
         if state.phase is catalog.Phase.SEALED:
             self.commits.seal(clock.read(), self.lease.until)
             self.lease.revoke()
-            if state.attempt >= catalog.FIRST_REQUEST:
+            if state.attempt >= catalog.FIRST_SETTLED:
                 self.commits.settle(clock.read())
         if before is None or before.term != state.term:
             self.lease.begin_term(state.term)
         self.dispatch_waiting()
 
+    def record_request(self, now: float) -> None:
+        """Record that this node has sent a promotion request."""
+        self._request_expires_at = now + REQUEST_LIFETIME
+
+    def inherit_request(self, now: float) -> None:
+        """Count an earlier leader's request from the end of its lead.
+
+        It may have been sent long after this node learned of its target.
+        """
+        if self.state is not None and self.state.requested:
+            self.record_request(now)
+
     def find_request_expiry(self) -> float:
-        """Return when the platform cannot execute an unanswered request any more.
+        """Return when the platform cannot execute a promotion request any more.
 
-        A promotion request of this or of an earlier leader, for the endpoint that the
-        state names.
+        One of this or of an earlier leader, for the endpoint that the state names.
         """
         if self.state is None or not self.state.requested:
             return float("-inf")
@@ -245,6 +266,8 @@
         endpoint.record = record
         endpoint.missing_since = None
         self.removed_at.pop(record.name, None)
+        self.transfers.pop(record.name, None)
+        self._compare_start(record, now)
         was_draining = endpoint.draining_since is not None
         endpoint.draining_since = self._find_drain(record, now)
         if endpoint.draining_since is not None and not was_draining:
@@ -292,6 +315,28 @@
             self.removed_at[name] = clock.read()
             self._close_idle(endpoint)
 
+    def apply_list(
+        self, listed: dict[str, tuple[int, str]], version: int, now: float
+    ) -> None:
+        """Apply the list of the endpoints in the store.
+
+        Those without a record have left, perhaps before this node started.
+        """
+        if version < self.list_version:
+            return
+        self.listed, self.list_version = listed, version
+        for name in listed.keys() - self.endpoints.keys() - self.removed_at.keys():
+            self.removed_at[name] = now
+            _, self.transfers[name] = listed[name]
+        for endpoint in self.endpoints.values():
+            self._compare_start(endpoint.record, now)
+
+    def _compare_start(self, record: catalog.EndpointRecord, now: float) -> None:
+        """Record that an endpoint started again, perhaps before this node did."""
+        born, _ = self.listed.get(record.name, (record.born, ""))
+        if born != record.born and self.restarts.find_newest(record.name) is None:
+            self.restarts.record(record.name, now)
+
     def query_position(self, now: float) -> None:
         """Probe the primary if it has answered nothing since a replica restarted."""
         if self.is_serving() and self.restarts.needs_position(now):
@@ -793,5 +838,5 @@
     return (
         before is None
         or before.requested != state.requested
-        or before.attempt < state.attempt >= catalog.FIRST_REQUEST
+        or before.attempt < state.attempt > catalog.FIRST_SETTLED
     )
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -11,6 +11,7 @@
 from sardinehold.core import quota
 from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import endpoint_lists
 from sardinehold.node import failover
 from sardinehold.node import groups
 from sardinehold.node import jitter
@@ -41,10 +42,6 @@
 """Seconds to wait for a primary whose entry is missing: entries that were lost with the
 store are back within two."""
 
-DEPARTED_RETENTION = 60.0
-"""Seconds for which a removed endpoint counts as one that may have had the only copy of
-a commit: longer than any replica was seen to be behind."""
-
 ANNOUNCE_INTERVAL = 0.5
 """Seconds between announcements to members that do not report."""
 
@@ -84,6 +81,7 @@
         self.member_reports = member_reports.MemberReports(node)
         self.allocator: quota.Allocator | None = None
         self.primary_moves = primary_moves.PrimaryMoves(self)
+        self.endpoint_lists = endpoint_lists.EndpointLists(self)
         self._busy: set[str] = set()
         self._retry_at: dict[str, float] = {}
         self._aligned: dict[str, catalog.Stage] = {}
@@ -104,6 +102,8 @@
         """Start leading; the tokens of the previous leader must expire first."""
         now = clock.read()
         self._connected_share = 1.0
+        for group in self.node.groups.values():
+            group.inherit_request(now)
         self._started_at = now
         self._absences = membership.Absences()
         margin = 1 + 2 * clock.RATE_MARGIN
@@ -337,6 +337,7 @@
                 for name, group in list(self.node.groups.items()):
                     if name not in self._busy:
                         self._schedule_work(tasks, name, group.state)
+                self.endpoint_lists.write_changed(tasks)
             await anyio.sleep(CHECK_INTERVAL)
 
     def _resign_without_store(self) -> None:
@@ -593,6 +594,15 @@
         found = self.node.groups.get(group)
         return [item.record for item in found.endpoints.values()] if found else []
 
+    async def refresh_records(self) -> None:
+        """Read the endpoints' records from the store; see :class:`failover.Fleet`."""
+        sent_at = clock.read()
+        await self.node.store_mirror.endpoints.step(relist=True)
+        if self.node.store_mirror.endpoints.listed_at < sent_at:
+            raise errors.PlatformUnavailable(
+                "The store did not list the endpoints.", "The failover restarts."
+            )
+
     def is_evacuated(self, record: catalog.EndpointRecord) -> bool:
         """Return whether an endpoint's availability zone is evacuated."""
         return self.primary_moves.is_evacuated(record)
@@ -640,7 +650,7 @@
         return sealed_at + primary_lease.LEASE * (1 + 2 * clock.RATE_MARGIN)
 
     def find_request_expiry(self, group: str) -> float:
-        """Return when no unanswered promotion request can be executed any more."""
+        """Return when no promotion request can be executed any more."""
         return self.node.groups[group].find_request_expiry()
 
     def find_restarted(self, group: str, end: positions.Position) -> frozenset[str]:
@@ -649,13 +659,8 @@
 
     def count_departed(self, group: str, primary: str) -> int:
         """Return how many replicas left recently and may have had the only copy."""
-        now = clock.read()
-        removed_at = self.node.groups[group].removed_at
-        return sum(
-            now - at < DEPARTED_RETENTION
-            for name, at in removed_at.items()
-            if name != primary
-        )
+        found = self.node.groups[group]
+        return endpoint_lists.count_departed(found, primary, clock.read())
 
     def notify_nodes(self) -> None:
         """Send the state to all nodes without delay, through their aggregators."""
@@ -719,6 +724,7 @@
             await self.node.duty.promote(group, endpoint, holder, token, deadline)
         finally:
             self._requests_running -= 1
+            self.node.groups[group].record_request(clock.read())
 
     def _has_older_request(self) -> bool:
         """Return whether a request with the token of an earlier lead is on its way."""
