--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -252,16 +252,14 @@
     """Log that was frozen.
 
     :param born: the start of the endpoint's process; a later one has no pause.
-    :param read_at: when its status was read.
     """
 
-    __slots__ = ("status", "born", "read_at")
+    __slots__ = ("status", "born")
 
-    def __init__(self, status: ports.LogStatus, born: int, read_at: float) -> None:
+    def __init__(self, status: ports.LogStatus, born: int) -> None:
         """Initialize the log as it was read."""
         self.status = status
         self.born = born
-        self.read_at = read_at
 
 
 class FrozenSet:
@@ -575,7 +573,7 @@
             self._unread[record.name] = reason
         if status is None:
             return
-        logs[record.name] = FrozenLog(status, record.born, clock.read())
+        logs[record.name] = FrozenLog(status, record.born)
         replicas = {
             name: log.status for name, log in logs.items() if name != state.primary
         }
@@ -645,8 +643,6 @@
                 or (record.name != state.primary and status.paused_term <= state.term)
             ):
                 running.append(record.name)
-            else:
-                frozen.read_at = clock.read()
 
         async with anyio.create_task_group() as tasks:
             for record in self.fleet.list_records(self.group):
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -466,7 +466,7 @@
         return statements.Answer(
             [],
             error=statements.Failure.IN_DOUBT,
-            detail=f"the primary of group {group.name} is being replaced",
+            detail=f"the primary of group {group.name} may have been replaced meanwhile",
             position=answer.position,
         )
 
