--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -466,7 +466,7 @@
         return statements.Answer(
             [],
             error=statements.Failure.IN_DOUBT,
-            detail=f"the primary of group {group.name} may have been replaced meanwhile",
+            detail=f"the primary of group {group.name} may have been replaced",
             position=answer.position,
         )
 
