--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -6,7 +6,9 @@
 
 import builders_late
 import builders_node
+from sardinehold.node import catalog
 from sardinehold.node import clock
+from sardinehold.node import failover
 from sardinehold.node import groups
 
 
@@ -101,3 +103,36 @@
         assert changed_at - sent_at >= groups.REQUEST_LIFETIME
 
     builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_published_request_is_not_counted_again(monkeypatch):
+    # A restored store brought it back, and each new leader waited 8 s more for it.
+    async def scenario(world):
+        group = world.nodes["n0"].groups["g"]
+        state = group.state
+        published = catalog.GroupState(
+            "g", state.term + 1, "g-1", state.phase, state.version, requested="g-1"
+        )
+        group.apply_state(published)
+        expires_at = group.find_request_expiry()
+        await asyncio.sleep(groups.REQUEST_LIFETIME + 0.1)
+        group.apply_state(published.forget_request())
+        group.apply_state(published)
+        group.inherit_request(clock.read())
+        assert group.find_request_expiry() == expires_at
+
+    builders_node.run_scenario(monkeypatch, scenario)
+
+
+def test_wait_for_leases_ends_with_the_lead(monkeypatch):
+    # The group serves again in the node's view, so that no expiry is known.
+    async def scenario(world):
+        leader = world.nodes["n0"].leader
+        stage = world.nodes["n0"].groups["g"].state.stage
+        procedure = failover.Failover(leader, "g", 1, planned=False)
+        monkeypatch.setattr(leader, "is_seal_known", lambda group, stage: False)
+        monkeypatch.setattr(leader, "leads", lambda: False)
+        async with asyncio.timeout(5.0):
+            await procedure._wait_for_leases(stage)
+
+    builders_node.run_scenario(monkeypatch, scenario)
