--- a/review/stand-ins-2/world.py
+++ b/review/stand-ins-2/world.py
@@ -205,8 +205,11 @@
 class Database:
     """One database of the service; its log holds (term, commit id, writes)."""
 
-    def __init__(self, world: "World", number: int, zone: str) -> None:
+    def __init__(
+        self, world: "World", number: int, zone: str, service: str = SERVICE
+    ) -> None:
         self.world = world
+        self.service = service
         self.name = f"i-{number:02d}{random.randrange(16**6):06x}"
         self.zone = zone
         self.is_primary = False
@@ -223,6 +226,10 @@
         self.connections = 0
         self.work_s = WORK_S
         self.is_deaf = False
+        self.apply_s = APPLY_S
+        self.is_up = True
+        self.lose = 0.0
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         server = await asyncio.start_server(
@@ -236,7 +243,7 @@
             "servers",
             self.name,
             {
-                "Service": SERVICE,
+                "Service": self.service,
                 "Address": f"127.0.0.1:{self.port}",
                 "Zone": self.zone,
                 "Version": "v1",
@@ -254,14 +261,47 @@
         term = self.log[length - 1][0] if length else 1
         return f"{term}.{length}"
 
+    async def crash_for(self, seconds: float) -> None:
+        """End all connections; come back with the log."""
+        self.is_up = False
+        self.world.note(f"CRASH {self.name} primary={self.is_primary}")
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await asyncio.sleep(seconds)
+        leader = self.world.find_primary(self.service)
+        if self.is_primary and leader is not self:
+            self.is_primary = False
+        self.held_term = 0
+        self.is_up = True
+        self.publish()
+        self.world.note(f"BACK {self.name} primary={self.is_primary}")
+
+    async def start_again(self, down_s: float) -> None:
+        """Start again under the same Id: it holds and knows nothing of before."""
+        self.is_up = False
+        self.world.note(f"RESTART {self.name} primary={self.is_primary}")
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.is_primary, self.term, self.held_term = False, 1, 0
+        self.log, self.applied, self.sequence = [], 0, 0
+        await asyncio.sleep(down_s)
+        self.born = int(time.time() * 1000)
+        self.is_up = True
+        self.publish()
+        self.world.note(f"STARTED {self.name} born={self.born} holding nothing")
+
     async def _serve(self, reader, writer) -> None:
+        if not self.is_up:
+            writer.transport.abort()
+            return
         held: Connection | None = None
         self.connections += 1
+        self.writers.add(writer)
         try:
             line = (await reader.readuntil(b"\r\n"))[:-2].decode("latin-1")
             _, service, who, *wanted = line.split(" ")
             await asyncio.sleep(HANDSHAKE_S)
-            if service != SERVICE or (wanted and wanted[0] != self.name):
+            if service != self.service or (wanted and wanted[0] != self.name):
                 writer.write(f"ERROR WRONGNODE {self.name}\r\n".encode())
                 return
             if self.connections > self.world.max_connections:
@@ -275,7 +315,7 @@
                     return
                 word, request, text = line.split(" ", 2)
                 answer = await self._run(held, request, text)
-                if answer is None:
+                if answer is None or random.random() < self.lose:
                     return
                 writer.write("".join(f"{item}\r\n" for item in answer).encode("latin-1"))
         except (
@@ -287,6 +327,7 @@
             pass
         finally:
             self.connections -= 1
+            self.writers.discard(writer)
             if held is not None and held.state != "I":
                 self.world.note(
                     f"RUN {self.name} closed inside the transaction of {held.begin_id}:"
@@ -400,13 +441,14 @@
         while self.world.sync_replicas:
             received = sum(
                 len(other.log) >= length and other.log[length - 1] == self.log[length - 1]
-                for other in self.world.databases
+                for other in self.world.list_databases(self.service)
                 if other is not self and len(self.log) >= length
             )
             if received >= self.world.sync_replicas:
                 return True
             await asyncio.sleep(0.002)
-            if len(self.log) < length or self.log[length - 1][1] != request:
+            is_held = len(self.log) >= length and self.log[length - 1][1] == request
+            if not self.is_up or not is_held:
                 raise ConnectionAbortedError
         return True
 
@@ -430,14 +472,14 @@
         """Receive the log of the newest primary, and apply it later."""
         while True:
             await asyncio.sleep(RECEIVE_S)
-            leader = self.world.find_primary()
-            if leader is self or leader is None:
+            leader = self.world.find_primary(self.service)
+            if leader is self or leader is None or not self.is_up:
                 continue
             if self.is_primary and leader.term > self.term:
                 await asyncio.sleep(1.0)
                 self.is_primary = False
                 self.publish()
-            if self.is_primary or self.held_term or self.is_deaf:
+            if self.is_primary or self.held_term or self.is_deaf or not leader.is_up:
                 continue
             self.term = leader.term
             common = 0
@@ -450,7 +492,8 @@
                 self.applied = min(self.applied, common)
             if len(self.log) < len(leader.log):
                 self.log.extend(leader.log[len(self.log) :])
-                asyncio.get_running_loop().call_later(APPLY_S, self._apply, len(self.log))
+                loop = asyncio.get_running_loop()
+                loop.call_later(self.apply_s, self._apply, len(self.log))
 
     def _apply(self, length: int) -> None:
         self.applied = max(self.applied, min(length, len(self.log)))
@@ -459,17 +502,27 @@
 class World:
     """Store, databases and node processes of one run."""
 
-    def __init__(self, folder: pathlib.Path, nodes: int = 3) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        nodes: int = 3,
+        services: tuple[str, ...] = (SERVICE,),
+    ) -> None:
         self.record = Record(folder / "record.txt")
         self.note = self.record.note
         self.node_count = nodes
         self.sync_replicas = 1
         self.max_connections = 21
         self.store = Store(self)
+        self.services = services
+        self.route_service = services[0]
         self.databases = [
-            Database(self, index, zone) for index, zone in enumerate(ZONES)
+            Database(self, index, zone, service)
+            for service in services
+            for index, zone in enumerate(ZONES)
         ]
-        self.databases[0].is_primary = True
+        for service in services:
+            self.list_databases(service)[0].is_primary = True
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.temporary = pathlib.Path(tempfile.mkdtemp())
         self.lane = f"127.{random.randrange(10, 250)}.{random.randrange(10, 250)}"
@@ -477,8 +530,11 @@
         self.tasks: list[asyncio.Task] = []
         self.failover_delay = PROMOTE_S
 
-    def find_primary(self) -> Database | None:
-        leaders = [item for item in self.databases if item.is_primary]
+    def list_databases(self, service: str) -> list[Database]:
+        return [item for item in self.databases if item.service == service]
+
+    def find_primary(self, service: str = SERVICE) -> Database | None:
+        leaders = [item for item in self.list_databases(service) if item.is_primary]
         return max(leaders, key=lambda item: item.term, default=None)
 
     def make_configuration(self, tenants: list[dict]) -> dict:
@@ -500,7 +556,7 @@
                     "TimeoutMs": timeout,
                     "TargetLatencyMs": target,
                     "Priority": priority,
-                    "Service": SERVICE,
+                    "Service": self.route_service,
                     "MaxAttempts": 2,
                     "MaxStalenessMs": staleness,
                     "Public": False,
@@ -509,13 +565,14 @@
             ],
             "Services": [
                 {
-                    "Name": SERVICE,
+                    "Name": service,
                     "HealthCheckPath": "/health",
                     "MaxConnections": self.max_connections,
                     "Protocol": "h1",
                     "Tls": False,
                     "SyncReplicas": self.sync_replicas,
                 }
+                for service in self.services
             ],
             "Limits": {"IdleTimeoutMs": 15000, "TxIdleMs": 3000},
             "Tenants": tenants,
@@ -526,7 +583,10 @@
         found = self.make_configuration(tenants)
         self.store.put("config", "main", found)
         held = [(item["Name"], item["ApiKeys"]) for item in tenants]
-        self.note(f"CONFIG version {found['Version']} acknowledged: keys {held}")
+        self.note(
+            f"CONFIG version {found['Version']} acknowledged: keys {held},"
+            f" routes to {self.route_service}"
+        )
 
     async def fail_over(self, headers: dict, body: dict):
         """Promote a database, as the platform does on POST /failover."""
@@ -535,8 +595,8 @@
             f" token {headers.get('x-fencing-token')}"
         )
         for item in self.databases:
-            if item.name == body["Id"]:
-                if item.is_primary and item is self.find_primary():
+            if item.name == body["Id"] and item.is_up:
+                if item.is_primary and item is self.find_primary(item.service):
                     return 200, {}
                 asyncio.get_running_loop().call_later(
                     self.failover_delay, self._promote, item
@@ -545,7 +605,10 @@
         return 409, {}
 
     def _promote(self, item: Database) -> None:
-        item.term = max(other.term for other in self.databases) + 1
+        group = self.list_databases(item.service)
+        item.term = max(other.term for other in group) + 1
+        if not item.is_up:
+            return
         item.is_primary, item.held_term = True, 0
         item.applied = len(item.log)
         item.publish()
@@ -574,9 +637,14 @@
         self.note("READY all nodes")
 
     async def _beat(self, item: Database) -> None:
+        beaten_at = now()
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            item.publish()
+            if item.is_up:
+                beaten_at = now()
+                item.publish()
+            elif now() - beaten_at > 3 * HEARTBEAT_S:
+                self.store.remove("servers", item.name)
 
     async def start_node(self, index: int) -> None:
         """Start a node with the run line of the deploy file."""
@@ -651,6 +719,7 @@
 
     def __init__(self, world: World, name: str) -> None:
         self.world, self.name, self.count = world, name, 0
+        self.rows: list[str] = []
         self.reader = self.writer = None
 
     async def connect(self, index: int, database: str, key: str) -> str:
@@ -669,11 +738,13 @@
         request = request or f"{self.name}{self.count:04d}{random.randrange(16**6):06x}"
         self.world.note(f"CLIENT {self.name} sends {request} {text}")
         self.writer.write(f"QUERY {request} {text}\r\n".encode("latin-1"))
-        outcome = ""
+        outcome, self.rows = "", []
         try:
             while True:
                 data = await asyncio.wait_for(self.reader.readuntil(b"\r\n"), 10)
                 line = data[:-2].decode("latin-1")
+                if line.startswith("ROW "):
+                    self.rows.append(line[4:])
                 if line.startswith(("COMPLETE", "ERROR")):
                     outcome = line
                 if line.startswith("READY"):
