--- a/review/stand-ins-2/world.py
+++ b/review/stand-ins-2/world.py
@@ -230,6 +230,8 @@
         self.is_up = True
         self.lose = 0.0
         self.writers: set[asyncio.StreamWriter] = set()
+        self.reached = asyncio.Event()
+        self.reached.set()
 
     async def start(self) -> None:
         server = await asyncio.start_server(
@@ -290,6 +292,23 @@
         self.publish()
         self.world.note(f"STARTED {self.name} born={self.born} holding nothing")
 
+    async def cut_for(self, seconds: float) -> None:
+        """Be cut off from all machines of the system, not from other databases."""
+        self.reached.clear()
+        self.world.note(f"CUT {self.name} from the machines")
+        await asyncio.sleep(seconds)
+        self.reached.set()
+        self.world.note(f"HEALED {self.name}")
+
+    async def _await_path(self, reader, writer) -> bool:
+        """Wait while cut off; bytes of a sender that gave up meanwhile are lost."""
+        while not self.reached.is_set():
+            await self.reached.wait()
+            await asyncio.sleep(0.01)
+            if reader.exception() is not None or reader.at_eof():
+                return False
+        return not writer.is_closing()
+
     async def _serve(self, reader, writer) -> None:
         if not self.is_up:
             writer.transport.abort()
@@ -299,6 +318,8 @@
         self.writers.add(writer)
         try:
             line = (await reader.readuntil(b"\r\n"))[:-2].decode("latin-1")
+            if not await self._await_path(reader, writer):
+                return
             _, service, who, *wanted = line.split(" ")
             await asyncio.sleep(HANDSHAKE_S)
             if service != self.service or (wanted and wanted[0] != self.name):
@@ -311,7 +332,7 @@
             writer.write(f"READY I {self.position(self.applied)}\r\n".encode())
             while True:
                 line = (await reader.readuntil(b"\r\n"))[:-2].decode("latin-1")
-                if line == "CLOSE":
+                if line == "CLOSE" or not await self._await_path(reader, writer):
                     return
                 word, request, text = line.split(" ", 2)
                 answer = await self._run(held, request, text)
@@ -453,6 +474,8 @@
         return True
 
     def _control(self, held: Connection, word: str, rest: str) -> list[str]:
+        if word == "STATUS" and self.busy >= self.slots:
+            return self._answer(held, "ERROR BUSY no slot")
         if word != "STATUS":
             self.world.note(f"RUN {self.name} {word} {rest}")
         if word == "PAUSE" and not self.is_primary and int(rest) > self.term:
@@ -529,6 +552,7 @@
         self.version = 0
         self.tasks: list[asyncio.Task] = []
         self.failover_delay = PROMOTE_S
+        self.promoted: list[tuple[str, float, set[str]]] = []
 
     def list_databases(self, service: str) -> list[Database]:
         return [item for item in self.databases if item.service == service]
@@ -613,6 +637,7 @@
         item.applied = len(item.log)
         item.publish()
         self.note(f"PROMOTED {item.name} term {item.term} at {item.position()}")
+        self.promoted.append((item.name, now(), {entry[1] for entry in item.log}))
 
     # Node processes
 
