--- a/review/stand-ins-2/world.py
+++ b/review/stand-ins-2/world.py
@@ -27,6 +27,7 @@
 WORK_S = 0.008
 PROMOTE_S = 1.0
 RECEIVE_S = 0.01
+NEAR_RECEIVE_S = 0.002
 APPLY_S = 0.06
 HEARTBEAT_S = 1.2
 SLOT_WORDS = {"READ", "WRITE", "EXECUTE", "COMMIT"}
@@ -61,8 +62,14 @@
         self.writes: list[tuple[float, str, str, str]] = []
 
     async def start(self) -> None:
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
+        self.port = await self.listen(str)
+
+    async def listen(self, change) -> int:
+        """Listen on a port of its own; ``change`` is applied to the text of answers."""
+        server = await asyncio.start_server(
+            lambda reader, writer: self._serve(reader, writer, change), "127.0.0.1", 0
+        )
+        return server.sockets[0].getsockname()[1]
 
     def _record(self, kind: str, name: str, is_gone: bool, item: dict) -> None:
         self.history.append((self.revision, kind, is_gone, json.loads(json.dumps(item))))
@@ -102,7 +109,7 @@
         held = self.objects.get((kind, name))
         return None if held is None else held["spec"]
 
-    async def _serve(self, reader, writer) -> None:
+    async def _serve(self, reader, writer, change) -> None:
         # At the end of a run, connections are cancelled.
         with contextlib.suppress(
             OSError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError
@@ -124,7 +131,7 @@
                 else:
                     await asyncio.sleep(STORE_ANSWER_S)
                     status, answer = await self._call(method, parts[2:], query, body)
-                data = b"" if answer is None else json.dumps(answer).encode()
+                data = b"" if answer is None else change(json.dumps(answer)).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                     f"Content-Length: {len(data)}\r\n\r\n".encode()
@@ -188,6 +195,48 @@
                 await asyncio.wait_for(changed.wait(), left)
 
 
+class Path:
+    """The way from one machine to one database, which can be cut."""
+
+    def __init__(self, target: int) -> None:
+        self.target, self.port, self.count = target, 0, 0
+        self.whole = asyncio.Event()
+        self.whole.set()
+
+    async def start(self) -> None:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                "127.0.0.1", self.target
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        self.count += 1
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(
+                self._forward(reader, far_writer), self._forward(far_reader, writer)
+            )
+        self.count -= 1
+
+    async def _forward(self, reader, writer) -> None:
+        """Forward bytes; those of a sender that gave up during a cut are lost."""
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                await self.whole.wait()
+                if reader.exception() is not None:
+                    break
+                writer.write(data)
+            else:
+                await self.whole.wait()
+                writer.close()
+                return
+        writer.transport.abort()
+
+
 class Connection:
     """State of a connection at a database."""
 
@@ -227,6 +276,7 @@
         self.work_s = WORK_S
         self.is_deaf = False
         self.apply_s = APPLY_S
+        self.receive_s = RECEIVE_S
         self.is_up = True
         self.lose = 0.0
         self.writers: set[asyncio.StreamWriter] = set()
@@ -494,7 +544,7 @@
     async def follow(self) -> None:
         """Receive the log of the newest primary, and apply it later."""
         while True:
-            await asyncio.sleep(RECEIVE_S)
+            await asyncio.sleep(self.receive_s)
             leader = self.world.find_primary(self.service)
             if leader is self or leader is None or not self.is_up:
                 continue
@@ -530,10 +580,12 @@
         folder: pathlib.Path,
         nodes: int = 3,
         services: tuple[str, ...] = (SERVICE,),
+        zones: dict[str, str] = ZONES,
     ) -> None:
         self.record = Record(folder / "record.txt")
         self.note = self.record.note
         self.node_count = nodes
+        self.zones = zones
         self.sync_replicas = 1
         self.max_connections = 21
         self.store = Store(self)
@@ -553,6 +605,8 @@
         self.tasks: list[asyncio.Task] = []
         self.failover_delay = PROMOTE_S
         self.promoted: list[tuple[str, float, set[str]]] = []
+        self.splits_paths = False
+        self.paths: dict[int, dict[Database, Path]] = {}
 
     def list_databases(self, service: str) -> list[Database]:
         return [item for item in self.databases if item.service == service]
@@ -639,6 +693,27 @@
         self.note(f"PROMOTED {item.name} term {item.term} at {item.position()}")
         self.promoted.append((item.name, now(), {entry[1] for entry in item.log}))
 
+    async def add_database(self, zone: str, lag_s: float) -> Database:
+        """Start a new replica; its entry is in the store ``lag_s`` later."""
+        item = Database(self, len(self.databases), zone)
+        await item.start()
+        self.note(f"NEW {item.name} starts")
+        item.term = self.find_primary().term
+        if zone == self.find_primary().zone:
+            item.receive_s = NEAR_RECEIVE_S
+        self.databases.append(item)
+        loop = asyncio.get_running_loop()
+        self.tasks.append(loop.create_task(item.follow()))
+
+        async def register() -> None:
+            await asyncio.sleep(lag_s)
+            item.publish()
+            self.note(f"NEW {item.name} is registered")
+            await self._beat(item)
+
+        self.tasks.append(loop.create_task(register()))
+        return item
+
     # Node processes
 
     def address(self, index: int) -> str:
@@ -653,6 +728,8 @@
             item.publish()
             self.tasks.append(loop.create_task(item.follow()))
             self.tasks.append(loop.create_task(self._beat(item)))
+        if self.splits_paths:
+            await self.split_paths()
         self.configure(tenants)
         for index in range(self.node_count):
             await self.start_node(index)
@@ -671,22 +748,46 @@
             elif now() - beaten_at > 3 * HEARTBEAT_S:
                 self.store.remove("servers", item.name)
 
+    async def split_paths(self) -> None:
+        """Give each machine ways of its own to all databases; before the start."""
+        self.paths = {index: {} for index in range(self.node_count)}
+        for paths in self.paths.values():
+            for item in self.databases:
+                path = paths[item] = Path(item.port)
+                await path.start()
+
+    def _change_addresses(self, index: int):
+        def change(text: str) -> str:
+            for item, path in self.paths.get(index, {}).items():
+                text = text.replace(
+                    f'"127.0.0.1:{item.port}"', f'"127.0.0.1:{path.port}"'
+                )
+            return text
+
+        return change
+
+    def find_leader(self) -> int:
+        """Return the index of the node that the store names as the leader."""
+        found = self.store.get("sardinehold-leader", "leader")
+        return int(found["node"].rpartition("-")[2])
+
     async def start_node(self, index: int) -> None:
         """Start a node with the run line of the deploy file."""
-        host, zone = self.address(index), list(ZONES)[index % len(ZONES)]
-        zones = "".join(f'{name} = "{region}"\n' for name, region in ZONES.items())
+        store = await self.store.listen(self._change_addresses(index))
+        host, zone = self.address(index), list(self.zones)[index % len(self.zones)]
+        zones = "".join(f'{name} = "{region}"\n' for name, region in self.zones.items())
         path = self.temporary / f"node-{index}.toml"
         path.write_text(
             f'NodeName = "frontend-{zone}-{index}"\nRole = "node"\n'
             f'MachineClass = "frontend"\nServes = ["frontend"]\nIp = "{host}"\n'
-            f'Zone = "{zone}"\nRegion = "{ZONES[zone]}"\nInternalPorts = [7560,7575]\n'
+            f'Zone = "{zone}"\nRegion = "{self.zones[zone]}"\nInternalPorts = [7560,7575]\n'
             f"Bootstrap = true\nHeartbeatMs = {round(HEARTBEAT_S * 1000)}\n"
             f'[Zones]\n{zones}[BindAddresses]\nFrontend = "{host}:8465"\n'
             f'Readiness = "{host}:8460"\nControl = "{host}:8462"\n'
             "[Limits]\nCpuShare = 0.537\nCpuCores = 2\nMemoryMb = 300\nMaxFds = 4200\n"
             "LinkMbps = 1000.0\n[Bounds]\nDrainMs = 7000\nGracePeriodS = 6\n"
             "QuotaWindowS = 5\nQuotaOverage = 0.1\nQuotaSlack = 20\n"
-            f'[platform]\nAddress = "127.0.0.1:{self.store.port}"\nform = "objects"\n'
+            f'[platform]\nAddress = "127.0.0.1:{store}"\nform = "objects"\n'
             f'[CloudApi]\nAddress = "127.0.0.1:{self.store.port}"\n'
         )
         kept = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
