--- a/review/8/case.py
+++ b/review/8/case.py
@@ -11,11 +11,12 @@
 
 KEY = "u6wsjnbanfqasnmgkcuy"
 TENANTS = [
-    {"Name": "nypu920", "ApiKeys": [KEY], "Priority": 1, "RatePerS": 900, "Burst": 900}
+    {"Name": "nypu920", "ApiKeys": [KEY], "Priority": 1, "RatePerS": 2000, "Burst": 2000}
 ]
 CUT_S = 4.0
 ENTRY_LAG_S = 0.8
-JOIN_AFTER_S = 1.0
+STORE_ANSWER_S = 0.004 + 2 * 0.008
+JOIN_AFTER_S = 0.9
 ZONES = {
     "grand-baie": "nord",
     "curepipe": "plateau",
@@ -24,7 +25,7 @@
     "moka": "plateau",
     "mahebourg": "sud",
 }
-WRITERS = 24
+WRITERS = 48
 NODES = 6
 CUT_NODES = 3
 
@@ -50,6 +51,7 @@
 async def main() -> int:
     world = stand_ins.World(HERE, NODES, zones=ZONES)
     world.splits_paths = True
+    world.store.answer_s = STORE_ANSWER_S
     try:
         await world.start(TENANTS)
         primary = world.find_primary()
--- a/review/stand-ins-2/world.py
+++ b/review/stand-ins-2/world.py
@@ -59,7 +59,7 @@
         self.history: list[tuple[int, str, bool, dict]] = []
         self.changed = asyncio.Event()
         self.port = 0
-        self.writes: list[tuple[float, str, str, str]] = []
+        self.answer_s = STORE_ANSWER_S
 
     async def start(self) -> None:
         self.port = await self.listen(str)
@@ -129,7 +129,7 @@
                 if parts == ["failover"]:
                     status, answer = await self.world.fail_over(headers, json.loads(body))
                 else:
-                    await asyncio.sleep(STORE_ANSWER_S)
+                    await asyncio.sleep(self.answer_s)
                     status, answer = await self._call(method, parts[2:], query, body)
                 data = b"" if answer is None else change(json.dumps(answer)).encode()
                 writer.write(
