Compare what nodes told of commits with the log that is promoted

Cause: "all known replicas are frozen, so nothing more is acknowledged". A replica that joined acknowledges commits before it has a record. Ruled out: the fence (nothing told behind it) and the frozen logs.

Change: a node that has taken the settled seal states the newest position that it told. A target that ends before the newest statement is not named; the replicas follow the old primary again and are frozen anew, and likewise once if a node states nothing. From 2.5 s after the seal only the certain part of the statements counts, as answers may show commits of others. An old primary that ends before the statements has lost its log and proves nothing. The stand-in's RESUME copied the log of a primary that was down; it does not now.

--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -2,9 +2,14 @@
 
 The steps: seal the group in the store, so that nodes hold writes back; freeze the logs,
 by pausing the replicas and having the primary step down, so that no further commit can
-be acknowledged; wait until no node holds a lease on the old primary; promote the
-endpoint with the most advanced frozen log; publish it once it is primary. Any leader
+be acknowledged; settle the seal, so that nodes tell no caller of a commit's success any
+more, and state the newest one that they told; promote the endpoint with the most
+advanced frozen log, if it has what was told; publish it once it is primary. Any leader
 can resume from the state in the store: for a sealed group it restarts the procedure.
+
+A replica that joined may acknowledge commits before it has a record. If a log lacks
+what was told, or a node cannot state it, the replicas are resumed and frozen again
+after the seal was settled: the old primary's log is sent to all of them.
 """
 
 import typing
@@ -16,6 +21,7 @@
 from sardinehold.node import catalog
 from sardinehold.node import clock
 from sardinehold.node import commits
+from sardinehold.node import member_reports
 from sardinehold.node import ports
 from sardinehold.node import promotion
 
@@ -40,6 +46,20 @@
 REFUSED_DELAY = 0.5
 """Seconds after which another promotion is requested when one was refused."""
 
+STATEMENT_WAIT = 0.5
+"""Seconds that a leader which took over under a seal waits for the nodes' statements: a
+round trip of its announcement, and another if it is lost."""
+
+CATCH_UP_WAIT = 0.15
+"""Seconds in which a replica that is resumed connects and receives what it lacks."""
+
+RECORD_WAIT = 2.5
+"""Seconds after a seal from when on every running endpoint has a record: those that
+were lost with the store are back within two."""
+
+LOGGED_NAMES = 8
+"""Names that a log line lists of nodes that may be hundreds."""
+
 LOSS_ACCEPTED_AFTER = 20.0
 """Seconds after which a group whose primary's record is gone, with logs that cannot be
 read, continues with the best log that remains: crashed endpoints restart sooner."""
@@ -83,6 +103,9 @@
     def find_lease_expiry(self, group: str) -> float:
         """Return when all leases on the primary of a sealed group have expired."""
 
+    def find_sealed_at(self, group: str) -> float:
+        """Return when this node learned that a group was sealed."""
+
     def find_request_expiry(self, group: str) -> float:
         """Return when no promotion request can be executed any more."""
 
@@ -95,11 +118,10 @@
         :param end: of the longest frozen replica; it has the earlier commits.
         """
 
-    def find_acknowledged(self, group: str, since: float) -> positions.Position | None:
-        """Return the newest commit that is acknowledged to any caller.
+    def collect_statements(self, group: str, since: float) -> member_reports.Statements:
+        """Return what the members state that they told callers of commits.
 
         :param since: only reports that were sent later count.
-        :returns: None if it is not known, or if a later one may be acknowledged.
         """
 
     def find_replicated(self, group: str) -> positions.Position:
@@ -304,7 +326,8 @@
         self._unread: dict[str, str] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._reuse_since = clock.read()
-        self._first_frozen_at = clock.read()
+        self._started_at = clock.read()
+        self._is_resumed = False
         self._end_position = positions.START
         self._replicated = positions.START
         self._reinstate_at = clock.read() + REINSTATE_AFTER
@@ -334,24 +357,26 @@
             if self.planned:
                 await anyio.sleep(commits.SEAL_GRACE)
         sealed = state
-        self._first_frozen_at = clock.read()
         while fleet.leads():
             plan = await self._freeze(state)
             if plan.leader:
                 await self._wait_for_leases(sealed.stage)
                 await self._publish(state, plan.leader, started_at)
                 return
-            if not plan.target:
-                await anyio.sleep(RETRY_DELAY)
-                continue
-            if not self._may_request(state, plan.target):
+            if not plan.target or not self._may_request(state, plan.target):
                 await anyio.sleep(RETRY_DELAY)
+                if state.attempt >= catalog.FIRST_SETTLED and self._lacks_told():
+                    await self._resume_replicas(state)
                 continue
             if state.attempt < catalog.FIRST_SETTLED:
                 # From here on, nodes tell no caller of a commit's success.
                 state = await self._advance_seal(state)
             await self._wait_for_leases((*sealed.stage[:2], catalog.FIRST_SETTLED))
-            if not await self._check_frozen(state, plan) or self._lacks_commits(plan):
+            if self._may_lack_told(plan):
+                fleet.record_frozen(self.group, None)
+                await self._resume_replicas(state)
+                continue
+            if not await self._check_frozen(state, plan):
                 fleet.record_frozen(self.group, None)
                 continue
             fleet.record_frozen(self.group, self._end_position)
@@ -360,11 +385,65 @@
                 await self._publish(state, plan.target, started_at)
                 return
 
-    def _lacks_commits(self, plan: promotion.Plan) -> bool:
-        """Return whether reports that arrived since show that a log was lost."""
+    def _may_lack_told(self, plan: promotion.Plan) -> bool:
+        """Return whether a target may lack a commit that a caller was told of.
+
+        It does if its log ends before what a node states, by reports that may have
+        arrived since it was chosen. It may if a node states nothing, unless the
+        replicas followed the primary until no node could tell of a commit any more.
+        """
+        if plan.grounds not in (
+            promotion.Grounds.REPLICAS,
+            promotion.Grounds.REPORTS,
+        ):
+            return False
         self._update_replicated()
+        told = self._collect_told()
         end = self._frozen[plan.target].status.received
-        return plan.grounds is promotion.Grounds.REPLICAS and end < self._replicated
+        if end < self._replicated:
+            return True
+        if end < told.newest and clock.read() < self._has_records_at():
+            return True
+        return bool(told.missing) and not self._is_resumed
+
+    def _lacks_told(self) -> bool:
+        """Return whether the longest frozen log lacks what the nodes state."""
+        told = max(self._collect_told().newest, self._replicated)
+        return bool(self._frozen) and self._end_position < told
+
+    def _collect_told(self) -> member_reports.Statements:
+        return self.fleet.collect_statements(self.group, self._started_at)
+
+    def _has_records_at(self) -> float:
+        """Return from when on every running endpoint has a record."""
+        return self.fleet.find_sealed_at(self.group) + RECORD_WAIT
+
+    async def _resume_replicas(self, state: catalog.GroupState) -> None:
+        """Have the frozen replicas follow the old primary again, to be frozen anew."""
+        frozen, self._frozen = self._frozen, {}
+        self._is_resumed = True
+        told = self._collect_told()
+        self.fleet.note(
+            "resumed",
+            group=self.group,
+            end=list(self._end_position),
+            told=list(told.newest),
+            unstated=told.missing[:LOGGED_NAMES],
+            replicated=list(self._replicated),
+        )
+        async with anyio.create_task_group() as tasks:
+            for record in self.fleet.list_records(self.group):
+                if record.name in frozen and record.name != state.primary:
+                    tasks.start_soon(self._resume_one, record)
+        await anyio.sleep(CATCH_UP_WAIT)
+
+    async def _resume_one(self, record: catalog.EndpointRecord) -> None:
+        await query(
+            self.fleet,
+            record,
+            lambda connection, deadline: connection.resume(deadline),
+            self._kept,
+        )
 
     def _update_replicated(self) -> None:
         """Learn what replicas have received; nodes that know it may leave."""
@@ -497,7 +576,7 @@
             for item in records
             if item.is_draining or item.name in self._evacuated
         )
-        acknowledged = self.fleet.find_acknowledged(self.group, self._first_frozen_at)
+        told = self._collect_told()
         self._update_replicated()
         plan = promotion.choose_target(
             statuses,
@@ -508,11 +587,13 @@
             frozenset(self._failed_targets),
             self._find_requested(state),
             self._frozen_at > self._reinstate_at,
-            acknowledged,
+            told.acknowledged,
             self._frozen_at > self._accept_loss_at and self._find_record(old) is None,
             self.fleet.find_preferred(self.group),
             restarted,
             self._replicated,
+            told.newest,
+            self._frozen_at < self._has_records_at(),
         )
         if self._complete is None and plan.grounds is promotion.Grounds.REPLICAS:
             self._complete = FrozenSet(
@@ -530,7 +611,8 @@
             replicas=replica_count,
             departed=self.fleet.count_departed(self.group, state.primary),
             required=enough,
-            acknowledged=None if acknowledged is None else list(acknowledged),
+            told=list(told.newest),
+            unstated=told.missing[:LOGGED_NAMES],
             replicated=list(self._replicated),
             target=plan.target,
             grounds=None if plan.grounds is None else plan.grounds.value,
@@ -608,11 +690,18 @@
 
     # Promoting
 
-    async def _wait_for_leases(self, sealed: catalog.Stage) -> None:
-        """Wait until no node may tell a caller of a commit of the old primary."""
-        expires_at = self.fleet.find_lease_expiry(self.group)
-        while clock.read() < expires_at and self.fleet.leads():
-            if self.fleet.is_seal_known(self.group, sealed):
+    async def _wait_for_leases(self, settled: catalog.Stage) -> None:
+        """Wait until no node may tell a caller of a commit of the old primary.
+
+        Each has stated by then what it told, or its lease has expired. A leader that
+        took over has not heard the others' statements yet.
+        """
+        waits_until = max(
+            self.fleet.find_lease_expiry(self.group),
+            self._started_at + STATEMENT_WAIT,
+        )
+        while clock.read() < waits_until and self.fleet.leads():
+            if self.fleet.is_seal_known(self.group, settled):
                 return
             await anyio.sleep(CHECK_INTERVAL)
 
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -230,8 +230,9 @@
     def may_acknowledge(self, term: int, now: float) -> bool:
         """Return whether a commit that was answered just now may count as successful.
 
-        Every log that may be promoted is read after the time for which the leader waits
-        for this node. Thus it has the commits that were answered until then.
+        Every log that may be promoted is frozen after the time for which the leader
+        waits for this node. Thus the commits that were answered until then have been
+        received by a replica that still follows the primary.
 
         :param term: of the primary when the commit was sent.
         """
@@ -765,11 +766,6 @@
 
     # Updates from answers
 
-    def record_acknowledged(self, position: positions.Position | None) -> None:
-        """Record a commit that was acknowledged to a caller."""
-        if position is not None:
-            self.commits.newest = max(self.commits.newest or position, position)
-
     def reset_acknowledged(self, now: float) -> None:
         """Discard the newest acknowledged commit until the primary reports a position.
 
@@ -813,7 +809,6 @@
         endpoint.record_answer(now)
         if committed:
             endpoint.committed_at = now
-            self.record_acknowledged(answer.position)
         position = answer.position
         if position is not None:
             self._newest_term = max(self._newest_term, position.term)
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -632,9 +632,9 @@
         """Return whether every node has stopped using the old primary."""
         return self.member_reports.is_seal_known(group, stage)
 
-    def find_acknowledged(self, group: str, since: float) -> positions.Position | None:
-        """Return the newest commit acknowledged to callers, None if unknown."""
-        return self.member_reports.find_acknowledged(group, since)
+    def collect_statements(self, group: str, since: float) -> member_reports.Statements:
+        """Return what the members state that they told; see MemberReports."""
+        return self.member_reports.collect_statements(group, since)
 
     def find_replicated(self, group: str) -> positions.Position:
         """Return what replicas have received in the group's term, as far as known."""
@@ -644,9 +644,13 @@
         """Allow reads on replicas, or end that; see :class:`failover.Fleet`."""
         self.node.groups[group].frozen = position
 
+    def find_sealed_at(self, group: str) -> float:
+        """Return when this node learned that a group was sealed."""
+        return self.node.groups[group].commits.sealed_at
+
     def find_lease_expiry(self, group: str) -> float:
         """Return when all leases on the primary of a sealed group have expired."""
-        sealed_at = self.node.groups[group].commits.sealed_at
+        sealed_at = self.find_sealed_at(group)
         return sealed_at + primary_lease.LEASE * (1 + 2 * clock.RATE_MARGIN)
 
     def find_request_expiry(self, group: str) -> float:
--- a/src/sardinehold/node/member_reports.py
+++ b/src/sardinehold/node/member_reports.py
@@ -31,6 +31,26 @@
         self.at = at
 
 
+class Statements:
+    """What the members state that they told of commits.
+
+    :param newest: newest position that one of them states.
+    :param missing: members of which no final statement is known.
+    """
+
+    __slots__ = ("newest", "missing")
+
+    def __init__(self, newest: positions.Position) -> None:
+        """Initialize with the statement of the node itself."""
+        self.newest = newest
+        self.missing: list[str] = []
+
+    @property
+    def acknowledged(self) -> positions.Position | None:
+        """Position that has all acknowledged commits; None unless all have stated."""
+        return None if self.missing else self.newest
+
+
 class MemberReports:
     """The last report of each node that reports here, and the members that it covers.
 
@@ -185,34 +205,43 @@
                 return False
         return bool(self.node.members)
 
-    def find_acknowledged(self, group: str, since: float) -> positions.Position | None:
-        """Return the newest commit that is acknowledged to any caller.
+    def collect_statements(self, group: str, since: float) -> "Statements":
+        """Return what the members state that they told of commits under a seal.
 
-        :returns: None unless every member has reported one in a report sent after
-            ``since``, under the present seal. It cannot while a later commit is
-            possible, nor after a restart until it has an answer of the primary.
+        A member states it in a report that was sent after ``since``. It cannot while a
+        later commit is possible, nor after a restart until it has an answer of the
+        primary.
         """
         own = self.node.groups[group]
         newest = own.commits.find_final(clock.read())
+        found = Statements(newest or positions.START)
         if newest is None:
-            return None
+            found.missing.append(self.node.settings.name)
         seal = own.state.stage[:2]
         for name in self.node.members:
             if name == self.node.settings.name:
                 continue
-            received = self._by_member.get(name)
-            if received is None:
-                return None
-            report = received.report
-            sent_at = report.date(report.covered_age, self.node.incarnation)
-            if sent_at is None or sent_at < since:
-                return None
-            known = report.states.get(group)
-            acknowledged = report.acknowledged.get(group)
-            if known is None or known[:2] != seal or acknowledged is None:
-                return None
-            newest = max(newest, acknowledged)
-        return newest
+            position = self._find_statement(name, group, seal, since)
+            if position is None:
+                found.missing.append(name)
+            else:
+                found.newest = max(found.newest, position)
+        return found
+
+    def _find_statement(
+        self, name: str, group: str, seal: tuple, since: float
+    ) -> positions.Position | None:
+        received = self._by_member.get(name)
+        if received is None:
+            return None
+        report = received.report
+        sent_at = report.date(report.covered_age, self.node.incarnation)
+        if sent_at is None or sent_at < since:
+            return None
+        known = report.states.get(group)
+        if known is None or known[:2] != seal:
+            return None
+        return report.acknowledged.get(group)
 
     def find_replicated(self, group: str) -> positions.Position:
         """Return what replicas have received in a group's term, as far as known.
--- a/src/sardinehold/node/promotion.py
+++ b/src/sardinehold/node/promotion.py
@@ -83,6 +83,8 @@
     preferred: frozenset[str] = frozenset(),
     restarted: frozenset[str] = frozenset(),
     replicated: positions.Position = positions.START,
+    stated: positions.Position = positions.START,
+    awaits_records: bool = False,
 ) -> Plan:
     """Return the endpoint to promote, chosen from the frozen logs that were read.
 
@@ -106,7 +108,11 @@
     :param restarted: endpoints that may have lost commits when they restarted; they
         do not count among those that were read.
     :param replicated: position that as many replicas as a commit needs have received.
-        If the longest log ends before it, one of those that were read has lost its log.
+        A log that ends before it lacks an acknowledged commit.
+    :param stated: newest position at which a member says that it told of a commit. The
+        commit may come earlier in the log, but the primary's log reached this position.
+    :param awaits_records: whether replicas may have no record yet. A log that ends
+        before ``stated`` is then not chosen for the number of replicas that were read.
     """
     leader = find_later_primary(statuses, state)
     if leader:
@@ -124,16 +130,18 @@
         )
 
     best = max(sorted(replicas), key=preference, default="")
+    end = replicas[best].received if best else positions.START
     required = count_required_replicas(replica_count, sync_replicas)
-    is_lost = bool(best) and replicas[best].received < replicated
-    if best and not is_lost and len(replicas.keys() - restarted) >= required:
+    may_lack = end < replicated or (awaits_records and end < stated)
+    if best and not may_lack and len(replicas.keys() - restarted) >= required:
         return Plan(target=best, grounds=Grounds.REPLICAS)
-    if best and acknowledged is not None and replicas[best].received >= acknowledged:
+    if best and acknowledged is not None and end >= max(acknowledged, replicated):
         return Plan(target=best, grounds=Grounds.REPORTS)
-    if old is None:
+    if old is None or old.received < max(stated, replicated):
+        # The old primary's log cannot be read, or is not the one that it had.
         accepted = best if may_lose_commits else ""
         return Plan(target=accepted, grounds=Grounds.LOSS_ACCEPTED)
-    if best and replicas[best].received >= old.received:
+    if best and end >= old.received:
         return Plan(target=best, grounds=Grounds.OLD_PRIMARY)
     reinstated = state.primary if may_reinstate else ""
     return Plan(target=reinstated, grounds=Grounds.REINSTATED)
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -426,10 +426,9 @@
         group.record_answer(
             endpoint, sent_at, answer, not was_open, is_done and proves_commit
         )
-        if is_done and proves_commit and known is not None:
-            group.commits.record_replicated(known.position, answer.position)
         if is_done and proves_commit:
-            answer = self._check_acknowledgement(group, request, answer, term)
+            before = known.position if known is not None else None
+            answer = self._check_acknowledgement(group, request, answer, term, before)
         if answer.error is statements.Failure.LAGGING and assignment.after is not None:
             endpoint.lag.record_refusal(assignment.after, clock.read())
         return answer
@@ -440,10 +439,12 @@
         request: execution.Request,
         answer: statements.Answer,
         term: int,
+        before: positions.Position | None,
     ) -> statements.Answer:
         """Return the answer to a commit, in doubt if a promoted log may lack it.
 
         :param term: of the primary when it was sent.
+        :param before: position of the primary that was known then.
         """
         now = clock.read()
         is_told = group.may_acknowledge(term, now)
@@ -462,6 +463,7 @@
                 isolated=round(isolated_for, 3),
             )
         if is_told:
+            group.commits.record_told(before, answer.position)
             return answer
         return statements.Answer(
             [],
--- a/src/sardinehold_standins/group_in_memory.py
+++ b/src/sardinehold_standins/group_in_memory.py
@@ -192,6 +192,20 @@
         leaders = [item for item in self.databases.values() if item.is_primary]
         return max(leaders, key=lambda item: item.term)
 
+    def can_receive(self, replica: Database) -> bool:
+        """Return whether a replica receives the log of a primary."""
+        if not any(item.is_primary for item in self.databases.values()):
+            return False
+        primary = self.primary
+        return (
+            primary is not replica
+            and primary.is_up
+            and not primary.is_cut_off
+            and not replica.is_cut_off
+            and not replica.is_receive_blocked
+            and replica.term <= primary.term
+        )
+
     async def replicate(self, primary: Database, request_id: str) -> bool:
         """Commit on the primary; return whether a replica received the entry.
 
@@ -515,13 +529,16 @@
         return self.database.status()
 
     async def resume(self, deadline):
-        """Resume receiving and copy the log of the primary."""
+        """Resume receiving, and copy the log of a primary that can send it."""
         await self._simulate_work(0.001, deadline)
-        self.database.paused_term = 0
-        self.database.log = list(self.database.cluster.primary.log)
-        self.database.applied = len(self.database.log)
-        self.database.term = self.database.cluster.primary.term
-        return self.database.status()
+        database = self.database
+        database.paused_term = 0
+        if database.cluster.can_receive(database):
+            primary = database.cluster.primary
+            database.log = list(primary.log)
+            database.applied = len(database.log)
+            database.term = primary.term
+        return database.status()
 
     async def step_down(self, term, deadline):
         """Stop being the primary."""
--- a/tests/builders_unfrozen.py
+++ b/tests/builders_unfrozen.py
@@ -1,5 +1,6 @@
 """Writers at the node that alone reaches a primary which is being replaced."""
 
+import builders_node
 from sardinehold.node import leader
 
 OWNER = "n3"
@@ -22,6 +23,14 @@
     )
 
 
+def join_without_records(world, count):
+    """Have replicas join of which no node learns."""
+    put, world.publish_endpoint = world.publish_endpoint, lambda name: None
+    for _ in range(count):
+        builders_node.join_database(world, world.clusters["g"])
+    world.publish_endpoint = put
+
+
 def find_missing(cluster, told):
     """Return the requests that the primary's log lacks."""
     kept = {request for _, request in cluster.primary.log}
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -208,15 +208,46 @@
     assert promotion.choose_target(logs, STATE, 2, 1, replicated=P(1, 5)).target == "r2"
 
 
+def test_replicas_that_lack_what_a_node_told_are_not_promoted():
+    # A replica without a record may have it; later on, none can be without one.
+    logs = {"r1": make_status(5), "r2": make_status(5)}
+    told = {"stated": P(1, 6)}
+    plan = promotion.choose_target(logs, STATE, 2, 1, awaits_records=True, **told)
+    assert plan.target == ""
+    assert promotion.choose_target(logs, STATE, 2, 1, **told).target == "r1"
+    logs["r1"] = make_status(6)
+    plan = promotion.choose_target(logs, STATE, 2, 1, awaits_records=True, **told)
+    assert plan.target == "r1"
+
+
+def test_old_primary_that_lost_its_log_proves_nothing():
+    # It showed position 6 to a caller.
+    logs = {"r1": make_status(5), "p": make_status(0)}
+    assert promotion.choose_target(logs, STATE, 2, 1).target == "r1"
+    told = {"stated": P(1, 6), "may_reinstate": True}
+    assert promotion.choose_target(logs, STATE, 2, 1, **told).target == ""
+
+
+def test_commits_that_were_sent_together_prove_as_many_positions():
+    found = commits.Commits()
+    for _ in range(3):
+        found.record_told(P(1, 5), P(1, 9))
+    assert found.replicated == P(1, 8)
+    found.record_told(P(1, 7), P(1, 9))
+    assert found.replicated == P(1, 9)
+    found.record_told(P(2, 9), P(2, 10))
+    assert found.replicated == P(2, 10)
+
+
 def test_commit_does_not_prove_that_later_ones_have_been_received():
     # A replica that crashed with its primary is not waited for.
     found = commits.Commits()
-    found.record_replicated(P(1, 5), P(1, 9))
+    found.record_told(P(1, 5), P(1, 9))
     assert found.replicated == P(1, 6)
-    found.record_replicated(P(1, 3), P(1, 9))
-    found.record_replicated(P(1, 8), P(2, 9))
-    found.record_replicated(None, P(1, 9))
-    found.record_replicated(P(1, 8), None)
+    found.record_told(P(1, 3), P(1, 9))
+    found.record_told(P(1, 8), P(2, 9))
+    found.record_told(None, P(1, 9))
+    found.record_told(P(1, 8), None)
     assert found.replicated == P(1, 6)
 
 
@@ -666,7 +697,7 @@
 def test_position_of_the_primary_does_not_lower_what_was_acknowledged():
     group = make_group()
     now = clock.read()
-    group.record_acknowledged(P(1, 9))
+    group.commits.record_told(None, P(1, 9))
     group.record_position(now + 1.0, P(1, 7))
     assert group.commits.newest == P(1, 9)
 
--- a/tests/test_node_roster.py
+++ b/tests/test_node_roster.py
@@ -25,7 +25,7 @@
         commits=commits.Commits(), state=types.SimpleNamespace(stage=(1, True, 2))
     )
     group.commits.newest = P(1, 3)
-    group.commits.seal(NOW - commits.SEAL_GRACE)
+    group.commits.seal(NOW - commits.SEAL_GRACE, lease_until=NOW + 0.5)
     node = types.SimpleNamespace(
         settings=types.SimpleNamespace(name="n0"),
         incarnation="leader-1",
@@ -80,13 +80,13 @@
     leader_reports.add(
         builders_node.make_report(node="n2", acknowledged={"g": P(1, 9)}), NOW
     )
-    assert leader_reports.find_acknowledged("g", 1000.0) == P(1, 9)
+    assert leader_reports.collect_statements("g", 1000.0).acknowledged == P(1, 9)
 
 
 def test_leaders_own_acknowledgements_count_as_well(leader_reports):
     report_all(leader_reports)
     leader_reports.node.groups["g"].commits.newest = P(1, 12)
-    assert leader_reports.find_acknowledged("g", 1000.0) == P(1, 12)
+    assert leader_reports.collect_statements("g", 1000.0).acknowledged == P(1, 12)
 
 
 @pytest.mark.parametrize(
@@ -101,12 +101,12 @@
 def test_member_without_a_newer_report_leaves_commits_unknown(leader_reports, changes):
     report_all(leader_reports)
     leader_reports.add(builders_node.make_report(node="n2", **changes), NOW)
-    assert leader_reports.find_acknowledged("g", 1000.0) is None
+    assert leader_reports.collect_statements("g", 1000.0).acknowledged is None
 
 
 def test_member_without_any_report_leaves_commits_unknown(leader_reports):
     leader_reports.add(builders_node.make_report(node="n1"), NOW)
-    assert leader_reports.find_acknowledged("g", 1000.0) is None
+    assert leader_reports.collect_statements("g", 1000.0).acknowledged is None
 
 
 @pytest.mark.parametrize("stage", [(0, True, 3), SERVING, (2, False, 0)])
@@ -114,13 +114,21 @@
     # The member may learn late that there was a primary since, and commit there.
     report_all(leader_reports)
     leader_reports.add(builders_node.make_report(node="n2", states={"g": stage}), NOW)
-    assert leader_reports.find_acknowledged("g", 1000.0) is None
+    assert leader_reports.collect_statements("g", 1000.0).acknowledged is None
 
 
 def test_leader_that_was_restarted_leaves_commits_unknown(leader_reports):
     report_all(leader_reports)
     leader_reports.node.groups["g"].commits.newest = None
-    assert leader_reports.find_acknowledged("g", 1000.0) is None
+    assert leader_reports.collect_statements("g", 1000.0).acknowledged is None
+
+
+def test_commit_in_flight_behind_a_settled_seal_is_not_told(leader_reports):
+    report_all(leader_reports)
+    own = leader_reports.node.groups["g"].commits
+    own.in_flight = 1
+    own.settle(NOW)
+    assert leader_reports.collect_statements("g", 1000.0).acknowledged == P(1, 6)
 
 
 @pytest.mark.parametrize("reason", ["in flight", "not sealed", "just sealed"])
@@ -134,8 +142,8 @@
     else:
         own.unseal()
     if reason == "just sealed":
-        own.seal(NOW)
-    assert leader_reports.find_acknowledged("g", 1000.0) is None
+        own.seal(NOW, lease_until=NOW + 0.5)
+    assert leader_reports.collect_statements("g", 1000.0).acknowledged is None
 
 
 @pytest.mark.parametrize(
--- a/tests/test_settled_commits.py
+++ b/tests/test_settled_commits.py
@@ -88,9 +88,7 @@
         builders_unfrozen.lose_primary(monkeypatch)
         await builders_node.await_seal(world, "g")
         await asyncio.sleep(after)
-        put, world.publish_endpoint = world.publish_endpoint, lambda name: None
-        builders_node.join_database(world, cluster)
-        world.publish_endpoint = put
+        builders_unfrozen.join_without_records(world, 1)
         await asyncio.sleep(2.0)
         world.publish_endpoint("g-3")
         await asyncio.sleep(6.0)
@@ -147,3 +145,71 @@
         assert clock.read() - sealed_at < 6.0
 
     builders_node.run_scenario(monkeypatch, scenario, 4)
+
+
+@pytest.mark.parametrize("loses_leader", [False, True])
+@pytest.mark.parametrize("joins", [1, 2])
+@pytest.mark.parametrize("joins_after", [-0.4, 0.02, 0.06, 0.3])
+@pytest.mark.parametrize("is_isolated", [False, True])
+def test_commit_on_replicas_that_never_get_a_record_is_not_lost(
+    monkeypatch, is_isolated, joins_after, joins, loses_leader
+):
+    # The old primary sends its log to the others as well, once they are resumed.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        for database in cluster.databases.values():
+            database.statement_seconds = 0.05
+        told = builders_unfrozen.start_writers(world)
+        await asyncio.sleep(2.0)
+        builders_node.cut_off_primary(world, cluster.primary, builders_unfrozen.OWNER)
+        if is_isolated:
+            builders_node.isolate_node(world, builders_unfrozen.OWNER)
+        if joins_after < 0:
+            builders_unfrozen.join_without_records(world, joins)
+            await asyncio.sleep(-joins_after)
+        builders_unfrozen.lose_primary(monkeypatch)
+        await builders_node.await_seal(world, "g")
+        sealed_at = clock.read()
+        if joins_after > 0:
+            await asyncio.sleep(joins_after)
+            builders_unfrozen.join_without_records(world, joins)
+        if loses_leader and not cluster.promotions:
+            world.kill_node(world.find_leader())
+        while not cluster.promoted and clock.read() < sealed_at + 10.0:
+            await asyncio.sleep(0.05)
+        assert cluster.promoted
+        # A leader that is killed without a word is replaced after 2.1 to 2.6 s.
+        assert clock.read() - sealed_at < 5.0
+        await asyncio.sleep(2.0)
+        assert told
+        assert builders_unfrozen.find_missing(cluster, told) == []
+
+    builders_node.run_scenario(monkeypatch, scenario, 4)
+
+
+@pytest.mark.parametrize("record_after", [2.0, 4.0])
+def test_only_copy_on_a_replica_whose_record_is_late_is_waited_for(
+    monkeypatch, record_after
+):
+    # The two that were frozen had received nothing for a while.
+    async def scenario(world):
+        cluster = world.clusters["g"]
+        for database in cluster.databases.values():
+            database.statement_seconds = 0.05
+        told = builders_unfrozen.start_writers(world)
+        await asyncio.sleep(2.0)
+        builders_node.cut_off_primary(world, cluster.primary, builders_unfrozen.OWNER)
+        for name in ("g-1", "g-2"):
+            cluster.databases[name].is_receive_blocked = True
+        builders_unfrozen.join_without_records(world, 1)
+        await asyncio.sleep(0.4)
+        builders_unfrozen.lose_primary(monkeypatch)
+        await builders_node.await_seal(world, "g")
+        await asyncio.sleep(record_after)
+        world.publish_endpoint("g-3")
+        await asyncio.sleep(4.0)
+        assert [item.name for item in cluster.promoted] == ["g-3"]
+        assert told
+        assert builders_unfrozen.find_missing(cluster, told) == []
+
+    builders_node.run_scenario(monkeypatch, scenario, 4)
