Show the applied position in the errors of the in-memory replicas

A LAGGING answer showed what the replica had received, where PROTOCOL.md's READY of a replica shows what it has applied (STATUS shows the former). Nodes believed the replica to be up to date and tried it 99 times in a second; a read-only transaction then got no endpoint.

--- a/src/sardinehold_standins/group_in_memory.py
+++ b/src/sardinehold_standins/group_in_memory.py
@@ -418,19 +418,23 @@
     def _fail(self, failure: statements.Failure) -> statements.Answer:
         status = "I" if self.writes is None else "E"
         return statements.Answer(
-            [], error=failure, status=status, position=self.database.position
+            [], error=failure, status=status, position=self._find_applied()
         )
 
+    def _find_applied(self) -> positions.Position:
+        """Return the position that answers show: a replica's may be behind its log."""
+        database = self.database
+        return positions.Position(database.position.term, database.applied)
+
     def _succeed(self, request_id: str) -> statements.Answer:
         database = self.database
         if request_id in database.lost_answers:
             raise ports.ConnectionLost(True)
-        applied = positions.Position(database.position.term, database.applied)
         return statements.Answer(
             ["row"],
             f"signed {database.name} {request_id}",
             status="I" if self.writes is None else "T",
-            position=applied,
+            position=self._find_applied(),
         )
 
     async def run(self, statement, deadline, after=None):
