Keep the position of a session's last commit for each group

Cause: one position for the session, though each group has a log of its own.

Change: positions are kept by group, and a read takes that of its group. A position of a later term than the samples is not lowered to theirs any more.

--- a/src/sardinehold/node/explanation.py
+++ b/src/sardinehold/node/explanation.py
@@ -31,7 +31,7 @@
     """A parsed query.
 
     :param team: the team in whose name the statement would run.
-    :param last_commit: position of the session's last commit, or None.
+    :param last_commit: position of the session's last commit to the group, or None.
     """
 
     __slots__ = ("route", "team", "last_commit")
--- a/src/sardinehold/node/primary_lease.py
+++ b/src/sardinehold/node/primary_lease.py
@@ -115,17 +115,16 @@
     """Return the position that a replica must have reached to serve a read.
 
     :param arrived_at: when the read, or its transaction, reached this node.
-    :param last_commit: position of the session's last commit, None if it made none.
+    :param last_commit: position of the session's last commit to the lease's group, None
+        if it made none.
     :returns: None if no known position is certain to suffice.
     """
     since = arrived_at - route.max_staleness
     if route.consistency is catalog.Consistency.LATEST:
         since = arrived_at
     floor = lease.find_position(since)
-    if floor is None or last_commit is None or last_commit <= floor:
+    if floor is None or last_commit is None:
         return floor
-    if last_commit.term == floor.term:
-        return last_commit
     # A commit of an earlier term is part of the new primary's log, and is thus covered
     # by any position of the new term.
-    return floor
+    return max(floor, last_commit)
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -34,7 +34,8 @@
     :param route_name: the database name that the caller gave.
     :param key: the key that the caller gave.
     :param status: transaction status last sent to the caller: ``I``, ``T`` or ``E``.
-    :param last_commit: position of the session's last commit, None if it made none.
+    :param last_commits: positions of the session's last commits, by group: each has a
+        log of its own, and a route may move from one to another and back.
     :param state_bytes: bytes of its variables and prepared statements.
     """
 
@@ -49,7 +50,7 @@
         self.state_bytes = 0
         self.trace = outcomes.Trace()
         self.handling = handling.Handling(clock.read(), self.values, self.trace)
-        self.last_commit: positions.Position | None = None
+        self.last_commits: dict[str, positions.Position] = {}
         self.transaction: transactions.Transaction | None = None
         self.is_busy = False
         self.is_closed = False
@@ -277,6 +278,14 @@
         """Return the group that serves a route."""
         return self.node.find_group(route.group)
 
+    def record_commit(
+        self, route: catalog.Route, position: positions.Position | None
+    ) -> None:
+        """Record a commit to the group of a route, for the reads that follow it."""
+        if position is not None:
+            known = self.last_commits.get(route.group, position)
+            self.last_commits[route.group] = max(known, position)
+
     # Running on an endpoint
 
     async def acquire(
@@ -301,7 +310,7 @@
             route,
             arrived_at,
             deadline,
-            self.last_commit,
+            self.last_commits.get(route.group),
             needs_primary,
             avoided,
             diverted,
--- a/src/sardinehold/node/transactions.py
+++ b/src/sardinehold/node/transactions.py
@@ -278,7 +278,7 @@
             answer.status = "I"
         self.stream = None
         if answer.error is None and self.has_sent_write:
-            self.session.last_commit = answer.position or self.session.last_commit
+            self.session.record_commit(self.route, answer.position)
         return answer
 
     def roll_back(self) -> statements.Answer:
--- a/src/sardinehold/node/waiting.py
+++ b/src/sardinehold/node/waiting.py
@@ -30,7 +30,8 @@
 class Waiter(admission.Waiter):
     """A statement that waits for an endpoint of a group.
 
-    :param last_commit: position of the session's last commit, None if it made none.
+    :param last_commit: position of the session's last commit to the group, None if it
+        made none.
     :param needs_primary: whether only the primary may run it.
     :param avoided: endpoints on which it already failed.
     :param diverted: endpoints whose owners sent it back, None if they may not.
--- a/src/sardinehold/node/writing.py
+++ b/src/sardinehold/node/writing.py
@@ -53,7 +53,7 @@
                 statements.Failure.IN_DOUBT, "the write was sent and not answered"
             ) from error
         if answer.error is None:
-            session.last_commit = answer.position or session.last_commit
+            session.record_commit(route, answer.position)
             return answer
         if answer.error is statements.Failure.READ_ONLY:
             await session.node.refresh(group)
--- a/tests/builders_node.py
+++ b/tests/builders_node.py
@@ -257,11 +257,13 @@
     cold_start: float = 0.0,
     regions: dict[str, list[str]] | None = None,
     further: list[str] | None = None,
+    moved: dict[str, str] | None = None,
 ) -> catalog.Catalog:
     """Return a configuration with one route of each kind to one group.
 
     :param teams: rate and burst of each further team.
     :param further: further groups, each with a route of its name.
+    :param moved: the groups of routes that were moved to another one, by route.
     :param regions: allowed regions by the name of a route or team.
     """
     allowed = {name: frozenset(found) for name, found in (regions or {}).items()}
@@ -273,6 +275,8 @@
     }
     for name in further or ():
         routes[name] = catalog.Route(name, name, kinds.LATEST, 0.0, timeout)
+    for name, group in (moved or {}).items():
+        routes[name].group = group
     more = teams or {}
     found = catalog.Catalog(
         version,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -810,7 +810,7 @@
         await client.send(Kind.BEGIN)
         await client.write()
         committed = await client.send(Kind.COMMIT)
-        assert client.session.last_commit == committed.position
+        assert client.session.last_commits == {"g": committed.position}
         assert (await client.read()).error is None
         assert world.clusters["g"].executions[-1].log >= committed.position.offset
 
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -73,6 +73,11 @@
     assert primary_lease.find_floor(lease, SESSION, 10.0, P(1, 2)) == P(1, 5)
 
 
+def test_session_read_is_not_behind_its_commit_of_a_later_term_than_the_samples():
+    lease = make_lease((9.0, 5))
+    assert primary_lease.find_floor(lease, SESSION, 10.0, P(2, 3)) == P(2, 3)
+
+
 def test_own_commit_of_an_earlier_term_is_part_of_any_later_position():
     lease = make_lease((9.0, 5), term=2)
     assert primary_lease.find_floor(lease, SESSION, 10.0, P(1, 9)) == P(2, 5)
