Never begin a transaction again that was rolled back

Cause: Session.revoke released the stream and left the transaction open, and `stream is None` stood for "not begun yet" as well as for "rolled back". The next statement sent a second BEGIN. Evidence: "- ROLLBACK" and a second BEGIN with the client's id in the record, after the line transaction_revoked.

Change: a transaction has a state. Releasing its stream makes it rolled back, whatever the reason; only a pending one is begun. The caller's next statement is ABORTED with the reason, also if the key is back. A transaction of which nothing ran yet goes on.

--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -25,6 +25,8 @@
 
 IDLE_REASON = "the transaction exceeded its idle timeout"
 
+REVOKED_REASON = "the transaction was rolled back: its key was withdrawn"
+
 Kind = statements.Kind
 
 
@@ -180,14 +182,17 @@
     def revoke(self) -> bool:
         """Roll back an idle transaction whose key was withdrawn.
 
-        The caller is told with the answer to its next statement.
+        The caller is told with the answer to its next statement, also if the key is in
+        force again by then.
 
         :returns: whether there was one.
         """
         transaction = self.transaction
         if transaction is None or self.is_busy or self.is_key_of(transaction.team):
             return False
-        transaction.release()
+        if transaction.state is not transactions.State.BEGUN:
+            return False
+        self.abandon(REVOKED_REASON)
         return True
 
     def close(self) -> None:
--- a/src/sardinehold/node/transactions.py
+++ b/src/sardinehold/node/transactions.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import enum
 import typing
 
 from sardinehold.node import catalog
@@ -25,6 +26,19 @@
 Kind = statements.Kind
 
 
+class State(enum.Enum):
+    """How far a transaction has come."""
+
+    PENDING = "pending"
+    """Its BEGIN was not sent to an endpoint yet."""
+
+    BEGUN = "begun"
+    """It is open on an endpoint."""
+
+    ROLLED_BACK = "rolled back"
+    """It is never begun again; its caller's next statement fails."""
+
+
 class Transaction:
     """An open transaction.
 
@@ -33,7 +47,8 @@
     :param arrived_at: when it arrived.
     :param route: as it was then; changes apply from the next transaction on.
     :param regions: allowed regions, likewise; None if all are allowed.
-    :param stream: the stream that it runs on, None before its first statement.
+    :param state: how far it has come.
+    :param stream: the stream that it runs on, None unless it has begun.
     :param has_sent_write: whether a write was sent.
     :param has_written: whether a write was answered with success.
     :param idle_deadline: when it is aborted if it stays idle until then.
@@ -47,6 +62,7 @@
         "arrived_at",
         "route",
         "team",
+        "state",
         "stream",
         "has_sent_write",
         "has_written",
@@ -72,6 +88,7 @@
         self.arrived_at = arrived_at
         self.route = route
         self.team = team
+        self.state = State.PENDING
         self.stream: forwarding.Stream | None = None
         self.has_sent_write = False
         self.has_written = False
@@ -90,6 +107,7 @@
 
     def release(self) -> None:
         """Roll back what is open, without informing the caller."""
+        self.state = State.ROLLED_BACK
         stream, self.stream = self.stream, None
         if stream is not None:
             stream.close()
@@ -107,11 +125,10 @@
         self.session.trace.group = self.route.group
         try:
             deadline = self.session.find_deadline(self.route)
+            await self._ensure_begun(deadline)
         except outcomes.StatementFailed:
             self._mark_aborted()
             raise
-        if self.stream is None:
-            await self._begin(deadline)
         assignment = waiting.Assignment(self.stream)
         if statements.is_write(statement):
             self.has_sent_write = True
@@ -170,6 +187,20 @@
         self.release()
         self.idle_deadline = float("inf")
 
+    async def _ensure_begun(self, deadline: float) -> None:
+        """Begin the transaction unless it has begun.
+
+        :raises sardinehold.node.outcomes.StatementFailed: no endpoint accepted it, or
+            it was rolled back: what its caller sent before must not be left out.
+        """
+        if self.state is State.ROLLED_BACK:
+            raise outcomes.StatementFailed(
+                statements.Failure.ABORTED,
+                self.expiry_reason or "the transaction was rolled back",
+            )
+        if self.state is State.PENDING:
+            await self._begin(deadline)
+
     async def _begin(self, deadline: float) -> None:
         """Begin the transaction on an endpoint.
 
@@ -216,6 +247,7 @@
                 continue
             if answer.error is None and answer.status == "T":
                 self.stream = assignment.stream
+                self.state = State.BEGUN
                 return
             assignment.stream.close()
             if answer.error is statements.Failure.READ_ONLY:
@@ -247,8 +279,7 @@
         self.session.trace.group = self.route.group
         try:
             deadline = self.session.find_deadline(self.route)
-            if self.stream is None:
-                await self._begin(deadline)
+            await self._ensure_begun(deadline)
             assignment = waiting.Assignment(self.stream)
             answer = await self._run_while_busy(assignment, statement, deadline)
         except outcomes.StatementFailed:
