Report a state that the store lacks as not stored

What callers saw: writes refused as read-only after a restore of the store and a restart of all nodes, as the stored state names the primary that had been replaced; the leader knew the present one and never wrote it.

Cause: a node passes states on that the leader lacks, without saying whether the store holds them; the leader took them for stored. It needs a message of a process from before the restart that arrives after it. Evidence: group_state with stored false on the reporting node, then stored true on the leader with the same version.

--- a/src/sardinehold/node/reports.py
+++ b/src/sardinehold/node/reports.py
@@ -429,12 +429,19 @@
             item.phase.value,
             item.version,
             item.attempt,
-            *([item.requested] if item.requested else []),
+            *_dump_details(item),
         ]
         for item in states
     ]
 
 
+def _dump_details(state: catalog.GroupState) -> list:
+    """Return the fields that most states do not need."""
+    if not state.is_stored:
+        return [state.requested, False]
+    return [state.requested] if state.requested else []
+
+
 def _parse_states(value: list) -> list[catalog.GroupState]:
     return [
         catalog.GroupState(
@@ -444,9 +451,10 @@
             catalog.Phase(phase),
             int(version),
             int(attempt),
-            requested=requested[0] if requested else "",
+            is_stored=details[1:2] != [False],
+            requested=details[0] if details else "",
         )
-        for group, term, primary, phase, version, attempt, *requested in value
+        for group, term, primary, phase, version, attempt, *details in value
     ]
 
 
--- a/tests/test_node_decisions.py
+++ b/tests/test_node_decisions.py
@@ -153,6 +153,18 @@
     assert len(stored.dump()["value"]) < 500
 
 
+@pytest.mark.parametrize("requested", ["", "r1"])
+@pytest.mark.parametrize("is_stored", [True, False])
+def test_state_that_the_store_lacks_is_reported_as_such(is_stored, requested):
+    # The leader took it for stored, and never wrote it again.
+    state = catalog.GroupState(
+        "g", 2, "p", catalog.Phase.SERVING, 7, 0, is_stored, requested
+    )
+    report = builders_node.make_report(later=[state])
+    (found,) = reports.parse(report.dump()).later
+    assert (found.is_stored, found.requested) == (is_stored, requested)
+
+
 def test_unknown_message_is_ignored():
     assert reports.parse({"kind": "other"}) is None
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -207,11 +207,16 @@
     builders_node.run_scenario(monkeypatch, scenario)
 
 
-def test_restarted_fleet_does_not_return_to_the_primary_that_was_replaced(monkeypatch):
-    # Nobody remembers the change of primary that the store has lost.
+@pytest.mark.parametrize("wait", [0.0, 0.18, 0.49, 0.52])
+def test_restarted_fleet_does_not_return_to_the_primary_that_was_replaced(
+    monkeypatch, wait
+):
+    # Nobody remembers the change of primary that the store has lost; with some waits,
+    # a message of the processes before tells one node, which tells the leader.
     async def scenario(world):
         copy = world.store.save()
         await replace_primary(world)
+        await asyncio.sleep(wait)
         primary = world.clusters["g"].primary.name
         zones = {name: node.settings.zone for name, node in world.nodes.items()}
         await world.restore_store(copy)
