Tell no read of a primary that lost its log, and replace it

Cause: the name of an endpoint stands for its log. Reachability was the only ground for a replacement, and reads on the primary carry no position.

Change: an answer of the primary that shows an earlier position than it had shown before is not told, and the primary is not used for 1 s; the leader asks the databases, also when the primary's entry stops to claim the role, and replaces a primary that says that it is a replica.

--- a/src/sardinehold/node/eligibility.py
+++ b/src/sardinehold/node/eligibility.py
@@ -94,6 +94,19 @@
     return "its owners cannot reach it" if now < endpoint.cooldown_until else None
 
 
+@excludes(Use.READ, Use.PRIMARY)
+def exclude_other_log(
+    endpoint: "pool.Endpoint",
+    waiter: "waiting.Waiter",
+    group: "groups.Group",
+    now: float,
+) -> str | None:
+    """Exclude a primary that has started again without its log."""
+    if endpoint is group.primary and now < endpoint.other_log_until:
+        return "it does not have the primary's log"
+    return None
+
+
 @excludes(Use.READ)
 def exclude_leaving(
     endpoint: "pool.Endpoint",
--- a/src/sardinehold/node/groups.py
+++ b/src/sardinehold/node/groups.py
@@ -60,6 +60,11 @@
 answered or not."""
 
 
+OTHER_LOG_PAUSE = 1.0
+"""Seconds for which a primary is not used that does not have its log: the leader checks
+it meanwhile."""
+
+
 OpenStream = typing.Callable[
     [pool.Endpoint, residency.Regions], "forwarding.Stream | forwarding.RefusedStream"
 ]
@@ -243,23 +248,53 @@
         return self.lease.holds_lease(now)
 
     def is_overtaken(self) -> bool:
-        """Return whether an endpoint answered in a later term than the primary's.
+        """Return whether answers or entries contradict the state's primary.
 
-        Another endpoint may then have been promoted than the one that the state names.
+        An endpoint answered in a later term, so that another one may have been promoted
+        than the state names, or the primary lacks its log or says that it is none.
         """
-        return (
-            self.state is not None
-            and self.state.phase is catalog.Phase.SERVING
-            and self._newest_term > self.state.term
+        if self.state is None or self.state.phase is not catalog.Phase.SERVING:
+            return False
+        primary = self.primary
+        return self._newest_term > self.state.term or (
+            primary is not None
+            and (clock.read() < primary.other_log_until or primary.has_disclaimed)
         )
 
+    def has_primary_log(
+        self,
+        endpoint: pool.Endpoint,
+        known: primary_lease.Sample | None,
+        answer: statements.Answer,
+    ) -> bool:
+        """Return whether an answer may be from the primary's log.
+
+        A primary that started again with nothing shows an earlier position than before,
+        until its entry says that it is a replica and another one is promoted.
+
+        :param endpoint: of any start; its newest one may have replaced it since.
+        :param known: newest sample when the statement was sent.
+        """
+        if known is None or answer.position is None:
+            return True
+        primary = self.primary
+        if primary is None or primary.name != endpoint.name:
+            return True
+        if answer.position >= known.position:
+            return True
+        primary.other_log_until = clock.read() + OTHER_LOG_PAUSE
+        return False
+
     def apply_record(self, record: catalog.EndpointRecord, now: float) -> None:
         """Apply an endpoint's record."""
         endpoint = self.endpoints.get(record.name)
+        before = endpoint.record if endpoint is not None else None
         if endpoint is None or endpoint.record.born != record.born:
             replaced = endpoint
             endpoint = pool.Endpoint(record, self._measure_distance(record.zone))
             if replaced is not None:
+                endpoint.has_disclaimed = replaced.has_disclaimed
+                endpoint.other_log_until = replaced.other_log_until
                 self._close_idle(replaced)
                 # Waiting statements may be sent before owners are assigned again.
                 endpoint.inherit_ownership(replaced)
@@ -267,6 +302,7 @@
         endpoint.region = self._find_region(record.zone)
         endpoint.warmup = self._find_warmup(record, now)
         endpoint.warmup.apply_record(record.cold_for, now)
+        self._note_role(endpoint, record, before)
         endpoint.record = record
         endpoint.missing_since = None
         self.removed_at.pop(record.name, None)
@@ -278,6 +314,21 @@
             self._close_if_draining(endpoint)
         self.dispatch_waiting()
 
+    def _note_role(
+        self,
+        endpoint: pool.Endpoint,
+        record: catalog.EndpointRecord,
+        before: catalog.EndpointRecord | None,
+    ) -> None:
+        """Note that a primary says that it is none any more.
+
+        The entry of one that was just promoted may be from before.
+        """
+        if record.claims_primary:
+            endpoint.has_disclaimed = False
+        elif endpoint is self.primary and before is not None and before.claims_primary:
+            endpoint.has_disclaimed = True
+
     def _find_warmup(self, record: catalog.EndpointRecord, now: float) -> warmup.Warmup:
         """Return the warm-up of an endpoint's start, kept over a missing record.
 
--- a/src/sardinehold/node/leader.py
+++ b/src/sardinehold/node/leader.py
@@ -548,12 +548,19 @@
         return failover.Failover(self, name, sync, planned)
 
     async def _verify(self, name: str) -> None:
-        """Find a primary of a later term than the published one, and act on it."""
+        """Find a primary of a later term than the published one, and act on it.
+
+        If there is none and the published one is a replica, it is replaced.
+        """
         self._verified_at[name] = clock.read()
         state = self.find_state(name)
         statuses = await failover.read_statuses(self, name)
         later = promotion.find_later_primary(statuses, state)
         if not later:
+            published = statuses.get(state.primary)
+            if published is not None and not published.is_primary:
+                self.note("primary_lost", group=name, primary=state.primary)
+                await self._replace(name)
             return
         self.note(
             "unexpected_primary",
--- a/src/sardinehold/node/occurrences.py
+++ b/src/sardinehold/node/occurrences.py
@@ -87,6 +87,7 @@
     "failover_promote_unanswered": "The promotion request may still be executed.",
     "failover_promote_refused": "The promotion request is not executed; with reason.",
     "failover_unexpected_primary": "An endpoint was promoted that no state names.",
+    "failover_primary_lost": "The published primary says that it is a replica.",
     "failover_resumed": "Replicas follow the old primary again; what was told.",
     "failover_published": "The new primary is active; gap_ms counts from the seal.",
     "failover_evacuation": "A primary in an evacuated zone is moved, or cannot be yet.",
--- a/src/sardinehold/node/pool.py
+++ b/src/sardinehold/node/pool.py
@@ -155,6 +155,10 @@
     :param warmup: its cold period and this node's budget for it.
     :param exhausted_until: until when reads pass over it, because it is cold and has
         no budget for them.
+    :param other_log_until: until when it is not used as the primary, because an answer
+        showed that it does not have the primary's log.
+    :param has_disclaimed: whether its entry stopped to say that it is the primary while
+        it was.
     """
 
     __slots__ = (
@@ -198,6 +202,8 @@
         "region",
         "warmup",
         "exhausted_until",
+        "other_log_until",
+        "has_disclaimed",
     )
 
     def __init__(self, record: catalog.EndpointRecord, distance: int) -> None:
@@ -205,6 +211,8 @@
         self.region: str | None = None
         self.warmup = warmup.Warmup(record.born, clock.read())
         self.exhausted_until = float("-inf")
+        self.other_log_until = float("-inf")
+        self.has_disclaimed = False
         self.record = record
         self.distance = distance
         self.owners: list[str] = []
--- a/src/sardinehold/node/session.py
+++ b/src/sardinehold/node/session.py
@@ -12,6 +12,7 @@
 from sardinehold.node import handlers
 from sardinehold.node import handling
 from sardinehold.node import outcomes
+from sardinehold.node import ports
 from sardinehold.node import residency
 from sardinehold.node import statements
 from sardinehold.node import transactions
@@ -436,6 +437,11 @@
         if stream.owner_name:
             self.node.late_sends.check_forwarded(request, sent_at)
         trace.position = answer.position
+        shows_log = not was_open or statement.kind in (Kind.BEGIN, Kind.BEGIN_READ)
+        is_current = not shows_log or group.has_primary_log(endpoint, known, answer)
+        if answer.error is None and not is_current:
+            stream.close()
+            raise ports.ConnectionLost(True)
         is_done = answer.error is None and answer.status == "I"
         group.record_answer(
             endpoint, sent_at, answer, not was_open, is_done and proves_commit
