Restore keys in the request soak, and check transactions as a whole

A key is withdrawn and restored within 0.6 s throughout, callers rest up to 1.5 s inside transactions, and each statement that was answered in a committed transaction has to have run on the connection of its COMMIT. Rests and restores have draws of their own, so that the faults of a seed stay as they were.

--- a/bench/request_soak.py
+++ b/bench/request_soak.py
@@ -6,7 +6,8 @@
 nodes are suspended and stopped, and all of them lose power at the same moment.
 Databases receive commits one by one, have neither slots nor connections left, take
 a second for a write, and start again without their log. The configuration withdraws
-and moves keys throughout. Some callers stay until their connection ends, others give up
+and moves keys throughout, and restores one while its transactions rest. Some callers
+stay until their connection ends, others give up
 after a second or two.
 
 Texts have any form: shapes, arguments, data, names and values with blanks, control
@@ -16,13 +17,13 @@
 Checked from the view of callers and databases: UNASKED, no statement runs that no
 caller sent, or with another text or in another team's name; PINNED, the prepared
 statement and the connection's variables are those that were last acknowledged to the
-caller; FORM, no valid text is refused for its form, no line exceeds the limit, and the
-end of a transaction is the end of its state; LOST, no promoted log and no log at the
-end lacks an acknowledged write, and planned stops leave no request without an answer;
-ONE, fencing tokens increase, and no write is acknowledged that the old primary
-committed after a promotion; TWICE; REFUSED; and all groups accept writes after the
-faults. Statements that start after their caller was answered or had left are reported,
-not violations.
+caller, and a transaction that was committed has all its statements; FORM, no valid text
+is refused for its form, no line exceeds the limit, and the end of a transaction is the
+end of its state; LOST, no promoted log and no log at the end lacks an acknowledged
+write, and planned stops leave no request without an answer; ONE, fencing tokens
+increase, and no write is acknowledged that the old primary committed after a promotion;
+TWICE; REFUSED; and all groups accept writes after the faults. Statements that start
+after their caller was answered or had left are reported, not violations.
 """
 
 import asyncio
@@ -112,6 +113,15 @@
 BUSY_SHARE = 0.6
 """Share of the changes of primary at which databases of the group are busy."""
 
+REST_SHARE = 0.1
+"""Share of a transaction's statements behind which its caller rests."""
+
+MAX_REST = 1.5
+"""Seconds of the longest rest; a transaction may rest for 3 s."""
+
+MAX_ABSENCE = 0.6
+"""Seconds after which a key is restored, at most."""
+
 FIXED_KEYS = {"k-red": "red", "k-blue": "blue"}
 MOVING_KEY = "k-moving"
 WITHDRAWN_KEY = "k-withdrawn"
@@ -175,6 +185,7 @@
         "ended_at",
         "ok",
         "wrong_values",
+        "connection",
     )
 
     def __init__(
@@ -190,6 +201,7 @@
         self.ended_at = clock.read()
         self.ok = received.answer is not None and received.answer.error is None
         self.wrong_values = ""
+        self.connection = received.connection
 
     def compare(self, request: Request, received: loopback.Received) -> None:
         """Compare what ran with what was sent; equal texts are kept once."""
@@ -211,6 +223,9 @@
         self.value_share = VALUE_SHARES[seed % len(VALUE_SHARES)]
         self.requests: dict[str, Request] = {}
         self.runs: list[Run] = []
+        self.transactions: list[list[str]] = []
+        # Draws of their own: those of the faults stay as they are for each seed.
+        self.rests = random.Random(f"{seed} rests")
         self.usual_delays: dict[str, float] = {}
         self.delays: dict[str, float] = {}
         self.reborn_at: dict[str, float] = {}
@@ -327,6 +342,20 @@
             delay = 0.0 if moment == "answer" else 0.5 * self.random.random()
             asyncio.get_running_loop().call_later(delay, cut_power, self)
 
+    def draw_rest(self) -> float:
+        """Return the seconds for which a caller rests inside its transaction."""
+        if self.rests.random() > REST_SHARE:
+            return 0.0
+        return MAX_REST * self.rests.random()
+
+    async def restore_key(self) -> None:
+        """Withdraw a key, or restore it, and undo that soon, until cancelled."""
+        while True:
+            await asyncio.sleep(2.0 * self.rests.random())
+            self.change_configuration()
+            await asyncio.sleep(MAX_ABSENCE * self.rests.random())
+            self.change_configuration()
+
     async def wait_until_ready(self) -> None:
         """Wait until all nodes accept sessions."""
         ends = time.monotonic() + START_SECONDS
@@ -453,6 +482,7 @@
     async def _run_transaction(self) -> bool:
         """Run a transaction; return whether the session can be used."""
         code, state = await self._send("BEGIN")
+        names: list[str] = []
         for _ in range(self.random.randrange(1, 4)):
             if code != "COMPLETE":
                 break
@@ -466,12 +496,15 @@
             else:
                 code, state = await self._read()
             self.begin = None
-            await asyncio.sleep(0.1 * self.random.random())
+            names.append(f"{self.name}x{self.count}")
+            await asyncio.sleep(0.1 * self.random.random() + self.world.draw_rest())
         self.begin = None
         if state == "I":
             return True
         is_kept = code == "COMPLETE" and self.random.random() < 0.9
         code, state = await self._send("COMMIT" if is_kept else "ROLLBACK")
+        if is_kept and code == "COMPLETE" and names:
+            self.world.transactions.append([*names, f"{self.name}x{self.count}"])
         if state != "I":
             self.world.violations.append(
                 f"FORM: {self.name}x{self.count}, the end of a transaction, was "
@@ -843,6 +876,20 @@
     return found
 
 
+def find_torn(world: World) -> list[str]:
+    """Return the statements of committed transactions that ran outside of them."""
+    ran = collections.defaultdict(set)
+    for run in world.runs:
+        if run.ok:
+            ran[run.request].add(run.connection)
+    return [
+        f"PINNED: {name} did not run on the connection of its COMMIT {commit}"
+        for *names, commit in world.transactions
+        for name in names
+        if not ran[name] & ran[commit]
+    ]
+
+
 def count_late(world: World) -> str:
     """Describe the runs that started after their request had ended."""
     seen: set[str] = set()
@@ -975,6 +1022,7 @@
             for number in range(CALLERS):
                 world.spawn(Caller(world, group, number).run())
         await asyncio.sleep(0.5)
+        world.spawn(world.restore_key())
         await stop_nodes(world)
         world.has_trouble = True
         await inject_faults(world)
@@ -993,6 +1041,7 @@
         await asyncio.sleep(CLOSE_SECONDS)
     commits = find_commits(world)
     violations = world.violations + find_unasked(world) + find_unanswered(world)
+    violations += find_torn(world)
     wrong = group_in_memory.list_wrong_tokens(world.store.promotions)
     violations += [f"ONE: {item}" for item in wrong]
     excused = 0
@@ -1005,7 +1054,8 @@
     kinds = collections.Counter(run.text.split(" ")[0] for run in world.runs)
     return (
         violations,
-        f"{len(commits)} writes, {kinds['EXECUTE']} prepared, "
+        f"{len(commits)} writes, {len(world.transactions)} transactions, "
+        f"{kinds['EXECUTE']} prepared, "
         f"{len(world.store.promotions)} requests, "
         f"{changes} promotions, {counts}, {excused} late commits beside suspensions, "
         f"{count_late(world)}, the soak itself ran late by {world.stall:.1f} s",
--- a/src/sardinehold_standins/loopback.py
+++ b/src/sardinehold_standins/loopback.py
@@ -54,9 +54,19 @@
     :param values: the connection's variables as the statement started.
     :param at: time at which it started.
     :param answer: its answer, None without one.
+    :param connection: where it ran.
     """
 
-    __slots__ = ("team", "request", "text", "size", "values", "at", "answer")
+    __slots__ = (
+        "team",
+        "request",
+        "text",
+        "size",
+        "values",
+        "at",
+        "answer",
+        "connection",
+    )
 
     def __init__(
         self,
@@ -66,6 +76,7 @@
         size: int,
     ) -> None:
         """Record that the statement starts now."""
+        self.connection = connection
         self.team = connection.team
         self.request = request
         self.text = describe_text(connection, text)
