Resume replicas only behind a seal that is settled for all nodes

Found by reading the change again: a leader that took over a settled seal and found no target resumed the replicas before the leases had run out, and then counted them as resumed; so did a round in which a replica refused to resume. What a node without contact told in between could be missing. The leader waits first, and counts a round only if each replica resumed.

--- a/src/sardinehold/node/failover.py
+++ b/src/sardinehold/node/failover.py
@@ -419,9 +419,13 @@
         return self.fleet.find_sealed_at(self.group) + RECORD_WAIT
 
     async def _resume_replicas(self, state: catalog.GroupState) -> None:
-        """Have the frozen replicas follow the old primary again, to be frozen anew."""
+        """Have the frozen replicas follow the old primary again, to be frozen anew.
+
+        Not before the seal is settled for all nodes: what they tell until then has to
+        be among what the replicas receive.
+        """
+        await self._wait_for_leases((*state.stage[:2], catalog.FIRST_SETTLED))
         frozen, self._frozen = self._frozen, {}
-        self._is_resumed = True
         told = self._collect_told()
         self.fleet.note(
             "resumed",
@@ -431,20 +435,25 @@
             unstated=told.missing[:LOGGED_NAMES],
             replicated=list(self._replicated),
         )
+        failed: list[str] = []
+
+        async def resume(record: catalog.EndpointRecord) -> None:
+            _, status = await query(
+                self.fleet,
+                record,
+                lambda connection, deadline: connection.resume(deadline),
+                self._kept,
+            )
+            if status is None:
+                failed.append(record.name)
+
         async with anyio.create_task_group() as tasks:
             for record in self.fleet.list_records(self.group):
                 if record.name in frozen and record.name != state.primary:
-                    tasks.start_soon(self._resume_one, record)
+                    tasks.start_soon(resume, record)
+        self._is_resumed = not failed
         await anyio.sleep(CATCH_UP_WAIT)
 
-    async def _resume_one(self, record: catalog.EndpointRecord) -> None:
-        await query(
-            self.fleet,
-            record,
-            lambda connection, deadline: connection.resume(deadline),
-            self._kept,
-        )
-
     def _update_replicated(self) -> None:
         """Learn what replicas have received; nodes that know it may leave."""
         known = self.fleet.find_replicated(self.group)
