--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -21,6 +21,7 @@
     is_leaving = False
     region = "eu"
     exhausted_until = float("-inf")
+    other_log_until = float("-inf")
 
     def accepts_new_work(self):
         return not self.is_leaving
@@ -76,3 +77,13 @@
     group.primary = endpoint
     assert find(endpoint, group=group) is None
     assert find(endpoint, eligibility.Use.PRIMARY, group=group) is None
+
+
+@pytest.mark.parametrize("use", eligibility.Use)
+def test_primary_without_its_log_is_excluded(use):
+    endpoint = Endpoint()
+    endpoint.other_log_until = float("inf")
+    assert find(endpoint, use) is None
+    group = Group()
+    group.primary = endpoint
+    assert find(endpoint, use, group=group) == "it does not have the primary's log"
